--- /dev/null
+++ b/azurewood/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/azurewood/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Check framework that returns findings."""
--- /dev/null
+++ b/azurewood/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line."""
--- /dev/null
+++ b/azurewood/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings from flags and environment variables."""
--- /dev/null
+++ b/azurewood/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin daemons."""
--- /dev/null
+++ b/azurewood/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration that operators publish."""
--- /dev/null
+++ b/azurewood/http/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' side and endpoints' side over HTTP."""
--- /dev/null
+++ b/azurewood/log/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs and metrics."""
--- /dev/null
+++ b/azurewood/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' interface and state dump."""
--- /dev/null
+++ b/azurewood/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/azurewood/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions."""
--- /dev/null
+++ b/azurewood/state/__init__.py
@@ -0,0 +1,1 @@
+"""The reducer, its events, effects and state."""
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds taken from the stated targets."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, the workers and the callers."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, grouped by feature."""
