--- a/azurewood/fleet/model.py
+++ b/azurewood/fleet/model.py
@@ -2,12 +2,17 @@
 
 Durations in a configuration are configured lengths, in the unit that the
 field's name ends with; what the state stores is always a deadline.
+
+Members of a union are ``msgspec.Struct`` classes, slotted and keyword-only
+like the data classes beside them, as msgspec tags no other kind of class.
 """
 
 import dataclasses
 import enum
 import typing
 
+import msgspec
+
 
 class Urgency(enum.StrEnum):
     """How soon a request has to be answered."""
@@ -104,21 +109,18 @@
     max_hosts: int = 1000000
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class FixedPools:
+class FixedPools(msgspec.Struct, kw_only=True, tag=True):
     """Never move a host on demand (the naive policy)."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class ThresholdMoves:
+class ThresholdMoves(msgspec.Struct, kw_only=True, tag=True):
     """Move a host as soon as a pool's load passes one threshold (naive)."""
 
     load: float = 0.8
     at_once: int = 1
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class HysteresisMoves:
+class HysteresisMoves(msgspec.Struct, kw_only=True, tag=True):
     """Move hosts between two load thresholds, each held for a time.
 
     ``gain_load`` and ``give_load`` are shares of a pool's slots in use.
--- /dev/null
+++ b/azurewood/http/callers.py
@@ -0,0 +1,255 @@
+"""The callers' side: a WSGI application that forwards requests.
+
+The thread that reads a caller's request also sends it to the endpoint, so
+a request that need not wait changes no thread.
+"""
+
+import collections.abc
+import concurrent.futures
+import itertools
+import time
+
+from azurewood.daemons import runtime as runtimes
+from azurewood.fleet import model as fleet_model
+from azurewood.http import endpoints
+from azurewood.http import exceptions
+from azurewood.http import outcomes
+from azurewood.state import effects
+from azurewood.state import events
+
+DEADLINE_HEADER = "HTTP_AZUREWOOD_DEADLINE_MS"
+KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
+MAX_KEY_CHARACTERS = 200
+KEPT_ANSWER_BYTES = 2048
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+
+Environ = dict[str, object]
+StartResponse = collections.abc.Callable[..., object]
+
+
+class CallerApplication:
+    """Forwards callers' requests to the endpoints of their services."""
+
+    __slots__ = ("_client", "_ids", "_max_body", "_name", "_runtime")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        runtime: runtimes.Runtime,
+        client: endpoints.EndpointClient,
+        max_body_bytes: int,
+    ) -> None:
+        self._name = name
+        self._runtime = runtime
+        self._client = client
+        self._max_body = max_body_bytes
+        self._ids = itertools.count(1)
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> list[bytes]:
+        """Answer one request (WSGI, PEP 3333)."""
+        request_id = f"{self._name}-{next(self._ids)}"
+        try:
+            answer = self._answer(environ, request_id)
+        except exceptions.BadRequest as exc:
+            answer = outcomes.rejected(exc.status, str(exc))
+        headers = [
+            *answer.headers,
+            (outcomes.REQUEST_ID_HEADER, request_id),
+            ("Content-Length", str(len(answer.body))),
+        ]
+        start_response(answer.status_line, headers)
+        return [answer.body]
+
+    def _answer(
+        self, environ: Environ, request_id: str
+    ) -> outcomes.CallerAnswer:
+        service, path = _split(str(environ["PATH_INFO"]))
+        config = self._service(service)
+        arrived, outgoing = self._read(environ, request_id, config, path)
+        fut: concurrent.futures.Future = concurrent.futures.Future()
+        self._runtime.requests[request_id] = fut
+        try:
+            self._runtime.post(arrived)
+            return self._run(arrived, outgoing, fut)
+        finally:
+            del self._runtime.requests[request_id]
+
+    def _service(self, name: str) -> fleet_model.Service:
+        fleet = self._runtime.state.agreed.fleet
+        if fleet is None:
+            raise exceptions.BadRequest(503, "no configuration yet")
+        for service in fleet.services:
+            if service.name == name:
+                return service
+        raise exceptions.BadRequest(404, f"unknown service {name!r}")
+
+    def _read(
+        self,
+        environ: Environ,
+        request_id: str,
+        service: fleet_model.Service,
+        path: str,
+    ) -> tuple[events.RequestArrived, endpoints.Outgoing]:
+        route = _route(service, path)
+        method = str(environ["REQUEST_METHOD"])
+        if method not in route.methods:
+            raise exceptions.BadRequest(405, f"{method} is not allowed")
+        body = self._body(environ)
+        key = str(environ.get(KEY_HEADER, ""))
+        if len(key) > MAX_KEY_CHARACTERS:
+            raise exceptions.BadRequest(400, "Idempotency-Key is too long")
+        arrived = events.RequestArrived(
+            id=request_id,
+            service=service.name,
+            urgency=route.urgency,
+            deadline=_deadline(environ, service),
+            size=len(body),
+            repeatable=route.repeatable,
+            key=key,
+        )
+        query = environ.get("QUERY_STRING")
+        outgoing = endpoints.Outgoing(
+            method=method,
+            path=f"{path}?{query}" if query else path,
+            headers=_headers(environ, request_id),
+            body=body,
+        )
+        return arrived, outgoing
+
+    def _body(self, environ: Environ) -> bytes:
+        """Read the whole body; raise ``BadRequest`` if it is too large."""
+        declared = str(environ.get("CONTENT_LENGTH") or "0")
+        if not declared.isdecimal():
+            raise exceptions.BadRequest(400, "malformed Content-Length")
+        if int(declared) > self._max_body:
+            raise exceptions.BadRequest(413, "the body is too large")
+        is_chunked = "HTTP_TRANSFER_ENCODING" in environ
+        if not is_chunked and declared == "0":
+            return b""
+        body = environ["wsgi.input"].read(
+            self._max_body + 1 if is_chunked else int(declared)
+        )
+        if len(body) > self._max_body:
+            raise exceptions.BadRequest(413, "the body is too large")
+        return body
+
+    def _run(
+        self,
+        arrived: events.RequestArrived,
+        outgoing: endpoints.Outgoing,
+        fut: concurrent.futures.Future,
+    ) -> outcomes.CallerAnswer:
+        """Follow the request's effects until one of them answers it."""
+        reply = None
+        while True:
+            effect = self._next_effect(arrived, fut)
+            match effect:
+                case effects.StartRequest():
+                    fut = concurrent.futures.Future()
+                    self._runtime.requests[arrived.id] = fut
+                    reply = self._attempt(effect, outgoing)
+                case effects.AnswerCaller():
+                    return outcomes.answered(reply)
+                case _:
+                    return outcomes.of_effect(effect)
+
+    def _next_effect(
+        self,
+        arrived: events.RequestArrived,
+        fut: concurrent.futures.Future,
+    ) -> effects.AnyEffect:
+        """Wait for the next effect, within the request's deadline."""
+        try:
+            left = arrived.deadline - time.monotonic()
+            return fut.result(timeout=max(0.0, left))
+        except concurrent.futures.TimeoutError:
+            self._runtime.post(events.RequestAbandoned(id=arrived.id))
+            return fut.result()
+
+    def _attempt(
+        self,
+        effect: effects.StartRequest,
+        outgoing: endpoints.Outgoing,
+    ) -> endpoints.Reply:
+        reply = self._client.send(
+            effect.address,
+            effect.port,
+            outgoing,
+            timeout_s=effect.deadline - time.monotonic(),
+            fresh=effect.fresh,
+        )
+        kept = len(reply.body) <= KEPT_ANSWER_BYTES
+        self._runtime.post(
+            events.RequestEnded(
+                id=effect.id,
+                result=reply.result,
+                elapsed_s=reply.elapsed_s,
+                status=reply.status,
+                content_type=dict(reply.headers).get("Content-Type", ""),
+                answer=reply.body if kept else b"",
+            )
+        )
+        return reply
+
+
+def _split(path: str) -> tuple[str, str]:
+    """Split ``/service/rest`` into the service and ``/rest``."""
+    service, _, rest = path.lstrip("/").partition("/")
+    return service, f"/{rest}"
+
+
+def _route(service: fleet_model.Service, path: str) -> fleet_model.Route:
+    """Return the route with the longest prefix of a path."""
+    matching = [
+        route for route in service.routes if path.startswith(route.prefix)
+    ]
+    if not matching:
+        return fleet_model.Route(prefix="/")
+    return max(matching, key=lambda route: len(route.prefix))
+
+
+def _deadline(environ: Environ, service: fleet_model.Service) -> float:
+    """Return when the caller or the service gives up, whichever is first.
+
+    Raise ``BadRequest`` if the caller's header is malformed.
+    """
+    left_ms = service.deadline_ms
+    asked = str(environ.get(DEADLINE_HEADER, ""))
+    if asked:
+        if not asked.isdecimal():
+            raise exceptions.BadRequest(
+                400, "Azurewood-Deadline-Ms must be a whole number"
+            )
+        left_ms = min(left_ms, int(asked))
+    return time.monotonic() + left_ms / 1000
+
+
+def _headers(environ: Environ, request_id: str) -> list[str]:
+    """Return the header lines to forward, without hop-by-hop ones."""
+    lines = [f"{outcomes.REQUEST_ID_HEADER}: {request_id}", "Expect:"]
+    for name, value in environ.items():
+        if name.startswith("HTTP_"):
+            header = name[5:].replace("_", "-").lower()
+            if header not in HOP_BY_HOP:
+                lines.append(f"{header}: {value}")
+    content_type = environ.get("CONTENT_TYPE")
+    if content_type:
+        lines.append(f"Content-Type: {content_type}")
+    return lines
--- /dev/null
+++ b/azurewood/http/outcomes.py
@@ -0,0 +1,126 @@
+"""What a caller is answered, with a true word on whether it ran.
+
+Every answer carries ``Azurewood-Outcome``: ``ran`` (the endpoint's whole
+answer follows), ``not-run`` (nothing reached an endpoint's job) or
+``unknown`` (it may have run).
+"""
+
+import dataclasses
+
+import msgspec
+from werkzeug import http as werkzeug_http
+
+from azurewood.http import endpoints
+from azurewood.state import effects
+
+OUTCOME_HEADER = "Azurewood-Outcome"
+REQUEST_ID_HEADER = "Azurewood-Request-Id"
+RAN = "ran"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "transfer-encoding",
+        "azurewood-outcome",
+        "azurewood-request-id",
+    }
+)
+
+_STATUS_OF_REFUSAL = {
+    effects.Refusal.UNKNOWN_SERVICE: 404,
+    effects.Refusal.KEY_REQUIRED: 428,
+    effects.Refusal.TOO_LATE: 504,
+}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class CallerAnswer:
+    """A whole answer to a caller."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    @property
+    def status_line(self) -> str:
+        """Return the status with its standard phrase."""
+        phrase = werkzeug_http.HTTP_STATUS_CODES.get(self.status, "Unknown")
+        return f"{self.status} {phrase}"
+
+
+class ErrorBody(msgspec.Struct, kw_only=True):
+    """The JSON body of an answer that is azurewood's own."""
+
+    outcome: str
+    reason: str
+    detail: str = ""
+
+
+def _own(
+    status: int,
+    outcome: str,
+    reason: str,
+    *,
+    retry_after_s: int = 0,
+) -> CallerAnswer:
+    headers = [
+        ("Content-Type", "application/json"),
+        (OUTCOME_HEADER, outcome),
+    ]
+    if retry_after_s:
+        headers.append(("Retry-After", str(retry_after_s)))
+    body = msgspec.json.encode(ErrorBody(outcome=outcome, reason=reason))
+    return CallerAnswer(status=status, headers=headers, body=body)
+
+
+def rejected(status: int, reason: str) -> CallerAnswer:
+    """Answer a bad request, which did not run."""
+    return _own(status, NOT_RUN, reason)
+
+
+def answered(reply: endpoints.Reply) -> CallerAnswer:
+    """Pass on an endpoint's whole answer."""
+    headers = [
+        (name, value)
+        for name, value in reply.headers
+        if name.lower() not in DROPPED_HEADERS
+    ]
+    headers.append((OUTCOME_HEADER, RAN))
+    return CallerAnswer(status=reply.status, headers=headers, body=reply.body)
+
+
+def of_effect(effect: effects.AnyEffect) -> CallerAnswer:
+    """Answer a request that no endpoint's answer is passed on for.
+
+    Raise ``TypeError`` for an effect that does not answer a request.
+    """
+    match effect:
+        case effects.RefuseRequest(reason=reason):
+            return _own(
+                _STATUS_OF_REFUSAL.get(reason, 503),
+                NOT_RUN,
+                reason.value,
+                retry_after_s=effect.retry_after_s,
+            )
+        case effects.AnswerUnknown(reason=reason):
+            return _own(502, UNKNOWN, reason)
+        case effects.AnswerRan():
+            return _ran_before(effect)
+        case _:
+            raise TypeError(f"does not answer a request: {effect!r}")
+
+
+def _ran_before(effect: effects.AnswerRan) -> CallerAnswer:
+    """Answer a repeated request with the kept answer, if there is one."""
+    if not effect.answer:
+        return _own(409, RAN, "ran-before")
+    headers = [
+        ("Content-Type", effect.content_type or "application/octet-stream"),
+        (OUTCOME_HEADER, RAN),
+    ]
+    return CallerAnswer(
+        status=effect.status, headers=headers, body=effect.answer
+    )
--- /dev/null
+++ b/azurewood/state/control.py
@@ -0,0 +1,206 @@
+"""Following the platform's log: reads, trims, resets and snapshots."""
+
+import collections.abc
+
+import msgspec
+
+from azurewood.policy import ownership
+from azurewood.state import agreed as agreed_state
+from azurewood.state import effects
+from azurewood.state import events
+from azurewood.state import fold
+from azurewood.state import model
+from azurewood.state import outbox
+from azurewood.state import records
+
+RETRY_BASE_S = 0.1
+RETRY_CAP_S = 5.0
+SNAPSHOT_EVERY_S = 600.0
+SNAPSHOT_EVERY_RECORDS = 2000
+
+Effects = collections.abc.Iterator[effects.AnyEffect]
+
+
+def back_off(state: model.State, failures: int) -> float:
+    """Return a delay in seconds with full jitter after some failures."""
+    cap = min(RETRY_CAP_S, RETRY_BASE_S * 2 ** min(failures, 16))
+    return cap * state.rng.uniform(0.5, 1.0)
+
+
+def start(state: model.State, now: float) -> list[effects.AnyEffect]:
+    """Return the first effects of a daemon: look for a snapshot."""
+    state.log.quiet_since = now
+    state.log.snapshot_due = now + SNAPSHOT_EVERY_S
+    return [effects.ReadSnapshot(not_before=now)]
+
+
+def read(state: model.State, event: events.RecordsRead, now: float) -> Effects:
+    """Fold what the log answered and read on."""
+    _reached(state, now)
+    if event.incarnation != state.agreed.incarnation:
+        yield from _follow_incarnation(state, event.incarnation, now)
+        return
+    yield from fold_records(state, event.records, now)
+    yield effects.ReadLog(offset=state.agreed.offset, not_before=now)
+
+
+def _reached(state: model.State, now: float) -> None:
+    state.log.reachable = True
+    state.log.quiet_since = now
+    state.log.failures = 0
+
+
+def _follow_incarnation(
+    state: model.State, incarnation: str, now: float
+) -> Effects:
+    """Begin to read a log that is new, and seed it if we know more."""
+    is_reset = bool(state.agreed.incarnation)
+    fold.start_incarnation(state.agreed, incarnation)
+    state.log.recent.clear()
+    if is_reset:
+        yield effects.Report(
+            level="WARNING",
+            name="log_reset",
+            text=f"the log has a new incarnation {incarnation}",
+        )
+    if state.agreed.revision:
+        seed = records.Seed(
+            writer=state.me.writer,
+            revision=state.agreed.revision,
+            state=agreed_state.pack(state.agreed),
+        )
+        yield effects.AppendSeed(data=records.encode(seed))
+    yield effects.ReadLog(offset=0, not_before=now)
+
+
+def fold_records(
+    state: model.State,
+    stored: collections.abc.Iterable[events.StoredRecord],
+    now: float,
+) -> Effects:
+    """Fold records in order; stop at a gap, skip what is known."""
+    for record in stored:
+        if record.offset < state.agreed.offset:
+            continue
+        if record.offset > state.agreed.offset:
+            return
+        state.log.recent.append(record)
+        yield from _fold_one(state, record, now)
+
+
+def _fold_one(
+    state: model.State, stored: events.StoredRecord, now: float
+) -> Effects:
+    try:
+        record = records.decode(stored.data)
+    except msgspec.DecodeError as exc:
+        state.agreed.offset = stored.offset + 1
+        yield effects.Report(
+            level="ERROR",
+            name="record_malformed",
+            text=f"record {stored.offset} is skipped: {exc}",
+        )
+        return
+    verdicts = fold.apply(
+        state.agreed,
+        offset=stored.offset,
+        at_ms=stored.at_ms,
+        record=record,
+    )
+    if isinstance(record, records.Proposals):
+        yield from outbox.judged(state, record, verdicts, now)
+
+
+def trimmed(
+    state: model.State, event: events.LogTrimmed, now: float
+) -> Effects:
+    """Start over from a snapshot, or follow a log that was reset."""
+    _reached(state, now)
+    is_other = event.incarnation != state.agreed.incarnation
+    if is_other and event.first == 0:
+        yield from _follow_incarnation(state, event.incarnation, now)
+        return
+    yield effects.ReadSnapshot(not_before=now + back_off(state, 2))
+
+
+def snapshot_read(
+    state: model.State, event: events.SnapshotRead, now: float
+) -> Effects:
+    """Take a snapshot over if it is newer, then read the log's tail."""
+    _reached(state, now)
+    if event.state:
+        yield from adopt_packed(state, event.state)
+    yield effects.ReadLog(offset=state.agreed.offset, not_before=now)
+
+
+def adopt_packed(state: model.State, packed: bytes) -> Effects:
+    """Take over a packed agreed state, or report that it is malformed."""
+    try:
+        snapshot = agreed_state.unpack(packed)
+    except ValueError as exc:
+        yield effects.Report(
+            level="ERROR", name="snapshot_malformed", text=str(exc)
+        )
+        return
+    yield from adopt(state, snapshot)
+
+
+def adopt(state: model.State, snapshot: agreed_state.Agreed) -> Effects:
+    """Take over an agreed state that is further on than ours.
+
+    A state of another incarnation of the log is taken only if nothing in
+    ours is newer.
+    """
+    mine = state.agreed
+    is_same = mine.incarnation == snapshot.incarnation
+    if snapshot.revision < mine.revision:
+        return
+    if is_same and snapshot.offset <= mine.offset:
+        return
+    state.agreed = snapshot
+    state.log.recent.clear()
+    state.log.snapshot_offset = snapshot.offset
+    yield effects.Report(
+        level="INFO",
+        name="snapshot_adopted",
+        text=f"revision {snapshot.revision}, offset {snapshot.offset}",
+    )
+
+
+def unreachable(
+    state: model.State, event: events.LogUnreachable, now: float
+) -> Effects:
+    """Read again later, with back-off and jitter."""
+    if state.log.reachable:
+        yield effects.Report(
+            level="WARNING", name="log_unreachable", text=event.reason
+        )
+    state.log.reachable = False
+    state.log.failures += 1
+    later = now + back_off(state, state.log.failures)
+    if state.agreed.incarnation:
+        yield effects.ReadLog(offset=state.agreed.offset, not_before=later)
+    else:
+        yield effects.ReadSnapshot(not_before=later)
+
+
+def tick(state: model.State, now: float) -> Effects:
+    """Write a snapshot before the records it replaces expire.
+
+    One daemon does, chosen by rendezvous hashing; two do no harm.
+    """
+    if not state.agreed.revision or not state.log.reachable:
+        return
+    if not _is_snapshot_due(state, now):
+        return
+    members = (*state.alive, state.me.name)
+    if ownership.owner("snapshot", members) != state.me.name:
+        return
+    state.log.snapshot_due = now + SNAPSHOT_EVERY_S
+    state.log.snapshot_offset = state.agreed.offset
+    yield effects.AppendSnapshot(state=agreed_state.pack(state.agreed))
+
+
+def _is_snapshot_due(state: model.State, now: float) -> bool:
+    count = state.agreed.offset - state.log.snapshot_offset
+    return count >= SNAPSHOT_EVERY_RECORDS or now >= state.log.snapshot_due
--- /dev/null
+++ b/azurewood/state/events.py
@@ -0,0 +1,213 @@
+"""Events: everything that happens to a daemon, as data.
+
+They are encodable, so that a recorded list of them can be replayed.
+"""
+
+import enum
+
+import msgspec
+
+from azurewood.fleet import model
+from azurewood.peers import messages
+from azurewood.state import records
+
+
+class Event(msgspec.Struct, kw_only=True, frozen=True, tag=True):
+    """Base of all events."""
+
+
+class Tick(Event, frozen=True, kw_only=True):
+    """Time has passed; deadlines may have."""
+
+
+class StoredRecord(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
+    """A record of the log with its offset and append time."""
+
+    offset: int
+    at_ms: int
+    data: bytes
+
+
+class RecordsRead(Event, frozen=True, kw_only=True):
+    """The log answered a read; ``records`` may be empty."""
+
+    incarnation: str
+    first: int
+    next: int
+    records: tuple[StoredRecord, ...]
+
+
+class LogTrimmed(Event, frozen=True, kw_only=True):
+    """The log no longer holds, or never held, the offset asked for."""
+
+    incarnation: str
+    first: int
+    next: int
+
+
+class SnapshotRead(Event, frozen=True, kw_only=True):
+    """The newest snapshot of the log was read; empty if there is none."""
+
+    incarnation: str
+    state: bytes = b""
+
+
+class LogUnreachable(Event, frozen=True, kw_only=True):
+    """A read of the log failed."""
+
+    reason: str
+
+
+class AppendOutcome(enum.StrEnum):
+    """What is known of an append when its call has ended."""
+
+    DONE = "done"
+    NOT_DONE = "not-done"
+    UNKNOWN = "unknown"
+
+
+class AppendEnded(Event, frozen=True, kw_only=True):
+    """The call that appended the record of a sequence number ended."""
+
+    sequence: int
+    outcome: AppendOutcome
+
+
+class Proposed(Event, frozen=True, kw_only=True):
+    """Somebody here proposes changes; ``ticket`` names who waits."""
+
+    ticket: str
+    proposals: tuple[records.Proposal, ...]
+    deadline: float
+    atomic: bool = False
+
+
+class ListedHost(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
+    """A host in the platform's list: live, leaving or gone."""
+
+    name: str
+    state: str
+
+
+class HostsListed(Event, frozen=True, kw_only=True):
+    """The platform's host list was read."""
+
+    version: int
+    hosts: tuple[ListedHost, ...]
+
+
+class ListedTask(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
+    """A task of the platform's task service and its state."""
+
+    id: str
+    host: str
+    service: str
+    state: str
+    reason: str = ""
+
+
+class TasksListed(Event, frozen=True, kw_only=True):
+    """Tasks that changed at the platform's task service."""
+
+    version: int
+    tasks: tuple[ListedTask, ...]
+
+
+class PeerSaid(Event, frozen=True, kw_only=True):
+    """A peer's authenticated message arrived."""
+
+    sender: str
+    message: messages.AnyMessage
+
+
+class RequestArrived(Event, frozen=True, kw_only=True):
+    """A caller's request has been read.
+
+    ``deadline`` is a monotonic time in seconds. ``key`` is the caller's
+    idempotency key, needed if the request is not ``repeatable``.
+    """
+
+    id: str
+    service: str
+    urgency: model.Urgency
+    deadline: float
+    size: int = 0
+    repeatable: bool = True
+    key: str = ""
+
+
+class RequestResult(enum.StrEnum):
+    """How an attempt at a request on an endpoint ended.
+
+    ``REFUSED``: not one byte can have reached the endpoint's job.
+    ``BROKEN``: bytes left and no whole answer came.
+    """
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+
+
+class RequestEnded(Event, frozen=True, kw_only=True):
+    """An attempt ended; ``elapsed_s`` is how long the endpoint took."""
+
+    id: str
+    result: RequestResult
+    elapsed_s: float
+    status: int = 0
+    content_type: str = ""
+    answer: bytes = b""
+
+
+class RequestAbandoned(Event, frozen=True, kw_only=True):
+    """The caller of a waiting request is gone, or its time is up."""
+
+    id: str
+
+
+class StopAsked(Event, frozen=True, kw_only=True):
+    """The daemon is asked to stop gracefully before a deadline."""
+
+    deadline: float
+
+
+AnyEvent = (
+    Tick
+    | RecordsRead
+    | LogTrimmed
+    | SnapshotRead
+    | LogUnreachable
+    | AppendEnded
+    | Proposed
+    | HostsListed
+    | TasksListed
+    | PeerSaid
+    | RequestArrived
+    | RequestEnded
+    | RequestAbandoned
+    | StopAsked
+)
+
+
+class Recorded(msgspec.Struct, kw_only=True, frozen=True):
+    """An event with the time at which it was reduced."""
+
+    now: float
+    event: AnyEvent
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Recorded)
+
+
+def encode(recorded: Recorded) -> bytes:
+    """Encode a recorded event."""
+    return _encoder.encode(recorded)
+
+
+def decode(data: bytes) -> Recorded:
+    """Decode a recorded event; raise ``msgspec.DecodeError`` if bad."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/azurewood/state/model.py
@@ -0,0 +1,260 @@
+"""A daemon's whole state: the agreed state and its own view of the rest.
+
+Deadlines are monotonic times in seconds unless their name ends in ``_ms``.
+"""
+
+import collections
+import dataclasses
+import random
+import typing
+
+import msgspec
+
+from azurewood.fleet import model as fleet_model
+from azurewood.state import agreed as agreed_state
+from azurewood.state import events
+from azurewood.state import records
+
+RECENT_RECORDS_KEPT = 512
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Identity:
+    """Who this daemon is; ``boot`` differs at every start."""
+
+    name: str
+    zone: str
+    address: str
+    boot: int
+
+    @property
+    def writer(self) -> str:
+        """Return the name under which this boot writes to the log."""
+        return f"{self.name}@{self.boot:x}"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Limits:
+    """Limits of one daemon's waiting places."""
+
+    waiting_requests: int = 128
+    waiting_bytes: int = 32 << 20
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Count:
+    """Answers of one service, good and bad, since a daemon's start."""
+
+    good: int = 0
+    bad: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PeerView:
+    """What is known of a peer; it is alive until ``alive_until``."""
+
+    name: str
+    zone: str
+    address: str
+    boot: int
+    alive_until: float
+    incarnation: str = ""
+    offset: int = 0
+    revision: int = 0
+    log_reachable: bool = True
+    stopping: bool = False
+    draining: tuple[str, ...] = ()
+    counts: dict[str, Count] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LogView:
+    """How the reading of the platform's log goes.
+
+    ``quiet_since`` is when the last answer came from it.
+    """
+
+    reachable: bool = False
+    quiet_since: float = 0.0
+    failures: int = 0
+    relay_at: float = 0.0
+    snapshot_due: float = 0.0
+    snapshot_offset: int = 0
+    recent: collections.deque[events.StoredRecord] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=RECENT_RECORDS_KEPT)
+    )
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Pending:
+    """Proposals of one ticket that wait to be appended or judged."""
+
+    ticket: str
+    proposals: tuple[records.Proposal, ...]
+    deadline: float
+    atomic: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SentRecord:
+    """The record whose append is under way.
+
+    ``unsure`` is set once an append may have taken effect unseen,
+    ``in_call`` while one is under way. An entry whose ticket is empty has
+    been answered.
+    """
+
+    sequence: int
+    data: bytes
+    entries: list[Pending]
+    attempts: int = 0
+    in_call: bool = False
+    unsure: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Outbox:
+    """Proposals on their way to the log, one record at a time."""
+
+    sequence: int = 0
+    waiting: collections.deque[Pending] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    sent: SentRecord | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class LentSlot:
+    """A slot of ours that a peer may start requests on until a deadline."""
+
+    peer: str
+    until: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class HostView:
+    """A host as this daemon sees it, with the slots that it may use.
+
+    ``idle`` holds the numbers of the slots that may be started on now.
+    """
+
+    name: str
+    zone: str
+    rack: str
+    address: str
+    service: str = ""
+    usable: bool = False
+    listed: str = "live"
+    owned: set[int] = dataclasses.field(default_factory=set)
+    idle: list[int] = dataclasses.field(default_factory=list)
+    busy: set[int] = dataclasses.field(default_factory=set)
+    lent: dict[int, LentSlot] = dataclasses.field(default_factory=dict)
+    borrowed: dict[int, LentSlot] = dataclasses.field(default_factory=dict)
+    failures: int = 0
+    ejected_until: float = 0.0
+    mean_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServiceView:
+    """A service's waiting requests and the hosts with an idle slot.
+
+    ``ready`` lists those hosts and ``place`` where each stands in it, so
+    that a random one is drawn and removed in constant time.
+    """
+
+    name: str
+    port: int
+    ready: list[str] = dataclasses.field(default_factory=list)
+    place: dict[str, int] = dataclasses.field(default_factory=dict)
+    queues: dict[str, collections.deque[str]] = dataclasses.field(
+        default_factory=lambda: {
+            urgency.value: collections.deque()
+            for urgency in fleet_model.Urgency
+        }
+    )
+    waiting: int = 0
+    in_flight: int = 0
+    arrived: int = 0
+    count: Count = dataclasses.field(default_factory=Count)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RequestView:
+    """A caller's request in hand; ``host`` is empty while it waits."""
+
+    id: str
+    service: str
+    urgency: fleet_model.Urgency
+    deadline: float
+    size: int
+    repeatable: bool
+    key: str = ""
+    host: str = ""
+    slot: int = -1
+    attempts: int = 0
+    tried: list[str] = dataclasses.field(default_factory=list)
+    claimed: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Stewardship:
+    """When this daemon last acted for a host, so that it does not repeat.
+
+    ``acted`` maps a host's revision-bound action to when it may be redone.
+    """
+
+    acted: dict[str, float] = dataclasses.field(default_factory=dict)
+    renew_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class State:
+    """Everything that a daemon's decisions depend on."""
+
+    me: Identity
+    rng: random.Random
+    limits: Limits = dataclasses.field(default_factory=Limits)
+    agreed: agreed_state.Agreed = dataclasses.field(
+        default_factory=agreed_state.Agreed
+    )
+    log: LogView = dataclasses.field(default_factory=LogView)
+    outbox: Outbox = dataclasses.field(default_factory=Outbox)
+    peers: dict[str, PeerView] = dataclasses.field(default_factory=dict)
+    seeds: tuple[str, ...] = ()
+    heartbeat_at: float = 0.0
+    hosts: dict[str, HostView] = dataclasses.field(default_factory=dict)
+    services: dict[str, ServiceView] = dataclasses.field(default_factory=dict)
+    requests: dict[str, RequestView] = dataclasses.field(default_factory=dict)
+    waiting: int = 0
+    waiting_bytes: int = 0
+    tasks: dict[str, str] = dataclasses.field(default_factory=dict)
+    steward: Stewardship = dataclasses.field(default_factory=Stewardship)
+    view_revision: int = -1
+    alive: tuple[str, ...] = ()
+    stopping_until: float = 0.0
+    stepped_at: float = 0.0
+
+
+def _plain(value: typing.Any) -> typing.Any:
+    """Turn what msgspec does not know into what it does."""
+    match value:
+        case collections.deque():
+            return list(value)
+        case random.Random():
+            return value.getstate()
+        case _:
+            raise NotImplementedError(type(value))
+
+
+_encoder = msgspec.msgpack.Encoder(order="deterministic", enc_hook=_plain)
+
+
+def encode(state: State) -> bytes:
+    """Encode the whole state, equal states to equal bytes."""
+    return _encoder.encode(state)
+
+
+def to_builtins(state: State) -> dict[str, typing.Any]:
+    """Return the whole state as plain maps, for a dump."""
+    return msgspec.to_builtins(state, enc_hook=_plain)
--- /dev/null
+++ b/azurewood/state/reducer.py
@@ -0,0 +1,94 @@
+"""The reducer: one function over all events, with effects as data.
+
+It reads no clock and draws randomness only from the state's own generator,
+so that the same events at the same times lead to the same state.
+"""
+
+import collections.abc
+
+from azurewood.state import control
+from azurewood.state import effects
+from azurewood.state import events
+from azurewood.state import membership
+from azurewood.state import model
+from azurewood.state import outbox
+from azurewood.state import relay
+from azurewood.state import requests
+from azurewood.state import stewards
+from azurewood.state import views
+
+Effects = collections.abc.Iterator[effects.AnyEffect]
+
+
+def step(
+    state: model.State, event: events.AnyEvent, now: float
+) -> list[effects.AnyEffect]:
+    """Change the state by one event and return what is to be done.
+
+    ``now`` is a monotonic time in seconds and never falls.
+    """
+    state.stepped_at = now
+    return list(_reduce(state, event, now))
+
+
+def _reduce(state: model.State, event: events.AnyEvent, now: float) -> Effects:
+    match event:
+        case events.RequestArrived():
+            yield from requests.arrive(state, event, now)
+        case events.RequestEnded():
+            yield from requests.end(state, event, now)
+        case events.RequestAbandoned():
+            yield from requests.abandon(state, event, now)
+        case _:
+            yield from _reduce_control(state, event, now)
+            yield from _settle(state, now)
+
+
+def _reduce_control(
+    state: model.State, event: events.AnyEvent, now: float
+) -> Effects:
+    match event:
+        case events.Tick():
+            yield from _tick(state, now)
+        case events.RecordsRead():
+            yield from control.read(state, event, now)
+        case events.LogTrimmed():
+            yield from control.trimmed(state, event, now)
+        case events.SnapshotRead():
+            yield from control.snapshot_read(state, event, now)
+        case events.LogUnreachable():
+            yield from control.unreachable(state, event, now)
+        case events.AppendEnded():
+            yield from outbox.append_ended(state, event, now)
+        case events.Proposed():
+            yield from outbox.propose(state, event, now)
+        case events.PeerSaid():
+            yield from membership.heard(state, event, now)
+        case events.HostsListed():
+            views.list_hosts(state, event)
+        case events.TasksListed():
+            views.list_tasks(state, event)
+        case events.StopAsked():
+            state.stopping_until = event.deadline
+            yield from membership.beat(state, now)
+
+
+def _tick(state: model.State, now: float) -> Effects:
+    yield from membership.tick(state, now)
+    yield from relay.tick(state, now)
+    yield from outbox.tick(state, now)
+    yield from stewards.tick(state, now)
+    yield from control.tick(state, now)
+    yield from requests.tick(state, now)
+    if state.stopping_until and _is_idle(state):
+        yield effects.Exit()
+
+
+def _settle(state: model.State, now: float) -> Effects:
+    """Bring the view up to date and start what can start now."""
+    if views.refresh(state, now):
+        yield from requests.dispatch_all(state, now)
+
+
+def _is_idle(state: model.State) -> bool:
+    return not state.requests and state.outbox.sent is None
--- /dev/null
+++ b/azurewood/state/relay.py
@@ -0,0 +1,119 @@
+"""Keeping up through peers when the platform's log cannot be read."""
+
+import collections.abc
+
+from azurewood.peers import messages
+from azurewood.state import agreed as agreed_state
+from azurewood.state import control
+from azurewood.state import effects
+from azurewood.state import events
+from azurewood.state import model
+
+RELAY_EVERY_S = 0.5
+TAIL_RECORDS = 256
+
+Effects = collections.abc.Iterator[effects.AnyEffect]
+
+
+def tick(state: model.State, now: float) -> Effects:
+    """Ask a peer that is further on, while the log cannot be read."""
+    if state.log.reachable or now < state.log.relay_at:
+        return
+    ahead = [
+        peer
+        for peer in state.peers.values()
+        if peer.alive_until > now and _is_ahead(state, peer)
+    ]
+    if ahead:
+        yield from _ask(state, state.rng.choice(ahead), now)
+
+
+def compare(state: model.State, peer: model.PeerView, now: float) -> Effects:
+    """Ask at once when a heartbeat shows that we are behind, cut off."""
+    if state.log.reachable or now < state.log.relay_at:
+        return
+    if _is_ahead(state, peer):
+        yield from _ask(state, peer, now)
+
+
+def _is_ahead(state: model.State, peer: model.PeerView) -> bool:
+    mine = state.agreed
+    if not mine.incarnation:
+        return peer.revision > 0
+    return peer.incarnation == mine.incarnation and peer.offset > mine.offset
+
+
+def _ask(state: model.State, peer: model.PeerView, now: float) -> Effects:
+    state.log.relay_at = now + RELAY_EVERY_S
+    yield effects.SendPeer(
+        address=peer.address,
+        message=messages.TailRequest(
+            incarnation=state.agreed.incarnation,
+            offset=state.agreed.offset,
+        ),
+    )
+
+
+def asked(
+    state: model.State, sender: str, message: messages.TailRequest
+) -> Effects:
+    """Answer with the records asked for, or with the whole state."""
+    peer = state.peers.get(sender)
+    if peer is None or not state.agreed.revision:
+        return
+    tail = _tail(state, message)
+    if tail:
+        answer = messages.Tail(
+            incarnation=state.agreed.incarnation, records=tail
+        )
+    else:
+        answer = messages.SnapshotAnswer(
+            incarnation=state.agreed.incarnation,
+            state=agreed_state.pack(state.agreed),
+        )
+    yield effects.SendPeer(address=peer.address, message=answer)
+
+
+def _tail(
+    state: model.State, message: messages.TailRequest
+) -> tuple[messages.RelayedRecord, ...]:
+    """Return the records from the offset asked for, if we still have it."""
+    recent = state.log.recent
+    if message.incarnation != state.agreed.incarnation or not recent:
+        return ()
+    if recent[0].offset > message.offset:
+        return ()
+    return tuple(
+        messages.RelayedRecord(
+            offset=record.offset, at_ms=record.at_ms, data=record.data
+        )
+        for record in recent
+        if record.offset >= message.offset
+    )[:TAIL_RECORDS]
+
+
+def told(state: model.State, message: messages.Tail, now: float) -> Effects:
+    """Fold the records that a peer relayed."""
+    if message.incarnation != state.agreed.incarnation:
+        return
+    stored = (
+        events.StoredRecord(
+            offset=record.offset, at_ms=record.at_ms, data=record.data
+        )
+        for record in message.records
+    )
+    yield from control.fold_records(state, stored, now)
+
+
+def given(state: model.State, message: messages.SnapshotAnswer) -> Effects:
+    """Take over a peer's agreed state, if the log cannot be read.
+
+    A state of another incarnation is taken only by a new daemon: which of
+    two incarnations is the later one only the log itself can tell.
+    """
+    mine = state.agreed.incarnation
+    if state.log.reachable:
+        return
+    if mine and message.incarnation != mine:
+        return
+    yield from control.adopt_packed(state, message.state)
--- /dev/null
+++ b/azurewood/state/views.py
@@ -0,0 +1,134 @@
+"""The daemon's view of hosts and services, derived from what is agreed.
+
+It is brought up to date when hosts, peers or the host list change, and not
+for each request.
+"""
+
+from azurewood.fleet import model as fleet_model
+from azurewood.policy import ownership
+from azurewood.state import agreed as agreed_state
+from azurewood.state import events
+from azurewood.state import model
+from azurewood.state import slots
+
+LIVE = "live"
+
+
+def list_hosts(state: model.State, event: events.HostsListed) -> None:
+    """Take in the platform's host list."""
+    listed = {host.name: host.state for host in event.hosts}
+    for host in state.hosts.values():
+        now_listed = listed.get(host.name, LIVE)
+        if now_listed != host.listed:
+            host.listed = now_listed
+            state.view_revision = -1
+
+
+def list_tasks(state: model.State, event: events.TasksListed) -> None:
+    """Take in changes of the task service's tasks."""
+    for task in event.tasks:
+        state.tasks[task.id] = task.state
+
+
+def refresh(state: model.State, now: float) -> bool:
+    """Bring the view up to date; tell whether anything was done."""
+    if state.view_revision == state.agreed.hosts_revision:
+        return False
+    if state.agreed.fleet is None:
+        return False
+    state.view_revision = state.agreed.hosts_revision
+    _refresh_services(state, state.agreed.fleet)
+    _refresh_hosts(state, state.agreed.fleet)
+    _forget_tasks(state)
+    return True
+
+
+def _refresh_services(state: model.State, fleet: fleet_model.Fleet) -> None:
+    for service in fleet.services:
+        view = state.services.get(service.name)
+        if view is None:
+            view = model.ServiceView(name=service.name, port=service.port)
+            state.services[service.name] = view
+        view.port = service.port
+    known = {service.name for service in fleet.services}
+    for name in [name for name in state.services if name not in known]:
+        if not state.services[name].waiting:
+            del state.services[name]
+
+
+def _refresh_hosts(state: model.State, fleet: fleet_model.Fleet) -> None:
+    service_of = {service.pool: service.name for service in fleet.services}
+    members = members_by_zone(state)
+    everyone = (*state.alive, state.me.name)
+    for host in fleet.hosts:
+        agreed_host = state.agreed.hosts.get(host.name)
+        if agreed_host is None:
+            continue
+        view = _host_view(state, host)
+        service = service_of.get(agreed_host.pool, "")
+        _place(state, view, service, is_usable(view, agreed_host))
+        owners = members.get(host.zone, everyone)
+        slots.set_owned(state, view, _owned(state, host, owners))
+    for name in [n for n in state.hosts if n not in state.agreed.hosts]:
+        slots.withdraw(state, state.hosts[name])
+        if not state.hosts[name].busy:
+            del state.hosts[name]
+
+
+def members_by_zone(state: model.State) -> dict[str, tuple[str, ...]]:
+    """Return the live daemons of each zone that has any."""
+    by_zone: dict[str, tuple[str, ...]] = {}
+    if not state.stopping_until:
+        by_zone[state.me.zone] = (state.me.name,)
+    for name in state.alive:
+        zone = state.peers[name].zone
+        by_zone[zone] = (*by_zone.get(zone, ()), name)
+    return by_zone
+
+
+def _host_view(state: model.State, host: fleet_model.Host) -> model.HostView:
+    view = state.hosts.get(host.name)
+    if view is None:
+        view = model.HostView(
+            name=host.name,
+            zone=host.zone,
+            rack=host.rack,
+            address=host.address,
+        )
+        state.hosts[host.name] = view
+    return view
+
+
+def is_usable(view: model.HostView, host: agreed_state.HostState) -> bool:
+    """Tell whether a host may be given new requests."""
+    return host.phase == agreed_state.HostPhase.SERVING and (
+        view.listed == LIVE
+    )
+
+
+def _place(
+    state: model.State, view: model.HostView, service: str, usable: bool
+) -> None:
+    """Put a host under its service, or take it out of use."""
+    if view.service != service or not usable:
+        slots.withdraw(state, view)
+    view.service = service
+    view.usable = usable and bool(service)
+
+
+def _owned(
+    state: model.State, host: fleet_model.Host, owners: tuple[str, ...]
+) -> set[int]:
+    me = state.me.name
+    return {
+        number
+        for number in range(host.slots)
+        if ownership.slot_owner(host.name, number, owners) == me
+    }
+
+
+def _forget_tasks(state: model.State) -> None:
+    """Keep the states of the present jobs only."""
+    present = {host.task for host in state.agreed.hosts.values()}
+    for task in [task for task in state.tasks if task not in present]:
+        del state.tasks[task]
