--- /dev/null
+++ b/azurewood/fleet/document.py
@@ -0,0 +1,103 @@
+"""Configuration documents: YAML text to a fleet, and back.
+
+The keys of a document are the fields of `azurewood.fleet.model.Fleet`. Two
+short forms are read besides, see `azurewood.fleet.groups`.
+"""
+
+import dataclasses
+import enum
+import typing
+
+import yaml
+
+from azurewood.checks import base
+from azurewood.fleet import checks
+from azurewood.fleet import draft
+from azurewood.fleet import exceptions
+from azurewood.fleet import model
+from azurewood.fleet import nodes
+from azurewood.fleet import ranges  # noqa: F401  (registers its checks)
+from azurewood.fleet import reader
+
+Dumper = getattr(yaml, "CSafeDumper", yaml.SafeDumper)
+POLICY_NAMES: typing.Final = {
+    kind: name for name, kind in model.MOVE_POLICIES.items()
+}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Reading:
+    """What a text was read as: a fleet if no finding is an error."""
+
+    fleet: model.Fleet | None
+    findings: list[base.Finding]
+
+
+def read(text: str, source: str) -> Reading:
+    """Read a document and return all its findings, warnings among them.
+
+    ``source`` names the text in the findings' places.
+    """
+    try:
+        root = nodes.compose(text, source)
+    except exceptions.InvalidDocument as exc:
+        return Reading(fleet=None, findings=exc.findings)
+    parser = reader.Reader(source=source)
+    fleet = parser.read(root, model.Fleet, ())
+    findings = parser.findings
+    if fleet is not None:
+        subject = draft.Draft(source=source, fleet=fleet, lines=parser.lines)
+        findings.extend(base.run(checks.TAG, subject))
+    findings.sort(key=lambda found: _line(found.place))
+    valid = fleet is not None and not base.errors(findings)
+    return Reading(fleet=fleet if valid else None, findings=findings)
+
+
+def load(text: str, source: str) -> model.Fleet:
+    """Return the fleet that ``text`` describes.
+
+    Raises InvalidDocument with all findings if any is an error.
+    """
+    reading = read(text, source)
+    if reading.fleet is None:
+        raise exceptions.InvalidDocument(reading.findings)
+    return reading.fleet
+
+
+def dump(fleet: model.Fleet) -> str:
+    """Return a document that `load` reads as an equal fleet."""
+    return yaml.dump(
+        _plain(fleet),
+        Dumper=Dumper,
+        default_flow_style=None,
+        sort_keys=False,
+        allow_unicode=True,
+        width=78,
+    )
+
+
+def _plain(value: typing.Any) -> typing.Any:
+    """Return a value as what YAML can represent, without defaults."""
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    if not dataclasses.is_dataclass(value):
+        return value
+    policy = POLICY_NAMES.get(type(value))
+    plain = {} if policy is None else {reader.POLICY_KEY: policy}
+    for field in dataclasses.fields(value):
+        item = getattr(value, field.name)
+        if item != _default(field):
+            plain[field.name] = _plain(item)
+    return plain
+
+
+def _default(field: dataclasses.Field) -> typing.Any:
+    if field.default_factory is not dataclasses.MISSING:
+        return field.default_factory()
+    return field.default
+
+
+def _line(place: str) -> int:
+    return int(place.rpartition(":")[2])
--- /dev/null
+++ b/azurewood/fleet/groups.py
@@ -0,0 +1,74 @@
+"""Short forms of a document: host groups, and pools made of groups.
+
+A group stands for ``count`` hosts of one zone. They are named
+``group-zone-number``, numbered from ``first``, have consecutive addresses
+from ``address`` on, and stand in ``rack`` or, in turn, in ``racks``.
+"""
+
+from collections import abc
+import dataclasses
+import ipaddress
+
+from azurewood.fleet import model
+
+MAX_HOSTS = 20000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class HostGroup:
+    """Hosts that differ only in number, address and rack."""
+
+    group: str
+    zone: str
+    address: str
+    rack: str = ""
+    racks: tuple[str, ...] = ()
+    count: int = 1
+    first: int = 1
+    cores: int = 16
+    memory_gb: int = 32
+    accelerators: int = 0
+    slots: int = 8
+    connections: int = 64
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class GroupedPool:
+    """A pool whose hosts are named, or all hosts of the named groups."""
+
+    name: str
+    hosts: tuple[str, ...] = ()
+    groups: tuple[str, ...] = ()
+    spare: bool = False
+
+
+def expand(group: HostGroup) -> abc.Iterator[model.Host]:
+    """Yield the hosts of a group.
+
+    A missing zone, rack or address is None in every host. Raises ValueError
+    if the addresses leave the address space.
+    """
+    racks = group.racks or (group.rack,)
+    for index in range(group.count):
+        yield model.Host(
+            name=f"{group.group}-{group.zone}-{group.first + index}",
+            zone=group.zone,
+            rack=racks[index % len(racks)],
+            address=_address(group.address, index),
+            cores=group.cores,
+            memory_gb=group.memory_gb,
+            accelerators=group.accelerators,
+            slots=group.slots,
+            connections=group.connections,
+        )
+
+
+def _address(first: str | None, index: int) -> str | None:
+    if first is None:
+        return None
+    try:
+        return str(ipaddress.ip_address(first) + index)
+    except ipaddress.AddressValueError as exc:
+        raise ValueError("addresses leave the address space") from exc
+    except ValueError:
+        return first if index == 0 else None
--- /dev/null
+++ b/azurewood/fleet/nodes.py
@@ -0,0 +1,92 @@
+"""Bounded reading of YAML text into nodes that know their lines."""
+
+from collections import abc
+
+import yaml
+
+from azurewood.checks import base
+from azurewood.fleet import exceptions
+
+MAX_BYTES = 4 * 1024 * 1024
+MAX_DEPTH = 16
+
+Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+def compose(text: str, source: str) -> yaml.Node:
+    """Return the root node of the one document in ``text``.
+
+    Aliases, deep nesting and texts over ``MAX_BYTES`` are refused before
+    anything is built. Raises InvalidDocument.
+    """
+    findings = list(_check_text(text, source))
+    if findings:
+        raise exceptions.InvalidDocument(findings)
+    root = yaml.compose(text, Loader=Loader)
+    if root is None or _is_null(root):
+        message = "the document is empty"
+        raise _refusal("azurewood.E002", message, source, 1)
+    return root
+
+
+def _check_text(text: str, source: str) -> abc.Iterator[base.Finding]:
+    try:
+        size = len(text.encode())
+        if size > MAX_BYTES:
+            yield _finding(
+                "azurewood.E003",
+                f"the document has {size} bytes, over {MAX_BYTES}",
+                source,
+                1,
+            )
+            return
+        yield from _check_events(yaml.parse(text, Loader=Loader), source)
+    except yaml.YAMLError as exc:
+        mark = getattr(exc, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        problem = getattr(exc, "problem", None) or str(exc).splitlines()[0]
+        yield _finding("azurewood.E001", f"not YAML: {problem}", source, line)
+    except UnicodeError:
+        yield _finding("azurewood.E001", "not YAML: not Unicode", source, 1)
+
+
+def _check_events(
+    events: abc.Iterable[yaml.Event], source: str
+) -> abc.Iterator[base.Finding]:
+    depth = documents = 0
+    for event in events:
+        line = event.start_mark.line + 1
+        match event:
+            case yaml.AliasEvent():
+                message = "aliases are not allowed"
+                yield _finding("azurewood.E004", message, source, line)
+                return
+            case yaml.DocumentStartEvent():
+                documents += 1
+            case yaml.CollectionStartEvent():
+                depth += 1
+            case yaml.CollectionEndEvent():
+                depth -= 1
+        if depth > MAX_DEPTH:
+            message = f"nested more than {MAX_DEPTH} deep"
+            yield _finding("azurewood.E005", message, source, line)
+            return
+        if documents > 1:
+            message = "more than one document in the text"
+            yield _finding("azurewood.E006", message, source, line)
+            return
+
+
+def _is_null(node: yaml.Node) -> bool:
+    return node.tag == "tag:yaml.org,2002:null"
+
+
+def _finding(id: str, message: str, source: str, line: int) -> base.Finding:
+    return base.Finding(id=id, message=message, place=f"{source}:{line}")
+
+
+def _refusal(
+    id: str, message: str, source: str, line: int
+) -> exceptions.InvalidDocument:
+    found = _finding(id, message, source, line)
+    return exceptions.InvalidDocument([found])
