--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform stand-in: log, host list and task service over HTTP."""
