Serve requests end to end through the log, the reducer and the peers

The thin path: entry daemons follow the platform's log, fold it into the agreed state, own the slots of their zone's workers by rendezvous hashing and forward callers' requests over pycurl.

--- /dev/null
+++ b/azurewood/daemons/entry.py
@@ -0,0 +1,154 @@
+"""The entry daemon: callers' requests in, endpoints' answers out."""
+
+import concurrent.futures
+import random
+import secrets
+import threading
+import time
+
+from azurewood.conf import entry as settings_module
+from azurewood.daemons import runtime as runtimes
+from azurewood.daemons import workers
+from azurewood.http import callers
+from azurewood.http import endpoints
+from azurewood.http import server
+from azurewood.operators import application as operators
+from azurewood.peers import transport as transports
+from azurewood.state import control
+from azurewood.state import events
+from azurewood.state import model
+
+OPERATORS_THREADS = 8
+EXIT_MARGIN_S = 1.0
+
+
+class EntryDaemon:
+    """One entry daemon: its state, its threads and its listeners."""
+
+    __slots__ = (
+        "_callers",
+        "_operators",
+        "_pool",
+        "_settings",
+        "_stopping",
+        "_transport",
+        "runtime",
+    )
+
+    def __init__(self, *, settings: settings_module.EntrySettings) -> None:
+        self._settings = settings
+        self._stopping = threading.Event()
+        self.runtime = runtimes.Runtime(state=_state(settings))
+        self._transport = transports.Transport(
+            name=settings.name,
+            listen=settings.peers_listen,
+            key=settings.peers_key.encode(),
+        )
+        self._callers = _callers_server(settings, self.runtime)
+        self._operators = _operators_server(settings, self.runtime)
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            max_workers=16, thread_name_prefix="entry"
+        )
+
+    def start(self) -> None:
+        """Start the threads; raise ``PeerError`` if a port is in use."""
+        self._transport.open()
+        loops = workers.Workers(
+            runtime=self.runtime,
+            transport=self._transport,
+            url=self._settings.platform_url,
+            stream=self._settings.stream,
+            zone=self._settings.zone,
+            stopping=self._stopping,
+        ).loops()
+        self.runtime.carry_out(
+            control.start(self.runtime.state, time.monotonic())
+        )
+        for loop in (*loops, self._callers.serve, self._operators.serve):
+            self._pool.submit(loop).add_done_callback(self._ended)
+
+    def _ended(self, fut: concurrent.futures.Future) -> None:
+        """Stop the daemon when one of its threads fails."""
+        exc = fut.exception()
+        if exc is not None:
+            operators.report_failure(exc)
+            self.runtime.exited.set()
+
+    def stop(self) -> None:
+        """Ask for a graceful stop: finish what is in hand, then exit."""
+        left = self._settings.drain_timeout_ms / 1000
+        self.runtime.post(events.StopAsked(deadline=time.monotonic() + left))
+
+    def wait(self) -> None:
+        """Wait until nothing is in hand, or the drain's time is up."""
+        while not self.runtime.exited.wait(0.2):
+            until = self.runtime.state.stopping_until
+            if until and time.monotonic() > until + EXIT_MARGIN_S:
+                break
+        self.close()
+
+    def close(self) -> None:
+        """Close the listeners and end the threads."""
+        self._stopping.set()
+        self._callers.stop()
+        self._operators.stop()
+        self._transport.close()
+        self._pool.shutdown(wait=True)
+
+
+def _state(settings: settings_module.EntrySettings) -> model.State:
+    boot = secrets.randbits(48)
+    return model.State(
+        me=model.Identity(
+            name=settings.name,
+            zone=settings.zone,
+            address=settings.peers_listen,
+            boot=boot,
+        ),
+        rng=random.Random(boot),
+        limits=model.Limits(
+            waiting_requests=settings.queue_count,
+            waiting_bytes=settings.queue_bytes,
+        ),
+        timing=model.Timing(
+            heartbeat_s=settings.heartbeat_ms / 1000,
+            peer_timeout_s=settings.peer_timeout_ms / 1000,
+        ),
+        seeds=tuple(settings.peers),
+    )
+
+
+def _callers_server(
+    settings: settings_module.EntrySettings, runtime: runtimes.Runtime
+) -> server.wsgi.Server:
+    application = callers.CallerApplication(
+        name=settings.name,
+        runtime=runtime,
+        client=endpoints.EndpointClient(),
+        max_body_bytes=settings.max_body_bytes,
+    )
+    return server.make(
+        host=settings.listen.host,
+        port=settings.listen.port,
+        application=application,
+        threads=settings.threads,
+        timeout_s=settings.sender_timeout_ms / 1000,
+        max_header_bytes=settings.max_header_bytes,
+        max_body_bytes=settings.max_body_bytes,
+    )
+
+
+def _operators_server(
+    settings: settings_module.EntrySettings, runtime: runtimes.Runtime
+) -> server.wsgi.Server:
+    return server.make(
+        host=settings.operators_listen.host,
+        port=settings.operators_listen.port,
+        application=operators.OperatorsApplication(
+            runtime=runtime, token=settings.operators_token
+        ),
+        threads=OPERATORS_THREADS,
+        timeout_s=settings.sender_timeout_ms / 1000,
+        max_header_bytes=settings.max_header_bytes,
+        max_body_bytes=settings.max_body_bytes,
+    )
--- a/azurewood/daemons/runtime.py
+++ b/azurewood/daemons/runtime.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "_lock",
         "appends",
+        "clock",
         "exited",
         "peer_messages",
         "reads",
@@ -57,12 +58,13 @@
         self.tasks: EffectQueue[effects.AnyEffect] = EffectQueue()
         self.peer_messages: EffectQueue[effects.SendPeer] = EffectQueue()
         self.exited = threading.Event()
+        self.clock = time.monotonic
         self._lock = threading.Lock()
 
     def post(self, event: events.AnyEvent) -> None:
         """Reduce an event and carry out its effects."""
         with self._lock:
-            now = time.monotonic()
+            now = self.clock()
             if self.recorder is not None:
                 self.recorder(events.Recorded(now=now, event=event))
             wanted = reducer.step(self.state, event, now)
--- a/azurewood/fleet/document.py
+++ b/azurewood/fleet/document.py
@@ -14,6 +14,7 @@
 from azurewood.fleet import checks
 from azurewood.fleet import draft
 from azurewood.fleet import exceptions
+from azurewood.fleet import fields
 from azurewood.fleet import model
 from azurewood.fleet import nodes
 from azurewood.fleet import ranges  # noqa: F401  (registers its checks)
@@ -82,22 +83,16 @@
         return value.value
     if isinstance(value, tuple):
         return [_plain(item) for item in value]
-    if not dataclasses.is_dataclass(value):
+    if not fields.is_object(value):
         return value
     policy = POLICY_NAMES.get(type(value))
     plain = {} if policy is None else {reader.POLICY_KEY: policy}
-    for field in dataclasses.fields(value):
+    for field in fields.fields(value):
         item = getattr(value, field.name)
-        if item != _default(field):
+        if field.default is None or item != field.default():
             plain[field.name] = _plain(item)
     return plain
 
 
-def _default(field: dataclasses.Field) -> typing.Any:
-    if field.default_factory is not dataclasses.MISSING:
-        return field.default_factory()
-    return field.default
-
-
 def _line(place: str) -> int:
     return int(place.rpartition(":")[2])
--- a/azurewood/fleet/reader.py
+++ b/azurewood/fleet/reader.py
@@ -6,7 +6,6 @@
 """
 
 from collections import abc
-import dataclasses
 import difflib
 import enum
 import functools
@@ -18,6 +17,7 @@
 
 from azurewood.checks import base
 from azurewood.fleet import draft
+from azurewood.fleet import fields
 from azurewood.fleet import groups
 from azurewood.fleet import model
 
@@ -51,7 +51,7 @@
     def read(self, node: yaml.Node, kind: typing.Any, path: Path):
         """Return the value of a node as ``kind``, or None."""
         self.lines[path] = node.start_mark.line + 1
-        if dataclasses.is_dataclass(kind):
+        if fields.is_object(kind):
             return self._read_object(node, kind, path)
         if typing.get_origin(kind) is tuple:
             return self._read_items(node, typing.get_args(kind)[0], path)
@@ -82,7 +82,7 @@
                 "azurewood.E013", node, f"expected keys of {_title(kind)}"
             )
             return None
-        known = [field.name for field in dataclasses.fields(kind)]
+        known = [field.name for field in fields.fields(kind)]
         known.extend(extra)
         entries: dict[str, yaml.Node] = {"": node}
         for key, value in node.value:
@@ -110,17 +110,17 @@
     def _build(self, entries: dict[str, yaml.Node], kind: type, path: Path):
         """Return an object of the data class ``kind``."""
         values = {}
-        for field in dataclasses.fields(kind):
+        for field in fields.fields(kind):
             value = None
             if field.name in entries:
                 hint = _hints(kind)[field.name]
                 value = self.read(
                     entries[field.name], hint, (*path, field.name)
                 )
-            elif not _has_default(field):
+            elif field.default is None:
                 message = f"{_title(kind)} has no {field.name!r}"
                 self._report("azurewood.E014", entries[""], message)
-            if value is None and not _has_default(field):
+            if value is None and field.default is None:
                 value = () if _is_tuple(_hints(kind)[field.name]) else None
                 values[field.name] = value
             elif value is not None:
@@ -266,11 +266,6 @@
     return "a list" if isinstance(node, yaml.SequenceNode) else "a mapping"
 
 
-def _has_default(field: dataclasses.Field) -> bool:
-    missing = dataclasses.MISSING
-    return field.default is not missing or field.default_factory is not missing
-
-
 def _is_tuple(kind: typing.Any) -> bool:
     return typing.get_origin(kind) is tuple
 
--- a/azurewood/policy/ownership.py
+++ b/azurewood/policy/ownership.py
@@ -29,4 +29,4 @@
 
 def weight(thing: str, member: str) -> int:
     """Return a member's weight for a thing, an unsigned 64-bit number."""
-    return xxhash.xxh3_64_intdigest(f"{thing}|{member}")
+    return xxhash.xxh3_64_intdigest(f"{thing}|{member}".encode())
--- a/azurewood/state/agreed.py
+++ b/azurewood/state/agreed.py
@@ -94,10 +94,14 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class WriterState:
-    """The last sequence number seen of a writer, and when."""
+    """The last sequence number seen of a writer, and when.
+
+    Verdicts up to the sequence number ``forgotten`` are no longer kept.
+    """
 
     sequence: int
     at_ms: int
+    forgotten: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/fold.py
+++ b/azurewood/state/fold.py
@@ -103,19 +103,29 @@
     writer = state.writers.get(record.writer)
     if writer is not None and record.sequence <= writer.sequence:
         return
-    state.writers[record.writer] = agreed_state.WriterState(
-        sequence=record.sequence, at_ms=state.at_ms
-    )
+    _note_writer(state, record)
     _forget_old(state)
     refusal = _record_refusal(state, record)
     for index, proposal in enumerate(record.proposals):
         verdict = _judge(state, record, index, proposal, refusal)
-        state.verdicts[verdict_id(verdict.writer, verdict.sequence, index)] = (
-            verdict
-        )
+        if not proposal.object.startswith(records.CLAIM_PREFIX):
+            name = verdict_id(record.writer, record.sequence, index)
+            state.verdicts[name] = verdict
         yield verdict
 
 
+def _note_writer(
+    state: agreed_state.Agreed, record: records.Proposals
+) -> None:
+    """Note a writer's last record; the latest writers come last."""
+    known = state.writers.pop(record.writer, None)
+    state.writers[record.writer] = agreed_state.WriterState(
+        sequence=record.sequence,
+        at_ms=state.at_ms,
+        forgotten=known.forgotten if known else 0,
+    )
+
+
 def _record_refusal(
     state: agreed_state.Agreed, record: records.Proposals
 ) -> str:
@@ -174,7 +184,9 @@
     every daemon drops the same.
     """
     while len(state.verdicts) > VERDICTS_KEPT:
-        del state.verdicts[next(iter(state.verdicts))]
+        old = state.verdicts.pop(next(iter(state.verdicts)))
+        if old.writer in state.writers:
+            state.writers[old.writer].forgotten = old.sequence
     oldest = next(iter(state.writers.values()))
     if oldest.at_ms + WRITER_KEPT_MS < state.at_ms:
         del state.writers[next(iter(state.writers))]
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -9,8 +9,6 @@
 from azurewood.state import model
 from azurewood.state import relay
 
-HEARTBEAT_S = 0.5
-ALIVE_S = 2.0
 FORGET_S = 120.0
 REMOTE_PEERS_PER_ZONE = 3
 GOSSIPED_ADDRESSES = 8
@@ -52,7 +50,7 @@
 
 def beat(state: model.State, now: float) -> Effects:
     """Send a heartbeat to the zone's peers and some of each other zone."""
-    state.heartbeat_at = now + HEARTBEAT_S
+    state.heartbeat_at = now + state.timing.heartbeat_s
     message = _heartbeat(state)
     for address in sorted(_addresses(state, now)):
         yield effects.SendPeer(address=address, message=message)
@@ -153,7 +151,8 @@
     if peer is None or peer.boot != message.boot:
         peer = _new_peer(sender, message)
         state.peers[sender] = peer
-    _update_peer(peer, message, now)
+    peer.alive_until = now + state.timing.peer_timeout_s
+    _update_peer(peer, message)
     update_alive(state, now)
     yield from _greet_known(state, message, is_new)
     yield from relay.compare(state, peer, now)
@@ -169,10 +168,7 @@
     )
 
 
-def _update_peer(
-    peer: model.PeerView, message: messages.Heartbeat, now: float
-) -> None:
-    peer.alive_until = now + ALIVE_S
+def _update_peer(peer: model.PeerView, message: messages.Heartbeat) -> None:
     peer.address = message.address
     peer.incarnation = message.incarnation
     peer.offset = message.offset
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -41,6 +41,14 @@
     waiting_bytes: int = 32 << 20
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Timing:
+    """Configured lengths of the control path, in seconds."""
+
+    heartbeat_s: float = 0.25
+    peer_timeout_s: float = 1.0
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Count:
     """Answers of one service, good and bad, since a daemon's start."""
@@ -215,6 +223,7 @@
     me: Identity
     rng: random.Random
     limits: Limits = dataclasses.field(default_factory=Limits)
+    timing: Timing = dataclasses.field(default_factory=Timing)
     agreed: agreed_state.Agreed = dataclasses.field(
         default_factory=agreed_state.Agreed
     )
--- a/azurewood/state/records.py
+++ b/azurewood/state/records.py
@@ -16,6 +16,7 @@
 
 FLEET = "fleet"
 IN_FORCE = "in-force"
+CLAIM_PREFIX = "claim:"
 
 
 def preset_object(name: str) -> str:
@@ -35,7 +36,7 @@
 
 def claim_object(key: str) -> str:
     """Name the object of a claim on a request that runs at most once."""
-    return f"claim:{key}"
+    return f"{CLAIM_PREFIX}{key}"
 
 
 class Change(msgspec.Struct, kw_only=True, frozen=True, tag=True):
