--- /dev/null
+++ b/azurewood/log/setup.py
@@ -0,0 +1,105 @@
+"""Structured logs by loguru: one line a record, JSON or text.
+
+Modules log with ``from loguru import logger``. Values given by keyword,
+``logger.bind`` or `request` become fields of the line.
+"""
+
+from collections import abc
+import contextlib
+import sys
+import traceback
+import typing
+
+from loguru import logger
+import msgspec
+
+HIDDEN: typing.Final = "[hidden]"
+MIN_SECRET: typing.Final = 4
+ESCAPES: typing.Final = {
+    code: f"\\x{code:02x}" for code in (*range(32), *range(127, 160))
+}
+
+
+def configure(
+    *,
+    level: str,
+    format: str,
+    zone: str,
+    daemon: str,
+    secrets: abc.Iterable[str] = (),
+    stream: typing.TextIO | None = None,
+) -> None:
+    """Send all logs to ``stream``, by default the standard error stream.
+
+    ``format`` is ``json`` or ``text``. No line holds one of ``secrets``.
+    Variables' values are left out of tracebacks.
+    """
+    hidden = tuple(text for text in secrets if len(text) >= MIN_SECRET)
+    render = _render_json if format == "json" else _render_text
+    target = sys.stderr if stream is None else stream
+
+    def write(message: typing.Any) -> None:
+        fields = _hide(_fields(message.record), hidden)
+        target.write(render(fields) + "\n")
+        target.flush()
+
+    # enqueue=True would start a multiprocessing queue.
+    handler = {
+        "sink": write,
+        "level": level.upper(),
+        "format": "{message}",
+        "backtrace": False,
+        "diagnose": False,
+        "enqueue": False,
+    }
+    logger.configure(
+        handlers=[handler], extra={"zone": zone, "daemon": daemon}
+    )
+
+
+def request(request_id: str) -> contextlib.AbstractContextManager[None]:
+    """Return a context in which lines carry the id of a request."""
+    return logger.contextualize(request_id=request_id)
+
+
+def _fields(record: typing.Any) -> dict[str, typing.Any]:
+    fields = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+        "logger": record["name"],
+    }
+    for key, value in record["extra"].items():
+        fields.setdefault(key, value)
+    fields["message"] = record["message"]
+    if record["exception"] is not None:
+        lines = traceback.format_exception(*record["exception"])
+        fields["exception"] = "".join(lines)
+    return fields
+
+
+def _hide(
+    fields: dict[str, typing.Any], secrets: tuple[str, ...]
+) -> dict[str, typing.Any]:
+    """Return fields as plain values, without secrets."""
+    return {key: _plain(value, secrets) for key, value in fields.items()}
+
+
+def _plain(value: typing.Any, secrets: tuple[str, ...]) -> typing.Any:
+    if value is None or isinstance(value, bool | int | float):
+        return value
+    text = str(value)
+    for secret in secrets:
+        text = text.replace(secret, HIDDEN)
+    return text
+
+
+def _render_json(fields: dict[str, typing.Any]) -> str:
+    return msgspec.json.encode(fields).decode()
+
+
+def _render_text(fields: dict[str, typing.Any]) -> str:
+    """Return a line whose values hold no control characters."""
+    fields = dict(fields)
+    head = [str(fields.pop(key)) for key in ("time", "level", "message")]
+    tail = [f"{key}={value}" for key, value in fields.items()]
+    return " ".join([*head, *tail]).translate(ESCAPES)
