--- /dev/null
+++ b/standins/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' stand-in: a load generator bounded in count and time."""
--- /dev/null
+++ b/tests/standins/test_platform.py
@@ -0,0 +1,107 @@
+import http.client
+import threading
+
+import pytest
+
+from standins import client
+from standins import processes
+
+
+def test_trimmed_offset_answers_410(fleet):
+    for _ in range(3):
+        fleet.platform.append("s", b"x")
+    fleet.platform.post("/v1/streams/s/trim", before=2)
+    with pytest.raises(client.StatusError) as caught:
+        fleet.platform.get("/v1/streams/s/records?from=1")
+    assert caught.value.status == 410
+    assert fleet.platform.get("/v1/streams/s/records?from=2")["first"] == 2
+
+
+def test_lost_answer_took_effect_and_failed_append_did_not(fleet):
+    fleet.platform.post("/v1/faults", lose_answers=1)
+    with pytest.raises(http.client.HTTPException):
+        fleet.platform.append("s", b"lost answer")
+    fleet.platform.post("/v1/faults", append_fails=1)
+    with pytest.raises(client.StatusError) as caught:
+        fleet.platform.append("s", b"failed")
+    assert caught.value.status == 503
+    fleet.platform.append("s", b"answered")
+    page = fleet.platform.get("/v1/streams/s/records?from=0")
+    data = [record["data"] for record in page["records"]]
+    assert data == [b"lost answer", b"answered"]
+
+
+def test_down_ends_long_polls_and_leaves_faults_open(fleet):
+    statuses = []
+
+    def poll():
+        try:
+            fleet.platform.get("/v1/streams/s/records?from=0&wait_ms=25000")
+        except client.StatusError as exc:
+            statuses.append(exc.status)
+
+    polls = [threading.Thread(target=poll) for _ in range(20)]
+    for thread in polls:
+        thread.start()
+    fleet.platform.post("/v1/faults", down=True)
+    for thread in polls:
+        thread.join(15)
+    assert statuses == [503] * 20
+    fleet.platform.post("/v1/faults", down=False)
+    fleet.platform.append("s", b"x")
+
+
+def test_a_cut_zone_is_not_answered(fleet):
+    fleet.platform.post("/v1/faults", cut_zones=["nizwa-b"])
+    path = "/v1/hosts"
+    with pytest.raises(http.client.HTTPException):
+        fleet.platform.call("GET", path, headers={"Azurewood-Zone": "nizwa-b"})
+    other = {"Azurewood-Zone": "nizwa-a"}
+    assert fleet.platform.call("GET", path, headers=other)["hosts"]
+
+
+def test_a_hang_does_not_keep_faults_from_being_cleared(fleet):
+    fleet.platform.post("/v1/faults", hang=True)
+    hasty = client.Client(url=fleet.platform.url, timeout_s=0.2)
+    for _ in range(3):
+        with pytest.raises(TimeoutError):
+            hasty.get("/v1/hosts")
+    fleet.platform.post("/v1/faults", hang=False)
+    assert fleet.platform.get("/v1/hosts")["hosts"]
+
+
+def host_state(fleet):
+    return fleet.platform.get("/v1/hosts")["hosts"][0]["state"]
+
+
+def test_host_list_and_tasks_follow_a_dead_worker(fleet):
+    fleet.start_task("t1")
+    assert host_state(fleet) == "live"
+    fleet.worker.kill()
+    processes.wait_for(lambda: host_state(fleet) == "gone", what="host gone")
+    assert fleet.task("t1")["state"] == "failed"
+
+
+def test_host_paused_and_resumed_keeps_its_task(fleet):
+    port = fleet.start_task("t1")
+    fleet.worker.pause()
+    processes.wait_for(lambda: host_state(fleet) == "gone", what="host gone")
+    fleet.worker.resume()
+    processes.wait_for(lambda: host_state(fleet) == "live", what="host back")
+    fleet.wait_state("t1", "running")
+    assert processes.is_listening("127.1.77.1", port)
+
+
+def test_reboot_stops_what_runs_and_comes_back(fleet):
+    fleet.start_task("t1")
+    seen = []
+    fleet.platform.post("/v1/hosts/grind-1/reboot")
+
+    def came_back():
+        seen.append(host_state(fleet))
+        return "gone" in seen and seen[-1] == "live"
+
+    processes.wait_for(came_back, what="rebooted")
+    order = list(dict.fromkeys(seen))
+    assert order in (["live", "leaving", "gone"], ["live", "gone"])
+    assert fleet.task("t1")["state"] in ("stopped", "failed")
