Let hacking alone order the imports

ruff's isort sorts 'from azurewood import x' before 'azurewood.conf', and hacking's H306 after it, so that no order passes both.

--- a/azurewood/commands/entry.py
+++ b/azurewood/commands/entry.py
@@ -4,11 +4,11 @@
 
 import click
 
-from azurewood import exceptions
 from azurewood.conf import base
 from azurewood.conf import entry as settings_module
 from azurewood.conf import options
 from azurewood.daemons import entry as daemons
+from azurewood import exceptions
 
 
 @click.command()
