Keep what is in force while a lost log is seeded again

Cause: a daemon folded the records of a new incarnation into the state it had, so that states at the same offset of the same log could differ, and a daemon that knew more than the log could part from the others for good. The new log is now folded into a state of its own, which is put in force once it has caught up. What the log went on without is reported by id.

Also found by the first test of an outage: an append that only waited for its retry was counted as under way, so a log that is down was answered as unknown instead of not accepted. Retries are now stored deadlines.

Not proved: a claim known to one daemon only when the log is lost and that daemon is cut off too.

--- a/azurewood/daemons/workers.py
+++ b/azurewood/daemons/workers.py
@@ -110,7 +110,6 @@
         for effect in self._effects(self._runtime.appends):
             match effect:
                 case effects.AppendRecord():
-                    self._wait_until(effect.not_before)
                     self._append_record(client, effect)
                 case effects.AppendSeed(data=data):
                     _try(client.append, data)
--- a/azurewood/peers/messages.py
+++ b/azurewood/peers/messages.py
@@ -74,9 +74,13 @@
 
 
 class SnapshotAnswer(Message, frozen=True, kw_only=True):
-    """The sender's packed agreed state, for one too far behind."""
+    """The sender's packed agreed state, for one too far behind.
+
+    ``log_reachable`` says that the sender reads ``incarnation`` now.
+    """
 
     incarnation: str
+    log_reachable: bool
     state: bytes
 
 
--- a/azurewood/state/control.py
+++ b/azurewood/state/control.py
@@ -15,6 +15,7 @@
 
 RETRY_BASE_S = 0.1
 RETRY_CAP_S = 5.0
+SEED_RETRY_S = 2.0
 SNAPSHOT_EVERY_S = 600.0
 SNAPSHOT_EVERY_RECORDS = 2000
 
@@ -34,14 +35,19 @@
     return [effects.ReadSnapshot(not_before=now)]
 
 
+def following(state: model.State) -> agreed_state.Agreed:
+    """Return the state that the log's records are folded into."""
+    return state.agreed if state.incoming is None else state.incoming
+
+
 def read(state: model.State, event: events.RecordsRead, now: float) -> Effects:
     """Fold what the log answered and read on."""
     _reached(state, now)
-    if event.incarnation != state.agreed.incarnation:
+    if event.incarnation != following(state).incarnation:
         yield from _follow_incarnation(state, event.incarnation, now)
         return
     yield from fold_records(state, event.records, now)
-    yield effects.ReadLog(offset=state.agreed.offset, not_before=now)
+    yield effects.ReadLog(offset=following(state).offset, not_before=now)
 
 
 def _reached(state: model.State, now: float) -> None:
@@ -53,26 +59,34 @@
 def _follow_incarnation(
     state: model.State, incarnation: str, now: float
 ) -> Effects:
-    """Begin to read a log that is new, and seed it if we know more."""
-    is_reset = bool(state.agreed.incarnation)
-    fold.start_incarnation(state.agreed, incarnation)
+    """Begin to read a log that is new, and seed it if we know more.
+
+    What is in force stays so until the new log has caught up with it.
+    """
     state.log.recent.clear()
-    if is_reset:
+    if state.agreed.revision:
+        state.incoming = agreed_state.Agreed(incarnation=incarnation)
         yield effects.Report(
             level="WARNING",
             name="log_reset",
             text=f"the log has a new incarnation {incarnation}",
         )
-    if state.agreed.revision:
-        seed = records.Seed(
-            writer=state.me.writer,
-            revision=state.agreed.revision,
-            state=agreed_state.pack(state.agreed),
-        )
-        yield effects.AppendSeed(data=records.encode(seed))
+        yield _seed(state, now)
+    else:
+        fold.start_incarnation(state.agreed, incarnation)
     yield effects.ReadLog(offset=0, not_before=now)
 
 
+def _seed(state: model.State, now: float) -> effects.AppendSeed:
+    state.log.seed_at = now + SEED_RETRY_S
+    record = records.Seed(
+        writer=state.me.writer,
+        revision=state.agreed.revision,
+        state=agreed_state.pack(state.agreed),
+    )
+    return effects.AppendSeed(data=records.encode(record))
+
+
 def fold_records(
     state: model.State,
     stored: collections.abc.Iterable[events.StoredRecord],
@@ -80,12 +94,55 @@
 ) -> Effects:
     """Fold records in order; stop at a gap, skip what is known."""
     for record in stored:
-        if record.offset < state.agreed.offset:
+        offset = following(state).offset
+        if record.offset < offset:
             continue
-        if record.offset > state.agreed.offset:
+        if record.offset > offset:
             return
         state.log.recent.append(record)
         yield from _fold_one(state, record, now)
+        yield from _catch_up(state)
+
+
+def _catch_up(state: model.State) -> Effects:
+    """Put the new log's state in force once it is as far on as ours.
+
+    If others went on without what only this daemon knew, the log decides,
+    and what was lost is reported.
+    """
+    incoming = state.incoming
+    if incoming is None:
+        return
+    is_behind = incoming.revision < state.agreed.revision
+    if is_behind and not fold.is_past_seeding(incoming):
+        return
+    yield from _put_in_force(state, incoming)
+
+
+def _put_in_force(state: model.State, newer: agreed_state.Agreed) -> Effects:
+    """Replace the agreed state, and report what is lost by that."""
+    lost = sorted(_lost(state.agreed, newer))
+    if lost:
+        yield effects.Report(
+            level="ERROR",
+            name="changes_lost",
+            text=f"the log went on without {', '.join(lost)}",
+        )
+    state.agreed = newer
+    state.incoming = None
+    state.view_revision = -1
+
+
+def _lost(
+    mine: agreed_state.Agreed, incoming: agreed_state.Agreed
+) -> collections.abc.Iterator[str]:
+    """Yield the ids of accepted proposals that a newer state never saw."""
+    for name, verdict in mine.verdicts.items():
+        writer = incoming.writers.get(verdict.writer)
+        is_forgotten = writer and verdict.sequence <= writer.forgotten
+        is_known = name in incoming.verdicts or is_forgotten
+        if verdict.accepted and not is_known:
+            yield name
 
 
 def _fold_one(
@@ -94,7 +151,7 @@
     try:
         record = records.decode(stored.data)
     except msgspec.DecodeError as exc:
-        state.agreed.offset = stored.offset + 1
+        following(state).offset = stored.offset + 1
         yield effects.Report(
             level="ERROR",
             name="record_malformed",
@@ -102,7 +159,7 @@
         )
         return
     verdicts = fold.apply(
-        state.agreed,
+        following(state),
         offset=stored.offset,
         at_ms=stored.at_ms,
         record=record,
@@ -116,7 +173,7 @@
 ) -> Effects:
     """Start over from a snapshot, or follow a log that was reset."""
     _reached(state, now)
-    is_other = event.incarnation != state.agreed.incarnation
+    is_other = event.incarnation != following(state).incarnation
     if is_other and event.first == 0:
         yield from _follow_incarnation(state, event.incarnation, now)
         return
@@ -130,7 +187,7 @@
     _reached(state, now)
     if event.state:
         yield from adopt_packed(state, event.state)
-    yield effects.ReadLog(offset=state.agreed.offset, not_before=now)
+    yield effects.ReadLog(offset=following(state).offset, not_before=now)
 
 
 def adopt_packed(state: model.State, packed: bytes) -> Effects:
@@ -157,7 +214,7 @@
         return
     if is_same and snapshot.offset <= mine.offset:
         return
-    state.agreed = snapshot
+    yield from _put_in_force(state, snapshot)
     state.log.recent.clear()
     state.log.snapshot_offset = snapshot.offset
     yield effects.Report(
@@ -178,21 +235,28 @@
     state.log.reachable = False
     state.log.failures += 1
     later = now + back_off(state, state.log.failures)
-    if state.agreed.incarnation:
-        yield effects.ReadLog(offset=state.agreed.offset, not_before=later)
+    if following(state).incarnation:
+        yield effects.ReadLog(offset=following(state).offset, not_before=later)
     else:
         yield effects.ReadSnapshot(not_before=later)
 
 
 def tick(state: model.State, now: float) -> Effects:
-    """Write a snapshot before the records it replaces expire.
+    """Write a seed or a snapshot when one is due."""
+    if not state.agreed.revision or not state.log.reachable:
+        return
+    if state.incoming is not None:
+        if now >= state.log.seed_at:
+            yield _seed(state, now)
+    elif _is_snapshot_due(state, now):
+        yield from _snapshot(state, now)
+
+
+def _snapshot(state: model.State, now: float) -> Effects:
+    """Write a snapshot before the records that it replaces expire.
 
     One daemon does, chosen by rendezvous hashing; two do no harm.
     """
-    if not state.agreed.revision or not state.log.reachable:
-        return
-    if not _is_snapshot_due(state, now):
-        return
     members = (*state.alive, state.me.name)
     if ownership.owner("snapshot", members) != state.me.name:
         return
--- a/azurewood/state/effects.py
+++ b/azurewood/state/effects.py
@@ -25,11 +25,10 @@
 
 
 class AppendRecord(Effect, frozen=True, kw_only=True):
-    """Append an encoded record; ``not_before`` spaces retries."""
+    """Append an encoded record."""
 
     sequence: int
     data: bytes
-    not_before: float
 
 
 class AppendSnapshot(Effect, frozen=True, kw_only=True):
--- a/azurewood/state/fold.py
+++ b/azurewood/state/fold.py
@@ -59,6 +59,14 @@
     state.seeded_revision = 0
 
 
+def is_past_seeding(state: agreed_state.Agreed) -> bool:
+    """Tell whether proposals were accepted after the log's seeding."""
+    return (
+        0 < state.seed_until_ms < state.at_ms
+        and state.revision > state.seeded_revision
+    )
+
+
 def _apply_seed(state: agreed_state.Agreed, record: records.Seed) -> None:
     """Take a seed over if it is newer and nothing was built on an older.
 
@@ -67,11 +75,7 @@
     """
     if not state.seed_until_ms:
         state.seed_until_ms = state.at_ms + SEED_WINDOW_MS
-    if record.revision <= state.revision:
-        state.seeded_revision = max(state.seeded_revision, record.revision)
-        return
-    window_open = state.at_ms <= state.seed_until_ms
-    if not window_open and state.revision != state.seeded_revision:
+    if record.revision <= state.revision or is_past_seeding(state):
         return
     _adopt(state, agreed_state.unpack(record.state))
     state.seeded_revision = state.revision
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -92,7 +92,7 @@
         incarnation=state.agreed.incarnation,
         offset=state.agreed.offset,
         revision=state.agreed.revision,
-        log_reachable=state.log.reachable,
+        log_reachable=relay.is_current(state),
         stopping=bool(state.stopping_until),
         draining=_draining(state),
         counts=tuple(
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -86,6 +86,7 @@
     quiet_since: float = 0.0
     failures: int = 0
     relay_at: float = 0.0
+    seed_at: float = 0.0
     snapshot_due: float = 0.0
     snapshot_offset: int = 0
     recent: collections.deque[events.StoredRecord] = dataclasses.field(
@@ -116,6 +117,7 @@
     data: bytes
     entries: list[Pending]
     attempts: int = 0
+    retry_at: float = 0.0
     in_call: bool = False
     unsure: bool = False
 
@@ -218,7 +220,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class State:
-    """Everything that a daemon's decisions depend on."""
+    """Everything that a daemon's decisions depend on.
+
+    ``incoming`` is the state folded from a log that was reset, until it has
+    caught up with ``agreed``, which stays in force meanwhile.
+    """
 
     me: Identity
     rng: random.Random
@@ -227,6 +233,7 @@
     agreed: agreed_state.Agreed = dataclasses.field(
         default_factory=agreed_state.Agreed
     )
+    incoming: agreed_state.Agreed | None = None
     log: LogView = dataclasses.field(default_factory=LogView)
     outbox: Outbox = dataclasses.field(default_factory=Outbox)
     peers: dict[str, PeerView] = dataclasses.field(default_factory=dict)
--- a/azurewood/state/outbox.py
+++ b/azurewood/state/outbox.py
@@ -17,6 +17,7 @@
 RECORD_PROPOSALS = 64
 APPEND_RETRY_S = 0.1
 APPEND_RETRY_CAP_S = 2.0
+READ_BACK_S = 2.0
 NOBODY = "nobody"
 """The ticket of proposals whose end nobody waits for."""
 
@@ -24,16 +25,31 @@
 
 
 def propose(state: model.State, event: events.Proposed, now: float) -> Effects:
-    """Take proposals on, to be appended with the next record."""
-    yield from submit(
-        state,
-        model.Pending(
-            ticket=event.ticket,
-            proposals=event.proposals,
-            deadline=event.deadline,
-            atomic=event.atomic,
-        ),
-        now,
+    """Take proposals on, to be appended with the next record.
+
+    A daemon that knows nothing while its peers do proposes nothing: its
+    view of a log that was just reset is empty.
+    """
+    entry = model.Pending(
+        ticket=event.ticket,
+        proposals=event.proposals,
+        deadline=event.deadline,
+        atomic=event.atomic,
+    )
+    if state.agreed.revision or not _do_peers_know(state, now):
+        yield from submit(state, entry, now)
+        return
+    entry.deadline = now
+    yield from _give_up(
+        state, 0, [entry], effects.Resolution.NOT_ACCEPTED, now
+    )
+
+
+def _do_peers_know(state: model.State, now: float) -> bool:
+    return any(
+        peer.revision
+        for peer in state.peers.values()
+        if peer.alive_until > now
     )
 
 
@@ -62,7 +78,7 @@
         data=records.encode(record),
         entries=entries,
     )
-    yield _append(out.sent, now)
+    yield _append(out.sent)
 
 
 def _take_batch(
@@ -80,18 +96,16 @@
         yield out.waiting.popleft()
 
 
-def _append(sent: model.SentRecord, not_before: float) -> effects.AppendRecord:
+def _append(sent: model.SentRecord) -> effects.AppendRecord:
     sent.attempts += 1
     sent.in_call = True
-    return effects.AppendRecord(
-        sequence=sent.sequence, data=sent.data, not_before=not_before
-    )
+    return effects.AppendRecord(sequence=sent.sequence, data=sent.data)
 
 
 def append_ended(
     state: model.State, event: events.AppendEnded, now: float
-) -> Effects:
-    """Append again unless the platform has said that it did."""
+) -> None:
+    """Plan to append again unless the platform has said that it did."""
     sent = state.outbox.sent
     if sent is None or sent.sequence != event.sequence:
         return
@@ -99,13 +113,14 @@
     match event.outcome:
         case events.AppendOutcome.DONE:
             sent.unsure = True
+            sent.retry_at = now + READ_BACK_S
             return
         case events.AppendOutcome.UNKNOWN:
             sent.unsure = True
     delay = min(
         APPEND_RETRY_CAP_S, APPEND_RETRY_S * 2 ** min(sent.attempts, 8)
     )
-    yield _append(sent, now + delay * state.rng.uniform(0.5, 1.0))
+    sent.retry_at = now + delay * state.rng.uniform(0.5, 1.0)
 
 
 def judged(
@@ -160,6 +175,8 @@
     if all(not entry.ticket for entry in sent.entries):
         out.sent = None
         yield from _flush(state, now)
+    elif not sent.in_call and sent.retry_at <= now:
+        yield _append(sent)
 
 
 def _resolution(sent: model.SentRecord) -> effects.Resolution:
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -59,7 +59,7 @@
         case events.LogUnreachable():
             yield from control.unreachable(state, event, now)
         case events.AppendEnded():
-            yield from outbox.append_ended(state, event, now)
+            outbox.append_ended(state, event, now)
         case events.Proposed():
             yield from outbox.propose(state, event, now)
         case events.PeerSaid():
--- a/azurewood/state/relay.py
+++ b/azurewood/state/relay.py
@@ -38,18 +38,20 @@
 
 def _is_ahead(state: model.State, peer: model.PeerView) -> bool:
     mine = state.agreed
+    if peer.incarnation == mine.incarnation:
+        return peer.offset > mine.offset
     if not mine.incarnation:
         return peer.revision > 0
-    return peer.incarnation == mine.incarnation and peer.offset > mine.offset
+    return peer.log_reachable and peer.revision >= mine.revision
 
 
 def _ask(state: model.State, peer: model.PeerView, now: float) -> Effects:
     state.log.relay_at = now + RELAY_EVERY_S
+    followed = control.following(state)
     yield effects.SendPeer(
         address=peer.address,
         message=messages.TailRequest(
-            incarnation=state.agreed.incarnation,
-            offset=state.agreed.offset,
+            incarnation=followed.incarnation, offset=followed.offset
         ),
     )
 
@@ -63,25 +65,29 @@
         return
     tail = _tail(state, message)
     if tail:
-        answer = messages.Tail(
-            incarnation=state.agreed.incarnation, records=tail
-        )
+        answer = messages.Tail(incarnation=message.incarnation, records=tail)
     else:
         answer = messages.SnapshotAnswer(
             incarnation=state.agreed.incarnation,
+            log_reachable=is_current(state),
             state=agreed_state.pack(state.agreed),
         )
     yield effects.SendPeer(address=peer.address, message=answer)
 
 
+def is_current(state: model.State) -> bool:
+    """Tell whether the agreed state is of the log as it is now."""
+    return state.log.reachable and state.incoming is None
+
+
 def _tail(
     state: model.State, message: messages.TailRequest
 ) -> tuple[messages.RelayedRecord, ...]:
     """Return the records from the offset asked for, if we still have it."""
     recent = state.log.recent
-    if message.incarnation != state.agreed.incarnation or not recent:
+    if message.incarnation != control.following(state).incarnation:
         return ()
-    if recent[0].offset > message.offset:
+    if not recent or recent[0].offset > message.offset:
         return ()
     return tuple(
         messages.RelayedRecord(
@@ -94,7 +100,7 @@
 
 def told(state: model.State, message: messages.Tail, now: float) -> Effects:
     """Fold the records that a peer relayed."""
-    if message.incarnation != state.agreed.incarnation:
+    if message.incarnation != control.following(state).incarnation:
         return
     stored = (
         events.StoredRecord(
@@ -108,12 +114,12 @@
 def given(state: model.State, message: messages.SnapshotAnswer) -> Effects:
     """Take over a peer's agreed state, if the log cannot be read.
 
-    A state of another incarnation is taken only by a new daemon: which of
-    two incarnations is the later one only the log itself can tell.
+    Of two incarnations of the log the later one is that which a peer reads
+    now. One that cannot read the log either does not know.
     """
     mine = state.agreed.incarnation
     if state.log.reachable:
         return
-    if mine and message.incarnation != mine:
+    if mine and message.incarnation != mine and not message.log_reachable:
         return
     yield from control.adopt_packed(state, message.state)
--- /dev/null
+++ b/tests/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The agreed state under failure, without sockets and with processes."""
