--- a/azurewood/state/control.py
+++ b/azurewood/state/control.py
@@ -101,10 +101,10 @@
             return
         state.log.recent.append(record)
         yield from _fold_one(state, record, now)
-        yield from _catch_up(state)
+        yield from _catch_up(state, now)
 
 
-def _catch_up(state: model.State) -> Effects:
+def _catch_up(state: model.State, now: float) -> Effects:
     """Put the new log's state in force once it is as far on as ours.
 
     If others went on without what only this daemon knew, the log decides,
@@ -116,10 +116,12 @@
     is_behind = incoming.revision < state.agreed.revision
     if is_behind and not fold.is_past_seeding(incoming):
         return
-    yield from _put_in_force(state, incoming)
+    yield from _put_in_force(state, incoming, now)
 
 
-def _put_in_force(state: model.State, newer: agreed_state.Agreed) -> Effects:
+def _put_in_force(
+    state: model.State, newer: agreed_state.Agreed, now: float
+) -> Effects:
     """Replace the agreed state, and report what is lost by that."""
     lost = sorted(_lost(state.agreed, newer))
     if lost:
@@ -131,6 +133,7 @@
     state.agreed = newer
     state.incoming = None
     state.view_revision = -1
+    yield from outbox.adopted(state, now)
 
 
 def _lost(
@@ -186,11 +189,11 @@
     """Take a snapshot over if it is newer, then read the log's tail."""
     _reached(state, now)
     if event.state:
-        yield from adopt_packed(state, event.state)
+        yield from adopt_packed(state, event.state, now)
     yield effects.ReadLog(offset=following(state).offset, not_before=now)
 
 
-def adopt_packed(state: model.State, packed: bytes) -> Effects:
+def adopt_packed(state: model.State, packed: bytes, now: float) -> Effects:
     """Take over a packed agreed state, or report that it is malformed."""
     try:
         snapshot = agreed_state.unpack(packed)
@@ -199,10 +202,12 @@
             level="ERROR", name="snapshot_malformed", text=str(exc)
         )
         return
-    yield from adopt(state, snapshot)
+    yield from adopt(state, snapshot, now)
 
 
-def adopt(state: model.State, snapshot: agreed_state.Agreed) -> Effects:
+def adopt(
+    state: model.State, snapshot: agreed_state.Agreed, now: float
+) -> Effects:
     """Take over an agreed state that is further on than ours.
 
     A state of another incarnation of the log is taken only if nothing in
@@ -214,7 +219,7 @@
         return
     if is_same and snapshot.offset <= mine.offset:
         return
-    yield from _put_in_force(state, snapshot)
+    yield from _put_in_force(state, snapshot, now)
     state.log.recent.clear()
     state.log.snapshot_offset = snapshot.offset
     yield effects.Report(
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -135,7 +135,7 @@
         case messages.Tail():
             yield from relay.told(state, event.message, now)
         case messages.SnapshotAnswer():
-            yield from relay.given(state, event.message)
+            yield from relay.given(state, event.message, now)
 
 
 def _heard_heartbeat(
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -124,13 +124,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Outbox:
-    """Proposals on their way to the log, one record at a time."""
+    """Proposals on their way to the log, one record at a time.
+
+    ``barrier`` asks for an empty record, after one whose end is unknown.
+    """
 
     sequence: int = 0
     waiting: collections.deque[Pending] = dataclasses.field(
         default_factory=collections.deque
     )
     sent: SentRecord | None = None
+    barrier: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/outbox.py
+++ b/azurewood/state/outbox.py
@@ -61,9 +61,10 @@
 
 def _flush(state: model.State, now: float) -> Effects:
     out = state.outbox
-    if out.sent is not None or not out.waiting:
+    if out.sent is not None or not (out.waiting or out.barrier):
         return
-    entries = list(_take_batch(out))
+    entries = list(_take_batch(out)) if out.waiting else []
+    out.barrier = False
     out.sequence += 1
     record = records.Proposals(
         writer=state.me.writer,
@@ -71,7 +72,7 @@
         proposals=tuple(
             proposal for entry in entries for proposal in entry.proposals
         ),
-        atomic=entries[0].atomic,
+        atomic=any(entry.atomic for entry in entries),
     )
     out.sent = model.SentRecord(
         sequence=out.sequence,
@@ -133,8 +134,16 @@
     sent = state.outbox.sent
     if record.writer != state.me.writer or sent is None:
         return
-    if record.sequence != sent.sequence or not verdicts:
-        return
+    if record.sequence == sent.sequence:
+        yield from _answer(state, sent, verdicts, now)
+
+
+def _answer(
+    state: model.State,
+    sent: model.SentRecord,
+    verdicts: collections.abc.Iterable[agreed_state.Verdict],
+    now: float,
+) -> Effects:
     state.outbox.sent = None
     resolved = iter([_resolve(verdict) for verdict in verdicts])
     for entry in sent.entries:
@@ -144,6 +153,55 @@
     yield from _flush(state, now)
 
 
+def adopted(state: model.State, now: float) -> Effects:
+    """Answer who waits for a record that a state taken over contains."""
+    sent = state.outbox.sent
+    known = state.agreed.writers.get(state.me.writer)
+    if sent is None or known is None or known.sequence < sent.sequence:
+        return
+    proposals = [
+        proposal for entry in sent.entries for proposal in entry.proposals
+    ]
+    yield from _answer(
+        state,
+        sent,
+        (
+            _found_verdict(state, sent.sequence, index, proposal)
+            for index, proposal in enumerate(proposals)
+        ),
+        now,
+    )
+
+
+def _found_verdict(
+    state: model.State,
+    sequence: int,
+    index: int,
+    proposal: records.Proposal,
+) -> agreed_state.Verdict:
+    """Return a verdict from the agreed state alone.
+
+    Verdicts on claims are not kept: a claim was accepted if it is ours.
+    """
+    writer = state.me.writer
+    name = fold.verdict_id(writer, sequence, index)
+    found = state.agreed.verdicts.get(name)
+    if found is not None:
+        return found
+    key = proposal.object.removeprefix(records.CLAIM_PREFIX)
+    claim = state.agreed.claims.get(key)
+    is_ours = claim is not None and claim.holder == writer
+    return agreed_state.Verdict(
+        writer=writer,
+        sequence=sequence,
+        index=index,
+        object=proposal.object,
+        accepted=is_ours,
+        revision=claim.revision if is_ours else 0,
+        reason="" if is_ours else "held by another daemon",
+    )
+
+
 def _resolve(verdict: agreed_state.Verdict) -> effects.Resolved:
     accepted = verdict.accepted
     return effects.Resolved(
@@ -166,15 +224,32 @@
     """
     out = state.outbox
     yield from _drop_late_waiting(state, now)
-    sent = out.sent
-    if sent is None:
+    if out.sent is None:
+        if state.log.reachable:
+            yield from _flush(state, now)
         return
+    yield from _tick_sent(state, out.sent, now)
+
+
+def _tick_sent(
+    state: model.State, sent: model.SentRecord, now: float
+) -> Effects:
+    """Give up a record, or append it again when that is due.
+
+    After a record whose end is unknown, a later one settles it: the fold
+    refuses what comes after a higher sequence number.
+    """
+    out = state.outbox
+    is_barrier = not sent.entries
     yield from _give_up(
         state, sent.sequence, sent.entries, _resolution(sent), now
     )
-    if all(not entry.ticket for entry in sent.entries):
+    is_over = all(not entry.ticket for entry in sent.entries)
+    if is_over and (out.waiting or not is_barrier):
         out.sent = None
-        yield from _flush(state, now)
+        out.barrier = sent.unsure or sent.in_call
+        if out.waiting:
+            yield from _flush(state, now)
     elif not sent.in_call and sent.retry_at <= now:
         yield _append(sent)
 
--- a/azurewood/state/relay.py
+++ b/azurewood/state/relay.py
@@ -111,7 +111,9 @@
     yield from control.fold_records(state, stored, now)
 
 
-def given(state: model.State, message: messages.SnapshotAnswer) -> Effects:
+def given(
+    state: model.State, message: messages.SnapshotAnswer, now: float
+) -> Effects:
     """Take over a peer's agreed state, if the log cannot be read.
 
     Of two incarnations of the log the later one is that which a peer reads
@@ -122,4 +124,4 @@
         return
     if mine and message.incarnation != mine and not message.log_reachable:
         return
-    yield from control.adopt_packed(state, message.state)
+    yield from control.adopt_packed(state, message.state, now)
