--- a/azurewood/fleet/document.py
+++ b/azurewood/fleet/document.py
@@ -19,6 +19,7 @@
 from azurewood.fleet import ranges  # noqa: F401  (registers its checks)
 from azurewood.fleet import reader
 
+MAX_FINDINGS: typing.Final = 1000
 Dumper = getattr(yaml, "CSafeDumper", yaml.SafeDumper)
 POLICY_NAMES: typing.Final = {
     kind: name for name, kind in model.MOVE_POLICIES.items()
@@ -50,7 +51,9 @@
         findings.extend(base.run(checks.TAG, subject))
     findings.sort(key=lambda found: _line(found.place))
     valid = fleet is not None and not base.errors(findings)
-    return Reading(fleet=fleet if valid else None, findings=findings)
+    return Reading(
+        fleet=fleet if valid else None, findings=_cut(findings, source)
+    )
 
 
 def load(text: str, source: str) -> model.Fleet:
@@ -76,6 +79,19 @@
     )
 
 
+def _cut(findings: list[base.Finding], source: str) -> list[base.Finding]:
+    """Return the first findings, and a last one that counts the others."""
+    left = len(findings) - MAX_FINDINGS
+    if left <= 0:
+        return findings
+    last = base.Finding(
+        id="azurewood.E008",
+        message=f"{left} further findings are not shown",
+        place=f"{source}:{_line(findings[MAX_FINDINGS].place)}",
+    )
+    return [*findings[:MAX_FINDINGS], last]
+
+
 def _plain(value: typing.Any) -> typing.Any:
     """Return a value as what YAML can represent, without defaults."""
     if isinstance(value, enum.Enum):
--- a/azurewood/fleet/groups.py
+++ b/azurewood/fleet/groups.py
@@ -8,10 +8,11 @@
 from collections import abc
 import dataclasses
 import ipaddress
+import typing
 
 from azurewood.fleet import model
 
-MAX_HOSTS = 20000
+MAX_HOSTS: typing.Final = 20000
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/fleet/nodes.py
+++ b/azurewood/fleet/nodes.py
@@ -1,14 +1,16 @@
 """Bounded reading of YAML text into nodes that know their lines."""
 
 from collections import abc
+import typing
 
 import yaml
 
 from azurewood.checks import base
 from azurewood.fleet import exceptions
 
-MAX_BYTES = 4 * 1024 * 1024
-MAX_DEPTH = 16
+MAX_BYTES: typing.Final = 4 * 1024 * 1024
+MAX_DEPTH: typing.Final = 16
+MAX_NODES: typing.Final = 300000
 
 Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
@@ -16,8 +18,9 @@
 def compose(text: str, source: str) -> yaml.Node:
     """Return the root node of the one document in ``text``.
 
-    Aliases, deep nesting and texts over ``MAX_BYTES`` are refused before
-    anything is built. Raises InvalidDocument.
+    Aliases, deep nesting, more than ``MAX_NODES`` nodes and texts over
+    ``MAX_BYTES`` are refused before anything is built. Raises
+    InvalidDocument.
     """
     findings = list(_check_text(text, source))
     if findings:
@@ -53,9 +56,10 @@
 def _check_events(
     events: abc.Iterable[yaml.Event], source: str
 ) -> abc.Iterator[base.Finding]:
-    depth = documents = 0
+    depth = documents = values = 0
     for event in events:
         line = event.start_mark.line + 1
+        values += isinstance(event, yaml.NodeEvent)
         match event:
             case yaml.AliasEvent():
                 message = "aliases are not allowed"
@@ -71,6 +75,10 @@
             message = f"nested more than {MAX_DEPTH} deep"
             yield _finding("azurewood.E005", message, source, line)
             return
+        if values > MAX_NODES:
+            message = f"more than {MAX_NODES} keys and values"
+            yield _finding("azurewood.E007", message, source, line)
+            return
         if documents > 1:
             message = "more than one document in the text"
             yield _finding("azurewood.E006", message, source, line)
--- a/azurewood/fleet/reader.py
+++ b/azurewood/fleet/reader.py
@@ -30,7 +30,8 @@
     float: "a number",
     bool: "true or false",
 }
-POLICY_KEY = "policy"
+POLICY_KEY: typing.Final = "policy"
+MAX_ITEMS: typing.Final = groups.MAX_HOSTS
 
 
 @functools.cache
@@ -131,8 +132,11 @@
         if not isinstance(node, yaml.SequenceNode):
             self._report("azurewood.E013", node, "expected a list")
             return None
+        if len(node.value) > MAX_ITEMS:
+            message = f"the list has more than {MAX_ITEMS} items"
+            self._report("azurewood.E016", node, message)
         items: list[typing.Any] = []
-        for child in node.value:
+        for child in node.value[:MAX_ITEMS]:
             position = (*path, len(items))
             match kind:
                 case model.Host if _has_key(child, "group"):
--- a/tests/fleet/test_document.py
+++ b/tests/fleet/test_document.py
@@ -55,6 +55,30 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("name", "urgent", "once"),
+    [
+        ("al-hadeed", "quoting/quotes", "certs/issue"),
+        ("karamanlis", "crew-desk/lookups", "ministry-desk/submit"),
+    ],
+)
+def test_examples_say_what_is_urgent_and_what_runs_once(name, urgent, once):
+    fleet = document.load((EXAMPLES / f"{name}.yaml").read_text(), name)
+    routes = {
+        service.name + route.prefix: route
+        for service in fleet.services
+        for route in service.routes
+    }
+    assert [
+        key
+        for key, route in routes.items()
+        if route.urgency is model.Urgency.URGENT
+    ] == [urgent]
+    assert [key for key, route in routes.items() if not route.repeatable] == [
+        once
+    ]
+
+
 def test_all_faults_are_reported_at_once_with_their_lines():
     with pytest.raises(exceptions.InvalidDocument) as caught:
         document.load(BROKEN, "f")
@@ -82,6 +106,7 @@
         ("[" * 100, "E005"),
         ("a: 1\n---\nb: 2", "E006"),
         ("#" * 5_000_000, "E003"),
+        ("- a\n" * 400_000, "E007"),
     ],
 )
 def test_unusable_texts_are_refused(text, id):
@@ -157,7 +182,21 @@
         assert places(findings) == [("E016", "f:5")]
 
 
+def test_a_list_that_is_too_long_is_refused():
+    text = VALID.replace("hosts: [h1]", f"hosts: [{'h1,' * 20001}]")
+    findings = document.read(text, "f").findings
+    assert places(findings)[0] == ("E016", "f:8")
+
+
 def test_a_preset_has_the_policy_that_its_document_names():
     text = VALID.replace("name: p,", "name: p, moves: {policy: threshold},")
     moves = document.load(text, "f").presets[0].moves
     assert moves == model.ThresholdMoves()
+
+
+def test_the_findings_of_a_hostile_text_are_counted_but_not_all_shown():
+    text = VALID + "".join(f"x{index}: 1\n" for index in range(1500))
+    findings = document.read(text, "f").findings
+    assert len(findings) == document.MAX_FINDINGS + 1
+    assert findings[-1].id == "azurewood.E008"
+    assert findings[-1].message.startswith("500 ")
