Test the five findings that no test provoked

Change: cases for empty sections, routes without '/' or given twice, a second target for a pool, and targets over the fleet's size.

--- a/tests/fleet/test_document.py
+++ b/tests/fleet/test_document.py
@@ -165,6 +165,19 @@
             "port: 2, routes: [{prefix: x, methods: [get]}],",
             ("E125", "f:13"),
         ),
+        ("port: 2,", "port: 2, routes: [{prefix: x}],", ("E124", "f:13")),
+        (
+            "port: 2,",
+            "port: 2, routes: [{prefix: /x}, {prefix: /x}],",
+            ("E123", "f:13"),
+        ),
+        (
+            "min_hosts: 1, max_hosts: 2}",
+            "min_hosts: 3, max_hosts: 9}",
+            ("E133", "f:15"),
+        ),
+        ("targets: [", "targets: [{pool: a}, ", ("E131", "f:15")),
+        ("zones: [", "zones: []\nx: [", ("E103", "f:3")),
     ],
 )
 def test_each_fault_is_found_at_its_line(old, new, expected):
