Read the fields of both kinds of configuration classes in the page's test

The move policies became msgspec.Struct classes, since msgspec tags no other kind of union member, while the test of the reference page read data classes only.

--- a/tests/fleet/test_reference.py
+++ b/tests/fleet/test_reference.py
@@ -1,9 +1,9 @@
-import dataclasses
 import pathlib
 import re
 
 import pytest
 
+from azurewood.fleet import fields
 from azurewood.fleet import groups
 from azurewood.fleet import model
 
@@ -33,15 +33,13 @@
 
 def defaults(kind):
     """Yield names with scalar defaults; "" if required, None if other."""
-    for field in dataclasses.fields(kind):
-        default = field.default
+    for field in fields.fields(kind):
+        if field.default is None:
+            yield field.name, ""
+            continue
+        default = field.default()
         if isinstance(default, bool | int | float):
             yield field.name, str(default).lower()
-        elif (
-            default is dataclasses.MISSING
-            and field.default_factory is dataclasses.MISSING
-        ):
-            yield field.name, ""
         else:
             yield field.name, None
 
