--- a/azurewood/commands/entry.py
+++ b/azurewood/commands/entry.py
@@ -9,6 +9,7 @@
 from azurewood.conf import options
 from azurewood.daemons import entry as daemons
 from azurewood import exceptions
+from azurewood.log import setup
 
 
 @click.command()
@@ -16,6 +17,13 @@
 def entry(*, settings: base.LazySettings) -> None:
     """Run an entry daemon until it is told to stop (SIGTERM)."""
     loaded = settings.load()
+    setup.configure(
+        level=loaded.log_level,
+        format=loaded.log_format,
+        zone=loaded.zone,
+        daemon=loaded.name,
+        secrets=(loaded.operators_token, loaded.peers_key),
+    )
     try:
         daemon = daemons.EntryDaemon(settings=loaded)
         daemon.start()
--- a/azurewood/daemons/runtime.py
+++ b/azurewood/daemons/runtime.py
@@ -107,9 +107,7 @@
             case effects.AnswerProposal(ticket=ticket):
                 self._tell(self.tickets.pop(ticket, None), effect)
             case effects.Report():
-                loguru.logger.bind(event=effect.name).log(
-                    effect.level, effect.text
-                )
+                _log(effect)
             case effects.Exit():
                 self.exited.set()
             case _:
@@ -121,3 +119,9 @@
     ) -> None:
         if fut is not None and not fut.done():
             fut.set_result(effect)
+
+
+def _log(report: effects.Report) -> None:
+    loguru.logger.bind(event=report.name, revision=report.revision).log(
+        report.level, report.text
+    )
--- a/azurewood/state/control.py
+++ b/azurewood/state/control.py
@@ -98,10 +98,32 @@
         if record.offset < offset:
             continue
         if record.offset > offset:
-            return
+            break
         state.log.recent.append(record)
         yield from _fold_one(state, record, now)
         yield from _catch_up(state, now)
+    yield from _report_in_force(state)
+
+
+def _report_in_force(state: model.State) -> Effects:
+    """Report a preset or a configuration that has come into force."""
+    agreed = state.agreed
+    if state.log.reported_in_force != agreed.in_force_revision:
+        state.log.reported_in_force = agreed.in_force_revision
+        yield effects.Report(
+            level="INFO",
+            name="preset_in_force",
+            text=f"preset {agreed.in_force} is in force",
+            revision=agreed.in_force_revision,
+        )
+    if state.log.reported_fleet != agreed.fleet_revision:
+        state.log.reported_fleet = agreed.fleet_revision
+        yield effects.Report(
+            level="INFO",
+            name="configuration_in_force",
+            text="a configuration is in force",
+            revision=agreed.fleet_revision,
+        )
 
 
 def _catch_up(state: model.State, now: float) -> Effects:
@@ -134,6 +156,7 @@
     state.incoming = None
     state.view_revision = -1
     yield from outbox.adopted(state, now)
+    yield from _report_in_force(state)
 
 
 def _lost(
--- a/azurewood/state/effects.py
+++ b/azurewood/state/effects.py
@@ -165,11 +165,12 @@
 
 
 class Report(Effect, frozen=True, kw_only=True):
-    """Write a line to the log, with the metric of the same name."""
+    """Write a line to the log; ``revision`` is 0 if it is about none."""
 
     level: str
     name: str
     text: str
+    revision: int = 0
 
 
 class Exit(Effect, frozen=True, kw_only=True):
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -87,6 +87,8 @@
     failures: int = 0
     relay_at: float = 0.0
     seed_at: float = 0.0
+    reported_in_force: int = 0
+    reported_fleet: int = 0
     snapshot_due: float = 0.0
     snapshot_offset: int = 0
     recent: collections.deque[events.StoredRecord] = dataclasses.field(
--- /dev/null
+++ b/benchmarks/results.py
@@ -0,0 +1,74 @@
+"""Tables of benchmark results, shown and recorded the same way."""
+
+import collections.abc
+import dataclasses
+import pathlib
+import platform
+import typing
+
+import msgspec
+
+DIRECTORY = pathlib.Path(__file__).parent / "results"
+
+
+class Recorded(msgspec.Struct, kw_only=True):
+    """A recorded run: its command, the machine and the rows."""
+
+    name: str
+    command: str
+    python: str
+    rows: list[dict[str, typing.Any]]
+
+
+def keep(
+    name: str, command: str, rows: collections.abc.Sequence[typing.Any]
+) -> pathlib.Path:
+    """Write the rows of a run as JSON, and return the file."""
+    recorded = Recorded(
+        name=name,
+        command=command,
+        python=platform.python_version(),
+        rows=[dataclasses.asdict(row) for row in rows],
+    )
+    DIRECTORY.mkdir(exist_ok=True)
+    path = DIRECTORY / f"{name}.json"
+    data = msgspec.json.format(msgspec.json.encode(recorded), indent=1)
+    path.write_bytes(data + b"\n")
+    return path
+
+
+def load(name: str) -> Recorded:
+    """Read a recorded run; raise ``OSError`` if there is none."""
+    path = DIRECTORY / f"{name}.json"
+    return msgspec.json.decode(path.read_bytes(), type=Recorded)
+
+
+def table(rows: collections.abc.Sequence[typing.Any]) -> str:
+    """Return data class rows as a Markdown table."""
+    return render([dataclasses.asdict(row) for row in rows])
+
+
+def render(rows: collections.abc.Sequence[dict[str, typing.Any]]) -> str:
+    """Return rows as a Markdown table, one column a key."""
+    if not rows:
+        return ""
+    names = list(rows[0])
+    lines = [
+        "| " + " | ".join(name.replace("_", " ") for name in names) + " |",
+        "|" + " --- |" * len(names),
+    ]
+    lines.extend(
+        "| " + " | ".join(_cell(row[name]) for name in names) + " |"
+        for row in rows
+    )
+    return "\n".join(lines)
+
+
+def _cell(value: typing.Any) -> str:
+    match value:
+        case bool():
+            return "yes" if value else "no"
+        case float():
+            return f"{value:.3g}"
+        case _:
+            return str(value)
--- /dev/null
+++ b/benchmarks/rollout.py
@@ -0,0 +1,192 @@
+"""Roll-out time: from an operator's call to in force in every daemon.
+
+``python -m benchmarks.rollout`` starts the second example with two entry
+daemons a zone and switches presets through them in turn, in phases with and
+without failures. The time of each switch runs from before the call until
+the last daemon's log line that says the preset is in force.
+"""
+
+import contextlib
+import dataclasses
+import datetime
+import json
+import pathlib
+import tempfile
+import time
+import typing
+
+import click
+from hdrh import histogram
+
+from azurewood.fleet import document
+from azurewood.state import effects
+from benchmarks import results
+from standins import deployment
+from standins import processes
+
+EXAMPLE = pathlib.Path(__file__).parents[1] / "examples" / "karamanlis.yaml"
+BOUND_MS = 4000
+"""The limit on a roll-out, with failures."""
+AIM_MS = 500
+"""The aim for a roll-out without failures."""
+IN_FORCE_TIMEOUT_S = 10.0
+MAX_MS = 60000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Phase:
+    """Some changes under one failure."""
+
+    name: str
+    faults: dict[str, typing.Any]
+    bound_ms: int
+
+
+PHASES = (
+    Phase(name="no failure", faults={}, bound_ms=AIM_MS),
+    Phase(
+        name="platform answers 200 ms late",
+        faults={"delay_ms": 200},
+        bound_ms=BOUND_MS,
+    ),
+    Phase(
+        name="a zone cut from the platform",
+        faults={"cut_zones": ["trikala"]},
+        bound_ms=BOUND_MS,
+    ),
+    Phase(
+        name="every answer to an append lost",
+        faults={"lose_answers": 1},
+        bound_ms=BOUND_MS,
+    ),
+    Phase(
+        name="every second append refused",
+        faults={"append_fails": 1},
+        bound_ms=BOUND_MS,
+    ),
+)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Row:
+    """The roll-out times of one phase, in milliseconds."""
+
+    phase: str
+    changes: int
+    median_ms: int
+    p99_ms: int
+    worst_ms: int
+    bound_ms: int
+    holds: bool
+
+
+def run_phase(made: deployment.Deployment, phase: Phase, changes: int) -> Row:
+    """Make changes under a failure and return their roll-out times."""
+    made.platform.post("/v1/faults", **phase.faults)
+    cut = set(phase.faults.get("cut_zones", ()))
+    speakers = [
+        daemon for daemon in made.daemons.values() if daemon.zone not in cut
+    ]
+    if cut:
+        _wait_cut(made, cut)
+    times = histogram.HdrHistogram(1, MAX_MS, 3)
+    for number in range(changes):
+        made.platform.post("/v1/faults", **phase.faults)
+        times.record_value(_switch(made, speakers[number % len(speakers)]))
+    made.platform.post(
+        "/v1/faults", delay_ms=0, cut_zones=[], lose_answers=0, append_fails=0
+    )
+    _wait_reachable(made)
+    worst = times.get_max_value()
+    return Row(
+        phase=phase.name,
+        changes=changes,
+        median_ms=times.get_value_at_percentile(50),
+        p99_ms=times.get_value_at_percentile(99),
+        worst_ms=worst,
+        bound_ms=phase.bound_ms,
+        holds=worst <= phase.bound_ms,
+    )
+
+
+def _wait_cut(made: deployment.Deployment, zones: set[str]) -> None:
+    for daemon in made.daemons.values():
+        if daemon.zone in zones:
+            processes.wait_for(
+                lambda daemon=daemon: not daemon.status()["log_reachable"],
+                what=f"{daemon.name} is cut off",
+            )
+
+
+def _wait_reachable(made: deployment.Deployment) -> None:
+    for daemon in made.daemons.values():
+        processes.wait_for(
+            lambda daemon=daemon: daemon.status()["log_reachable"],
+            what=f"{daemon.name} reads the log",
+        )
+
+
+def _switch(made: deployment.Deployment, daemon: deployment.Daemon) -> int:
+    """Switch the preset; return the milliseconds until all have it."""
+    in_force = daemon.status()["in_force"]
+    preset = "peak" if in_force != "peak" else "ordinary"
+    begun = time.time()
+    resolved = daemon.use_preset(preset)
+    if resolved.resolution != effects.Resolution.ACCEPTED:
+        raise deployment.OperatorsCallError(f"not accepted: {resolved}")
+    last = max(
+        processes.wait_for(
+            lambda each=each: _in_force_at(each, resolved.revision),
+            what=f"revision {resolved.revision} in {each.name}",
+            timeout_s=IN_FORCE_TIMEOUT_S,
+        )
+        for each in made.daemons.values()
+    )
+    return max(1, round((last - begun) * 1000))
+
+
+def _in_force_at(daemon: deployment.Daemon, revision: int) -> float:
+    """Return when a daemon said that a revision is in force; 0 if not."""
+    for line in reversed(daemon.process.output().splitlines()):
+        if '"preset_in_force"' not in line:
+            continue
+        fields = json.loads(line)
+        if fields["revision"] >= revision:
+            at = datetime.datetime.fromisoformat(fields["time"])
+            return at.timestamp()
+        return 0.0
+    return 0.0
+
+
+@contextlib.contextmanager
+def started(log_dir: pathlib.Path) -> typing.Iterator[deployment.Deployment]:
+    """Run the second example's daemons, without workers."""
+    fleet = document.load(EXAMPLE.read_text(), EXAMPLE.name)
+    with processes.Processes(log_dir=log_dir) as running:
+        made = deployment.Deployment(running=running, fleet=fleet)
+        made.start_daemons(per_zone=2)
+        made.publish()
+        made.wait_in_force(fleet.preset)
+        yield made
+
+
+@click.command()
+@click.option("--changes", default=100, show_default=True, help="Per phase.")
+@click.option("--record/--no-record", default=False, help="Keep the table.")
+def main(changes: int, record: bool) -> None:
+    """Measure roll-out times; exit with 1 if a bound does not hold."""
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        started(pathlib.Path(directory)) as made,
+    ):
+        rows = [run_phase(made, phase, changes) for phase in PHASES]
+    table = results.table(rows)
+    click.echo(table)
+    if record:
+        results.keep("rollout", "python -m benchmarks.rollout", rows)
+    if not all(row.holds for row in rows):
+        raise SystemExit(1)
+
+
+if __name__ == "__main__":
+    main()
