Pass new records on to daemons that cannot read the log

One reader, by rendezvous hashing, now passes each new record on at once. Ruled out: all readers passing on to all, which grows with their product.

The other phases are unchanged.

--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -52,6 +52,7 @@
             yield from _tick(state, now)
         case events.RecordsRead():
             yield from control.read(state, event, now)
+            yield from relay.push(state, event.records)
         case events.LogTrimmed():
             yield from control.trimmed(state, event, now)
         case events.SnapshotRead():
--- a/azurewood/state/relay.py
+++ b/azurewood/state/relay.py
@@ -1,8 +1,10 @@
 """Keeping up through peers when the platform's log cannot be read."""
 
 import collections.abc
+import itertools
 
 from azurewood.peers import messages
+from azurewood.policy import ownership
 from azurewood.state import agreed as agreed_state
 from azurewood.state import control
 from azurewood.state import effects
@@ -56,6 +58,31 @@
     )
 
 
+def push(
+    state: model.State, records: tuple[events.StoredRecord, ...]
+) -> Effects:
+    """Pass new records on to the peers that cannot read the log.
+
+    One daemon passes them on to each, chosen by rendezvous hashing; a peer
+    that is missed asks by itself after the next heartbeat.
+    """
+    cut_off = [
+        name for name in state.alive if not state.peers[name].log_reachable
+    ]
+    if not cut_off or not records:
+        return
+    readers = [state.me.name, *sorted(set(state.alive) - set(cut_off))]
+    for name in cut_off:
+        if ownership.owner(name, readers) == state.me.name:
+            yield effects.SendPeer(
+                address=state.peers[name].address,
+                message=messages.Tail(
+                    incarnation=control.following(state).incarnation,
+                    records=_relayed(records),
+                ),
+            )
+
+
 def asked(
     state: model.State, sender: str, message: messages.TailRequest
 ) -> Effects:
@@ -89,13 +116,19 @@
         return ()
     if not recent or recent[0].offset > message.offset:
         return ()
+    wanted = (item for item in recent if item.offset >= message.offset)
+    return _relayed(itertools.islice(wanted, TAIL_RECORDS))
+
+
+def _relayed(
+    records: collections.abc.Iterable[events.StoredRecord],
+) -> tuple[messages.RelayedRecord, ...]:
     return tuple(
         messages.RelayedRecord(
             offset=record.offset, at_ms=record.at_ms, data=record.data
         )
-        for record in recent
-        if record.offset >= message.offset
-    )[:TAIL_RECORDS]
+        for record in records
+    )
 
 
 def told(state: model.State, message: messages.Tail, now: float) -> Effects:
--- a/tests/agreement/test_failures.py
+++ b/tests/agreement/test_failures.py
@@ -159,8 +159,14 @@
 
     def test_without_relay_it_stays_behind(self, world, monkeypatch):
         monkeypatch.setattr(relay, "_ask", no_effects)
+        monkeypatch.setattr(relay, "push", no_effects)
         assert self.switch_while_cut(world) == "ordinary"
 
+    @pytest.mark.parametrize("off", ["_ask", "push"])
+    def test_either_way_of_relay_is_enough(self, world, monkeypatch, off):
+        monkeypatch.setattr(relay, off, no_effects)
+        assert self.switch_while_cut(world) == "peak"
+
     def test_cut_from_both_it_serves_on_and_says_so(self, world):
         world.nodes["d2"].cut = True
         world.apart = {frozenset({"d2", "d0"}), frozenset({"d2", "d1"})}
