Repeat starts and stops that miss their host; describe the stand-ins

Cause: a start whose answer was lost failed the task while the worker had opened the port, a stop asked for while its host was gone was forgotten, and a task that never started was shown as running after a cut zone healed. Ruled out: failing such tasks for good, which would leave orphan ports. Starts and stops are now repeated until the host answers or is gone; the worker never starts an id twice.

The tests of the outage and of hung calls could pass with their mechanism off: the polls are now waiting before the outage begins, and the hung calls outnumber the threads.

--- a/standins/platform/tasks.py
+++ b/standins/platform/tasks.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import enum
+import itertools
 import time
 import typing
 
@@ -39,7 +40,9 @@
     """One job of a service on a host.
 
     ``lease_until`` is an instant of the task service's clock, in seconds.
-    ``told`` says that the worker has taken the stop.
+    ``started`` says that the worker has taken the start, ``stop_asked``
+    that a stop was asked for, ``told`` that the worker has taken it, and
+    ``calling`` that a call to the worker is under way.
     """
 
     id: str
@@ -52,6 +55,8 @@
     reason: str = ""
     version: int = 0
     grace_ms: int = 0
+    started: bool = False
+    stop_asked: bool = False
     told: bool = False
     calling: bool = False
 
@@ -106,10 +111,8 @@
                 port=port,
                 lease_until=self._clock() + lease_ms / MS_PER_S,
             )
-            self._tasks[task_id] = task
             self._change(task, TaskState.PENDING)
-            task.calling = True
-            self._pool.submit(self._start_on_worker, task)
+            self._tell_start(task)
             return dataclasses.replace(task)
 
     def stop(
@@ -158,21 +161,23 @@
             return self._version, [dataclasses.replace(t) for t in changes]
 
     def lapse(self) -> None:
-        """Stop the tasks whose lease is over, and repeat untold stops."""
+        """Stop the tasks whose lease is over.
+
+        Repeat the starts and stops that have not reached their worker.
+        """
         with self._notifier.condition:
             now = self._clock()
-            for task in self._tasks.values():
+            for task in list(self._tasks.values()):
                 if task.state in ENDED:
                     continue
-                if task.state is not TaskState.STOPPING:
-                    if task.lease_until <= now:
-                        self._stop(
-                            task,
-                            grace_ms=LAPSE_GRACE_MS,
-                            reason="lease lapsed",
-                        )
-                elif not task.told:
+                if task.state is TaskState.STOPPING:
                     self._tell_stop(task)
+                elif task.lease_until <= now:
+                    self._stop(
+                        task, grace_ms=LAPSE_GRACE_MS, reason="lease lapsed"
+                    )
+                elif task.state is TaskState.PENDING:
+                    self._tell_start(task)
 
     def ended_on_worker(self, task_ids: list[str]) -> None:
         """Note the tasks that a worker says have stopped."""
@@ -198,11 +203,13 @@
             for task in self._on_host(host):
                 if task.reason != HOST_GONE:
                     continue
-                if task.grace_ms or task.lease_until <= self._clock():
+                if task.stop_asked or task.lease_until <= self._clock():
                     task.told = False
-                    self._change(task, TaskState.STOPPING)
-                else:
+                    self._change(task, TaskState.STOPPING, reason="stopped")
+                elif task.started:
                     self._change(task, TaskState.RUNNING, reason="")
+                else:
+                    self._change(task, TaskState.PENDING, reason="")
 
     def host_restarted(self, host: str) -> None:
         """Fail for good the tasks that ended with their worker's process."""
@@ -238,11 +245,15 @@
     def _changed_after(self, version: int, *, zone: str) -> list[Task]:
         if version == self._version:
             return []
+        # The tasks are kept in the order of their versions.
+        newest_first = itertools.takewhile(
+            lambda task: task.version > version,
+            reversed(self._tasks.values()),
+        )
         return [
             task
-            for task in self._tasks.values()
-            if task.version > version
-            and (not zone or self._zone(task.host) in ("", zone))
+            for task in newest_first
+            if not zone or self._zone(task.host) in ("", zone)
         ]
 
     def _zone(self, host: str) -> str:
@@ -254,6 +265,8 @@
     def _change(
         self, task: Task, state: TaskState, *, reason: str | None = None
     ) -> None:
+        self._tasks.pop(task.id, None)
+        self._tasks[task.id] = task
         self._version += 1
         task.version = self._version
         task.state = state
@@ -262,29 +275,43 @@
         self._notifier.condition.notify_all()
 
     def _stop(self, task: Task, *, grace_ms: int, reason: str) -> None:
-        if task.state in ENDED or task.state is TaskState.STOPPING:
+        if task.stop_asked:
             return
+        task.stop_asked = True
         task.grace_ms = grace_ms
+        # A task of a host that is gone is stopped when the host is back.
+        if task.state in ENDED:
+            return
         self._change(task, TaskState.STOPPING, reason=reason)
         self._tell_stop(task)
 
+    def _tell_start(self, task: Task) -> None:
+        if not task.calling:
+            task.calling = True
+            self._pool.submit(self._start_on_worker, task)
+
     def _tell_stop(self, task: Task) -> None:
         # A start that is under way has to reach the worker before the stop.
-        if not task.calling:
+        if not (task.calling or task.told):
             task.calling = True
             self._pool.submit(self._stop_on_worker, task)
 
     def _start_on_worker(self, task: Task) -> None:
-        state, reason = TaskState.RUNNING, ""
+        # Without an answer the start may have taken effect; it is repeated.
+        state, reason = TaskState.PENDING, ""
         try:
             body = {"service": task.service, "port": task.port}
             self._call_host(task, method="PUT", suffix="", body=body)
-        except (control.ControlError, hosts.UnknownHostError) as exc:
+            state, task.started = TaskState.RUNNING, True
+        except (control.RefusedError, hosts.UnknownHostError) as exc:
             state, reason = TaskState.FAILED, f"start failed: {exc}"
+        except control.ControlError as exc:
+            reason = f"start to be repeated: {exc}"
         with self._notifier.condition:
             task.calling = False
             if task.state is TaskState.PENDING:
-                self._change(task, state, reason=reason)
+                if (state, reason) != (task.state, task.reason):
+                    self._change(task, state, reason=reason)
             elif task.state is TaskState.STOPPING:
                 self._tell_stop(task)
 
--- a/standins/worker/host.py
+++ b/standins/worker/host.py
@@ -91,6 +91,7 @@
         self.journal = journal.Journal()
         self.tasks: dict[str, Task] = {}
         self.stopped: list[str] = []
+        self._ended: set[str] = set()
         self.conns: set[http.Connection] = set()
         self._slots = slots
         self._max_conns = connections
@@ -107,7 +108,7 @@
         self, task_id: str, *, service: str, port: int
     ) -> None:
         """Open a service port; raise StartError. Idempotent."""
-        if task_id in self.tasks or task_id in self.stopped:
+        if task_id in self.tasks or task_id in self._ended:
             return
         if self.behaviour.fail_start:
             raise StartError("this host fails every start")
@@ -118,10 +119,13 @@
         except OSError as exc:
             del self.tasks[task_id]
             raise StartError(str(exc)) from exc
+        if task.stopping:
+            task.close_port()
 
     def ended(self, task: "Task") -> None:
         """Forget a task that has stopped."""
         if self.tasks.pop(task.task_id, None) is not None:
+            self._ended.add(task.task_id)
             self.stopped.append(task.task_id)
             self._changed()
 
@@ -284,7 +288,7 @@
         if self.stopping:
             return
         self.stopping = True
-        self._server.close()
+        self.close_port()
         loop = asyncio.get_running_loop()
         grace_s = grace_ms / MS_PER_S
         for conn in self._conns:
@@ -294,6 +298,11 @@
         if not self._conns:
             self._host.ended(self)
 
+    def close_port(self) -> None:
+        """Stop to accept, if the port is open yet."""
+        if self._server is not None:
+            self._server.close()
+
     def _close_idle(self) -> None:
         for conn in tuple(self._conns):
             conn.close_if_idle()
--- a/tests/standins/test_log.py
+++ b/tests/standins/test_log.py
@@ -87,3 +87,22 @@
     for thread in threads:
         thread.join()
     assert sorted(offsets) == list(range(800))
+
+
+def test_interrupt_ends_a_long_poll():
+    event_log = make()
+    deadline = time.monotonic() + 60
+    poll = threading.Thread(
+        target=event_log.read,
+        args=("s", 0),
+        kwargs={"deadline": deadline},
+        daemon=True,
+    )
+    poll.start()
+    # An interrupt before the poll waits has no effect, so it is repeated.
+    for _ in range(100):
+        event_log.interrupt()
+        poll.join(0.05)
+        if not poll.is_alive():
+            break
+    assert not poll.is_alive()
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -1,5 +1,4 @@
 import http.client
-import threading
 
 import pytest
 
@@ -32,21 +31,18 @@
 
 
 def test_down_ends_long_polls_and_leaves_faults_open(fleet):
-    statuses = []
-
-    def poll():
-        try:
-            fleet.platform.get("/v1/streams/s/records?from=0&wait_ms=25000")
-        except client.StatusError as exc:
-            statuses.append(exc.status)
-
-    polls = [threading.Thread(target=poll) for _ in range(20)]
-    for thread in polls:
-        thread.start()
+    address = fleet.platform.url.removeprefix("http://")
+    polls = []
+    for _ in range(20):
+        conn = http.client.HTTPConnection(address, timeout=15)
+        conn.request("GET", "/v1/streams/s/records?from=0&wait_ms=25000")
+        polls.append(conn)
+    # The polls have been sent; this answer shows they starve nobody.
+    assert fleet.platform.get("/v1/hosts")["hosts"]
     fleet.platform.post("/v1/faults", down=True)
-    for thread in polls:
-        thread.join(15)
-    assert statuses == [503] * 20
+    assert [conn.getresponse().status for conn in polls] == [503] * 20
+    for conn in polls:
+        conn.close()
     fleet.platform.post("/v1/faults", down=False)
     fleet.platform.append("s", b"x")
 
@@ -60,14 +56,17 @@
     assert fleet.platform.call("GET", path, headers=other)["hosts"]
 
 
-def test_a_hang_does_not_keep_faults_from_being_cleared(fleet):
-    fleet.platform.post("/v1/faults", hang=True)
-    hasty = client.Client(url=fleet.platform.url, timeout_s=0.2)
-    for _ in range(3):
-        with pytest.raises(TimeoutError):
-            hasty.get("/v1/hosts")
-    fleet.platform.post("/v1/faults", hang=False)
-    assert fleet.platform.get("/v1/hosts")["hosts"]
+def test_abandoned_calls_of_a_hang_do_not_hold_threads(tmp_path):
+    with processes.Processes(log_dir=tmp_path) as started:
+        _, url = started.start_platform("--threads", "3")
+        platform = client.Client(url=url, timeout_s=10)
+        platform.post("/v1/faults", hang=True)
+        hasty = client.Client(url=url, timeout_s=0.2)
+        for _ in range(6):
+            with pytest.raises(TimeoutError):
+                hasty.get("/v1/hosts")
+        platform.post("/v1/faults", hang=False)
+        assert platform.get("/v1/hosts")["hosts"] == []
 
 
 def host_state(fleet):
@@ -105,3 +104,30 @@
     order = list(dict.fromkeys(seen))
     assert order in (["live", "leaving", "gone"], ["live", "gone"])
     assert fleet.task("t1")["state"] in ("stopped", "failed")
+
+
+def test_stop_asked_while_a_host_is_gone_is_made_up_for(fleet):
+    port = fleet.start_task("t1")
+    fleet.worker.pause()
+    processes.wait_for(lambda: host_state(fleet) == "gone", what="host gone")
+    fleet.platform.post("/v1/tasks/t1/stop", grace_ms=0)
+    fleet.worker.resume()
+    fleet.wait_state("t1", "stopped")
+    assert not processes.is_listening("127.1.77.1", port)
+
+
+def test_start_in_a_cut_zone_is_made_up_for(fleet):
+    port = processes.free_port("127.1.77.1")
+    fleet.platform.post("/v1/faults", cut_zones=["nizwa-a"])
+    fleet.platform.put(
+        "/v1/tasks/t1",
+        host="grind-1",
+        service="quoting",
+        port=port,
+        lease_ms=60_000,
+    )
+    processes.wait_for(lambda: host_state(fleet) == "gone", what="host gone")
+    assert not processes.is_listening("127.1.77.1", port)
+    fleet.platform.post("/v1/faults", cut_zones=[])
+    fleet.wait_state("t1", "running")
+    assert processes.is_listening("127.1.77.1", port)
--- a/tests/standins/test_tasks.py
+++ b/tests/standins/test_tasks.py
@@ -136,8 +136,8 @@
             lambda: fleet.control.get("/control/state")["connections"] == 9,
             what="9 connections",
         )
+        processes.wait_for(lambda: busy_slots(fleet) == 8, what="8 busy")
         assert len(fleet.executions()) == 8
-        assert busy_slots(fleet) == 8
         for fut in futures:
             fut.result()
     executions = fleet.executions()
@@ -159,3 +159,16 @@
     assert get(port, "/new")["path"] == "/new"
     paths = [e["path"] for e in fleet.executions()]
     assert paths == ["/before", "/new"]
+
+
+def test_the_worker_starts_an_id_once(fleet):
+    port = fleet.start_task("t1")
+    other = processes.free_port(ADDRESS)
+    path = "/control/tasks/t1"
+    fleet.control.put(path, service="quoting", port=other)
+    assert processes.is_listening(ADDRESS, port)
+    assert not processes.is_listening(ADDRESS, other)
+    fleet.platform.post("/v1/tasks/t1/stop", grace_ms=0)
+    fleet.wait_state("t1", "stopped")
+    fleet.control.put(path, service="quoting", port=other)
+    assert not processes.is_listening(ADDRESS, other)
