Act for hosts at once, and hand a host over only after its job stopped

Actions are now keyed one by one and taken on every event of the control path; calls to the task service report how they ended, so a failed one is repeated with back-off.

A host that is not heard may run its job still, so its failed task does not count as stopped. Stewardship is worked out when hosts or daemons change only.

--- a/azurewood/daemons/workers.py
+++ b/azurewood/daemons/workers.py
@@ -158,7 +158,8 @@
         """Carry out effects on tasks and hosts."""
         client = tasks.TaskClient(conn=self._connection())
         for effect in self._effects(self._runtime.tasks):
-            _try_task(client, effect)
+            for event in _call_task(client, effect):
+                self._runtime.post(event)
 
     def send_to_peers(self) -> None:
         """Send messages to peers."""
@@ -194,9 +195,35 @@
         loguru.logger.warning("append failed: {}", exc)
 
 
-def _try_task(client: tasks.TaskClient, effect: effects.AnyEffect) -> None:
-    """Carry out an effect that the steward repeats if this fails."""
+def _call_task(
+    client: tasks.TaskClient, effect: effects.AnyEffect
+) -> typing.Iterator[events.AnyEvent]:
+    """Carry out an effect on tasks, and say how the call ended.
+
+    An effect that is late is not begun, as after a pause of this process.
+    """
+    state, done = "", False
     try:
-        client.carry_out(effect)
+        if not _is_late(effect):
+            state = client.carry_out(effect)
+            done = True
     except exceptions.PlatformError as exc:
         loguru.logger.warning("task call failed: {}", exc)
+    match effect:
+        case effects.StartTask(id=subject):
+            action = events.TaskAction.START
+        case effects.StopTask(id=subject):
+            action = events.TaskAction.STOP
+        case effects.RebootHost(host=subject):
+            action = events.TaskAction.REBOOT
+        case _:
+            return
+    yield events.TaskCallEnded(
+        action=action, subject=subject, done=done, state=state
+    )
+
+
+def _is_late(effect: effects.AnyEffect) -> bool:
+    return isinstance(effect, effects.RebootHost) and (
+        effect.not_after < time.monotonic()
+    )
--- a/azurewood/platform/tasks.py
+++ b/azurewood/platform/tasks.py
@@ -9,6 +9,8 @@
 from azurewood.state import events
 
 LEASE_MS = 60000
+FAILED = "failed"
+HOST_GONE = "host is gone"
 CALL_TIMEOUT_S = 5.0
 WAIT_MARGIN_S = 2.0
 
@@ -26,6 +28,10 @@
     tasks: list[_Task]
 
 
+class _TaskAnswer(msgspec.Struct, kw_only=True):
+    task: _Task
+
+
 class TaskClient:
     """Starts, stops and lists tasks, renews leases and reboots hosts."""
 
@@ -34,16 +40,18 @@
     def __init__(self, *, conn: base.Connection) -> None:
         self._conn = conn
 
-    def carry_out(self, effect: effects.AnyEffect) -> None:
+    def carry_out(self, effect: effects.AnyEffect) -> str:
         """Carry out an effect on tasks or hosts.
 
-        Raise an error of ``azurewood.platform.exceptions``.
+        Return the task's state as the answer gives it, empty if it does
+        not. Raise an error of ``azurewood.platform.exceptions``.
         """
         match effect:
             case effects.StartTask():
-                self._start(effect)
+                return self._start(effect)
             case effects.StopTask(id=task, grace_ms=grace_ms):
-                self._post(f"{_path(task)}/stop", {"grace_ms": grace_ms})
+                body = {"grace_ms": grace_ms}
+                return _state_in(self._post(f"{_path(task)}/stop", body))
             case effects.RenewLeases(ids=ids):
                 self._post("/v1/leases", {"ids": ids, "lease_ms": LEASE_MS})
             case effects.RebootHost(host=host):
@@ -51,8 +59,9 @@
                 self._post(f"/v1/hosts/{name}/reboot", {})
             case _:
                 raise TypeError(f"not an effect on tasks: {effect!r}")
+        return ""
 
-    def _start(self, effect: effects.StartTask) -> None:
+    def _start(self, effect: effects.StartTask) -> str:
         body = {
             "host": effect.host,
             "service": effect.service,
@@ -60,19 +69,19 @@
             "port": effect.port,
             "lease_ms": LEASE_MS,
         }
-        self._send("PUT", _path(effect.id), body)
+        return _state_in(self._send("PUT", _path(effect.id), body))
 
-    def _post(self, path: str, body: dict[str, object]) -> None:
-        self._send("POST", path, body)
+    def _post(self, path: str, body: dict[str, object]) -> bytes:
+        return self._send("POST", path, body)
 
-    def _send(self, method: str, path: str, body: dict[str, object]) -> None:
+    def _send(self, method: str, path: str, body: dict[str, object]) -> bytes:
         answer = self._conn.call(
             method,
             path,
             body=msgspec.msgpack.encode(body),
             timeout_s=CALL_TIMEOUT_S,
         )
-        base.check(answer, 200, 201, 202)
+        return base.check(answer, 200, 201, 202).body
 
     def read(self, since: int, *, wait_ms: int) -> events.TasksListed:
         """Read the tasks that changed after a version."""
@@ -90,7 +99,7 @@
                     id=task.id,
                     host=task.host,
                     service=task.service,
-                    state=task.state,
+                    state=_known_state(task),
                     reason=task.reason,
                 )
                 for task in listing.tasks
@@ -98,5 +107,17 @@
         )
 
 
+def _state_in(body: bytes) -> str:
+    """Return the state of the task in an answer."""
+    return _known_state(base.decode(body, _TaskAnswer).task)
+
+
+def _known_state(task: _Task) -> str:
+    """Return a task's state; one of a host not heard may run still."""
+    if task.state == FAILED and task.reason == HOST_GONE:
+        return events.LOST
+    return task.state
+
+
 def _path(task: str) -> str:
     return f"/v1/tasks/{urllib.parse.quote(task, safe='')}"
--- a/azurewood/state/agreed.py
+++ b/azurewood/state/agreed.py
@@ -22,6 +22,7 @@
     LEAVING = "leaving"
     DRAINING = "draining"
     DOWN = "down"
+    QUARANTINED = "quarantined"
 
 
 class WavePhase(enum.StrEnum):
@@ -37,7 +38,8 @@
     """A host's one pool and its phase.
 
     ``deadline_ms`` ends a drain; ``since_ms`` is when the phase began.
-    ``task`` names the platform's task of the host's present job.
+    ``task`` names the platform's task of the host's present job, which has
+    failed ``failures`` times in a row.
     """
 
     name: str
@@ -51,6 +53,7 @@
     deadline_ms: int = 0
     reboot: bool = False
     wave: str = ""
+    failures: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/effects.py
+++ b/azurewood/state/effects.py
@@ -160,9 +160,10 @@
 
 
 class RebootHost(Effect, frozen=True, kw_only=True):
-    """Reboot a drained host."""
+    """Reboot a drained host, unless the call can't begin in time."""
 
     host: str
+    not_after: float
 
 
 class Report(Effect, frozen=True, kw_only=True):
--- a/azurewood/state/events.py
+++ b/azurewood/state/events.py
@@ -96,6 +96,10 @@
     hosts: tuple[ListedHost, ...]
 
 
+LOST = "lost"
+"""The state of a task on a host that is not heard: it may run still."""
+
+
 class ListedTask(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
     """A task of the platform's task service and its state."""
 
@@ -113,6 +117,26 @@
     tasks: tuple[ListedTask, ...]
 
 
+class TaskAction(enum.StrEnum):
+    """What a call to the task service was about."""
+
+    START = "start"
+    STOP = "stop"
+    REBOOT = "reboot"
+
+
+class TaskCallEnded(Event, frozen=True, kw_only=True):
+    """A call about a task, or a host's reboot, ended.
+
+    ``state`` is the task's state as the answer gave it, empty if unknown.
+    """
+
+    action: TaskAction
+    subject: str
+    done: bool
+    state: str = ""
+
+
 class PeerSaid(Event, frozen=True, kw_only=True):
     """A peer's authenticated message arrived."""
 
@@ -184,6 +208,7 @@
     | Proposed
     | HostsListed
     | TasksListed
+    | TaskCallEnded
     | PeerSaid
     | RequestArrived
     | RequestEnded
--- /dev/null
+++ b/azurewood/state/jobs.py
@@ -0,0 +1,330 @@
+"""What a steward does for one host: start, drain, stop, restart, reboot."""
+
+import collections.abc
+
+from azurewood.fleet import model as fleet_model
+from azurewood.policy import placement
+from azurewood.state import agreed as agreed_state
+from azurewood.state import effects
+from azurewood.state import events
+from azurewood.state import model
+from azurewood.state import outbox
+from azurewood.state import records
+from azurewood.state import views
+
+PROPOSAL_S = 5.0
+CONFIRM_S = 5.0
+RETRY_BASE_S = 0.2
+RETRY_CAP_S = 5.0
+CALL_LIMIT_S = 30.0
+REBOOT_BEGIN_S = 2.0
+REBOOT_SEEN_S = 60.0
+GRACE_MARGIN_MS = 5000
+STOPS_AT_ONCE = 16
+STARTS_AT_ONCE = 32
+
+RUNNING = "running"
+ENDED = views.ENDED
+
+HostPhase = agreed_state.HostPhase
+TaskAction = events.TaskAction
+Effects = collections.abc.Iterator[effects.AnyEffect]
+
+
+def needs_action(state: model.State, host: agreed_state.HostState) -> bool:
+    """Tell whether there may be something to do for a host."""
+    if host.phase == HostPhase.SERVING:
+        return state.tasks.get(host.task, "") in ENDED
+    return True
+
+
+def act(
+    state: model.State, host: agreed_state.HostState, now: float
+) -> Effects:
+    """Take the next step for a host, if its time has come."""
+    task = state.tasks.get(host.task, "")
+    match host.phase:
+        case HostPhase.STARTING if task == RUNNING:
+            yield from propose(state, host, records.MarkServing(), now)
+        case HostPhase.STARTING | HostPhase.SERVING if task in ENDED:
+            yield from _restart(state, host, task, now)
+        case HostPhase.STARTING:
+            yield from _start(state, host, now)
+        case HostPhase.LEAVING | HostPhase.DRAINING:
+            yield from _drain(state, host, task, now)
+        case HostPhase.QUARANTINED if task not in ENDED:
+            yield from _stop(state, host, task, now)
+        case HostPhase.DOWN:
+            yield from _reboot(state, host, now)
+
+
+def is_due(state: model.State, key: str, now: float, *, wait_s: float) -> bool:
+    """Tell whether to take an action, and note that it is taken."""
+    action = state.steward.acted.setdefault(key, model.Action(until=0.0))
+    if action.until > now:
+        return False
+    action.until = now + wait_s
+    return True
+
+
+def call_ended(
+    state: model.State, event: events.TaskCallEnded, now: float
+) -> None:
+    """Note how a call ended; one that failed is repeated with back-off."""
+    action = state.steward.acted.get(f"{event.action} {event.subject}")
+    calls = state.steward.calls
+    calls[event.action] = max(0, calls.get(event.action, 0) - 1)
+    if action is not None:
+        action.in_call = False
+        action.done = event.done
+        action.until = now + CONFIRM_S
+        if not event.done:
+            cap = min(RETRY_CAP_S, RETRY_BASE_S * 2 ** min(action.attempts, 8))
+            action.until = now + cap * state.rng.uniform(0.5, 1.0)
+    if event.state and not state.tasks.get(event.subject):
+        state.tasks[event.subject] = event.state
+
+
+def _may_call(
+    state: model.State, action: TaskAction, subject: str, now: float
+) -> bool:
+    """Tell whether to make a call now; calls of one kind are bounded."""
+    key = f"{action} {subject}"
+    limit = STARTS_AT_ONCE if action == TaskAction.START else STOPS_AT_ONCE
+    calls = state.steward.calls
+    if calls.get(action, 0) >= limit:
+        return False
+    if not is_due(state, key, now, wait_s=CALL_LIMIT_S):
+        return False
+    taken = state.steward.acted[key]
+    taken.attempts += 1
+    taken.in_call = True
+    calls[action] = calls.get(action, 0) + 1
+    return True
+
+
+def propose(
+    state: model.State,
+    host: agreed_state.HostState,
+    change: records.AnyChange,
+    now: float,
+) -> Effects:
+    """Propose a change of a host once for its revision, and again later."""
+    key = f"{type(change).__name__} {host.name}@{host.revision}"
+    if not is_due(state, key, now, wait_s=PROPOSAL_S):
+        return
+    proposal = records.Proposal(
+        object=records.host_object(host.name),
+        base=host.revision,
+        change=change,
+    )
+    entry = model.Pending(
+        ticket=outbox.NOBODY,
+        proposals=(proposal,),
+        deadline=now + PROPOSAL_S,
+    )
+    yield from outbox.submit(state, entry, now)
+
+
+def service_of(state: model.State, pool: str) -> fleet_model.Service | None:
+    """Return the service whose jobs run on a pool's hosts."""
+    services = state.agreed.fleet.services
+    return next((item for item in services if item.pool == pool), None)
+
+
+def _start(
+    state: model.State, host: agreed_state.HostState, now: float
+) -> Effects:
+    """Start the host's job, unless it failed just now or the host is gone."""
+    if state.hosts[host.name].listed != views.LIVE:
+        return
+    if now < _may_start_at(state, host, now):
+        return
+    yield from _call_start(state, host, now)
+
+
+def _may_start_at(
+    state: model.State, host: agreed_state.HostState, now: float
+) -> float:
+    """Return when a job that has failed may start, noted when first seen."""
+    starts = state.steward.starts
+    if host.task not in starts:
+        delay_s = placement.retry_delay_s(
+            state.steward.placement_policy, host.failures
+        )
+        starts[host.task] = now + delay_s
+    return starts[host.task]
+
+
+def _call_start(
+    state: model.State, host: agreed_state.HostState, now: float
+) -> Effects:
+    service = service_of(state, host.pool)
+    if service is None:
+        return
+    if not _may_call(state, TaskAction.START, host.task, now):
+        return
+    yield effects.StartTask(
+        id=host.task,
+        host=host.name,
+        service=service.name,
+        address=state.hosts[host.name].address,
+        port=service.port,
+    )
+
+
+def _restart(
+    state: model.State,
+    host: agreed_state.HostState,
+    task: str,
+    now: float,
+) -> Effects:
+    """Start an ended job anew, or take a host out on which all jobs fail."""
+    fault = placement.blame(
+        state.steward.placement_policy,
+        _facts(host),
+        (
+            _facts(other)
+            for other in state.agreed.hosts.values()
+            if other.pool == host.pool and other.name != host.name
+        ),
+    )
+    if fault == placement.Fault.HOST:
+        reason = f"{host.failures} jobs in a row have failed here only"
+        change = records.QuarantineHost(reason=reason)
+        yield from propose(state, host, change, now)
+        return
+    if fault == placement.Fault.JOB:
+        yield from _report_job(state, host, now)
+    change = records.RestartJob(
+        reason=f"its task had {task}", failed=task == "failed"
+    )
+    yield from propose(state, host, change, now)
+
+
+def _facts(host: agreed_state.HostState) -> placement.JobFacts:
+    return placement.JobFacts(
+        host=host.name,
+        serving=host.phase == HostPhase.SERVING,
+        failures=host.failures,
+    )
+
+
+def _report_job(
+    state: model.State, host: agreed_state.HostState, now: float
+) -> Effects:
+    if is_due(state, f"report {host.pool}", now, wait_s=REBOOT_SEEN_S):
+        yield effects.Report(
+            level="ERROR",
+            name="job_failing",
+            text=f"the job of pool {host.pool} fails on several hosts",
+        )
+
+
+def _drain(
+    state: model.State,
+    host: agreed_state.HostState,
+    task: str,
+    now: float,
+) -> Effects:
+    """Stop the job once no request runs on it, then say that it stopped."""
+    is_naive = isinstance(state.steward.hand_over, placement.AtOnce)
+    if task in ENDED or is_naive:
+        yield from propose(state, host, _after_stop(host), now)
+    if task in ENDED:
+        return
+    if is_naive or is_drained(state, host, now):
+        yield from _stop(state, host, task, now)
+
+
+def _stop(
+    state: model.State,
+    host: agreed_state.HostState,
+    task: str,
+    now: float,
+) -> Effects:
+    """Stop the host's job gracefully.
+
+    A task that the service has not heard of is started first: its id is
+    then taken, and a start that is late can never start it again.
+    """
+    if not task:
+        yield from _call_start(state, host, now)
+        return
+    if not _may_call(state, TaskAction.STOP, host.task, now):
+        return
+    service = service_of(state, host.pool)
+    deadline_ms = service.deadline_ms if service else 0
+    yield effects.StopTask(
+        id=host.task, grace_ms=deadline_ms + GRACE_MARGIN_MS
+    )
+
+
+def _after_stop(host: agreed_state.HostState) -> records.AnyChange:
+    if host.phase == HostPhase.LEAVING:
+        return records.ReleaseHost()
+    return records.MarkDown()
+
+
+def is_drained(
+    state: model.State, host: agreed_state.HostState, now: float
+) -> bool:
+    """Tell whether every live daemon has seen the drain and none waits.
+
+    A drain whose deadline has passed counts as over.
+    """
+    if now >= _drain_until(state, host, now):
+        return True
+    if state.hosts[host.name].busy:
+        return False
+    return all(
+        peer.revision >= host.revision and host.name not in peer.draining
+        for peer in state.peers.values()
+        if peer.alive_until > now
+    )
+
+
+def _drain_until(
+    state: model.State, host: agreed_state.HostState, now: float
+) -> float:
+    """Return a drain's deadline on this daemon's clock.
+
+    It is derived once, from the platform's time of the newest record that
+    was read. That time is past, so the drain is never cut short.
+    """
+    key = f"{host.name}@{host.revision}"
+    if key not in state.steward.drains:
+        left_ms = max(0, host.deadline_ms - state.agreed.at_ms)
+        state.steward.drains[key] = now + left_ms / 1000
+    return state.steward.drains[key]
+
+
+def _reboot(
+    state: model.State, host: agreed_state.HostState, now: float
+) -> Effects:
+    """Reboot a host that is down for that, and bring it back.
+
+    It is back when the host list has shown it as away and as live again,
+    or not as away for long after the call.
+    """
+    if not host.reboot:
+        return
+    key = f"{TaskAction.REBOOT} {host.name}"
+    if state.hosts[host.name].listed != views.LIVE:
+        state.steward.away[host.name] = True
+    elif host.name in state.steward.away:
+        change = records.ReturnHost(reason="rebooted")
+        yield from propose(state, host, change, now)
+    elif key not in state.steward.acted or not _was_called(state, key):
+        if _may_call(state, TaskAction.REBOOT, host.name, now):
+            yield effects.RebootHost(
+                host=host.name, not_after=now + REBOOT_BEGIN_S
+            )
+    elif now >= state.steward.acted[key].until + REBOOT_SEEN_S:
+        state.steward.away[host.name] = True
+
+
+def _was_called(state: model.State, key: str) -> bool:
+    """Tell whether a call has been made and has not failed."""
+    action = state.steward.acted[key]
+    return action.in_call or action.done
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -56,6 +56,14 @@
         yield effects.SendPeer(address=address, message=message)
 
 
+def acknowledge(state: model.State, peer: str) -> Effects:
+    """Send a heartbeat to one live peer at once."""
+    if peer in state.peers:
+        yield effects.SendPeer(
+            address=state.peers[peer].address, message=_heartbeat(state)
+        )
+
+
 def _addresses(state: model.State, now: float) -> set[str]:
     """Return where heartbeats go: seeds until they are known, and peers."""
     known = {peer.address for peer in state.peers.values()}
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurewood.fleet import model as fleet_model
+from azurewood.policy import placement
 from azurewood.state import agreed as agreed_state
 from azurewood.state import events
 from azurewood.state import records
@@ -205,15 +206,47 @@
     claimed: bool = False
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Action:
+    """An action of a steward, which may be repeated from ``until`` on.
+
+    ``done`` says that its last call has been answered.
+    """
+
+    until: float
+    attempts: int = 0
+    in_call: bool = False
+    done: bool = False
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Stewardship:
-    """When this daemon last acted for a host, so that it does not repeat.
+    """The hosts that this daemon acts for, and what it has done for them.
 
-    ``acted`` maps a host's revision-bound action to when it may be redone.
+    ``mine`` is valid for ``members_key``, ``active`` (those of ``mine``
+    that need an action) for ``hosts_revision``. ``acted`` is by action.
+    ``drains`` holds when each drain ends at the latest, ``starts`` when a
+    failed job may start again, and ``away`` the rebooted hosts that the
+    host list has shown as not live. ``calls`` counts the calls under way.
     """
 
-    acted: dict[str, float] = dataclasses.field(default_factory=dict)
+    mine: tuple[str, ...] = ()
+    members_key: tuple[str, ...] = ()
+    active: dict[str, bool] = dataclasses.field(default_factory=dict)
+    hosts_revision: int = -1
+    acknowledged: int = 0
+    acted: dict[str, Action] = dataclasses.field(default_factory=dict)
+    drains: dict[str, float] = dataclasses.field(default_factory=dict)
+    starts: dict[str, float] = dataclasses.field(default_factory=dict)
+    away: dict[str, bool] = dataclasses.field(default_factory=dict)
+    calls: dict[str, int] = dataclasses.field(default_factory=dict)
     renew_at: float = 0.0
+    hand_over: placement.HandOver = dataclasses.field(
+        default_factory=placement.AfterStop
+    )
+    placement_policy: placement.PlacementPolicy = dataclasses.field(
+        default_factory=placement.BlamePlacement
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/records.py
+++ b/azurewood/state/records.py
@@ -111,6 +111,22 @@
     reason: str
 
 
+class RestartJob(Change, frozen=True, kw_only=True):
+    """Start a host's job anew under a new task id, the old one having ended.
+
+    ``failed`` says that the job failed by itself.
+    """
+
+    reason: str
+    failed: bool = True
+
+
+class QuarantineHost(Change, frozen=True, kw_only=True):
+    """Take a host out of use on which every job fails."""
+
+    reason: str
+
+
 class StartWave(Change, frozen=True, kw_only=True):
     """Start a maintenance wave over some hosts."""
 
@@ -165,6 +181,8 @@
     | DrainHost
     | MarkDown
     | ReturnHost
+    | RestartJob
+    | QuarantineHost
     | StartWave
     | PauseWave
     | ResumeWave
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -36,12 +36,16 @@
         case events.RequestArrived():
             yield from requests.arrive(state, event, now)
         case events.RequestEnded():
+            request = state.requests.get(event.id)
+            host = request.host if request else ""
             yield from requests.end(state, event, now)
+            yield from stewards.request_ended(state, host, now)
         case events.RequestAbandoned():
             yield from requests.abandon(state, event, now)
         case _:
             yield from _reduce_control(state, event, now)
             yield from _settle(state, now)
+            yield from stewards.settle(state, event, now)
 
 
 def _reduce_control(
--- a/azurewood/state/stewards.py
+++ b/azurewood/state/stewards.py
@@ -3,185 +3,161 @@
 The steward is chosen by rendezvous hashing over the live daemons of the
 host's zone. Two stewards at once do no harm: tasks have ids, and the fold
 accepts only one proposal for a revision of a host.
+
+Which hosts are a daemon's is worked out when hosts or daemons change, and
+which of them need an action when a host or a task changes. Any other event
+costs a look at the hosts that need one.
 """
 
 import collections.abc
 
-from azurewood.fleet import model as fleet_model
 from azurewood.policy import ownership
 from azurewood.state import agreed as agreed_state
 from azurewood.state import effects
+from azurewood.state import events
+from azurewood.state import jobs
+from azurewood.state import membership
 from azurewood.state import model
-from azurewood.state import outbox
-from azurewood.state import records
 from azurewood.state import views
 
-REDO_S = 2.0
-PROPOSAL_S = 5.0
-SETTLE_S = 1.0
-GRACE_MS = 30000
 RENEW_S = 5.0
+FORGET_S = 60.0
 
 HostPhase = agreed_state.HostPhase
+DRAINING_PHASES = (HostPhase.LEAVING, HostPhase.DRAINING)
 Effects = collections.abc.Iterator[effects.AnyEffect]
 
 
 def tick(state: model.State, now: float) -> Effects:
-    """Act for the hosts of this daemon, and renew their leases."""
+    """Renew the leases of this daemon's hosts and forget old actions."""
     if state.agreed.fleet is None:
         return
-    mine = _stewarded(state)
-    for host in mine:
-        if host.phase != HostPhase.SERVING:
-            yield from _act(state, host, now)
     if now >= state.steward.renew_at:
         state.steward.renew_at = now + RENEW_S
-        yield from _renew(mine)
-    _forget(state, now)
+        yield from _renew(state)
+        _forget(state, now)
 
 
-def _stewarded(state: model.State) -> list[agreed_state.HostState]:
+def settle(state: model.State, event: events.AnyEvent, now: float) -> Effects:
+    """Act for this daemon's hosts after an event of the control path."""
+    if state.agreed.fleet is None or state.view_revision < 0:
+        return
+    if isinstance(event, events.TaskCallEnded):
+        jobs.call_ended(state, event, now)
+    _refresh(state, event)
+    yield from _acknowledge(state)
+    for name in tuple(state.steward.active):
+        yield from jobs.act(state, state.agreed.hosts[name], now)
+
+
+def request_ended(state: model.State, host: str, now: float) -> Effects:
+    """Act at once when the last request on a leaving host has ended."""
+    view = state.hosts.get(host)
+    if view is None or view.usable or view.busy:
+        return
+    agreed_host = state.agreed.hosts.get(host)
+    if agreed_host is None or agreed_host.phase not in DRAINING_PHASES:
+        return
+    if host in state.steward.active:
+        yield from jobs.act(state, agreed_host, now)
+    else:
+        yield from membership.acknowledge(state, steward_of(state, host))
+
+
+def steward_of(state: model.State, host: str) -> str:
+    """Return the daemon that acts for a host."""
     members = views.members_by_zone(state)
     everyone = (*state.alive, state.me.name)
-    return [
-        host
-        for host in state.agreed.hosts.values()
-        if ownership.owner(
-            host.name,
-            members.get(state.hosts[host.name].zone, everyone),
-        )
-        == state.me.name
-    ]
+    return ownership.owner(host, members.get(state.hosts[host].zone, everyone))
 
 
-def _renew(hosts: list[agreed_state.HostState]) -> Effects:
-    ids = tuple(host.task for host in hosts if host.phase != HostPhase.DOWN)
-    if ids:
-        yield effects.RenewLeases(ids=ids)
+def _refresh(state: model.State, event: events.AnyEvent) -> None:
+    """Bring up to date which hosts are ours and which need an action."""
+    steward = state.steward
+    members_key = (
+        f"{state.agreed.incarnation}/{state.agreed.fleet_revision}",
+        str(bool(state.stopping_until)),
+        *state.alive,
+    )
+    if members_key != steward.members_key:
+        steward.members_key = members_key
+        steward.mine = tuple(_stewarded(state))
+        steward.hosts_revision = -1
+    if steward.hosts_revision != state.agreed.hosts_revision:
+        steward.hosts_revision = state.agreed.hosts_revision
+        _select_active(state)
+    elif isinstance(event, events.TasksListed | events.TaskCallEnded):
+        _select_active(state)
+
+
+def _stewarded(state: model.State) -> collections.abc.Iterator[str]:
+    members = views.members_by_zone(state)
+    everyone = (*state.alive, state.me.name)
+    for name in state.agreed.hosts:
+        zone = members.get(state.hosts[name].zone, everyone)
+        if ownership.owner(name, zone) == state.me.name:
+            yield name
 
 
-def _is_due(
-    state: model.State, host: agreed_state.HostState, now: float
-) -> bool:
-    """Tell whether to act, at most once in a while for one revision."""
-    key = f"{host.name}@{host.revision}"
-    if state.steward.acted.get(key, 0.0) > now:
-        return False
-    state.steward.acted[key] = now + REDO_S
-    return True
+def _select_active(state: model.State) -> None:
+    """List the hosts that need an action, and drop notes about others."""
+    steward = state.steward
+    hosts = state.agreed.hosts
+    steward.active = {
+        name: True
+        for name in steward.mine
+        if jobs.needs_action(state, hosts[name])
+    }
+    for name in [n for n in steward.away if _is_back(hosts.get(n))]:
+        del steward.away[name]
+        steward.acted.pop(f"{events.TaskAction.REBOOT} {name}", None)
 
 
-def _forget(state: model.State, now: float) -> None:
-    acted = state.steward.acted
-    for key in [key for key, until in acted.items() if until <= now]:
-        del acted[key]
-
-
-def _act(
-    state: model.State, host: agreed_state.HostState, now: float
-) -> Effects:
-    task = state.tasks.get(host.task, "")
-    match host.phase:
-        case HostPhase.STARTING if task == "running":
-            yield from _propose(state, host, records.MarkServing(), now)
-        case HostPhase.STARTING:
-            yield from _start(state, host, now)
-        case HostPhase.LEAVING | HostPhase.DRAINING:
-            yield from _drain(state, host, task, now)
-        case HostPhase.DOWN:
-            yield from _reboot(state, host, now)
-
-
-def _propose(
-    state: model.State,
-    host: agreed_state.HostState,
-    change: records.AnyChange,
-    now: float,
-) -> Effects:
-    if not _is_due(state, host, now):
-        return
-    proposal = records.Proposal(
-        object=records.host_object(host.name),
-        base=host.revision,
-        change=change,
-    )
-    entry = model.Pending(
-        ticket=outbox.NOBODY,
-        proposals=(proposal,),
-        deadline=now + PROPOSAL_S,
-    )
-    yield from outbox.submit(state, entry, now)
+def _is_back(host: agreed_state.HostState | None) -> bool:
+    return host is None or host.phase != HostPhase.DOWN
 
 
-def _start(
-    state: model.State, host: agreed_state.HostState, now: float
-) -> Effects:
-    service = _service_of(state, host.pool)
-    if service is None or not _is_due(state, host, now):
-        return
-    yield effects.StartTask(
-        id=host.task,
-        host=host.name,
-        service=service.name,
-        address=state.hosts[host.name].address,
-        port=service.port,
-    )
-
+def _acknowledge(state: model.State) -> Effects:
+    """Tell the stewards of newly leaving hosts that we know, if idle.
 
-def _service_of(state: model.State, pool: str) -> fleet_model.Service | None:
-    services = state.agreed.fleet.services
-    return next((item for item in services if item.pool == pool), None)
-
-
-def _drain(
-    state: model.State,
-    host: agreed_state.HostState,
-    task: str,
-    now: float,
-) -> Effects:
-    """Stop the job once no request runs on it, then say that it stopped."""
-    if task in ("stopped", "failed"):
-        yield from _propose(state, host, _after_stop(host), now)
-    elif _is_drained(state, host, now) and _is_due(state, host, now):
-        yield effects.StopTask(id=host.task, grace_ms=GRACE_MS)
-
-
-def _after_stop(host: agreed_state.HostState) -> records.AnyChange:
-    if host.phase == HostPhase.LEAVING:
-        return records.ReleaseHost()
-    return records.MarkDown()
-
-
-def _is_drained(
-    state: model.State, host: agreed_state.HostState, now: float
-) -> bool:
-    """Tell whether every live daemon has seen the drain and none waits."""
-    if state.hosts[host.name].busy:
-        return False
-    return all(
-        peer.revision >= host.revision and host.name not in peer.draining
-        for peer in state.peers.values()
-        if peer.alive_until > now
+    Daemons of other zones let their next heartbeat tell it.
+    """
+    seen = state.steward.acknowledged
+    if seen >= state.agreed.hosts_revision:
+        return
+    state.steward.acknowledged = state.agreed.hosts_revision
+    stewards = {
+        steward_of(state, host.name)
+        for host in state.agreed.hosts.values()
+        if host.revision > seen
+        and host.phase in DRAINING_PHASES
+        and state.hosts[host.name].zone == state.me.zone
+    }
+    for name in sorted(stewards - {state.me.name}):
+        yield from membership.acknowledge(state, name)
+
+
+def _renew(state: model.State) -> Effects:
+    hosts = (state.agreed.hosts.get(name) for name in state.steward.mine)
+    ids = tuple(
+        host.task
+        for host in hosts
+        if host is not None and host.phase != HostPhase.DOWN
     )
+    if ids:
+        yield effects.RenewLeases(ids=ids)
 
 
-def _reboot(
-    state: model.State, host: agreed_state.HostState, now: float
-) -> Effects:
-    """Reboot a host that is down for that, and bring it back."""
-    if not host.reboot:
-        return
-    key = f"reboot {host.name}@{host.revision}"
-    if key not in state.steward.acted:
-        state.steward.acted[key] = now + SETTLE_S
-        yield effects.RebootHost(host=host.name)
-    elif (
-        state.hosts[host.name].listed == views.LIVE
-        and state.steward.acted[key] <= now
-    ):
-        yield from _propose(
-            state,
-            host,
-            records.ReturnHost(reason="rebooted"),
-            now,
-        )
+def _forget(state: model.State, now: float) -> None:
+    """Drop notes that no action needs any more."""
+    steward = state.steward
+    hosts = state.agreed.hosts.values()
+    keys = {f"{host.name}@{host.revision}" for host in hosts}
+    tasks = {host.task for host in hosts}
+    steward.drains = {k: v for k, v in steward.drains.items() if k in keys}
+    steward.starts = {k: v for k, v in steward.starts.items() if k in tasks}
+    steward.acted = {
+        key: action
+        for key, action in steward.acted.items()
+        if action.in_call or action.until + FORGET_S > now
+    }
--- a/azurewood/state/transitions.py
+++ b/azurewood/state/transitions.py
@@ -4,6 +4,9 @@
 from azurewood.state import agreed as agreed_state
 from azurewood.state import records
 
+HEALTHY_MS = 60000
+"""How long a job has to serve for its earlier failures to be forgotten."""
+
 HostPhase = agreed_state.HostPhase
 WavePhase = agreed_state.WavePhase
 ClaimPhase = records.ClaimPhase
@@ -125,12 +128,18 @@
             return (HostPhase.SERVING, HostPhase.STARTING)
         case records.CancelMove() | records.ReleaseHost():
             return (HostPhase.LEAVING,)
+        case records.RestartJob() | records.QuarantineHost():
+            return (HostPhase.SERVING, HostPhase.STARTING)
         case records.MarkServing():
             return (HostPhase.STARTING,)
         case records.MarkDown():
             return (HostPhase.DRAINING,)
         case records.ReturnHost():
-            return (HostPhase.DOWN, HostPhase.DRAINING)
+            return (
+                HostPhase.DOWN,
+                HostPhase.DRAINING,
+                HostPhase.QUARANTINED,
+            )
         case _:
             return ()
 
@@ -277,6 +286,7 @@
     host: agreed_state.HostState,
     change: records.AnyChange,
 ) -> None:
+    is_old = state.at_ms >= host.since_ms + HEALTHY_MS
     state.hosts_revision = state.revision
     host.revision = state.revision
     host.since_ms = state.at_ms
@@ -293,6 +303,7 @@
         case records.ReleaseHost():
             host.pool = host.target
             host.target = ""
+            host.failures = 0
             _start(host)
         case records.MarkServing():
             host.phase = HostPhase.SERVING
@@ -307,7 +318,38 @@
             host.phase = HostPhase.DOWN
         case records.ReturnHost(reason=reason):
             host.reason = reason
+            _return(host)
+        case records.RestartJob(reason=reason, failed=failed):
+            host.reason = reason
+            _count_failure(host, failed, is_old)
             _start(host)
+        case records.QuarantineHost(reason=reason):
+            host.reason = reason
+            host.phase = HostPhase.QUARANTINED
+
+
+def _return(host: agreed_state.HostState) -> None:
+    """Start a job anew, or keep the one whose drain is called off.
+
+    A job that was being stopped may still run; its steward starts another
+    one once it has ended.
+    """
+    host.failures = 0
+    if host.phase == HostPhase.DRAINING:
+        host.phase = HostPhase.SERVING
+        host.wave = ""
+    else:
+        _start(host)
+
+
+def _count_failure(
+    host: agreed_state.HostState, failed: bool, is_old: bool
+) -> None:
+    """Count failures in a row; a job that ran for long starts anew."""
+    if is_old and host.phase == HostPhase.SERVING:
+        host.failures = 0
+    if failed:
+        host.failures += 1
 
 
 def _start(host: agreed_state.HostState) -> None:
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -12,6 +12,10 @@
 from azurewood.state import slots
 
 LIVE = "live"
+ENDED = frozenset({"stopped", "failed"})
+"""States of a task that is confirmed not to run any more."""
+OUT_OF_USE = frozenset({"stopping", events.LOST}) | ENDED
+"""States of a task to which no new request may be sent."""
 
 
 def list_hosts(state: model.State, event: events.HostsListed) -> None:
@@ -27,7 +31,10 @@
 def list_tasks(state: model.State, event: events.TasksListed) -> None:
     """Take in changes of the task service's tasks."""
     for task in event.tasks:
+        known = state.tasks.get(task.id, "")
         state.tasks[task.id] = task.state
+        if (known in OUT_OF_USE) != (task.state in OUT_OF_USE):
+            state.view_revision = -1
 
 
 def refresh(state: model.State, now: float) -> bool:
@@ -66,7 +73,10 @@
             continue
         view = _host_view(state, host)
         service = service_of.get(agreed_host.pool, "")
-        _place(state, view, service, is_usable(view, agreed_host))
+        usable = is_usable(view, agreed_host) and (
+            state.tasks.get(agreed_host.task, "") not in OUT_OF_USE
+        )
+        _place(state, view, service, usable)
         owners = members.get(host.zone, everyone)
         slots.set_owned(state, view, _owned(state, host, owners))
     for name in [n for n in state.hosts if n not in state.agreed.hosts]:
@@ -128,7 +138,13 @@
 
 
 def _forget_tasks(state: model.State) -> None:
-    """Keep the states of the present jobs only."""
+    """Drop the states of ended jobs that are no longer present.
+
+    A job that runs may be listed before the log has told of it.
+    """
     present = {host.task for host in state.agreed.hosts.values()}
-    for task in [task for task in state.tasks if task not in present]:
-        del state.tasks[task]
+    state.tasks = {
+        task: known
+        for task, known in state.tasks.items()
+        if task in present or known not in ENDED
+    }
--- /dev/null
+++ b/tests/moves/test_paused_daemon.py
@@ -0,0 +1,97 @@
+"""A daemon that is paused through a whole move, with real processes."""
+
+import concurrent.futures
+
+import pytest
+
+from standins import processes
+from tests.moves import deployment
+
+NAIVE = ("tests.moves.naive_entry", "entry")
+HOSTS = {"h1": "quoting", "h2": "quoting", "h3": "certs"}
+WORK_MS = 1500
+
+
+def run_move(tmp_path, module):
+    """Move h1 while one of three daemons is paused with work in hand.
+
+    Return the old service's executions on h1 that ran on or began after
+    it was handed over, those that were cut, and the callers' statuses.
+    """
+    with (
+        processes.Processes(log_dir=tmp_path) as running,
+        concurrent.futures.ThreadPoolExecutor(24) as pool,
+    ):
+        dep = deployment.Deployment(
+            running=running, hosts=HOSTS, daemons=3, module=module
+        )
+        dep.publish()
+        mover, stale = dep.daemons[0], dep.daemons[2]
+        warm_up(dep, pool, stale)
+        in_hand = [
+            pool.submit(stale.call, "quoting", Work_Ms=WORK_MS)
+            for _ in range(4)
+        ]
+        processes.wait_for(
+            lambda: running_on(dep, "h1"), what="h1 works on a request"
+        )
+        stale.process.pause()
+        after_pause = [
+            pool.submit(stale.call, "quoting", Work_Ms=1) for _ in range(8)
+        ]
+        moved = dep.move(mover, "h1", "certs", drain_ms=1000)
+        assert moved.resolution == "accepted"
+        processes.wait_for(
+            lambda: mover.host("h1")["pool"] == "certs", what="handed over"
+        )
+        at_hand_over = dep.executions("h1")
+        stale.process.resume()
+        statuses = [fut.result(20)[0] for fut in (*in_hand, *after_pause)]
+        deployment.wait_move(mover, "h1", "certs")
+        journal = dep.executions("h1")
+        late = [e for e in at_hand_over if e["ending"] == "running"]
+        late += journal[len(at_hand_over) :]
+        cut = [e for e in journal if e["ending"] == "cut"]
+        return [e for e in late if is_old(e)], cut, statuses
+
+
+def is_old(execution):
+    return execution["service"] == "quoting"
+
+
+def warm_up(dep, pool, stale):
+    """Open the stale daemon's kept connections to both hosts."""
+
+    def is_warm():
+        calls = [
+            pool.submit(stale.call, "quoting", Work_Ms=20) for _ in range(16)
+        ]
+        concurrent.futures.wait(calls)
+        return dep.executions("h1") and dep.executions("h2")
+
+    processes.wait_for(is_warm, what="connections to h1 and h2 are open")
+
+
+def running_on(dep, host):
+    return any(e["ending"] == "running" for e in dep.executions(host))
+
+
+@pytest.fixture(scope="module")
+def careful(tmp_path_factory):
+    return run_move(tmp_path_factory.mktemp("careful"), deployment.ENTRY)
+
+
+def test_no_request_of_the_old_service_after_the_hand_over(careful):
+    late, _, _ = careful
+    assert late == []
+
+
+def test_no_request_in_flight_is_cut(careful):
+    _, cut, statuses = careful
+    assert cut == []
+    assert statuses == [200] * len(statuses)
+
+
+def test_naive_hand_over_lets_the_old_service_run_on(tmp_path):
+    late, _, _ = run_move(tmp_path, NAIVE)
+    assert late
