Add the operators' commands, their client, and the demo

The command line proposes through any daemon. A proposal now carries a ticket that its client chose, and the fold judges a ticket once, so that a proposal whose answer was lost can be sent again and asked for by id.

The demo starts both example deployments as processes.

--- /dev/null
+++ b/azurewood/commands/base.py
@@ -0,0 +1,142 @@
+"""What the operators' commands share: options, errors, output."""
+
+from collections import abc
+import contextlib
+import dataclasses
+import enum
+import functools
+import getpass
+import os
+import re
+import typing
+
+import click
+
+from azurewood.checks import exceptions as checks_exceptions
+from azurewood.commands import exceptions
+from azurewood.operators import client as clients
+from azurewood.operators import exceptions as operators_exceptions
+
+ExitCode = exceptions.ExitCode
+TOKEN_VARIABLE: typing.Final = "AZUREWOOD_OPERATORS_TOKEN"
+DEFAULT_DAEMON: typing.Final = "http://127.0.0.1:8081"
+UNPROCESSABLE: typing.Final = 422
+UNSAFE: typing.Final = re.compile(r"[^A-Za-z0-9_.-]")
+MAX_OPERATOR_CHARACTERS: typing.Final = 40
+
+
+class Output(enum.StrEnum):
+    """How a command prints its result."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Session:
+    """The client and the form of output of one command."""
+
+    client: clients.OperatorsClient
+    output: Output
+
+    @property
+    def is_json(self) -> bool:
+        """Whether the result is printed as JSON."""
+        return self.output is Output.JSON
+
+
+def output_option(func: abc.Callable) -> abc.Callable:
+    """Give a command the option ``--output``."""
+    return click.option(
+        "--output",
+        type=click.Choice([item.value for item in Output]),
+        default=Output.TABLE.value,
+        show_default=True,
+        help="Form of the result.",
+    )(func)
+
+
+def remote(func: abc.Callable) -> abc.Callable:
+    """Give a command a ``session`` with the daemons, and their options."""
+
+    @functools.wraps(func)
+    def command(daemon, operator, ca_certificate, output, **kwargs):
+        session = Session(
+            client=clients.OperatorsClient(
+                daemons=daemon,
+                token=_token(),
+                operator=_safe(operator or getpass.getuser()),
+                ca_certificate=ca_certificate,
+            ),
+            output=Output(output),
+        )
+        with errors():
+            return func(session=session, **kwargs)
+
+    for option in (
+        output_option,
+        click.option(
+            "--ca-certificate",
+            envvar="AZUREWOOD_CA_CERTIFICATE",
+            default="",
+            metavar="FILE",
+            help="Certificate that signed the daemons' TLS certificates.",
+        ),
+        click.option(
+            "--operator",
+            envvar="AZUREWOOD_OPERATOR",
+            default="",
+            metavar="NAME",
+            help="Who proposes; the user's name by default.",
+        ),
+        click.option(
+            "--daemon",
+            envvar="AZUREWOOD_DAEMONS",
+            multiple=True,
+            default=(DEFAULT_DAEMON,),
+            show_default=True,
+            metavar="URL",
+            help="Operators' interface of a daemon; several are tried in"
+            " turn. [AZUREWOOD_DAEMONS, separated by spaces]",
+        ),
+    ):
+        command = option(command)
+    return command
+
+
+def _token() -> str:
+    """Return the token from the environment, never from a flag."""
+    token = os.environ.get(TOKEN_VARIABLE, "")
+    if not token:
+        raise click.UsageError(f"the variable {TOKEN_VARIABLE} is not set")
+    return token
+
+
+def _safe(operator: str) -> str:
+    """Return an operator's name as it can stand in a ticket."""
+    text = UNSAFE.sub("-", operator)[:MAX_OPERATOR_CHARACTERS]
+    return text if text[:1].isalnum() else f"o{text}"
+
+
+@contextlib.contextmanager
+def errors() -> abc.Iterator[None]:
+    """Turn azurewood's errors into ``CommandError`` with exit codes."""
+    try:
+        yield
+    except checks_exceptions.InvalidInput as exc:
+        raise exceptions.CommandError(
+            str(exc), code=ExitCode.FINDINGS
+        ) from exc
+    except operators_exceptions.RequestRefused as exc:
+        has_findings = exc.status == UNPROCESSABLE
+        code = ExitCode.FINDINGS if has_findings else ExitCode.FAILED
+        raise exceptions.CommandError(str(exc), code=code) from exc
+    except operators_exceptions.OperatorsError as exc:
+        raise exceptions.CommandError(str(exc), code=ExitCode.FAILED) from exc
+
+
+def help_of(summary: str, *examples: str) -> str:
+    """Return a command's help with its examples."""
+    lines = "\n".join(f"  {example}" for example in examples)
+    word = "Example" if len(examples) == 1 else "Examples"
+    return f"{summary}\n\n\b\n{word}:\n{lines}"
--- /dev/null
+++ b/azurewood/commands/dump.py
@@ -0,0 +1,18 @@
+"""``azurewood dump``: the whole state of a daemon."""
+
+import click
+
+from azurewood.commands import base
+from azurewood.commands import output
+
+
+@click.command(
+    help=base.help_of(
+        "Print the whole state of the first daemon that answers, as JSON.",
+        "azurewood dump --daemon http://127.0.0.1:8081",
+    )
+)
+@base.remote
+def dump(*, session: base.Session) -> None:
+    """Print the state."""
+    output.json(session.client.dump())
--- a/azurewood/commands/main.py
+++ b/azurewood/commands/main.py
@@ -2,7 +2,25 @@
 
 import click
 
+from azurewood.commands import config
+from azurewood.commands import dump
 from azurewood.commands import entry
+from azurewood.commands import host
+from azurewood.commands import outcome
+from azurewood.commands import preset
+from azurewood.commands import status
+from azurewood.commands import wave
+
+COMMANDS = (
+    entry.entry,
+    config.config,
+    preset.preset,
+    status.status,
+    host.host,
+    wave.wave,
+    outcome.outcome,
+    dump.dump,
+)
 
 
 @click.group()
@@ -11,4 +29,5 @@
     """Manage fleet capacity and maintenance."""
 
 
-main.add_command(entry.entry)
+for command in COMMANDS:
+    main.add_command(command)
--- a/azurewood/daemons/entry.py
+++ b/azurewood/daemons/entry.py
@@ -20,6 +20,8 @@
 
 OPERATORS_THREADS = 8
 EXIT_MARGIN_S = 1.0
+NOTICE_S = 1.5
+"""How long a stopping daemon goes on refusing, for balancers to notice."""
 
 
 class EntryDaemon:
@@ -27,6 +29,7 @@
 
     __slots__ = (
         "_callers",
+        "_notice_until",
         "_operators",
         "_pool",
         "_settings",
@@ -38,6 +41,7 @@
     def __init__(self, *, settings: settings_module.EntrySettings) -> None:
         self._settings = settings
         self._stopping = threading.Event()
+        self._notice_until = 0.0
         self.runtime = runtimes.Runtime(state=_state(settings))
         self._transport = transports.Transport(
             name=settings.name,
@@ -77,6 +81,7 @@
     def stop(self) -> None:
         """Ask for a graceful stop: finish what is in hand, then exit."""
         left = self._settings.drain_timeout_ms / 1000
+        self._notice_until = time.monotonic() + min(left, NOTICE_S)
         self.runtime.post(events.StopAsked(deadline=time.monotonic() + left))
 
     def wait(self) -> None:
@@ -85,6 +90,7 @@
             until = self.runtime.state.stopping_until
             if until and time.monotonic() > until + EXIT_MARGIN_S:
                 break
+        self._stopping.wait(max(0.0, self._notice_until - time.monotonic()))
         self.close()
 
     def close(self) -> None:
@@ -135,6 +141,7 @@
         timeout_s=settings.sender_timeout_ms / 1000,
         max_header_bytes=settings.max_header_bytes,
         max_body_bytes=settings.max_body_bytes,
+        tls=_tls(settings),
     )
 
 
@@ -145,10 +152,21 @@
         host=settings.operators_listen.host,
         port=settings.operators_listen.port,
         application=operators.OperatorsApplication(
-            runtime=runtime, token=settings.operators_token
+            runtime=runtime,
+            token=settings.operators_token,
+            max_body_bytes=settings.max_body_bytes,
         ),
         threads=OPERATORS_THREADS,
         timeout_s=settings.sender_timeout_ms / 1000,
         max_header_bytes=settings.max_header_bytes,
         max_body_bytes=settings.max_body_bytes,
+        tls=_tls(settings),
+    )
+
+
+def _tls(settings: settings_module.EntrySettings) -> server.TlsFiles | None:
+    if settings.tls_certificate is None or settings.tls_key is None:
+        return None
+    return server.TlsFiles(
+        certificate=settings.tls_certificate, key=settings.tls_key
     )
--- a/azurewood/fleet/document.py
+++ b/azurewood/fleet/document.py
@@ -68,7 +68,7 @@
 def dump(fleet: model.Fleet) -> str:
     """Return a document that `load` reads as an equal fleet."""
     return yaml.dump(
-        _plain(fleet),
+        plain(fleet),
         Dumper=Dumper,
         default_flow_style=None,
         sort_keys=False,
@@ -77,21 +77,21 @@
     )
 
 
-def _plain(value: typing.Any) -> typing.Any:
+def plain(value: typing.Any) -> typing.Any:
     """Return a value as what YAML can represent, without defaults."""
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, tuple):
-        return [_plain(item) for item in value]
+        return [plain(item) for item in value]
     if not fields.is_object(value):
         return value
     policy = POLICY_NAMES.get(type(value))
-    plain = {} if policy is None else {reader.POLICY_KEY: policy}
+    values = {} if policy is None else {reader.POLICY_KEY: policy}
     for field in fields.fields(value):
         item = getattr(value, field.name)
         if field.default is None or item != field.default():
-            plain[field.name] = _plain(item)
-    return plain
+            values[field.name] = plain(item)
+    return values
 
 
 def _line(place: str) -> int:
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -4,16 +4,28 @@
 server is meant for development only.
 """
 
+import dataclasses
+import ssl
 import typing
 
+from cheroot.ssl import builtin
 from cheroot import wsgi
 
+from azurewood.http import connections
 from azurewood.http import exceptions
 
 BACKLOG = 256
 SHUTDOWN_S = 5
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class TlsFiles:
+    """Paths of a certificate and its private key, in PEM."""
+
+    certificate: str
+    key: str
+
+
 def make(
     *,
     host: str,
@@ -23,6 +35,7 @@
     timeout_s: float,
     max_header_bytes: int,
     max_body_bytes: int,
+    tls: TlsFiles | None = None,
 ) -> wsgi.Server:
     """Return a server that listens; raise ``HttpError`` if it cannot."""
     server = wsgi.Server(
@@ -39,6 +52,8 @@
     server.max_request_header_size = max_header_bytes
     server.max_request_body_size = max_body_bytes
     server.nodelay = True
+    server.ConnectionClass = connections.ErrorConnection
+    server.ssl_adapter = _adapter(tls)
     try:
         server.prepare()
     except OSError as exc:
@@ -46,3 +61,17 @@
             f"cannot listen on {host}:{port}: {exc}"
         ) from exc
     return server
+
+
+def _adapter(tls: TlsFiles | None) -> builtin.BuiltinSSLAdapter | None:
+    """Return what speaks TLS 1.2 or later, or None without files."""
+    if tls is None:
+        return None
+    try:
+        adapter = builtin.BuiltinSSLAdapter(tls.certificate, tls.key)
+    except (OSError, ssl.SSLError) as exc:
+        raise exceptions.HttpError(
+            f"cannot use the TLS certificate {tls.certificate}: {exc}"
+        ) from exc
+    adapter.context.minimum_version = ssl.TLSVersion.TLSv1_2
+    return adapter
--- a/azurewood/operators/application.py
+++ b/azurewood/operators/application.py
@@ -3,7 +3,9 @@
 Every path but the probes needs the operators' token. Bodies are JSON.
 """
 
+import collections.abc
 import concurrent.futures
+import dataclasses
 import hmac
 import typing
 import uuid
@@ -15,14 +17,18 @@
 from werkzeug import wrappers
 
 from azurewood.daemons import runtime as runtimes
+from azurewood.operators import checks
+from azurewood.operators import messages
 from azurewood.operators import views
 from azurewood.state import effects
 from azurewood.state import events
+from azurewood.state import model
 from azurewood.state import records
 
-PROPOSAL_TIMEOUT_S = 10.0
 ANSWER_MARGIN_S = 1.0
-MAX_PROPOSALS = 64
+MIN_TIMEOUT_S = 0.1
+UNPROCESSABLE = 422
+GATEWAY_TIMEOUT = 504
 
 _URLS = routing.Map(
     [
@@ -31,6 +37,10 @@
         routing.Rule("/v1/dump", endpoint="dump", methods=["GET"]),
         routing.Rule("/v1/agreed", endpoint="agreed", methods=["GET"]),
         routing.Rule("/v1/status", endpoint="status", methods=["GET"]),
+        routing.Rule("/v1/hosts/<host>", endpoint="host", methods=["GET"]),
+        routing.Rule(
+            "/v1/objects/<path:name>", endpoint="object", methods=["GET"]
+        ),
         routing.Rule(
             "/v1/outcomes/<path:verdict>",
             endpoint="outcome",
@@ -42,32 +52,48 @@
 _OPEN_ENDPOINTS = frozenset({"live", "ready"})
 
 
-class ProposalBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """The body of a proposal: changes and how long to wait, in seconds."""
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Submission:
+    """A proposal's body as it goes to the log, with its ids."""
 
+    ticket: str
+    ids: tuple[str, ...]
     proposals: tuple[records.Proposal, ...]
-    atomic: bool = False
-    timeout_s: float = PROPOSAL_TIMEOUT_S
+    atomic: bool
+    timeout_s: float
 
 
 class OperatorsApplication:
     """Serves probes, dumps and proposals."""
 
-    __slots__ = ("_runtime", "_token")
+    __slots__ = ("_max_body", "_runtime", "_token")
 
-    def __init__(self, *, runtime: runtimes.Runtime, token: str) -> None:
+    def __init__(
+        self,
+        *,
+        runtime: runtimes.Runtime,
+        token: str,
+        max_body_bytes: int = 8 << 20,
+    ) -> None:
         self._runtime = runtime
         self._token = token.encode()
+        self._max_body = max_body_bytes
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> typing.Iterable[bytes]:
         """Answer one request (WSGI, PEP 3333)."""
         req = wrappers.Request(environ)
+        req.max_content_length = self._max_body
         try:
             response = self._answer(req)
         except werkzeug_exceptions.HTTPException as exc:
-            response = _json({"error": exc.description}, exc.code)
+            response = _error(exc.code or 500, exc.description or exc.name)
+            response.headers.extend(
+                (name, value)
+                for name, value in exc.get_headers()
+                if name == "Allow"
+            )
         return response(environ, start_response)
 
     def _answer(self, req: wrappers.Request) -> wrappers.Response:
@@ -81,10 +107,21 @@
     def _authorize(self, req: wrappers.Request) -> None:
         """Compare the token in constant time; raise ``Unauthorized``."""
         scheme, _, token = req.headers.get("Authorization", "").partition(" ")
-        is_same = hmac.compare_digest(token.encode(), self._token)
+        given = token.encode(errors="surrogateescape")
+        is_same = hmac.compare_digest(given, self._token)
         if scheme != "Bearer" or not is_same:
             raise werkzeug_exceptions.Unauthorized("wrong or no token")
 
+    def _show(
+        self, view: collections.abc.Callable[[model.State], typing.Any]
+    ) -> wrappers.Response:
+        """Answer with a view, encoded before the state goes on."""
+        return _answer(
+            self._runtime.read_state(
+                lambda state: msgspec.json.encode(view(state))
+            )
+        )
+
     def _live(self, req: wrappers.Request) -> wrappers.Response:
         return _json({"live": True})
 
@@ -93,59 +130,134 @@
         return _json({"ready": is_ready}, 200 if is_ready else 503)
 
     def _dump(self, req: wrappers.Request) -> wrappers.Response:
-        return _json(self._runtime.read_state(views.dump))
+        return self._show(views.dump)
 
     def _agreed(self, req: wrappers.Request) -> wrappers.Response:
-        return _json(self._runtime.read_state(views.agreed))
+        return self._show(views.agreed)
 
     def _status(self, req: wrappers.Request) -> wrappers.Response:
-        return _json(self._runtime.read_state(views.status))
+        return self._show(views.status)
+
+    def _host(self, req: wrappers.Request, host: str) -> wrappers.Response:
+        found = self._runtime.read_state(
+            lambda state: msgspec.json.encode(views.host(state, host))
+        )
+        if found == b"null":
+            raise werkzeug_exceptions.NotFound(f"there is no host {host}")
+        return _answer(found)
+
+    def _object(self, req: wrappers.Request, name: str) -> wrappers.Response:
+        return self._show(lambda state: views.object_view(state, name))
 
     def _outcome(
         self, req: wrappers.Request, verdict: str
     ) -> wrappers.Response:
-        return _json(
-            self._runtime.read_state(
-                lambda state: views.outcome(state, verdict)
-            )
-        )
+        return self._show(lambda state: views.outcome(state, verdict))
 
     def _propose(self, req: wrappers.Request) -> wrappers.Response:
-        body = _read_body(req)
-        if not 0 < len(body.proposals) <= MAX_PROPOSALS:
-            raise werkzeug_exceptions.BadRequest(
-                f"1 to {MAX_PROPOSALS} proposals are needed"
+        submission = _submission(_read_body(req))
+        findings = self._runtime.read_state(
+            lambda state: [
+                str(finding)
+                for proposal in submission.proposals
+                for finding in checks.check(state.agreed, proposal.change)
+            ]
+        )
+        if findings:
+            return _error(
+                UNPROCESSABLE, "the change has faults", findings=findings
+            )
+        try:
+            answer = self._submit(submission)
+        except concurrent.futures.TimeoutError:
+            return _error(
+                GATEWAY_TIMEOUT,
+                "it is not known how the proposal ended; ask by its id",
+                ids=submission.ids,
             )
-        ticket = uuid.uuid4().hex
+        return _json(messages.ProposalAnswer(resolved=answer.resolved))
+
+    def _submit(self, submission: _Submission) -> effects.AnswerProposal:
+        """Propose, and wait until it is known how that ended.
+
+        Raise ``TimeoutError`` if that takes too long.
+        """
+        key = uuid.uuid4().hex
         fut: concurrent.futures.Future = concurrent.futures.Future()
-        self._runtime.tickets[ticket] = fut
-        timeout_s = min(max(body.timeout_s, 0.1), PROPOSAL_TIMEOUT_S)
-        self._runtime.post(
-            events.Proposed(
-                ticket=ticket,
-                proposals=body.proposals,
-                atomic=body.atomic,
-                deadline=self._runtime.clock() + timeout_s,
+        self._runtime.tickets[key] = fut
+        try:
+            self._runtime.post(
+                events.Proposed(
+                    ticket=key,
+                    proposals=submission.proposals,
+                    atomic=submission.atomic,
+                    deadline=self._runtime.clock() + submission.timeout_s,
+                )
             )
+            return fut.result(timeout=submission.timeout_s + ANSWER_MARGIN_S)
+        finally:
+            self._runtime.tickets.pop(key, None)
+
+
+def _submission(body: messages.ProposalBody) -> _Submission:
+    """Check a body and give its proposals their tickets."""
+    if not 0 < len(body.proposals) <= messages.MAX_PROPOSALS:
+        raise werkzeug_exceptions.BadRequest(
+            f"1 to {messages.MAX_PROPOSALS} proposals are needed"
         )
-        answer: effects.AnswerProposal = fut.result(
-            timeout=timeout_s + ANSWER_MARGIN_S
-        )
-        return _json({"resolved": answer.resolved})
+    ticket = body.ticket or uuid.uuid4().hex
+    if not messages.TICKET.match(ticket):
+        raise werkzeug_exceptions.BadRequest("the ticket is malformed")
+    for proposal in body.proposals:
+        if not checks.is_for_operators(proposal.change):
+            raise werkzeug_exceptions.BadRequest(
+                f"{type(proposal.change).__name__} is for daemons only"
+            )
+    ids = tuple(
+        messages.proposal_id(ticket, index)
+        for index in range(len(body.proposals))
+    )
+    return _Submission(
+        ticket=ticket,
+        ids=ids,
+        proposals=tuple(
+            msgspec.structs.replace(proposal, ticket=name)
+            for proposal, name in zip(body.proposals, ids, strict=True)
+        ),
+        atomic=body.atomic,
+        timeout_s=min(
+            max(body.timeout_s, MIN_TIMEOUT_S), messages.PROPOSAL_TIMEOUT_S
+        ),
+    )
 
 
-def _read_body(req: wrappers.Request) -> ProposalBody:
+def _read_body(req: wrappers.Request) -> messages.ProposalBody:
     try:
-        return msgspec.json.decode(req.get_data(), type=ProposalBody)
-    except msgspec.DecodeError as exc:
-        raise werkzeug_exceptions.BadRequest(str(exc)) from exc
+        return msgspec.json.decode(req.get_data(), type=messages.ProposalBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise werkzeug_exceptions.BadRequest(
+            f"the body is not a proposal: {exc}"
+        ) from exc
+
+
+def _error(
+    status: int,
+    text: str,
+    *,
+    findings: collections.abc.Iterable[str] = (),
+    ids: tuple[str, ...] = (),
+) -> wrappers.Response:
+    body = messages.ErrorBody(error=text, findings=tuple(findings), ids=ids)
+    return _json(body, status)
 
 
 def _json(body: typing.Any, status: int = 200) -> wrappers.Response:
+    return _answer(msgspec.json.encode(body), status)
+
+
+def _answer(body: bytes, status: int = 200) -> wrappers.Response:
     return wrappers.Response(
-        msgspec.json.encode(body),
-        status=status,
-        content_type="application/json",
+        body, status=status, content_type="application/json"
     )
 
 
--- /dev/null
+++ b/azurewood/operators/checks.py
@@ -0,0 +1,59 @@
+"""What a daemon checks of operators' changes before it proposes them."""
+
+import dataclasses
+
+from azurewood.checks import base
+from azurewood.fleet import document
+from azurewood.fleet import model
+from azurewood.state import agreed as agreed_state
+from azurewood.state import records
+
+PROPOSED = "proposed"
+
+OPERATORS_CHANGES = (
+    records.PublishFleet,
+    records.EditPreset,
+    records.UsePreset,
+    records.MoveHost,
+    records.CancelMove,
+    records.DrainHost,
+    records.ReturnHost,
+    records.StartWave,
+    records.PauseWave,
+    records.ResumeWave,
+)
+
+
+def is_for_operators(change: records.AnyChange) -> bool:
+    """Tell whether operators, and not only daemons, may propose a change."""
+    return isinstance(change, OPERATORS_CHANGES)
+
+
+def check(
+    shared: agreed_state.Agreed, change: records.AnyChange
+) -> list[base.Finding]:
+    """Return the errors of a configuration or preset that is proposed."""
+    match change:
+        case records.PublishFleet(fleet=fleet):
+            return check_fleet(fleet)
+        case records.EditPreset(preset=preset) if shared.fleet is not None:
+            presets = [item.preset for item in shared.presets.values()]
+            return check_fleet(with_preset(shared.fleet, presets, preset))
+        case _:
+            return []
+
+
+def check_fleet(
+    fleet: model.Fleet, source: str = PROPOSED
+) -> list[base.Finding]:
+    """Return the errors of a configuration that was not read from a file."""
+    reading = document.read(document.dump(fleet), source)
+    return base.errors(reading.findings)
+
+
+def with_preset(
+    fleet: model.Fleet, presets: list[model.Preset], preset: model.Preset
+) -> model.Fleet:
+    """Return a configuration with its present presets and one changed."""
+    kept = [item for item in presets if item.name != preset.name]
+    return dataclasses.replace(fleet, presets=(*kept, preset))
--- /dev/null
+++ b/azurewood/operators/messages.py
@@ -0,0 +1,178 @@
+"""What operators' interface and client send each other, as JSON."""
+
+import enum
+import re
+import typing
+
+import msgspec
+
+from azurewood.fleet import model as fleet_model
+from azurewood.state import agreed as agreed_state
+from azurewood.state import effects
+from azurewood.state import records
+
+PROPOSAL_TIMEOUT_S = 10.0
+MAX_PROPOSALS = 64
+TICKET: typing.Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.~-]{7,99}\Z")
+AUTHOR_END = "~"
+
+
+class ProposalBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """The body of a proposal: changes and how long to wait, in seconds.
+
+    ``ticket`` is chosen by the client. The id of the proposal at an index
+    is then known before the answer, see `proposal_id`.
+    """
+
+    proposals: tuple[records.Proposal, ...]
+    atomic: bool = False
+    timeout_s: float = PROPOSAL_TIMEOUT_S
+    ticket: str = ""
+
+
+class ProposalAnswer(msgspec.Struct, kw_only=True):
+    """How each of the proposals ended."""
+
+    resolved: tuple[effects.Resolved, ...]
+
+
+class ErrorBody(msgspec.Struct, kw_only=True):
+    """The body of an answer that is an error.
+
+    ``ids`` are given if proposals may have been accepted all the same.
+    """
+
+    error: str
+    findings: tuple[str, ...] = ()
+    ids: tuple[str, ...] = ()
+
+
+class DaemonStatus(msgspec.Struct, kw_only=True):
+    """A daemon and the revision that it has in force."""
+
+    daemon: str
+    zone: str
+    revision: int
+    log_reachable: bool
+    alive: bool
+    stopping: bool
+
+
+class ServiceStatus(msgspec.Struct, kw_only=True):
+    """A service's requests and hosts as one daemon sees them.
+
+    ``good`` and ``bad`` are this daemon's answers, ``all_good`` and
+    ``all_bad`` those of every daemon heard of, each since its start.
+    ``budget_left`` is the share of the failures that ``availability``
+    allows of these answers which has not been used (negative: overdrawn).
+    """
+
+    service: str
+    pool: str
+    waiting: int
+    in_flight: int
+    good: int
+    bad: int
+    hosts: int
+    availability: float
+    all_good: int
+    all_bad: int
+    budget_left: float
+
+
+class PoolStatus(msgspec.Struct, kw_only=True):
+    """A pool's hosts, counted by phase."""
+
+    pool: str
+    spare: bool
+    hosts: int
+    phases: dict[str, int]
+
+
+class Status(msgspec.Struct, kw_only=True):
+    """What one daemon knows of the deployment."""
+
+    daemon: str
+    zone: str
+    ready: bool
+    revision: int
+    in_force: str
+    in_force_revision: int
+    log_reachable: bool
+    daemons: list[DaemonStatus]
+    services: list[ServiceStatus]
+    pools: list[PoolStatus]
+    hosts: list[agreed_state.HostState]
+    waves: list[agreed_state.WaveState]
+
+
+class AgreedView(msgspec.Struct, kw_only=True):
+    """The agreed state, with claims and verdicts counted only."""
+
+    revision: int
+    incarnation: str
+    offset: int
+    fleet: fleet_model.Fleet | None
+    fleet_revision: int
+    in_force: str
+    in_force_revision: int
+    presets: dict[str, agreed_state.PresetState]
+    hosts: dict[str, agreed_state.HostState]
+    waves: dict[str, agreed_state.WaveState]
+    claims: int
+    verdicts: int
+
+
+class ObjectView(msgspec.Struct, kw_only=True):
+    """An object's revision and who brought it about, if still known."""
+
+    object: str
+    revision: int
+    author: str
+    writer: str
+
+
+class HostView(msgspec.Struct, kw_only=True):
+    """Why a host is where it is, as one daemon sees it."""
+
+    host: agreed_state.HostState
+    zone: str
+    rack: str
+    address: str
+    service: str
+    listed: str
+    task_state: str
+    usable: bool
+    owned_slots: int
+    busy_slots: int
+    author: str
+    because: tuple[str, ...]
+
+
+class Knowledge(enum.StrEnum):
+    """What is known of how a proposal ended."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    NOT_ACCEPTED = "not-accepted"
+    UNKNOWN = "unknown"
+
+
+class OutcomeView(msgspec.Struct, kw_only=True):
+    """How a proposal ended, asked for by its id."""
+
+    id: str
+    knowledge: Knowledge
+    revision: int = 0
+    reason: str = ""
+
+
+def proposal_id(ticket: str, index: int = 0) -> str:
+    """Return the id to ask by for the proposal at an index of a body."""
+    return f"{ticket}.{index}"
+
+
+def author(ticket: str) -> str:
+    """Return the operator that a ticket names; empty if it names none."""
+    name, end, _ = ticket.partition(AUTHOR_END)
+    return name if end else ""
--- a/azurewood/operators/views.py
+++ b/azurewood/operators/views.py
@@ -1,68 +1,17 @@
 """What the operators' interface shows of a daemon's state."""
 
-import enum
+import collections
 import typing
 
 import msgspec
 
+from azurewood.operators import messages
 from azurewood.state import agreed as agreed_state
 from azurewood.state import model
+from azurewood.state import transitions
 
-
-class ZoneStatus(msgspec.Struct, kw_only=True):
-    """A daemon and the revision that it has in force."""
-
-    daemon: str
-    zone: str
-    revision: int
-    in_force: str
-    log_reachable: bool
-    alive: bool
-    stopping: bool
-
-
-class ServiceStatus(msgspec.Struct, kw_only=True):
-    """A service's requests and hosts as one daemon sees them."""
-
-    service: str
-    waiting: int
-    in_flight: int
-    good: int
-    bad: int
-    hosts: int
-
-
-class Status(msgspec.Struct, kw_only=True):
-    """What one daemon knows of the deployment."""
-
-    daemon: str
-    zone: str
-    revision: int
-    in_force: str
-    in_force_revision: int
-    log_reachable: bool
-    daemons: list[ZoneStatus]
-    services: list[ServiceStatus]
-    hosts: list[agreed_state.HostState]
-    waves: list[agreed_state.WaveState]
-
-
-class Knowledge(enum.StrEnum):
-    """What is known of how a proposal ended."""
-
-    ACCEPTED = "accepted"
-    REJECTED = "rejected"
-    NOT_ACCEPTED = "not-accepted"
-    UNKNOWN = "unknown"
-
-
-class OutcomeView(msgspec.Struct, kw_only=True):
-    """How a proposal ended, asked for by its id."""
-
-    id: str
-    knowledge: Knowledge
-    revision: int = 0
-    reason: str = ""
+Knowledge = messages.Knowledge
+HostPhase = agreed_state.HostPhase
 
 
 def is_ready(state: model.State) -> bool:
@@ -78,78 +27,213 @@
     return msgspec.to_builtins(plain)
 
 
-def agreed(state: model.State) -> dict[str, typing.Any]:
+def agreed(state: model.State) -> messages.AgreedView:
     """Return the agreed state, with the claims counted only."""
-    plain = msgspec.to_builtins(state.agreed)
-    plain["claims"] = len(state.agreed.claims)
-    plain["verdicts"] = len(state.agreed.verdicts)
-    return plain
+    shared = state.agreed
+    return messages.AgreedView(
+        revision=shared.revision,
+        incarnation=shared.incarnation,
+        offset=shared.offset,
+        fleet=shared.fleet,
+        fleet_revision=shared.fleet_revision,
+        in_force=shared.in_force,
+        in_force_revision=shared.in_force_revision,
+        presets=dict(shared.presets),
+        hosts=dict(shared.hosts),
+        waves=dict(shared.waves),
+        claims=len(shared.claims),
+        verdicts=len(shared.verdicts),
+    )
 
 
-def status(state: model.State) -> Status:
+def status(state: model.State) -> messages.Status:
     """Return a summary of the deployment as this daemon sees it."""
     shared = state.agreed
-    return Status(
+    return messages.Status(
         daemon=state.me.name,
         zone=state.me.zone,
+        ready=is_ready(state),
         revision=shared.revision,
         in_force=shared.in_force,
         in_force_revision=shared.in_force_revision,
         log_reachable=state.log.reachable,
         daemons=list(_daemons(state)),
         services=list(_services(state)),
+        pools=list(_pools(state)),
         hosts=list(shared.hosts.values()),
         waves=list(shared.waves.values()),
     )
 
 
-def _daemons(state: model.State) -> typing.Iterator[ZoneStatus]:
-    yield ZoneStatus(
+def _daemons(state: model.State) -> typing.Iterator[messages.DaemonStatus]:
+    yield messages.DaemonStatus(
         daemon=state.me.name,
         zone=state.me.zone,
         revision=state.agreed.revision,
-        in_force=state.agreed.in_force,
         log_reachable=state.log.reachable,
         alive=True,
         stopping=bool(state.stopping_until),
     )
     for peer in state.peers.values():
-        yield ZoneStatus(
+        yield messages.DaemonStatus(
             daemon=peer.name,
             zone=peer.zone,
             revision=peer.revision,
-            in_force="",
             log_reachable=peer.log_reachable,
             alive=peer.alive_until > state.stepped_at,
             stopping=peer.stopping,
         )
 
 
-def _services(state: model.State) -> typing.Iterator[ServiceStatus]:
-    hosts: dict[str, int] = {}
-    for host in state.hosts.values():
-        if host.usable:
-            hosts[host.service] = hosts.get(host.service, 0) + 1
-    for view in state.services.values():
-        yield ServiceStatus(
+def _services(state: model.State) -> typing.Iterator[messages.ServiceStatus]:
+    if state.agreed.fleet is None:
+        return
+    hosts = collections.Counter(
+        host.service for host in state.hosts.values() if host.usable
+    )
+    for service in state.agreed.fleet.services:
+        view = state.services.get(service.name)
+        if view is None:
+            continue
+        good, bad = _counts(state, view)
+        yield messages.ServiceStatus(
             service=view.name,
+            pool=service.pool,
             waiting=view.waiting,
             in_flight=view.in_flight,
             good=view.count.good,
             bad=view.count.bad,
-            hosts=hosts.get(view.name, 0),
+            hosts=hosts[view.name],
+            availability=service.availability,
+            all_good=good,
+            all_bad=bad,
+            budget_left=_budget_left(good, bad, service.availability),
         )
 
 
-def outcome(state: model.State, verdict: str) -> OutcomeView:
+def _counts(state: model.State, view: model.ServiceView) -> tuple[int, int]:
+    """Return the good and bad answers of this daemon and its peers."""
+    counts = [view.count]
+    counts.extend(
+        peer.counts[view.name]
+        for peer in state.peers.values()
+        if view.name in peer.counts
+    )
+    return sum(c.good for c in counts), sum(c.bad for c in counts)
+
+
+def _budget_left(good: int, bad: int, availability: float) -> float:
+    """Return the unused share of the failures that are allowed."""
+    allowed = (good + bad) * (1.0 - availability)
+    if not bad:
+        return 1.0
+    return 1.0 - bad / allowed if allowed else -1.0
+
+
+def _pools(state: model.State) -> typing.Iterator[messages.PoolStatus]:
+    if state.agreed.fleet is None:
+        return
+    phases: dict[str, collections.Counter[str]] = {
+        pool.name: collections.Counter() for pool in state.agreed.fleet.pools
+    }
+    for host in state.agreed.hosts.values():
+        phases[host.pool][host.phase.value] += 1
+    for pool in state.agreed.fleet.pools:
+        yield messages.PoolStatus(
+            pool=pool.name,
+            spare=pool.spare,
+            hosts=phases[pool.name].total(),
+            phases=dict(phases[pool.name]),
+        )
+
+
+def object_view(state: model.State, name: str) -> messages.ObjectView:
+    """Say at which revision an object is, and who brought it there."""
+    revision = transitions.revision_of(state.agreed, name)
+    verdict = _verdict_of(state.agreed, name, revision)
+    return messages.ObjectView(
+        object=name,
+        revision=revision,
+        author=messages.author(verdict.ticket) if verdict else "",
+        writer=verdict.writer if verdict else "",
+    )
+
+
+def _verdict_of(
+    shared: agreed_state.Agreed, name: str, revision: int
+) -> agreed_state.Verdict | None:
+    """Return the verdict that brought an object to a revision, if kept."""
+    for verdict in reversed(shared.verdicts.values()):
+        if verdict.object == name and verdict.revision == revision:
+            return verdict
+    return None
+
+
+def host(state: model.State, name: str) -> messages.HostView | None:
+    """Explain where a host is, or return None if there is no such host."""
+    found = state.agreed.hosts.get(name)
+    seen = state.hosts.get(name)
+    if found is None or seen is None:
+        return None
+    verdict = _verdict_of(state.agreed, f"host:{name}", found.revision)
+    return messages.HostView(
+        host=found,
+        zone=seen.zone,
+        rack=seen.rack,
+        address=seen.address,
+        service=seen.service,
+        listed=seen.listed,
+        task_state=state.tasks.get(found.task, ""),
+        usable=seen.usable,
+        owned_slots=len(seen.owned),
+        busy_slots=len(seen.busy),
+        author=messages.author(verdict.ticket) if verdict else "",
+        because=tuple(_because(state, found, seen)),
+    )
+
+
+def _because(
+    state: model.State, found: agreed_state.HostState, seen: model.HostView
+) -> typing.Iterator[str]:
+    """Yield sentences that say why a host is where it is."""
+    reason = f": {found.reason}" if found.reason else ""
+    yield f"its pool is {found.pool}"
+    match found.phase:
+        case HostPhase.STARTING:
+            yield f"its job {found.task} is being started{reason}"
+        case HostPhase.SERVING:
+            yield f"its job {found.task} takes requests{reason}"
+        case HostPhase.LEAVING:
+            yield f"it is moving to pool {found.target}{reason}"
+        case HostPhase.DRAINING:
+            yield f"it drains for maintenance{reason}"
+        case HostPhase.DOWN:
+            yield f"it is down for maintenance{reason}"
+    if found.wave:
+        yield f"maintenance wave {found.wave} works on it"
+    if seen.listed != "live":
+        yield f"the platform lists it as {seen.listed}"
+    waiting = [
+        peer.name
+        for peer in state.peers.values()
+        if seen.name in peer.draining
+    ]
+    if waiting:
+        yield f"requests on it are in flight from {', '.join(waiting)}"
+    if seen.busy:
+        yield f"{len(seen.busy)} requests on it are in flight from here"
+
+
+def outcome(state: model.State, verdict: str) -> messages.OutcomeView:
     """Say how a proposal ended, from the log alone.
 
     A proposal that is not found, while a later record of its writer is,
-    can never be accepted any more.
+    can never be accepted any more. One that was named by its client may
+    still be on its way from any daemon.
     """
     found = state.agreed.verdicts.get(verdict)
     if found is not None:
-        return OutcomeView(
+        return messages.OutcomeView(
             id=verdict,
             knowledge=(
                 Knowledge.ACCEPTED if found.accepted else Knowledge.REJECTED
@@ -163,7 +247,7 @@
         known.forgotten < sequence < known.sequence
     )
     knowledge = Knowledge.NOT_ACCEPTED if is_passed else Knowledge.UNKNOWN
-    return OutcomeView(id=verdict, knowledge=knowledge)
+    return messages.OutcomeView(id=verdict, knowledge=knowledge)
 
 
 def _parse(verdict: str) -> tuple[str, int]:
--- a/azurewood/state/agreed.py
+++ b/azurewood/state/agreed.py
@@ -115,6 +115,7 @@
     accepted: bool
     revision: int
     reason: str = ""
+    ticket: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/fold.py
+++ b/azurewood/state/fold.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import dataclasses
 
 from azurewood.state import agreed as agreed_state
 from azurewood.state import records
@@ -107,7 +108,11 @@
     _forget_old(state)
     refusal = _record_refusal(state, record)
     for index, proposal in enumerate(record.proposals):
-        verdict = _judge(state, record, index, proposal, refusal)
+        verdict = _repeated(state, record, index, proposal) or _judge(
+            state, record, index, proposal, refusal
+        )
+        if proposal.ticket:
+            state.verdicts.setdefault(proposal.ticket, verdict)
         if not proposal.object.startswith(records.CLAIM_PREFIX):
             name = verdict_id(record.writer, record.sequence, index)
             state.verdicts[name] = verdict
@@ -141,6 +146,21 @@
     return next((reason for reason in reasons if reason), "")
 
 
+def _repeated(
+    state: agreed_state.Agreed,
+    record: records.Proposals,
+    index: int,
+    proposal: records.Proposal,
+) -> agreed_state.Verdict | None:
+    """Return the verdict on an earlier proposal of the same ticket."""
+    earlier = state.verdicts.get(proposal.ticket)
+    if not proposal.ticket or earlier is None:
+        return None
+    return dataclasses.replace(
+        earlier, writer=record.writer, sequence=record.sequence, index=index
+    )
+
+
 def _judge(
     state: agreed_state.Agreed,
     record: records.Proposals,
@@ -161,6 +181,7 @@
         accepted=not reason,
         revision=state.revision if not reason else 0,
         reason=reason,
+        ticket=proposal.ticket,
     )
 
 
--- a/azurewood/state/records.py
+++ b/azurewood/state/records.py
@@ -173,12 +173,17 @@
 )
 
 
-class Proposal(msgspec.Struct, kw_only=True, frozen=True):
-    """A change to one object, based on one revision of it (0: none yet)."""
+class Proposal(msgspec.Struct, kw_only=True, frozen=True, omit_defaults=True):
+    """A change to one object, based on one revision of it (0: none yet).
+
+    A proposal with a ``ticket``, chosen by who proposes, is judged once:
+    a repeat gets the first one's verdict and changes nothing.
+    """
 
     object: str
     base: int
     change: AnyChange
+    ticket: str = ""
 
 
 class Proposals(msgspec.Struct, kw_only=True, frozen=True, tag=True):
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,83 @@
+"""The demo: both example deployments side by side, with faults.
+
+``python -m standins.demo`` exits with status 1 if anything failed that
+must hold.
+"""
+
+import concurrent.futures
+import os
+import pathlib
+import sys
+import tempfile
+import time
+
+import click
+
+from standins import deployment
+from standins import exceptions
+from standins import scenario
+from standins import summary
+
+EXAMPLES = ("al-hadeed", "karamanlis")
+EXAMPLES_DIR = pathlib.Path("examples")
+FIRST_NETWORK = 20
+NETWORKS = 200
+
+
+def _network(name: str) -> int:
+    """Return a loopback network that no other demo here uses by chance."""
+    place = len(EXAMPLES) * os.getpid() + EXAMPLES.index(name)
+    return FIRST_NETWORK + place % NETWORKS
+
+
+@click.command()
+@click.option(
+    "--example",
+    "examples",
+    multiple=True,
+    default=EXAMPLES,
+    show_default=True,
+    type=click.Choice(EXAMPLES),
+)
+@click.option("--work-dir", help="Where logs go; a new directory if unset.")
+def main(examples: tuple[str, ...], work_dir: str | None) -> None:
+    """Run the scenario on each example deployment."""
+    place = pathlib.Path(work_dir or tempfile.mkdtemp(prefix="azurewood-"))
+    begun = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(len(examples)) as pool:
+        reports = list(
+            pool.map(_run, examples, [place / name for name in examples])
+        )
+    for report in reports:
+        click.echo(summary.render(report))
+    failed = [check for report in reports for check in report.failures]
+    elapsed = time.monotonic() - begun
+    click.echo(f"\n{elapsed:.0f} s in all; the processes' logs: {place}")
+    if failed:
+        click.echo(f"FAILED: {len(failed)} things that must hold did not")
+        sys.exit(1)
+    click.echo("all that must hold did")
+
+
+def _run(name: str, place: pathlib.Path) -> summary.Report:
+    click.echo(f"{name}: starting ...")
+    source = EXAMPLES_DIR / f"{name}.yaml"
+    plan = scenario.PLANS[name]
+    report = summary.Report(name=name)
+    with deployment.Deployment(
+        source=source,
+        work_dir=place,
+        network=_network(name),
+        apart=(plan.failing_host,),
+    ) as started:
+        try:
+            scenario.Scenario(
+                deployment=started, plan=plan, report=report, say=click.echo
+            ).run()
+        except (exceptions.StandinError, OSError) as exc:
+            report.check(f"the scenario ran to its end ({exc})", False)
+    return report
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/scenario.py
@@ -0,0 +1,317 @@
+"""The demo's scenario: traffic all along, and what happens meanwhile."""
+
+import concurrent.futures
+import dataclasses
+import threading
+import time
+import typing
+
+from standins.callers import arrivals
+from standins.callers import load as loads
+from standins.callers import model
+from standins import deployment as deployments
+from standins import processes
+from standins import summary
+
+RATE_PER_S = 80.0
+MAX_S = 60.0
+THREADS = 24
+WORK_MS = "5"
+PROBE_EVERY_S = 0.1
+SETTLE_S = 2.0
+MAX_ROUNDS = 100_000
+SWEEP_THREADS = 2
+FAILED_HOST_S = 15.0
+AFTER_FAULT_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Request:
+    """One kind of request that callers send."""
+
+    service: str
+    path: str
+    method: str = "GET"
+    at_most_once: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Plan:
+    """What is done with one deployment."""
+
+    requests: tuple[Request, ...]
+    preset: str
+    moved_host: str
+    to_pool: str
+    failing_host: str
+
+
+PLANS: typing.Final[dict[str, Plan]] = {
+    "al-hadeed": Plan(
+        requests=(
+            Request(service="quoting", path="/quotes/17"),
+            Request(service="inspection", path="/scans/4"),
+            Request(service="furnace", path="/slots/2"),
+            Request(
+                service="certs",
+                path="/issue",
+                method="POST",
+                at_most_once=True,
+            ),
+            Request(service="backoffice", path="/stores/9"),
+        ),
+        preset="peak",
+        moved_host="backoffice-nizwa-1-1",
+        to_pool="quoting",
+        failing_host="quoting-nizwa-2-1",
+    ),
+    "karamanlis": Plan(
+        requests=(
+            Request(service="field-desk", path="/readings/8"),
+            Request(service="stand-office", path="/tables/3"),
+            Request(service="crew-desk", path="/lookups/21"),
+            Request(
+                service="ministry-desk",
+                path="/submit",
+                method="POST",
+                at_most_once=True,
+            ),
+            Request(service="accounts-desk", path="/billing/5"),
+        ),
+        preset="peak",
+        moved_host="accounts-desk-larissa-1",
+        to_pool="crew-desk",
+        failing_host="crew-desk-trikala-1",
+    ),
+}
+
+
+class Balancer:
+    """Stands for the platform's balancer: sends only to ready daemons."""
+
+    def __init__(
+        self, *, entries: list[deployments.Entry], load: loads.Load
+    ) -> None:
+        self._entries = entries
+        self._load = load
+        self._stopped = threading.Event()
+
+    def run(self) -> None:
+        """Keep the load's entries to those that are ready."""
+        while not self._stopped.wait(PROBE_EVERY_S):
+            ready = tuple(
+                entry.url
+                for entry in self._entries
+                if entry.is_answering("/readyz")
+            )
+            if ready:
+                self._load.entries = ready
+
+    def stop(self) -> None:
+        """Probe no more."""
+        self._stopped.set()
+
+
+def calls(
+    plan: Plan, *, key_prefix: str, rounds: int = MAX_ROUNDS
+) -> typing.Iterator[model.Call]:
+    """Yield the plan's requests in turn."""
+    for number in range(rounds):
+        for request in plan.requests:
+            yield model.Call(
+                path=f"/{request.service}{request.path}",
+                echo_path=request.path,
+                method=request.method,
+                key=f"{key_prefix}-{number}" if request.at_most_once else "",
+                headers=(("Work-Ms", WORK_MS),),
+            )
+
+
+class Scenario:
+    """One run of a plan on a deployment, filling a report."""
+
+    def __init__(
+        self,
+        *,
+        deployment: deployments.Deployment,
+        plan: Plan,
+        report: summary.Report,
+        say: typing.Callable[[str], object],
+    ) -> None:
+        self._deployment = deployment
+        self._plan = plan
+        self._report = report
+        self._say = say
+
+    def run(self) -> None:
+        """Run the plan from the start to the last request."""
+        self._deployment.start()
+        begun = time.monotonic()
+        self._deployment.apply()
+        self._note(
+            "configuration applied, all hosts serve",
+            f"{len(self._deployment.fleet.hosts)} hosts after"
+            f" {time.monotonic() - begun:.1f} s",
+        )
+        swept = self._sweep()
+        load = self._load()
+        run = loads.Run(load=load)
+        balancer = Balancer(entries=self._deployment.entries, load=load)
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            sending = pool.submit(run.run)
+            pool.submit(balancer.run)
+            try:
+                self._act()
+            finally:
+                run.stop()
+                balancer.stop()
+            results = sending.result()
+        self._count(swept + results, run.elapsed_s)
+
+    def _sweep(self) -> list[model.Result]:
+        """Send each kind of request through each entry host, once."""
+        results = []
+        for entry in self._deployment.entries:
+            load = loads.Load(
+                entries=(entry.url,),
+                calls=calls(self._plan, key_prefix=entry.name, rounds=1),
+                arrivals=arrivals.ClosedLoop(duration_s=MAX_S),
+                threads=SWEEP_THREADS,
+            )
+            results += loads.Run(load=load).run()
+        whole = [r for r in results if r.answer is model.Answer.WHOLE]
+        wanted = len(self._deployment.entries) * len(self._plan.requests)
+        self._report.check(
+            "every entry host answered a request of every service",
+            len(whole) == wanted,
+        )
+        return results
+
+    def _load(self) -> loads.Load:
+        phase = arrivals.Phase(rate_per_s=RATE_PER_S, duration_s=MAX_S)
+        return loads.Load(
+            entries=tuple(entry.url for entry in self._deployment.entries),
+            calls=calls(self._plan, key_prefix="run"),
+            arrivals=arrivals.OpenLoop(phases=(phase,)),
+            threads=THREADS,
+        )
+
+    def _act(self) -> None:
+        time.sleep(SETTLE_S)
+        self._use_preset()
+        self._move_host()
+        self._fail_host()
+        self._stop_daemon()
+        time.sleep(AFTER_FAULT_S)
+
+    def _note(self, what: str, result: str) -> None:
+        self._report.note(what, result)
+        self._say(f"{self._report.name}: {what}: {result}")
+
+    def _use_preset(self) -> None:
+        preset = self._plan.preset
+        ended = self._deployment.checked_json(
+            "preset", "use", preset, "--wait"
+        )
+        zones = {zone.name for zone in self._deployment.fleet.zones}
+        self._report.preset = preset
+        self._report.zones = ended["zones"]
+        slowest = max(ended["zones"].values())
+        self._note(f"preset {preset} in force", f"after {slowest:.2f} s")
+        in_force = {
+            self._deployment.client(entry).status().in_force
+            for entry in self._deployment.entries
+        }
+        self._report.check(
+            f"preset {preset} is in force in every zone and daemon",
+            ended["zones"].keys() == zones and in_force == {preset},
+        )
+
+    def _move_host(self) -> None:
+        host, pool = self._plan.moved_host, self._plan.to_pool
+        begun = time.monotonic()
+        self._deployment.checked("host", "move", host, pool, "--wait")
+        took = time.monotonic() - begun
+        self._note(f"{host} moved to {pool}", f"serves after {took:.1f} s")
+        pools = {
+            self._deployment.client(entry).agreed().hosts[host].pool
+            for entry in self._deployment.entries
+        }
+        self._report.check(
+            f"{host} belongs to {pool} alone, in every daemon's view",
+            pools == {pool},
+        )
+
+    def _fail_host(self) -> None:
+        host = self._plan.failing_host
+        self._deployment.workers[host].kill()
+        begun = time.monotonic()
+        clients = [
+            self._deployment.client(entry)
+            for entry in self._deployment.entries
+        ]
+        try:
+            processes.wait_for(
+                lambda: not any(c.host(host).usable for c in clients),
+                what=f"{host} is used no more",
+                timeout_s=FAILED_HOST_S,
+            )
+            held = True
+        except processes.NotReadyError:
+            held = False
+        took = time.monotonic() - begun
+        self._note(f"{host} killed", f"used no more after {took:.1f} s")
+        self._report.check(f"no daemon sends to {host} after it failed", held)
+
+    def _stop_daemon(self) -> None:
+        entry = self._deployment.entries[-1]
+        begun = time.monotonic()
+        status = entry.process.terminate(timeout_s=20.0)
+        took = time.monotonic() - begun
+        self._note(
+            f"{entry.name} stopped gracefully",
+            f"exit code {status} after {took:.1f} s",
+        )
+        self._report.check(f"{entry.name} exited with code 0", status == 0)
+
+    def _count(self, results: list[model.Result], elapsed_s: float) -> None:
+        for request in self._plan.requests:
+            prefix = f"/{request.service}/"
+            own = [r for r in results if r.call.path.startswith(prefix)]
+            self._report.requests.append(
+                _counts(request.service, own, elapsed_s)
+            )
+        self._check_requests(results)
+
+    def _check_requests(self, results: list[model.Result]) -> None:
+        answers = [result.answer for result in results]
+        check = self._report.check
+        check(
+            "no caller got a wrong or partial answer as a success",
+            model.Answer.WRONG not in answers,
+        )
+        check(
+            "no request stayed without an answer",
+            model.Answer.NONE not in answers,
+        )
+        check(
+            "every answer said whether the request ran",
+            all(r.outcome for r in results if r.status),
+        )
+
+
+def _counts(
+    service: str, results: list[model.Result], elapsed_s: float
+) -> summary.RequestCounts:
+    totals = model.summarize(results, elapsed_s=elapsed_s)
+    return summary.RequestCounts(
+        service=service,
+        sent=totals.calls,
+        ran=totals.outcomes.get("ran", 0),
+        not_run=totals.outcomes.get("not-run", 0),
+        unknown=totals.outcomes.get("unknown", 0),
+        unanswered=totals.answers.get(model.Answer.NONE, 0),
+        wrong=totals.answers.get(model.Answer.WRONG, 0),
+        p50_ms=totals.p50_ms,
+        p99_ms=totals.p99_ms,
+    )
