--- a/benchmarks/rollout.py
+++ b/benchmarks/rollout.py
@@ -21,8 +21,8 @@
 from azurewood.fleet import document
 from azurewood.state import effects
 from benchmarks import results
-from standins import deployment
 from standins import processes
+from standins import testbed
 
 EXAMPLE = pathlib.Path(__file__).parents[1] / "examples" / "karamanlis.yaml"
 BOUND_MS = 4000
@@ -80,7 +80,7 @@
     holds: bool
 
 
-def run_phase(made: deployment.Deployment, phase: Phase, changes: int) -> Row:
+def run_phase(made: testbed.Deployment, phase: Phase, changes: int) -> Row:
     """Make changes under a failure and return their roll-out times."""
     made.platform.post("/v1/faults", **phase.faults)
     cut = set(phase.faults.get("cut_zones", ()))
@@ -109,7 +109,7 @@
     )
 
 
-def _wait_cut(made: deployment.Deployment, zones: set[str]) -> None:
+def _wait_cut(made: testbed.Deployment, zones: set[str]) -> None:
     for daemon in made.daemons.values():
         if daemon.zone in zones:
             processes.wait_for(
@@ -118,7 +118,7 @@
             )
 
 
-def _wait_reachable(made: deployment.Deployment) -> None:
+def _wait_reachable(made: testbed.Deployment) -> None:
     for daemon in made.daemons.values():
         processes.wait_for(
             lambda daemon=daemon: daemon.status()["log_reachable"],
@@ -126,14 +126,14 @@
         )
 
 
-def _switch(made: deployment.Deployment, daemon: deployment.Daemon) -> int:
+def _switch(made: testbed.Deployment, daemon: testbed.Daemon) -> int:
     """Switch the preset; return the milliseconds until all have it."""
     in_force = daemon.status()["in_force"]
     preset = "peak" if in_force != "peak" else "ordinary"
     begun = time.time()
     resolved = daemon.use_preset(preset)
     if resolved.resolution != effects.Resolution.ACCEPTED:
-        raise deployment.OperatorsCallError(f"not accepted: {resolved}")
+        raise testbed.OperatorsCallError(f"not accepted: {resolved}")
     last = max(
         processes.wait_for(
             lambda each=each: _in_force_at(each, resolved.revision),
@@ -145,7 +145,7 @@
     return max(1, round((last - begun) * 1000))
 
 
-def _in_force_at(daemon: deployment.Daemon, revision: int) -> float:
+def _in_force_at(daemon: testbed.Daemon, revision: int) -> float:
     """Return when a daemon said that a revision is in force; 0 if not."""
     for line in reversed(daemon.process.output().splitlines()):
         if '"preset_in_force"' not in line:
@@ -159,11 +159,11 @@
 
 
 @contextlib.contextmanager
-def started(log_dir: pathlib.Path) -> typing.Iterator[deployment.Deployment]:
+def started(log_dir: pathlib.Path) -> typing.Iterator[testbed.Deployment]:
     """Run the second example's daemons, without workers."""
     fleet = document.load(EXAMPLE.read_text(), EXAMPLE.name)
     with processes.Processes(log_dir=log_dir) as running:
-        made = deployment.Deployment(running=running, fleet=fleet)
+        made = testbed.Deployment(running=running, fleet=fleet)
         made.start_daemons(per_zone=2)
         made.publish()
         made.wait_in_force(fleet.preset)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,282 +1,248 @@
-"""A whole deployment of processes: platform, workers, entry daemons.
+"""A whole deployment as processes: platform, hosts and entry daemons."""
 
-For tests, benchmarks and the demo. The daemons get all their settings by
-flags and environment variables, as operators would give them.
-"""
-
-import collections.abc
+import collections
+import contextlib
 import dataclasses
 import http.client
-import json
+import os
+import pathlib
+import subprocess
+import sys
 import typing
+import urllib.parse
 
 import msgspec
 
+from azurewood.fleet import document
 from azurewood.fleet import model
-from azurewood.state import effects
-from azurewood.state import records
-from standins import client
+from azurewood.operators import client as clients
+from standins import exceptions
 from standins import processes
 
-OPERATORS_TOKEN = "token-of-a-stand-in-deployment"
-PEERS_KEY = "peers-key-of-a-stand-in-deployment"
-CALL_TIMEOUT_S = 20.0
-SERVING_S = 30.0
+TOKEN = "operators-token-of-the-stand-ins"
+PEERS_KEY = "peers-key-of-the-stand-ins-0123456789"
+COMMAND_TIMEOUT_S = 90.0
+PROBE_TIMEOUT_S = 2.0
 
 
-class OperatorsCallError(processes.NotReadyError):
-    """The operators' interface answered with an error."""
+class CommandFailedError(exceptions.StandinError):
+    """A command of the command line ended with another status than 0."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Reply:
-    """A whole answer to a caller."""
-
-    status: int
-    outcome: str
-    headers: dict[str, str]
-    body: bytes
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Daemon:
-    """An entry daemon's process and where it listens."""
+class Entry:
+    """An entry daemon's process and its listeners."""
 
     name: str
     zone: str
     process: processes.Process
-    port: int
-    operators_port: int
-
-    @property
-    def operators_url(self) -> str:
-        """Return the base URL of the operators' interface."""
-        return f"http://{processes.LOOPBACK}:{self.operators_port}"
-
-    def call(
-        self,
-        path: str,
-        *,
-        method: str = "GET",
-        body: bytes = b"",
-        headers: dict[str, str] | None = None,
-    ) -> Reply:
-        """Make one caller's request on a connection of its own.
-
-        Raise ``OSError`` or ``http.client.HTTPException`` if no whole
-        answer comes.
-        """
-        answer, data = _exchange(self.port, method, path, body, headers or {})
-        return Reply(
-            status=answer.status,
-            outcome=answer.getheader("Azurewood-Outcome", ""),
-            headers=dict(answer.getheaders()),
-            body=data,
-        )
-
-    def operate(
-        self, method: str, path: str, body: typing.Any = None
-    ) -> typing.Any:
-        """Call the operators' interface; return the decoded JSON."""
-        data = b"" if body is None else msgspec.json.encode(body)
-        headers = {"Authorization": f"Bearer {OPERATORS_TOKEN}"}
-        answer, found = _exchange(
-            self.operators_port, method, path, data, headers
-        )
-        if answer.status >= 400:
-            raise OperatorsCallError(f"{answer.status}: {found[:200]!r}")
-        return json.loads(found)
+    url: str
+    operators_url: str
 
-    def status(self) -> dict[str, typing.Any]:
-        """Return the daemon's summary of the deployment."""
-        return self.operate("GET", "/v1/status")
+    def is_answering(self, path: str = "/healthz") -> bool:
+        """Return whether a probe is answered with 200."""
+        return probe(self.operators_url, path) == 200
 
-    def agreed(self) -> dict[str, typing.Any]:
-        """Return the agreed state as this daemon has it."""
-        return self.operate("GET", "/v1/agreed")
 
-    def host(self, name: str) -> dict[str, typing.Any]:
-        """Return the agreed state of one host."""
-        return self.agreed()["hosts"][name]
-
-    def propose(
-        self, target: str, base: int, change: records.AnyChange
-    ) -> effects.Resolved:
-        """Propose one change and return how it ended."""
-        proposal = records.Proposal(object=target, base=base, change=change)
-        answer = self.operate(
-            "POST", "/v1/proposals", {"proposals": [proposal]}
-        )
-        return msgspec.convert(answer["resolved"][0], effects.Resolved)
-
-    def use_preset(self, name: str) -> effects.Resolved:
-        """Put a preset in force, on the revision that this daemon has."""
-        base = self.agreed()["in_force_revision"]
-        change = records.UsePreset(name=name)
-        return self.propose(records.IN_FORCE, base, change)
-
-
-def _exchange(
-    port: int,
-    method: str,
-    path: str,
-    body: bytes,
-    headers: dict[str, str],
-) -> tuple[http.client.HTTPResponse, bytes]:
+def probe(url: str, path: str) -> int:
+    """Return the status of a GET, 0 if there is no answer."""
+    parts = urllib.parse.urlsplit(url)
     conn = http.client.HTTPConnection(
-        processes.LOOPBACK, port, timeout=CALL_TIMEOUT_S
+        parts.hostname, parts.port, timeout=PROBE_TIMEOUT_S
     )
     try:
-        conn.request(method, path, body=body or None, headers=headers)
-        answer = conn.getresponse()
-        return answer, answer.read()
+        conn.request("GET", path)
+        return conn.getresponse().status
+    except (OSError, http.client.HTTPException):
+        return 0
     finally:
         conn.close()
 
 
-class Deployment:
-    """The processes of one deployment, started one part at a time."""
+def shift_addresses(fleet: model.Fleet, network: int) -> model.Fleet:
+    """Return a fleet whose hosts are in 127.``network``.0.0/16.
+
+    Deployments on one machine do not meet then.
+    """
+    hosts = tuple(
+        dataclasses.replace(
+            host,
+            address=".".join(
+                ["127", str(network), *host.address.split(".")[2:]]
+            ),
+        )
+        for host in fleet.hosts
+    )
+    return dataclasses.replace(fleet, hosts=hosts)
+
+
+class Deployment(contextlib.AbstractContextManager):
+    """The processes of one configuration document.
+
+    ``apart`` names hosts that get a process of their own, to be killed.
+    """
 
     def __init__(
         self,
         *,
-        running: processes.Processes,
-        fleet: model.Fleet,
-        platform_args: collections.abc.Sequence[str] = (),
-    ) -> None:
-        self.running = running
-        self.fleet = fleet
-        self.daemons: dict[str, Daemon] = {}
-        self.workers: dict[str, processes.Process] = {}
-        self.controls: dict[str, client.Client] = {}
-        self.platform_process, self.url = running.start_platform(
-            *platform_args
-        )
-        self.platform = client.Client(url=self.url)
-        self._seeds: list[str] = []
-
-    def start_workers(self, *, per_process: int = 10) -> None:
-        """Start the hosts, several to a process, and wait for them."""
-        hosts = list(self.fleet.hosts)
-        for first in range(0, len(hosts), per_process):
-            self._start_worker(hosts[first : first + per_process])
-        processes.wait_for(
-            lambda: len(self.platform.get("/v1/hosts")["hosts"]) == len(hosts),
-            what="all hosts are registered",
+        source: pathlib.Path,
+        work_dir: pathlib.Path,
+        network: int,
+        entries_per_zone: int = 2,
+        apart: typing.Iterable[str] = (),
+        env: dict[str, str] | None = None,
+    ):
+        self.fleet = shift_addresses(
+            document.load(source.read_text(), str(source)), network
         )
-
-    def _start_worker(self, hosts: list[model.Host]) -> None:
-        process, port = self.running.start_worker(
-            platform=self.url,
-            hosts={host.name: f"{host.address}@{host.zone}" for host in hosts},
+        work_dir.mkdir(parents=True, exist_ok=True)
+        self.path = work_dir / source.name
+        self.path.write_text(document.dump(self.fleet))
+        self.processes = processes.Processes(log_dir=work_dir / "logs")
+        self.entries: list[Entry] = []
+        self.workers: dict[str, processes.Process] = {}
+        self.platform_url = ""
+        self._per_zone = entries_per_zone
+        self._apart = frozenset(apart)
+        self._env = env or {}
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.processes.close()
+
+    def start(self) -> None:
+        """Start all processes and wait until each answers."""
+        _, self.platform_url = self.processes.start_platform(
+            "--host-list-lag-ms",
+            "300",
+            "--heartbeat-timeout-ms",
+            "1000",
         )
-        for host in hosts:
-            self.workers[host.name] = process
-            self.controls[host.name] = client.Client(
-                url=f"http://{host.address}:{port}"
+        self.start_entries()
+        self.start_workers()
+        for entry in self.entries:
+            processes.wait_for(entry.is_answering, what=entry.name)
+
+    def start_entries(self) -> None:
+        """Start the entry daemons without waiting for them."""
+        names = [
+            (zone.name, f"{zone.name}-entry-{number}")
+            for number in range(1, self._per_zone + 1)
+            for zone in self.fleet.zones
+        ]
+        peers = {name: processes.free_port() for _, name in names}
+        seeds = list(peers.values())[: len(self.fleet.zones)]
+        for zone, name in names:
+            self.entries.append(
+                self.start_entry(
+                    name=name, zone=zone, peers_port=peers[name], seeds=seeds
+                )
             )
 
-    def start_daemons(self, *, per_zone: int, extra: tuple[str, ...] = ()):
-        """Start entry daemons in every zone and wait until all listen."""
-        for number in range(1, per_zone + 1):
-            for zone in self.fleet.zones:
-                self.start_daemon(f"{zone.name}-{number}", zone.name, extra)
-
-    def start_daemon(
-        self, name: str, zone: str, extra: tuple[str, ...] = ()
-    ) -> Daemon:
-        """Start an entry daemon and wait until it listens."""
-        port, operators_port, peers_port = (
-            processes.free_port() for _ in range(3)
-        )
-        peers_listen = f"tcp://{processes.LOOPBACK}:{peers_port}"
-        process = self.running.start_ready(
+    def start_entry(
+        self,
+        *,
+        name: str,
+        zone: str,
+        peers_port: int,
+        seeds: typing.Iterable[int],
+        env: dict[str, str] | None = None,
+    ) -> Entry:
+        """Start one entry daemon without waiting for it."""
+        listen, operators = (processes.free_port() for _ in range(2))
+        process = self.processes.start(
             name,
-            *("azurewood", "entry"),
-            *("--name", name, "--zone", zone),
-            *("--listen", f"{processes.LOOPBACK}:{port}"),
-            *("--operators-listen", f"{processes.LOOPBACK}:{operators_port}"),
-            *("--peers-listen", peers_listen),
-            *("--peers", ",".join(self._seeds[:2])),
-            *("--platform-url", self.url),
-            *extra,
-            ready=lambda: processes.is_listening(
-                processes.LOOPBACK, operators_port
-            ),
+            "azurewood",
+            "entry",
             env={
-                "AZUREWOOD_OPERATORS_TOKEN": OPERATORS_TOKEN,
+                "AZUREWOOD_NAME": name,
+                "AZUREWOOD_ZONE": zone,
+                "AZUREWOOD_LISTEN": f"127.0.0.1:{listen}",
+                "AZUREWOOD_OPERATORS_LISTEN": f"127.0.0.1:{operators}",
+                "AZUREWOOD_PEERS_LISTEN": f"tcp://127.0.0.1:{peers_port}",
+                "AZUREWOOD_PEERS": ",".join(
+                    f"tcp://127.0.0.1:{port}" for port in seeds
+                ),
+                "AZUREWOOD_PLATFORM_URL": self.platform_url,
+                "AZUREWOOD_OPERATORS_TOKEN": TOKEN,
                 "AZUREWOOD_PEERS_KEY": PEERS_KEY,
+                **self._env,
+                **(env or {}),
             },
         )
-        self._seeds.append(peers_listen)
-        daemon = Daemon(
+        return Entry(
             name=name,
             zone=zone,
             process=process,
-            port=port,
-            operators_port=operators_port,
+            url=f"http://127.0.0.1:{listen}",
+            operators_url=f"http://127.0.0.1:{operators}",
         )
-        self.daemons[name] = daemon
-        return daemon
 
-    @property
-    def first(self) -> Daemon:
-        """Return the daemon that was started first."""
-        return next(iter(self.daemons.values()))
+    def start_workers(self) -> None:
+        """Start a process for each zone's hosts, and for those apart."""
+        groups = collections.defaultdict(dict)
+        for host in self.fleet.hosts:
+            key = host.name if host.name in self._apart else host.zone
+            groups[key][host.name] = f"{host.address}@{host.zone}"
+        for key, hosts in groups.items():
+            self.workers[key], _ = self.processes.start_worker(
+                platform=self.platform_url, hosts=hosts
+            )
 
-    def publish(self) -> None:
-        """Publish the configuration, and wait until all hosts serve."""
-        processes.wait_for(
-            lambda: self.first.status()["log_reachable"],
-            what="the log is read",
+    def client(self, entry: Entry) -> clients.OperatorsClient:
+        """Return an operators' client of one daemon."""
+        return clients.OperatorsClient(
+            daemons=[entry.operators_url], token=TOKEN
         )
-        change = records.PublishFleet(fleet=self.fleet)
-        resolved = self.first.propose(records.FLEET, 0, change)
-        if resolved.resolution != effects.Resolution.ACCEPTED:
-            raise OperatorsCallError(f"not published: {resolved}")
 
-    def wait_serving(self) -> None:
-        """Wait until all hosts serve in the view of every daemon."""
-        for daemon in self.daemons.values():
-            processes.wait_for(
-                lambda daemon=daemon: _all_serve(daemon, len(self.daemons)),
-                what=f"all hosts serve for {daemon.name}",
-                timeout_s=SERVING_S,
-            )
+    def command(
+        self, *args: str, entries: typing.Iterable[Entry] | None = None
+    ) -> subprocess.CompletedProcess:
+        """Run a command of the command line; return how it ended."""
+        daemons = self.entries if entries is None else entries
+        flags = [
+            word
+            for entry in daemons
+            if entry.process.alive
+            for word in ("--daemon", entry.operators_url)
+        ]
+        return subprocess.run(
+            [sys.executable, "-m", "azurewood", *args, *flags],
+            stdin=subprocess.DEVNULL,
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+            env=self._command_env(),
+            check=False,
+        )
 
-    def wait_in_force(
-        self,
-        preset: str,
-        *,
-        names: collections.abc.Iterable[str] = (),
-        timeout_s: float = 10.0,
-    ) -> None:
-        """Wait until a preset is in force in daemons (default: all)."""
-        for name in list(names) or list(self.daemons):
-            daemon = self.daemons[name]
-            processes.wait_for(
-                lambda daemon=daemon: daemon.status()["in_force"] == preset,
-                what=f"{preset} is in force in {name}",
-                timeout_s=timeout_s,
+    def _command_env(self) -> dict[str, str]:
+        return os.environ | {
+            "AZUREWOOD_OPERATORS_TOKEN": TOKEN,
+            "AZUREWOOD_OPERATOR": "demo",
+        }
+
+    def checked(self, *args: str) -> str:
+        """Run a command; return its output, raise CommandFailedError."""
+        done = self.command(*args)
+        if done.returncode:
+            raise CommandFailedError(
+                f"azurewood {' '.join(args)}: status {done.returncode}\n"
+                f"{done.stderr}"
             )
+        return done.stdout
 
-    def executions(self) -> list[dict[str, typing.Any]]:
-        """Return what the workers' journals say was executed."""
-        return [
-            entry
-            for control in self.controls.values()
-            for entry in control.get("/control/executions?since=0")[
-                "executions"
-            ]
-        ]
-
+    def checked_json(self, *args: str) -> typing.Any:
+        """Run a command and return its decoded JSON."""
+        return msgspec.json.decode(self.checked(*args, "--output", "json"))
 
-def _all_serve(daemon: Daemon, daemons: int) -> bool:
-    status = daemon.status()
-    hosts = status["hosts"]
-    alive = sum(item["alive"] for item in status["daemons"])
-    return (
-        alive == daemons
-        and bool(hosts)
-        and all(host["phase"] == "serving" for host in hosts)
-    )
+    def apply(self) -> None:
+        """Apply the configuration and wait until all hosts serve."""
+        self.checked("config", "apply", str(self.path), "--wait")
+        client = self.client(self.entries[0])
+        processes.wait_for(
+            lambda: all(
+                host.phase == "serving" for host in client.status().hosts
+            ),
+            what="all hosts serve",
+            timeout_s=30.0,
+        )
--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -7,8 +7,8 @@
 from azurewood.fleet import document
 from azurewood.state import effects
 from azurewood.state import records
-from standins import deployment
 from standins import processes
+from standins import testbed
 
 EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "karamanlis.yaml"
 Resolution = effects.Resolution
@@ -20,7 +20,7 @@
     fleet = document.load(EXAMPLE.read_text(), str(EXAMPLE))
     log_dir = tmp_path_factory.mktemp("processes")
     with processes.Processes(log_dir=log_dir) as running:
-        made = deployment.Deployment(running=running, fleet=fleet)
+        made = testbed.Deployment(running=running, fleet=fleet)
         made.start_workers(per_process=30)
         made.start_daemons(per_zone=2)
         made.publish()
