--- a/standins/callers/__main__.py
+++ b/standins/callers/__main__.py
@@ -14,6 +14,7 @@
 @click.command()
 @click.option("--entry", "entries", multiple=True, required=True)
 @click.option("--path", default="/", show_default=True)
+@click.option("--echo-path", default=None, help="Path the worker sees.")
 @click.option("--method", default="GET", show_default=True)
 @click.option("--header", "headers", multiple=True, metavar="NAME:VALUE")
 @click.option("--key-prefix", default="", help="Give each call a key.")
@@ -26,6 +27,7 @@
 def main(
     entries: tuple[str, ...],
     path: str,
+    echo_path: str | None,
     method: str,
     headers: tuple[str, ...],
     key_prefix: str,
@@ -41,6 +43,7 @@
     calls = (
         model.Call(
             path=path,
+            echo_path=echo_path,
             method=method,
             headers=pairs,
             key=f"{key_prefix}{number}" if key_prefix else "",
