Measure what each role costs against the fleet's size

python -m benchmarks.capacity measures the agreed state, the fold, views, heartbeats, streams, starts, real daemons and requests at four or more sizes each, fits lines and works out the figures at the fleet's size.

--- /dev/null
+++ b/benchmarks/capacity/heartbeats.py
@@ -0,0 +1,199 @@
+"""Heartbeats: bytes on the wire and CPU, against daemons and zones."""
+
+import itertools
+import time
+import typing
+
+import msgspec
+
+from azurewood.peers import messages
+from azurewood.peers import transport as transports
+from azurewood.state import effects
+from azurewood.state import events
+from azurewood.state import model
+from azurewood.state import reducer
+from benchmarks.capacity import fleets
+from benchmarks.capacity import results
+from benchmarks.capacity import timing
+from standins import processes
+
+KEY = b"capacity-peers-key"
+SP_HEADER_BYTES = 8
+IP_TCP_BYTES = 52
+"""IPv4 20, TCP 20 and its timestamps 12; once for data, once for the ACK."""
+
+SECONDS = 60
+STEP_S = 0.1
+HEARD_EVERY = 5
+GREETING_S = 30
+RATES = (25, 50, 100, 200)
+SENDING_S = 2.0
+
+
+class Deployment(typing.NamedTuple):
+    """A deployment: its daemons, zones and services."""
+
+    daemons: int
+    zones: int
+    services: int
+
+
+DEPLOYMENTS = (
+    Deployment(9, 3, 5),
+    Deployment(33, 11, 37),
+    Deployment(66, 11, 37),
+    Deployment(110, 11, 37),
+    Deployment(300, 11, 37),
+)
+
+
+def measure() -> typing.Iterator[results.Table]:
+    """Measure heartbeats."""
+    cpu = cpu_table()
+    yield cpu
+    yield traffic_table(cpu.fit("CPU, µs a second").slope)
+
+
+def wire_bytes(message: messages.AnyMessage, sender: str) -> int:
+    """Return the bytes of a message, its headers and the ACK for it."""
+    envelope = messages.Envelope(sender=sender, message=message)
+    frame = messages.encode(envelope, key=KEY)
+    return len(frame) + SP_HEADER_BYTES + 2 * IP_TCP_BYTES
+
+
+def sent_by_daemon(
+    deployment: Deployment, *, seconds: int = SECONDS
+) -> list[messages.AnyMessage]:
+    """Return what one daemon of a deployment sends while nothing changes.
+
+    Its peers are heard every half second; its counters change all the time.
+    """
+    log = fleets.log(
+        fleets.fleet(
+            hosts=37, zones=deployment.zones, pools=deployment.services
+        )
+    )
+    state = fleets.daemon(log.state)
+    sent: list[messages.AnyMessage] = []
+    now = 1000.0
+    for number in range(int((seconds + GREETING_S) / STEP_S)):
+        now += STEP_S
+        if number % HEARD_EVERY == 0:
+            _count_requests(state)
+            fleets.hear_all(
+                state,
+                daemons=deployment.daemons,
+                zones=deployment.zones,
+                now=now,
+            )
+        for effect in reducer.step(state, events.Tick(), now):
+            is_greeting = number * STEP_S < GREETING_S
+            if isinstance(effect, effects.SendPeer) and not is_greeting:
+                sent.append(effect.message)
+    return sent
+
+
+def _count_requests(state: model.State) -> None:
+    for view in state.services.values():
+        view.count.good += 1000
+        view.count.bad += 1
+
+
+def traffic_table(us_per_message: float) -> results.Table:
+    """Count what heartbeats a daemon sends, and what they cost."""
+    rows = []
+    for deployment in DEPLOYMENTS:
+        sent = sent_by_daemon(deployment)
+        total = sum(wire_bytes(message, "e00-z00") for message in sent)
+        rate = len(sent) / SECONDS
+        rows.append(
+            [
+                deployment.daemons,
+                deployment.zones,
+                deployment.services,
+                rate,
+                total / len(sent),
+                total / SECONDS / 1000,
+                2 * total / SECONDS / 1000,
+                rate * us_per_message / timing.US_PER_S * 100,
+            ]
+        )
+    return results.Table(
+        name="heartbeats",
+        title="Heartbeats of one daemon, nothing else going on",
+        columns=[
+            "daemons",
+            "zones",
+            "services",
+            "sent a second",
+            "B each",
+            "sent, KB/s",
+            "sent and received, KB/s",
+            "core, %",
+        ],
+        rows=rows,
+        note=(
+            "Counted from the reducer over 60 s. Bytes are the frame, the "
+            "transport's 8-byte header, and IPv4 and TCP headers of 52 B for "
+            "the data and for its ACK; Ethernet is left out. What is received "
+            "equals what is sent, as every message has one receiver. Core is "
+            "the messages times the CPU of sending one and receiving one."
+        ),
+    )
+
+
+def cpu_table() -> results.Table:
+    """Measure the CPU of sending and receiving heartbeats over pynng."""
+    deployment = Deployment(110, 11, 37)
+    sent = sent_by_daemon(deployment, seconds=20)
+    rows = [[rate, _cpu_us_a_second(rate, sent)] for rate in RATES]
+    table = results.Table(
+        name="heartbeat-cpu",
+        title=(
+            "Heartbeats sent and received by one process over loopback: "
+            "encoding, HMAC, pynng, decoding and the reducer's step"
+        ),
+        columns=["messages a second", "CPU, µs a second"],
+        rows=rows,
+    )
+    table.add_fit("messages a second", "CPU, µs a second")
+    return table
+
+
+def _cpu_us_a_second(rate: int, sent: list[messages.AnyMessage]) -> float:
+    """Send at a rate to ourselves, and reduce what arrives."""
+    log = fleets.log(fleets.fleet())
+    state = fleets.daemon(log.state)
+    fleets.hear_all(state, daemons=110, zones=11, now=1000.0)
+    senders = itertools.cycle([*state.peers])
+    address = f"tcp://127.0.0.1:{processes.free_port()}"
+    receiver = transports.Transport(name="r", listen=address, key=KEY)
+    sender = transports.Transport(name="e01-z00", listen="", key=KEY)
+    receiver.open()
+    count = int(rate * SENDING_S)
+    arrivals = receiver.receive()
+    messages_sent = itertools.cycle(sent)
+
+    def run() -> None:
+        due = time.monotonic()
+        for _ in range(count):
+            due += 1 / rate
+            time.sleep(max(0.0, due - time.monotonic()))
+            sender.send(address, next(messages_sent))
+            envelope = next(arrivals)
+            peer = state.peers[next(senders)]
+            message = msgspec.structs.replace(
+                envelope.message,
+                zone=peer.zone,
+                address=peer.address,
+                boot=peer.boot,
+            )
+            event = events.PeerSaid(sender=peer.name, message=message)
+            reducer.step(state, event, 1000.0)
+
+    sender.send(address, sent[0])
+    next(arrivals)
+    spent = timing.process_us(run) / SENDING_S
+    sender.close()
+    receiver.close()
+    return spent
--- /dev/null
+++ b/benchmarks/capacity/letter.py
@@ -0,0 +1,328 @@
+"""The fleet's size, and what it costs, worked out from measured slopes."""
+
+import math
+import typing
+
+from benchmarks.capacity import fleets
+from benchmarks.capacity import results
+
+Tables = dict[str, results.Table]
+
+DAY_S = 86400
+CHANGES_A_DAY = 1600
+RESTARTS_A_DAY = 500
+FAILURES_A_DAY = 19
+MAINTENANCE_DAYS = 49
+MOVES_A_POOL_A_DAY = 24
+HOST_RECORDS = 4
+"""Records of a restart: drained, down, returned, serving."""
+
+MOVE_RECORDS = 3
+LIST_VERSIONS = 3
+"""Versions of the host list for a restart: leaving, gone, live."""
+
+SNAPSHOTS_A_DAY = 144
+POLL_S = 5
+RENEW_S = 5
+TASK_ID_BYTES = 20
+LIMIT_CORE = 2.4
+LIMIT_MIB = 128
+LIMIT_KB_S = 6.0
+LIMIT_APPENDS = 300
+LIMIT_RECORD = 1 << 20
+DAEMONS = 110
+CORE_SHARE = 0.5
+REQUESTS_A_WORKER = (1, 5, 10, 20)
+CLAIM_RATES = (1, 3, 10, 50, 150)
+READS_A_S = 5
+
+
+def derive(tables: Tables) -> typing.Iterator[results.Table]:
+    """Work out the tables at the fleet's size from the measured ones."""
+    yield sizes()
+    appends = appends_table()
+    yield appends
+    yield claims(tables)
+    traffic = control(tables, appends)
+    yield traffic
+    yield entry_daemons(tables)
+    yield limits(tables, appends, traffic)
+
+
+def sizes() -> results.Table:
+    """Return the fleet's size as given."""
+    given = {
+        "workers": fleets.HOSTS,
+        "accelerators": 2 * fleets.HOSTS,
+        "pools": fleets.POOLS,
+        "teams": fleets.TEAMS,
+        "availability zones": fleets.ZONES,
+        "regions": fleets.REGIONS,
+        "configuration changes a day": CHANGES_A_DAY,
+        "hosts restarted or replaced a day": RESTARTS_A_DAY,
+        "hosts failed a day": FAILURES_A_DAY,
+        "days in which every host is maintained once": MAINTENANCE_DAYS,
+        "slots a worker": 8,
+        "connections a worker": 64,
+        "limit: % of a core a daemon for control": LIMIT_CORE,
+        "limit: MiB a daemon for control": LIMIT_MIB,
+        "limit: KB/s a daemon for control": LIMIT_KB_S,
+        "limit: s until a change is in force": 4,
+        "limit: s until an urgent request starts": 9.7,
+        "limit: appends a second": LIMIT_APPENDS,
+        "limit: B a record of the log": LIMIT_RECORD,
+    }
+    return results.Table(
+        name="sizes",
+        title="Sizes and limits given",
+        columns=["what", "figure"],
+        rows=[[what, figure] for what, figure in given.items()],
+    )
+
+
+def appends_table() -> results.Table:
+    """Return the records that the log takes in a day, without claims."""
+    maintained = fleets.HOSTS / MAINTENANCE_DAYS
+    sources = (
+        ("configuration changes", CHANGES_A_DAY, 1),
+        ("hosts restarted or replaced", RESTARTS_A_DAY, HOST_RECORDS),
+        ("hosts failed", FAILURES_A_DAY, HOST_RECORDS),
+        ("hosts maintained", maintained, HOST_RECORDS),
+        (
+            "moves (assumed: one a pool and hour)",
+            fleets.POOLS * MOVES_A_POOL_A_DAY,
+            MOVE_RECORDS,
+        ),
+        ("snapshots", SNAPSHOTS_A_DAY, 1),
+    )
+    rows: list[list[results.Cell]] = [
+        [what, count, each, count * each, count * each / DAY_S]
+        for what, count, each in sources
+    ]
+    total = sum(float(row[3]) for row in rows)
+    rows.append(["all", "", "", total, total / DAY_S])
+    zone = math.ceil(fleets.HOSTS / fleets.ZONES)
+    rows.append(
+        [
+            "a whole zone's hosts at once, spread over 60 s",
+            zone,
+            HOST_RECORDS,
+            zone * HOST_RECORDS,
+            zone * HOST_RECORDS / 60,
+        ]
+    )
+    return results.Table(
+        name="log-load",
+        title="Records appended, without claims",
+        columns=["source", "a day", "records each", "records", "a second"],
+        rows=rows,
+    )
+
+
+def claims(tables: Tables) -> results.Table:
+    """Return what claims cost the log and every daemon that reads it."""
+    reads = tables["log-reads"].fit("bytes")
+    appends = tables["appends"].fit("record, B")
+    state = tables["state-claims"]
+    rows = []
+    for rate in CLAIM_RATES:
+        alone = 2 * rate
+        batched = min(alone, READS_A_S)
+        kept = min(rate * DAY_S, 200_000)
+        rows.append(
+            [
+                rate,
+                alone,
+                alone * reads.slope / 1000,
+                batched * reads.slope / 1000 + alone * appends.slope / 1000,
+                kept,
+                state.fit("memory, B").slope * kept / (1 << 20),
+                state.fit("packed, B").slope * kept / 1000,
+            ]
+        )
+    return results.Table(
+        name="claims-load",
+        title="Claims (two records each), read by every daemon",
+        columns=[
+            "claims a second",
+            "appends a second",
+            "read by each daemon, KB/s",
+            "read 5 times a second, KB/s",
+            "kept (a day, at most 200,000)",
+            "memory, MiB",
+            "in a snapshot, KB",
+        ],
+        rows=rows,
+    )
+
+
+def _lists_kb_s(tables: Tables) -> float:
+    changes = RESTARTS_A_DAY + FAILURES_A_DAY
+    versions = (changes + fleets.HOSTS / MAINTENANCE_DAYS) * LIST_VERSIONS
+    return tables["host-list"].last("bytes") * versions / DAY_S / 1000
+
+
+def control(tables: Tables, appends: results.Table) -> results.Table:
+    """Return a daemon's control traffic and CPU at the fleet's size."""
+    records = appends.at("source", "all", "a second")
+    polls = sum(float(cell) for cell in tables["idle-polls"].column("bytes"))
+    idle = polls / POLL_S / 1000
+    log = records * tables["log-reads"].fit("bytes").slope / 1000
+    changed = tables["control-daemons"]
+    base = tables["daemon-hosts"].last("core, %")
+    rows = []
+    for daemons in tables["owners"].column("daemons"):
+        beats = tables["heartbeats"]
+        beat_kb = beats.at("daemons", daemons, "sent and received, KB/s")
+        beat_core = beats.at("daemons", daemons, "core, %")
+        leases = fleets.HOSTS / float(daemons) * TASK_ID_BYTES / RENEW_S / 1000
+        lists = _lists_kb_s(tables)
+        host_ms = changed.at("daemons", daemons, "a host changed")
+        change_core = records * host_ms / 10
+        rows.append(
+            [
+                daemons,
+                beat_kb,
+                idle,
+                log,
+                lists,
+                leases,
+                beat_kb + idle + log + lists + leases,
+                base,
+                beat_core,
+                change_core,
+                base + beat_core + change_core,
+            ]
+        )
+    return results.Table(
+        name="control-total",
+        title="One daemon's control work at the fleet's size, without claims",
+        columns=[
+            "daemons",
+            "heartbeats, KB/s",
+            "idle polls, KB/s",
+            "log, KB/s",
+            "host list, KB/s",
+            "leases, KB/s",
+            "all, KB/s",
+            "idle daemon, core %",
+            "heartbeats, core %",
+            "host changes, core %",
+            "all, core %",
+        ],
+        rows=rows,
+        note=(
+            "The idle daemon is the real process alone with 3,700 hosts, its "
+            "ticks and polls; the other columns come on top."
+        ),
+    )
+
+
+def entry_daemons(tables: Tables) -> results.Table:
+    """Return the entry daemons needed for a rate of requests."""
+    each = tables["entry-requests"].fit("daemon's CPU, ms").slope
+    rows = []
+    for rate in REQUESTS_A_WORKER:
+        total = rate * fleets.HOSTS
+        cores = total * each / 1000
+        needed = math.ceil(cores / CORE_SHARE)
+        spread = max(3, math.ceil(needed / fleets.ZONES)) * fleets.ZONES
+        rows.append([rate, total, cores, needed, spread])
+    return results.Table(
+        name="entry-daemons",
+        title=(
+            "Entry daemons for a rate of requests (assumed), each at half of "
+            "the one core that it can use"
+        ),
+        columns=[
+            "requests a second a worker",
+            "requests a second",
+            "cores",
+            "daemons",
+            "daemons, 3 or more a zone",
+        ],
+        rows=rows,
+    )
+
+
+def limits(
+    tables: Tables, appends: results.Table, traffic: results.Table
+) -> results.Table:
+    """Return each limit beside the figure at the fleet's size."""
+    rows: list[list[results.Cell]] = []
+
+    def add(
+        what: str, limit: results.Cell, found: results.Cell, source: str
+    ) -> None:
+        verdict = "not measured here"
+        if isinstance(found, int | float) and not isinstance(limit, str):
+            verdict = "met" if found <= limit else "EXCEEDED"
+        rows.append([what, limit, found, verdict, source])
+
+    for daemons in traffic.column("daemons"):
+        add(
+            f"control, % of a core, {daemons} daemons",
+            LIMIT_CORE,
+            traffic.at("daemons", daemons, "all, core %"),
+            "control-total",
+        )
+        add(
+            f"control, KB/s, {daemons} daemons",
+            LIMIT_KB_S,
+            traffic.at("daemons", daemons, "all, KB/s"),
+            "control-total",
+        )
+    memory = tables["daemon-hosts"].last("RSS, MiB")
+    per_claim = tables["state-claims"].fit("memory, B").slope
+    add("memory, MiB, no claims", LIMIT_MIB, memory, "daemon-hosts")
+    add(
+        "memory, MiB, 200,000 claims kept",
+        LIMIT_MIB,
+        memory + per_claim * 200_000 / (1 << 20),
+        "daemon-hosts, state-claims",
+    )
+    all_records = appends.at("source", "all", "a second")
+    add("appends a second, day", LIMIT_APPENDS, all_records, "log-load")
+    add(
+        "appends a second, a zone at once",
+        LIMIT_APPENDS,
+        float(appends.rows[-1][-1]),
+        "log-load",
+    )
+    add(
+        "a snapshot's record, B, no claims",
+        LIMIT_RECORD,
+        tables["state-hosts"].last("packed, B"),
+        "state-hosts",
+    )
+    add(
+        "a snapshot's record, B, 50,000 claims",
+        LIMIT_RECORD,
+        tables["state-claims"].last("packed, B"),
+        "state-claims",
+    )
+    add(
+        "a published configuration's record, B",
+        LIMIT_RECORD,
+        tables["record-bytes"].at("kind", "PublishFleet", "bytes"),
+        "record-bytes",
+    )
+    for what, name, column in (
+        ("from the platform", "starts", "from the platform, ms"),
+        ("from a peer", "starts", "from a peer, ms"),
+        ("a zone's return, 256 records", "returns", "folding, ms"),
+    ):
+        add(
+            f"start, CPU ms, {what}",
+            "none given",
+            tables[name].last(column),
+            name,
+        )
+    add("a change in force, s", 4, "", "")
+    add("an urgent request's start, s", 9.7, "", "")
+    return results.Table(
+        name="limits",
+        title="Limits, and the figures at the fleet's size",
+        columns=["what", "limit", "figure", "verdict", "table"],
+        rows=rows,
+    )
--- /dev/null
+++ b/benchmarks/capacity/timing.py
@@ -0,0 +1,51 @@
+"""Processor time and memory of a piece of code."""
+
+import collections.abc
+import gc
+import statistics
+import time
+import tracemalloc
+import typing
+
+US_PER_S = 1_000_000
+REPEATS = 5
+
+
+def cpu_us(
+    function: collections.abc.Callable[[], object],
+    *,
+    calls: int = 1,
+    repeats: int = REPEATS,
+) -> float:
+    """Return the median microseconds of this thread's CPU time a call."""
+    return statistics.median(
+        _once(function, calls) * US_PER_S for _ in range(repeats)
+    )
+
+
+def _once(function: collections.abc.Callable[[], object], calls: int) -> float:
+    started = time.thread_time()
+    for _ in range(calls):
+        function()
+    return (time.thread_time() - started) / calls
+
+
+def process_us(function: collections.abc.Callable[[], object]) -> float:
+    """Return the microseconds of CPU that all threads spend on a call."""
+    started = time.process_time()
+    function()
+    return (time.process_time() - started) * US_PER_S
+
+
+def allocated(
+    build: collections.abc.Callable[[], typing.Any],
+) -> tuple[typing.Any, int]:
+    """Return what a function builds, and the bytes that it keeps."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        built = build()
+        gc.collect()
+        return built, tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
