--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry daemons."""
--- /dev/null
+++ b/tests/peers/test_messages.py
@@ -0,0 +1,59 @@
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from azurewood.peers import exceptions
+from azurewood.peers import messages
+from azurewood.state import records
+
+KEY = b"key-of-the-peers-in-tests"
+SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, max_examples=300
+)
+ENVELOPE = messages.Envelope(
+    sender="d1", message=messages.TailRequest(incarnation="i", offset=7)
+)
+
+
+def test_a_frame_is_read_back():
+    frame = messages.encode(ENVELOPE, key=KEY)
+    assert messages.decode(frame, key=KEY) == ENVELOPE
+
+
+@SETTINGS
+@hypothesis.given(place=st.integers(min_value=0), bit=st.integers(0, 7))
+def test_a_frame_with_any_bit_changed_is_refused(place, bit):
+    frame = bytearray(messages.encode(ENVELOPE, key=KEY))
+    frame[place % len(frame)] ^= 1 << bit
+    with pytest.raises(exceptions.PeerAuthenticationError):
+        messages.decode(bytes(frame), key=KEY)
+
+
+@SETTINGS
+@hypothesis.given(data=st.binary(max_size=200))
+def test_a_strangers_bytes_are_refused(data):
+    with pytest.raises(exceptions.PeerAuthenticationError):
+        messages.decode(data, key=KEY)
+
+
+@SETTINGS
+@hypothesis.given(data=st.binary(max_size=200))
+def test_an_authenticated_body_of_any_bytes_is_malformed_or_known(data):
+    """A peer of another version makes no more than a typed error."""
+    frame = messages._tag(KEY, data) + data
+    try:
+        envelope = messages.decode(frame, key=KEY)
+    except exceptions.MalformedMessage:
+        return
+    assert messages.encode(envelope, key=KEY)
+
+
+@SETTINGS
+@hypothesis.given(data=st.binary(max_size=300))
+def test_a_record_of_any_bytes_is_malformed_or_known(data):
+    try:
+        record = records.decode(data)
+    except msgspec.DecodeError:
+        return
+    assert records.decode(records.encode(record)) == record
