Claim requests that may not be repeated in the log

Cause: a request with an idempotency key ran again when its caller repeated it through another daemon. Change: a claim is read back as accepted before the first byte leaves on a new connection, and settled as run, not run or unknown. Claims given up are released by their holder when they turn up; a daemon that was paused refuses what it has not sent; REFUSED now needs that no byte was sent, as libcurl may fail to connect after bytes left on a reused connection. Ruled out: letting others settle as not run, which a paused holder could overtake. Each mechanism switched off fails its test.

--- a/azurewood/http/callers.py
+++ b/azurewood/http/callers.py
@@ -14,6 +14,7 @@
 from azurewood.http import endpoints
 from azurewood.http import exceptions
 from azurewood.http import outcomes
+from azurewood.policy import claims
 from azurewood.state import effects
 from azurewood.state import events
 
@@ -112,6 +113,8 @@
         if method not in route.methods:
             raise exceptions.BadRequest(405, f"{method} is not allowed")
         body = self._body(environ)
+        query = environ.get("QUERY_STRING")
+        target = f"{path}?{query}" if query else path
         key = str(environ.get(KEY_HEADER, ""))
         if len(key) > MAX_KEY_CHARACTERS:
             raise exceptions.BadRequest(400, "Idempotency-Key is too long")
@@ -123,11 +126,13 @@
             size=len(body),
             repeatable=route.repeatable,
             key=key,
+            digest=""
+            if route.repeatable
+            else claims.request_digest(method, target, body),
         )
-        query = environ.get("QUERY_STRING")
         outgoing = endpoints.Outgoing(
             method=method,
-            path=f"{path}?{query}" if query else path,
+            path=target,
             headers=_headers(environ, request_id),
             body=body,
         )
@@ -188,13 +193,17 @@
         effect: effects.StartRequest,
         outgoing: endpoints.Outgoing,
     ) -> endpoints.Reply:
-        reply = self._client.send(
-            effect.address,
-            effect.port,
-            outgoing,
-            timeout_s=effect.deadline - time.monotonic(),
-            fresh=effect.fresh,
-        )
+        now = time.monotonic()
+        if now >= effect.start_by:
+            reply = endpoints.unsent("too late to be sent")
+        else:
+            reply = self._client.send(
+                effect.address,
+                effect.port,
+                outgoing,
+                timeout_s=effect.deadline - now,
+                fresh=effect.fresh,
+            )
         kept = len(reply.body) <= KEPT_ANSWER_BYTES
         self._runtime.post(
             events.RequestEnded(
--- a/azurewood/http/endpoints.py
+++ b/azurewood/http/endpoints.py
@@ -20,8 +20,6 @@
 
 Result = events.RequestResult
 
-_BEFORE_SENDING = frozenset({pycurl.E_COULDNT_CONNECT})
-
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Outgoing:
@@ -45,6 +43,11 @@
     reason: str = ""
 
 
+def unsent(reason: str) -> Reply:
+    """Return the reply of a request that was not sent."""
+    return Reply(result=Result.REFUSED, elapsed_s=0.0, reason=reason)
+
+
 class _Sink:
     """Collects an answer's header lines and body, within limits."""
 
@@ -185,7 +188,7 @@
 def _failure(curl: pycurl.Curl, exc: pycurl.error, elapsed: float) -> Reply:
     """Tell what an error means for whether the request ran."""
     code, text = exc.args
-    if code in _BEFORE_SENDING or not curl.getinfo(pycurl.REQUEST_SIZE):
+    if not curl.getinfo(pycurl.REQUEST_SIZE):
         result = Result.REFUSED
     elif code == pycurl.E_OPERATION_TIMEDOUT:
         result = Result.TIMED_OUT
--- a/azurewood/http/outcomes.py
+++ b/azurewood/http/outcomes.py
@@ -32,6 +32,7 @@
 _STATUS_OF_REFUSAL = {
     effects.Refusal.UNKNOWN_SERVICE: 404,
     effects.Refusal.KEY_REQUIRED: 428,
+    effects.Refusal.KEY_REUSED: 422,
     effects.Refusal.TOO_LATE: 504,
 }
 
--- a/azurewood/state/agreed.py
+++ b/azurewood/state/agreed.py
@@ -90,6 +90,8 @@
     status: int = 0
     content_type: str = ""
     answer: bytes = b""
+    request: str = ""
+    digest: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/effects.py
+++ b/azurewood/state/effects.py
@@ -80,7 +80,8 @@
 class StartRequest(Effect, frozen=True, kw_only=True):
     """Send a request to an endpoint, on a slot held for it.
 
-    ``fresh`` asks for a new connection.
+    ``fresh`` asks for a new connection. After ``start_by`` it is no longer
+    to be sent.
     """
 
     id: str
@@ -88,6 +89,7 @@
     address: str
     port: int
     deadline: float
+    start_by: float
     fresh: bool = False
 
 
@@ -101,6 +103,8 @@
     NO_HOSTS = "no-hosts"
     LOG_UNAVAILABLE = "log-unavailable"
     KEY_REQUIRED = "key-required"
+    KEY_REUSED = "key-reused"
+    PAUSED = "paused"
     SHED = "shed"
     NOT_READY = "not-ready"
     ENDPOINT_REFUSED = "endpoint-refused"
--- a/azurewood/state/events.py
+++ b/azurewood/state/events.py
@@ -124,7 +124,8 @@
     """A caller's request has been read.
 
     ``deadline`` is a monotonic time in seconds. ``key`` is the caller's
-    idempotency key, needed if the request is not ``repeatable``.
+    idempotency key, needed if the request is not ``repeatable``; ``digest``
+    tells requests with the same key apart.
     """
 
     id: str
@@ -134,6 +135,7 @@
     size: int = 0
     repeatable: bool = True
     key: str = ""
+    digest: str = ""
 
 
 class RequestResult(enum.StrEnum):
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurewood.fleet import model as fleet_model
+from azurewood.policy import claims as claim_policy
 from azurewood.state import agreed as agreed_state
 from azurewood.state import events
 from azurewood.state import records
@@ -202,7 +203,59 @@
     slot: int = -1
     attempts: int = 0
     tried: list[str] = dataclasses.field(default_factory=list)
+    digest: str = ""
+    claim: str = ""
     claimed: bool = False
+    claim_tries: int = 0
+    claim_asked_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Following:
+    """A request that waits for how another's claim on its key ends."""
+
+    key: str
+    since: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Doubtful:
+    """A claim of ours that was given up and may yet turn up in the log.
+
+    Its record's sequence number is ``sequence`` at most.
+    """
+
+    key: str
+    sequence: int
+    probe_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Settlement:
+    """How a request's claim ended, until the log says so too."""
+
+    request: str
+    change: records.SettleClaim
+    redo_at: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ClaimBook:
+    """Claims in hand: by request id, ``settling`` by the claim's key."""
+
+    asked: dict[str, str] = dataclasses.field(default_factory=dict)
+    following: dict[str, Following] = dataclasses.field(default_factory=dict)
+    doubtful: dict[str, Doubtful] = dataclasses.field(default_factory=dict)
+    settling: dict[str, Settlement] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Policies:
+    """How this daemon decides on requests."""
+
+    at_most_once: claim_policy.AtMostOnce = dataclasses.field(
+        default_factory=claim_policy.LogClaims
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -224,6 +277,7 @@
     rng: random.Random
     limits: Limits = dataclasses.field(default_factory=Limits)
     timing: Timing = dataclasses.field(default_factory=Timing)
+    policies: Policies = dataclasses.field(default_factory=Policies)
     agreed: agreed_state.Agreed = dataclasses.field(
         default_factory=agreed_state.Agreed
     )
@@ -235,6 +289,7 @@
     hosts: dict[str, HostView] = dataclasses.field(default_factory=dict)
     services: dict[str, ServiceView] = dataclasses.field(default_factory=dict)
     requests: dict[str, RequestView] = dataclasses.field(default_factory=dict)
+    claims: ClaimBook = dataclasses.field(default_factory=ClaimBook)
     waiting: int = 0
     waiting_bytes: int = 0
     tasks: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -243,6 +298,7 @@
     alive: tuple[str, ...] = ()
     stopping_until: float = 0.0
     stepped_at: float = 0.0
+    woken_at: float = 0.0
 
 
 def _plain(value: typing.Any) -> typing.Any:
--- a/azurewood/state/outbox.py
+++ b/azurewood/state/outbox.py
@@ -43,6 +43,15 @@
     yield from _flush(state, now)
 
 
+def withdraw(state: model.State, ticket: str) -> bool:
+    """Take back an entry that is in no record yet; tell whether it was."""
+    waiting = state.outbox.waiting
+    found = [entry for entry in waiting if entry.ticket == ticket]
+    for entry in found:
+        waiting.remove(entry)
+    return bool(found)
+
+
 def _flush(state: model.State, now: float) -> Effects:
     out = state.outbox
     if out.sent is not None or not out.waiting:
--- a/azurewood/state/records.py
+++ b/azurewood/state/records.py
@@ -128,9 +128,15 @@
 
 
 class Claim(Change, frozen=True, kw_only=True):
-    """Claim the right to run a request that runs at most once."""
+    """Claim the right to run a request that runs at most once.
+
+    ``request`` is the claimant's id of it, ``digest`` tells requests with
+    the same key apart.
+    """
 
     service: str
+    request: str = ""
+    digest: str = ""
 
 
 class ClaimPhase(enum.StrEnum):
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 
+from azurewood.state import claims
 from azurewood.state import control
 from azurewood.state import effects
 from azurewood.state import events
@@ -27,21 +28,30 @@
 
     ``now`` is a monotonic time in seconds and never falls.
     """
+    if state.stepped_at and now > state.stepped_at + _pause_s(state):
+        state.woken_at = now
     state.stepped_at = now
     return list(_reduce(state, event, now))
 
 
+def _pause_s(state: model.State) -> float:
+    """Return the gap between events after which peers gave us up."""
+    return state.timing.peer_timeout_s
+
+
 def _reduce(state: model.State, event: events.AnyEvent, now: float) -> Effects:
     match event:
         case events.RequestArrived():
-            yield from requests.arrive(state, event, now)
+            yield from claims.arrive(state, event, now)
         case events.RequestEnded():
             yield from requests.end(state, event, now)
         case events.RequestAbandoned():
-            yield from requests.abandon(state, event, now)
+            yield from claims.abandon(state, event, now)
         case _:
-            yield from _reduce_control(state, event, now)
-            yield from _settle(state, now)
+            wanted = _reduce_control(state, event, now)
+            yield from claims.take_answers(state, wanted, now)
+            wanted = _settle(state, now)
+            yield from claims.take_answers(state, wanted, now)
 
 
 def _reduce_control(
@@ -79,7 +89,7 @@
     yield from outbox.tick(state, now)
     yield from stewards.tick(state, now)
     yield from control.tick(state, now)
-    yield from requests.tick(state, now)
+    yield from claims.tick(state, now)
     if state.stopping_until and _is_idle(state):
         yield effects.Exit()
 
@@ -88,7 +98,12 @@
     """Bring the view up to date and start what can start now."""
     if views.refresh(state, now):
         yield from requests.dispatch_all(state, now)
+    yield from claims.settle(state, now)
 
 
 def _is_idle(state: model.State) -> bool:
-    return not state.requests and state.outbox.sent is None
+    return (
+        not state.requests
+        and not state.claims.settling
+        and state.outbox.sent is None
+    )
--- a/azurewood/state/requests.py
+++ b/azurewood/state/requests.py
@@ -6,22 +6,43 @@
 from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import model
+from azurewood.state import records
+from azurewood.state import settlements
 from azurewood.state import slots
 
 CHOICES = 2
 MAX_ATTEMPTS = 3
 
+ClaimPhase = records.ClaimPhase
+Refusal = effects.Refusal
+Result = events.RequestResult
 Effects = collections.abc.Iterator[effects.AnyEffect]
 
 
-def arrive(
+def refusal(
     state: model.State, event: events.RequestArrived, now: float
-) -> Effects:
-    """Start a request, let it wait, or refuse it as not run."""
-    reason = _refusal(state, event, now)
-    if reason is not None:
-        yield effects.RefuseRequest(id=event.id, reason=reason)
-        return
+) -> Refusal | None:
+    """Say why a request that arrives is refused; None if it is not."""
+    if state.agreed.fleet is None:
+        return Refusal.NOT_READY
+    if event.service not in state.services:
+        return Refusal.UNKNOWN_SERVICE
+    if state.stopping_until:
+        return Refusal.STOPPING
+    if event.deadline <= now:
+        return Refusal.TOO_LATE
+    return None
+
+
+def refuse(request_id: str, reason: Refusal) -> effects.RefuseRequest:
+    """Return the refusal of a request that did not run."""
+    return effects.RefuseRequest(id=request_id, reason=reason)
+
+
+def create(
+    state: model.State, event: events.RequestArrived
+) -> model.RequestView:
+    """Take a request in hand; it does not wait for a slot yet."""
     request = model.RequestView(
         id=event.id,
         service=event.service,
@@ -30,30 +51,44 @@
         size=event.size,
         repeatable=event.repeatable,
         key=event.key,
+        digest=event.digest,
     )
     state.requests[event.id] = request
-    view = state.services[event.service]
-    view.arrived += 1
-    if view.waiting or not view.ready:
-        _enqueue(state, view, request)
-    else:
-        yield _start(state, view, request)
+    state.services[event.service].arrived += 1
+    return request
 
 
-def _refusal(
-    state: model.State, event: events.RequestArrived, now: float
-) -> effects.Refusal | None:
-    if state.agreed.fleet is None:
-        return effects.Refusal.NOT_READY
-    if event.service not in state.services:
-        return effects.Refusal.UNKNOWN_SERVICE
-    if state.stopping_until:
-        return effects.Refusal.STOPPING
-    if event.deadline <= now:
-        return effects.Refusal.TOO_LATE
-    if state.waiting >= state.limits.waiting_requests:
-        return effects.Refusal.QUEUE_FULL
-    return None
+def drop(state: model.State, request: model.RequestView) -> None:
+    """Forget a request that is being answered."""
+    del state.requests[request.id]
+
+
+def give_up(
+    state: model.State,
+    request: model.RequestView,
+    reason: Refusal,
+    now: float,
+) -> Effects:
+    """Refuse a request in hand as not run, and release its claim."""
+    drop(state, request)
+    state.services[request.service].count.bad += 1
+    yield from settlements.settle_request(
+        state, request, ClaimPhase.NOT_RUN, now
+    )
+    yield refuse(request.id, reason)
+
+
+def admit(
+    state: model.State, request: model.RequestView, now: float
+) -> Effects:
+    """Start a request, let it wait, or refuse it as not run."""
+    view = state.services[request.service]
+    if view.ready and not view.waiting:
+        yield from _start(state, view, request, now)
+    elif state.waiting >= state.limits.waiting_requests:
+        yield from give_up(state, request, Refusal.QUEUE_FULL, now)
+    else:
+        _enqueue(state, view, request)
 
 
 def _enqueue(
@@ -81,21 +116,36 @@
     state: model.State,
     view: model.ServiceView,
     request: model.RequestView,
-) -> effects.StartRequest:
+    now: float,
+) -> Effects:
+    if request.claimed and request.claim_asked_at < state.woken_at:
+        yield from give_up(state, request, Refusal.PAUSED, now)
+        return
     host = state.hosts[_choose(state, view)]
     request.host = host.name
     request.slot = slots.take(state, host)
     request.attempts += 1
     view.in_flight += 1
-    return effects.StartRequest(
+    yield effects.StartRequest(
         id=request.id,
         host=host.name,
         address=host.address,
         port=view.port,
         deadline=request.deadline,
+        start_by=_start_by(state, request, now),
+        fresh=not request.repeatable,
     )
 
 
+def _start_by(
+    state: model.State, request: model.RequestView, now: float
+) -> float:
+    """Return until when the request may be sent after all."""
+    if request.claimed:
+        return min(request.deadline, now + state.timing.peer_timeout_s)
+    return request.deadline
+
+
 def _choose(state: model.State, view: model.ServiceView) -> str:
     """Return the better of two ready hosts, drawn at random."""
     ready = view.ready
@@ -123,7 +173,7 @@
     if _may_retry(request, event.result, now):
         _enqueue(state, view, request)
     else:
-        yield from _finish(state, view, request, event.result)
+        yield from _finish(state, view, request, event, now)
     yield from dispatch(state, view, now)
 
 
@@ -157,24 +207,54 @@
     state: model.State,
     view: model.ServiceView,
     request: model.RequestView,
-    result: events.RequestResult,
+    event: events.RequestEnded,
+    now: float,
 ) -> Effects:
-    del state.requests[request.id]
-    match result:
-        case events.RequestResult.ANSWERED:
-            view.count.good += 1
-            yield effects.AnswerCaller(id=request.id)
-        case events.RequestResult.FAILED:
-            view.count.bad += 1
+    match event.result:
+        case Result.ANSWERED | Result.FAILED:
+            drop(state, request)
+            if event.result == Result.ANSWERED:
+                view.count.good += 1
+            else:
+                view.count.bad += 1
+            yield from _settle_as_run(state, request, event, now)
             yield effects.AnswerCaller(id=request.id)
-        case events.RequestResult.REFUSED:
-            view.count.bad += 1
-            yield effects.RefuseRequest(
-                id=request.id, reason=effects.Refusal.ENDPOINT_REFUSED
-            )
+        case Result.REFUSED:
+            yield from give_up(state, request, _unsent(request, now), now)
         case _:
+            drop(state, request)
             view.count.bad += 1
-            yield effects.AnswerUnknown(id=request.id, reason=result.value)
+            yield from settlements.settle_request(
+                state, request, ClaimPhase.UNKNOWN, now
+            )
+            yield effects.AnswerUnknown(
+                id=request.id, reason=event.result.value
+            )
+
+
+def _unsent(request: model.RequestView, now: float) -> Refusal:
+    if request.deadline <= now:
+        return Refusal.TOO_LATE
+    return Refusal.ENDPOINT_REFUSED
+
+
+def _settle_as_run(
+    state: model.State,
+    request: model.RequestView,
+    event: events.RequestEnded,
+    now: float,
+) -> Effects:
+    if not request.claimed:
+        return
+    change = records.SettleClaim(
+        phase=ClaimPhase.RAN,
+        status=event.status,
+        content_type=event.content_type,
+        answer=event.answer,
+    )
+    yield from settlements.settle(
+        state, request.claim, request.id, change, now
+    )
 
 
 def abandon(
@@ -187,9 +267,7 @@
     view = state.services[request.service]
     view.queues[request.urgency].remove(request.id)
     _dequeued(state, view, request)
-    view.count.bad += 1
-    del state.requests[request.id]
-    yield effects.RefuseRequest(id=request.id, reason=effects.Refusal.TOO_LATE)
+    yield from give_up(state, request, Refusal.TOO_LATE, now)
 
 
 def dispatch(
@@ -199,7 +277,7 @@
     while view.waiting and view.ready:
         request = state.requests[_next(view)]
         _dequeued(state, view, request)
-        yield _start(state, view, request)
+        yield from _start(state, view, request, now)
 
 
 def _next(view: model.ServiceView) -> str:
@@ -214,14 +292,3 @@
     """Start what can start, for every service."""
     for view in state.services.values():
         yield from dispatch(state, view, now)
-
-
-def tick(state: model.State, now: float) -> Effects:
-    """Refuse the waiting requests whose deadline has passed."""
-    late = [
-        request.id
-        for request in state.requests.values()
-        if not request.host and request.deadline <= now
-    ]
-    for name in late:
-        yield from abandon(state, events.RequestAbandoned(id=name), now)
--- a/azurewood/state/transitions.py
+++ b/azurewood/state/transitions.py
@@ -191,8 +191,8 @@
             _set_wave(state, name, WavePhase.PAUSED, reason)
         case records.ResumeWave(reason=reason):
             _set_wave(state, name, WavePhase.RUNNING, reason)
-        case records.Claim(service=service):
-            _claim(state, writer, name, service)
+        case records.Claim():
+            _claim(state, writer, name, proposal.change)
         case records.SettleClaim():
             _settle(state, name, proposal.change)
         case _:
@@ -247,13 +247,15 @@
 
 
 def _claim(
-    state: agreed_state.Agreed, writer: str, key: str, service: str
+    state: agreed_state.Agreed, writer: str, key: str, change: records.Claim
 ) -> None:
     earlier = state.claims.pop(key, None)
     state.claims[key] = agreed_state.ClaimState(
         key=key,
-        service=service,
+        service=change.service,
         holder=writer,
+        request=change.request,
+        digest=change.digest,
         phase=ClaimPhase.HELD,
         revision=state.revision,
         at_ms=state.at_ms,
--- /dev/null
+++ b/tests/requests/naive.py
@@ -0,0 +1,27 @@
+"""An entry daemon with one policy replaced by its naive counterpart."""
+
+import sys
+
+from azurewood.commands import main
+from azurewood.daemons import entry
+from azurewood.policy import claims
+
+POLICIES = {"no-claims": {"at_most_once": claims.NoClaims()}}
+
+
+def replace(name):
+    """Let daemons of this process start with a naive policy."""
+    make_state = entry._state
+
+    def make_naive(settings):
+        state = make_state(settings)
+        for field, policy in POLICIES[name].items():
+            setattr(state.policies, field, policy)
+        return state
+
+    entry._state = make_naive
+
+
+if __name__ == "__main__":
+    replace(sys.argv[1])
+    main.main(args=sys.argv[2:])
