Space heartbeats by a budget of bytes

Heartbeats went to all peers of the zone and three of each other zone every 250 ms, whole.

A short heartbeat now says that the sender lives and how far it is; zone, incarnation, counters and known peers go into whole ones. Both are spaced so that their bytes stay in a budget, two peers of each other zone get some of them, and the interval is announced, so that a peer is given up after as many missed ones as before. News (the log lost or reset, a stop) still goes out at once. A peer is greeted once in a while, and only if it is of use.

Ruled out: one interval for all sizes (either dear at 300 daemons or slow at 9), and a ring of probes (cheaper still, but the lists of live peers then differ for longer; not needed below several hundred daemons).

--- a/azurewood/peers/messages.py
+++ b/azurewood/peers/messages.py
@@ -14,6 +14,16 @@
 TAG_BYTES = 16
 MAX_FRAME_BYTES = 8 << 20
 
+_SHORT_KEYS = {
+    "address": "a",
+    "boot": "b",
+    "offset": "o",
+    "revision": "r",
+    "log_reachable": "l",
+    "interval_ms": "i",
+}
+"""Keys of the fields that every heartbeat carries."""
+
 
 class Message(msgspec.Struct, kw_only=True, frozen=True, tag=True):
     """Base of the messages between peers."""
@@ -27,26 +37,46 @@
     bad: int
 
 
-class Heartbeat(Message, frozen=True, kw_only=True):
+class KnownPeer(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
+    """A daemon that the sender knows of."""
+
+    zone: str
+    address: str
+
+
+class Heartbeat(
+    Message,
+    frozen=True,
+    kw_only=True,
+    tag="b",
+    omit_defaults=True,
+    rename=_SHORT_KEYS,
+):
     """The sender lives, and how far its view of the log has come.
 
     ``log_reachable`` says whether the sender reads the log itself.
     ``draining`` lists the leaving hosts on which it has requests in flight.
-    ``stopping`` says that the sender is about to stop.
-    ``counts`` holds the services whose counters changed.
+    ``stopping`` says that the sender is about to stop. ``interval_ms`` is
+    the time until its next heartbeat, 0 if this one is out of turn.
+
+    A whole heartbeat has a ``zone``, an ``incarnation``, ``counts`` of the
+    services and ``known`` peers; a short one leaves them out. ``asks``
+    wants a whole one in answer.
     """
 
-    zone: str
     address: str
     boot: int
-    incarnation: str
     offset: int
     revision: int
-    log_reachable: bool
+    log_reachable: bool = True
+    interval_ms: int = 0
+    zone: str = ""
+    incarnation: str = ""
     stopping: bool = False
     draining: tuple[str, ...] = ()
     counts: tuple[ServiceCount, ...] = ()
-    known: tuple[str, ...] = ()
+    known: tuple[KnownPeer, ...] = ()
+    asks: bool = False
 
 
 class TailRequest(Message, frozen=True, kw_only=True):
@@ -134,7 +164,7 @@
 )
 
 
-class Envelope(msgspec.Struct, kw_only=True, frozen=True):
+class Envelope(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
     """A message with its sender and the sender's address."""
 
     sender: str
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -1,24 +1,28 @@
 """Which peers are alive: heartbeats sent, heard and missed."""
 
+import collections
 import collections.abc
 
+import msgspec
+
 from azurewood.peers import messages
-from azurewood.policy import ownership
 from azurewood.state import effects
 from azurewood.state import events
+from azurewood.state import heartbeats
 from azurewood.state import model
 from azurewood.state import relay
 
 FORGET_S = 120.0
-REMOTE_PEERS_PER_ZONE = 3
-GOSSIPED_ADDRESSES = 8
+GREET_AGAIN_S = 2.0
+GOSSIPED_ADDRESSES = 2
+ANSWERED_ADDRESSES = 32
 
 Effects = collections.abc.Iterator[effects.AnyEffect]
 
 
 def tick(state: model.State, now: float) -> Effects:
     """Send a heartbeat when one is due, and note who has gone silent."""
-    if now >= state.heartbeat_at:
+    if now >= state.heartbeat_at or _is_news(state):
         yield from beat(state, now)
     _forget(state, now)
     update_alive(state, now)
@@ -32,6 +36,9 @@
     ]
     for name in old:
         del state.peers[name]
+    greeted = state.beats.greeted
+    for address in [key for key, until in greeted.items() if until <= now]:
+        del greeted[address]
 
 
 def update_alive(state: model.State, now: float) -> None:
@@ -50,9 +57,44 @@
 
 def beat(state: model.State, now: float) -> Effects:
     """Send a heartbeat to the zone's peers and some of each other zone."""
-    state.heartbeat_at = now + state.timing.heartbeat_s
-    message = _heartbeat(state)
-    for address in sorted(_addresses(state, now)):
+    chosen = heartbeats.targets(state)
+    interval_s = heartbeats.interval_s(state, chosen)
+    state.heartbeat_at = now + interval_s
+    near = far = _heartbeat(state, is_whole=False, interval_s=interval_s)
+    is_news = _is_news(state)
+    is_far = is_news or state.beats.count % chosen.far_every == 0
+    state.beats.count += 1
+    if is_news or now >= state.beats.whole_at:
+        near = _heartbeat(state, interval_s=interval_s)
+        if is_news or state.beats.wholes % chosen.far_every == 0:
+            far, is_far = near, True
+        _note_whole(state, now + heartbeats.whole_interval_s(state, chosen))
+    yield from _send(chosen.near, near)
+    if is_far:
+        yield from _send(chosen.far, far)
+
+
+def _note_whole(state: model.State, next_at: float) -> None:
+    beats = state.beats
+    beats.wholes += 1
+    beats.whole_at = next_at
+    beats.incarnation = state.agreed.incarnation
+    beats.log_reachable = relay.is_current(state)
+    beats.stopping = bool(state.stopping_until)
+
+
+def _is_news(state: model.State) -> bool:
+    """Tell whether all peers have to hear at once of a change."""
+    beats = state.beats
+    return (
+        beats.incarnation != state.agreed.incarnation
+        or beats.log_reachable != relay.is_current(state)
+        or beats.stopping != bool(state.stopping_until)
+    )
+
+
+def _send(addresses: list[str], message: messages.Heartbeat) -> Effects:
+    for address in addresses:
         yield effects.SendPeer(address=address, message=message)
 
 
@@ -60,60 +102,46 @@
     """Send a heartbeat to one live peer at once."""
     if peer in state.peers:
         yield effects.SendPeer(
-            address=state.peers[peer].address, message=_heartbeat(state)
+            address=state.peers[peer].address,
+            message=_heartbeat(state, is_whole=False),
         )
 
 
-def _addresses(state: model.State, now: float) -> set[str]:
-    """Return where heartbeats go: seeds until they are known, and peers."""
-    known = {peer.address for peer in state.peers.values()}
-    targets = set(state.seeds) - known - {state.me.address}
-    by_zone: dict[str, list[model.PeerView]] = {}
-    for peer in state.peers.values():
-        by_zone.setdefault(peer.zone, []).append(peer)
-    for zone, peers in by_zone.items():
-        if zone != state.me.zone:
-            peers = _nearest(state, peers)
-        targets.update(peer.address for peer in peers)
-    return targets
-
-
-def _nearest(
-    state: model.State, peers: list[model.PeerView]
-) -> list[model.PeerView]:
-    """Choose some peers of another zone, the same ones every time."""
-    if len(peers) <= REMOTE_PEERS_PER_ZONE:
-        return peers
-    ranked = sorted(
-        peers,
-        key=lambda peer: ownership.weight(state.me.name, peer.name),
-        reverse=True,
-    )
-    return ranked[:REMOTE_PEERS_PER_ZONE]
-
-
-def _heartbeat(state: model.State) -> messages.Heartbeat:
-    return messages.Heartbeat(
-        zone=state.me.zone,
+def _heartbeat(
+    state: model.State, *, is_whole: bool = True, interval_s: float = 0.0
+) -> messages.Heartbeat:
+    """Return a heartbeat; a short one leaves out what the peers know."""
+    short = messages.Heartbeat(
         address=state.me.address,
         boot=state.me.boot,
-        incarnation=state.agreed.incarnation,
+        interval_ms=int(interval_s * heartbeats.MS_PER_S),
         offset=state.agreed.offset,
         revision=state.agreed.revision,
         log_reachable=relay.is_current(state),
         stopping=bool(state.stopping_until),
         draining=_draining(state),
-        counts=tuple(
-            messages.ServiceCount(
+    )
+    if not is_whole:
+        return short
+    return msgspec.structs.replace(
+        short,
+        zone=state.me.zone,
+        incarnation=state.agreed.incarnation,
+        counts=tuple(_counts(state)),
+        known=_gossip(state, GOSSIPED_ADDRESSES),
+    )
+
+
+def _counts(
+    state: model.State,
+) -> collections.abc.Iterator[messages.ServiceCount]:
+    for view in state.services.values():
+        if view.count.good or view.count.bad:
+            yield messages.ServiceCount(
                 service=view.name,
                 good=view.count.good,
                 bad=view.count.bad,
             )
-            for view in state.services.values()
-            if view.count.good or view.count.bad
-        ),
-        known=_gossip(state),
-    )
 
 
 def _draining(state: model.State) -> tuple[str, ...]:
@@ -125,12 +153,17 @@
     )
 
 
-def _gossip(state: model.State) -> tuple[str, ...]:
-    """Draw some peers' addresses, so that all learn of all."""
-    addresses = sorted(peer.address for peer in state.peers.values())
-    if len(addresses) <= GOSSIPED_ADDRESSES:
-        return tuple(addresses)
-    return tuple(state.rng.sample(addresses, GOSSIPED_ADDRESSES))
+def _gossip(state: model.State, count: int) -> tuple[messages.KnownPeer, ...]:
+    """Draw some live peers, so that all of a zone learn of each other."""
+    names = state.alive
+    if len(names) > count:
+        names = state.rng.sample(names, count)
+    return tuple(
+        messages.KnownPeer(
+            zone=state.peers[name].zone, address=state.peers[name].address
+        )
+        for name in names
+    )
 
 
 def heard(state: model.State, event: events.PeerSaid, now: float) -> Effects:
@@ -154,15 +187,22 @@
 ) -> Effects:
     if sender == state.me.name:
         return
-    is_new = sender not in state.peers
     peer = state.peers.get(sender)
-    if peer is None or peer.boot != message.boot:
+    is_new = peer is None or peer.boot != message.boot
+    if is_new and not message.zone:
+        yield from _greet(state, message.address, now)
+        return
+    if is_new:
         peer = _new_peer(sender, message)
         state.peers[sender] = peer
-    peer.alive_until = now + state.timing.peer_timeout_s
+    timeout_s = heartbeats.timeout_s(state, peer, message.interval_ms)
+    peer.alive_until = max(peer.alive_until, now + timeout_s)
     _update_peer(peer, message)
-    update_alive(state, now)
-    yield from _greet_known(state, message, is_new)
+    if (sender in state.alive) == message.stopping:
+        update_alive(state, now)
+    if is_new or message.asks:
+        yield effects.SendPeer(address=message.address, message=_answer(state))
+    yield from _greet_known(state, message, now)
     yield from relay.compare(state, peer, now)
 
 
@@ -178,7 +218,8 @@
 
 def _update_peer(peer: model.PeerView, message: messages.Heartbeat) -> None:
     peer.address = message.address
-    peer.incarnation = message.incarnation
+    if message.zone:
+        peer.incarnation = message.incarnation
     peer.offset = message.offset
     peer.revision = message.revision
     peer.log_reachable = message.log_reachable
@@ -190,16 +231,39 @@
         )
 
 
+def _answer(state: model.State) -> messages.Heartbeat:
+    """Return a whole heartbeat that names more peers than others do."""
+    return msgspec.structs.replace(
+        _heartbeat(state), known=_gossip(state, ANSWERED_ADDRESSES)
+    )
+
+
 def _greet_known(
-    state: model.State, message: messages.Heartbeat, is_new: bool
+    state: model.State, message: messages.Heartbeat, now: float
 ) -> Effects:
-    """Answer a new peer, and greet the peers that it knows and we do not."""
-    if is_new:
-        yield effects.SendPeer(
-            address=message.address, message=_heartbeat(state)
+    """Greet the peers that the sender knows and we have use for."""
+    if not message.known:
+        return
+    addresses = {peer.address for peer in state.peers.values()}
+    addresses.add(state.me.address)
+    per_zone = collections.Counter(peer.zone for peer in state.peers.values())
+    for known in message.known:
+        is_needed = (
+            known.zone == state.me.zone
+            or per_zone[known.zone] < heartbeats.REMOTE_PEERS_PER_ZONE
         )
-    known = {peer.address for peer in state.peers.values()}
-    known.add(state.me.address)
-    for address in message.known:
-        if address not in known:
-            yield effects.SendPeer(address=address, message=_heartbeat(state))
+        if is_needed and known.address not in addresses:
+            per_zone[known.zone] += 1
+            yield from _greet(state, known.address, now)
+
+
+def _greet(state: model.State, address: str, now: float) -> Effects:
+    """Ask for a whole heartbeat, at most once in a while."""
+    greeted = state.beats.greeted
+    if greeted.get(address, 0.0) > now:
+        return
+    greeted[address] = now + GREET_AGAIN_S
+    yield effects.SendPeer(
+        address=address,
+        message=msgspec.structs.replace(_heartbeat(state), asks=True),
+    )
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -76,6 +76,22 @@
     counts: dict[str, Count] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Heartbeats:
+    """The heartbeats sent so far, and what the last whole one said.
+
+    ``greeted`` maps an address to when it may be greeted again.
+    """
+
+    count: int = 0
+    wholes: int = 0
+    whole_at: float = 0.0
+    incarnation: str = ""
+    log_reachable: bool = False
+    stopping: bool = False
+    greeted: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class LogView:
     """How the reading of the platform's log goes.
@@ -153,6 +169,7 @@
     """A host as this daemon sees it, with the slots that it may use.
 
     ``idle`` holds the numbers of the slots that may be started on now.
+    ``seen`` is the agreed revision of the host that the view shows.
     """
 
     name: str
@@ -161,6 +178,7 @@
     address: str
     service: str = ""
     usable: bool = False
+    seen: int = -1
     listed: str = "live"
     owned: set[int] = dataclasses.field(default_factory=set)
     idle: list[int] = dataclasses.field(default_factory=list)
@@ -278,6 +296,7 @@
     peers: dict[str, PeerView] = dataclasses.field(default_factory=dict)
     seeds: tuple[str, ...] = ()
     heartbeat_at: float = 0.0
+    beats: Heartbeats = dataclasses.field(default_factory=Heartbeats)
     hosts: dict[str, HostView] = dataclasses.field(default_factory=dict)
     services: dict[str, ServiceView] = dataclasses.field(default_factory=dict)
     requests: dict[str, RequestView] = dataclasses.field(default_factory=dict)
@@ -286,6 +305,10 @@
     tasks: dict[str, str] = dataclasses.field(default_factory=dict)
     steward: Stewardship = dataclasses.field(default_factory=Stewardship)
     view_revision: int = -1
+    view_basis: str = ""
+    view_members: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
     alive: tuple[str, ...] = ()
     stopping_until: float = 0.0
     stepped_at: float = 0.0
--- a/benchmarks/capacity/heartbeats.py
+++ b/benchmarks/capacity/heartbeats.py
@@ -31,19 +31,20 @@
 
 
 class Deployment(typing.NamedTuple):
-    """A deployment: its daemons, zones and services."""
+    """A deployment: its daemons, zones, services and hosts."""
 
     daemons: int
     zones: int
     services: int
+    hosts: int
 
 
 DEPLOYMENTS = (
-    Deployment(9, 3, 5),
-    Deployment(33, 11, 37),
-    Deployment(66, 11, 37),
-    Deployment(110, 11, 37),
-    Deployment(300, 11, 37),
+    Deployment(9, 3, 5, 30),
+    Deployment(33, 11, 37, 3700),
+    Deployment(66, 11, 37, 3700),
+    Deployment(110, 11, 37, 3700),
+    Deployment(300, 11, 37, 3700),
 )
 
 
@@ -70,7 +71,9 @@
     """
     log = fleets.log(
         fleets.fleet(
-            hosts=37, zones=deployment.zones, pools=deployment.services
+            hosts=deployment.hosts,
+            zones=deployment.zones,
+            pools=deployment.services,
         )
     )
     state = fleets.daemon(log.state)
@@ -144,7 +147,7 @@
 
 def cpu_table() -> results.Table:
     """Measure the CPU of sending and receiving heartbeats over pynng."""
-    deployment = Deployment(110, 11, 37)
+    deployment = Deployment(110, 11, 37, 3700)
     sent = sent_by_daemon(deployment, seconds=20)
     rows = [[rate, _cpu_us_a_second(rate, sent)] for rate in RATES]
     table = results.Table(
@@ -184,7 +187,7 @@
             peer = state.peers[next(senders)]
             message = msgspec.structs.replace(
                 envelope.message,
-                zone=peer.zone,
+                zone=peer.zone if envelope.message.zone else "",
                 address=peer.address,
                 boot=peer.boot,
             )
