Bring only the changed part of the view up to date

A host is now looked at when its revision, its listing or task, or its zone's daemons changed, and slots of zones where this daemon is not an owner are not hashed.

A host whose address was changed by a new configuration kept its old address in the view; it is taken over now.

--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -12,6 +12,8 @@
 from azurewood.state import slots
 
 LIVE = "live"
+NOT_SEEN = -1
+"""The ``seen`` revision of a host whose view has to be made anew."""
 ENDED = frozenset({"stopped", "failed"})
 """States of a task that is confirmed not to run any more."""
 OUT_OF_USE = frozenset({"stopping", events.LOST}) | ENDED
@@ -25,6 +27,7 @@
         now_listed = listed.get(host.name, LIVE)
         if now_listed != host.listed:
             host.listed = now_listed
+            host.seen = NOT_SEEN
             state.view_revision = -1
 
 
@@ -34,7 +37,13 @@
         known = state.tasks.get(task.id, "")
         state.tasks[task.id] = task.state
         if (known in OUT_OF_USE) != (task.state in OUT_OF_USE):
-            state.view_revision = -1
+            _look_again(state, task.host)
+
+
+def _look_again(state: model.State, name: str) -> None:
+    state.view_revision = -1
+    if name in state.hosts:
+        state.hosts[name].seen = NOT_SEEN
 
 
 def refresh(state: model.State, now: float) -> bool:
@@ -67,11 +76,15 @@
     service_of = {service.pool: service.name for service in fleet.services}
     members = members_by_zone(state)
     everyone = (*state.alive, state.me.name)
+    same_zones = _unchanged_zones(state, fleet, members, everyone)
     for host in fleet.hosts:
         agreed_host = state.agreed.hosts.get(host.name)
         if agreed_host is None:
             continue
         view = _host_view(state, host)
+        if view.seen == agreed_host.revision and host.zone in same_zones:
+            continue
+        view.seen = agreed_host.revision
         service = service_of.get(agreed_host.pool, "")
         usable = is_usable(view, agreed_host) and (
             state.tasks.get(agreed_host.task, "") not in OUT_OF_USE
@@ -85,6 +98,31 @@
             del state.hosts[name]
 
 
+def _unchanged_zones(
+    state: model.State,
+    fleet: fleet_model.Fleet,
+    members: dict[str, tuple[str, ...]],
+    everyone: tuple[str, ...],
+) -> set[str]:
+    """Return the zones whose hosts' owners are those of the last view.
+
+    None is after a change of the configuration or of the log.
+    """
+    agreed = state.agreed
+    seeded = agreed.seeded_revision
+    basis = f"{agreed.incarnation}/{seeded}/{agreed.fleet_revision}"
+    last = state.view_members if state.view_basis == basis else {}
+    state.view_basis = basis
+    state.view_members = {
+        zone.name: members.get(zone.name, everyone) for zone in fleet.zones
+    }
+    return {
+        zone
+        for zone, owners in state.view_members.items()
+        if last.get(zone) == owners
+    }
+
+
 def members_by_zone(state: model.State) -> dict[str, tuple[str, ...]]:
     """Return the live daemons of each zone that has any."""
     by_zone: dict[str, tuple[str, ...]] = {}
@@ -106,6 +144,9 @@
             address=host.address,
         )
         state.hosts[host.name] = view
+    view.zone = host.zone
+    view.rack = host.rack
+    view.address = host.address
     return view
 
 
@@ -130,6 +171,8 @@
     state: model.State, host: fleet_model.Host, owners: tuple[str, ...]
 ) -> set[int]:
     me = state.me.name
+    if me not in owners:
+        return set()
     return {
         number
         for number in range(host.slots)
