Count heartbeats between the reducers of whole deployments

The count of one daemon's sends says nothing of greetings, nor of who knows whom.

The bytes of an append counted the body twice: libcurl's request size holds it already.

--- a/benchmarks/capacity/agreed.py
+++ b/benchmarks/capacity/agreed.py
@@ -2,6 +2,7 @@
 
 import itertools
 import typing
+import zlib
 
 from azurewood.state import agreed as agreed_state
 from azurewood.state import records
@@ -251,10 +252,10 @@
     """Return the bytes of a record by kind, at 3,700 hosts."""
     log = fleets.log(fleets.fleet())
     name = next(iter(log.state.hosts))
-    found: dict[str, int] = {}
+    found: dict[str, bytes] = {}
     for proposal in _cycle(log, name):
         kind = type(proposal.change).__name__
-        found[kind] = len(records.encode(log.fold(proposal)))
+        found[kind] = records.encode(log.fold(proposal))
     key = claim_key(1)
     for proposal in (
         claim(key),
@@ -272,10 +273,13 @@
         fleets.publish(log.state.fleet),
     ):
         kind = type(proposal.change).__name__
-        found[kind] = len(records.encode(log.record(proposal)))
+        found[kind] = records.encode(log.record(proposal))
     return results.Table(
         name="record-bytes",
         title="Bytes of a record of one proposal, 3,700 hosts",
-        columns=["kind", "bytes"],
-        rows=[[kind, size] for kind, size in found.items()],
+        columns=["kind", "bytes", "deflated"],
+        rows=[
+            [kind, len(data), len(zlib.compress(data))]
+            for kind, data in found.items()
+        ],
     )
--- a/benchmarks/capacity/daemons.py
+++ b/benchmarks/capacity/daemons.py
@@ -119,11 +119,12 @@
     table = results.Table(
         name="daemon-hosts",
         title="One daemon alone, nobody calling, all hosts in one zone",
-        columns=["hosts", "RSS, MiB", "core, %"],
+        columns=["hosts", "RSS, MiB", "core, %", "ready after, s"],
         rows=rows,
     )
     table.add_fit("hosts", "RSS, MiB")
     table.add_fit("hosts", "core, %")
+    table.add_fit("hosts", "ready after, s")
     return table
 
 
@@ -136,13 +137,15 @@
 def _idle_row(procs: processes.Processes, size: int) -> list[results.Cell]:
     platform, url = _platform(procs)
     publish(url, fleets.log(fleets.fleet(hosts=size, zones=1)))
+    started = time.monotonic()
     entry = start_entry(procs, url, zone=fleets.zone_name(0))
+    ready_s = time.monotonic() - started
     time.sleep(QUIET_S)
     share = cpu_share(entry.process, IDLE_S)
     rss = entry.process.memory_info().rss / MIB
     entry.process.terminate()
     platform.terminate()
-    return [rss, share]
+    return [rss, share, ready_s]
 
 
 class Peers:
--- a/benchmarks/capacity/heartbeats.py
+++ b/benchmarks/capacity/heartbeats.py
@@ -12,22 +12,20 @@
 from azurewood.state import events
 from azurewood.state import model
 from azurewood.state import reducer
+from benchmarks.capacity import deployments
 from benchmarks.capacity import fleets
 from benchmarks.capacity import results
 from benchmarks.capacity import timing
+from benchmarks.capacity import wire
 from standins import processes
 
-KEY = b"capacity-peers-key"
-SP_HEADER_BYTES = 8
-IP_TCP_BYTES = 52
-"""IPv4 20, TCP 20 and its timestamps 12; once for data, once for the ACK."""
-
 SECONDS = 60
 STEP_S = 0.1
 HEARD_EVERY = 5
 GREETING_S = 30
 RATES = (25, 50, 100, 200)
 SENDING_S = 2.0
+DEPLOYED = (33, 66, 110, 300)
 
 
 class Deployment(typing.NamedTuple):
@@ -53,13 +51,7 @@
     cpu = cpu_table()
     yield cpu
     yield traffic_table(cpu.fit("CPU, µs a second").slope)
-
-
-def wire_bytes(message: messages.AnyMessage, sender: str) -> int:
-    """Return the bytes of a message, its headers and the ACK for it."""
-    envelope = messages.Envelope(sender=sender, message=message)
-    frame = messages.encode(envelope, key=KEY)
-    return len(frame) + SP_HEADER_BYTES + 2 * IP_TCP_BYTES
+    yield deployments_table()
 
 
 def sent_by_daemon(
@@ -107,7 +99,7 @@
     rows = []
     for deployment in DEPLOYMENTS:
         sent = sent_by_daemon(deployment)
-        total = sum(wire_bytes(message, "e00-z00") for message in sent)
+        total = sum(wire.wire_bytes(message, "e00-z00") for message in sent)
         rate = len(sent) / SECONDS
         rows.append(
             [
@@ -145,6 +137,45 @@
     )
 
 
+def deployments_table() -> results.Table:
+    """Count what all daemons of a deployment say to each other."""
+    rows = []
+    for size in DEPLOYED:
+        counted = deployments.exchange(daemons=size, zones=fleets.ZONES)
+        rows.append(
+            [
+                size,
+                counted.mean_bytes / 1000,
+                counted.most_bytes / 1000,
+                counted.least_known,
+                counted.silent_s,
+            ]
+        )
+    return results.Table(
+        name="heartbeats-deployment",
+        title=(
+            "Heartbeats and greetings between the reducers of a whole "
+            "deployment in 11 zones, messages handed over in memory"
+        ),
+        columns=[
+            "daemons",
+            "a daemon, KB/s",
+            "the busiest, KB/s",
+            "peers known, least",
+            "until a lost one is given up, s",
+        ],
+        rows=rows,
+        note=(
+            "Sent and received, over 60 s of virtual time after 30 s of "
+            "start; 37 services, 100 hosts, and the budget of 3,700. Peers "
+            "known is the least number of its zone's daemons that any daemon "
+            "holds for alive, itself left out; the last column is the longest "
+            "time until all of its zone have given up a daemon that falls "
+            "silent."
+        ),
+    )
+
+
 def cpu_table() -> results.Table:
     """Measure the CPU of sending and receiving heartbeats over pynng."""
     deployment = Deployment(110, 11, 37, 3700)
@@ -170,8 +201,8 @@
     fleets.hear_all(state, daemons=110, zones=11, now=1000.0)
     senders = itertools.cycle([*state.peers])
     address = f"tcp://127.0.0.1:{processes.free_port()}"
-    receiver = transports.Transport(name="r", listen=address, key=KEY)
-    sender = transports.Transport(name="e01-z00", listen="", key=KEY)
+    receiver = transports.Transport(name="r", listen=address, key=wire.KEY)
+    sender = transports.Transport(name="e01-z00", listen="", key=wire.KEY)
     receiver.open()
     count = int(rate * SENDING_S)
     arrivals = receiver.receive()
--- a/benchmarks/capacity/letter.py
+++ b/benchmarks/capacity/letter.py
@@ -33,7 +33,7 @@
 DAEMONS = 110
 CORE_SHARE = 0.5
 REQUESTS_A_WORKER = (1, 5, 10, 20)
-CLAIM_RATES = (1, 3, 10, 50, 150)
+CLAIM_RATES = (1, 2, 5, 10, 150)
 READS_A_S = 5
 
 
@@ -42,11 +42,12 @@
     yield sizes()
     appends = appends_table()
     yield appends
-    yield claims(tables)
+    claimed = claims(tables)
+    yield claimed
     traffic = control(tables, appends)
     yield traffic
     yield entry_daemons(tables)
-    yield limits(tables, appends, traffic)
+    yield limits(tables, appends, claimed, traffic)
 
 
 def sizes() -> results.Table:
@@ -170,6 +171,8 @@
     log = records * tables["log-reads"].fit("bytes").slope / 1000
     changed = tables["control-daemons"]
     base = tables["daemon-hosts"].last("core, %")
+    packed = tables["state-hosts"].last("packed, B")
+    snapshots = packed * SNAPSHOTS_A_DAY / DAY_S / 1000
     rows = []
     for daemons in tables["owners"].column("daemons"):
         beats = tables["heartbeats"]
@@ -179,6 +182,7 @@
         lists = _lists_kb_s(tables)
         host_ms = changed.at("daemons", daemons, "a host changed")
         change_core = records * host_ms / 10
+        total = beat_kb + idle + log + lists + leases + snapshots
         rows.append(
             [
                 daemons,
@@ -187,7 +191,8 @@
                 log,
                 lists,
                 leases,
-                beat_kb + idle + log + lists + leases,
+                snapshots,
+                total,
                 base,
                 beat_core,
                 change_core,
@@ -204,6 +209,7 @@
             "log, KB/s",
             "host list, KB/s",
             "leases, KB/s",
+            "snapshots, KB/s",
             "all, KB/s",
             "idle daemon, core %",
             "heartbeats, core %",
@@ -213,7 +219,8 @@
         rows=rows,
         note=(
             "The idle daemon is the real process alone with 3,700 hosts, its "
-            "ticks and polls; the other columns come on top."
+            "ticks and polls; the other columns come on top. One daemon of "
+            "all writes the snapshots; it is the one shown."
         ),
     )
 
@@ -246,7 +253,10 @@
 
 
 def limits(
-    tables: Tables, appends: results.Table, traffic: results.Table
+    tables: Tables,
+    appends: results.Table,
+    claimed: results.Table,
+    traffic: results.Table,
 ) -> results.Table:
     """Return each limit beside the figure at the fleet's size."""
     rows: list[list[results.Cell]] = []
@@ -301,15 +311,40 @@
         tables["state-claims"].last("packed, B"),
         "state-claims",
     )
+    kinds = tables["record-bytes"]
+    whole = kinds.at("kind", "PublishFleet", "bytes")
+    deflated = kinds.at("kind", "PublishFleet", "deflated")
     add(
         "a published configuration's record, B",
         LIMIT_RECORD,
-        tables["record-bytes"].at("kind", "PublishFleet", "bytes"),
+        whole,
         "record-bytes",
     )
+    for what, size in (("", whole), (", deflated", deflated)):
+        add(
+            "log, KB/s, if each change of the day publishes the whole "
+            f"configuration{what}",
+            LIMIT_KB_S,
+            size * CHANGES_A_DAY / DAY_S / 1000,
+            "record-bytes",
+        )
+    for rate in CLAIM_RATES:
+        add(
+            f"log, KB/s, {rate} claims a second",
+            LIMIT_KB_S,
+            claimed.at("claims a second", rate, "read by each daemon, KB/s"),
+            "claims-load",
+        )
+    add(
+        "appends a second, 150 claims a second",
+        LIMIT_APPENDS,
+        claimed.at("claims a second", CLAIM_RATES[-1], "appends a second"),
+        "claims-load",
+    )
     for what, name, column in (
         ("from the platform", "starts", "from the platform, ms"),
         ("from a peer", "starts", "from a peer, ms"),
+        ("a peer's work for one", "starts", "peer's work, ms"),
         ("a zone's return, 256 records", "returns", "folding, ms"),
     ):
         add(
@@ -318,6 +353,12 @@
             tables[name].last(column),
             name,
         )
+    add(
+        "start of the process until ready, s, from the platform",
+        "none given",
+        tables["daemon-hosts"].last("ready after, s"),
+        "daemon-hosts",
+    )
     add("a change in force, s", 4, "", "")
     add("an urgent request's start, s", 9.7, "", "")
     return results.Table(
--- a/benchmarks/capacity/platform.py
+++ b/benchmarks/capacity/platform.py
@@ -52,7 +52,6 @@
         answer = super().call(*args, **kwargs)
         down = self._curl.getinfo(pycurl.HEADER_SIZE) + len(answer.body)
         up = self._curl.getinfo(pycurl.REQUEST_SIZE)
-        up += len(kwargs.get("body") or b"")
         segments = max(0, (down + up) // SEGMENT_BYTES)
         self.total += up + down + SEGMENTS_BYTES + segments * 2 * 52
         return answer
--- a/benchmarks/capacity/starts.py
+++ b/benchmarks/capacity/starts.py
@@ -11,9 +11,9 @@
 from azurewood.state import records
 from azurewood.state import reducer
 from benchmarks.capacity import fleets
-from benchmarks.capacity import heartbeats
 from benchmarks.capacity import results
 from benchmarks.capacity import timing
+from benchmarks.capacity import wire
 
 TAIL_SIZES = (32, 64, 128, 256)
 NOW = 1000.0
@@ -110,17 +110,14 @@
     def answer() -> None:
         for effect in reducer.step(peer, event, NOW):
             if isinstance(effect, effects.SendPeer):
-                envelope = messages.Envelope(
-                    sender="peer", message=effect.message
-                )
-                frames.append(messages.encode(envelope, key=heartbeats.KEY))
+                frames.append(wire.frame(effect.message, "peer"))
 
     spent = timing.cpu_us(answer, repeats=3)
     return frames[0], spent
 
 
 def _hear(state: model.State, frame: bytes) -> None:
-    envelope = messages.decode(frame, key=heartbeats.KEY)
+    envelope = messages.decode(frame, key=wire.KEY)
     event = events.PeerSaid(sender=_peer_name(state), message=envelope.message)
     reducer.step(state, event, NOW)
 
