Let one zone look after the hosts of a zone without live daemons

Cause: heartbeats go to a few daemons in each other zone, so at size a daemon may hear from none of a zone that is well. It then counted itself among the owners of that zone's slots: with 18 daemons in three zones, and one that does not hear from a zone, the test finds slots with two owners. Daemons now tell the peers of their zone which zones they hear from; a zone that nobody of ours hears from is looked after by the daemons of one zone, chosen by rendezvous hashing; a daemon that has lost every other zone takes over nothing, being more likely cut off itself. Ruled out: full mesh heartbeats (bytes grow with the square of the daemons).

--- a/azurewood/peers/messages.py
+++ b/azurewood/peers/messages.py
@@ -60,8 +60,8 @@
     the time until its next heartbeat, 0 if this one is out of turn.
 
     A whole heartbeat has a ``zone``, an ``incarnation``, ``counts`` of the
-    services and ``known`` peers; a short one leaves them out. ``asks``
-    wants a whole one in answer.
+    services, ``known`` peers and the other ``zones`` that the sender hears
+    from; a short one leaves them out. ``asks`` wants a whole one in answer.
     """
 
     address: str
@@ -76,6 +76,7 @@
     draining: tuple[str, ...] = ()
     counts: tuple[ServiceCount, ...] = ()
     known: tuple[KnownPeer, ...] = ()
+    zones: tuple[str, ...] = ()
     asks: bool = False
 
 
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -11,6 +11,7 @@
 from azurewood.state import heartbeats
 from azurewood.state import model
 from azurewood.state import relay
+from azurewood.state import zones
 
 FORGET_S = 120.0
 GREET_AGAIN_S = 2.0
@@ -53,6 +54,15 @@
     if alive != state.alive:
         state.alive = alive
         state.view_revision = -1
+    _update_zones(state)
+
+
+def _update_zones(state: model.State) -> None:
+    """Recompute which zones have live daemons."""
+    seen = zones.zones_seen(state)
+    if seen != state.zones_seen:
+        state.zones_seen = seen
+        state.view_revision = -1
 
 
 def beat(state: model.State, now: float) -> Effects:
@@ -129,6 +139,7 @@
         incarnation=state.agreed.incarnation,
         counts=tuple(_counts(state)),
         known=_gossip(state, GOSSIPED_ADDRESSES),
+        zones=zones.heard_zones(state),
     )
 
 
@@ -200,6 +211,8 @@
     _update_peer(peer, message)
     if (sender in state.alive) == message.stopping:
         update_alive(state, now)
+    elif message.zones:
+        _update_zones(state)
     if is_new or message.asks:
         yield effects.SendPeer(address=message.address, message=_answer(state))
     yield from _greet_known(state, message, now)
@@ -220,6 +233,7 @@
     peer.address = message.address
     if message.zone:
         peer.incarnation = message.incarnation
+        peer.zones = message.zones
     peer.offset = message.offset
     peer.revision = message.revision
     peer.log_reachable = message.log_reachable
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -75,6 +75,7 @@
     stopping: bool = False
     draining: tuple[str, ...] = ()
     counts: dict[str, Count] = dataclasses.field(default_factory=dict)
+    zones: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -365,6 +366,7 @@
         default_factory=dict
     )
     alive: tuple[str, ...] = ()
+    zones_seen: tuple[str, ...] = ()
     stopping_until: float = 0.0
     stepped_at: float = 0.0
     woken_at: float = 0.0
--- a/azurewood/state/stewards.py
+++ b/azurewood/state/stewards.py
@@ -18,7 +18,7 @@
 from azurewood.state import jobs
 from azurewood.state import membership
 from azurewood.state import model
-from azurewood.state import views
+from azurewood.state import zones
 
 RENEW_S = 5.0
 FORGET_S = 60.0
@@ -66,9 +66,8 @@
 
 def steward_of(state: model.State, host: str) -> str:
     """Return the daemon that acts for a host."""
-    members = views.members_by_zone(state)
-    everyone = (*state.alive, state.me.name)
-    return ownership.owner(host, members.get(state.hosts[host].zone, everyone))
+    owners = zones.owners_by_zone(state)
+    return ownership.owner(host, owners[state.hosts[host].zone])
 
 
 def _refresh(state: model.State, event: events.AnyEvent) -> None:
@@ -78,6 +77,7 @@
         f"{state.agreed.incarnation}/{state.agreed.fleet_revision}",
         str(bool(state.stopping_until)),
         *state.alive,
+        *state.zones_seen,
     )
     if members_key != steward.members_key:
         steward.members_key = members_key
@@ -91,11 +91,10 @@
 
 
 def _stewarded(state: model.State) -> collections.abc.Iterator[str]:
-    members = views.members_by_zone(state)
-    everyone = (*state.alive, state.me.name)
+    owners = zones.owners_by_zone(state)
     for name in state.agreed.hosts:
-        zone = members.get(state.hosts[name].zone, everyone)
-        if ownership.owner(name, zone) == state.me.name:
+        members = owners[state.hosts[name].zone]
+        if ownership.owner(name, members) == state.me.name:
             yield name
 
 
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -10,6 +10,7 @@
 from azurewood.state import events
 from azurewood.state import model
 from azurewood.state import slots
+from azurewood.state import zones
 
 LIVE = "live"
 NOT_SEEN = -1
@@ -74,9 +75,8 @@
 
 def _refresh_hosts(state: model.State, fleet: fleet_model.Fleet) -> None:
     service_of = {service.pool: service.name for service in fleet.services}
-    members = members_by_zone(state)
-    everyone = (*state.alive, state.me.name)
-    same_zones = _unchanged_zones(state, fleet, members, everyone)
+    owners = zones.owners_by_zone(state)
+    same_zones = _unchanged_zones(state, fleet, owners)
     for host in fleet.hosts:
         agreed_host = state.agreed.hosts.get(host.name)
         if agreed_host is None:
@@ -90,8 +90,8 @@
             state.tasks.get(agreed_host.task, "") not in OUT_OF_USE
         )
         _place(state, view, service, usable)
-        owners = members.get(host.zone, everyone)
-        slots.set_owned(state, view, _owned(state, host, owners))
+        owned = _owned(state, host, owners[host.zone])
+        slots.set_owned(state, view, owned)
     for name in [n for n in state.hosts if n not in state.agreed.hosts]:
         slots.withdraw(state, state.hosts[name])
         if not state.hosts[name].busy:
@@ -101,8 +101,7 @@
 def _unchanged_zones(
     state: model.State,
     fleet: fleet_model.Fleet,
-    members: dict[str, tuple[str, ...]],
-    everyone: tuple[str, ...],
+    owners: dict[str, tuple[str, ...]],
 ) -> set[str]:
     """Return the zones whose hosts' owners are those of the last view.
 
@@ -113,27 +112,14 @@
     basis = f"{agreed.incarnation}/{seeded}/{agreed.fleet_revision}"
     last = state.view_members if state.view_basis == basis else {}
     state.view_basis = basis
-    state.view_members = {
-        zone.name: members.get(zone.name, everyone) for zone in fleet.zones
-    }
+    state.view_members = owners
     return {
-        zone
-        for zone, owners in state.view_members.items()
-        if last.get(zone) == owners
+        zone.name
+        for zone in fleet.zones
+        if last.get(zone.name) == owners[zone.name]
     }
 
 
-def members_by_zone(state: model.State) -> dict[str, tuple[str, ...]]:
-    """Return the live daemons of each zone that has any."""
-    by_zone: dict[str, tuple[str, ...]] = {}
-    if not state.stopping_until:
-        by_zone[state.me.zone] = (state.me.name,)
-    for name in state.alive:
-        zone = state.peers[name].zone
-        by_zone[zone] = (*by_zone.get(zone, ()), name)
-    return by_zone
-
-
 def _host_view(state: model.State, host: fleet_model.Host) -> model.HostView:
     view = state.hosts.get(host.name)
     if view is None:
