--- a/azurewood/state/stewards.py
+++ b/azurewood/state/stewards.py
@@ -93,9 +93,10 @@
 def _stewarded(state: model.State) -> collections.abc.Iterator[str]:
     members = views.members_by_zone(state)
     everyone = (*state.alive, state.me.name)
+    me = state.me.name
     for name in state.agreed.hosts:
         zone = members.get(state.hosts[name].zone, everyone)
-        if ownership.owner(name, zone) == state.me.name:
+        if me in zone and ownership.owner(name, zone) == me:
             yield name
 
 
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -130,6 +130,8 @@
     state: model.State, host: fleet_model.Host, owners: tuple[str, ...]
 ) -> set[int]:
     me = state.me.name
+    if me not in owners:
+        return set()
     return {
         number
         for number in range(host.slots)
--- /dev/null
+++ b/tests/moves/test_stewardship.py
@@ -0,0 +1,57 @@
+"""What stewardship costs: counts of hashes and looks, not times."""
+
+import pytest
+
+from azurewood.policy import ownership
+from azurewood.state import events
+from azurewood.state import jobs
+from tests.moves import test_moves_machine as machines
+
+
+@pytest.fixture
+def daemon():
+    machine = machines.MovesMachine()
+    machine.publish()
+    machine.run(names=machines.NAMES)
+    return machine.daemons["a"], machine.now
+
+
+def count_calls(monkeypatch, module, name):
+    calls = []
+    original = getattr(module, name)
+
+    def counted(*args, **kwargs):
+        calls.append(args)
+        return original(*args, **kwargs)
+
+    monkeypatch.setattr(module, name, counted)
+    return calls
+
+
+def test_a_quiet_tick_hashes_nothing_and_looks_at_no_host(daemon, monkeypatch):
+    found, now = daemon
+    hashes = count_calls(monkeypatch, ownership, "weight")
+    looks = count_calls(monkeypatch, jobs, "act")
+    needs = count_calls(monkeypatch, jobs, "needs_action")
+    for _ in range(5):
+        found.step(events.Tick(), now)
+    of_hosts = [args for args in hashes if args[0] in machines.HOSTS]
+    assert (of_hosts, looks, needs) == ([], [], [])
+
+
+def test_a_failed_call_is_repeated_and_others_do_not_wait(daemon):
+    found, now = daemon
+    state = found.state
+    host = state.agreed.hosts[state.steward.mine[0]]
+    state.tasks[host.task] = "running"
+    host.phase = jobs.HostPhase.QUARANTINED
+    state.agreed.hosts_revision += 1
+    found.in_hand.clear()
+    found.step(events.Tick(), now)
+    failed = events.TaskCallEnded(
+        action=events.TaskAction.STOP, subject=host.task, done=False
+    )
+    found.step(failed, now)
+    found.step(events.Tick(), now + jobs.RETRY_CAP_S)
+    stops = [e for e in found.in_hand if getattr(e, "id", "") == host.task]
+    assert len(stops) == 2
