Move hosts on demand, by fixed pools, a threshold or hysteresis

Every daemon plans from the load that heartbeats now carry; the daemon chosen by rendezvous hashing for a pair of pools proposes its moves. A host whose pool is gone from the configuration is now drained and stopped before it goes to another one.

--- a/azurewood/peers/messages.py
+++ b/azurewood/peers/messages.py
@@ -20,11 +20,16 @@
 
 
 class ServiceCount(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
-    """Answers of one service since the sender started, good and bad."""
+    """Answers of one service since the sender started, good and bad.
+
+    ``busy`` and ``waiting`` are its requests in hand at the sender.
+    """
 
     service: str
     good: int
     bad: int
+    busy: int = 0
+    waiting: int = 0
 
 
 class Heartbeat(Message, frozen=True, kw_only=True):
--- /dev/null
+++ b/azurewood/policy/moves.py
@@ -0,0 +1,372 @@
+"""Which hosts to move between pools, and when.
+
+The functions are pure but for the ``Memory`` that they are given, which
+holds deadlines on the caller's clock, in seconds. Load is the number of
+requests in flight and waiting, over all daemons, per slot of a pool.
+
+A decision has two steps: ``find_needs`` looks at the pools only and says
+which of them gain hosts and which may give some; ``choose`` looks at the
+hosts of those pools and picks the ones that move.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import math
+
+from azurewood.fleet import model
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PoolLoad:
+    """A pool's demand in requests, and its capacity in slots and hosts.
+
+    ``incoming`` counts the slots of hosts that are on their way to the
+    pool, ``outgoing`` of those on their way out. ``known`` says that all
+    daemons' demand is.
+    """
+
+    name: str
+    demand: float
+    slots: int
+    hosts: int
+    incoming: int = 0
+    outgoing: int = 0
+    min_hosts: int = 1
+    max_hosts: int = 1000000
+    spare: bool = False
+    team: str = ""
+    known: bool = True
+
+    @property
+    def load(self) -> float:
+        """Return the load once the hosts on their way have come."""
+        slots = self.slots + self.incoming
+        if slots:
+            return self.demand / slots
+        return math.inf if self.demand else 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class HostLoad:
+    """A host that serves a pool, and how many of its slots are busy."""
+
+    name: str
+    zone: str
+    rack: str
+    slots: int
+    busy: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Memory:
+    """Deadlines that keep pools from moving hosts to and fro.
+
+    ``gain_at`` and ``give_at`` are when a pool past a threshold may gain
+    or give, ``return_at`` when it may give hosts back to the spare pool.
+    A pool gives nothing before ``no_give_until`` and gains nothing before
+    ``no_gain_until``.
+    """
+
+    gain_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    give_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    return_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    no_give_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    no_gain_until: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Need:
+    """A pool that gains up to ``count`` hosts, from donors in order."""
+
+    pool: str
+    count: int
+    donors: tuple[str, ...]
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Move:
+    """A host that is to move, and why."""
+
+    host: str
+    from_pool: str
+    to_pool: str
+    reason: str
+
+
+Loads = collections.abc.Mapping[str, PoolLoad]
+Hosts = collections.abc.Mapping[str, collections.abc.Sequence[HostLoad]]
+
+
+def target_load(policy: model.HysteresisMoves) -> float:
+    """Return the load that a pool is brought to by gaining hosts.
+
+    The dearer idle slots are, the nearer it is to the gain threshold; the
+    dearer a slow roll-out is, the nearer to the give threshold.
+    """
+    weights = policy.buffer_weight + policy.roll_out_weight
+    share = policy.buffer_weight / weights if weights else 0.5
+    span = policy.gain_load - policy.give_load
+    load = policy.give_load + span * share
+    return max(0.05, min(load, 1.0 - policy.buffer))
+
+
+def returns_hosts(policy: model.HysteresisMoves) -> bool:
+    """Tell whether idle hosts are worth a move to the spare pool."""
+    return policy.buffer_weight > policy.move_weight
+
+
+def find_needs(
+    policy: model.MovePolicy, loads: Loads, memory: Memory, now: float
+) -> list[Need]:
+    """Return the pools that are to gain hosts now, the neediest first."""
+    match policy:
+        case model.FixedPools():
+            return []
+        case model.ThresholdMoves():
+            return list(_threshold_needs(policy, loads))
+        case model.HysteresisMoves():
+            _remember(policy, loads, memory, now)
+            return [
+                *_gains(policy, loads, memory, now),
+                *_returns(policy, loads, memory, now),
+            ]
+
+
+def _threshold_needs(
+    policy: model.ThresholdMoves, loads: Loads
+) -> collections.abc.Iterator[Need]:
+    for load in loads.values():
+        if load.load < policy.load:
+            continue
+        donors = sorted(
+            (other for other in loads.values() if other.load < policy.load),
+            key=lambda other: (other.load, other.name),
+        )
+        yield Need(
+            pool=load.name,
+            count=policy.at_once,
+            donors=tuple(other.name for other in donors),
+            reason=f"load {load.load:.2f}",
+        )
+
+
+def _remember(
+    policy: model.HysteresisMoves, loads: Loads, memory: Memory, now: float
+) -> None:
+    """Start, keep or drop the deadlines of each pool."""
+    hold_s, rest_s = policy.hold_ms / 1000, policy.rest_ms / 1000
+    for name, load in loads.items():
+        is_low = load.load <= policy.give_load
+        _hold(
+            memory.gain_at, name, load.load >= policy.gain_load, now + hold_s
+        )
+        _hold(memory.give_at, name, is_low, now + hold_s)
+        _hold(memory.return_at, name, is_low, now + rest_s)
+        if load.incoming:
+            memory.no_give_until[name] = now + rest_s
+        if load.outgoing:
+            memory.no_gain_until[name] = now + rest_s
+
+
+def _hold(
+    deadlines: dict[str, float], name: str, is_past: bool, deadline: float
+) -> None:
+    if is_past:
+        deadlines.setdefault(name, deadline)
+    else:
+        deadlines.pop(name, None)
+
+
+def _gains(
+    policy: model.HysteresisMoves, loads: Loads, memory: Memory, now: float
+) -> collections.abc.Iterator[Need]:
+    """Yield the overloaded pools and those that may give to them."""
+    over = sorted(
+        (
+            load
+            for load in loads.values()
+            if memory.gain_at.get(load.name, math.inf) <= now
+            and memory.no_gain_until.get(load.name, 0.0) <= now
+            and not load.spare
+        ),
+        key=lambda load: (-load.load, load.name),
+    )
+    if not over:
+        return
+    donors = tuple(_donors(loads, memory, now))
+    for load in over:
+        count = min(policy.at_once, _missing_hosts(policy, load))
+        if count > 0:
+            yield Need(
+                pool=load.name,
+                count=count,
+                donors=tuple(name for name in donors if name != load.name),
+                reason=f"load {load.load:.2f}",
+            )
+
+
+def _missing_hosts(policy: model.HysteresisMoves, load: PoolLoad) -> int:
+    """Return how many hosts a pool lacks for its target load.
+
+    A part of a host is rounded up where a slow roll-out is dear, and down
+    where a move is.
+    """
+    slots = load.slots + load.incoming
+    per_host = load.slots / load.hosts if load.hosts else 1.0
+    missing = load.demand / target_load(policy) - slots
+    weights = policy.roll_out_weight + policy.move_weight
+    round_up = policy.roll_out_weight / weights if weights else 0.5
+    return max(0, math.floor(missing / max(per_host, 1.0) + round_up))
+
+
+def _donors(
+    loads: Loads, memory: Memory, now: float
+) -> collections.abc.Iterator[str]:
+    """Yield the pools that may give, spare ones first, then the idlest."""
+    ranked = sorted(
+        loads.values(),
+        key=lambda load: (not load.spare, load.load, load.name),
+    )
+    for load in ranked:
+        is_idle = memory.give_at.get(load.name, math.inf) <= now
+        is_resting = memory.no_give_until.get(load.name, 0.0) > now
+        if load.spare or (is_idle and load.known and not is_resting):
+            yield load.name
+
+
+def _returns(
+    policy: model.HysteresisMoves, loads: Loads, memory: Memory, now: float
+) -> collections.abc.Iterator[Need]:
+    """Yield a spare pool that takes hosts which have long been idle."""
+    if not returns_hosts(policy) or memory.gain_at:
+        return
+    idle = [
+        load
+        for load in loads.values()
+        if memory.return_at.get(load.name, math.inf) <= now
+        and memory.no_give_until.get(load.name, 0.0) <= now
+        and load.known
+        and not load.spare
+    ]
+    for load in loads.values():
+        if load.spare and idle and not load.incoming:
+            idle.sort(key=lambda other: (other.load, other.name))
+            yield Need(
+                pool=load.name,
+                count=policy.at_once,
+                donors=tuple(other.name for other in idle),
+                reason="idle hosts",
+            )
+
+
+def choose(
+    policy: model.MovePolicy,
+    needs: collections.abc.Iterable[Need],
+    loads: Loads,
+    hosts: Hosts,
+    team_room: collections.abc.Mapping[str, int],
+) -> collections.abc.Iterator[Move]:
+    """Yield the moves that meet the needs, each host at most once.
+
+    ``team_room`` is the number of hosts that a team may still gain; a team
+    that is not in it has no quota.
+    """
+    left = {name: list(members) for name, members in hosts.items()}
+    room = dict(team_room)
+    gained: collections.Counter[str] = collections.Counter()
+    for need in needs:
+        for _ in range(need.count):
+            move = _next_move(policy, need, loads, left, room, gained)
+            if move is None:
+                break
+            yield move
+
+
+def _next_move(
+    policy: model.MovePolicy,
+    need: Need,
+    loads: Loads,
+    left: dict[str, list[HostLoad]],
+    room: dict[str, int],
+    gained: collections.Counter[str],
+) -> Move | None:
+    """Take the best host of the first donor that can give one."""
+    taker = loads[need.pool]
+    if taker.hosts + gained[need.pool] >= taker.max_hosts:
+        return None
+    for name in need.donors:
+        donor = loads[name]
+        if donor.team != taker.team and room.get(taker.team, 1) <= 0:
+            continue
+        host = _pick(policy, donor, left.get(name, []), left[need.pool])
+        if host is None:
+            continue
+        left[name].remove(host)
+        gained[need.pool] += 1
+        if donor.team != taker.team and taker.team in room:
+            room[taker.team] -= 1
+        return Move(
+            host=host.name,
+            from_pool=name,
+            to_pool=need.pool,
+            reason=need.reason,
+        )
+    return None
+
+
+def _pick(
+    policy: model.MovePolicy,
+    donor: PoolLoad,
+    members: list[HostLoad],
+    taken: list[HostLoad],
+) -> HostLoad | None:
+    """Return the host whose move spreads both pools best, idle first."""
+    if len(members) <= donor.min_hosts:
+        return None
+    if isinstance(policy, model.ThresholdMoves):
+        return members[0]
+    mine = collections.Counter(_places(members))
+    theirs = collections.Counter(_places(taken))
+    ranked = sorted(
+        members,
+        key=lambda host: (
+            theirs[host.zone] - mine[host.zone],
+            theirs[(host.zone, host.rack)] - mine[(host.zone, host.rack)],
+            host.busy,
+            host.name,
+        ),
+    )
+    return next(
+        (host for host in ranked if _can_spare(policy, donor, members, host)),
+        None,
+    )
+
+
+def _places(
+    members: collections.abc.Iterable[HostLoad],
+) -> collections.abc.Iterator[str | tuple[str, str]]:
+    for host in members:
+        yield host.zone
+        yield (host.zone, host.rack)
+
+
+def _can_spare(
+    policy: model.HysteresisMoves,
+    donor: PoolLoad,
+    members: list[HostLoad],
+    host: HostLoad,
+) -> bool:
+    """Tell whether the rest carries the demand after losing any one rack.
+
+    Work of a spare pool may wait.
+    """
+    if donor.spare:
+        return True
+    racks: collections.Counter[tuple[str, str]] = collections.Counter()
+    for other in members:
+        if other is not host:
+            racks[(other.zone, other.rack)] += other.slots
+    rest = racks.total() - max(racks.values(), default=0)
+    return donor.demand <= rest * target_load(policy)
--- a/azurewood/state/jobs.py
+++ b/azurewood/state/jobs.py
@@ -159,7 +159,7 @@
 def _call_start(
     state: model.State, host: agreed_state.HostState, now: float
 ) -> Effects:
-    service = service_of(state, host.pool)
+    service = service_of(state, host.pool) or service_of(state, host.target)
     if service is None:
         return
     if not _may_call(state, TaskAction.START, host.task, now):
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -108,9 +108,11 @@
                 service=view.name,
                 good=view.count.good,
                 bad=view.count.bad,
+                busy=view.in_flight,
+                waiting=view.waiting,
             )
             for view in state.services.values()
-            if view.count.good or view.count.bad
+            if view.count.good or view.count.bad or view.arrived
         ),
         known=_gossip(state),
     )
@@ -186,7 +188,10 @@
     peer.draining = message.draining
     for count in message.counts:
         peer.counts[count.service] = model.Count(
-            good=count.good, bad=count.bad
+            good=count.good,
+            bad=count.bad,
+            busy=count.busy,
+            waiting=count.waiting,
         )
 
 
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurewood.fleet import model as fleet_model
+from azurewood.policy import moves
 from azurewood.policy import placement
 from azurewood.state import agreed as agreed_state
 from azurewood.state import events
@@ -52,10 +53,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Count:
-    """Answers of one service, good and bad, since a daemon's start."""
+    """Answers of one service, good and bad, since a daemon's start.
+
+    ``busy`` and ``waiting`` are its requests in hand at present.
+    """
 
     good: int = 0
     bad: int = 0
+    busy: int = 0
+    waiting: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -151,6 +157,7 @@
     zone: str
     rack: str
     address: str
+    slots: int = 8
     service: str = ""
     usable: bool = False
     listed: str = "live"
@@ -249,6 +256,29 @@
     )
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PoolCapacity:
+    """A pool's hosts and slots that serve, and slots on their way."""
+
+    hosts: int = 0
+    slots: int = 0
+    incoming: int = 0
+    outgoing: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Mover:
+    """What the moves on demand have to remember.
+
+    ``capacity`` is valid for the view generation ``capacity_of``.
+    """
+
+    plan_at: float = 0.0
+    memory: moves.Memory = dataclasses.field(default_factory=moves.Memory)
+    capacity: dict[str, PoolCapacity] = dataclasses.field(default_factory=dict)
+    capacity_of: int = -1
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class State:
     """Everything that a daemon's decisions depend on."""
@@ -272,7 +302,9 @@
     waiting_bytes: int = 0
     tasks: dict[str, str] = dataclasses.field(default_factory=dict)
     steward: Stewardship = dataclasses.field(default_factory=Stewardship)
+    mover: Mover = dataclasses.field(default_factory=Mover)
     view_revision: int = -1
+    view_generation: int = 0
     alive: tuple[str, ...] = ()
     stopping_until: float = 0.0
     stepped_at: float = 0.0
--- /dev/null
+++ b/azurewood/state/movers.py
@@ -0,0 +1,172 @@
+"""Moves on demand: every daemon plans them, one proposes each.
+
+The daemon that proposes the moves from one pool to another is chosen by
+rendezvous hashing over all live daemons. Should two propose, the fold
+accepts one proposal for a revision of a host.
+"""
+
+import collections
+import collections.abc
+
+from azurewood.fleet import model as fleet_model
+from azurewood.policy import moves
+from azurewood.policy import ownership
+from azurewood.state import agreed as agreed_state
+from azurewood.state import effects
+from azurewood.state import jobs
+from azurewood.state import model
+from azurewood.state import records
+from azurewood.state import views
+
+MOVER_EVERY_S = 0.2
+FIRST_LOOK_S = 2.0
+
+HostPhase = agreed_state.HostPhase
+Effects = collections.abc.Iterator[effects.AnyEffect]
+
+
+def tick(state: model.State, now: float) -> Effects:
+    """Plan moves and propose those of the pairs that are ours."""
+    mover = state.mover
+    preset = views.preset_in_force(state)
+    if preset is None or now < mover.plan_at:
+        return
+    if not mover.plan_at:
+        mover.plan_at = now + FIRST_LOOK_S
+        return
+    mover.plan_at = now + MOVER_EVERY_S
+    if isinstance(preset.moves, fleet_model.FixedPools):
+        return
+    loads = _loads(state, preset)
+    needs = moves.find_needs(preset.moves, loads, mover.memory, now)
+    if needs:
+        yield from _propose(state, preset, needs, loads, now)
+
+
+def _propose(
+    state: model.State,
+    preset: fleet_model.Preset,
+    needs: list[moves.Need],
+    loads: dict[str, moves.PoolLoad],
+    now: float,
+) -> Effects:
+    wanted = moves.choose(
+        preset.moves,
+        needs,
+        loads,
+        _serving_hosts(state, needs),
+        _team_room(state),
+    )
+    everyone = (*state.alive, state.me.name)
+    for move in wanted:
+        pair = f"{move.from_pool}>{move.to_pool}"
+        if ownership.owner(pair, everyone) != state.me.name:
+            continue
+        change = records.MoveHost(
+            to_pool=move.to_pool,
+            reason=move.reason,
+            drain_ms=preset.maintenance.drain_ms,
+        )
+        host = state.agreed.hosts[move.host]
+        yield from jobs.propose(state, host, change, now)
+
+
+def _loads(
+    state: model.State, preset: fleet_model.Preset
+) -> dict[str, moves.PoolLoad]:
+    """Return the load of each pool that has a service."""
+    capacity = _capacity(state)
+    targets = {target.pool: target for target in preset.targets}
+    spare = {pool.name: pool.spare for pool in state.agreed.fleet.pools}
+    is_known = views.hears_every_zone(state)
+    loads = {}
+    for service in state.agreed.fleet.services:
+        name = service.pool
+        target = targets.get(name) or fleet_model.PoolTarget(pool=name)
+        found = capacity.get(name) or model.PoolCapacity()
+        loads[name] = moves.PoolLoad(
+            name=name,
+            demand=_demand(state, service.name),
+            slots=found.slots,
+            hosts=found.hosts,
+            incoming=found.incoming,
+            outgoing=found.outgoing,
+            min_hosts=target.min_hosts,
+            max_hosts=target.max_hosts,
+            spare=spare.get(name, False),
+            team=service.team,
+            known=is_known,
+        )
+    return loads
+
+
+def _demand(state: model.State, service: str) -> int:
+    """Return a service's requests in flight and waiting, at all daemons."""
+    view = state.services.get(service)
+    mine = view.in_flight + view.waiting if view else 0
+    peers = (state.peers[name].counts.get(service) for name in state.alive)
+    return mine + sum(c.busy + c.waiting for c in peers if c is not None)
+
+
+def _capacity(state: model.State) -> dict[str, model.PoolCapacity]:
+    """Return each pool's capacity, worked out when the view has changed."""
+    mover = state.mover
+    if mover.capacity_of != state.view_generation:
+        mover.capacity_of = state.view_generation
+        mover.capacity = _count_capacity(state)
+    return mover.capacity
+
+
+def _count_capacity(state: model.State) -> dict[str, model.PoolCapacity]:
+    pools: dict[str, model.PoolCapacity] = collections.defaultdict(
+        model.PoolCapacity
+    )
+    for host in state.agreed.hosts.values():
+        view = state.hosts[host.name]
+        pool = pools[host.pool]
+        match host.phase:
+            case HostPhase.SERVING if view.usable:
+                pool.slots += view.slots
+                pool.hosts += 1
+            case HostPhase.STARTING if view.listed == views.LIVE:
+                if not host.failures:
+                    pool.incoming += view.slots
+            case HostPhase.LEAVING:
+                pool.outgoing += view.slots
+                pools[host.target].incoming += view.slots
+    return dict(pools)
+
+
+def _serving_hosts(
+    state: model.State, needs: list[moves.Need]
+) -> dict[str, list[moves.HostLoad]]:
+    """Return the hosts that serve the pools which the needs name."""
+    found: dict[str, list[moves.HostLoad]] = {
+        pool: [] for need in needs for pool in (need.pool, *need.donors)
+    }
+    for host in state.agreed.hosts.values():
+        view = state.hosts[host.name]
+        if view.usable and host.pool in found:
+            found[host.pool].append(
+                moves.HostLoad(
+                    name=view.name,
+                    zone=view.zone,
+                    rack=view.rack,
+                    slots=view.slots,
+                    busy=len(view.busy),
+                )
+            )
+    return found
+
+
+def _team_room(state: model.State) -> dict[str, int]:
+    """Return how many hosts the pools of each team may still gain."""
+    fleet = state.agreed.fleet
+    team_of = {service.pool: service.team for service in fleet.services}
+    held = collections.Counter(
+        team_of.get(host.target or host.pool, "")
+        for host in state.agreed.hosts.values()
+    )
+    return {
+        team.name: team.host_quota - held[team.name] for team in fleet.teams
+    }
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -11,6 +11,7 @@
 from azurewood.state import events
 from azurewood.state import membership
 from azurewood.state import model
+from azurewood.state import movers
 from azurewood.state import outbox
 from azurewood.state import relay
 from azurewood.state import requests
@@ -82,6 +83,7 @@
     yield from relay.tick(state, now)
     yield from outbox.tick(state, now)
     yield from stewards.tick(state, now)
+    yield from movers.tick(state, now)
     yield from control.tick(state, now)
     yield from requests.tick(state, now)
     if state.stopping_until and _is_idle(state):
--- a/azurewood/state/transitions.py
+++ b/azurewood/state/transitions.py
@@ -2,11 +2,9 @@
 
 from azurewood.fleet import model
 from azurewood.state import agreed as agreed_state
+from azurewood.state import host_transitions
 from azurewood.state import records
 
-HEALTHY_MS = 60000
-"""How long a job has to serve for its earlier failures to be forgotten."""
-
 HostPhase = agreed_state.HostPhase
 WavePhase = agreed_state.WavePhase
 ClaimPhase = records.ClaimPhase
@@ -62,12 +60,7 @@
         case records.SettleClaim():
             return _settle_refusal(state, writer, name, proposal.change)
         case _:
-            return _host_refusal(state, kind, name, proposal.change)
-
-
-def task_id(pool: str, host: str, revision: int) -> str:
-    """Name the task of a host's job, anew for each start of one."""
-    return f"{pool}.{host}.{revision}"
+            return host_transitions.refusal(state, kind, name, proposal.change)
 
 
 def _expect(condition: bool, reason: str) -> str:
@@ -121,58 +114,6 @@
     )
 
 
-def _allowed_phases(change: records.AnyChange) -> tuple[HostPhase, ...]:
-    """Return the phases from which a change of a host may start."""
-    match change:
-        case records.MoveHost() | records.DrainHost():
-            return (HostPhase.SERVING, HostPhase.STARTING)
-        case records.CancelMove() | records.ReleaseHost():
-            return (HostPhase.LEAVING,)
-        case records.RestartJob() | records.QuarantineHost():
-            return (HostPhase.SERVING, HostPhase.STARTING)
-        case records.MarkServing():
-            return (HostPhase.STARTING,)
-        case records.MarkDown():
-            return (HostPhase.DRAINING,)
-        case records.ReturnHost():
-            return (
-                HostPhase.DOWN,
-                HostPhase.DRAINING,
-                HostPhase.QUARANTINED,
-            )
-        case _:
-            return ()
-
-
-def _host_refusal(
-    state: agreed_state.Agreed,
-    kind: str,
-    name: str,
-    change: records.AnyChange,
-) -> str:
-    host = state.hosts.get(name) if kind == "host" else None
-    if host is None:
-        return f"there is no host {name}"
-    if host.phase not in _allowed_phases(change):
-        return f"host {name} is {host.phase}"
-    match change:
-        case records.MoveHost(to_pool=to_pool):
-            return _move_refusal(state, host, to_pool)
-        case _:
-            return ""
-
-
-def _move_refusal(
-    state: agreed_state.Agreed,
-    host: agreed_state.HostState,
-    to_pool: str,
-) -> str:
-    if to_pool == host.pool:
-        return f"host {host.name} is in pool {to_pool} already"
-    pools = {pool.name for pool in state.fleet.pools}
-    return _expect(to_pool in pools, f"there is no pool {to_pool}")
-
-
 def carry_out(
     state: agreed_state.Agreed, writer: str, proposal: records.Proposal
 ) -> None:
@@ -205,7 +146,9 @@
         case records.SettleClaim():
             _settle(state, name, proposal.change)
         case _:
-            _change_host(state, state.hosts[name], proposal.change)
+            host_transitions.carry_out(
+                state, state.hosts[name], proposal.change
+            )
 
 
 def _publish(state: agreed_state.Agreed, fleet: model.Fleet) -> None:
@@ -234,14 +177,17 @@
         del state.hosts[name]
     for name, pool in pool_of.items():
         known = state.hosts.get(name)
-        if known is None or known.pool not in pools:
+        if known is not None:
+            if (known.target or known.pool) not in pools:
+                host_transitions.assign_pool(state, known, pool)
+        else:
             state.hosts[name] = agreed_state.HostState(
                 name=name,
                 pool=pool,
                 phase=HostPhase.STARTING,
                 revision=state.revision,
                 since_ms=state.at_ms,
-                task=task_id(pool, name, state.revision),
+                task=host_transitions.task_id(pool, name, state.revision),
                 reason="published configuration",
             )
 
@@ -279,93 +225,3 @@
     claim.status = change.status
     claim.content_type = change.content_type
     claim.answer = change.answer
-
-
-def _change_host(
-    state: agreed_state.Agreed,
-    host: agreed_state.HostState,
-    change: records.AnyChange,
-) -> None:
-    is_old = state.at_ms >= host.since_ms + HEALTHY_MS
-    state.hosts_revision = state.revision
-    host.revision = state.revision
-    host.since_ms = state.at_ms
-    match change:
-        case records.MoveHost(to_pool=to_pool, reason=reason):
-            host.phase = HostPhase.LEAVING
-            host.target = to_pool
-            host.reason = reason
-            host.deadline_ms = state.at_ms + change.drain_ms
-        case records.CancelMove(reason=reason):
-            host.phase = HostPhase.SERVING
-            host.target = ""
-            host.reason = reason
-        case records.ReleaseHost():
-            host.pool = host.target
-            host.target = ""
-            host.failures = 0
-            _start(host)
-        case records.MarkServing():
-            host.phase = HostPhase.SERVING
-            _finish_in_wave(state, host)
-        case records.DrainHost(reason=reason, wave=wave):
-            host.phase = HostPhase.DRAINING
-            host.reason = reason
-            host.reboot = change.reboot
-            host.wave = wave
-            host.deadline_ms = state.at_ms + change.drain_ms
-        case records.MarkDown():
-            host.phase = HostPhase.DOWN
-        case records.ReturnHost(reason=reason):
-            host.reason = reason
-            _return(host)
-        case records.RestartJob(reason=reason, failed=failed):
-            host.reason = reason
-            _count_failure(host, failed, is_old)
-            _start(host)
-        case records.QuarantineHost(reason=reason):
-            host.reason = reason
-            host.phase = HostPhase.QUARANTINED
-
-
-def _return(host: agreed_state.HostState) -> None:
-    """Start a job anew, or keep the one whose drain is called off.
-
-    A job that was being stopped may still run; its steward starts another
-    one once it has ended.
-    """
-    host.failures = 0
-    if host.phase == HostPhase.DRAINING:
-        host.phase = HostPhase.SERVING
-        host.wave = ""
-    else:
-        _start(host)
-
-
-def _count_failure(
-    host: agreed_state.HostState, failed: bool, is_old: bool
-) -> None:
-    """Count failures in a row; a job that ran for long starts anew."""
-    if is_old and host.phase == HostPhase.SERVING:
-        host.failures = 0
-    if failed:
-        host.failures += 1
-
-
-def _start(host: agreed_state.HostState) -> None:
-    host.phase = HostPhase.STARTING
-    host.task = task_id(host.pool, host.name, host.revision)
-
-
-def _finish_in_wave(
-    state: agreed_state.Agreed, host: agreed_state.HostState
-) -> None:
-    """Count a host that serves again as done in its wave."""
-    wave = state.waves.get(host.wave)
-    host.wave = ""
-    if wave is None or host.name in wave.done:
-        return
-    wave.done.append(host.name)
-    if set(wave.done) >= set(wave.hosts) & state.hosts.keys():
-        wave.phase = WavePhase.DONE
-        wave.revision = state.revision
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -44,6 +44,7 @@
     if state.agreed.fleet is None:
         return False
     state.view_revision = state.agreed.hosts_revision
+    state.view_generation += 1
     _refresh_services(state, state.agreed.fleet)
     _refresh_hosts(state, state.agreed.fleet)
     _forget_tasks(state)
@@ -96,6 +97,23 @@
     return by_zone
 
 
+def hears_every_zone(state: model.State) -> bool:
+    """Tell whether a live daemon is heard of each zone that has had one.
+
+    A zone that has gone silent as a whole is more likely cut off from
+    here than idle.
+    """
+    heard = {state.peers[name].zone for name in state.alive}
+    heard.add(state.me.zone)
+    return all(peer.zone in heard for peer in state.peers.values())
+
+
+def preset_in_force(state: model.State) -> fleet_model.Preset | None:
+    """Return the preset in force, if there is one."""
+    found = state.agreed.presets.get(state.agreed.in_force)
+    return found.preset if found and state.agreed.fleet else None
+
+
 def _host_view(state: model.State, host: fleet_model.Host) -> model.HostView:
     view = state.hosts.get(host.name)
     if view is None:
@@ -106,6 +124,7 @@
             address=host.address,
         )
         state.hosts[host.name] = view
+    view.slots = host.slots
     return view
 
 
