Measure demand in turns and size moves by Little's law

A backlog that is worked off keeps all slots busy, so that busy slots ask for more hosts than are needed. The slots wanted are now the rate of arrivals times the mean time of work, from the counters that heartbeats carry. Donors are idle pools first and the spare pool last.

--- /dev/null
+++ b/azurewood/policy/demand.py
@@ -0,0 +1,54 @@
+"""How many slots a service's requests ask for, worked out from counters.
+
+While a backlog is worked off, all slots are busy, however many there are.
+What is asked for lastingly follows from Little's law instead: the rate of
+arrivals times the mean time of work.
+
+Source: Little, "A proof for the queuing formula L = λW", Operations
+Research 9(3), 1961.
+"""
+
+import collections
+import dataclasses
+
+WINDOW_S = 1.0
+CLEAR_S = 2.0
+"""Within which time a backlog is to be worked off."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Sample:
+    """A service's requests in hand, and those ended so far, at a time."""
+
+    at: float
+    busy: int
+    waiting: int
+    ended: int
+
+
+Samples = collections.deque[Sample]
+
+
+def observe(samples: Samples, sample: Sample) -> None:
+    """Add a sample and drop those that the window does not need."""
+    samples.append(sample)
+    while len(samples) > 2 and samples[1].at <= sample.at - WINDOW_S:
+        samples.popleft()
+
+
+def slots_wanted(samples: Samples) -> float:
+    """Return the slots that the newest requests ask for.
+
+    Without an ended request in the window, it is the requests in hand.
+    """
+    first, last = samples[0], samples[-1]
+    ended = last.ended - first.ended
+    elapsed_s = last.at - first.at
+    if ended <= 0 or elapsed_s <= 0.0:
+        return float(last.busy + last.waiting)
+    busy = sum(sample.busy for sample in samples) / len(samples)
+    work_s = busy * elapsed_s / ended
+    growth = last.busy + last.waiting - first.busy - first.waiting
+    arrivals_per_s = max(0.0, (ended + growth) / elapsed_s)
+    backlog = last.waiting * work_s / CLEAR_S
+    return arrivals_per_s * work_s + backlog
--- a/azurewood/policy/moves.py
+++ b/azurewood/policy/moves.py
@@ -19,14 +19,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PoolLoad:
-    """A pool's demand in requests, and its capacity in slots and hosts.
+    """A pool's requests in hand, and its capacity in slots and hosts.
 
-    ``incoming`` counts the slots of hosts that are on their way to the
-    pool, ``outgoing`` of those on their way out. ``known`` says that all
-    daemons' demand is.
+    ``busy`` and ``waiting`` count requests at all daemons, and ``demand``
+    the slots that they ask for lastingly. ``incoming`` counts the slots of
+    hosts on their way to the pool, ``outgoing`` of those on their way out.
+    ``known`` says that the requests at all daemons are counted.
     """
 
     name: str
+    busy: int
+    waiting: int
     demand: float
     slots: int
     hosts: int
@@ -38,13 +41,24 @@
     team: str = ""
     known: bool = True
 
+    @property
+    def slots_per_host(self) -> float:
+        """Return the mean number of slots of a host, 1 if there is none."""
+        return self.slots / self.hosts if self.hosts else 1.0
+
+    @property
+    def incoming_hosts(self) -> int:
+        """Return about how many hosts are on their way to the pool."""
+        return math.ceil(self.incoming / self.slots_per_host)
+
     @property
     def load(self) -> float:
         """Return the load once the hosts on their way have come."""
         slots = self.slots + self.incoming
+        requests = self.busy + self.waiting
         if slots:
-            return self.demand / slots
-        return math.inf if self.demand else 0.0
+            return requests / slots
+        return math.inf if requests else 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -112,9 +126,15 @@
     return max(0.05, min(load, 1.0 - policy.buffer))
 
 
-def returns_hosts(policy: model.HysteresisMoves) -> bool:
-    """Tell whether idle hosts are worth a move to the spare pool."""
-    return policy.buffer_weight > policy.move_weight
+def return_hold_s(policy: model.HysteresisMoves) -> float:
+    """Return for how long hosts are idle before the spare pool takes them.
+
+    It is the longer, the dearer moves and a slow roll-out are beside idle
+    slots.
+    """
+    weights = policy.move_weight + policy.roll_out_weight
+    factor = weights / policy.buffer_weight if policy.buffer_weight else 1.0
+    return policy.rest_ms / 1000 * max(1.0, factor)
 
 
 def find_needs(
@@ -128,10 +148,8 @@
             return list(_threshold_needs(policy, loads))
         case model.HysteresisMoves():
             _remember(policy, loads, memory, now)
-            return [
-                *_gains(policy, loads, memory, now),
-                *_returns(policy, loads, memory, now),
-            ]
+            gains = list(_gains(policy, loads, memory, now))
+            return gains or list(_returns(policy, loads, memory, now))
 
 
 def _threshold_needs(
@@ -163,7 +181,7 @@
             memory.gain_at, name, load.load >= policy.gain_load, now + hold_s
         )
         _hold(memory.give_at, name, is_low, now + hold_s)
-        _hold(memory.return_at, name, is_low, now + rest_s)
+        _hold(memory.return_at, name, is_low, now + return_hold_s(policy))
         if load.incoming:
             memory.no_give_until[name] = now + rest_s
         if load.outgoing:
@@ -214,20 +232,22 @@
     where a move is.
     """
     slots = load.slots + load.incoming
-    per_host = load.slots / load.hosts if load.hosts else 1.0
     missing = load.demand / target_load(policy) - slots
     weights = policy.roll_out_weight + policy.move_weight
     round_up = policy.roll_out_weight / weights if weights else 0.5
-    return max(0, math.floor(missing / max(per_host, 1.0) + round_up))
+    return max(0, math.floor(missing / load.slots_per_host + round_up))
 
 
 def _donors(
     loads: Loads, memory: Memory, now: float
 ) -> collections.abc.Iterator[str]:
-    """Yield the pools that may give, spare ones first, then the idlest."""
+    """Yield the pools that may give, the idlest first and spare ones last.
+
+    The slots of a spare pool do work that waits; those of others idle.
+    """
     ranked = sorted(
         loads.values(),
-        key=lambda load: (not load.spare, load.load, load.name),
+        key=lambda load: (load.spare, load.load, load.name),
     )
     for load in ranked:
         is_idle = memory.give_at.get(load.name, math.inf) <= now
@@ -240,8 +260,6 @@
     policy: model.HysteresisMoves, loads: Loads, memory: Memory, now: float
 ) -> collections.abc.Iterator[Need]:
     """Yield a spare pool that takes hosts which have long been idle."""
-    if not returns_hosts(policy) or memory.gain_at:
-        return
     idle = [
         load
         for load in loads.values()
@@ -294,7 +312,8 @@
 ) -> Move | None:
     """Take the best host of the first donor that can give one."""
     taker = loads[need.pool]
-    if taker.hosts + gained[need.pool] >= taker.max_hosts:
+    coming = taker.incoming_hosts + gained[need.pool]
+    if taker.hosts + coming >= taker.max_hosts:
         return None
     for name in need.donors:
         donor = loads[name]
@@ -364,9 +383,10 @@
     """
     if donor.spare:
         return True
+    needed = max(donor.demand, donor.busy)
     racks: collections.Counter[tuple[str, str]] = collections.Counter()
     for other in members:
         if other is not host:
             racks[(other.zone, other.rack)] += other.slots
     rest = racks.total() - max(racks.values(), default=0)
-    return donor.demand <= rest * target_load(policy)
+    return needed <= rest * target_load(policy)
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurewood.fleet import model as fleet_model
+from azurewood.policy import demand
 from azurewood.policy import moves
 from azurewood.policy import placement
 from azurewood.state import agreed as agreed_state
@@ -275,6 +276,9 @@
 
     plan_at: float = 0.0
     memory: moves.Memory = dataclasses.field(default_factory=moves.Memory)
+    samples: dict[str, demand.Samples] = dataclasses.field(
+        default_factory=dict
+    )
     capacity: dict[str, PoolCapacity] = dataclasses.field(default_factory=dict)
     capacity_of: int = -1
 
--- a/azurewood/state/movers.py
+++ b/azurewood/state/movers.py
@@ -9,6 +9,7 @@
 import collections.abc
 
 from azurewood.fleet import model as fleet_model
+from azurewood.policy import demand
 from azurewood.policy import moves
 from azurewood.policy import ownership
 from azurewood.state import agreed as agreed_state
@@ -37,7 +38,7 @@
     mover.plan_at = now + MOVER_EVERY_S
     if isinstance(preset.moves, fleet_model.FixedPools):
         return
-    loads = _loads(state, preset)
+    loads = _loads(state, preset, now)
     needs = moves.find_needs(preset.moves, loads, mover.memory, now)
     if needs:
         yield from _propose(state, preset, needs, loads, now)
@@ -72,7 +73,7 @@
 
 
 def _loads(
-    state: model.State, preset: fleet_model.Preset
+    state: model.State, preset: fleet_model.Preset, now: float
 ) -> dict[str, moves.PoolLoad]:
     """Return the load of each pool that has a service."""
     capacity = _capacity(state)
@@ -83,10 +84,13 @@
     for service in state.agreed.fleet.services:
         name = service.pool
         target = targets.get(name) or fleet_model.PoolTarget(pool=name)
+        in_hand = _in_hand(state, service.name)
         found = capacity.get(name) or model.PoolCapacity()
         loads[name] = moves.PoolLoad(
             name=name,
-            demand=_demand(state, service.name),
+            busy=in_hand.busy,
+            waiting=in_hand.waiting,
+            demand=_observe(state, name, in_hand, now),
             slots=found.slots,
             hosts=found.hosts,
             incoming=found.incoming,
@@ -100,12 +104,36 @@
     return loads
 
 
-def _demand(state: model.State, service: str) -> int:
-    """Return a service's requests in flight and waiting, at all daemons."""
+def _in_hand(state: model.State, service: str) -> model.Count:
+    """Add up a service's counters over all live daemons."""
+    total = model.Count()
     view = state.services.get(service)
-    mine = view.in_flight + view.waiting if view else 0
-    peers = (state.peers[name].counts.get(service) for name in state.alive)
-    return mine + sum(c.busy + c.waiting for c in peers if c is not None)
+    if view is not None:
+        total.busy, total.waiting = view.in_flight, view.waiting
+        total.good, total.bad = view.count.good, view.count.bad
+    for name in state.alive:
+        count = state.peers[name].counts.get(service)
+        if count is not None:
+            total.busy += count.busy
+            total.waiting += count.waiting
+            total.good += count.good
+            total.bad += count.bad
+    return total
+
+
+def _observe(
+    state: model.State, pool: str, in_hand: model.Count, now: float
+) -> float:
+    """Note a pool's counters and return the slots that are asked for."""
+    samples = state.mover.samples.setdefault(pool, collections.deque())
+    sample = demand.Sample(
+        at=now,
+        busy=in_hand.busy,
+        waiting=in_hand.waiting,
+        ended=in_hand.good + in_hand.bad,
+    )
+    demand.observe(samples, sample)
+    return demand.slots_wanted(samples)
 
 
 def _capacity(state: model.State) -> dict[str, model.PoolCapacity]:
--- a/tests/moves/deployment.py
+++ b/tests/moves/deployment.py
@@ -1,7 +1,9 @@
 """A small deployment of real processes: platform, workers and daemons."""
 
+import contextlib
 import dataclasses
 import http.client
+import socket
 import time
 
 import msgspec
@@ -80,12 +82,19 @@
             name: f"127.1.{network}.{number}"
             for number, name in enumerate(sorted(hosts), 1)
         }
+        pools = sorted(set(hosts.values()))
         first = next(iter(self.addresses.values()))
-        self.ports = {
-            pool: processes.free_port(first) for pool in set(hosts.values())
-        }
+        self.ports = dict(
+            zip(pools, free_ports(len(pools), first), strict=True)
+        )
+        numbers = iter(free_ports(3 * daemons + 1))
+        platform_port = next(numbers)
         _, self.url = running.start_platform(
-            "--host-list-lag-ms", "300", "--reboot-ms", "400"
+            "--host-list-lag-ms",
+            "300",
+            "--reboot-ms",
+            "400",
+            port=platform_port,
         )
         self.platform = client.Client(url=self.url)
         self.worker, control_port = running.start_worker(
@@ -98,15 +107,16 @@
         }
         self.fleet = make_fleet(hosts, self.addresses, self.ports, preset)
         self.peers = [
-            f"tcp://127.0.0.1:{processes.free_port()}" for _ in range(daemons)
+            f"tcp://127.0.0.1:{next(numbers)}" for _ in range(daemons)
         ]
+        self.listens = [(next(numbers), next(numbers)) for _ in range(daemons)]
         self.daemons = [
             self.start_daemon(n, module=module) for n in range(daemons)
         ]
 
     def start_daemon(self, number, *, module=ENTRY):
         """Start a daemon and wait until its operators' port is open."""
-        port, operators = processes.free_port(), processes.free_port()
+        port, operators = self.listens[number]
         process = self.running.start_ready(
             f"entry-{number}",
             *module,
@@ -160,6 +170,15 @@
         return self.controls[host].get("/control/executions")["executions"]
 
 
+def free_ports(count, address="127.0.0.1"):
+    """Return ports that are free and differ from each other."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((address, 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
 def make_fleet(hosts, addresses, ports, preset=None):
     """Return a fleet of one zone, each host in a rack of its own."""
     preset = preset or model.Preset(name="ordinary")
--- a/tests/moves/test_demand.py
+++ b/tests/moves/test_demand.py
@@ -1,6 +1,7 @@
 """Moves on demand: the fold's limits, and two daemons that see the load."""
 
 import concurrent.futures
+import threading
 
 from azurewood.fleet import model
 from azurewood.state import agreed as agreed_state
@@ -81,25 +82,43 @@
 
 
 def test_daemons_move_a_host_to_where_the_load_is(tmp_path):
+    done = threading.Event()
     with (
         processes.Processes(log_dir=tmp_path) as running,
-        concurrent.futures.ThreadPoolExecutor(40) as pool,
+        concurrent.futures.ThreadPoolExecutor(24) as pool,
     ):
         dep = deployment.Deployment(
             running=running, hosts=HOSTS, preset=PRESET
         )
         dep.publish()
-        calls = [
-            pool.submit(dep.daemons[n % 2].call, "certs", Work_Ms=1000)
-            for n in range(32)
+        callers = [
+            pool.submit(call_until, done, dep.daemons[n % 2])
+            for n in range(24)
         ]
-        processes.wait_for(lambda: moved(dep), what="a host moves to certs")
-        name = moved(dep)[0]
-        deployment.wait_move(dep.daemons[0], name, "certs")
-        statuses = [fut.result(20)[0] for fut in calls]
-        executed = dep.executions(name)
-    assert statuses.count(200) == len(statuses)
-    assert any(entry["service"] == "certs" for entry in executed)
+        try:
+            processes.wait_for(lambda: moved(dep), what="a host moves")
+            name = moved(dep)[0]
+            deployment.wait_move(dep.daemons[0], name, "certs")
+            processes.wait_for(
+                lambda: executed(dep, name), what="certs runs there"
+            )
+        finally:
+            done.set()
+        statuses = [status for fut in callers for status in fut.result(20)]
+        assert moved(dep) == [name]
+    assert set(statuses) == {200}
+
+
+def call_until(done, daemon):
+    """Call the service until told to end; return the statuses."""
+    statuses = []
+    while not done.is_set():
+        statuses.append(daemon.call("certs", Work_Ms=200)[0])
+    return statuses
+
+
+def executed(dep, host):
+    return any(e["service"] == "certs" for e in dep.executions(host))
 
 
 def moved(dep):
--- a/tests/moves/test_policy.py
+++ b/tests/moves/test_policy.py
@@ -13,7 +13,13 @@
 
 def pool(name, demand, hosts, **more):
     return moves.PoolLoad(
-        name=name, demand=demand, slots=8 * hosts, hosts=hosts, **more
+        name=name,
+        demand=demand,
+        busy=min(demand, 8 * hosts),
+        waiting=max(0, demand - 8 * hosts),
+        slots=8 * hosts,
+        hosts=hosts,
+        **more,
     )
 
 
@@ -53,7 +59,7 @@
     assert plan(POLICY, LOADED, memory, now=10.0) == []
     assert plan(POLICY, LOADED, memory, now=10.9) == []
     found = plan(POLICY, LOADED, memory, now=11.0)
-    assert {move.from_pool for move in found} == {"s"}
+    assert {move.from_pool for move in found} == {"b"}
     assert len(found) == POLICY.at_once
 
 
@@ -110,8 +116,19 @@
         for policy in (frugal, quick)
     ]
     assert 0 < counts[0] < counts[1]
-    assert moves.returns_hosts(frugal)
-    assert not moves.returns_hosts(quick)
+    assert moves.return_hold_s(frugal) < moves.return_hold_s(quick)
+
+
+def test_idle_hosts_return_to_the_spare_pool_down_to_what_is_needed():
+    loads = (pool("b", 12, 6), pool("s", 40, 2, spare=True))
+    memory = moves.Memory()
+    hold_s = moves.return_hold_s(POLICY)
+    assert plan(POLICY, loads, memory, now=1.0) == []
+    found = plan(POLICY, loads, memory, now=1.0 + hold_s)
+    assert [(m.from_pool, m.to_pool) for m in found] == [("b", "s")] * 2
+    memory = moves.Memory(return_at={"b": 0.0})
+    few = (pool("b", 12, 3), loads[1])
+    assert plan(POLICY, few, memory, now=1.0) == []
 
 
 @st.composite
