--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -271,7 +271,8 @@
 class Mover:
     """What the moves on demand have to remember.
 
-    ``capacity`` is valid for the view generation ``capacity_of``.
+    ``capacity`` is valid for the view generation ``capacity_of``, and
+    ``planners`` for the live peers ``planners_of``.
     """
 
     plan_at: float = 0.0
@@ -281,6 +282,8 @@
     )
     capacity: dict[str, PoolCapacity] = dataclasses.field(default_factory=dict)
     capacity_of: int = -1
+    planners: tuple[str, ...] = ()
+    planners_of: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/movers.py
+++ b/azurewood/state/movers.py
@@ -1,8 +1,8 @@
-"""Moves on demand: every daemon plans them, one proposes each.
+"""Moves on demand: a few daemons plan them, one proposes each.
 
-The daemon that proposes the moves from one pool to another is chosen by
-rendezvous hashing over all live daemons. Should two propose, the fold
-accepts one proposal for a revision of a host.
+Those that plan, and the one of them that proposes the moves from one pool
+to another, are chosen by rendezvous hashing over the live daemons. Should
+two propose, the fold accepts one proposal for a revision of a host.
 """
 
 import collections
@@ -21,6 +21,7 @@
 
 MOVER_EVERY_S = 0.2
 FIRST_LOOK_S = 2.0
+PLANNERS = 3
 
 HostPhase = agreed_state.HostPhase
 Effects = collections.abc.Iterator[effects.AnyEffect]
@@ -32,8 +33,13 @@
     preset = views.preset_in_force(state)
     if preset is None or now < mover.plan_at:
         return
+    if state.me.name not in _planners(state):
+        mover.plan_at = 0.0
+        return
     if not mover.plan_at:
         mover.plan_at = now + FIRST_LOOK_S
+        mover.memory = moves.Memory()
+        mover.samples.clear()
         return
     mover.plan_at = now + MOVER_EVERY_S
     if isinstance(preset.moves, fleet_model.FixedPools):
@@ -44,6 +50,21 @@
         yield from _propose(state, preset, needs, loads, now)
 
 
+def _planners(state: model.State) -> tuple[str, ...]:
+    """Return the live daemons that plan moves, worked out when they change."""
+    mover = state.mover
+    if mover.planners_of != state.alive or not mover.planners:
+        everyone = (*state.alive, state.me.name)
+        ranked = sorted(
+            everyone,
+            key=lambda name: ownership.weight("mover", name),
+            reverse=True,
+        )
+        mover.planners_of = state.alive
+        mover.planners = tuple(ranked[:PLANNERS])
+    return mover.planners
+
+
 def _propose(
     state: model.State,
     preset: fleet_model.Preset,
@@ -58,10 +79,9 @@
         _serving_hosts(state, needs),
         _team_room(state),
     )
-    everyone = (*state.alive, state.me.name)
     for move in wanted:
         pair = f"{move.from_pool}>{move.to_pool}"
-        if ownership.owner(pair, everyone) != state.me.name:
+        if ownership.owner(pair, _planners(state)) != state.me.name:
             continue
         change = records.MoveHost(
             to_pool=move.to_pool,
