--- a/azurewood/state/effects.py
+++ b/azurewood/state/effects.py
@@ -25,11 +25,10 @@
 
 
 class AppendRecord(Effect, frozen=True, kw_only=True):
-    """Append an encoded record; ``not_before`` spaces retries."""
+    """Append an encoded record."""
 
     sequence: int
     data: bytes
-    not_before: float
 
 
 class AppendSnapshot(Effect, frozen=True, kw_only=True):
@@ -167,11 +166,12 @@
 
 
 class Report(Effect, frozen=True, kw_only=True):
-    """Write a line to the log, with the metric of the same name."""
+    """Write a line to the log; ``revision`` is 0 if it is about none."""
 
     level: str
     name: str
     text: str
+    revision: int = 0
 
 
 class Exit(Effect, frozen=True, kw_only=True):
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -100,7 +100,7 @@
         incarnation=state.agreed.incarnation,
         offset=state.agreed.offset,
         revision=state.agreed.revision,
-        log_reachable=state.log.reachable,
+        log_reachable=relay.is_current(state),
         stopping=bool(state.stopping_until),
         draining=_draining(state),
         counts=tuple(
@@ -145,7 +145,7 @@
         case messages.Tail():
             yield from relay.told(state, event.message, now)
         case messages.SnapshotAnswer():
-            yield from relay.given(state, event.message)
+            yield from relay.given(state, event.message, now)
 
 
 def _heard_heartbeat(
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -57,6 +57,7 @@
             yield from _tick(state, now)
         case events.RecordsRead():
             yield from control.read(state, event, now)
+            yield from relay.push(state, event.records)
         case events.LogTrimmed():
             yield from control.trimmed(state, event, now)
         case events.SnapshotRead():
@@ -64,7 +65,7 @@
         case events.LogUnreachable():
             yield from control.unreachable(state, event, now)
         case events.AppendEnded():
-            yield from outbox.append_ended(state, event, now)
+            outbox.append_ended(state, event, now)
         case events.Proposed():
             yield from outbox.propose(state, event, now)
         case events.PeerSaid():
--- a/tests/moves/deployment.py
+++ b/tests/moves/deployment.py
@@ -199,6 +199,7 @@
             model.Pool(
                 name=pool,
                 hosts=tuple(n for n in sorted(hosts) if hosts[n] == pool),
+                spare=pool == pools[-1],
             )
             for pool in pools
         ),
