--- a/azurewood/state/heartbeats.py
+++ b/azurewood/state/heartbeats.py
@@ -11,7 +11,7 @@
 from azurewood.policy import ownership
 from azurewood.state import model
 
-REMOTE_PEERS_PER_ZONE = 2
+REMOTE_PEERS_PER_ZONE = 3
 SENT_BYTES_PER_S = 2600.0
 HOST_BYTES_PER_S = 0.27
 """What a host takes of the budget: the platform's lists are longer."""
--- a/azurewood/state/stewards.py
+++ b/azurewood/state/stewards.py
@@ -92,9 +92,10 @@
 
 def _stewarded(state: model.State) -> collections.abc.Iterator[str]:
     owners = zones.owners_by_zone(state)
+    me = state.me.name
     for name in state.agreed.hosts:
         members = owners[state.hosts[name].zone]
-        if ownership.owner(name, members) == state.me.name:
+        if me in members and ownership.owner(name, members) == me:
             yield name
 
 
