--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -1,3 +1,4 @@
+from azurewood.state import heartbeats
 from azurewood.state import membership
 from tests.agreement import world as worlds
 
@@ -14,8 +15,7 @@
 
 
 def test_without_gossip_only_the_seeds_are_found(monkeypatch):
-    monkeypatch.setattr(membership, "_gossip", lambda state: ())
-    monkeypatch.setattr(membership, "GOSSIPED_ADDRESSES", 0)
+    monkeypatch.setattr(membership, "_gossip", lambda state, count: ())
     world = worlds.World(seed=1, zones=("a", "a", "b", "b", "c"))
     world.run(2)
     assert alive(world, "d4") == {"d0", "d1"}
@@ -46,6 +46,6 @@
     world = worlds.World(seed=4, zones=zones)
     world.run(3)
     state = world.nodes["d0"].state
-    targets = membership._addresses(state, world.now)
-    remote = {name for name in targets if name not in ("d0", "d1")}
-    assert len(remote) == membership.REMOTE_PEERS_PER_ZONE
+    targets = heartbeats.targets(state)
+    assert len(set(targets.far)) == heartbeats.REMOTE_PEERS_PER_ZONE
+    assert targets.near == ["d1"]
