Lend idle slots between daemons and let changed ones settle

Cause: a daemon could start requests on its own slots only, and on those of a dead or new peer at once. Change: Borrow, Lend and GiveBack with deadlines on each side's own clock; TakeOver and SlotsFree for slots that change owner; all slots settle anew after a pause. Hosts of the own zone go first. Ruled out: resting for the whole request deadline, which with two daemons idles half a zone for 10 s after a death.

--- a/azurewood/peers/messages.py
+++ b/azurewood/peers/messages.py
@@ -112,12 +112,27 @@
 
 
 class GiveBack(Message, frozen=True, kw_only=True):
-    """Return borrowed slots that are idle."""
+    """Return idle slots that were lent in answer to a request."""
 
+    request: int
     service: str
     slots: tuple[Slot, ...]
 
 
+class TakeOver(Message, frozen=True, kw_only=True):
+    """Ask which of the sender's new slots the receiver no longer uses."""
+
+    request: int
+    slots: tuple[Slot, ...]
+
+
+class SlotsFree(Message, frozen=True, kw_only=True):
+    """Answer which of the slots asked for the sender does not use."""
+
+    request: int
+    slots: tuple[Slot, ...]
+
+
 AnyMessage = (
     Heartbeat
     | TailRequest
@@ -127,6 +142,8 @@
     | Borrow
     | Lend
     | GiveBack
+    | TakeOver
+    | SlotsFree
 )
 
 
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -12,6 +12,7 @@
 
 from azurewood.fleet import model as fleet_model
 from azurewood.policy import claims as claim_policy
+from azurewood.policy import slots as slot_policy
 from azurewood.state import agreed as agreed_state
 from azurewood.state import events
 from azurewood.state import records
@@ -134,10 +135,74 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class LentSlot:
-    """A slot of ours that a peer may start requests on until a deadline."""
+    """A slot of ours that a peer may use until a deadline, or a peer's.
+
+    ``request`` is the id under which it was lent. A borrower starts nothing
+    after ``until``; ``idle_since`` is when it last used the slot.
+    """
 
     peer: str
     until: float
+    request: int = 0
+    idle_since: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SettlingSlot:
+    """A slot that is ours but may still be in use by those before us.
+
+    It is usable when all of ``awaiting`` have said that it is free, or
+    after ``until``.
+    """
+
+    awaiting: set[str]
+    until: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Ask:
+    """A request for slots to a peer; ``answered`` once it lent some."""
+
+    peer: str
+    service: str
+    at: float
+    count: int
+    answered: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Return:
+    """A borrowed slot on its way back to its owner."""
+
+    peer: str
+    service: str
+    request: int
+    host: str
+    number: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Lending:
+    """Slots asked for, lent, borrowed and settling, by host.
+
+    ``dry`` maps service and peer to when a peer that had nothing left may
+    be asked again, ``pending`` to when its answer is no longer waited for.
+    ``is_viewed`` is set once hosts were seen for the first time.
+    """
+
+    asks: dict[int, Ask] = dataclasses.field(default_factory=dict)
+    dry: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
+    pending: dict[str, dict[str, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    ask_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    returns: list[Return] = dataclasses.field(default_factory=list)
+    hosts: set[str] = dataclasses.field(default_factory=set)
+    settling: set[str] = dataclasses.field(default_factory=set)
+    settle_s: float = 0.0
+    take_over: int = 0
+    take_over_at: float = 0.0
+    is_viewed: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -155,6 +220,8 @@
     usable: bool = False
     listed: str = "live"
     owned: set[int] = dataclasses.field(default_factory=set)
+    owners: tuple[str, ...] = ()
+    settling: dict[int, SettlingSlot] = dataclasses.field(default_factory=dict)
     idle: list[int] = dataclasses.field(default_factory=list)
     busy: set[int] = dataclasses.field(default_factory=set)
     lent: dict[int, LentSlot] = dataclasses.field(default_factory=dict)
@@ -164,18 +231,28 @@
     mean_s: float = 0.0
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ReadyHosts:
+    """Hosts with an idle slot, and where each stands in the list.
+
+    A random one is drawn, and any one removed, in constant time.
+    """
+
+    names: list[str] = dataclasses.field(default_factory=list)
+    place: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServiceView:
     """A service's waiting requests and the hosts with an idle slot.
 
-    ``ready`` lists those hosts and ``place`` where each stands in it, so
-    that a random one is drawn and removed in constant time.
+    ``near`` holds those of this daemon's zone and ``far`` the others.
     """
 
     name: str
     port: int
-    ready: list[str] = dataclasses.field(default_factory=list)
-    place: dict[str, int] = dataclasses.field(default_factory=dict)
+    near: ReadyHosts = dataclasses.field(default_factory=ReadyHosts)
+    far: ReadyHosts = dataclasses.field(default_factory=ReadyHosts)
     queues: dict[str, collections.deque[str]] = dataclasses.field(
         default_factory=lambda: {
             urgency.value: collections.deque()
@@ -256,6 +333,9 @@
     at_most_once: claim_policy.AtMostOnce = dataclasses.field(
         default_factory=claim_policy.LogClaims
     )
+    slots: slot_policy.SlotPolicy = dataclasses.field(
+        default_factory=slot_policy.LentSlots
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -289,6 +369,7 @@
     hosts: dict[str, HostView] = dataclasses.field(default_factory=dict)
     services: dict[str, ServiceView] = dataclasses.field(default_factory=dict)
     requests: dict[str, RequestView] = dataclasses.field(default_factory=dict)
+    lending: Lending = dataclasses.field(default_factory=Lending)
     claims: ClaimBook = dataclasses.field(default_factory=ClaimBook)
     waiting: int = 0
     waiting_bytes: int = 0
@@ -299,6 +380,7 @@
     stopping_until: float = 0.0
     stepped_at: float = 0.0
     woken_at: float = 0.0
+    born_at: float = 0.0
 
 
 def _plain(value: typing.Any) -> typing.Any:
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -10,11 +10,13 @@
 from azurewood.state import control
 from azurewood.state import effects
 from azurewood.state import events
+from azurewood.state import lending
 from azurewood.state import membership
 from azurewood.state import model
 from azurewood.state import outbox
 from azurewood.state import relay
 from azurewood.state import requests
+from azurewood.state import slots
 from azurewood.state import stewards
 from azurewood.state import views
 
@@ -28,8 +30,11 @@
 
     ``now`` is a monotonic time in seconds and never falls.
     """
-    if state.stepped_at and now > state.stepped_at + _pause_s(state):
+    if not state.stepped_at:
+        state.born_at = now
+    elif now > state.stepped_at + _pause_s(state):
         state.woken_at = now
+        slots.distrust(state, now)
     state.stepped_at = now
     return list(_reduce(state, event, now))
 
@@ -74,6 +79,7 @@
             yield from outbox.propose(state, event, now)
         case events.PeerSaid():
             yield from membership.heard(state, event, now)
+            yield from lending.heard(state, event.sender, event.message, now)
         case events.HostsListed():
             views.list_hosts(state, event)
         case events.TasksListed():
@@ -90,14 +96,15 @@
     yield from stewards.tick(state, now)
     yield from control.tick(state, now)
     yield from claims.tick(state, now)
+    yield from lending.tick(state, now)
     if state.stopping_until and _is_idle(state):
         yield effects.Exit()
 
 
 def _settle(state: model.State, now: float) -> Effects:
     """Bring the view up to date and start what can start now."""
-    if views.refresh(state, now):
-        yield from requests.dispatch_all(state, now)
+    views.refresh(state, now)
+    yield from requests.dispatch_all(state, now)
     yield from claims.settle(state, now)
 
 
--- a/azurewood/state/requests.py
+++ b/azurewood/state/requests.py
@@ -5,6 +5,7 @@
 from azurewood.fleet import model as fleet_model
 from azurewood.state import effects
 from azurewood.state import events
+from azurewood.state import lending
 from azurewood.state import model
 from azurewood.state import records
 from azurewood.state import settlements
@@ -83,12 +84,25 @@
 ) -> Effects:
     """Start a request, let it wait, or refuse it as not run."""
     view = state.services[request.service]
-    if view.ready and not view.waiting:
+    if _is_stale(state, request):
+        yield from give_up(state, request, Refusal.PAUSED, now)
+    elif has_ready(view) and not view.waiting:
         yield from _start(state, view, request, now)
     elif state.waiting >= state.limits.waiting_requests:
         yield from give_up(state, request, Refusal.QUEUE_FULL, now)
     else:
         _enqueue(state, view, request)
+        yield from lending.borrow(state, view, now)
+
+
+def _is_stale(state: model.State, request: model.RequestView) -> bool:
+    """Tell whether we were paused since we asked for the claim."""
+    return request.claimed and request.claim_asked_at < state.woken_at
+
+
+def has_ready(view: model.ServiceView) -> bool:
+    """Tell whether a host of the service seems to have an idle slot."""
+    return bool(view.near.names or view.far.names)
 
 
 def _enqueue(
@@ -118,12 +132,18 @@
     request: model.RequestView,
     now: float,
 ) -> Effects:
-    if request.claimed and request.claim_asked_at < state.woken_at:
+    if _is_stale(state, request):
         yield from give_up(state, request, Refusal.PAUSED, now)
         return
-    host = state.hosts[_choose(state, view)]
+    number = None
+    while number is None and has_ready(view):
+        host = state.hosts[_choose(state, view)]
+        number = slots.take(state, host, now)
+    if number is None:
+        _enqueue(state, view, request)
+        return
     request.host = host.name
-    request.slot = slots.take(state, host)
+    request.slot = number
     request.attempts += 1
     view.in_flight += 1
     yield effects.StartRequest(
@@ -132,23 +152,32 @@
         address=host.address,
         port=view.port,
         deadline=request.deadline,
-        start_by=_start_by(state, request, now),
+        start_by=_start_by(state, request, host, now),
         fresh=not request.repeatable,
     )
 
 
 def _start_by(
-    state: model.State, request: model.RequestView, now: float
+    state: model.State,
+    request: model.RequestView,
+    host: model.HostView,
+    now: float,
 ) -> float:
-    """Return until when the request may be sent after all."""
-    if request.claimed:
-        return min(request.deadline, now + state.timing.peer_timeout_s)
-    return request.deadline
+    """Return until when the request may be sent after all.
+
+    A daemon that is silent for longer has lost its slots and claims.
+    """
+    start_by = min(request.deadline, now + state.timing.peer_timeout_s)
+    borrowed = host.borrowed.get(request.slot)
+    return min(start_by, borrowed.until) if borrowed else start_by
 
 
 def _choose(state: model.State, view: model.ServiceView) -> str:
-    """Return the better of two ready hosts, drawn at random."""
-    ready = view.ready
+    """Return the better of two ready hosts, drawn at random.
+
+    Hosts of other zones come in only when this zone has none ready.
+    """
+    ready = view.near.names or view.far.names
     if len(ready) == 1:
         return ready[0]
     drawn = (
@@ -157,8 +186,7 @@
     return min(
         drawn,
         key=lambda name: (
-            state.hosts[name].zone != state.me.zone,
-            len(state.hosts[name].busy) * (state.hosts[name].mean_s + 1e-3),
+            len(state.hosts[name].busy) * (state.hosts[name].mean_s + 1e-3)
         ),
     )
 
@@ -169,7 +197,7 @@
     if request is None or not request.host:
         return
     view = state.services[request.service]
-    _free(state, view, request)
+    _free(state, view, request, now)
     if _may_retry(request, event.result, now):
         _enqueue(state, view, request)
     else:
@@ -181,9 +209,10 @@
     state: model.State,
     view: model.ServiceView,
     request: model.RequestView,
+    now: float,
 ) -> None:
     host = state.hosts[request.host]
-    slots.give_back(state, host, request.slot)
+    slots.give_back(state, host, request.slot, now)
     request.tried.append(request.host)
     request.host = ""
     view.in_flight -= 1
@@ -274,10 +303,12 @@
     state: model.State, view: model.ServiceView, now: float
 ) -> Effects:
     """Start waiting requests on idle slots, urgent ones first."""
-    while view.waiting and view.ready:
+    while view.waiting and has_ready(view):
         request = state.requests[_next(view)]
         _dequeued(state, view, request)
         yield from _start(state, view, request, now)
+    if view.waiting:
+        yield from lending.borrow(state, view, now)
 
 
 def _next(view: model.ServiceView) -> str:
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -6,12 +6,14 @@
 
 from azurewood.fleet import model as fleet_model
 from azurewood.policy import ownership
+from azurewood.policy import slots as policy
 from azurewood.state import agreed as agreed_state
 from azurewood.state import events
 from azurewood.state import model
 from azurewood.state import slots
 
 LIVE = "live"
+MS_PER_S = 1000
 
 
 def list_hosts(state: model.State, event: events.HostsListed) -> None:
@@ -38,7 +40,9 @@
         return False
     state.view_revision = state.agreed.hosts_revision
     _refresh_services(state, state.agreed.fleet)
-    _refresh_hosts(state, state.agreed.fleet)
+    state.lending.settle_s = _settle_s(state, state.agreed.fleet)
+    _refresh_hosts(state, state.agreed.fleet, now)
+    state.lending.is_viewed = True
     _forget_tasks(state)
     return True
 
@@ -56,7 +60,20 @@
             del state.services[name]
 
 
-def _refresh_hosts(state: model.State, fleet: fleet_model.Fleet) -> None:
+def _settle_s(state: model.State, fleet: fleet_model.Fleet) -> float:
+    """Return how long a slot may be in use by one who had it before."""
+    match state.policies.slots:
+        case policy.LentSlots(start_s=start_s, longest_s=longest_s):
+            deadlines = (service.deadline_ms for service in fleet.services)
+            run_s = max(deadlines, default=0) / MS_PER_S
+            return start_s + min(longest_s, run_s)
+        case _:
+            return 0.0
+
+
+def _refresh_hosts(
+    state: model.State, fleet: fleet_model.Fleet, now: float
+) -> None:
     service_of = {service.pool: service.name for service in fleet.services}
     members = members_by_zone(state)
     everyone = (*state.alive, state.me.name)
@@ -68,7 +85,7 @@
         service = service_of.get(agreed_host.pool, "")
         _place(state, view, service, is_usable(view, agreed_host))
         owners = members.get(host.zone, everyone)
-        slots.set_owned(state, view, _owned(state, host, owners))
+        slots.set_owners(state, view, _owners(state, host, owners), now)
     for name in [n for n in state.hosts if n not in state.agreed.hosts]:
         slots.withdraw(state, state.hosts[name])
         if not state.hosts[name].busy:
@@ -116,15 +133,23 @@
     view.usable = usable and bool(service)
 
 
-def _owned(
-    state: model.State, host: fleet_model.Host, owners: tuple[str, ...]
-) -> set[int]:
+def _owners(
+    state: model.State, host: fleet_model.Host, members: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Return the owner of each slot of a host."""
     me = state.me.name
-    return {
-        number
-        for number in range(host.slots)
-        if ownership.slot_owner(host.name, number, owners) == me
-    }
+    match state.policies.slots:
+        case policy.FixedShare():
+            known = tuple({*members, me})
+            mine = policy.fixed_share(host.slots, known, me)
+            return tuple(
+                me if number in mine else "" for number in range(host.slots)
+            )
+        case _:
+            return tuple(
+                ownership.slot_owner(host.name, number, members)
+                for number in range(host.slots)
+            )
 
 
 def _forget_tasks(state: model.State) -> None:
