--- a/azurewood/fleet/document.py
+++ b/azurewood/fleet/document.py
@@ -20,6 +20,7 @@
 from azurewood.fleet import ranges  # noqa: F401  (registers its checks)
 from azurewood.fleet import reader
 
+MAX_FINDINGS: typing.Final = 1000
 Dumper = getattr(yaml, "CSafeDumper", yaml.SafeDumper)
 POLICY_NAMES: typing.Final = {
     kind: name for name, kind in model.MOVE_POLICIES.items()
@@ -51,7 +52,9 @@
         findings.extend(base.run(checks.TAG, subject))
     findings.sort(key=lambda found: _line(found.place))
     valid = fleet is not None and not base.errors(findings)
-    return Reading(fleet=fleet if valid else None, findings=findings)
+    return Reading(
+        fleet=fleet if valid else None, findings=_cut(findings, source)
+    )
 
 
 def load(text: str, source: str) -> model.Fleet:
@@ -68,7 +71,7 @@
 def dump(fleet: model.Fleet) -> str:
     """Return a document that `load` reads as an equal fleet."""
     return yaml.dump(
-        _plain(fleet),
+        plain(fleet),
         Dumper=Dumper,
         default_flow_style=None,
         sort_keys=False,
@@ -77,21 +80,34 @@
     )
 
 
-def _plain(value: typing.Any) -> typing.Any:
+def _cut(findings: list[base.Finding], source: str) -> list[base.Finding]:
+    """Return the first findings, and a last one that counts the others."""
+    left = len(findings) - MAX_FINDINGS
+    if left <= 0:
+        return findings
+    last = base.Finding(
+        id="azurewood.E008",
+        message=f"{left} further findings are not shown",
+        place=f"{source}:{_line(findings[MAX_FINDINGS].place)}",
+    )
+    return [*findings[:MAX_FINDINGS], last]
+
+
+def plain(value: typing.Any) -> typing.Any:
     """Return a value as what YAML can represent, without defaults."""
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, tuple):
-        return [_plain(item) for item in value]
+        return [plain(item) for item in value]
     if not fields.is_object(value):
         return value
     policy = POLICY_NAMES.get(type(value))
-    plain = {} if policy is None else {reader.POLICY_KEY: policy}
+    values = {} if policy is None else {reader.POLICY_KEY: policy}
     for field in fields.fields(value):
         item = getattr(value, field.name)
         if field.default is None or item != field.default():
-            plain[field.name] = _plain(item)
-    return plain
+            values[field.name] = plain(item)
+    return values
 
 
 def _line(place: str) -> int:
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -56,6 +56,14 @@
         yield effects.SendPeer(address=address, message=message)
 
 
+def acknowledge(state: model.State, peer: str) -> Effects:
+    """Send a heartbeat to one live peer at once."""
+    if peer in state.peers:
+        yield effects.SendPeer(
+            address=state.peers[peer].address, message=_heartbeat(state)
+        )
+
+
 def _addresses(state: model.State, now: float) -> set[str]:
     """Return where heartbeats go: seeds until they are known, and peers."""
     known = {peer.address for peer in state.peers.values()}
@@ -92,7 +100,7 @@
         incarnation=state.agreed.incarnation,
         offset=state.agreed.offset,
         revision=state.agreed.revision,
-        log_reachable=state.log.reachable,
+        log_reachable=relay.is_current(state),
         stopping=bool(state.stopping_until),
         draining=_draining(state),
         counts=tuple(
@@ -135,7 +143,7 @@
         case messages.Tail():
             yield from relay.told(state, event.message, now)
         case messages.SnapshotAnswer():
-            yield from relay.given(state, event.message)
+            yield from relay.given(state, event.message, now)
 
 
 def _heard_heartbeat(
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -12,6 +12,7 @@
 
 from azurewood.fleet import model as fleet_model
 from azurewood.policy import claims as claim_policy
+from azurewood.policy import placement
 from azurewood.policy import slots as slot_policy
 from azurewood.state import agreed as agreed_state
 from azurewood.state import events
@@ -88,6 +89,9 @@
     quiet_since: float = 0.0
     failures: int = 0
     relay_at: float = 0.0
+    seed_at: float = 0.0
+    reported_in_force: int = 0
+    reported_fleet: int = 0
     snapshot_due: float = 0.0
     snapshot_offset: int = 0
     recent: collections.deque[events.StoredRecord] = dataclasses.field(
@@ -118,19 +122,24 @@
     data: bytes
     entries: list[Pending]
     attempts: int = 0
+    retry_at: float = 0.0
     in_call: bool = False
     unsure: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Outbox:
-    """Proposals on their way to the log, one record at a time."""
+    """Proposals on their way to the log, one record at a time.
+
+    ``barrier`` asks for an empty record, after one whose end is unknown.
+    """
 
     sequence: int = 0
     waiting: collections.deque[Pending] = dataclasses.field(
         default_factory=collections.deque
     )
     sent: SentRecord | None = None
+    barrier: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -304,7 +313,6 @@
 
     key: str
     sequence: int
-    probe_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -338,20 +346,56 @@
     )
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Action:
+    """An action of a steward, which may be repeated from ``until`` on.
+
+    ``done`` says that its last call has been answered.
+    """
+
+    until: float
+    attempts: int = 0
+    in_call: bool = False
+    done: bool = False
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Stewardship:
-    """When this daemon last acted for a host, so that it does not repeat.
+    """The hosts that this daemon acts for, and what it has done for them.
 
-    ``acted`` maps a host's revision-bound action to when it may be redone.
+    ``mine`` is valid for ``members_key``, ``active`` (those of ``mine``
+    that need an action) for ``hosts_revision``. ``acted`` is by action.
+    ``drains`` holds when each drain ends at the latest, ``starts`` when a
+    failed job may start again, and ``away`` the rebooted hosts that the
+    host list has shown as not live. ``calls`` counts the calls under way.
     """
 
-    acted: dict[str, float] = dataclasses.field(default_factory=dict)
+    mine: tuple[str, ...] = ()
+    members_key: tuple[str, ...] = ()
+    active: dict[str, bool] = dataclasses.field(default_factory=dict)
+    hosts_revision: int = -1
+    acknowledged: int = 0
+    acted: dict[str, Action] = dataclasses.field(default_factory=dict)
+    drains: dict[str, float] = dataclasses.field(default_factory=dict)
+    starts: dict[str, float] = dataclasses.field(default_factory=dict)
+    away: dict[str, bool] = dataclasses.field(default_factory=dict)
+    calls: dict[str, int] = dataclasses.field(default_factory=dict)
     renew_at: float = 0.0
+    hand_over: placement.HandOver = dataclasses.field(
+        default_factory=placement.AfterStop
+    )
+    placement_policy: placement.PlacementPolicy = dataclasses.field(
+        default_factory=placement.BlamePlacement
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class State:
-    """Everything that a daemon's decisions depend on."""
+    """Everything that a daemon's decisions depend on.
+
+    ``incoming`` is the state folded from a log that was reset, until it has
+    caught up with ``agreed``, which stays in force meanwhile.
+    """
 
     me: Identity
     rng: random.Random
@@ -361,6 +405,7 @@
     agreed: agreed_state.Agreed = dataclasses.field(
         default_factory=agreed_state.Agreed
     )
+    incoming: agreed_state.Agreed | None = None
     log: LogView = dataclasses.field(default_factory=LogView)
     outbox: Outbox = dataclasses.field(default_factory=Outbox)
     peers: dict[str, PeerView] = dataclasses.field(default_factory=dict)
--- a/azurewood/state/records.py
+++ b/azurewood/state/records.py
@@ -111,6 +111,22 @@
     reason: str
 
 
+class RestartJob(Change, frozen=True, kw_only=True):
+    """Start a host's job anew under a new task id, the old one having ended.
+
+    ``failed`` says that the job failed by itself.
+    """
+
+    reason: str
+    failed: bool = True
+
+
+class QuarantineHost(Change, frozen=True, kw_only=True):
+    """Take a host out of use on which every job fails."""
+
+    reason: str
+
+
 class StartWave(Change, frozen=True, kw_only=True):
     """Start a maintenance wave over some hosts."""
 
@@ -171,6 +187,8 @@
     | DrainHost
     | MarkDown
     | ReturnHost
+    | RestartJob
+    | QuarantineHost
     | StartWave
     | PauseWave
     | ResumeWave
@@ -179,12 +197,17 @@
 )
 
 
-class Proposal(msgspec.Struct, kw_only=True, frozen=True):
-    """A change to one object, based on one revision of it (0: none yet)."""
+class Proposal(msgspec.Struct, kw_only=True, frozen=True, omit_defaults=True):
+    """A change to one object, based on one revision of it (0: none yet).
+
+    A proposal with a ``ticket``, chosen by who proposes, is judged once:
+    a repeat gets the first one's verdict and changes nothing.
+    """
 
     object: str
     base: int
     change: AnyChange
+    ticket: str = ""
 
 
 class Proposals(msgspec.Struct, kw_only=True, frozen=True, tag=True):
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -49,7 +49,10 @@
         case events.RequestArrived():
             yield from claims.arrive(state, event, now)
         case events.RequestEnded():
+            request = state.requests.get(event.id)
+            host = request.host if request else ""
             yield from requests.end(state, event, now)
+            yield from stewards.request_ended(state, host, now)
         case events.RequestAbandoned():
             yield from claims.abandon(state, event, now)
         case _:
@@ -57,6 +60,7 @@
             yield from claims.take_answers(state, wanted, now)
             wanted = _settle(state, now)
             yield from claims.take_answers(state, wanted, now)
+            yield from stewards.settle(state, event, now)
 
 
 def _reduce_control(
@@ -67,6 +71,7 @@
             yield from _tick(state, now)
         case events.RecordsRead():
             yield from control.read(state, event, now)
+            yield from relay.push(state, event.records)
         case events.LogTrimmed():
             yield from control.trimmed(state, event, now)
         case events.SnapshotRead():
@@ -74,7 +79,7 @@
         case events.LogUnreachable():
             yield from control.unreachable(state, event, now)
         case events.AppendEnded():
-            yield from outbox.append_ended(state, event, now)
+            outbox.append_ended(state, event, now)
         case events.Proposed():
             yield from outbox.propose(state, event, now)
         case events.PeerSaid():
--- a/azurewood/state/relay.py
+++ b/azurewood/state/relay.py
@@ -1,8 +1,10 @@
 """Keeping up through peers when the platform's log cannot be read."""
 
 import collections.abc
+import itertools
 
 from azurewood.peers import messages
+from azurewood.policy import ownership
 from azurewood.state import agreed as agreed_state
 from azurewood.state import control
 from azurewood.state import effects
@@ -38,22 +40,49 @@
 
 def _is_ahead(state: model.State, peer: model.PeerView) -> bool:
     mine = state.agreed
+    if peer.incarnation == mine.incarnation:
+        return peer.offset > mine.offset
     if not mine.incarnation:
         return peer.revision > 0
-    return peer.incarnation == mine.incarnation and peer.offset > mine.offset
+    return peer.log_reachable and peer.revision >= mine.revision
 
 
 def _ask(state: model.State, peer: model.PeerView, now: float) -> Effects:
     state.log.relay_at = now + RELAY_EVERY_S
+    followed = control.following(state)
     yield effects.SendPeer(
         address=peer.address,
         message=messages.TailRequest(
-            incarnation=state.agreed.incarnation,
-            offset=state.agreed.offset,
+            incarnation=followed.incarnation, offset=followed.offset
         ),
     )
 
 
+def push(
+    state: model.State, records: tuple[events.StoredRecord, ...]
+) -> Effects:
+    """Pass new records on to the peers that cannot read the log.
+
+    One daemon passes them on to each, chosen by rendezvous hashing; a peer
+    that is missed asks by itself after the next heartbeat.
+    """
+    cut_off = [
+        name for name in state.alive if not state.peers[name].log_reachable
+    ]
+    if not cut_off or not records:
+        return
+    readers = [state.me.name, *sorted(set(state.alive) - set(cut_off))]
+    for name in cut_off:
+        if ownership.owner(name, readers) == state.me.name:
+            yield effects.SendPeer(
+                address=state.peers[name].address,
+                message=messages.Tail(
+                    incarnation=control.following(state).incarnation,
+                    records=_relayed(records),
+                ),
+            )
+
+
 def asked(
     state: model.State, sender: str, message: messages.TailRequest
 ) -> Effects:
@@ -63,38 +92,48 @@
         return
     tail = _tail(state, message)
     if tail:
-        answer = messages.Tail(
-            incarnation=state.agreed.incarnation, records=tail
-        )
+        answer = messages.Tail(incarnation=message.incarnation, records=tail)
     else:
         answer = messages.SnapshotAnswer(
             incarnation=state.agreed.incarnation,
+            log_reachable=is_current(state),
             state=agreed_state.pack(state.agreed),
         )
     yield effects.SendPeer(address=peer.address, message=answer)
 
 
+def is_current(state: model.State) -> bool:
+    """Tell whether the agreed state is of the log as it is now."""
+    return state.log.reachable and state.incoming is None
+
+
 def _tail(
     state: model.State, message: messages.TailRequest
 ) -> tuple[messages.RelayedRecord, ...]:
     """Return the records from the offset asked for, if we still have it."""
     recent = state.log.recent
-    if message.incarnation != state.agreed.incarnation or not recent:
+    if message.incarnation != control.following(state).incarnation:
         return ()
-    if recent[0].offset > message.offset:
+    if not recent or recent[0].offset > message.offset:
         return ()
+    wanted = (item for item in recent if item.offset >= message.offset)
+    return _relayed(itertools.islice(wanted, TAIL_RECORDS))
+
+
+def _relayed(
+    records: collections.abc.Iterable[events.StoredRecord],
+) -> tuple[messages.RelayedRecord, ...]:
     return tuple(
         messages.RelayedRecord(
             offset=record.offset, at_ms=record.at_ms, data=record.data
         )
-        for record in recent
-        if record.offset >= message.offset
-    )[:TAIL_RECORDS]
+        for record in records
+    )
 
 
 def told(state: model.State, message: messages.Tail, now: float) -> Effects:
     """Fold the records that a peer relayed."""
-    if message.incarnation != state.agreed.incarnation:
+    if message.incarnation != control.following(state).incarnation:
         return
     stored = (
         events.StoredRecord(
@@ -105,15 +144,17 @@
     yield from control.fold_records(state, stored, now)
 
 
-def given(state: model.State, message: messages.SnapshotAnswer) -> Effects:
+def given(
+    state: model.State, message: messages.SnapshotAnswer, now: float
+) -> Effects:
     """Take over a peer's agreed state, if the log cannot be read.
 
-    A state of another incarnation is taken only by a new daemon: which of
-    two incarnations is the later one only the log itself can tell.
+    Of two incarnations of the log the later one is that which a peer reads
+    now. One that cannot read the log either does not know.
     """
     mine = state.agreed.incarnation
     if state.log.reachable:
         return
-    if mine and message.incarnation != mine:
+    if mine and message.incarnation != mine and not message.log_reachable:
         return
-    yield from control.adopt_packed(state, message.state)
+    yield from control.adopt_packed(state, message.state, now)
--- a/tests/requests/deployment.py
+++ b/tests/requests/deployment.py
@@ -194,7 +194,10 @@
                 model.Host(name=n, zone=z, rack=f"{z}-a", address=a)
                 for n, (a, z) in self.addresses.items()
             ),
-            pools=(model.Pool(name="certs", hosts=tuple(self.addresses)),),
+            pools=(
+                model.Pool(name="certs", hosts=tuple(self.addresses)),
+                model.Pool(name="spare", spare=True),
+            ),
             services=(self.service,),
             presets=(model.Preset(name="ordinary"),),
             preset="ordinary",
