Bound and order the waiting requests, and shed early

Cause: the queue was bounded in count only, urgent requests starved the others, and late requests waited in vain. Change: bounds by count, bytes and service quota; one of 8 and one of 16 starts for the lower classes; less urgent requests give way; a request is refused at once when its expected wait passes its deadline, which also sets Retry-After; a caller that closed its connection is noticed. Ruled out: a peek with MSG_DONTWAIT, as a socket with a timeout waits for data before it.

--- a/azurewood/http/callers.py
+++ b/azurewood/http/callers.py
@@ -7,6 +7,9 @@
 import collections.abc
 import concurrent.futures
 import itertools
+import select
+import socket
+import ssl
 import time
 
 from azurewood.daemons import runtime as runtimes
@@ -14,6 +17,7 @@
 from azurewood.http import endpoints
 from azurewood.http import exceptions
 from azurewood.http import outcomes
+from azurewood.http import server
 from azurewood.policy import claims
 from azurewood.state import effects
 from azurewood.state import events
@@ -21,6 +25,7 @@
 DEADLINE_HEADER = "HTTP_AZUREWOOD_DEADLINE_MS"
 KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
 MAX_KEY_CHARACTERS = 200
+GONE_CHECK_S = 0.25
 KEPT_ANSWER_BYTES = 2048
 HOP_BY_HOP = frozenset(
     {
@@ -88,7 +93,8 @@
         self._runtime.requests[request_id] = fut
         try:
             self._runtime.post(arrived)
-            return self._run(arrived, outgoing, fut)
+            caller = environ.get(server.SOCKET_KEY)
+            return self._run(arrived, outgoing, fut, caller)
         finally:
             del self._runtime.requests[request_id]
 
@@ -160,11 +166,12 @@
         arrived: events.RequestArrived,
         outgoing: endpoints.Outgoing,
         fut: concurrent.futures.Future,
+        caller: socket.socket | None,
     ) -> outcomes.CallerAnswer:
         """Follow the request's effects until one of them answers it."""
         reply = None
         while True:
-            effect = self._next_effect(arrived, fut)
+            effect = self._next_effect(arrived, fut, caller)
             match effect:
                 case effects.StartRequest():
                     fut = concurrent.futures.Future()
@@ -179,14 +186,22 @@
         self,
         arrived: events.RequestArrived,
         fut: concurrent.futures.Future,
+        caller: socket.socket | None,
     ) -> effects.AnyEffect:
-        """Wait for the next effect, within the request's deadline."""
-        try:
+        """Wait for the next effect while the caller does.
+
+        Past the deadline, or once the caller is gone, the request is
+        abandoned; its future then gets what has become of it.
+        """
+        while True:
             left = arrived.deadline - time.monotonic()
-            return fut.result(timeout=max(0.0, left))
-        except concurrent.futures.TimeoutError:
-            self._runtime.post(events.RequestAbandoned(id=arrived.id))
-            return fut.result()
+            try:
+                return fut.result(timeout=min(max(0.0, left), GONE_CHECK_S))
+            except concurrent.futures.TimeoutError:
+                if left <= 0 or _is_gone(caller):
+                    break
+        self._runtime.post(events.RequestAbandoned(id=arrived.id))
+        return fut.result()
 
     def _attempt(
         self,
@@ -218,6 +233,19 @@
         return reply
 
 
+def _is_gone(caller: socket.socket | None) -> bool:
+    """Tell whether a caller has closed its connection; not over TLS."""
+    if caller is None or isinstance(caller, ssl.SSLSocket):
+        return False
+    poll = select.poll()
+    try:
+        poll.register(caller, select.POLLIN)
+        # A socket with a timeout would wait in recv even for a peek.
+        return bool(poll.poll(0)) and not caller.recv(1, socket.MSG_PEEK)
+    except (OSError, ValueError):
+        return True
+
+
 def _split(path: str) -> tuple[str, str]:
     """Split ``/service/rest`` into the service and ``/rest``."""
     service, _, rest = path.lstrip("/").partition("/")
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -15,6 +15,7 @@
 from azurewood.http import exceptions
 
 BACKLOG = 256
+SOCKET_KEY = "azurewood.socket"
 SHUTDOWN_S = 5
 
 
@@ -26,6 +27,16 @@
     key: str
 
 
+class Gateway(wsgi.Gateway_10):
+    """Shows the application the caller's socket."""
+
+    def get_environ(self) -> dict[str, typing.Any]:
+        """Return the WSGI environment, with the socket in it."""
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.req.conn.socket
+        return environ
+
+
 def make(
     *,
     host: str,
@@ -52,6 +63,7 @@
     server.max_request_header_size = max_header_bytes
     server.max_request_body_size = max_body_bytes
     server.nodelay = True
+    server.gateway = Gateway
     server.ConnectionClass = connections.ErrorConnection
     server.ssl_adapter = _adapter(tls)
     try:
--- /dev/null
+++ b/azurewood/state/admission.py
@@ -0,0 +1,172 @@
+"""The requests that wait for a slot: bounded, ordered, shed early."""
+
+from azurewood.policy import admission as policy
+from azurewood.state import effects
+from azurewood.state import model
+
+MEAN_WEIGHT = 0.1
+LOG_RETRY_AFTER_S = 3
+
+Refusal = effects.Refusal
+Urgency = policy.Urgency
+
+WITHOUT_RETRY = frozenset(
+    {Refusal.KEY_REQUIRED, Refusal.KEY_REUSED, Refusal.UNKNOWN_SERVICE}
+)
+
+
+def refusal(
+    state: model.State,
+    view: model.ServiceView,
+    request: model.RequestView,
+    now: float,
+) -> Refusal | None:
+    """Say why a request may not wait for a slot; None if it may."""
+    match state.policies.admission:
+        case policy.NoQueues():
+            return Refusal.QUEUE_FULL
+        case policy.OneQueue():
+            return _bounds_refusal(state, request)
+        case policy.ClassQueues() as queues:
+            return (
+                _bounds_refusal(state, request)
+                or _quota_refusal(state, view)
+                or _shed_refusal(state, request, queues)
+                or _late_refusal(view, request, now)
+            )
+
+
+def _bounds_refusal(
+    state: model.State, request: model.RequestView
+) -> Refusal | None:
+    limits = state.limits
+    is_full = state.waiting >= limits.waiting_requests
+    too_large = state.waiting_bytes + request.size > limits.waiting_bytes
+    return Refusal.QUEUE_FULL if is_full or too_large else None
+
+
+def _quota_refusal(
+    state: model.State, view: model.ServiceView
+) -> Refusal | None:
+    places = max(1, int(view.quota * state.limits.waiting_requests))
+    return Refusal.QUEUE_FULL if view.waiting >= places else None
+
+
+def _shed_refusal(
+    state: model.State,
+    request: model.RequestView,
+    queues: policy.ClassQueues,
+) -> Refusal | None:
+    """Shed deferrable requests where the preset in force says so."""
+    if request.urgency != Urgency.DEFERRABLE:
+        return None
+    preset = state.agreed.presets.get(state.agreed.in_force)
+    if preset is None or not preset.preset.shed_deferrable:
+        return None
+    taken = state.waiting >= queues.shed_share * state.limits.waiting_requests
+    return Refusal.SHED if taken else None
+
+
+def _late_refusal(
+    view: model.ServiceView, request: model.RequestView, now: float
+) -> Refusal | None:
+    """Shed a request that would start after its deadline."""
+    wait_s = expected_wait_s(view, request.urgency)
+    return Refusal.SHED if now + wait_s > request.deadline else None
+
+
+def expected_wait_s(view: model.ServiceView, urgency: Urgency) -> float:
+    """Return the time until a new request is started, by the latest mean.
+
+    Zero while no answer has been seen.
+    """
+    ahead = sum(
+        len(view.queues[other])
+        for other in Urgency
+        if other not in policy.LESS_URGENT[urgency]
+    )
+    return policy.expected_wait_s(
+        ahead=ahead, slots=view.in_flight, mean_s=view.mean_s
+    )
+
+
+def retry_after_s(
+    state: model.State, request: model.RequestView, reason: Refusal
+) -> int:
+    """Return the seconds after which the refused request may fare better."""
+    if reason in WITHOUT_RETRY:
+        return 0
+    if reason == Refusal.LOG_UNAVAILABLE:
+        return LOG_RETRY_AFTER_S
+    view = state.services[request.service]
+    return policy.retry_after_s(expected_wait_s(view, request.urgency))
+
+
+def make_way(
+    state: model.State, view: model.ServiceView, request: model.RequestView
+) -> model.RequestView | None:
+    """Return the waiting request that gives its place to a more urgent one.
+
+    It is the last that came of the least urgent ones, of the same service.
+    """
+    match state.policies.admission:
+        case policy.ClassQueues():
+            pass
+        case _:
+            return None
+    for urgency in policy.LESS_URGENT[request.urgency]:
+        queue = view.queues[urgency]
+        if queue:
+            last = state.requests[queue[-1]]
+            held = state.waiting_bytes - last.size + request.size
+            return last if held <= state.limits.waiting_bytes else None
+    return None
+
+
+def enqueue(
+    state: model.State, view: model.ServiceView, request: model.RequestView
+) -> None:
+    """Let a request wait."""
+    queue = policy.queue_of(state.policies.admission, request.urgency)
+    view.queues[queue].append(request.id)
+    view.waiting += 1
+    state.waiting += 1
+    state.waiting_bytes += request.size
+
+
+def remove(
+    state: model.State, view: model.ServiceView, request: model.RequestView
+) -> None:
+    """Let a waiting request wait no more."""
+    queue = policy.queue_of(state.policies.admission, request.urgency)
+    view.queues[queue].remove(request.id)
+    _left(state, view, request)
+
+
+def take_next(
+    state: model.State, view: model.ServiceView
+) -> model.RequestView:
+    """Take the request that is next; at least one must wait."""
+    view.turn += 1
+    for urgency in policy.order(state.policies.admission, view.turn):
+        queue = view.queues[urgency]
+        if queue:
+            request = state.requests[queue.popleft()]
+            _left(state, view, request)
+            return request
+    raise LookupError(f"no request waits for {view.name}")
+
+
+def _left(
+    state: model.State, view: model.ServiceView, request: model.RequestView
+) -> None:
+    view.waiting -= 1
+    state.waiting -= 1
+    state.waiting_bytes -= request.size
+
+
+def note_time(view: model.ServiceView, elapsed_s: float) -> None:
+    """Take an answer's time into the service's moving mean."""
+    if not view.mean_s:
+        view.mean_s = elapsed_s
+    view.mean_s += MEAN_WEIGHT * (elapsed_s - view.mean_s)
--- a/azurewood/state/claims.py
+++ b/azurewood/state/claims.py
@@ -17,7 +17,6 @@
 
 TICKET_PREFIX = "claim:"
 MAX_CLAIM_TRIES = 5
-LOG_RETRY_AFTER_S = 2
 
 ClaimPhase = records.ClaimPhase
 Effects = collections.abc.Iterator[effects.AnyEffect]
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurewood.fleet import model as fleet_model
+from azurewood.policy import admission as admission_policy
 from azurewood.policy import claims as claim_policy
 from azurewood.policy import placement
 from azurewood.policy import slots as slot_policy
@@ -268,6 +269,9 @@
             for urgency in fleet_model.Urgency
         }
     )
+    quota: float = 1.0
+    mean_s: float = 0.0
+    turn: int = 0
     waiting: int = 0
     in_flight: int = 0
     arrived: int = 0
@@ -344,6 +348,9 @@
     slots: slot_policy.SlotPolicy = dataclasses.field(
         default_factory=slot_policy.LentSlots
     )
+    admission: admission_policy.AdmissionPolicy = dataclasses.field(
+        default_factory=admission_policy.ClassQueues
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/requests.py
+++ b/azurewood/state/requests.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from azurewood.fleet import model as fleet_model
+from azurewood.state import admission
 from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import lending
@@ -37,7 +37,11 @@
 
 def refuse(request_id: str, reason: Refusal) -> effects.RefuseRequest:
     """Return the refusal of a request that did not run."""
-    return effects.RefuseRequest(id=request_id, reason=reason)
+    return effects.RefuseRequest(
+        id=request_id,
+        reason=reason,
+        retry_after_s=0 if reason in admission.WITHOUT_RETRY else 1,
+    )
 
 
 def create(
@@ -76,7 +80,11 @@
     yield from settlements.settle_request(
         state, request, ClaimPhase.NOT_RUN, now
     )
-    yield refuse(request.id, reason)
+    yield effects.RefuseRequest(
+        id=request.id,
+        reason=reason,
+        retry_after_s=admission.retry_after_s(state, request, reason),
+    )
 
 
 def admit(
@@ -88,11 +96,29 @@
         yield from give_up(state, request, Refusal.PAUSED, now)
     elif has_ready(view) and not view.waiting:
         yield from _start(state, view, request, now)
-    elif state.waiting >= state.limits.waiting_requests:
-        yield from give_up(state, request, Refusal.QUEUE_FULL, now)
     else:
-        _enqueue(state, view, request)
-        yield from lending.borrow(state, view, now)
+        yield from _wait(state, view, request, now)
+
+
+def _wait(
+    state: model.State,
+    view: model.ServiceView,
+    request: model.RequestView,
+    now: float,
+) -> Effects:
+    """Let a request wait, in the place of a less urgent one if need be."""
+    reason = admission.refusal(state, view, request, now)
+    if reason == Refusal.QUEUE_FULL:
+        other = admission.make_way(state, view, request)
+        if other is not None:
+            admission.remove(state, view, other)
+            yield from give_up(state, other, Refusal.SHED, now)
+            reason = admission.refusal(state, view, request, now)
+    if reason is not None:
+        yield from give_up(state, request, reason, now)
+        return
+    admission.enqueue(state, view, request)
+    yield from lending.borrow(state, view, now)
 
 
 def _is_stale(state: model.State, request: model.RequestView) -> bool:
@@ -105,27 +131,6 @@
     return bool(view.near.names or view.far.names)
 
 
-def _enqueue(
-    state: model.State,
-    view: model.ServiceView,
-    request: model.RequestView,
-) -> None:
-    view.queues[request.urgency].append(request.id)
-    view.waiting += 1
-    state.waiting += 1
-    state.waiting_bytes += request.size
-
-
-def _dequeued(
-    state: model.State,
-    view: model.ServiceView,
-    request: model.RequestView,
-) -> None:
-    view.waiting -= 1
-    state.waiting -= 1
-    state.waiting_bytes -= request.size
-
-
 def _start(
     state: model.State,
     view: model.ServiceView,
@@ -140,7 +145,7 @@
         host = state.hosts[_choose(state, view)]
         number = slots.take(state, host, now)
     if number is None:
-        _enqueue(state, view, request)
+        admission.enqueue(state, view, request)
         return
     request.host = host.name
     request.slot = number
@@ -198,8 +203,10 @@
         return
     view = state.services[request.service]
     _free(state, view, request, now)
+    if event.result == Result.ANSWERED:
+        admission.note_time(view, event.elapsed_s)
     if _may_retry(request, event.result, now):
-        _enqueue(state, view, request)
+        admission.enqueue(state, view, request)
     else:
         yield from _finish(state, view, request, event, now)
     yield from dispatch(state, view, now)
@@ -294,8 +301,7 @@
     if request is None or request.host:
         return
     view = state.services[request.service]
-    view.queues[request.urgency].remove(request.id)
-    _dequeued(state, view, request)
+    admission.remove(state, view, request)
     yield from give_up(state, request, Refusal.TOO_LATE, now)
 
 
@@ -304,21 +310,12 @@
 ) -> Effects:
     """Start waiting requests on idle slots, urgent ones first."""
     while view.waiting and has_ready(view):
-        request = state.requests[_next(view)]
-        _dequeued(state, view, request)
+        request = admission.take_next(state, view)
         yield from _start(state, view, request, now)
     if view.waiting:
         yield from lending.borrow(state, view, now)
 
 
-def _next(view: model.ServiceView) -> str:
-    for urgency in fleet_model.Urgency:
-        queue = view.queues[urgency]
-        if queue:
-            return queue.popleft()
-    raise LookupError(f"no request waits for {view.name}")
-
-
 def dispatch_all(state: model.State, now: float) -> Effects:
     """Start what can start, for every service."""
     for view in state.services.values():
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -61,6 +61,7 @@
             view = model.ServiceView(name=service.name, port=service.port)
             state.services[service.name] = view
         view.port = service.port
+        view.quota = service.quota
     known = {service.name for service in fleet.services}
     for name in [name for name in state.services if name not in known]:
         if not state.services[name].waiting:
