Keep retries within a budget and eject hosts that fail

Cause: up to three attempts whatever the load, any host again, and a host that fails at once attracted requests; a request that broke and was then refused was called not run. Change: token buckets per service and daemon; another host first; ejection after three failures or one refused connection, growing, at most half of a service's hosts; HostSuspected to the peers; slow return; what may have run before is answered unknown.

--- a/azurewood/http/endpoints.py
+++ b/azurewood/http/endpoints.py
@@ -45,7 +45,7 @@
 
 def unsent(reason: str) -> Reply:
     """Return the reply of a request that was not sent."""
-    return Reply(result=Result.REFUSED, elapsed_s=0.0, reason=reason)
+    return Reply(result=Result.UNSENT, elapsed_s=0.0, reason=reason)
 
 
 class _Sink:
--- /dev/null
+++ b/azurewood/state/ejection.py
@@ -0,0 +1,110 @@
+"""Hosts that fail: ejected, suspected by peers, and slowly taken back."""
+
+import collections.abc
+
+from azurewood.peers import messages
+from azurewood.policy import ejection as policy
+from azurewood.state import effects
+from azurewood.state import events
+from azurewood.state import model
+from azurewood.state import slots
+
+TELL_EVERY_S = 1.0
+
+Result = events.RequestResult
+Effects = collections.abc.Iterator[effects.AnyEffect]
+
+
+def note(
+    state: model.State, host: model.HostView, result: Result, now: float
+) -> Effects:
+    """Take an attempt's end into account, and eject or restore its host."""
+    match state.policies.ejection:
+        case policy.OutlierEjection() as ejecting:
+            pass
+        case _:
+            return
+    match result:
+        case Result.ANSWERED:
+            _restore(state, host)
+        case Result.REFUSED:
+            host.failures += 1
+            _eject(state, host, ejecting, now)
+            yield from _tell(state, host, result, now)
+        case Result.FAILED | Result.BROKEN | Result.TIMED_OUT:
+            host.failures += 1
+            if host.failures >= ejecting.failures:
+                _eject(state, host, ejecting, now)
+                if result == Result.BROKEN:
+                    yield from _tell(state, host, result, now)
+
+
+def _restore(state: model.State, host: model.HostView) -> None:
+    """Trust a host that answers again, step by step."""
+    host.failures = 0
+    if host.ramp:
+        host.ramp *= 2
+        if host.ramp > len(host.owners):
+            host.ramp = 0
+            host.ejections = 0
+        slots.update(state, host)
+
+
+def _eject(
+    state: model.State,
+    host: model.HostView,
+    ejecting: policy.OutlierEjection,
+    now: float,
+) -> None:
+    view = state.services.get(host.service)
+    if view is None or host.ejected_until:
+        return
+    if len(view.ejected) + 1 > ejecting.max_share * view.hosts:
+        return
+    length_s = policy.length_s(ejecting, host.ejections)
+    host.ejections += 1
+    host.ejected_until = now + length_s * state.rng.uniform(0.8, 1.0)
+    view.ejected.add(host.name)
+    slots.update(state, host)
+
+
+def _tell(
+    state: model.State, host: model.HostView, result: Result, now: float
+) -> Effects:
+    """Tell the peers that a host seems to leave, once in a while."""
+    if now < host.told_at + TELL_EVERY_S:
+        return
+    host.told_at = now
+    message = messages.HostSuspected(host=host.name, reason=result.value)
+    for name in state.alive:
+        yield effects.SendPeer(
+            address=state.peers[name].address, message=message
+        )
+
+
+def heard(
+    state: model.State, message: messages.AnyMessage, now: float
+) -> None:
+    """Eject a host that a peer suspects."""
+    match (message, state.policies.ejection):
+        case (messages.HostSuspected(), policy.OutlierEjection() as ejecting):
+            host = state.hosts.get(message.host)
+            if host is not None:
+                _eject(state, host, ejecting, now)
+
+
+def tick(state: model.State, now: float) -> None:
+    """Take back the hosts whose ejection is over."""
+    for view in state.services.values():
+        for name in tuple(view.ejected):
+            host = state.hosts.get(name)
+            if host is None or host.service != view.name:
+                view.ejected.discard(name)
+                if host is not None:
+                    host.ejected_until = 0.0
+                    slots.update(state, host)
+            elif host.ejected_until <= now:
+                view.ejected.discard(name)
+                host.ejected_until = 0.0
+                host.ramp = 1
+                slots.update(state, host)
--- a/azurewood/state/events.py
+++ b/azurewood/state/events.py
@@ -166,12 +166,14 @@
     """How an attempt at a request on an endpoint ended.
 
     ``REFUSED``: not one byte can have reached the endpoint's job.
+    ``UNSENT``: this daemon did not even try, which is no fault of the host.
     ``BROKEN``: bytes left and no whole answer came.
     """
 
     ANSWERED = "answered"
     FAILED = "failed"
     REFUSED = "refused"
+    UNSENT = "unsent"
     BROKEN = "broken"
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -13,13 +13,16 @@
 from azurewood.fleet import model as fleet_model
 from azurewood.policy import admission as admission_policy
 from azurewood.policy import claims as claim_policy
+from azurewood.policy import ejection as ejection_policy
 from azurewood.policy import placement
+from azurewood.policy import retries as retry_policy
 from azurewood.policy import slots as slot_policy
 from azurewood.state import agreed as agreed_state
 from azurewood.state import events
 from azurewood.state import records
 
 RECENT_RECORDS_KEPT = 512
+RETRY_TOKENS_AT_START = 10.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -220,6 +223,8 @@
     """A host as this daemon sees it, with the slots that it may use.
 
     ``idle`` holds the numbers of the slots that may be started on now.
+    ``ejected_until`` is 0 unless the host is ejected; ``ramp`` bounds the
+    requests on a host that returned, 0 if nothing does.
     """
 
     name: str
@@ -238,7 +243,9 @@
     borrowed: dict[int, LentSlot] = dataclasses.field(default_factory=dict)
     failures: int = 0
     ejected_until: float = 0.0
-    mean_s: float = 0.0
+    ejections: int = 0
+    ramp: int = 0
+    told_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -269,6 +276,9 @@
             for urgency in fleet_model.Urgency
         }
     )
+    hosts: int = 0
+    ejected: set[str] = dataclasses.field(default_factory=set)
+    retry_tokens: float = RETRY_TOKENS_AT_START
     quota: float = 1.0
     mean_s: float = 0.0
     turn: int = 0
@@ -292,6 +302,7 @@
     host: str = ""
     slot: int = -1
     attempts: int = 0
+    may_have_run: bool = False
     tried: list[str] = dataclasses.field(default_factory=list)
     digest: str = ""
     claim: str = ""
@@ -351,6 +362,12 @@
     admission: admission_policy.AdmissionPolicy = dataclasses.field(
         default_factory=admission_policy.ClassQueues
     )
+    retries: retry_policy.RetryPolicy = dataclasses.field(
+        default_factory=retry_policy.RetryBudget
+    )
+    ejection: ejection_policy.EjectionPolicy = dataclasses.field(
+        default_factory=ejection_policy.OutlierEjection
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -423,6 +440,7 @@
     requests: dict[str, RequestView] = dataclasses.field(default_factory=dict)
     lending: Lending = dataclasses.field(default_factory=Lending)
     claims: ClaimBook = dataclasses.field(default_factory=ClaimBook)
+    retry_tokens: float = RETRY_TOKENS_AT_START
     waiting: int = 0
     waiting_bytes: int = 0
     tasks: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -9,6 +9,7 @@
 from azurewood.state import claims
 from azurewood.state import control
 from azurewood.state import effects
+from azurewood.state import ejection
 from azurewood.state import events
 from azurewood.state import lending
 from azurewood.state import membership
@@ -85,6 +86,7 @@
         case events.PeerSaid():
             yield from membership.heard(state, event, now)
             yield from lending.heard(state, event.sender, event.message, now)
+            ejection.heard(state, event.message, now)
         case events.HostsListed():
             views.list_hosts(state, event)
         case events.TasksListed():
@@ -102,6 +104,7 @@
     yield from control.tick(state, now)
     yield from claims.tick(state, now)
     yield from lending.tick(state, now)
+    ejection.tick(state, now)
     if state.stopping_until and _is_idle(state):
         yield effects.Exit()
 
--- a/azurewood/state/requests.py
+++ b/azurewood/state/requests.py
@@ -2,8 +2,10 @@
 
 import collections.abc
 
+from azurewood.policy import retries
 from azurewood.state import admission
 from azurewood.state import effects
+from azurewood.state import ejection
 from azurewood.state import events
 from azurewood.state import lending
 from azurewood.state import model
@@ -12,7 +14,7 @@
 from azurewood.state import slots
 
 CHOICES = 2
-MAX_ATTEMPTS = 3
+FAILURE_COST = 4
 
 ClaimPhase = records.ClaimPhase
 Refusal = effects.Refusal
@@ -74,9 +76,15 @@
     reason: Refusal,
     now: float,
 ) -> Effects:
-    """Refuse a request in hand as not run, and release its claim."""
+    """Refuse a request in hand as not run, and release its claim.
+
+    One that was sent before, and broke, may have run: that is said then.
+    """
     drop(state, request)
     state.services[request.service].count.bad += 1
+    if request.may_have_run:
+        yield effects.AnswerUnknown(id=request.id, reason=reason.value)
+        return
     yield from settlements.settle_request(
         state, request, ClaimPhase.NOT_RUN, now
     )
@@ -142,13 +150,15 @@
         return
     number = None
     while number is None and has_ready(view):
-        host = state.hosts[_choose(state, view)]
+        host = state.hosts[_choose(state, view, request)]
         number = slots.take(state, host, now)
     if number is None:
         admission.enqueue(state, view, request)
         return
     request.host = host.name
     request.slot = number
+    if not request.attempts:
+        _earn_token(state, view)
     request.attempts += 1
     view.in_flight += 1
     yield effects.StartRequest(
@@ -177,23 +187,39 @@
     return min(start_by, borrowed.until) if borrowed else start_by
 
 
-def _choose(state: model.State, view: model.ServiceView) -> str:
+def _choose(
+    state: model.State, view: model.ServiceView, request: model.RequestView
+) -> str:
     """Return the better of two ready hosts, drawn at random.
 
-    Hosts of other zones come in only when this zone has none ready.
+    Hosts of other zones come in only when this zone has none ready, and
+    those that failed the request before only when there is no other.
     """
     ready = view.near.names or view.far.names
+    if request.tried:
+        ready = _untried(view, request) or ready
     if len(ready) == 1:
         return ready[0]
     drawn = (
         ready[int(state.rng.random() * len(ready))] for _ in range(CHOICES)
     )
-    return min(
-        drawn,
-        key=lambda name: (
-            len(state.hosts[name].busy) * (state.hosts[name].mean_s + 1e-3)
-        ),
-    )
+    return min(drawn, key=lambda name: _cost(state.hosts[name]))
+
+
+def _untried(view: model.ServiceView, request: model.RequestView) -> list[str]:
+    for ready in (view.near, view.far):
+        untried = [name for name in ready.names if name not in request.tried]
+        if untried:
+            return untried
+    return []
+
+
+def _cost(host: model.HostView) -> int:
+    """Return what counts against a host: requests at work, and failures.
+
+    A host that fails quickly is seldom busy and must not attract requests.
+    """
+    return len(host.busy) + FAILURE_COST * host.failures
 
 
 def end(state: model.State, event: events.RequestEnded, now: float) -> Effects:
@@ -202,10 +228,10 @@
     if request is None or not request.host:
         return
     view = state.services[request.service]
-    _free(state, view, request, now)
+    yield from _free(state, view, request, event.result, now)
     if event.result == Result.ANSWERED:
         admission.note_time(view, event.elapsed_s)
-    if _may_retry(request, event.result, now):
+    if _may_retry(state, view, request, event.result, now):
         admission.enqueue(state, view, request)
     else:
         yield from _finish(state, view, request, event, now)
@@ -216,29 +242,60 @@
     state: model.State,
     view: model.ServiceView,
     request: model.RequestView,
+    result: Result,
     now: float,
-) -> None:
+) -> Effects:
     host = state.hosts[request.host]
     slots.give_back(state, host, request.slot, now)
     request.tried.append(request.host)
     request.host = ""
+    if result in (Result.BROKEN, Result.TIMED_OUT):
+        request.may_have_run = True
     view.in_flight -= 1
+    yield from ejection.note(state, host, result, now)
 
 
 def _may_retry(
-    request: model.RequestView, result: events.RequestResult, now: float
+    state: model.State,
+    view: model.ServiceView,
+    request: model.RequestView,
+    result: Result,
+    now: float,
 ) -> bool:
-    if request.attempts >= MAX_ATTEMPTS or request.deadline <= now:
+    """Tell whether to try again, and take it from the budget."""
+    policy = state.policies.retries
+    if request.attempts >= policy.attempts or request.deadline <= now:
         return False
     match result:
-        case events.RequestResult.REFUSED:
-            return True
-        case events.RequestResult.BROKEN:
-            return request.repeatable
+        case Result.REFUSED | Result.UNSENT:
+            return _take_token(state, view)
+        case Result.BROKEN | Result.TIMED_OUT:
+            return request.repeatable and _take_token(state, view)
         case _:
             return False
 
 
+def _earn_token(state: model.State, view: model.ServiceView) -> None:
+    """Let a first attempt pay for its share of a retry."""
+    match state.policies.retries:
+        case retries.RetryBudget(share=share, burst=burst):
+            view.retry_tokens = min(burst, view.retry_tokens + share)
+            state.retry_tokens = min(burst, state.retry_tokens + share)
+
+
+def _take_token(state: model.State, view: model.ServiceView) -> bool:
+    match state.policies.retries:
+        case retries.RetryBudget():
+            pass
+        case _:
+            return True
+    if view.retry_tokens < 1.0 or state.retry_tokens < 1.0:
+        return False
+    view.retry_tokens -= 1.0
+    state.retry_tokens -= 1.0
+    return True
+
+
 def _finish(
     state: model.State,
     view: model.ServiceView,
@@ -255,7 +312,7 @@
                 view.count.bad += 1
             yield from _settle_as_run(state, request, event, now)
             yield effects.AnswerCaller(id=request.id)
-        case Result.REFUSED:
+        case Result.REFUSED | Result.UNSENT:
             yield from give_up(state, request, _unsent(request, now), now)
         case _:
             drop(state, request)
--- a/azurewood/state/slots.py
+++ b/azurewood/state/slots.py
@@ -93,12 +93,19 @@
 
 def update(state: model.State, host: model.HostView) -> None:
     """Bring the ready hosts up to date for one host."""
-    if host.usable and host.idle:
+    if host.usable and host.idle and _has_room(host):
         _ready(state, host)
     else:
         _unready(state, host)
 
 
+def _has_room(host: model.HostView) -> bool:
+    """Tell whether a host is not ejected, nor at the bound of its return."""
+    if host.ejected_until:
+        return False
+    return not host.ramp or len(host.busy) < host.ramp
+
+
 def _ready_hosts(
     state: model.State, host: model.HostView
 ) -> model.ReadyHosts | None:
@@ -138,8 +145,8 @@
             number = None
     if number is not None:
         host.busy.add(number)
-    if not host.idle:
-        _unready(state, host)
+    if not host.idle or host.ramp:
+        update(state, host)
     return number
 
 
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -50,6 +50,7 @@
     state.lending.settle_s = _settle_s(state, state.agreed.fleet)
     _refresh_hosts(state, state.agreed.fleet, now)
     state.lending.is_viewed = True
+    _count_hosts(state)
     _forget_tasks(state)
     return True
 
@@ -68,6 +69,14 @@
             del state.services[name]
 
 
+def _count_hosts(state: model.State) -> None:
+    for view in state.services.values():
+        view.hosts = 0
+    for host in state.hosts.values():
+        if host.usable:
+            state.services[host.service].hosts += 1
+
+
 def _settle_s(state: model.State, fleet: fleet_model.Fleet) -> float:
     """Return how long a slot may be in use by one who had it before."""
     match state.policies.slots:
--- a/tests/requests/test_callers.py
+++ b/tests/requests/test_callers.py
@@ -1,6 +1,7 @@
 """What callers get of one daemon with real processes."""
 
 import socket
+import time
 
 import pytest
 
@@ -39,3 +40,34 @@
     assert {fut.result().outcome for fut in calls} == {"ran"}
     assert daemon.call("/next").outcome == "ran"
     assert "/gone" not in paths(fleet)
+
+
+def test_a_leaving_host_gets_no_new_work_and_cuts_none(tmp_path):
+    with processes.Processes(log_dir=tmp_path) as started:
+        fleet = deployments.Deployment(started, net=58, hosts=3)
+        fleet.start(2)
+        # Neither the host list nor the task service tells of the stop.
+        fleet.platform.post("/v1/faults", down=True)
+        control = fleet.control("w0")
+        task = next(iter(control.get("/control/state")["tasks"]))
+        stopped = []
+
+        def call(number):
+            if number == 100:
+                control.post(f"/control/tasks/{task}/stop", grace_ms=10_000)
+                stopped.append(time.time())
+            daemon = fleet.daemons[number % 2]
+            return daemon.call(f"/{number}", Work_Ms=40)
+
+        replies = deployments.in_threads(call, range(1200), threads=12)
+        left_s = stopped[0] + 3.0
+        late = [
+            entry
+            for entry in fleet.control("w0").get(
+                "/control/executions?since=0"
+            )["executions"]
+            if entry["started_ms"] / 1000 > left_s
+        ]
+        assert not late
+        assert {reply.outcome for reply in replies} == {"ran"}
+        assert time.time() > left_s
