Find silent connections, and call only whole answers whole

Cause: a connection that went silent kept its requests until the deadline; idle handles never died; a request that had left on a used connection was called refused when libcurl's own repeat found the port closed. Ruled out: cutting at the bound, which ends slow but living requests; the multi interface, whose select is bound to 1,024 descriptors.

--- a/azurewood/http/callers.py
+++ b/azurewood/http/callers.py
@@ -218,6 +218,7 @@
                 outgoing,
                 timeout_s=effect.deadline - now,
                 fresh=effect.fresh,
+                hedge_at=effect.hedge_at,
             )
         kept = len(reply.body) <= KEPT_ANSWER_BYTES
         self._runtime.post(
--- a/azurewood/http/endpoints.py
+++ b/azurewood/http/endpoints.py
@@ -1,23 +1,25 @@
-"""Sending requests to endpoints with pooled pycurl handles.
+"""Sending requests to endpoints over pooled links.
 
-Each handle keeps one connection to one endpoint. A request's answer is read
+Each link keeps one connection to one endpoint. A request's answer is read
 whole before anything of it is passed on.
 """
 
 import collections
+import concurrent.futures
 import dataclasses
 import threading
 import time
 
 import pycurl
 
+from azurewood.http import links
+from azurewood.http import watch
 from azurewood.state import events
 
-CONNECT_TIMEOUT_MS = 1000
 MAX_ANSWER_BYTES = 32 << 20
-IDLE_HANDLES_PER_ENDPOINT = 16
-IDLE_CONNECTION_S = 30
+IDLE_LINKS_PER_ENDPOINT = 16
 
+Endpoint = tuple[str, int]
 Result = events.RequestResult
 
 
@@ -81,13 +83,14 @@
 
 
 class EndpointClient:
-    """Keeps idle handles for each endpoint and sends requests."""
+    """Keeps idle links to each endpoint and sends requests."""
 
-    __slots__ = ("_idle", "_lock")
+    __slots__ = ("_idle", "_lock", "_watch")
 
     def __init__(self) -> None:
-        self._idle: dict[tuple[str, int], collections.deque[pycurl.Curl]] = {}
+        self._idle: dict[Endpoint, collections.deque[links.Link]] = {}
         self._lock = threading.Lock()
+        self._watch = watch.Watch()
 
     def send(
         self,
@@ -97,71 +100,151 @@
         *,
         timeout_s: float,
         fresh: bool = False,
+        hedge_at: float = 0.0,
     ) -> Reply:
         """Send a request and return how it ended; raise nothing.
 
         With ``fresh`` it goes over a new connection, which libcurl never
-        sends again by itself.
+        sends again by itself. If nothing is heard on a used connection
+        until ``hedge_at``, unless that is 0, it is sent on a new one too.
         """
-        key = (address, port)
-        curl = self._take(key)
+        endpoint = (address, port)
+        link = links.new_link() if fresh else self._take(endpoint)
+        if not hedge_at or link.sock is None:
+            return self._perform(link, endpoint, outgoing, _Sink(), timeout_s)
+        return self._send_watched(
+            link, endpoint, outgoing, timeout_s, hedge_at
+        )
+
+    def _send_watched(
+        self,
+        link: links.Link,
+        endpoint: Endpoint,
+        outgoing: Outgoing,
+        timeout_s: float,
+        hedge_at: float,
+    ) -> Reply:
+        """Send on a used connection, hedged if that turns out silent."""
+        until = time.monotonic() + timeout_s
         sink = _Sink()
-        _prepare(curl, address, port, outgoing, sink)
-        curl.setopt(pycurl.FRESH_CONNECT, 1 if fresh else 0)
+
+        def repeat(attempt: watch.Attempt) -> Reply | None:
+            attempt.hedge_link = links.new_link()
+            left_s = until - time.monotonic()
+            reply = self._perform(
+                attempt.hedge_link, endpoint, outgoing, _Sink(), left_s
+            )
+            return reply if reply.status else None
+
+        attempt = watch.Attempt(
+            hedge_at=hedge_at,
+            link=link,
+            heard=lambda: bool(sink.lines),
+            repeat=repeat,
+        )
+        self._watch.add(attempt)
+        reply = self._perform(link, endpoint, outgoing, sink, timeout_s)
+        if not reply.status and attempt.hedge is not None:
+            concurrent.futures.wait(
+                [attempt.hedge], timeout=max(0.0, until - time.monotonic())
+            )
+        self._watch.remove(attempt)
+        if reply.status or attempt.won is None:
+            return reply
+        self._drop_idle(endpoint)
+        return attempt.won
+
+    def _perform(
+        self,
+        link: links.Link,
+        endpoint: Endpoint,
+        outgoing: Outgoing,
+        sink: _Sink,
+        timeout_s: float,
+    ) -> Reply:
+        """Send over a link and keep it, unless the attempt failed."""
+        curl = link.curl
+        _prepare(curl, *endpoint, outgoing, sink)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         begun = time.monotonic()
         try:
             curl.perform()
         except pycurl.error as exc:
-            elapsed = time.monotonic() - begun
-            reply = _failure(curl, exc, elapsed)
-            curl.close()
+            reply = _failure(curl, exc, time.monotonic() - begun)
+            link.close()
             return reply
-        elapsed = time.monotonic() - begun
+        link.idle_since = time.monotonic()
+        elapsed_s = link.idle_since - begun
         status = curl.getinfo(pycurl.RESPONSE_CODE)
-        self._put_back(key, curl)
+        headers = sink.parsed()
+        if not _is_framed(outgoing.method, status, headers):
+            link.close()
+            return Reply(
+                result=Result.BROKEN,
+                elapsed_s=elapsed_s,
+                reason="the answer's end is not marked",
+            )
+        self._put_back(endpoint, link)
         return Reply(
             result=Result.FAILED if status >= 500 else Result.ANSWERED,
-            elapsed_s=elapsed,
+            elapsed_s=elapsed_s,
             status=status,
-            headers=sink.parsed(),
+            headers=headers,
             body=b"".join(sink.chunks),
         )
 
-    def _take(self, key: tuple[str, int]) -> pycurl.Curl:
+    def _take(self, endpoint: Endpoint) -> links.Link:
+        """Return an idle link that still seems to work, or a new one."""
+        now = time.monotonic()
+        while True:
+            with self._lock:
+                idle = self._idle.get(endpoint)
+                link = idle.pop() if idle else None
+            if link is None:
+                return links.new_link()
+            if not (link.is_old(now) or link.is_ended(now)):
+                return link
+            link.close()
+
+    def _put_back(self, endpoint: Endpoint, link: links.Link) -> None:
+        """Keep an idle link, and close those that nobody took for long."""
         with self._lock:
-            idle = self._idle.get(key)
-            if idle:
-                return idle.pop()
-        return _new_handle()
-
-    def _put_back(self, key: tuple[str, int], curl: pycurl.Curl) -> None:
+            idle = self._idle.setdefault(endpoint, collections.deque())
+            idle.append(link)
+            old = []
+            while idle[0].is_old(link.idle_since) or (
+                len(idle) > IDLE_LINKS_PER_ENDPOINT
+            ):
+                old.append(idle.popleft())
+        for link in old:
+            link.close()
+
+    def _drop_idle(self, endpoint: Endpoint) -> None:
+        """Close the idle links to an endpoint: they may be silent too."""
         with self._lock:
-            idle = self._idle.setdefault(key, collections.deque())
-            if len(idle) < IDLE_HANDLES_PER_ENDPOINT:
-                idle.append(curl)
-                return
-        curl.close()
+            dropped = self._idle.pop(endpoint, ())
+        for link in dropped:
+            link.close()
 
     def close(self) -> None:
         """Close all idle connections."""
-        with self._lock:
-            for idle in self._idle.values():
-                for curl in idle:
-                    curl.close()
-            self._idle.clear()
-
-
-def _new_handle() -> pycurl.Curl:
-    curl = pycurl.Curl()
-    curl.setopt(pycurl.NOSIGNAL, 1)
-    curl.setopt(pycurl.PROXY, "")
-    curl.setopt(pycurl.MAXCONNECTS, 1)
-    curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-    curl.setopt(pycurl.MAXAGE_CONN, IDLE_CONNECTION_S)
-    curl.setopt(pycurl.TCP_NODELAY, 1)
-    curl.setopt(pycurl.PATH_AS_IS, 1)
-    return curl
+        self._watch.close()
+        for endpoint in tuple(self._idle):
+            self._drop_idle(endpoint)
+
+
+def _is_framed(
+    method: str, status: int, headers: list[tuple[str, str]]
+) -> bool:
+    """Tell whether the end of an answer is marked (RFC 9112, 6.3).
+
+    Without a mark the end of the connection would be taken for that of
+    the answer, though the connection may have broken.
+    """
+    if method == "HEAD" or status in (204, 304):
+        return True
+    names = {name.lower() for name, _ in headers}
+    return bool(names & {"content-length", "transfer-encoding"})
 
 
 def _prepare(
--- /dev/null
+++ b/azurewood/http/watch.py
@@ -0,0 +1,104 @@
+"""Attempts that wait for an answer, hedged when they hear nothing.
+
+A connection whose path has lost track of it stays silent for good, while
+new ones work. The attempt on it goes on, as its endpoint may only be slow;
+whichever of the two answers first is taken, the other one is cut.
+"""
+
+import collections.abc
+import concurrent.futures
+import contextlib
+import dataclasses
+import socket
+import threading
+import time
+
+from azurewood.http import links
+
+CHECK_S = 0.05
+THREADS = 16
+SHARE = 0.1
+BURST = 32.0
+"""Hedges are a share of the attempts, with a burst of so many."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Attempt:
+    """An attempt on a used connection, and how to repeat it.
+
+    ``heard`` tells whether any byte of the answer has come. ``repeat``
+    sends the request over a new connection and returns its reply.
+    """
+
+    hedge_at: float
+    link: links.Link
+    heard: collections.abc.Callable[[], bool]
+    repeat: collections.abc.Callable[["Attempt"], object]
+    hedge: concurrent.futures.Future | None = None
+    hedge_link: links.Link | None = None
+    won: object = None
+    is_over: bool = False
+
+
+class Watch:
+    """Looks after the attempts of one client, with a thread of its own."""
+
+    __slots__ = ("_attempts", "_lock", "_pool", "_stopped", "_tokens")
+
+    def __init__(self) -> None:
+        self._attempts: set[Attempt] = set()
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._tokens = BURST
+        self._pool = concurrent.futures.ThreadPoolExecutor(
+            max_workers=THREADS, thread_name_prefix="hedge"
+        )
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def add(self, attempt: Attempt) -> None:
+        """Look after an attempt until it is removed."""
+        with self._lock:
+            self._attempts.add(attempt)
+            self._tokens = min(BURST, self._tokens + SHARE)
+
+    def remove(self, attempt: Attempt) -> None:
+        """Look after an attempt no more, and cut a hedge that has lost."""
+        with self._lock:
+            self._attempts.discard(attempt)
+            attempt.is_over = True
+            if attempt.won is None:
+                cut(attempt.hedge_link)
+
+    def close(self) -> None:
+        """End the thread and the hedges."""
+        self._stopped.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(CHECK_S):
+            now = time.monotonic()
+            with self._lock:
+                for attempt in tuple(self._attempts):
+                    self._check(attempt, now)
+
+    def _check(self, attempt: Attempt, now: float) -> None:
+        is_due = attempt.hedge is None and attempt.hedge_at <= now
+        if is_due and self._tokens >= 1.0 and not attempt.heard():
+            self._tokens -= 1.0
+            attempt.hedge = self._pool.submit(self._hedge, attempt)
+
+    def _hedge(self, attempt: Attempt) -> object:
+        """Repeat an attempt; if it answers first, cut the first one."""
+        reply = attempt.repeat(attempt)
+        with self._lock:
+            if reply is not None and not attempt.is_over:
+                attempt.won = reply
+                cut(attempt.link)
+        return reply
+
+
+def cut(link: links.Link | None) -> None:
+    """End a connection under a transfer, whose thread then sees an error."""
+    if link is not None and link.sock is not None:
+        with contextlib.suppress(OSError):
+            link.sock.shutdown(socket.SHUT_RDWR)
--- a/azurewood/state/effects.py
+++ b/azurewood/state/effects.py
@@ -80,7 +80,8 @@
     """Send a request to an endpoint, on a slot held for it.
 
     ``fresh`` asks for a new connection. After ``start_by`` it is no longer
-    to be sent.
+    to be sent. If nothing is heard until ``hedge_at``, unless that is 0,
+    it is to be sent over a new connection too.
     """
 
     id: str
@@ -89,6 +90,7 @@
     port: int
     deadline: float
     start_by: float
+    hedge_at: float = 0.0
     fresh: bool = False
 
 
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -14,6 +14,7 @@
 from azurewood.policy import admission as admission_policy
 from azurewood.policy import claims as claim_policy
 from azurewood.policy import ejection as ejection_policy
+from azurewood.policy import hedging as hedge_policy
 from azurewood.policy import placement
 from azurewood.policy import retries as retry_policy
 from azurewood.policy import slots as slot_policy
@@ -368,6 +369,9 @@
     ejection: ejection_policy.EjectionPolicy = dataclasses.field(
         default_factory=ejection_policy.OutlierEjection
     )
+    hedging: hedge_policy.HedgePolicy = dataclasses.field(
+        default_factory=hedge_policy.HedgeSilence
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/azurewood/state/requests.py
+++ b/azurewood/state/requests.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from azurewood.policy import hedging
 from azurewood.policy import retries
 from azurewood.state import admission
 from azurewood.state import effects
@@ -169,9 +170,22 @@
         deadline=request.deadline,
         start_by=_start_by(state, request, host, now),
         fresh=not request.repeatable,
+        hedge_at=_hedge_at(state, view, request, now),
     )
 
 
+def _hedge_at(
+    state: model.State,
+    view: model.ServiceView,
+    request: model.RequestView,
+    now: float,
+) -> float:
+    """Return when silence becomes suspicious, 0 if it may not be repeated."""
+    if not request.repeatable:
+        return 0.0
+    return hedging.hedge_at(state.policies.hedging, now, view.mean_s)
+
+
 def _start_by(
     state: model.State,
     request: model.RequestView,
--- a/tests/requests/naive.py
+++ b/tests/requests/naive.py
@@ -5,11 +5,13 @@
 from azurewood.commands import main
 from azurewood.daemons import entry
 from azurewood.policy import claims
+from azurewood.policy import hedging
 from azurewood.policy import slots
 
 POLICIES = {
     "no-claims": {"at_most_once": claims.NoClaims()},
     "fixed-share": {"slots": slots.FixedShare()},
+    "no-hedging": {"hedging": hedging.NoHedging()},
 }
 
 
