Merge slots, admission, retries and silent connections

Slots that a daemon gains settle first now; a lone daemon of the capacity measurements is told that nobody can have had them.

--- a/azurewood/state/claims.py
+++ b/azurewood/state/claims.py
@@ -7,7 +7,6 @@
 import collections.abc
 
 from azurewood.policy import claims as policy
-from azurewood.state import agreed as agreed_state
 from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import model
@@ -18,8 +17,6 @@
 
 TICKET_PREFIX = "claim:"
 MAX_CLAIM_TRIES = 5
-PROBE_S = 2.0
-LOG_RETRY_AFTER_S = 2
 
 ClaimPhase = records.ClaimPhase
 Effects = collections.abc.Iterator[effects.AnyEffect]
@@ -171,10 +168,12 @@
         return
     request = state.requests[request_id]
     match effect.resolved[0].resolution:
-        case effects.Resolution.ACCEPTED:
+        case effects.Resolution.ACCEPTED if _is_held(
+            state, request.claim, request_id
+        ):
             request.claimed = True
             yield from requests.admit(state, request, now)
-        case effects.Resolution.REJECTED:
+        case effects.Resolution.ACCEPTED | effects.Resolution.REJECTED:
             yield from _consider(state, request, now)
         case effects.Resolution.UNKNOWN:
             _doubt(state, request)
@@ -230,27 +229,22 @@
 def _resolve_doubt(state: model.State, name: str, now: float) -> Effects:
     """Release a given-up claim that stands, or learn that it never will.
 
-    A record of ours with a later sequence number, once read, shows that
-    the claim's own can no longer be accepted. If there is none, one is
-    written: a settlement, which is rejected if there is nothing to settle.
+    Once a record of ours with its sequence number or a later one is read,
+    the claim can no longer be accepted.
     """
     doubt = state.claims.doubtful[name]
-    claim = state.agreed.claims.get(doubt.key)
     mine = state.agreed.writers.get(state.me.writer)
-    release = records.SettleClaim(phase=ClaimPhase.NOT_RUN)
-    if _is_ours(state, claim, name):
+    if _is_held(state, doubt.key, name):
         del state.claims.doubtful[name]
+        release = records.SettleClaim(phase=ClaimPhase.NOT_RUN)
         yield from settlements.settle(state, doubt.key, name, release, now)
-    elif mine is not None and mine.sequence > doubt.sequence:
+    elif mine is not None and mine.sequence >= doubt.sequence:
         del state.claims.doubtful[name]
-    elif state.log.reachable and now >= doubt.probe_at:
-        doubt.probe_at = now + PROBE_S
-        yield from _probe(state, doubt, release, now)
 
 
-def _is_ours(
-    state: model.State, claim: agreed_state.ClaimState | None, request: str
-) -> bool:
+def _is_held(state: model.State, key: str, request: str) -> bool:
+    """Tell whether the claim on a key is held by a request of ours."""
+    claim = state.agreed.claims.get(key)
     return (
         claim is not None
         and claim.holder == state.me.writer
@@ -259,23 +253,6 @@
     )
 
 
-def _probe(
-    state: model.State,
-    doubt: model.Doubtful,
-    release: records.SettleClaim,
-    now: float,
-) -> Effects:
-    proposal = records.Proposal(
-        object=records.claim_object(doubt.key), base=0, change=release
-    )
-    entry = model.Pending(
-        ticket=outbox.NOBODY,
-        proposals=(proposal,),
-        deadline=doubt.probe_at,
-    )
-    yield from outbox.submit(state, entry, now)
-
-
 def _follow(
     state: model.State, request: model.RequestView, now: float
 ) -> Effects:
--- a/azurewood/state/requests.py
+++ b/azurewood/state/requests.py
@@ -2,16 +2,20 @@
 
 import collections.abc
 
-from azurewood.fleet import model as fleet_model
+from azurewood.policy import hedging
+from azurewood.policy import retries
+from azurewood.state import admission
 from azurewood.state import effects
+from azurewood.state import ejection
 from azurewood.state import events
+from azurewood.state import lending
 from azurewood.state import model
 from azurewood.state import records
 from azurewood.state import settlements
 from azurewood.state import slots
 
 CHOICES = 2
-MAX_ATTEMPTS = 3
+FAILURE_COST = 4
 
 ClaimPhase = records.ClaimPhase
 Refusal = effects.Refusal
@@ -36,7 +40,11 @@
 
 def refuse(request_id: str, reason: Refusal) -> effects.RefuseRequest:
     """Return the refusal of a request that did not run."""
-    return effects.RefuseRequest(id=request_id, reason=reason)
+    return effects.RefuseRequest(
+        id=request_id,
+        reason=reason,
+        retry_after_s=0 if reason in admission.WITHOUT_RETRY else 1,
+    )
 
 
 def create(
@@ -69,13 +77,23 @@
     reason: Refusal,
     now: float,
 ) -> Effects:
-    """Refuse a request in hand as not run, and release its claim."""
+    """Refuse a request in hand as not run, and release its claim.
+
+    One that was sent before, and broke, may have run: that is said then.
+    """
     drop(state, request)
     state.services[request.service].count.bad += 1
+    if request.may_have_run:
+        yield effects.AnswerUnknown(id=request.id, reason=reason.value)
+        return
     yield from settlements.settle_request(
         state, request, ClaimPhase.NOT_RUN, now
     )
-    yield refuse(request.id, reason)
+    yield effects.RefuseRequest(
+        id=request.id,
+        reason=reason,
+        retry_after_s=admission.retry_after_s(state, request, reason),
+    )
 
 
 def admit(
@@ -83,33 +101,43 @@
 ) -> Effects:
     """Start a request, let it wait, or refuse it as not run."""
     view = state.services[request.service]
-    if view.ready and not view.waiting:
+    if _is_stale(state, request):
+        yield from give_up(state, request, Refusal.PAUSED, now)
+    elif has_ready(view) and not view.waiting:
         yield from _start(state, view, request, now)
-    elif state.waiting >= state.limits.waiting_requests:
-        yield from give_up(state, request, Refusal.QUEUE_FULL, now)
     else:
-        _enqueue(state, view, request)
+        yield from _wait(state, view, request, now)
 
 
-def _enqueue(
+def _wait(
     state: model.State,
     view: model.ServiceView,
     request: model.RequestView,
-) -> None:
-    view.queues[request.urgency].append(request.id)
-    view.waiting += 1
-    state.waiting += 1
-    state.waiting_bytes += request.size
+    now: float,
+) -> Effects:
+    """Let a request wait, in the place of a less urgent one if need be."""
+    reason = admission.refusal(state, view, request, now)
+    if reason == Refusal.QUEUE_FULL:
+        other = admission.make_way(state, view, request)
+        if other is not None:
+            admission.remove(state, view, other)
+            yield from give_up(state, other, Refusal.SHED, now)
+            reason = admission.refusal(state, view, request, now)
+    if reason is not None:
+        yield from give_up(state, request, reason, now)
+        return
+    admission.enqueue(state, view, request)
+    yield from lending.borrow(state, view, now)
 
 
-def _dequeued(
-    state: model.State,
-    view: model.ServiceView,
-    request: model.RequestView,
-) -> None:
-    view.waiting -= 1
-    state.waiting -= 1
-    state.waiting_bytes -= request.size
+def _is_stale(state: model.State, request: model.RequestView) -> bool:
+    """Tell whether we were paused since we asked for the claim."""
+    return request.claimed and request.claim_asked_at < state.woken_at
+
+
+def has_ready(view: model.ServiceView) -> bool:
+    """Tell whether a host of the service seems to have an idle slot."""
+    return bool(view.near.names or view.far.names)
 
 
 def _start(
@@ -118,12 +146,20 @@
     request: model.RequestView,
     now: float,
 ) -> Effects:
-    if request.claimed and request.claim_asked_at < state.woken_at:
+    if _is_stale(state, request):
         yield from give_up(state, request, Refusal.PAUSED, now)
         return
-    host = state.hosts[_choose(state, view)]
+    number = None
+    while number is None and has_ready(view):
+        host = state.hosts[_choose(state, view, request)]
+        number = slots.take(state, host, now)
+    if number is None:
+        admission.enqueue(state, view, request)
+        return
     request.host = host.name
-    request.slot = slots.take(state, host)
+    request.slot = number
+    if not request.attempts:
+        _earn_token(state, view)
     request.attempts += 1
     view.in_flight += 1
     yield effects.StartRequest(
@@ -132,35 +168,72 @@
         address=host.address,
         port=view.port,
         deadline=request.deadline,
-        start_by=_start_by(state, request, now),
+        start_by=_start_by(state, request, host, now),
         fresh=not request.repeatable,
+        hedge_at=_hedge_at(state, view, request, now),
     )
 
 
-def _start_by(
-    state: model.State, request: model.RequestView, now: float
+def _hedge_at(
+    state: model.State,
+    view: model.ServiceView,
+    request: model.RequestView,
+    now: float,
 ) -> float:
-    """Return until when the request may be sent after all."""
-    if request.claimed:
-        return min(request.deadline, now + state.timing.peer_timeout_s)
-    return request.deadline
+    """Return when silence becomes suspicious, 0 if it may not be repeated."""
+    if not request.repeatable:
+        return 0.0
+    return hedging.hedge_at(state.policies.hedging, now, view.mean_s)
 
 
-def _choose(state: model.State, view: model.ServiceView) -> str:
-    """Return the better of two ready hosts, drawn at random."""
-    ready = view.ready
+def _start_by(
+    state: model.State,
+    request: model.RequestView,
+    host: model.HostView,
+    now: float,
+) -> float:
+    """Return until when the request may be sent after all.
+
+    A daemon that is silent for longer has lost its slots and claims.
+    """
+    start_by = min(request.deadline, now + state.timing.peer_timeout_s)
+    borrowed = host.borrowed.get(request.slot)
+    return min(start_by, borrowed.until) if borrowed else start_by
+
+
+def _choose(
+    state: model.State, view: model.ServiceView, request: model.RequestView
+) -> str:
+    """Return the better of two ready hosts, drawn at random.
+
+    Hosts of other zones come in only when this zone has none ready, and
+    those that failed the request before only when there is no other.
+    """
+    ready = view.near.names or view.far.names
+    if request.tried:
+        ready = _untried(view, request) or ready
     if len(ready) == 1:
         return ready[0]
     drawn = (
         ready[int(state.rng.random() * len(ready))] for _ in range(CHOICES)
     )
-    return min(
-        drawn,
-        key=lambda name: (
-            state.hosts[name].zone != state.me.zone,
-            len(state.hosts[name].busy) * (state.hosts[name].mean_s + 1e-3),
-        ),
-    )
+    return min(drawn, key=lambda name: _cost(state.hosts[name]))
+
+
+def _untried(view: model.ServiceView, request: model.RequestView) -> list[str]:
+    for ready in (view.near, view.far):
+        untried = [name for name in ready.names if name not in request.tried]
+        if untried:
+            return untried
+    return []
+
+
+def _cost(host: model.HostView) -> int:
+    """Return what counts against a host: requests at work, and failures.
+
+    A host that fails quickly is seldom busy and must not attract requests.
+    """
+    return len(host.busy) + FAILURE_COST * host.failures
 
 
 def end(state: model.State, event: events.RequestEnded, now: float) -> Effects:
@@ -169,9 +242,11 @@
     if request is None or not request.host:
         return
     view = state.services[request.service]
-    _free(state, view, request)
-    if _may_retry(request, event.result, now):
-        _enqueue(state, view, request)
+    yield from _free(state, view, request, event.result, now)
+    if event.result == Result.ANSWERED:
+        admission.note_time(view, event.elapsed_s)
+    if _may_retry(state, view, request, event.result, now):
+        admission.enqueue(state, view, request)
     else:
         yield from _finish(state, view, request, event, now)
     yield from dispatch(state, view, now)
@@ -181,28 +256,60 @@
     state: model.State,
     view: model.ServiceView,
     request: model.RequestView,
-) -> None:
+    result: Result,
+    now: float,
+) -> Effects:
     host = state.hosts[request.host]
-    slots.give_back(state, host, request.slot)
+    slots.give_back(state, host, request.slot, now)
     request.tried.append(request.host)
     request.host = ""
+    if result in (Result.BROKEN, Result.TIMED_OUT):
+        request.may_have_run = True
     view.in_flight -= 1
+    yield from ejection.note(state, host, result, now)
 
 
 def _may_retry(
-    request: model.RequestView, result: events.RequestResult, now: float
+    state: model.State,
+    view: model.ServiceView,
+    request: model.RequestView,
+    result: Result,
+    now: float,
 ) -> bool:
-    if request.attempts >= MAX_ATTEMPTS or request.deadline <= now:
+    """Tell whether to try again, and take it from the budget."""
+    policy = state.policies.retries
+    if request.attempts >= policy.attempts or request.deadline <= now:
         return False
     match result:
-        case events.RequestResult.REFUSED:
-            return True
-        case events.RequestResult.BROKEN:
-            return request.repeatable
+        case Result.REFUSED | Result.UNSENT:
+            return _take_token(state, view)
+        case Result.BROKEN | Result.TIMED_OUT:
+            return request.repeatable and _take_token(state, view)
         case _:
             return False
 
 
+def _earn_token(state: model.State, view: model.ServiceView) -> None:
+    """Let a first attempt pay for its share of a retry."""
+    match state.policies.retries:
+        case retries.RetryBudget(share=share, burst=burst):
+            view.retry_tokens = min(burst, view.retry_tokens + share)
+            state.retry_tokens = min(burst, state.retry_tokens + share)
+
+
+def _take_token(state: model.State, view: model.ServiceView) -> bool:
+    match state.policies.retries:
+        case retries.RetryBudget():
+            pass
+        case _:
+            return True
+    if view.retry_tokens < 1.0 or state.retry_tokens < 1.0:
+        return False
+    view.retry_tokens -= 1.0
+    state.retry_tokens -= 1.0
+    return True
+
+
 def _finish(
     state: model.State,
     view: model.ServiceView,
@@ -219,7 +326,7 @@
                 view.count.bad += 1
             yield from _settle_as_run(state, request, event, now)
             yield effects.AnswerCaller(id=request.id)
-        case Result.REFUSED:
+        case Result.REFUSED | Result.UNSENT:
             yield from give_up(state, request, _unsent(request, now), now)
         case _:
             drop(state, request)
@@ -265,8 +372,7 @@
     if request is None or request.host:
         return
     view = state.services[request.service]
-    view.queues[request.urgency].remove(request.id)
-    _dequeued(state, view, request)
+    admission.remove(state, view, request)
     yield from give_up(state, request, Refusal.TOO_LATE, now)
 
 
@@ -274,18 +380,11 @@
     state: model.State, view: model.ServiceView, now: float
 ) -> Effects:
     """Start waiting requests on idle slots, urgent ones first."""
-    while view.waiting and view.ready:
-        request = state.requests[_next(view)]
-        _dequeued(state, view, request)
+    while view.waiting and has_ready(view):
+        request = admission.take_next(state, view)
         yield from _start(state, view, request, now)
-
-
-def _next(view: model.ServiceView) -> str:
-    for urgency in fleet_model.Urgency:
-        queue = view.queues[urgency]
-        if queue:
-            return queue.popleft()
-    raise LookupError(f"no request waits for {view.name}")
+    if view.waiting:
+        yield from lending.borrow(state, view, now)
 
 
 def dispatch_all(state: model.State, now: float) -> Effects:
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -6,6 +6,7 @@
 
 from azurewood.fleet import model as fleet_model
 from azurewood.policy import ownership
+from azurewood.policy import slots as policy
 from azurewood.state import agreed as agreed_state
 from azurewood.state import events
 from azurewood.state import model
@@ -15,6 +16,10 @@
 LIVE = "live"
 NOT_SEEN = -1
 """The ``seen`` revision of a host whose view has to be made anew."""
+NOT_MINE = ("",)
+"""The owner of a slot that a daemon of another group owns."""
+
+MS_PER_S = 1000
 ENDED = frozenset({"stopped", "failed"})
 """States of a task that is confirmed not to run any more."""
 OUT_OF_USE = frozenset({"stopping", events.LOST}) | ENDED
@@ -56,7 +61,10 @@
     state.view_revision = state.agreed.hosts_revision
     state.view_generation += 1
     _refresh_services(state, state.agreed.fleet)
-    _refresh_hosts(state, state.agreed.fleet)
+    state.lending.settle_s = _settle_s(state, state.agreed.fleet)
+    _refresh_hosts(state, state.agreed.fleet, now)
+    state.lending.is_viewed = True
+    _count_hosts(state)
     _forget_tasks(state)
     return True
 
@@ -68,16 +76,38 @@
             view = model.ServiceView(name=service.name, port=service.port)
             state.services[service.name] = view
         view.port = service.port
+        view.quota = service.quota
     known = {service.name for service in fleet.services}
     for name in [name for name in state.services if name not in known]:
         if not state.services[name].waiting:
             del state.services[name]
 
 
-def _refresh_hosts(state: model.State, fleet: fleet_model.Fleet) -> None:
+def _count_hosts(state: model.State) -> None:
+    for view in state.services.values():
+        view.hosts = 0
+    for host in state.hosts.values():
+        if host.usable:
+            state.services[host.service].hosts += 1
+
+
+def _settle_s(state: model.State, fleet: fleet_model.Fleet) -> float:
+    """Return how long a slot may be in use by one who had it before."""
+    match state.policies.slots:
+        case policy.LentSlots(start_s=start_s, longest_s=longest_s):
+            deadlines = (service.deadline_ms for service in fleet.services)
+            run_s = max(deadlines, default=0) / MS_PER_S
+            return start_s + min(longest_s, run_s)
+        case _:
+            return 0.0
+
+
+def _refresh_hosts(
+    state: model.State, fleet: fleet_model.Fleet, now: float
+) -> None:
     service_of = {service.pool: service.name for service in fleet.services}
-    owners = zones.owners_by_zone(state)
-    same_zones = _unchanged_zones(state, fleet, owners)
+    members = zones.owners_by_zone(state)
+    same_zones = _unchanged_zones(state, fleet, members)
     for host in fleet.hosts:
         agreed_host = state.agreed.hosts.get(host.name)
         if agreed_host is None:
@@ -91,8 +121,8 @@
             state.tasks.get(agreed_host.task, "") not in OUT_OF_USE
         )
         _place(state, view, service, usable)
-        owned = _owned(state, host, owners[host.zone])
-        slots.set_owned(state, view, owned)
+        owners = _owners(state, host, members[host.zone])
+        slots.set_owners(state, view, owners, now)
     for name in [n for n in state.hosts if n not in state.agreed.hosts]:
         slots.withdraw(state, state.hosts[name])
         if not state.hosts[name].busy:
@@ -172,17 +202,25 @@
     view.usable = usable and bool(service)
 
 
-def _owned(
-    state: model.State, host: fleet_model.Host, owners: tuple[str, ...]
-) -> set[int]:
+def _owners(
+    state: model.State, host: fleet_model.Host, members: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Return the owner of each slot of a host."""
     me = state.me.name
-    if me not in owners:
-        return set()
-    return {
-        number
-        for number in range(host.slots)
-        if ownership.slot_owner(host.name, number, owners) == me
-    }
+    if me not in members:
+        return NOT_MINE * host.slots
+    match state.policies.slots:
+        case policy.FixedShare():
+            known = tuple({*members, me})
+            mine = policy.fixed_share(host.slots, known, me)
+            return tuple(
+                me if number in mine else "" for number in range(host.slots)
+            )
+        case _:
+            return tuple(
+                ownership.slot_owner(host.name, number, members)
+                for number in range(host.slots)
+            )
 
 
 def _forget_tasks(state: model.State) -> None:
--- a/benchmarks/capacity/requests.py
+++ b/benchmarks/capacity/requests.py
@@ -50,6 +50,8 @@
     log = fleets.log(fleets.fleet(hosts=hosts, pools=1, zones=1))
     state = fleets.daemon(log.state)
     state.limits.waiting_requests = 1_000_000
+    # Nobody else can have used the slots: they need not settle first.
+    state.lending.is_viewed = True
     views.refresh(state, NOW)
     return state
 
