--- a/azurewood/state/outbox.py
+++ b/azurewood/state/outbox.py
@@ -17,6 +17,7 @@
 RECORD_PROPOSALS = 64
 APPEND_RETRY_S = 0.1
 APPEND_RETRY_CAP_S = 2.0
+READ_BACK_S = 2.0
 NOBODY = "nobody"
 """The ticket of proposals whose end nobody waits for."""
 
@@ -24,16 +25,31 @@
 
 
 def propose(state: model.State, event: events.Proposed, now: float) -> Effects:
-    """Take proposals on, to be appended with the next record."""
-    yield from submit(
-        state,
-        model.Pending(
-            ticket=event.ticket,
-            proposals=event.proposals,
-            deadline=event.deadline,
-            atomic=event.atomic,
-        ),
-        now,
+    """Take proposals on, to be appended with the next record.
+
+    A daemon that knows nothing while its peers do proposes nothing: its
+    view of a log that was just reset is empty.
+    """
+    entry = model.Pending(
+        ticket=event.ticket,
+        proposals=event.proposals,
+        deadline=event.deadline,
+        atomic=event.atomic,
+    )
+    if state.agreed.revision or not _do_peers_know(state, now):
+        yield from submit(state, entry, now)
+        return
+    entry.deadline = now
+    yield from _give_up(
+        state, 0, [entry], effects.Resolution.NOT_ACCEPTED, now
+    )
+
+
+def _do_peers_know(state: model.State, now: float) -> bool:
+    return any(
+        peer.revision
+        for peer in state.peers.values()
+        if peer.alive_until > now
     )
 
 
@@ -45,9 +61,10 @@
 
 def _flush(state: model.State, now: float) -> Effects:
     out = state.outbox
-    if out.sent is not None or not out.waiting:
+    if out.sent is not None or not (out.waiting or out.barrier):
         return
-    entries = list(_take_batch(out))
+    entries = list(_take_batch(out)) if out.waiting else []
+    out.barrier = False
     out.sequence += 1
     record = records.Proposals(
         writer=state.me.writer,
@@ -55,14 +72,14 @@
         proposals=tuple(
             proposal for entry in entries for proposal in entry.proposals
         ),
-        atomic=entries[0].atomic,
+        atomic=any(entry.atomic for entry in entries),
     )
     out.sent = model.SentRecord(
         sequence=out.sequence,
         data=records.encode(record),
         entries=entries,
     )
-    yield _append(out.sent, now)
+    yield _append(out.sent)
 
 
 def _take_batch(
@@ -80,18 +97,16 @@
         yield out.waiting.popleft()
 
 
-def _append(sent: model.SentRecord, not_before: float) -> effects.AppendRecord:
+def _append(sent: model.SentRecord) -> effects.AppendRecord:
     sent.attempts += 1
     sent.in_call = True
-    return effects.AppendRecord(
-        sequence=sent.sequence, data=sent.data, not_before=not_before
-    )
+    return effects.AppendRecord(sequence=sent.sequence, data=sent.data)
 
 
 def append_ended(
     state: model.State, event: events.AppendEnded, now: float
-) -> Effects:
-    """Append again unless the platform has said that it did."""
+) -> None:
+    """Plan to append again unless the platform has said that it did."""
     sent = state.outbox.sent
     if sent is None or sent.sequence != event.sequence:
         return
@@ -99,13 +114,14 @@
     match event.outcome:
         case events.AppendOutcome.DONE:
             sent.unsure = True
+            sent.retry_at = now + READ_BACK_S
             return
         case events.AppendOutcome.UNKNOWN:
             sent.unsure = True
     delay = min(
         APPEND_RETRY_CAP_S, APPEND_RETRY_S * 2 ** min(sent.attempts, 8)
     )
-    yield _append(sent, now + delay * state.rng.uniform(0.5, 1.0))
+    sent.retry_at = now + delay * state.rng.uniform(0.5, 1.0)
 
 
 def judged(
@@ -118,8 +134,16 @@
     sent = state.outbox.sent
     if record.writer != state.me.writer or sent is None:
         return
-    if record.sequence != sent.sequence or not verdicts:
-        return
+    if record.sequence == sent.sequence:
+        yield from _answer(state, sent, verdicts, now)
+
+
+def _answer(
+    state: model.State,
+    sent: model.SentRecord,
+    verdicts: collections.abc.Iterable[agreed_state.Verdict],
+    now: float,
+) -> Effects:
     state.outbox.sent = None
     resolved = iter([_resolve(verdict) for verdict in verdicts])
     for entry in sent.entries:
@@ -129,6 +153,55 @@
     yield from _flush(state, now)
 
 
+def adopted(state: model.State, now: float) -> Effects:
+    """Answer who waits for a record that a state taken over contains."""
+    sent = state.outbox.sent
+    known = state.agreed.writers.get(state.me.writer)
+    if sent is None or known is None or known.sequence < sent.sequence:
+        return
+    proposals = [
+        proposal for entry in sent.entries for proposal in entry.proposals
+    ]
+    yield from _answer(
+        state,
+        sent,
+        (
+            _found_verdict(state, sent.sequence, index, proposal)
+            for index, proposal in enumerate(proposals)
+        ),
+        now,
+    )
+
+
+def _found_verdict(
+    state: model.State,
+    sequence: int,
+    index: int,
+    proposal: records.Proposal,
+) -> agreed_state.Verdict:
+    """Return a verdict from the agreed state alone.
+
+    Verdicts on claims are not kept: a claim was accepted if it is ours.
+    """
+    writer = state.me.writer
+    name = fold.verdict_id(writer, sequence, index)
+    found = state.agreed.verdicts.get(name)
+    if found is not None:
+        return found
+    key = proposal.object.removeprefix(records.CLAIM_PREFIX)
+    claim = state.agreed.claims.get(key)
+    is_ours = claim is not None and claim.holder == writer
+    return agreed_state.Verdict(
+        writer=writer,
+        sequence=sequence,
+        index=index,
+        object=proposal.object,
+        accepted=is_ours,
+        revision=claim.revision if is_ours else 0,
+        reason="" if is_ours else "held by another daemon",
+    )
+
+
 def _resolve(verdict: agreed_state.Verdict) -> effects.Resolved:
     accepted = verdict.accepted
     return effects.Resolved(
@@ -151,15 +224,34 @@
     """
     out = state.outbox
     yield from _drop_late_waiting(state, now)
-    sent = out.sent
-    if sent is None:
+    if out.sent is None:
+        if state.log.reachable:
+            yield from _flush(state, now)
         return
+    yield from _tick_sent(state, out.sent, now)
+
+
+def _tick_sent(
+    state: model.State, sent: model.SentRecord, now: float
+) -> Effects:
+    """Give up a record, or append it again when that is due.
+
+    After a record whose end is unknown, a later one settles it: the fold
+    refuses what comes after a higher sequence number.
+    """
+    out = state.outbox
+    is_barrier = not sent.entries
     yield from _give_up(
         state, sent.sequence, sent.entries, _resolution(sent), now
     )
-    if all(not entry.ticket for entry in sent.entries):
+    is_over = all(not entry.ticket for entry in sent.entries)
+    if is_over and (out.waiting or not is_barrier):
         out.sent = None
-        yield from _flush(state, now)
+        out.barrier = sent.unsure or sent.in_call
+        if out.waiting:
+            yield from _flush(state, now)
+    elif not sent.in_call and sent.retry_at <= now:
+        yield _append(sent)
 
 
 def _resolution(sent: model.SentRecord) -> effects.Resolution:
--- /dev/null
+++ b/standins/command_line.py
@@ -0,0 +1,97 @@
+"""The operators' command line, run against a deployment's daemons."""
+
+import dataclasses
+import os
+import pathlib
+import subprocess
+import sys
+import typing
+
+import msgspec
+
+from azurewood.fleet import document
+from azurewood.fleet import model
+from azurewood.operators import client as clients
+from standins import deployment
+from standins import exceptions
+
+COMMAND_TIMEOUT_S = 90.0
+
+
+class CommandFailedError(exceptions.StandinError):
+    """A command of the command line ended with another status than 0."""
+
+
+def shift_addresses(fleet: model.Fleet, network: int) -> model.Fleet:
+    """Return a fleet whose hosts are in 127.``network``.0.0/16.
+
+    Deployments on one machine do not meet then.
+    """
+    hosts = tuple(
+        dataclasses.replace(
+            host,
+            address=".".join(
+                ["127", str(network), *host.address.split(".")[2:]]
+            ),
+        )
+        for host in fleet.hosts
+    )
+    return dataclasses.replace(fleet, hosts=hosts)
+
+
+def load_example(path: pathlib.Path, *, network: int) -> model.Fleet:
+    """Return the fleet of a document, moved to a loopback network."""
+    fleet = document.load(path.read_text(encoding="utf-8"), str(path))
+    return shift_addresses(fleet, network)
+
+
+def client(daemon: deployment.Daemon) -> clients.OperatorsClient:
+    """Return an operators' client of one daemon."""
+    return clients.OperatorsClient(
+        daemons=[daemon.operators_url], token=deployment.OPERATORS_TOKEN
+    )
+
+
+class CommandLine:
+    """Runs commands that may use every live daemon of a deployment."""
+
+    def __init__(self, *, deployment: deployment.Deployment) -> None:
+        self._deployment = deployment
+
+    def run(self, *args: str) -> subprocess.CompletedProcess:
+        """Run a command; return how it ended."""
+        return subprocess.run(
+            [sys.executable, "-m", "azurewood", *args],
+            stdin=subprocess.DEVNULL,
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+            env=self._env(),
+            check=False,
+        )
+
+    def _env(self) -> dict[str, str]:
+        urls = [
+            daemon.operators_url
+            for daemon in self._deployment.daemons.values()
+            if daemon.process.alive
+        ]
+        return os.environ | {
+            "AZUREWOOD_DAEMONS": " ".join(urls),
+            "AZUREWOOD_OPERATOR": "mariam",
+            "AZUREWOOD_OPERATORS_TOKEN": deployment.OPERATORS_TOKEN,
+        }
+
+    def checked(self, *args: str) -> str:
+        """Run a command; return its output, raise CommandFailedError."""
+        done = self.run(*args)
+        if done.returncode:
+            raise CommandFailedError(
+                f"azurewood {' '.join(args)}: status {done.returncode}\n"
+                f"{done.stderr}"
+            )
+        return done.stdout
+
+    def checked_json(self, *args: str) -> typing.Any:
+        """Run a command and return its decoded JSON."""
+        return msgspec.json.decode(self.checked(*args, "--output", "json"))
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -2,6 +2,8 @@
 
 import concurrent.futures
 import dataclasses
+import http.client
+import pathlib
 import threading
 import time
 import typing
@@ -9,10 +11,12 @@
 from standins.callers import arrivals
 from standins.callers import load as loads
 from standins.callers import model
+from standins import command_line
 from standins import deployment as deployments
 from standins import processes
 from standins import summary
 
+DAEMONS_PER_ZONE = 2
 RATE_PER_S = 80.0
 MAX_S = 60.0
 THREADS = 24
@@ -90,9 +94,9 @@
     """Stands for the platform's balancer: sends only to ready daemons."""
 
     def __init__(
-        self, *, entries: list[deployments.Entry], load: loads.Load
+        self, *, daemons: list[deployments.Daemon], load: loads.Load
     ) -> None:
-        self._entries = entries
+        self._daemons = daemons
         self._load = load
         self._stopped = threading.Event()
 
@@ -100,9 +104,7 @@
         """Keep the load's entries to those that are ready."""
         while not self._stopped.wait(PROBE_EVERY_S):
             ready = tuple(
-                entry.url
-                for entry in self._entries
-                if entry.is_answering("/readyz")
+                daemon.url for daemon in self._daemons if _is_ready(daemon)
             )
             if ready:
                 self._load.entries = ready
@@ -112,6 +114,17 @@
         self._stopped.set()
 
 
+def _is_ready(daemon: deployments.Daemon) -> bool:
+    try:
+        return daemon.operate("GET", "/readyz")["ready"]
+    except (
+        OSError,
+        http.client.HTTPException,
+        deployments.OperatorsCallError,
+    ):
+        return False
+
+
 def calls(
     plan: Plan, *, key_prefix: str, rounds: int = MAX_ROUNDS
 ) -> typing.Iterator[model.Call]:
@@ -134,29 +147,31 @@
         self,
         *,
         deployment: deployments.Deployment,
+        document: pathlib.Path,
         plan: Plan,
         report: summary.Report,
         say: typing.Callable[[str], object],
     ) -> None:
         self._deployment = deployment
+        self._commands = command_line.CommandLine(deployment=deployment)
+        self._document = document
         self._plan = plan
         self._report = report
         self._say = say
 
+    @property
+    def _daemons(self) -> list[deployments.Daemon]:
+        return list(self._deployment.daemons.values())
+
     def run(self) -> None:
         """Run the plan from the start to the last request."""
-        self._deployment.start()
-        begun = time.monotonic()
-        self._deployment.apply()
-        self._note(
-            "configuration applied, all hosts serve",
-            f"{len(self._deployment.fleet.hosts)} hosts after"
-            f" {time.monotonic() - begun:.1f} s",
-        )
+        self._deployment.start_daemons(per_zone=DAEMONS_PER_ZONE)
+        self._deployment.start_workers(apart=(self._plan.failing_host,))
+        self._apply()
         swept = self._sweep()
         load = self._load()
         run = loads.Run(load=load)
-        balancer = Balancer(entries=self._deployment.entries, load=load)
+        balancer = Balancer(daemons=self._daemons, load=load)
         with concurrent.futures.ThreadPoolExecutor(2) as pool:
             sending = pool.submit(run.run)
             pool.submit(balancer.run)
@@ -168,10 +183,27 @@
             results = sending.result()
         self._count(swept + results, run.elapsed_s)
 
+    def _apply(self) -> None:
+        """Publish the configuration and wait until all hosts serve."""
+        begun = time.monotonic()
+        processes.wait_for(
+            lambda: all(d.status()["log_reachable"] for d in self._daemons),
+            what="the log is read",
+        )
+        self._commands.checked(
+            "config", "apply", str(self._document), "--wait"
+        )
+        self._deployment.wait_serving()
+        self._note(
+            "configuration applied, all hosts serve",
+            f"{len(self._deployment.fleet.hosts)} hosts after"
+            f" {time.monotonic() - begun:.1f} s",
+        )
+
     def _sweep(self) -> list[model.Result]:
         """Send each kind of request through each entry host, once."""
         results = []
-        for entry in self._deployment.entries:
+        for entry in self._daemons:
             load = loads.Load(
                 entries=(entry.url,),
                 calls=calls(self._plan, key_prefix=entry.name, rounds=1),
@@ -180,7 +212,7 @@
             )
             results += loads.Run(load=load).run()
         whole = [r for r in results if r.answer is model.Answer.WHOLE]
-        wanted = len(self._deployment.entries) * len(self._plan.requests)
+        wanted = len(self._daemons) * len(self._plan.requests)
         self._report.check(
             "every entry host answered a request of every service",
             len(whole) == wanted,
@@ -190,7 +222,7 @@
     def _load(self) -> loads.Load:
         phase = arrivals.Phase(rate_per_s=RATE_PER_S, duration_s=MAX_S)
         return loads.Load(
-            entries=tuple(entry.url for entry in self._deployment.entries),
+            entries=tuple(entry.url for entry in self._daemons),
             calls=calls(self._plan, key_prefix="run"),
             arrivals=arrivals.OpenLoop(phases=(phase,)),
             threads=THREADS,
@@ -210,17 +242,15 @@
 
     def _use_preset(self) -> None:
         preset = self._plan.preset
-        ended = self._deployment.checked_json(
-            "preset", "use", preset, "--wait"
-        )
+        ended = self._commands.checked_json("preset", "use", preset, "--wait")
         zones = {zone.name for zone in self._deployment.fleet.zones}
         self._report.preset = preset
         self._report.zones = ended["zones"]
         slowest = max(ended["zones"].values())
         self._note(f"preset {preset} in force", f"after {slowest:.2f} s")
         in_force = {
-            self._deployment.client(entry).status().in_force
-            for entry in self._deployment.entries
+            command_line.client(entry).status().in_force
+            for entry in self._daemons
         }
         self._report.check(
             f"preset {preset} is in force in every zone and daemon",
@@ -230,12 +260,12 @@
     def _move_host(self) -> None:
         host, pool = self._plan.moved_host, self._plan.to_pool
         begun = time.monotonic()
-        self._deployment.checked("host", "move", host, pool, "--wait")
+        self._commands.checked("host", "move", host, pool, "--wait")
         took = time.monotonic() - begun
         self._note(f"{host} moved to {pool}", f"serves after {took:.1f} s")
         pools = {
-            self._deployment.client(entry).agreed().hosts[host].pool
-            for entry in self._deployment.entries
+            command_line.client(entry).agreed().hosts[host].pool
+            for entry in self._daemons
         }
         self._report.check(
             f"{host} belongs to {pool} alone, in every daemon's view",
@@ -246,10 +276,7 @@
         host = self._plan.failing_host
         self._deployment.workers[host].kill()
         begun = time.monotonic()
-        clients = [
-            self._deployment.client(entry)
-            for entry in self._deployment.entries
-        ]
+        clients = [command_line.client(entry) for entry in self._daemons]
         try:
             processes.wait_for(
                 lambda: not any(c.host(host).usable for c in clients),
@@ -264,7 +291,7 @@
         self._report.check(f"no daemon sends to {host} after it failed", held)
 
     def _stop_daemon(self) -> None:
-        entry = self._deployment.entries[-1]
+        entry = self._daemons[-1]
         begun = time.monotonic()
         status = entry.process.terminate(timeout_s=20.0)
         took = time.monotonic() - begun
