--- a/azurewood/daemons/entry.py
+++ b/azurewood/daemons/entry.py
@@ -7,11 +7,13 @@
 import time
 
 from azurewood.conf import entry as settings_module
+from azurewood.daemons import measures
 from azurewood.daemons import runtime as runtimes
 from azurewood.daemons import workers
 from azurewood.http import callers
 from azurewood.http import endpoints
 from azurewood.http import server
+from azurewood.log import metrics
 from azurewood.operators import application as operators
 from azurewood.peers import transport as transports
 from azurewood.state import control
@@ -29,6 +31,8 @@
 
     __slots__ = (
         "_callers",
+        "_failed",
+        "_measures",
         "_notice_until",
         "_operators",
         "_pool",
@@ -48,8 +52,12 @@
             listen=settings.peers_listen,
             key=settings.peers_key.encode(),
         )
-        self._callers = _callers_server(settings, self.runtime)
-        self._operators = _operators_server(settings, self.runtime)
+        self._failed = False
+        self._measures = _measures(settings, self.runtime, self._transport)
+        self._callers = _callers_server(settings, self.runtime, self._measures)
+        self._operators = _operators_server(
+            settings, self.runtime, self._transport
+        )
         self._pool = concurrent.futures.ThreadPoolExecutor(
             max_workers=16, thread_name_prefix="entry"
         )
@@ -64,18 +72,25 @@
             stream=self._settings.stream,
             zone=self._settings.zone,
             stopping=self._stopping,
+            read=self._measures.record_read if self._measures else None,
         ).loops()
         self.runtime.carry_out(
             control.start(self.runtime.state, time.monotonic())
         )
-        for loop in (*loops, self._callers.serve, self._operators.serve):
+        servers = (self._callers.serve, self._operators.serve)
+        for loop in (*loops, *servers, self._measure):
             self._pool.submit(loop).add_done_callback(self._ended)
 
+    def _measure(self) -> None:
+        if self._measures is not None:
+            self._measures.run(self._stopping)
+
     def _ended(self, fut: concurrent.futures.Future) -> None:
         """Stop the daemon when one of its threads fails."""
         exc = fut.exception()
         if exc is not None:
             operators.report_failure(exc)
+            self._failed = True
             self.runtime.exited.set()
 
     def stop(self) -> None:
@@ -84,14 +99,18 @@
         self._notice_until = time.monotonic() + min(left, NOTICE_S)
         self.runtime.post(events.StopAsked(deadline=time.monotonic() + left))
 
-    def wait(self) -> None:
-        """Wait until nothing is in hand, or the drain's time is up."""
+    def wait(self) -> bool:
+        """Wait until nothing is in hand, or the drain's time is up.
+
+        Return whether the daemon ended as asked, and no thread failed.
+        """
         while not self.runtime.exited.wait(0.2):
             until = self.runtime.state.stopping_until
             if until and time.monotonic() > until + EXIT_MARGIN_S:
                 break
         self._stopping.wait(max(0.0, self._notice_until - time.monotonic()))
         self.close()
+        return not self._failed
 
     def close(self) -> None:
         """Close the listeners and end the threads."""
@@ -124,8 +143,27 @@
     )
 
 
+def _measures(
+    settings: settings_module.EntrySettings,
+    runtime: runtimes.Runtime,
+    transport: transports.Transport,
+) -> measures.Measures | None:
+    """Return what sends metrics, or None without an address."""
+    if settings.statsd is None:
+        return None
+    return measures.Measures(
+        runtime=runtime,
+        sender=metrics.Metrics(
+            address=settings.statsd, zone=settings.zone, daemon=settings.name
+        ),
+        refused=lambda: transport.refused,
+    )
+
+
 def _callers_server(
-    settings: settings_module.EntrySettings, runtime: runtimes.Runtime
+    settings: settings_module.EntrySettings,
+    runtime: runtimes.Runtime,
+    measured: measures.Measures | None,
 ) -> server.wsgi.Server:
     application = callers.CallerApplication(
         name=settings.name,
@@ -133,6 +171,10 @@
         client=endpoints.EndpointClient(),
         max_body_bytes=settings.max_body_bytes,
     )
+    if measured is not None:
+        application = measures.MeasuredApplication(
+            application=application, measures=measured, runtime=runtime
+        )
     return server.make(
         host=settings.listen.host,
         port=settings.listen.port,
@@ -146,7 +188,9 @@
 
 
 def _operators_server(
-    settings: settings_module.EntrySettings, runtime: runtimes.Runtime
+    settings: settings_module.EntrySettings,
+    runtime: runtimes.Runtime,
+    transport: transports.Transport,
 ) -> server.wsgi.Server:
     return server.make(
         host=settings.operators_listen.host,
@@ -155,6 +199,7 @@
             runtime=runtime,
             token=settings.operators_token,
             max_body_bytes=settings.max_body_bytes,
+            counters=lambda: {"peer_frames_refused": transport.refused},
         ),
         threads=OPERATORS_THREADS,
         timeout_s=settings.sender_timeout_ms / 1000,
--- a/azurewood/daemons/workers.py
+++ b/azurewood/daemons/workers.py
@@ -36,6 +36,7 @@
     """The loops of one daemon, each run by a thread of its own."""
 
     __slots__ = (
+        "_read",
         "_runtime",
         "_stopping",
         "_stream",
@@ -53,13 +54,16 @@
         stream: str,
         zone: str,
         stopping: threading.Event,
+        read: typing.Callable[[], None] | None = None,
     ) -> None:
+        """Take a function to be called after each read of the log."""
         self._runtime = runtime
         self._transport = transport
         self._url = url
         self._stream = stream
         self._zone = zone
         self._stopping = stopping
+        self._read = read
 
     def loops(self) -> tuple[typing.Callable[[], None], ...]:
         """Return the functions to be run, each in a thread."""
@@ -103,6 +107,8 @@
         for effect in self._effects(self._runtime.reads):
             self._wait_until(effect.not_before)
             self._runtime.post(_read(client, effect))
+            if self._read is not None:
+                self._read()
 
     def append(self) -> None:
         """Append records, seeds and snapshots, one after the other."""
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -5,11 +5,13 @@
 """
 
 import dataclasses
+import logging
 import ssl
 import typing
 
 from cheroot.ssl import builtin
 from cheroot import wsgi
+import loguru
 
 from azurewood.http import connections
 from azurewood.http import exceptions
@@ -52,6 +54,7 @@
     server.max_request_header_size = max_header_bytes
     server.max_request_body_size = max_body_bytes
     server.nodelay = True
+    server.error_log = _log
     server.ConnectionClass = connections.ErrorConnection
     server.ssl_adapter = _adapter(tls)
     try:
@@ -63,6 +66,14 @@
     return server
 
 
+def _log(
+    message: str = "", level: int = logging.INFO, traceback: bool = False
+) -> None:
+    """Log what the server library reports."""
+    name = logging.getLevelName(level)
+    loguru.logger.opt(exception=traceback).log(name, "{}", message)
+
+
 def _adapter(tls: TlsFiles | None) -> builtin.BuiltinSSLAdapter | None:
     """Return what speaks TLS 1.2 or later, or None without files."""
     if tls is None:
--- a/azurewood/log/metrics.py
+++ b/azurewood/log/metrics.py
@@ -56,25 +56,26 @@
 REQUEST_TIME: typing.Final = Timer(
     name="request_time",
     unit="ms",
-    help="Time from a request's arrival to the end of its answer.",
-    labels=("service", "urgency"),
+    help="Time from a request's arrival to the end of its answer; at most"
+    " 200 a second are sent.",
+    labels=("service", "outcome"),
 )
 QUEUED: typing.Final = Gauge(
     name="queued",
     unit="requests",
     help="Requests that wait for a slot.",
 )
-RETRIES: typing.Final = Counter(
-    name="retries",
-    unit="attempts",
-    help="Further attempts of requests that may be repeated.",
+IN_FLIGHT: typing.Final = Gauge(
+    name="in_flight",
+    unit="requests",
+    help="Requests of a service that are at endpoints.",
     labels=("service",),
 )
-MOVES: typing.Final = Counter(
-    name="moves",
+HOSTS: typing.Final = Gauge(
+    name="hosts",
     unit="hosts",
-    help="Hosts whose move to a pool was accepted.",
-    labels=("pool",),
+    help="Hosts of a pool in a phase, as agreed.",
+    labels=("pool", "phase"),
 )
 REVISION: typing.Final = Gauge(
     name="revision",
@@ -84,23 +85,36 @@
 ROLL_OUT_TIME: typing.Final = Timer(
     name="roll_out_time",
     unit="ms",
-    help="Time from a change's acceptance to its being in force here.",
+    help="Time from a change's append, by the platform's clock, to its being"
+    " in force here, by this host's clock.",
+)
+LOG_REACHABLE: typing.Final = Gauge(
+    name="log_reachable",
+    unit="1 or 0",
+    help="Whether the last read of the platform's log succeeded.",
 )
 PEERS: typing.Final = Gauge(
     name="peers",
     unit="daemons",
     help="Peers that are taken for alive.",
 )
+PEER_FRAMES_REFUSED: typing.Final = Counter(
+    name="peer_frames_refused",
+    unit="frames",
+    help="Peers' frames with a wrong key or a malformed message.",
+)
 
 METRICS: typing.Final[tuple[Metric, ...]] = (
     REQUESTS,
     REQUEST_TIME,
     QUEUED,
-    RETRIES,
-    MOVES,
+    IN_FLIGHT,
+    HOSTS,
     REVISION,
     ROLL_OUT_TIME,
+    LOG_REACHABLE,
     PEERS,
+    PEER_FRAMES_REFUSED,
 )
 
 
--- a/azurewood/operators/application.py
+++ b/azurewood/operators/application.py
@@ -66,7 +66,7 @@
 class OperatorsApplication:
     """Serves probes, dumps and proposals."""
 
-    __slots__ = ("_max_body", "_runtime", "_token")
+    __slots__ = ("_counters", "_max_body", "_runtime", "_token")
 
     def __init__(
         self,
@@ -74,10 +74,13 @@
         runtime: runtimes.Runtime,
         token: str,
         max_body_bytes: int = 8 << 20,
+        counters: collections.abc.Callable[[], dict[str, int]] = dict,
     ) -> None:
+        """Take a function whose counters are shown in dumps."""
         self._runtime = runtime
         self._token = token.encode()
         self._max_body = max_body_bytes
+        self._counters = counters
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
@@ -126,11 +129,14 @@
         return _json({"live": True})
 
     def _ready(self, req: wrappers.Request) -> wrappers.Response:
-        is_ready = self._runtime.read_state(views.is_ready)
-        return _json({"ready": is_ready}, 200 if is_ready else 503)
+        found = self._runtime.read_state(views.readiness)
+        return _json(found, 200 if found.ready else 503)
 
     def _dump(self, req: wrappers.Request) -> wrappers.Response:
-        return self._show(views.dump)
+        counters = self._counters()
+        return self._show(
+            lambda state: views.dump(state) | {"counters": counters}
+        )
 
     def _agreed(self, req: wrappers.Request) -> wrappers.Response:
         return self._show(views.agreed)
--- a/azurewood/operators/client.py
+++ b/azurewood/operators/client.py
@@ -247,7 +247,7 @@
     id: str
     of: records.Proposal
     unsure: bool = False
-    not_accepted: str = ""
+    not_accepted: bool = False
     reasons: list[str] = dataclasses.field(default_factory=list)
 
     def note_unsure(self, reason: str) -> None:
@@ -263,7 +263,8 @@
             case Resolution.UNKNOWN:
                 self.note_unsure(ended.reason)
             case Resolution.NOT_ACCEPTED:
-                self.not_accepted = ended.reason
+                self.not_accepted = True
+                self.reasons.append(ended.reason)
         return None
 
     def conclusion(self) -> effects.Resolved:
@@ -274,7 +275,7 @@
             resolution=(
                 Resolution.UNKNOWN if self.unsure else Resolution.NOT_ACCEPTED
             ),
-            reason="; ".join(self.reasons) or self.not_accepted,
+            reason="; ".join(self.reasons),
         )
 
 
--- a/azurewood/operators/messages.py
+++ b/azurewood/operators/messages.py
@@ -47,6 +47,13 @@
     ids: tuple[str, ...] = ()
 
 
+class Readiness(msgspec.Struct, kw_only=True):
+    """Whether a daemon may be given callers' requests, and why not."""
+
+    ready: bool
+    reasons: tuple[str, ...] = ()
+
+
 class DaemonStatus(msgspec.Struct, kw_only=True):
     """A daemon and the revision that it has in force."""
 
--- a/azurewood/operators/views.py
+++ b/azurewood/operators/views.py
@@ -14,9 +14,16 @@
 HostPhase = agreed_state.HostPhase
 
 
-def is_ready(state: model.State) -> bool:
+def readiness(state: model.State) -> messages.Readiness:
     """Tell whether the daemon may be given callers' requests."""
-    return state.agreed.fleet is not None and not state.stopping_until
+    reasons = []
+    if state.agreed.fleet is None:
+        reasons.append("no configuration has been read yet")
+        if not state.log.reachable:
+            reasons.append("the platform's log cannot be read")
+    if state.stopping_until:
+        reasons.append("the daemon is stopping")
+    return messages.Readiness(ready=not reasons, reasons=tuple(reasons))
 
 
 def dump(state: model.State) -> dict[str, typing.Any]:
@@ -52,7 +59,7 @@
     return messages.Status(
         daemon=state.me.name,
         zone=state.me.zone,
-        ready=is_ready(state),
+        ready=readiness(state).ready,
         revision=shared.revision,
         in_force=shared.in_force,
         in_force_revision=shared.in_force_revision,
--- a/azurewood/peers/transport.py
+++ b/azurewood/peers/transport.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 
+import loguru
 import pynng
 
 from azurewood.peers import exceptions
@@ -22,14 +23,17 @@
     """The peers' sockets of one daemon.
 
     ``send`` is called by one thread, ``receive`` by another one.
+    ``refused`` counts the frames that were dropped for a wrong key or a
+    malformed message.
     """
 
-    __slots__ = ("_key", "_listen", "_name", "_pull", "_pushes")
+    __slots__ = ("_key", "_listen", "_name", "_pull", "_pushes", "refused")
 
     def __init__(self, *, name: str, listen: str, key: bytes) -> None:
         self._name = name
         self._listen = listen
         self._key = key
+        self.refused = 0
         self._pushes: dict[str, pynng.Push0] = {}
         self._pull = pynng.Pull0(
             recv_timeout=RECEIVE_TIMEOUT_MS,
@@ -80,8 +84,16 @@
                 return
             try:
                 yield messages.decode(frame, key=self._key)
-            except exceptions.PeerError:
-                continue
+            except exceptions.PeerError as exc:
+                self._refuse(exc)
+
+    def _refuse(self, exc: exceptions.PeerError) -> None:
+        """Count a frame, and log the first one of each power of two."""
+        self.refused += 1
+        if self.refused & (self.refused - 1) == 0:
+            loguru.logger.warning(
+                "{} frames of peers refused so far: {}", self.refused, exc
+            )
 
     def close(self) -> None:
         """Close all sockets."""
--- a/azurewood/state/control.py
+++ b/azurewood/state/control.py
@@ -233,7 +233,7 @@
     state: model.State, event: events.LogUnreachable, now: float
 ) -> Effects:
     """Read again later, with back-off and jitter."""
-    if state.log.reachable:
+    if state.log.reachable or not state.log.failures:
         yield effects.Report(
             level="WARNING", name="log_unreachable", text=event.reason
         )
--- /dev/null
+++ b/tests/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of azurewood.commands."""
--- /dev/null
+++ b/tests/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the pages under docs."""
--- /dev/null
+++ b/tests/input/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what strangers send to a daemon."""
