Bound what strangers send; end a daemon whose port is in use

Cause: tests with raw connections found that an empty frame of a peer ended the daemon, a chunked body that is malformed or too large was answered 500 with a traceback, a body cut short by its sender went to the endpoint as if it were whole, an unread chunked body was taken for a next request, senders who drip held every thread, and a daemon whose second port was in use hung. The change: bodies are checked on their way to the application, requests have to be read within six sender timeouts, listeners open together or not at all.

--- a/azurewood/daemons/entry.py
+++ b/azurewood/daemons/entry.py
@@ -1,10 +1,13 @@
 """The entry daemon: callers' requests in, endpoints' answers out."""
 
 import concurrent.futures
+import contextlib
+import functools
 import random
 import secrets
 import threading
 import time
+import typing
 
 from azurewood.conf import entry as settings_module
 from azurewood.daemons import measures
@@ -43,6 +46,7 @@
     )
 
     def __init__(self, *, settings: settings_module.EntrySettings) -> None:
+        """Listen; raise ``PeerError`` or ``HttpError`` if that fails."""
         self._settings = settings
         self._stopping = threading.Event()
         self._notice_until = 0.0
@@ -54,17 +58,23 @@
         )
         self._failed = False
         self._measures = _measures(settings, self.runtime, self._transport)
-        self._callers = _callers_server(settings, self.runtime, self._measures)
-        self._operators = _operators_server(
-            settings, self.runtime, self._transport
-        )
+        with contextlib.ExitStack() as listeners:
+            self._transport.open()
+            listeners.callback(self._transport.close)
+            self._callers = _callers_server(
+                settings, self.runtime, self._measures
+            )
+            listeners.callback(self._callers.stop)
+            self._operators = _operators_server(
+                settings, self.runtime, self._transport
+            )
+            listeners.pop_all()
         self._pool = concurrent.futures.ThreadPoolExecutor(
             max_workers=16, thread_name_prefix="entry"
         )
 
     def start(self) -> None:
-        """Start the threads; raise ``PeerError`` if a port is in use."""
-        self._transport.open()
+        """Start the threads."""
         loops = workers.Workers(
             runtime=self.runtime,
             transport=self._transport,
@@ -77,10 +87,16 @@
         self.runtime.carry_out(
             control.start(self.runtime.state, time.monotonic())
         )
-        servers = (self._callers.serve, self._operators.serve)
-        for loop in (*loops, *servers, self._measure):
+        for loop in (*loops, *self._loops()):
             self._pool.submit(loop).add_done_callback(self._ended)
 
+    def _loops(self) -> typing.Iterator[typing.Callable[[], None]]:
+        """Yield the functions that serve and measure."""
+        for http_server in (self._callers, self._operators):
+            yield http_server.serve
+            yield functools.partial(http_server.readings.run, self._stopping)
+        yield self._measure
+
     def _measure(self) -> None:
         if self._measures is not None:
             self._measures.run(self._stopping)
--- a/azurewood/http/connections.py
+++ b/azurewood/http/connections.py
@@ -1,25 +1,201 @@
-"""The HTTP server library's own errors, as JSON with a true outcome.
+"""The HTTP server library's connections, with bounds and true errors.
 
 The library answers by itself when a request is malformed, too large or too
-slow. Such a request never reached an application, so it did not run.
+slow. Such a request never reached an application, so it did not run. A
+body that is cut short never reaches an application as if it were whole.
 """
 
+import dataclasses
+import socket
+import threading
+import time
 import typing
 
+from cheroot import errors
 from cheroot import server
+from cheroot import wsgi
 import msgspec
 
+from azurewood.http import exceptions
 from azurewood.http import outcomes
 
+SWEEP_S = 0.5
+READ_TIMEOUTS = 6
+"""A request has to be read whole within so many of a sender's timeouts."""
+TOO_LARGE = "Request Entity Too Large"
+INTERNAL_ERROR = "500"
 
-class ErrorRequest(server.HTTPRequest):
+
+class BodyError(exceptions.HttpError):
+    """A request's body cannot be read; the request did not run."""
+
+    def __init__(self, status: str, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Readings:
+    """The connections on which a request is being read, with deadlines.
+
+    Those past theirs are cut, so that senders who drip hold no thread for
+    long.
+    """
+
+    limit_s: float
+    _deadlines: dict[socket.socket, float] = dataclasses.field(
+        default_factory=dict
+    )
+    _lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
+
+    def begin(self, sock: socket.socket) -> None:
+        """Note that the reading of a request begins."""
+        with self._lock:
+            self._deadlines[sock] = time.monotonic() + self.limit_s
+
+    def end(self, sock: socket.socket) -> None:
+        """Note that the request was read, or that nothing more will be."""
+        with self._lock:
+            self._deadlines.pop(sock, None)
+
+    def run(self, stopping: threading.Event) -> None:
+        """Cut late senders until the daemon stops."""
+        while not stopping.wait(SWEEP_S):
+            self._cut_late(time.monotonic())
+
+    def _cut_late(self, now: float) -> None:
+        with self._lock:
+            late = [s for s, at in self._deadlines.items() if at <= now]
+            for sock in late:
+                del self._deadlines[sock]
+                _shut_down(sock)
+
+
+def _shut_down(sock: socket.socket) -> None:
+    """Wake the thread that reads from a socket; it gets no more."""
+    try:
+        sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        return
+
+
+class BodyReader:
+    """A request's body, whose faults are raised as ``BodyError``."""
+
+    def __init__(
+        self,
+        *,
+        body: typing.Any,
+        chunked: bool,
+        ended: typing.Callable[[], None],
+    ) -> None:
+        """Take a function that is called once the whole body was read."""
+        self._body = body
+        self._chunked = chunked
+        self._on_end = ended
+        self._note_end()
+
+    def _note_end(self) -> None:
+        if self.ended:
+            self._on_end()
+
+    @property
+    def remaining(self) -> int:
+        """Return how many declared bytes have not been read."""
+        return 0 if self._chunked else self._body.remaining
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the whole body has been read."""
+        return self._body.closed if self._chunked else not self.remaining
+
+    def read(self, size: int | None = None) -> bytes:
+        """Read up to ``size`` bytes, all if it is None or negative."""
+        if size is not None and size < 0:
+            size = None
+        wanted = self.remaining if size is None else min(size, self.remaining)
+        data = _translated(self._body.read, size)
+        if not self._chunked and len(data) < wanted:
+            raise BodyError("400 Bad Request", "the body is cut short")
+        self._note_end()
+        return data
+
+    def readline(self, size: int | None = None) -> bytes:
+        """Read a line of up to ``size`` bytes."""
+        return _translated(self._body.readline, size)
+
+    def readlines(self, hint: int = 0) -> list[bytes]:
+        """Read lines of about ``hint`` bytes in all."""
+        return _translated(self._body.readlines, hint)
+
+    def close(self) -> None:
+        """Close the body."""
+        self._body.close()
+
+
+def _translated(read: typing.Callable, size: int | None) -> typing.Any:
+    """Read, and raise the library's errors on bodies as ``BodyError``."""
+    try:
+        return read(size)
+    except errors.MaxSizeExceeded as exc:
+        raise _too_large() from exc
+    except ValueError as exc:
+        raise BodyError(
+            "400 Bad Request", "the chunked body is malformed"
+        ) from exc
+    except OSError as exc:
+        if exc.args[:1] == (TOO_LARGE,):
+            raise _too_large() from exc
+        raise
+
+
+def _too_large() -> BodyError:
+    return BodyError(f"413 {TOO_LARGE}", "the body is too large")
+
+
+class CheckedGateway(wsgi.Gateway_10):
+    """Hands requests to an application, with bodies that are checked."""
+
+    def __init__(self, req: server.HTTPRequest) -> None:
+        conn = req.conn
+        req.rfile = BodyReader(
+            body=req.rfile,
+            chunked=req.chunked_read,
+            ended=lambda: req.server.readings.end(conn.socket),
+        )
+        super().__init__(req)
+
+
+class CheckedRequest(server.HTTPRequest):
     """A request whose errors are answered as JSON."""
 
+    def parse_request(self) -> None:
+        """Read the request's head."""
+        try:
+            super().parse_request()
+        except ValueError:
+            self.simple_response("400 Bad Request", "malformed request")
+
+    def respond(self) -> None:
+        """Answer the request, or say why its body cannot be read."""
+        try:
+            super().respond()
+        except BodyError as exc:
+            self.close_connection = True
+            if not self.sent_headers:
+                self.simple_response(exc.status, str(exc))
+
+    def send_headers(self) -> None:
+        """Send the head of an answer.
+
+        What is left of a chunked body is not taken for a next request.
+        """
+        if self.chunked_read and not self.rfile.ended:
+            self.close_connection = True
+        super().send_headers()
+
     def simple_response(self, status: str, msg: str | bytes = "") -> None:
         """Answer with an error and close the connection."""
-        if str(status).startswith("100"):
-            super().simple_response(status, msg)
-            return
         self.close_connection = True
         phrase = str(status).partition(" ")[2]
         detail = msg.decode("latin-1") if isinstance(msg, bytes) else msg
@@ -47,11 +223,24 @@
 
 
 def _outcome(status: str) -> str:
-    """Return what an error says of whether the request ran."""
-    return outcomes.NOT_RUN if status.startswith("4") else outcomes.UNKNOWN
+    """Return what an error says of whether the request ran.
+
+    Only an error within the application may come after it began.
+    """
+    if status.startswith(INTERNAL_ERROR):
+        return outcomes.UNKNOWN
+    return outcomes.NOT_RUN
 
 
-class ErrorConnection(server.HTTPConnection):
-    """A connection whose requests' errors are answered as JSON."""
+class CheckedConnection(server.HTTPConnection):
+    """A connection whose requests are read within a deadline."""
 
-    RequestHandlerClass: typing.ClassVar[type] = ErrorRequest
+    RequestHandlerClass: typing.ClassVar[type] = CheckedRequest
+
+    def communicate(self) -> bool:
+        """Read and answer one request; tell whether to keep it open."""
+        self.server.readings.begin(self.socket)
+        try:
+            return super().communicate()
+        finally:
+            self.server.readings.end(self.socket)
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -55,7 +55,11 @@
     server.max_request_body_size = max_body_bytes
     server.nodelay = True
     server.error_log = _log
-    server.ConnectionClass = connections.ErrorConnection
+    server.ConnectionClass = connections.CheckedConnection
+    server.gateway = connections.CheckedGateway
+    server.readings = connections.Readings(
+        limit_s=timeout_s * connections.READ_TIMEOUTS
+    )
     server.ssl_adapter = _adapter(tls)
     try:
         server.prepare()
--- a/azurewood/peers/transport.py
+++ b/azurewood/peers/transport.py
@@ -82,12 +82,16 @@
                 continue
             except pynng.Closed:
                 return
+            except RuntimeError as exc:
+                # pynng cannot unpack a frame without any byte.
+                self._refuse(exc)
+                continue
             try:
                 yield messages.decode(frame, key=self._key)
             except exceptions.PeerError as exc:
                 self._refuse(exc)
 
-    def _refuse(self, exc: exceptions.PeerError) -> None:
+    def _refuse(self, exc: Exception) -> None:
         """Count a frame, and log the first one of each power of two."""
         self.refused += 1
         if self.refused & (self.refused - 1) == 0:
--- a/standins/command_line.py
+++ b/standins/command_line.py
@@ -58,7 +58,9 @@
     def __init__(self, *, deployment: deployment.Deployment) -> None:
         self._deployment = deployment
 
-    def run(self, *args: str) -> subprocess.CompletedProcess:
+    def run(
+        self, *args: str, env: dict[str, str] | None = None
+    ) -> subprocess.CompletedProcess:
         """Run a command; return how it ended."""
         return subprocess.run(
             [sys.executable, "-m", "azurewood", *args],
@@ -66,7 +68,7 @@
             capture_output=True,
             text=True,
             timeout=COMMAND_TIMEOUT_S,
-            env=self._env(),
+            env=self._env() | (env or {}),
             check=False,
         )
 
--- /dev/null
+++ b/tests/commands/conftest.py
@@ -0,0 +1,61 @@
+import dataclasses
+import pathlib
+
+import pytest
+
+from azurewood.fleet import document
+from standins import command_line
+from standins import deployment
+from standins import processes
+from tests import small_fleet
+
+NETWORK = 233
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Running:
+    """A deployment whose configuration is in force, and its commands."""
+
+    deployment: deployment.Deployment
+    commands: command_line.CommandLine
+    path: pathlib.Path
+
+    def code(self, *args):
+        return self.commands.run(*args).returncode
+
+    def hosts(self):
+        return {
+            row["host"]: row
+            for row in self.commands.checked_json("host", "list")
+        }
+
+
+@pytest.fixture(scope="session")
+def fleet():
+    return command_line.shift_addresses(small_fleet.load(), NETWORK)
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory, fleet):
+    place = tmp_path_factory.mktemp("commands")
+    path = place / "fleet.yaml"
+    path.write_text(document.dump(fleet))
+    with processes.Processes(log_dir=place) as started:
+        whole = deployment.Deployment(
+            running=started,
+            fleet=fleet,
+            platform_args=("--host-list-lag-ms", "100", "--reboot-ms", "100"),
+        )
+        whole.start_daemons(per_zone=2)
+        whole.start_workers()
+        processes.wait_for(
+            lambda: all(
+                daemon.status()["log_reachable"]
+                for daemon in whole.daemons.values()
+            ),
+            what="the log is read",
+        )
+        commands = command_line.CommandLine(deployment=whole)
+        commands.checked("config", "apply", str(path), "--wait")
+        whole.wait_serving()
+        yield Running(deployment=whole, commands=commands, path=path)
--- /dev/null
+++ b/tests/input/conftest.py
@@ -0,0 +1,121 @@
+import dataclasses
+import datetime
+import ipaddress
+import json
+import socket
+
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography import x509
+from cryptography.x509 import oid
+import pytest
+
+from standins import command_line
+from standins import deployment
+from standins import processes
+from tests import small_fleet
+
+NETWORK = 234
+TIMEOUT_S = 10.0
+MAX_BODY = 20000
+SENDER_TIMEOUT_MS = 700
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Answer:
+    """What came back on a raw connection."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self):
+        return json.loads(self.body)
+
+
+def exchange(port, *chunks, timeout_s=TIMEOUT_S):
+    """Send raw bytes and read until the daemon closes or has answered."""
+    with socket.create_connection(("127.0.0.1", port), timeout_s) as sock:
+        for chunk in chunks:
+            sock.sendall(chunk)
+        return read_answer(sock)
+
+
+def read_answer(sock):
+    """Read one answer; None if the connection ends without one."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            return None
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines)
+    while len(body) < int(headers.get("content-length", 0)):
+        body += sock.recv(65536)
+    return Answer(status=int(first.split()[1]), headers=headers, body=body)
+
+
+@pytest.fixture(scope="package")
+def started(tmp_path_factory):
+    """Two daemons with short limits, and a published configuration."""
+    fleet = command_line.shift_addresses(small_fleet.load(), NETWORK)
+    log_dir = tmp_path_factory.mktemp("input")
+    with processes.Processes(log_dir=log_dir) as running:
+        whole = deployment.Deployment(running=running, fleet=fleet)
+        whole.start_daemons(
+            per_zone=2,
+            extra=(
+                *("--max-body-bytes", str(MAX_BODY)),
+                *("--sender-timeout-ms", str(SENDER_TIMEOUT_MS)),
+                *("--threads", "8"),
+            ),
+        )
+        whole.start_workers()
+        whole.publish()
+        whole.wait_serving()
+        yield whole
+
+
+@pytest.fixture
+def daemon(started):
+    """A daemon; afterwards it still answers, and no thread has failed."""
+    yield started.first
+    reply = started.first.call("/desk/after")
+    assert (reply.status, reply.outcome) == (200, "ran")
+    assert started.first.process.alive
+    assert "Traceback" not in started.first.process.output()
+
+
+@pytest.fixture(scope="session")
+def certificate(tmp_path_factory):
+    """Paths of a certificate for 127.0.0.1 and of its private key."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, "test")])
+    now = datetime.datetime.now(datetime.timezone.utc)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    made = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([address]), False)
+        .sign(key, hashes.SHA256())
+    )
+    place = tmp_path_factory.mktemp("tls")
+    paths = place / "cert.pem", place / "key.pem"
+    paths[0].write_bytes(made.public_bytes(serialization.Encoding.PEM))
+    paths[1].write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return paths
