--- a/tests/operators/test_tickets.py
+++ b/tests/operators/test_tickets.py
@@ -83,3 +83,28 @@
     kept = agreed_state.unpack(agreed_state.pack(state))
     assert apply(kept, record(writer="b", sequence=1)).accepted
     assert kept.revision == 2
+
+
+def change(state, target, one, base):
+    proposal = records.Proposal(object=target, base=base, change=one)
+    record = records.Proposals(
+        writer="c", sequence=state.offset, proposals=(proposal,)
+    )
+    return apply(state, record)
+
+
+def test_a_wave_is_paused_and_resumed_by_the_fold(state):
+    host = next(iter(state.hosts))
+    steps = (
+        (records.StartWave(hosts=(host,)), "running", ""),
+        (records.PauseWave(reason="crews are out"), "paused", "crews are out"),
+        (records.ResumeWave(), "running", ""),
+    )
+    revision = 0
+    for one, phase, reason in steps:
+        verdict = change(state, "wave:w1", one, revision)
+        assert verdict.accepted
+        revision = verdict.revision
+        wave = state.waves["w1"]
+        assert (wave.phase, wave.reason) == (phase, reason)
+        assert wave.revision == revision
