--- a/standins/command_line.py
+++ b/standins/command_line.py
@@ -12,8 +12,8 @@
 from azurewood.fleet import document
 from azurewood.fleet import model
 from azurewood.operators import client as clients
-from standins import deployment
 from standins import exceptions
+from standins import testbed
 
 COMMAND_TIMEOUT_S = 90.0
 
@@ -45,17 +45,17 @@
     return shift_addresses(fleet, network)
 
 
-def client(daemon: deployment.Daemon) -> clients.OperatorsClient:
+def client(daemon: testbed.Daemon) -> clients.OperatorsClient:
     """Return an operators' client of one daemon."""
     return clients.OperatorsClient(
-        daemons=[daemon.operators_url], token=deployment.OPERATORS_TOKEN
+        daemons=[daemon.operators_url], token=testbed.OPERATORS_TOKEN
     )
 
 
 class CommandLine:
     """Runs commands that may use every live daemon of a deployment."""
 
-    def __init__(self, *, deployment: deployment.Deployment) -> None:
+    def __init__(self, *, deployment: testbed.Deployment) -> None:
         self._deployment = deployment
 
     def run(
@@ -81,7 +81,7 @@
         return os.environ | {
             "AZUREWOOD_DAEMONS": " ".join(urls),
             "AZUREWOOD_OPERATOR": "mariam",
-            "AZUREWOOD_OPERATORS_TOKEN": deployment.OPERATORS_TOKEN,
+            "AZUREWOOD_OPERATORS_TOKEN": testbed.OPERATORS_TOKEN,
         }
 
     def checked(self, *args: str) -> str:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,11 +15,11 @@
 
 from azurewood.fleet import document
 from standins import command_line
-from standins import deployment
 from standins import exceptions
 from standins import processes
 from standins import scenario
 from standins import summary
+from standins import testbed
 
 EXAMPLES = ("al-hadeed", "karamanlis")
 EXAMPLES_DIR = pathlib.Path("examples")
@@ -78,7 +78,7 @@
     path.write_text(document.dump(fleet), encoding="utf-8")
     report = summary.Report(name=name)
     with processes.Processes(log_dir=place / "logs") as running:
-        started = deployment.Deployment(
+        started = testbed.Deployment(
             running=running, fleet=fleet, platform_args=PLATFORM_ARGS
         )
         try:
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -12,9 +12,9 @@
 from standins.callers import load as loads
 from standins.callers import model
 from standins import command_line
-from standins import deployment as deployments
 from standins import processes
 from standins import summary
+from standins import testbed
 
 DAEMONS_PER_ZONE = 2
 RATE_PER_S = 80.0
@@ -94,7 +94,7 @@
     """Stands for the platform's balancer: sends only to ready daemons."""
 
     def __init__(
-        self, *, daemons: list[deployments.Daemon], load: loads.Load
+        self, *, daemons: list[testbed.Daemon], load: loads.Load
     ) -> None:
         self._daemons = daemons
         self._load = load
@@ -114,13 +114,13 @@
         self._stopped.set()
 
 
-def _is_ready(daemon: deployments.Daemon) -> bool:
+def _is_ready(daemon: testbed.Daemon) -> bool:
     try:
         return daemon.operate("GET", "/readyz")["ready"]
     except (
         OSError,
         http.client.HTTPException,
-        deployments.OperatorsCallError,
+        testbed.OperatorsCallError,
     ):
         return False
 
@@ -146,7 +146,7 @@
     def __init__(
         self,
         *,
-        deployment: deployments.Deployment,
+        deployment: testbed.Deployment,
         document: pathlib.Path,
         plan: Plan,
         report: summary.Report,
@@ -160,7 +160,7 @@
         self._say = say
 
     @property
-    def _daemons(self) -> list[deployments.Daemon]:
+    def _daemons(self) -> list[testbed.Daemon]:
         return list(self._deployment.daemons.values())
 
     def run(self) -> None:
--- a/standins/deployment.py
+++ b/standins/testbed.py
@@ -1,4 +1,4 @@
-"""A whole deployment of processes: platform, workers, entry daemons.
+"""Processes of a deployment, started one part at a time.
 
 For tests, benchmarks and the demo. The daemons get all their settings by
 flags and environment variables, as operators would give them.
