--- a/azurewood/operators/client.py
+++ b/azurewood/operators/client.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT_MS = 2000
 READ_TIMEOUT_S = 10.0
 ANSWER_MARGIN_S = 3.0
+ATTEMPTS = 2
+"""No further daemon is tried after so many timeouts of a proposal."""
 MAX_ANSWER_BYTES = 256 << 20
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -136,7 +138,10 @@
                 proposals=(proposal,), ticket=ticket, timeout_s=timeout_s
             )
         )
+        deadline = time.monotonic() + ATTEMPTS * timeout_s
         for url in self._daemons:
+            if time.monotonic() >= deadline:
+                break
             ended = self._propose_to(url, body, timeout_s, attempts)
             if ended is not None:
                 return ended
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -170,6 +170,26 @@
         )
 
 
+def test_while_the_platform_is_down_nothing_is_accepted(running):
+    whole = running.deployment
+    before = whole.first.agreed()["in_force_revision"]
+    whole.platform.post("/v1/faults", down=True)
+    try:
+        done = running.commands.run("preset", "use", "peak")
+    finally:
+        whole.platform.post("/v1/faults", down=False)
+    assert done.returncode == 4, done.stderr
+    assert "was not changed" in done.stderr
+    processes.wait_for(
+        lambda: all(
+            daemon.status()["log_reachable"]
+            for daemon in whole.daemons.values()
+        ),
+        what="the log is read again",
+    )
+    assert whole.first.agreed()["in_force_revision"] == before
+
+
 def test_a_proposal_whose_daemon_dies_is_unknown_until_it_is_asked_for(
     running,
 ):
