--- a/azurewood/commands/base.py
+++ b/azurewood/commands/base.py
@@ -16,10 +16,12 @@
 from azurewood.commands import exceptions
 from azurewood.operators import client as clients
 from azurewood.operators import exceptions as operators_exceptions
+from azurewood.operators import messages
 
 ExitCode = exceptions.ExitCode
 TOKEN_VARIABLE: typing.Final = "AZUREWOOD_OPERATORS_TOKEN"
 DEFAULT_DAEMON: typing.Final = "http://127.0.0.1:8081"
+MIN_PROPOSAL_S: typing.Final = 0.1
 UNPROCESSABLE: typing.Final = 422
 UNSAFE: typing.Final = re.compile(r"[^A-Za-z0-9_.-]")
 MAX_OPERATOR_CHARACTERS: typing.Final = 40
@@ -34,10 +36,14 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Session:
-    """The client and the form of output of one command."""
+    """The client and the form of output of one command.
+
+    ``timeout_s`` is how long a daemon tries to have a change accepted.
+    """
 
     client: clients.OperatorsClient
     output: Output
+    timeout_s: float
 
     @property
     def is_json(self) -> bool:
@@ -60,7 +66,9 @@
     """Give a command a ``session`` with the daemons, and their options."""
 
     @functools.wraps(func)
-    def command(daemon, operator, ca_certificate, output, **kwargs):
+    def command(
+        daemon, operator, ca_certificate, proposal_timeout_s, output, **kwargs
+    ):
         session = Session(
             client=clients.OperatorsClient(
                 daemons=daemon,
@@ -69,12 +77,20 @@
                 ca_certificate=ca_certificate,
             ),
             output=Output(output),
+            timeout_s=proposal_timeout_s,
         )
         with errors():
             return func(session=session, **kwargs)
 
     for option in (
         output_option,
+        click.option(
+            "--proposal-timeout-s",
+            type=click.FloatRange(MIN_PROPOSAL_S, messages.PROPOSAL_TIMEOUT_S),
+            default=messages.PROPOSAL_TIMEOUT_S,
+            show_default=True,
+            help="How long a daemon tries to have a change accepted.",
+        ),
         click.option(
             "--ca-certificate",
             envvar="AZUREWOOD_CA_CERTIFICATE",
--- a/azurewood/commands/proposals.py
+++ b/azurewood/commands/proposals.py
@@ -46,7 +46,8 @@
     ended = session.client.propose(
         records.Proposal(
             object=draft.object, base=draft.base, change=draft.change
-        )
+        ),
+        timeout_s=session.timeout_s,
     )
     match ended.resolution:
         case Resolution.ACCEPTED:
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -175,7 +175,9 @@
     before = whole.first.agreed()["in_force_revision"]
     whole.platform.post("/v1/faults", down=True)
     try:
-        done = running.commands.run("preset", "use", "peak")
+        done = running.commands.run(
+            "preset", "use", "peak", "--proposal-timeout-s", "1"
+        )
     finally:
         whole.platform.post("/v1/faults", down=False)
     assert done.returncode == 4, done.stderr
