Do TLS handshakes in the request's thread

Cause: the HTTP library did the handshake in the thread that accepts, so one silent client held up all others for a sender's timeout each; a test with three silent clients failed on it.

--- a/azurewood/http/connections.py
+++ b/azurewood/http/connections.py
@@ -7,13 +7,16 @@
 
 import dataclasses
 import socket
+import ssl
 import threading
 import time
 import typing
 
 from cheroot import errors
 from cheroot import server
+from cheroot.ssl import builtin
 from cheroot import wsgi
+import loguru
 import msgspec
 
 from azurewood.http import exceptions
@@ -74,7 +77,8 @@
 def _shut_down(sock: socket.socket) -> None:
     """Wake the thread that reads from a socket; it gets no more."""
     try:
-        sock.shutdown(socket.SHUT_RD)
+        # The method of a TLS socket would let it go on in plain text.
+        socket.socket.shutdown(sock, socket.SHUT_RD)
     except OSError:
         return
 
@@ -236,11 +240,38 @@
     """A connection whose requests are read within a deadline."""
 
     RequestHandlerClass: typing.ClassVar[type] = CheckedRequest
+    _is_greeted = False
 
     def communicate(self) -> bool:
         """Read and answer one request; tell whether to keep it open."""
         self.server.readings.begin(self.socket)
         try:
-            return super().communicate()
+            return self._greet() and super().communicate()
         finally:
             self.server.readings.end(self.socket)
+
+    def _greet(self) -> bool:
+        """Do the TLS handshake, if there is one; tell whether it went well.
+
+        It is done by the thread of the request and not by the one that
+        accepts connections, which a silent client would hold up.
+        """
+        if not self._is_greeted and isinstance(self.socket, ssl.SSLSocket):
+            try:
+                self.socket.do_handshake()
+            except OSError as exc:
+                loguru.logger.debug("TLS handshake failed: {}", exc)
+                return False
+        self._is_greeted = True
+        return True
+
+
+class TlsAdapter(builtin.BuiltinSSLAdapter):
+    """Speaks TLS, but leaves the handshake to the request's thread."""
+
+    def wrap(self, sock: socket.socket) -> tuple[ssl.SSLSocket, dict]:
+        """Return a socket that speaks TLS, and its WSGI variables."""
+        wrapped = self.context.wrap_socket(
+            sock, do_handshake_on_connect=False, server_side=True
+        )
+        return wrapped, {"wsgi.url_scheme": "https", "HTTPS": "on"}
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -9,7 +9,6 @@
 import ssl
 import typing
 
-from cheroot.ssl import builtin
 from cheroot import wsgi
 import loguru
 
@@ -78,12 +77,12 @@
     loguru.logger.opt(exception=traceback).log(name, "{}", message)
 
 
-def _adapter(tls: TlsFiles | None) -> builtin.BuiltinSSLAdapter | None:
+def _adapter(tls: TlsFiles | None) -> connections.TlsAdapter | None:
     """Return what speaks TLS 1.2 or later, or None without files."""
     if tls is None:
         return None
     try:
-        adapter = builtin.BuiltinSSLAdapter(tls.certificate, tls.key)
+        adapter = connections.TlsAdapter(tls.certificate, tls.key)
     except (OSError, ssl.SSLError) as exc:
         raise exceptions.HttpError(
             f"cannot use the TLS certificate {tls.certificate}: {exc}"
--- a/tests/input/test_daemons.py
+++ b/tests/input/test_daemons.py
@@ -20,6 +20,8 @@
 from tests import small_fleet
 
 MAX_DATAGRAMS = 400
+HANDSHAKE_S = 8.0
+"""Less than the sender timeout that a stalled handshake would take."""
 ENV = {
     "AZUREWOOD_OPERATORS_TOKEN": testbed.OPERATORS_TOKEN,
     "AZUREWOOD_PEERS_KEY": testbed.PEERS_KEY,
@@ -192,6 +194,33 @@
         distrusting.status()
 
 
+def test_a_stalled_handshake_holds_up_nobody(running, certificate):
+    _, platform = running.start_platform()
+    cert, key = map(str, certificate)
+    _, found = start(
+        running,
+        platform=platform,
+        env={"AZUREWOOD_TLS_CERTIFICATE": cert, "AZUREWOOD_TLS_KEY": key},
+    )
+    address = ("127.0.0.1", found["operators"])
+    processes.wait_for(
+        lambda: processes.is_listening(*address), what="it listens"
+    )
+    stalled = [socket.create_connection(address, 5.0) for _ in range(3)]
+    try:
+        conn = http.client.HTTPSConnection(
+            *address,
+            context=ssl.create_default_context(cafile=cert),
+            timeout=HANDSHAKE_S,
+        )
+        conn.request("GET", "/healthz")
+        assert conn.getresponse().status == 200
+        conn.close()
+    finally:
+        for sock in stalled:
+            sock.close()
+
+
 def test_metrics_and_logs_of_a_running_daemon(running):
     _, platform = running.start_platform()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
