--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -8,7 +8,7 @@
 from azurewood.fleet import document
 from azurewood.state import effects
 from azurewood.state import records
-from standins import deployment
+from standins import command_line
 from standins import processes
 from standins import testbed
 
@@ -19,7 +19,7 @@
 
 @pytest.fixture(scope="module")
 def started(tmp_path_factory):
-    fleet = deployment.shift_addresses(
+    fleet = command_line.shift_addresses(
         document.load(EXAMPLE.read_text(), str(EXAMPLE)),
         20 + os.getpid() % 200,
     )
