--- a/azurewood/commands/host.py
+++ b/azurewood/commands/host.py
@@ -185,6 +185,7 @@
     show_default=True,
     help="Reboot it once drained and bring it back, or leave it down.",
 )
+@click.option("--wave", default="", help="Count it as done in this wave.")
 @reason_option
 @drain_option
 @base_option
@@ -195,13 +196,16 @@
     session: base.Session,
     name: str,
     reboot: bool,
+    wave: str,
     reason: str,
     drain_ms: int,
     base_revision: int | None,
     wait: bool,
 ) -> None:
     """Propose a drain."""
-    change = records.DrainHost(reason=reason, drain_ms=drain_ms, reboot=reboot)
+    change = records.DrainHost(
+        reason=reason, drain_ms=drain_ms, reboot=reboot, wave=wave
+    )
     revision = _propose(session, name, change, base_revision)
     last = HostPhase.SERVING if reboot else HostPhase.DOWN
     if wait:
--- a/azurewood/http/callers.py
+++ b/azurewood/http/callers.py
@@ -14,10 +14,10 @@
 
 from azurewood.daemons import runtime as runtimes
 from azurewood.fleet import model as fleet_model
+from azurewood.http import connections
 from azurewood.http import endpoints
 from azurewood.http import exceptions
 from azurewood.http import outcomes
-from azurewood.http import server
 from azurewood.policy import claims
 from azurewood.state import effects
 from azurewood.state import events
@@ -93,7 +93,7 @@
         self._runtime.requests[request_id] = fut
         try:
             self._runtime.post(arrived)
-            caller = environ.get(server.SOCKET_KEY)
+            caller = environ.get(connections.SOCKET_KEY)
             return self._run(arrived, outgoing, fut, caller)
         finally:
             del self._runtime.requests[request_id]
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -5,17 +5,17 @@
 """
 
 import dataclasses
+import logging
 import ssl
 import typing
 
-from cheroot.ssl import builtin
 from cheroot import wsgi
+import loguru
 
 from azurewood.http import connections
 from azurewood.http import exceptions
 
 BACKLOG = 256
-SOCKET_KEY = "azurewood.socket"
 SHUTDOWN_S = 5
 
 
@@ -27,16 +27,6 @@
     key: str
 
 
-class Gateway(wsgi.Gateway_10):
-    """Shows the application the caller's socket."""
-
-    def get_environ(self) -> dict[str, typing.Any]:
-        """Return the WSGI environment, with the socket in it."""
-        environ = super().get_environ()
-        environ[SOCKET_KEY] = self.req.conn.socket
-        return environ
-
-
 def make(
     *,
     host: str,
@@ -63,8 +53,12 @@
     server.max_request_header_size = max_header_bytes
     server.max_request_body_size = max_body_bytes
     server.nodelay = True
-    server.gateway = Gateway
-    server.ConnectionClass = connections.ErrorConnection
+    server.error_log = _log
+    server.ConnectionClass = connections.CheckedConnection
+    server.gateway = connections.CheckedGateway
+    server.readings = connections.Readings(
+        limit_s=timeout_s * connections.READ_TIMEOUTS
+    )
     server.ssl_adapter = _adapter(tls)
     try:
         server.prepare()
@@ -75,12 +69,20 @@
     return server
 
 
-def _adapter(tls: TlsFiles | None) -> builtin.BuiltinSSLAdapter | None:
+def _log(
+    message: str = "", level: int = logging.INFO, traceback: bool = False
+) -> None:
+    """Log what the server library reports."""
+    name = logging.getLevelName(level)
+    loguru.logger.opt(exception=traceback).log(name, "{}", message)
+
+
+def _adapter(tls: TlsFiles | None) -> connections.TlsAdapter | None:
     """Return what speaks TLS 1.2 or later, or None without files."""
     if tls is None:
         return None
     try:
-        adapter = builtin.BuiltinSSLAdapter(tls.certificate, tls.key)
+        adapter = connections.TlsAdapter(tls.certificate, tls.key)
     except (OSError, ssl.SSLError) as exc:
         raise exceptions.HttpError(
             f"cannot use the TLS certificate {tls.certificate}: {exc}"
--- a/azurewood/operators/client.py
+++ b/azurewood/operators/client.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT_MS = 2000
 READ_TIMEOUT_S = 10.0
 ANSWER_MARGIN_S = 3.0
+ATTEMPTS = 2
+"""No further daemon is tried after so many timeouts of a proposal."""
 MAX_ANSWER_BYTES = 256 << 20
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -136,7 +138,10 @@
                 proposals=(proposal,), ticket=ticket, timeout_s=timeout_s
             )
         )
+        deadline = time.monotonic() + ATTEMPTS * timeout_s
         for url in self._daemons:
+            if time.monotonic() >= deadline:
+                break
             ended = self._propose_to(url, body, timeout_s, attempts)
             if ended is not None:
                 return ended
@@ -247,7 +252,7 @@
     id: str
     of: records.Proposal
     unsure: bool = False
-    not_accepted: str = ""
+    not_accepted: bool = False
     reasons: list[str] = dataclasses.field(default_factory=list)
 
     def note_unsure(self, reason: str) -> None:
@@ -263,7 +268,8 @@
             case Resolution.UNKNOWN:
                 self.note_unsure(ended.reason)
             case Resolution.NOT_ACCEPTED:
-                self.not_accepted = ended.reason
+                self.not_accepted = True
+                self.reasons.append(ended.reason)
         return None
 
     def conclusion(self) -> effects.Resolved:
@@ -274,7 +280,7 @@
             resolution=(
                 Resolution.UNKNOWN if self.unsure else Resolution.NOT_ACCEPTED
             ),
-            reason="; ".join(self.reasons) or self.not_accepted,
+            reason="; ".join(self.reasons),
         )
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -13,15 +13,24 @@
 
 import click
 
-from standins import deployment
+from azurewood.fleet import document
+from standins import command_line
 from standins import exceptions
+from standins import processes
 from standins import scenario
 from standins import summary
+from standins import testbed
 
 EXAMPLES = ("al-hadeed", "karamanlis")
 EXAMPLES_DIR = pathlib.Path("examples")
 FIRST_NETWORK = 20
 NETWORKS = 200
+PLATFORM_ARGS = (
+    "--host-list-lag-ms",
+    "300",
+    "--heartbeat-timeout-ms",
+    "1000",
+)
 
 
 def _network(name: str) -> int:
@@ -61,18 +70,24 @@
 
 def _run(name: str, place: pathlib.Path) -> summary.Report:
     click.echo(f"{name}: starting ...")
-    source = EXAMPLES_DIR / f"{name}.yaml"
-    plan = scenario.PLANS[name]
+    fleet = command_line.load_example(
+        EXAMPLES_DIR / f"{name}.yaml", network=_network(name)
+    )
+    place.mkdir(parents=True, exist_ok=True)
+    path = place / f"{name}.yaml"
+    path.write_text(document.dump(fleet), encoding="utf-8")
     report = summary.Report(name=name)
-    with deployment.Deployment(
-        source=source,
-        work_dir=place,
-        network=_network(name),
-        apart=(plan.failing_host,),
-    ) as started:
+    with processes.Processes(log_dir=place / "logs") as running:
+        started = testbed.Deployment(
+            running=running, fleet=fleet, platform_args=PLATFORM_ARGS
+        )
         try:
             scenario.Scenario(
-                deployment=started, plan=plan, report=report, say=click.echo
+                deployment=started,
+                document=path,
+                plan=scenario.PLANS[name],
+                report=report,
+                say=click.echo,
             ).run()
         except (exceptions.StandinError, OSError) as exc:
             report.check(f"the scenario ran to its end ({exc})", False)
--- a/standins/testbed.py
+++ b/standins/testbed.py
@@ -1,6 +1,6 @@
 """Processes of a deployment, started one part at a time.
 
-For tests and benchmarks. The daemons get all their settings by
+For tests, benchmarks and the demo. The daemons get all their settings by
 flags and environment variables, as operators would give them.
 """
 
@@ -48,6 +48,11 @@
     port: int
     operators_port: int
 
+    @property
+    def url(self) -> str:
+        """Return the base URL of the callers' interface."""
+        return f"http://{processes.LOOPBACK}:{self.port}"
+
     @property
     def operators_url(self) -> str:
         """Return the base URL of the operators' interface."""
@@ -155,13 +160,24 @@
         self.platform = client.Client(url=self.url)
         self._seeds: list[str] = []
 
-    def start_workers(self, *, per_process: int = 10) -> None:
-        """Start the hosts, several to a process, and wait for them."""
+    def start_workers(
+        self, *, per_process: int = 10, apart: tuple[str, ...] = ()
+    ) -> None:
+        """Start the hosts, several to a process, and wait for them.
+
+        The hosts named in ``apart`` get a process each.
+        """
         hosts = list(self.fleet.hosts)
+        for host in [host for host in hosts if host.name in apart]:
+            self._start_worker([host])
+        hosts = [host for host in hosts if host.name not in apart]
         for first in range(0, len(hosts), per_process):
             self._start_worker(hosts[first : first + per_process])
         processes.wait_for(
-            lambda: len(self.platform.get("/v1/hosts")["hosts"]) == len(hosts),
+            lambda: (
+                len(self.platform.get("/v1/hosts")["hosts"])
+                == len(self.workers)
+            ),
             what="all hosts are registered",
         )
 
