Tell a changed demand before the next whole heartbeat

Moves follow the demand that peers tell; with counters in whole heartbeats only it would be up to tens of seconds old in large deployments. A short heartbeat now counts the two services whose demand changed most.

--- a/azurewood/peers/messages.py
+++ b/azurewood/peers/messages.py
@@ -64,9 +64,10 @@
     ``stopping`` says that the sender is about to stop. ``interval_ms`` is
     the time until its next heartbeat, 0 if this one is out of turn.
 
-    A whole heartbeat has a ``zone``, an ``incarnation``, ``counts`` of the
-    services and ``known`` peers; a short one leaves them out. ``asks``
-    wants a whole one in answer.
+    A whole heartbeat has a ``zone``, an ``incarnation``, ``counts`` of all
+    services and ``known`` peers. A short one leaves them out, but for the
+    counts of services whose demand changed. ``asks`` wants a whole one in
+    answer.
     """
 
     address: str
--- a/azurewood/state/heartbeats.py
+++ b/azurewood/state/heartbeats.py
@@ -12,15 +12,15 @@
 from azurewood.state import model
 
 REMOTE_PEERS_PER_ZONE = 2
-SENT_BYTES_PER_S = 2600.0
-HOST_BYTES_PER_S = 0.3
+SENT_BYTES_PER_S = 3600.0
+HOST_BYTES_PER_S = 0.6
 """What a host takes of the budget: the platform's lists are longer."""
 
-LEAST_BYTES_PER_S = 1500.0
+LEAST_BYTES_PER_S = 1400.0
 SHORT_SHARE = 0.6
-SHORT_BYTES = 200
-WHOLE_BYTES = 360
-SERVICE_BYTES = 30
+SHORT_BYTES = 240
+WHOLE_BYTES = 330
+SERVICE_BYTES = 25
 """Sizes on the wire, with the headers of TCP/IP and the ACK."""
 
 WHOLE_S = 1.0
--- a/azurewood/state/membership.py
+++ b/azurewood/state/membership.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import heapq
 
 import msgspec
 
@@ -16,6 +17,10 @@
 GREET_AGAIN_S = 2.0
 GOSSIPED_ADDRESSES = 2
 ANSWERED_ADDRESSES = 32
+CHANGED_SERVICES = 2
+CHANGED_SHARE = 0.25
+LEAST_CHANGE = 2
+"""A demand is told early if it changed by more requests, and more of it."""
 
 Effects = collections.abc.Iterator[effects.AnyEffect]
 
@@ -126,21 +131,36 @@
         draining=_draining(state),
     )
     if not is_whole:
-        return short
+        return msgspec.structs.replace(
+            short, counts=tuple(_counts(state, _changed(state)))
+        )
     return msgspec.structs.replace(
         short,
         zone=state.me.zone,
         incarnation=state.agreed.incarnation,
-        counts=tuple(_counts(state)),
+        counts=tuple(_counts(state, state.services.values())),
         known=_gossip(state, GOSSIPED_ADDRESSES),
     )
 
 
+def _changed(state: model.State) -> list[model.ServiceView]:
+    """Return the services whose demand changed most since it was told."""
+
+    def change(view: model.ServiceView) -> int:
+        told = state.beats.told.get(view.name, 0)
+        by = abs(view.in_flight + view.waiting - told)
+        return by if by > max(LEAST_CHANGE, told * CHANGED_SHARE) else 0
+
+    changed = [view for view in state.services.values() if change(view)]
+    return heapq.nlargest(CHANGED_SERVICES, changed, key=change)
+
+
 def _counts(
-    state: model.State,
+    state: model.State, views: collections.abc.Iterable[model.ServiceView]
 ) -> collections.abc.Iterator[messages.ServiceCount]:
-    for view in state.services.values():
+    for view in views:
         if view.count.good or view.count.bad or view.arrived:
+            state.beats.told[view.name] = view.in_flight + view.waiting
             yield messages.ServiceCount(
                 service=view.name,
                 good=view.count.good,
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -88,7 +88,8 @@
 class Heartbeats:
     """The heartbeats sent so far, and what the last whole one said.
 
-    ``greeted`` maps an address to when it may be greeted again.
+    ``greeted`` maps an address to when it may be greeted again, ``told`` a
+    service to the requests in hand that the peers were told of.
     """
 
     count: int = 0
@@ -98,6 +99,7 @@
     log_reachable: bool = False
     stopping: bool = False
     greeted: dict[str, float] = dataclasses.field(default_factory=dict)
+    told: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/benchmarks/capacity/deployments.py
+++ b/benchmarks/capacity/deployments.py
@@ -68,6 +68,8 @@
         for _ in range(int(seconds / STEP_S)):
             self.now += STEP_S
             for state in self.states:
+                for view in state.services.values():
+                    view.in_flight = 100 - view.in_flight
                 if state.me.address not in self.silent:
                     self._step(state, events.Tick())
 
