--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -16,6 +16,7 @@
 
 BACKLOG = 256
 SOCKET_KEY = "azurewood.socket"
+CLOSE_KEY = "azurewood.close"
 SHUTDOWN_S = 5
 
 
@@ -28,14 +29,18 @@
 
 
 class Gateway(wsgi.Gateway_10):
-    """Shows the application the caller's socket."""
+    """Shows the application the caller's socket, and lets it be closed."""
 
     def get_environ(self) -> dict[str, typing.Any]:
         """Return the WSGI environment, with the socket in it."""
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.req.conn.socket
+        environ[CLOSE_KEY] = self._close_after_answer
         return environ
 
+    def _close_after_answer(self) -> None:
+        self.req.close_connection = True
+
 
 def make(
     *,
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -93,6 +93,7 @@
             views.list_tasks(state, event)
         case events.StopAsked():
             state.stopping_until = event.deadline
+            state.view_revision = -1
             yield from membership.beat(state, now)
 
 
--- a/tests/requests/deployment.py
+++ b/tests/requests/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment of real processes: platform, workers, daemons."""
 
 import concurrent.futures
+import contextlib
 import dataclasses
 import http.client
 import json
@@ -241,6 +242,22 @@
             self.control(name).post("/control/behaviour", **changes)
 
 
+@contextlib.contextmanager
+def running(log_dir, **options):
+    """Yield a deployment without daemons yet; kill those at its end.
+
+    A graceful stop, which has a test of its own, takes seconds.
+    """
+    with processes.Processes(log_dir=log_dir) as started:
+        deployment = Deployment(started, **options)
+        try:
+            yield deployment
+        finally:
+            for daemon in deployment.daemons:
+                daemon.process.resume()
+                daemon.process.kill()
+
+
 def in_threads(function, items, *, threads=16):
     """Call a function on all items; return the results in order."""
     with concurrent.futures.ThreadPoolExecutor(threads) as pool:
