--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -14,6 +14,7 @@
 from azurewood.state import lending
 from azurewood.state import membership
 from azurewood.state import model
+from azurewood.state import movers
 from azurewood.state import outbox
 from azurewood.state import relay
 from azurewood.state import requests
@@ -102,6 +103,7 @@
     yield from relay.tick(state, now)
     yield from outbox.tick(state, now)
     yield from stewards.tick(state, now)
+    yield from movers.tick(state, now)
     yield from control.tick(state, now)
     yield from claims.tick(state, now)
     yield from lending.tick(state, now)
@@ -118,8 +120,9 @@
 
 
 def _is_idle(state: model.State) -> bool:
+    sent = state.outbox.sent
     return (
         not state.requests
         and not state.claims.settling
-        and state.outbox.sent is None
+        and (sent is None or not sent.entries)
     )
--- a/azurewood/state/slots.py
+++ b/azurewood/state/slots.py
@@ -10,6 +10,8 @@
 
 GRACE = ""
 """Awaited in place of the peers that a new daemon has yet to hear of."""
+UNKNOWN = "?"
+"""The owner of a slot that only daemons of another zone may own."""
 
 
 def set_owners(
--- a/tests/requests/test_admission.py
+++ b/tests/requests/test_admission.py
@@ -141,6 +141,23 @@
     assert not refused(net)
 
 
+def late_starts(admission):
+    """Return the starts of requests that cannot end by their deadline."""
+    net = lone(admission)
+    for number in range(8):
+        ask(net, f"r-{number}", deadline_s=2.0)
+    teach_mean(net, 0.5)
+    net.run(1.6)
+    for number in range(SLOTS):
+        net.end(f"busy-{number}")
+    return len(net.started)
+
+
+def test_what_cannot_end_in_time_is_not_started():
+    assert late_starts(policy.ClassQueues()) == 0
+    assert late_starts(policy.OneQueue()) == SLOTS
+
+
 def test_mean_follows_the_answers():
     net = lone()
     view = net.nodes["e0"].state.services[reducers.SERVICE]
