--- a/azurewood/state/admission.py
+++ b/azurewood/state/admission.py
@@ -157,6 +157,23 @@
     raise LookupError(f"no request waits for {view.name}")
 
 
+def is_too_late(
+    state: model.State,
+    view: model.ServiceView,
+    request: model.RequestView,
+    now: float,
+) -> bool:
+    """Tell whether a request that waited has less time left than the mean.
+
+    It would take a slot and most likely be cut at its deadline.
+    """
+    match state.policies.admission:
+        case policy.ClassQueues():
+            return now + view.mean_s > request.deadline
+        case _:
+            return False
+
+
 def _left(
     state: model.State, view: model.ServiceView, request: model.RequestView
 ) -> None:
--- a/azurewood/state/requests.py
+++ b/azurewood/state/requests.py
@@ -382,6 +382,9 @@
     """Start waiting requests on idle slots, urgent ones first."""
     while view.waiting and has_ready(view):
         request = admission.take_next(state, view)
+        if admission.is_too_late(state, view, request, now):
+            yield from give_up(state, request, Refusal.TOO_LATE, now)
+            continue
         yield from _start(state, view, request, now)
     if view.waiting:
         yield from lending.borrow(state, view, now)
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -216,6 +216,8 @@
             return tuple(
                 me if number in mine else "" for number in range(host.slots)
             )
+        case _ if me not in members:
+            return (slots.UNKNOWN,) * host.slots
         case _:
             return tuple(
                 ownership.slot_owner(host.name, number, members)
