--- a/tests/moves/deployment.py
+++ b/tests/moves/deployment.py
@@ -97,12 +97,10 @@
             port=platform_port,
         )
         self.platform = client.Client(url=self.url)
-        self.worker, control_port = running.start_worker(
-            platform=self.url,
-            hosts={n: f"{a}@{ZONE}" for n, a in self.addresses.items()},
-        )
+        self.control_port = None
+        self.start_worker()
         self.controls = {
-            name: client.Client(url=f"http://{address}:{control_port}")
+            name: client.Client(url=f"http://{address}:{self.control_port}")
             for name, address in self.addresses.items()
         }
         self.fleet = make_fleet(hosts, self.addresses, self.ports, preset)
@@ -114,6 +112,14 @@
             self.start_daemon(n, module=module) for n in range(daemons)
         ]
 
+    def start_worker(self):
+        """Start the worker of all hosts, on the same ports every time."""
+        self.worker, self.control_port = self.running.start_worker(
+            platform=self.url,
+            hosts={n: f"{a}@{ZONE}" for n, a in self.addresses.items()},
+            control_port=self.control_port,
+        )
+
     def start_daemon(self, number, *, module=ENTRY):
         """Start a daemon and wait until its operators' port is open."""
         port, operators = self.listens[number]
