Drive maintenance waves through a gate of budget and capacity

One daemon drives a wave: the next host goes only if the preset allows it, the budgets of its pool's services are left, fewer than at_once hosts are out, and the pool carries its demand after losing any one rack or zone. A wave that only the preset or the budget holds back pauses and resumes by itself. The fold holds racing drivers to at_once.

A ResumeWave record crashed every daemon that folded it: its pattern named a field that the record does not have, so that the record fell through to the changes of hosts.

--- a/azurewood/state/host_transitions.py
+++ b/azurewood/state/host_transitions.py
@@ -35,6 +35,8 @@
     match change:
         case records.MoveHost(to_pool=to_pool):
             return _move_refusal(state, host, to_pool)
+        case records.DrainHost(wave=wave) if wave:
+            return _wave_refusal(state, host, wave)
         case records.CancelMove() if not _has_pool(state, host.pool):
             return f"there is no pool {host.pool} any more"
         case _:
@@ -76,6 +78,29 @@
     return _limit_refusal(state, host.pool, to_pool)
 
 
+def _wave_refusal(
+    state: agreed_state.Agreed, host: agreed_state.HostState, name: str
+) -> str:
+    """Hold a wave to its hosts and to the preset's number at once."""
+    wave = state.waves.get(name)
+    if wave is None or wave.phase != WavePhase.RUNNING:
+        return f"wave {name} does not run"
+    if host.name not in wave.hosts:
+        return f"host {host.name} is not in wave {name}"
+    found = state.presets.get(state.in_force)
+    if found is None:
+        return ""
+    rules = found.preset.maintenance
+    out = sum(
+        bool(other.wave)
+        for other in state.hosts.values()
+        if other.pool == host.pool
+    )
+    if not rules.allowed or out >= rules.at_once:
+        return f"pool {host.pool} has {out} hosts out for maintenance"
+    return ""
+
+
 def _has_pool(state: agreed_state.Agreed, name: str) -> bool:
     return any(pool.name == name for pool in state.fleet.pools)
 
--- a/azurewood/state/jobs.py
+++ b/azurewood/state/jobs.py
@@ -109,15 +109,24 @@
     change: records.AnyChange,
     now: float,
 ) -> Effects:
-    """Propose a change of a host once for its revision, and again later."""
-    key = f"{type(change).__name__} {host.name}@{host.revision}"
+    """Propose a change of a host."""
+    yield from propose_for(
+        state, records.host_object(host.name), host.revision, change, now
+    )
+
+
+def propose_for(
+    state: model.State,
+    name: str,
+    base: int,
+    change: records.AnyChange,
+    now: float,
+) -> Effects:
+    """Propose a change once for an object's revision, and again later."""
+    key = f"{type(change).__name__} {name}@{base}"
     if not is_due(state, key, now, wait_s=PROPOSAL_S):
         return
-    proposal = records.Proposal(
-        object=records.host_object(host.name),
-        base=host.revision,
-        change=change,
-    )
+    proposal = records.Proposal(object=name, base=base, change=change)
     entry = model.Pending(
         ticket=outbox.NOBODY,
         proposals=(proposal,),
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -11,7 +11,9 @@
 import msgspec
 
 from azurewood.fleet import model as fleet_model
+from azurewood.policy import budgets
 from azurewood.policy import demand
+from azurewood.policy import maintenance
 from azurewood.policy import moves
 from azurewood.policy import placement
 from azurewood.state import agreed as agreed_state
@@ -294,6 +296,20 @@
     planners_of: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Budgets:
+    """The services' availability budgets, and when waves are driven."""
+
+    by_service: dict[str, budgets.Budget] = dataclasses.field(
+        default_factory=dict
+    )
+    observe_at: float = 0.0
+    drive_at: float = 0.0
+    wave_policy: maintenance.WavePolicy = dataclasses.field(
+        default_factory=maintenance.Gated
+    )
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class State:
     """Everything that a daemon's decisions depend on.
@@ -323,6 +339,7 @@
     tasks: dict[str, str] = dataclasses.field(default_factory=dict)
     steward: Stewardship = dataclasses.field(default_factory=Stewardship)
     mover: Mover = dataclasses.field(default_factory=Mover)
+    budgets: Budgets = dataclasses.field(default_factory=Budgets)
     view_revision: int = -1
     view_generation: int = 0
     alive: tuple[str, ...] = ()
--- a/azurewood/state/movers.py
+++ b/azurewood/state/movers.py
@@ -104,13 +104,13 @@
     for service in state.agreed.fleet.services:
         name = service.pool
         target = targets.get(name) or fleet_model.PoolTarget(pool=name)
-        in_hand = _in_hand(state, service.name)
+        counted = in_hand(state, service.name)
         found = capacity.get(name) or model.PoolCapacity()
         loads[name] = moves.PoolLoad(
             name=name,
-            busy=in_hand.busy,
-            waiting=in_hand.waiting,
-            demand=_observe(state, name, in_hand, now),
+            busy=counted.busy,
+            waiting=counted.waiting,
+            demand=_observe(state, name, counted, now),
             slots=found.slots,
             hosts=found.hosts,
             incoming=found.incoming,
@@ -124,7 +124,7 @@
     return loads
 
 
-def _in_hand(state: model.State, service: str) -> model.Count:
+def in_hand(state: model.State, service: str) -> model.Count:
     """Add up a service's counters over all live daemons."""
     total = model.Count()
     view = state.services.get(service)
@@ -142,15 +142,15 @@
 
 
 def _observe(
-    state: model.State, pool: str, in_hand: model.Count, now: float
+    state: model.State, pool: str, counted: model.Count, now: float
 ) -> float:
     """Note a pool's counters and return the slots that are asked for."""
     samples = state.mover.samples.setdefault(pool, collections.deque())
     sample = demand.Sample(
         at=now,
-        busy=in_hand.busy,
-        waiting=in_hand.waiting,
-        ended=in_hand.good + in_hand.bad,
+        busy=counted.busy,
+        waiting=counted.waiting,
+        ended=counted.good + counted.bad,
     )
     demand.observe(samples, sample)
     return demand.slots_wanted(samples)
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 
+from azurewood.state import budgets
 from azurewood.state import control
 from azurewood.state import effects
 from azurewood.state import events
@@ -17,6 +18,7 @@
 from azurewood.state import requests
 from azurewood.state import stewards
 from azurewood.state import views
+from azurewood.state import waves
 
 Effects = collections.abc.Iterator[effects.AnyEffect]
 
@@ -85,6 +87,8 @@
     yield from outbox.tick(state, now)
     yield from stewards.tick(state, now)
     yield from movers.tick(state, now)
+    budgets.tick(state, now)
+    yield from waves.tick(state, now)
     yield from control.tick(state, now)
     yield from requests.tick(state, now)
     if state.stopping_until and _is_idle(state):
--- a/azurewood/state/transitions.py
+++ b/azurewood/state/transitions.py
@@ -139,8 +139,8 @@
             )
         case records.PauseWave(reason=reason):
             _set_wave(state, name, WavePhase.PAUSED, reason)
-        case records.ResumeWave(reason=reason):
-            _set_wave(state, name, WavePhase.RUNNING, reason)
+        case records.ResumeWave():
+            _set_wave(state, name, WavePhase.RUNNING, "")
         case records.Claim(service=service):
             _claim(state, writer, name, service)
         case records.SettleClaim():
--- /dev/null
+++ b/azurewood/state/waves.py
@@ -0,0 +1,131 @@
+"""Maintenance waves: one live daemon drives each wave, host by host.
+
+It is chosen by rendezvous hashing. Should two drive a wave, the fold holds
+both to the preset's number of hosts at once.
+"""
+
+import collections.abc
+
+from azurewood.fleet import model as fleet_model
+from azurewood.policy import maintenance
+from azurewood.policy import ownership
+from azurewood.state import agreed as agreed_state
+from azurewood.state import budgets
+from azurewood.state import effects
+from azurewood.state import jobs
+from azurewood.state import model
+from azurewood.state import movers
+from azurewood.state import records
+from azurewood.state import views
+
+DRIVE_EVERY_S = 0.25
+FIRST_LOOK_S = 3.0
+AUTOMATIC = "paused by its gate: "
+
+HostPhase = agreed_state.HostPhase
+WavePhase = agreed_state.WavePhase
+Effects = collections.abc.Iterator[effects.AnyEffect]
+
+
+def tick(state: model.State, now: float) -> Effects:
+    """Drive the waves that are ours; a new daemon looks on at first."""
+    drive = state.budgets
+    preset = views.preset_in_force(state)
+    if preset is None or not state.agreed.waves or now < drive.drive_at:
+        return
+    is_first = not drive.drive_at
+    drive.drive_at = now + (FIRST_LOOK_S if is_first else DRIVE_EVERY_S)
+    if is_first or not views.hears_every_zone(state):
+        return
+    everyone = (*state.alive, state.me.name)
+    for wave in state.agreed.waves.values():
+        is_mine = ownership.owner(wave.name, everyone) == state.me.name
+        if is_mine and wave.phase != WavePhase.DONE:
+            yield from _drive(state, wave, preset.maintenance, now)
+
+
+def _drive(
+    state: model.State,
+    wave: agreed_state.WaveState,
+    rules: fleet_model.Maintenance,
+    now: float,
+) -> Effects:
+    waiting = set(wave.hosts) - set(wave.done)
+    pools = list(_pools(state, waiting))
+    reason = maintenance.pause_reason(rules, pools, waiting)
+    match wave.phase:
+        case WavePhase.RUNNING if reason:
+            change = records.PauseWave(reason=AUTOMATIC + reason)
+            yield from _propose(state, wave, change, now)
+        case WavePhase.RUNNING:
+            yield from _drain_next(state, wave, rules, pools, now)
+        case WavePhase.PAUSED if not reason:
+            if wave.reason.startswith(AUTOMATIC):
+                change = records.ResumeWave()
+                yield from _propose(state, wave, change, now)
+
+
+def _drain_next(
+    state: model.State,
+    wave: agreed_state.WaveState,
+    rules: fleet_model.Maintenance,
+    pools: list[maintenance.PoolFacts],
+    now: float,
+) -> Effects:
+    waiting = set(wave.hosts) - set(wave.done)
+    for name in maintenance.next_hosts(
+        state.budgets.wave_policy, rules, pools, waiting
+    ):
+        change = records.DrainHost(
+            reason=f"maintenance wave {wave.name}",
+            drain_ms=rules.drain_ms,
+            wave=wave.name,
+        )
+        host = state.agreed.hosts[name]
+        yield from jobs.propose(state, host, change, now)
+
+
+def _propose(
+    state: model.State,
+    wave: agreed_state.WaveState,
+    change: records.AnyChange,
+    now: float,
+) -> Effects:
+    yield from jobs.propose_for(
+        state, records.wave_object(wave.name), wave.revision, change, now
+    )
+
+
+def _pools(
+    state: model.State, waiting: set[str]
+) -> collections.abc.Iterator[maintenance.PoolFacts]:
+    """Yield the pools of waiting hosts, with all of their hosts."""
+    members: dict[str, list[maintenance.PoolHost]] = {}
+    concerned = set()
+    for host in state.agreed.hosts.values():
+        members.setdefault(host.pool, []).append(_pool_host(state, host))
+        if host.name in waiting:
+            concerned.add(host.pool)
+    for pool in sorted(concerned):
+        service = jobs.service_of(state, pool)
+        in_hand = movers.in_hand(state, service.name if service else "")
+        yield maintenance.PoolFacts(
+            name=pool,
+            hosts=tuple(members[pool]),
+            demand=in_hand.busy + in_hand.waiting,
+            budget_left=budgets.left(state, pool),
+        )
+
+
+def _pool_host(
+    state: model.State, host: agreed_state.HostState
+) -> maintenance.PoolHost:
+    view = state.hosts[host.name]
+    return maintenance.PoolHost(
+        name=host.name,
+        zone=view.zone,
+        rack=view.rack,
+        slots=view.slots,
+        serving=view.usable,
+        in_wave=bool(host.wave),
+    )
--- /dev/null
+++ b/tests/maintenance/naive_entry.py
@@ -0,0 +1,18 @@
+"""An entry daemon that drains every host of a wave at once."""
+
+import functools
+
+from azurewood.commands import main as commands
+from azurewood.policy import maintenance
+from azurewood.state import model
+
+
+def main():
+    """Run ``azurewood`` with the naive wave policy."""
+    naive = model.Budgets(wave_policy=maintenance.AllAtOnce())
+    model.State = functools.partial(model.State, budgets=naive)
+    commands.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/moves/deployment.py
+++ b/tests/moves/deployment.py
@@ -74,7 +74,14 @@
     """One zone with pools ``quoting`` and ``certs``, on real processes."""
 
     def __init__(
-        self, *, running, hosts, preset=None, daemons=2, module=ENTRY
+        self,
+        *,
+        running,
+        hosts,
+        preset=None,
+        daemons=2,
+        module=ENTRY,
+        reboot_ms=400,
     ):
         self.running = running
         network = 40 + int(time.monotonic_ns() // 1000 % 150)
@@ -93,7 +100,7 @@
             "--host-list-lag-ms",
             "300",
             "--reboot-ms",
-            "400",
+            str(reboot_ms),
             port=platform_port,
         )
         self.platform = client.Client(url=self.url)
