--- a/azurewood/policy/maintenance.py
+++ b/azurewood/policy/maintenance.py
@@ -55,8 +55,34 @@
     budget_left: float
 
 
+PEAK_S = 10.0
+"""For how long at least a peak of demand holds the gate."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Peak:
+    """The highest demand of a pool in the last two periods.
+
+    ``until`` ends the present period, in seconds of the caller's clock.
+    """
+
+    until: float = 0.0
+    present: float = 0.0
+    earlier: float = 0.0
+
+
+def highest(peak: Peak, demand: float, now: float) -> float:
+    """Note a demand and return the highest one of late."""
+    if now >= peak.until:
+        peak.earlier = peak.present if now < peak.until + PEAK_S else 0.0
+        peak.present = 0.0
+        peak.until = now + PEAK_S
+    peak.present = max(peak.present, demand)
+    return max(peak.present, peak.earlier)
+
+
 class Hold(enum.StrEnum):
-    """Why a host may not go yet; the first two pause a whole wave."""
+    """Why a host may not go yet."""
 
     PRESET = "the preset allows no maintenance"
     BUDGET = "too little of the availability budget is left"
@@ -65,21 +91,27 @@
     CAPACITY = "too few slots would be left after losing a rack or zone"
 
 
-PAUSING = frozenset({Hold.PRESET, Hold.BUDGET})
+CANDIDATES = 4
+"""Hosts of a pool that are tried in one go, best placed ones first."""
 
 
-def hold_of(
-    rules: model.Maintenance, pool: PoolFacts, host: PoolHost
-) -> Hold | None:
-    """Return why a host may not be drained now, None if it may."""
+def pool_hold(rules: model.Maintenance, pool: PoolFacts) -> Hold | None:
+    """Return why no host of a pool may be drained now, None if one may."""
     if not rules.allowed:
         return Hold.PRESET
     if pool.budget_left < rules.min_budget:
         return Hold.BUDGET
+    if sum(host.in_wave for host in pool.hosts) >= rules.at_once:
+        return Hold.AT_ONCE
+    return None
+
+
+def host_hold(
+    rules: model.Maintenance, pool: PoolFacts, host: PoolHost
+) -> Hold | None:
+    """Return why a host may not be drained now, its pool being free to."""
     if not host.serving:
         return Hold.NOT_SERVING
-    if sum(other.in_wave for other in pool.hosts) >= rules.at_once:
-        return Hold.AT_ONCE
     total = sum(other.slots for other in pool.hosts)
     spare = slots_after_loss(pool, host) - pool.demand
     if spare < rules.spare_share * total:
@@ -126,9 +158,15 @@
     Racks and zones with the fewest hosts out come first.
     """
     for pool in pools:
-        wanted = [host for host in pool.hosts if host.name in waiting]
+        wanted = [
+            host
+            for host in pool.hosts
+            if host.serving and host.name in waiting
+        ]
         if isinstance(policy, AllAtOnce):
-            yield from (host.name for host in wanted if host.serving)
+            yield from (host.name for host in wanted)
+            continue
+        if pool_hold(rules, pool) is not None:
             continue
         out = collections.Counter(
             place
@@ -143,27 +181,23 @@
                 host.name,
             )
         )
-        for host in wanted:
-            if hold_of(rules, pool, host) is None:
+        for host in wanted[:CANDIDATES]:
+            if host_hold(rules, pool, host) is None:
                 yield host.name
                 break
 
 
 def pause_reason(
-    rules: model.Maintenance,
-    pools: collections.abc.Iterable[PoolFacts],
-    waiting: collections.abc.Container[str],
+    rules: model.Maintenance, pools: collections.abc.Iterable[PoolFacts]
 ) -> str:
-    """Say why no host of a wave may go for now; empty if one may soon."""
-    holds = {
-        hold_of(rules, pool, host)
-        for pool in pools
-        for host in pool.hosts
-        if host.name in waiting
-    }
-    if holds and holds <= PAUSING:
-        return "; ".join(sorted(holds))
-    return ""
+    """Say why a wave over some pools has to pause; empty if it has not.
+
+    It goes on while the budget of any of its pools is left.
+    """
+    holds = {pool_hold(rules, pool) for pool in pools}
+    if Hold.PRESET in holds:
+        return Hold.PRESET
+    return Hold.BUDGET if holds == {Hold.BUDGET} else ""
 
 
 def round_days(
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -303,6 +303,9 @@
     by_service: dict[str, budgets.Budget] = dataclasses.field(
         default_factory=dict
     )
+    peaks: dict[str, maintenance.Peak] = dataclasses.field(
+        default_factory=dict
+    )
     observe_at: float = 0.0
     drive_at: float = 0.0
     wave_policy: maintenance.WavePolicy = dataclasses.field(
--- a/azurewood/state/waves.py
+++ b/azurewood/state/waves.py
@@ -18,7 +18,7 @@
 from azurewood.state import records
 from azurewood.state import views
 
-DRIVE_EVERY_S = 0.25
+DRIVE_EVERY_S = 0.5
 FIRST_LOOK_S = 3.0
 AUTOMATIC = "paused by its gate: "
 
@@ -51,8 +51,8 @@
     now: float,
 ) -> Effects:
     waiting = set(wave.hosts) - set(wave.done)
-    pools = list(_pools(state, waiting))
-    reason = maintenance.pause_reason(rules, pools, waiting)
+    pools = list(_pools(state, waiting, now))
+    reason = maintenance.pause_reason(rules, pools)
     match wave.phase:
         case WavePhase.RUNNING if reason:
             change = records.PauseWave(reason=AUTOMATIC + reason)
@@ -97,7 +97,7 @@
 
 
 def _pools(
-    state: model.State, waiting: set[str]
+    state: model.State, waiting: set[str], now: float
 ) -> collections.abc.Iterator[maintenance.PoolFacts]:
     """Yield the pools of waiting hosts, with all of their hosts."""
     members: dict[str, list[maintenance.PoolHost]] = {}
@@ -108,11 +108,14 @@
             concerned.add(host.pool)
     for pool in sorted(concerned):
         service = jobs.service_of(state, pool)
-        in_hand = movers.in_hand(state, service.name if service else "")
+        counted = movers.in_hand(state, service.name if service else "")
+        peak = state.budgets.peaks.setdefault(pool, maintenance.Peak())
         yield maintenance.PoolFacts(
             name=pool,
             hosts=tuple(members[pool]),
-            demand=in_hand.busy + in_hand.waiting,
+            demand=maintenance.highest(
+                peak, counted.busy + counted.waiting, now
+            ),
             budget_left=budgets.left(state, pool),
         )
 
