--- a/azurewood/policy/maintenance.py
+++ b/azurewood/policy/maintenance.py
@@ -158,16 +158,17 @@
     Racks and zones with the fewest hosts out come first.
     """
     for pool in pools:
+        is_naive = isinstance(policy, AllAtOnce)
+        if not is_naive and pool_hold(rules, pool) is not None:
+            continue
         wanted = [
             host
             for host in pool.hosts
             if host.serving and host.name in waiting
         ]
-        if isinstance(policy, AllAtOnce):
+        if is_naive:
             yield from (host.name for host in wanted)
             continue
-        if pool_hold(rules, pool) is not None:
-            continue
         out = collections.Counter(
             place
             for host in pool.hosts
@@ -188,12 +189,16 @@
 
 
 def pause_reason(
-    rules: model.Maintenance, pools: collections.abc.Iterable[PoolFacts]
+    policy: WavePolicy,
+    rules: model.Maintenance,
+    pools: collections.abc.Iterable[PoolFacts],
 ) -> str:
     """Say why a wave over some pools has to pause; empty if it has not.
 
     It goes on while the budget of any of its pools is left.
     """
+    if isinstance(policy, AllAtOnce):
+        return ""
     holds = {pool_hold(rules, pool) for pool in pools}
     if Hold.PRESET in holds:
         return Hold.PRESET
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -298,7 +298,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Budgets:
-    """The services' availability budgets, and when waves are driven."""
+    """The services' availability budgets, and the driving of waves.
+
+    ``members`` holds each pool's hosts at the view generation
+    ``members_of``, and ``peaks`` the highest demand of pools of late.
+    """
 
     by_service: dict[str, budgets.Budget] = dataclasses.field(
         default_factory=dict
@@ -306,6 +310,10 @@
     peaks: dict[str, maintenance.Peak] = dataclasses.field(
         default_factory=dict
     )
+    members: dict[str, tuple[maintenance.PoolHost, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    members_of: int = -1
     observe_at: float = 0.0
     drive_at: float = 0.0
     wave_policy: maintenance.WavePolicy = dataclasses.field(
--- a/azurewood/state/waves.py
+++ b/azurewood/state/waves.py
@@ -52,7 +52,8 @@
 ) -> Effects:
     waiting = set(wave.hosts) - set(wave.done)
     pools = list(_pools(state, waiting, now))
-    reason = maintenance.pause_reason(rules, pools)
+    policy = state.budgets.wave_policy
+    reason = maintenance.pause_reason(policy, rules, pools)
     match wave.phase:
         case WavePhase.RUNNING if reason:
             change = records.PauseWave(reason=AUTOMATIC + reason)
@@ -100,19 +101,16 @@
     state: model.State, waiting: set[str], now: float
 ) -> collections.abc.Iterator[maintenance.PoolFacts]:
     """Yield the pools of waiting hosts, with all of their hosts."""
-    members: dict[str, list[maintenance.PoolHost]] = {}
-    concerned = set()
-    for host in state.agreed.hosts.values():
-        members.setdefault(host.pool, []).append(_pool_host(state, host))
-        if host.name in waiting:
-            concerned.add(host.pool)
+    members = _members(state)
+    hosts = state.agreed.hosts
+    concerned = {hosts[name].pool for name in waiting if name in hosts}
     for pool in sorted(concerned):
         service = jobs.service_of(state, pool)
         counted = movers.in_hand(state, service.name if service else "")
         peak = state.budgets.peaks.setdefault(pool, maintenance.Peak())
         yield maintenance.PoolFacts(
             name=pool,
-            hosts=tuple(members[pool]),
+            hosts=members[pool],
             demand=maintenance.highest(
                 peak, counted.busy + counted.waiting, now
             ),
@@ -120,6 +118,20 @@
         )
 
 
+def _members(
+    state: model.State,
+) -> dict[str, tuple[maintenance.PoolHost, ...]]:
+    """Return each pool's hosts, worked out when the view has changed."""
+    kept = state.budgets
+    if kept.members_of != state.view_generation:
+        members: dict[str, list[maintenance.PoolHost]] = {}
+        for host in state.agreed.hosts.values():
+            members.setdefault(host.pool, []).append(_pool_host(state, host))
+        kept.members = {pool: tuple(found) for pool, found in members.items()}
+        kept.members_of = state.view_generation
+    return kept.members
+
+
 def _pool_host(
     state: model.State, host: agreed_state.HostState
 ) -> maintenance.PoolHost:
--- a/tests/maintenance/test_policy.py
+++ b/tests/maintenance/test_policy.py
@@ -45,14 +45,14 @@
 def test_no_host_goes_when_the_budget_is_spent_and_the_wave_pauses():
     facts = pool(budget_left=0.4)
     assert chosen(facts) == []
-    reason = maintenance.pause_reason(RULES, [facts])
+    reason = maintenance.pause_reason(GATED, RULES, [facts])
     assert reason == maintenance.Hold.BUDGET
 
 
 def test_no_host_goes_in_a_peak_but_the_wave_does_not_pause():
     facts = pool(demand=20.0)
     assert chosen(facts) == []
-    assert maintenance.pause_reason(RULES, [facts]) == ""
+    assert maintenance.pause_reason(GATED, RULES, [facts]) == ""
 
 
 def test_no_host_goes_while_another_is_out():
--- a/tests/moves/test_stewardship.py
+++ b/tests/moves/test_stewardship.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from azurewood.peers import messages
 from azurewood.policy import ownership
+from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import jobs
 from tests.moves import test_moves_machine as machines
@@ -55,3 +57,53 @@
     found.step(events.Tick(), now + jobs.RETRY_CAP_S)
     stops = [e for e in found.in_hand if getattr(e, "id", "") == host.task]
     assert len(stops) == 2
+
+
+def leaving(daemon, drain_ms):
+    """Let a host of the daemon leave, as of the platform's present time."""
+    found, now = daemon
+    state = found.state
+    host = state.agreed.hosts[state.steward.mine[0]]
+    state.tasks[host.task] = "running"
+    host.phase = jobs.HostPhase.LEAVING
+    host.deadline_ms = state.agreed.at_ms + drain_ms
+    state.agreed.hosts_revision += 1
+    found.in_hand.clear()
+    return found, host, now
+
+
+def stops(found, host, now, *, draining, revision):
+    """Hear a peer's heartbeat; return the stops of the host's job."""
+    said = messages.Heartbeat(
+        zone="z1",
+        address="b",
+        boot=ord("b"),
+        incarnation="one",
+        offset=0,
+        revision=revision,
+        log_reachable=True,
+        draining=draining,
+    )
+    for name in ("b", "c"):
+        found.step(events.PeerSaid(sender=name, message=said), now)
+    return [e for e in found.in_hand if isinstance(e, effects.StopTask)]
+
+
+def test_a_drain_ends_when_every_daemon_has_acknowledged(daemon):
+    found, host, now = leaving(daemon, 60_000)
+    old = host.revision - 1
+    assert not stops(found, host, now, draining=(), revision=old)
+    busy = (host.name,)
+    seen = host.revision
+    assert not stops(found, host, now, draining=busy, revision=seen)
+    assert stops(found, host, now, draining=(), revision=seen)
+
+
+def test_a_drain_ends_at_its_deadline_and_not_before(daemon):
+    found, host, now = leaving(daemon, 2_000)
+    busy = (host.name,)
+    for late_s in (0.0, 0.9, 1.9):
+        assert not stops(
+            found, host, now + late_s, draining=busy, revision=host.revision
+        )
+    assert stops(found, host, now + 2.1, draining=busy, revision=host.revision)
