--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -1,5 +1,6 @@
 """Roll-out of presets with real processes, through failures."""
 
+import os
 import pathlib
 
 import pytest
@@ -7,6 +8,7 @@
 from azurewood.fleet import document
 from azurewood.state import effects
 from azurewood.state import records
+from standins import deployment
 from standins import processes
 from standins import testbed
 
@@ -17,7 +19,10 @@
 
 @pytest.fixture(scope="module")
 def started(tmp_path_factory):
-    fleet = document.load(EXAMPLE.read_text(), str(EXAMPLE))
+    fleet = deployment.shift_addresses(
+        document.load(EXAMPLE.read_text(), str(EXAMPLE)),
+        20 + os.getpid() % 200,
+    )
     log_dir = tmp_path_factory.mktemp("processes")
     with processes.Processes(log_dir=log_dir) as running:
         made = testbed.Deployment(running=running, fleet=fleet)
