Bring only the changed hosts of the view up to date

A change of a host, a task or the host list took the whole view anew. The state machine compares the view with a whole refresh, and fails when the tasks' changes are left out.

--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -408,6 +408,8 @@
     budgets: Budgets = dataclasses.field(default_factory=Budgets)
     view_revision: int = -1
     view_generation: int = 0
+    view_source: str = ""
+    changed_hosts: dict[str, bool] = dataclasses.field(default_factory=dict)
     alive: tuple[str, ...] = ()
     stopping_until: float = 0.0
     stepped_at: float = 0.0
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -25,7 +25,7 @@
         now_listed = listed.get(host.name, LIVE)
         if now_listed != host.listed:
             host.listed = now_listed
-            state.view_revision = -1
+            state.changed_hosts[host.name] = True
 
 
 def list_tasks(state: model.State, event: events.TasksListed) -> None:
@@ -34,23 +34,53 @@
         known = state.tasks.get(task.id, "")
         state.tasks[task.id] = task.state
         if (known in OUT_OF_USE) != (task.state in OUT_OF_USE):
-            state.view_revision = -1
+            state.changed_hosts[task.host] = True
 
 
 def refresh(state: model.State, now: float) -> bool:
-    """Bring the view up to date; tell whether anything was done."""
-    if state.view_revision == state.agreed.hosts_revision:
+    """Bring the view up to date; tell whether anything was done.
+
+    All of it, when daemons or the configuration have changed; otherwise
+    only the hosts that have.
+    """
+    fleet, source = state.agreed.fleet, _source(state)
+    if fleet is None:
         return False
-    if state.agreed.fleet is None:
+    if state.view_revision < 0 or state.view_source != source:
+        _refresh_services(state, fleet)
+        _refresh_hosts(state, fleet)
+    elif not _refresh_changed(state, fleet):
         return False
+    state.changed_hosts.clear()
+    state.view_source = source
     state.view_revision = state.agreed.hosts_revision
     state.view_generation += 1
-    _refresh_services(state, state.agreed.fleet)
-    _refresh_hosts(state, state.agreed.fleet)
     _forget_tasks(state)
     return True
 
 
+def _source(state: model.State) -> str:
+    """Name what the view as a whole is derived from."""
+    return f"{state.agreed.incarnation}/{state.agreed.fleet_revision}"
+
+
+def _refresh_changed(state: model.State, fleet: fleet_model.Fleet) -> bool:
+    """Bring the changed hosts up to date; tell whether there are any."""
+    if state.view_revision != state.agreed.hosts_revision:
+        for host in state.agreed.hosts.values():
+            if host.revision > state.view_revision:
+                state.changed_hosts[host.name] = True
+    elif not state.changed_hosts:
+        return False
+    service_of = {service.pool: service.name for service in fleet.services}
+    for name in state.changed_hosts:
+        view, agreed_host = state.hosts.get(name), state.agreed.hosts.get(name)
+        if view is not None and agreed_host is not None:
+            _place_host(state, view, agreed_host, service_of)
+            slots.set_owned(state, view, view.owned)
+    return True
+
+
 def _refresh_services(state: model.State, fleet: fleet_model.Fleet) -> None:
     for service in fleet.services:
         view = state.services.get(service.name)
@@ -73,11 +103,7 @@
         if agreed_host is None:
             continue
         view = _host_view(state, host)
-        service = service_of.get(agreed_host.pool, "")
-        usable = is_usable(view, agreed_host) and (
-            state.tasks.get(agreed_host.task, "") not in OUT_OF_USE
-        )
-        _place(state, view, service, usable)
+        _place_host(state, view, agreed_host, service_of)
         owners = members.get(host.zone, everyone)
         slots.set_owned(state, view, _owned(state, host, owners))
     for name in [n for n in state.hosts if n not in state.agreed.hosts]:
@@ -135,6 +161,19 @@
     )
 
 
+def _place_host(
+    state: model.State,
+    view: model.HostView,
+    host: agreed_state.HostState,
+    service_of: dict[str, str],
+) -> None:
+    """Put a host where its pool, its phase and its job's state ask for."""
+    usable = is_usable(view, host) and (
+        state.tasks.get(host.task, "") not in OUT_OF_USE
+    )
+    _place(state, view, service_of.get(host.pool, ""), usable)
+
+
 def _place(
     state: model.State, view: model.HostView, service: str, usable: bool
 ) -> None:
--- a/tests/moves/test_moves_machine.py
+++ b/tests/moves/test_moves_machine.py
@@ -19,6 +19,7 @@
 from azurewood.state import records
 from azurewood.state import reducer
 from azurewood.state import stewards
+from azurewood.state import views
 from tests.moves import deployment
 
 HOSTS = {"h1": "quoting", "h2": "quoting", "h3": "certs"}
@@ -57,6 +58,14 @@
         self.in_hand += reducer.step(self.state, event, now)
 
 
+def view_of(state):
+    """Return what decides where a daemon sends requests."""
+    return [
+        (host.name, host.service, host.usable, sorted(host.idle))
+        for host in state.hosts.values()
+    ] + [sorted(view.ready) for view in state.services.values()]
+
+
 class MovesMachine(stateful.RuleBasedStateMachine):
     hand_over = placement.AfterStop()
 
@@ -228,6 +237,14 @@
         assert agreed.hosts[host].revision == agreed.revision
         assert agreed.revision == self.daemons["a"].state.agreed.revision + 1
 
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def the_view_is_what_a_whole_refresh_gives(self, name):
+        state = self.daemons[name].state
+        kept = view_of(state)
+        state.view_revision = -1
+        views.refresh(state, self.now)
+        assert view_of(state) == kept
+
     @stateful.invariant()
     def one_job_on_a_host(self):
         for host in HOSTS:
