--- a/azurewood/state/jobs.py
+++ b/azurewood/state/jobs.py
@@ -5,6 +5,7 @@
 from azurewood.fleet import model as fleet_model
 from azurewood.policy import placement
 from azurewood.state import agreed as agreed_state
+from azurewood.state import duties
 from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import model
@@ -60,7 +61,7 @@
 
 def is_due(state: model.State, key: str, now: float, *, wait_s: float) -> bool:
     """Tell whether to take an action, and note that it is taken."""
-    action = state.steward.acted.setdefault(key, model.Action(until=0.0))
+    action = state.steward.acted.setdefault(key, duties.Action(until=0.0))
     if action.until > now:
         return False
     action.until = now + wait_s
--- a/azurewood/state/movers.py
+++ b/azurewood/state/movers.py
@@ -13,6 +13,7 @@
 from azurewood.policy import moves
 from azurewood.policy import ownership
 from azurewood.state import agreed as agreed_state
+from azurewood.state import duties
 from azurewood.state import effects
 from azurewood.state import jobs
 from azurewood.state import model
@@ -105,7 +106,7 @@
         name = service.pool
         target = targets.get(name) or fleet_model.PoolTarget(pool=name)
         counted = in_hand(state, service.name)
-        found = capacity.get(name) or model.PoolCapacity()
+        found = capacity.get(name) or duties.PoolCapacity()
         loads[name] = moves.PoolLoad(
             name=name,
             busy=counted.busy,
@@ -156,7 +157,7 @@
     return demand.slots_wanted(samples)
 
 
-def _capacity(state: model.State) -> dict[str, model.PoolCapacity]:
+def _capacity(state: model.State) -> dict[str, duties.PoolCapacity]:
     """Return each pool's capacity, worked out when the view has changed."""
     mover = state.mover
     if mover.capacity_of != state.view_generation:
@@ -165,9 +166,9 @@
     return mover.capacity
 
 
-def _count_capacity(state: model.State) -> dict[str, model.PoolCapacity]:
-    pools: dict[str, model.PoolCapacity] = collections.defaultdict(
-        model.PoolCapacity
+def _count_capacity(state: model.State) -> dict[str, duties.PoolCapacity]:
+    pools: dict[str, duties.PoolCapacity] = collections.defaultdict(
+        duties.PoolCapacity
     )
     for host in state.agreed.hosts.values():
         view = state.hosts[host.name]
--- a/tests/maintenance/naive_entry.py
+++ b/tests/maintenance/naive_entry.py
@@ -4,12 +4,13 @@
 
 from azurewood.commands import main as commands
 from azurewood.policy import maintenance
+from azurewood.state import duties
 from azurewood.state import model
 
 
 def main():
     """Run ``azurewood`` with the naive wave policy."""
-    naive = model.Budgets(wave_policy=maintenance.AllAtOnce())
+    naive = duties.Budgets(wave_policy=maintenance.AllAtOnce())
     model.State = functools.partial(model.State, budgets=naive)
     commands.main()
 
--- a/tests/moves/naive_entry.py
+++ b/tests/moves/naive_entry.py
@@ -4,15 +4,16 @@
 
 from azurewood.commands import main as commands
 from azurewood.policy import placement
+from azurewood.state import duties
 from azurewood.state import model
 
 
 def main():
     """Run ``azurewood`` with the naive hand-over."""
-    model.Stewardship = functools.partial(
-        model.Stewardship, hand_over=placement.AtOnce()
+    duties.Stewardship = functools.partial(
+        duties.Stewardship, hand_over=placement.AtOnce()
     )
-    model.State = functools.partial(model.State, steward=model.Stewardship())
+    model.State = functools.partial(model.State, steward=duties.Stewardship())
     commands.main()
 
 
--- a/tests/moves/test_moves_machine.py
+++ b/tests/moves/test_moves_machine.py
@@ -13,6 +13,7 @@
 import pytest
 
 from azurewood.policy import placement
+from azurewood.state import duties
 from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import model
@@ -49,7 +50,7 @@
                 name=name, zone=deployment.ZONE, address=name, boot=ord(name)
             ),
             rng=random.Random(name),
-            steward=model.Stewardship(hand_over=hand_over),
+            steward=duties.Stewardship(hand_over=hand_over),
             seeds=NAMES,
         )
         self.in_hand = []
