--- a/azurewood/state/jobs.py
+++ b/azurewood/state/jobs.py
@@ -5,6 +5,7 @@
 from azurewood.fleet import model as fleet_model
 from azurewood.policy import placement
 from azurewood.state import agreed as agreed_state
+from azurewood.state import duties
 from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import model
@@ -60,7 +61,7 @@
 
 def is_due(state: model.State, key: str, now: float, *, wait_s: float) -> bool:
     """Tell whether to take an action, and note that it is taken."""
-    action = state.steward.acted.setdefault(key, model.Action(until=0.0))
+    action = state.steward.acted.setdefault(key, duties.Action(until=0.0))
     if action.until > now:
         return False
     action.until = now + wait_s
@@ -109,15 +110,24 @@
     change: records.AnyChange,
     now: float,
 ) -> Effects:
-    """Propose a change of a host once for its revision, and again later."""
-    key = f"{type(change).__name__} {host.name}@{host.revision}"
+    """Propose a change of a host."""
+    yield from propose_for(
+        state, records.host_object(host.name), host.revision, change, now
+    )
+
+
+def propose_for(
+    state: model.State,
+    name: str,
+    base: int,
+    change: records.AnyChange,
+    now: float,
+) -> Effects:
+    """Propose a change once for an object's revision, and again later."""
+    key = f"{type(change).__name__} {name}@{base}"
     if not is_due(state, key, now, wait_s=PROPOSAL_S):
         return
-    proposal = records.Proposal(
-        object=records.host_object(host.name),
-        base=host.revision,
-        change=change,
-    )
+    proposal = records.Proposal(object=name, base=base, change=change)
     entry = model.Pending(
         ticket=outbox.NOBODY,
         proposals=(proposal,),
--- a/azurewood/state/movers.py
+++ b/azurewood/state/movers.py
@@ -13,6 +13,7 @@
 from azurewood.policy import moves
 from azurewood.policy import ownership
 from azurewood.state import agreed as agreed_state
+from azurewood.state import duties
 from azurewood.state import effects
 from azurewood.state import jobs
 from azurewood.state import model
@@ -104,13 +105,13 @@
     for service in state.agreed.fleet.services:
         name = service.pool
         target = targets.get(name) or fleet_model.PoolTarget(pool=name)
-        in_hand = _in_hand(state, service.name)
-        found = capacity.get(name) or model.PoolCapacity()
+        counted = in_hand(state, service.name)
+        found = capacity.get(name) or duties.PoolCapacity()
         loads[name] = moves.PoolLoad(
             name=name,
-            busy=in_hand.busy,
-            waiting=in_hand.waiting,
-            demand=_observe(state, name, in_hand, now),
+            busy=counted.busy,
+            waiting=counted.waiting,
+            demand=_observe(state, name, counted, now),
             slots=found.slots,
             hosts=found.hosts,
             incoming=found.incoming,
@@ -124,7 +125,7 @@
     return loads
 
 
-def _in_hand(state: model.State, service: str) -> model.Count:
+def in_hand(state: model.State, service: str) -> model.Count:
     """Add up a service's counters over all live daemons."""
     total = model.Count()
     view = state.services.get(service)
@@ -142,21 +143,21 @@
 
 
 def _observe(
-    state: model.State, pool: str, in_hand: model.Count, now: float
+    state: model.State, pool: str, counted: model.Count, now: float
 ) -> float:
     """Note a pool's counters and return the slots that are asked for."""
     samples = state.mover.samples.setdefault(pool, collections.deque())
     sample = demand.Sample(
         at=now,
-        busy=in_hand.busy,
-        waiting=in_hand.waiting,
-        ended=in_hand.good + in_hand.bad,
+        busy=counted.busy,
+        waiting=counted.waiting,
+        ended=counted.good + counted.bad,
     )
     demand.observe(samples, sample)
     return demand.slots_wanted(samples)
 
 
-def _capacity(state: model.State) -> dict[str, model.PoolCapacity]:
+def _capacity(state: model.State) -> dict[str, duties.PoolCapacity]:
     """Return each pool's capacity, worked out when the view has changed."""
     mover = state.mover
     if mover.capacity_of != state.view_generation:
@@ -165,9 +166,9 @@
     return mover.capacity
 
 
-def _count_capacity(state: model.State) -> dict[str, model.PoolCapacity]:
-    pools: dict[str, model.PoolCapacity] = collections.defaultdict(
-        model.PoolCapacity
+def _count_capacity(state: model.State) -> dict[str, duties.PoolCapacity]:
+    pools: dict[str, duties.PoolCapacity] = collections.defaultdict(
+        duties.PoolCapacity
     )
     for host in state.agreed.hosts.values():
         view = state.hosts[host.name]
--- a/azurewood/state/reducer.py
+++ b/azurewood/state/reducer.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 
+from azurewood.state import budgets
 from azurewood.state import claims
 from azurewood.state import control
 from azurewood.state import effects
@@ -21,6 +22,7 @@
 from azurewood.state import slots
 from azurewood.state import stewards
 from azurewood.state import views
+from azurewood.state import waves
 
 Effects = collections.abc.Iterator[effects.AnyEffect]
 
@@ -104,6 +106,8 @@
     yield from outbox.tick(state, now)
     yield from stewards.tick(state, now)
     yield from movers.tick(state, now)
+    budgets.tick(state, now)
+    yield from waves.tick(state, now)
     yield from control.tick(state, now)
     yield from claims.tick(state, now)
     yield from lending.tick(state, now)
--- a/azurewood/state/views.py
+++ b/azurewood/state/views.py
@@ -16,9 +16,6 @@
 LIVE = "live"
 NOT_SEEN = -1
 """The ``seen`` revision of a host whose view has to be made anew."""
-NOT_MINE = ("",)
-"""The owner of a slot that a daemon of another group owns."""
-
 MS_PER_S = 1000
 ENDED = frozenset({"stopped", "failed"})
 """States of a task that is confirmed not to run any more."""
@@ -116,11 +113,7 @@
         if view.seen == agreed_host.revision and host.zone in same_zones:
             continue
         view.seen = agreed_host.revision
-        service = service_of.get(agreed_host.pool, "")
-        usable = is_usable(view, agreed_host) and (
-            state.tasks.get(agreed_host.task, "") not in OUT_OF_USE
-        )
-        _place(state, view, service, usable)
+        _place_host(state, view, agreed_host, service_of)
         owners = _owners(state, host, members[host.zone])
         slots.set_owners(state, view, owners, now)
     for name in [n for n in state.hosts if n not in state.agreed.hosts]:
@@ -192,6 +185,19 @@
     )
 
 
+def _place_host(
+    state: model.State,
+    view: model.HostView,
+    host: agreed_state.HostState,
+    service_of: dict[str, str],
+) -> None:
+    """Put a host where its pool, its phase and its job's state ask for."""
+    usable = is_usable(view, host) and (
+        state.tasks.get(host.task, "") not in OUT_OF_USE
+    )
+    _place(state, view, service_of.get(host.pool, ""), usable)
+
+
 def _place(
     state: model.State, view: model.HostView, service: str, usable: bool
 ) -> None:
@@ -207,8 +213,6 @@
 ) -> tuple[str, ...]:
     """Return the owner of each slot of a host."""
     me = state.me.name
-    if me not in members:
-        return NOT_MINE * host.slots
     match state.policies.slots:
         case policy.FixedShare():
             known = tuple({*members, me})
--- a/tests/moves/deployment.py
+++ b/tests/moves/deployment.py
@@ -74,7 +74,14 @@
     """One zone with pools ``quoting`` and ``certs``, on real processes."""
 
     def __init__(
-        self, *, running, hosts, preset=None, daemons=2, module=ENTRY
+        self,
+        *,
+        running,
+        hosts,
+        preset=None,
+        daemons=2,
+        module=ENTRY,
+        reboot_ms=400,
     ):
         self.running = running
         network = 40 + int(time.monotonic_ns() // 1000 % 150)
@@ -93,16 +100,14 @@
             "--host-list-lag-ms",
             "300",
             "--reboot-ms",
-            "400",
+            str(reboot_ms),
             port=platform_port,
         )
         self.platform = client.Client(url=self.url)
-        self.worker, control_port = running.start_worker(
-            platform=self.url,
-            hosts={n: f"{a}@{ZONE}" for n, a in self.addresses.items()},
-        )
+        self.control_port = None
+        self.start_worker()
         self.controls = {
-            name: client.Client(url=f"http://{address}:{control_port}")
+            name: client.Client(url=f"http://{address}:{self.control_port}")
             for name, address in self.addresses.items()
         }
         self.fleet = make_fleet(hosts, self.addresses, self.ports, preset)
@@ -114,6 +119,14 @@
             self.start_daemon(n, module=module) for n in range(daemons)
         ]
 
+    def start_worker(self):
+        """Start the worker of all hosts, on the same ports every time."""
+        self.worker, self.control_port = self.running.start_worker(
+            platform=self.url,
+            hosts={n: f"{a}@{ZONE}" for n, a in self.addresses.items()},
+            control_port=self.control_port,
+        )
+
     def start_daemon(self, number, *, module=ENTRY):
         """Start a daemon and wait until its operators' port is open."""
         port, operators = self.listens[number]
--- a/tests/moves/test_moves_machine.py
+++ b/tests/moves/test_moves_machine.py
@@ -13,12 +13,14 @@
 import pytest
 
 from azurewood.policy import placement
+from azurewood.state import duties
 from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import model
 from azurewood.state import records
 from azurewood.state import reducer
 from azurewood.state import stewards
+from azurewood.state import views
 from tests.moves import deployment
 
 HOSTS = {"h1": "quoting", "h2": "quoting", "h3": "certs"}
@@ -48,7 +50,7 @@
                 name=name, zone=deployment.ZONE, address=name, boot=ord(name)
             ),
             rng=random.Random(name),
-            steward=model.Stewardship(hand_over=hand_over),
+            steward=duties.Stewardship(hand_over=hand_over),
             seeds=NAMES,
         )
         self.in_hand = []
@@ -57,6 +59,14 @@
         self.in_hand += reducer.step(self.state, event, now)
 
 
+def view_of(state):
+    """Return what decides where a daemon sends requests."""
+    return [
+        (host.name, host.service, host.usable, sorted(host.idle))
+        for host in state.hosts.values()
+    ] + [sorted(view.ready) for view in state.services.values()]
+
+
 class MovesMachine(stateful.RuleBasedStateMachine):
     hand_over = placement.AfterStop()
 
@@ -228,6 +238,14 @@
         assert agreed.hosts[host].revision == agreed.revision
         assert agreed.revision == self.daemons["a"].state.agreed.revision + 1
 
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def the_view_is_what_a_whole_refresh_gives(self, name):
+        state = self.daemons[name].state
+        kept = view_of(state)
+        state.view_revision = -1
+        views.refresh(state, self.now)
+        assert view_of(state) == kept
+
     @stateful.invariant()
     def one_job_on_a_host(self):
         for host in HOSTS:
--- a/tests/moves/test_paused_daemon.py
+++ b/tests/moves/test_paused_daemon.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from azurewood.policy import ownership
 from standins import processes
 from tests.moves import deployment
 
@@ -92,6 +93,30 @@
     assert statuses == [200] * len(statuses)
 
 
+def test_a_move_goes_on_when_its_steward_is_killed(tmp_path):
+    with (
+        processes.Processes(log_dir=tmp_path) as running,
+        concurrent.futures.ThreadPoolExecutor(4) as pool,
+    ):
+        dep = deployment.Deployment(running=running, hosts=HOSTS, daemons=3)
+        dep.publish()
+        names = {daemon.name: daemon for daemon in dep.daemons}
+        steward = names.pop(ownership.owner("h1", names))
+        first, second = names.values()
+        busy = [
+            pool.submit(first.call, "quoting", Work_Ms=WORK_MS)
+            for _ in range(4)
+        ]
+        processes.wait_for(
+            lambda: running_on(dep, "h1"), what="h1 works on a request"
+        )
+        assert dep.move(second, "h1", "certs").resolution == "accepted"
+        steward.process.kill()
+        deployment.wait_move(second, "h1", "certs")
+        assert {fut.result(20)[0] for fut in busy} == {200}
+        assert all(e["ending"] != "cut" for e in dep.executions("h1"))
+
+
 def test_naive_hand_over_lets_the_old_service_run_on(tmp_path):
     late, _, _ = run_move(tmp_path, NAIVE)
     assert late
