--- a/azurewood/http/callers.py
+++ b/azurewood/http/callers.py
@@ -75,13 +75,13 @@
             answer = self._answer(environ, request_id)
         except exceptions.BadRequest as exc:
             answer = outcomes.rejected(exc.status, str(exc))
-        if self._runtime.state.stopping_until:
-            environ.get(server.CLOSE_KEY, _nothing)()
         headers = [
             *answer.headers,
             (outcomes.REQUEST_ID_HEADER, request_id),
             ("Content-Length", str(len(answer.body))),
         ]
+        if self._runtime.state.stopping_until:
+            headers.append(server.CLOSE_HEADER)
         start_response(answer.status_line, headers)
         return [answer.body]
 
@@ -249,10 +249,6 @@
         return True
 
 
-def _nothing() -> None:
-    """Do nothing, under a server that closes no connections."""
-
-
 def _split(path: str) -> tuple[str, str]:
     """Split ``/service/rest`` into the service and ``/rest``."""
     service, _, rest = path.lstrip("/").partition("/")
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -16,7 +16,7 @@
 
 BACKLOG = 256
 SOCKET_KEY = "azurewood.socket"
-CLOSE_KEY = "azurewood.close"
+CLOSE_HEADER = ("Connection", "close")
 SHUTDOWN_S = 5
 
 
@@ -35,11 +35,18 @@
         """Return the WSGI environment, with the socket in it."""
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.req.conn.socket
-        environ[CLOSE_KEY] = self._close_after_answer
         return environ
 
-    def _close_after_answer(self) -> None:
-        self.req.close_connection = True
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: typing.Any = None,
+    ) -> typing.Callable:
+        """Close the connection after an answer that says so."""
+        if CLOSE_HEADER in headers:
+            self.req.close_connection = True
+        return super().start_response(status, headers, exc_info)
 
 
 def make(
--- a/azurewood/http/watch.py
+++ b/azurewood/http/watch.py
@@ -56,16 +56,21 @@
         threading.Thread(target=self._run, daemon=True).start()
 
     def add(self, attempt: Attempt) -> None:
-        """Look after an attempt until it is removed."""
-        with self._lock:
-            self._attempts.add(attempt)
-            self._tokens = min(BURST, self._tokens + SHARE)
+        """Look after an attempt until it is removed.
+
+        No lock is taken, as every request on a used connection comes here:
+        the set changes in one step, and a lost token does no harm.
+        """
+        self._attempts.add(attempt)
+        self._tokens = min(BURST, self._tokens + SHARE)
 
     def remove(self, attempt: Attempt) -> None:
         """Look after an attempt no more, and cut a hedge that has lost."""
+        self._attempts.discard(attempt)
+        attempt.is_over = True
+        if attempt.hedge is None:
+            return
         with self._lock:
-            self._attempts.discard(attempt)
-            attempt.is_over = True
             if attempt.won is None:
                 cut(attempt.hedge_link)
 
@@ -77,9 +82,8 @@
     def _run(self) -> None:
         while not self._stopped.wait(CHECK_S):
             now = time.monotonic()
-            with self._lock:
-                for attempt in tuple(self._attempts):
-                    self._check(attempt, now)
+            for attempt in tuple(self._attempts):
+                self._check(attempt, now)
 
     def _check(self, attempt: Attempt, now: float) -> None:
         is_due = attempt.hedge is None and attempt.hedge_at <= now
@@ -89,6 +93,8 @@
 
     def _hedge(self, attempt: Attempt) -> object:
         """Repeat an attempt; if it answers first, cut the first one."""
+        if attempt.is_over:
+            return None
         reply = attempt.repeat(attempt)
         with self._lock:
             if reply is not None and not attempt.is_over:
