--- a/azurewood/http/connections.py
+++ b/azurewood/http/connections.py
@@ -23,7 +23,7 @@
 from azurewood.http import outcomes
 
 SOCKET_KEY = "azurewood.socket"
-CLOSE_KEY = "azurewood.close"
+CLOSE_HEADER = ("Connection", "close")
 SWEEP_S = 0.5
 READ_TIMEOUTS = 6
 """A request has to be read whole within so many of a sender's timeouts."""
@@ -172,18 +172,21 @@
         super().__init__(req)
 
     def get_environ(self) -> dict[str, typing.Any]:
-        """Return the WSGI environment.
-
-        It holds the caller's socket, and a function that has it closed
-        after the answer.
-        """
+        """Return the WSGI environment, with the caller's socket in it."""
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.req.conn.socket
-        environ[CLOSE_KEY] = self._close_after_answer
         return environ
 
-    def _close_after_answer(self) -> None:
-        self.req.close_connection = True
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: typing.Any = None,
+    ) -> typing.Callable:
+        """Close the connection after an answer that says so."""
+        if CLOSE_HEADER in headers:
+            self.req.close_connection = True
+        return super().start_response(status, headers, exc_info)
 
 
 class CheckedRequest(server.HTTPRequest):
