--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -15,17 +15,20 @@
 from benchmarks.capacity import daemons
 from benchmarks.capacity import heartbeats
 from benchmarks.capacity import letter
+from benchmarks.capacity import limits
 from benchmarks.capacity import owners
 from benchmarks.capacity import platform
 from benchmarks.capacity import render
 from benchmarks.capacity import requests
 from benchmarks.capacity import results
+from benchmarks.capacity import roles
 from benchmarks.capacity import starts
 from standins import processes
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 RESULTS = ROOT / "benchmarks" / "results" / "capacity"
 PAGE = ROOT / "docs" / "CAPACITY.md"
+WHOLE_RUN = "capacity"
 
 IN_PROCESS = {
     "agreed": agreed.measure,
@@ -71,12 +74,23 @@
 
 def write_page() -> None:
     """Write the page's tables anew from the recorded runs."""
-    runs = results.load_all(RESULTS)
+    runs = {
+        name: derived(run) for name, run in results.load_all(RESULTS).items()
+    }
     PAGE.write_text(render.page(PAGE.read_text(), runs))
 
 
+def derived(run: results.Run) -> results.Run:
+    """Return a run with the tables that follow from the measured ones."""
+    if "entry-requests" in run.tables and run.name == WHOLE_RUN:
+        run.tables = letter.derive(run.tables)
+        for table in (roles.table(run.tables), limits.table(run.tables)):
+            run.tables[table.name] = table
+    return run
+
+
 @click.command()
-@click.option("--run", "name", default="capacity", show_default=True)
+@click.option("--run", "name", default=WHOLE_RUN, show_default=True)
 @click.option(
     "--piece",
     "pieces",
@@ -89,6 +103,9 @@
     """Measure each piece, record the run and write docs/CAPACITY.md."""
     if not render_only:
         _measure(name, pieces or (*IN_PROCESS, *WITH_PROCESSES))
+    recorded = RESULTS / f"{WHOLE_RUN}.json"
+    if recorded.exists():
+        results.save(derived(results.load(recorded)), recorded)
     if PAGE.exists():
         write_page()
 
@@ -107,11 +124,8 @@
         for table in _tables(piece):
             run.tables[table.name] = table
             click.echo(render.table(run, table.name))
-    if whole:
-        derived = letter.derive(run.tables)
-        run.tables |= {table.name: table for table in list(derived)}
     RESULTS.mkdir(parents=True, exist_ok=True)
-    results.save(run, RESULTS / f"{name}.json")
+    results.save(derived(run), RESULTS / f"{name}.json")
 
 
 if __name__ == "__main__":
--- a/benchmarks/capacity/letter.py
+++ b/benchmarks/capacity/letter.py
@@ -1,7 +1,6 @@
 """The fleet's size, and what it costs, worked out from measured slopes."""
 
 import math
-import typing
 
 from benchmarks.capacity import fleets
 from benchmarks.capacity import results
@@ -37,20 +36,22 @@
 READS_A_S = 5
 
 
-def derive(tables: Tables) -> typing.Iterator[results.Table]:
+def derive(tables: Tables) -> Tables:
     """Work out the tables at the fleet's size from the measured ones."""
-    yield sizes()
-    appends = appends_table()
-    yield appends
-    claimed = claims(tables)
-    yield claimed
-    traffic = control(tables, appends)
-    yield traffic
-    yield entry_daemons(tables)
-    yield limits(tables, appends, claimed, traffic)
+    known = dict(tables)
+    for build in (
+        sizes,
+        appends_table,
+        claims,
+        control,
+        entry_daemons,
+    ):
+        table = build(known)
+        known[table.name] = table
+    return known
 
 
-def sizes() -> results.Table:
+def sizes(tables: Tables) -> results.Table:
     """Return the fleet's size as given."""
     given = {
         "workers": fleets.HOSTS,
@@ -81,7 +82,7 @@
     )
 
 
-def appends_table() -> results.Table:
+def appends_table(tables: Tables) -> results.Table:
     """Return the records that the log takes in a day, without claims."""
     maintained = fleets.HOSTS / MAINTENANCE_DAYS
     sources = (
@@ -163,9 +164,9 @@
     return tables["host-list"].last("bytes") * versions / DAY_S / 1000
 
 
-def control(tables: Tables, appends: results.Table) -> results.Table:
+def control(tables: Tables) -> results.Table:
     """Return a daemon's control traffic and CPU at the fleet's size."""
-    records = appends.at("source", "all", "a second")
+    records = tables["log-load"].at("source", "all", "a second")
     polls = sum(float(cell) for cell in tables["idle-polls"].column("bytes"))
     idle = polls / POLL_S / 1000
     log = records * tables["log-reads"].fit("bytes").slope / 1000
@@ -251,125 +252,3 @@
         ],
         rows=rows,
     )
-
-
-def limits(
-    tables: Tables,
-    appends: results.Table,
-    claimed: results.Table,
-    traffic: results.Table,
-) -> results.Table:
-    """Return each limit beside the figure at the fleet's size."""
-    rows: list[list[results.Cell]] = []
-
-    def add(
-        what: str, limit: results.Cell, found: results.Cell, source: str
-    ) -> None:
-        if isinstance(found, str):
-            verdict = "not measured here"
-        elif isinstance(limit, str):
-            verdict = "no limit given"
-        else:
-            verdict = "met" if found <= limit else "EXCEEDED"
-        rows.append([what, limit, found, verdict, source])
-
-    for daemons in traffic.column("daemons"):
-        add(
-            f"control, % of a core, {daemons} daemons",
-            LIMIT_CORE,
-            traffic.at("daemons", daemons, "all, core %"),
-            "control-total",
-        )
-        add(
-            f"control, KB/s, {daemons} daemons",
-            LIMIT_KB_S,
-            traffic.at("daemons", daemons, "all, KB/s"),
-            "control-total",
-        )
-    memory = tables["daemon-hosts"].last("RSS, MiB")
-    per_claim = tables["state-claims"].fit("memory, B").slope
-    add("memory, MiB, no claims", LIMIT_MIB, memory, "daemon-hosts")
-    add(
-        "memory, MiB, 200,000 claims kept",
-        LIMIT_MIB,
-        memory + per_claim * 200_000 / (1 << 20),
-        "daemon-hosts, state-claims",
-    )
-    all_records = appends.at("source", "all", "a second")
-    add("appends a second, day", LIMIT_APPENDS, all_records, "log-load")
-    add(
-        "appends a second, a zone at once",
-        LIMIT_APPENDS,
-        float(appends.rows[-1][-1]),
-        "log-load",
-    )
-    add(
-        "a snapshot's record, B, no claims",
-        LIMIT_RECORD,
-        tables["state-hosts"].last("packed, B"),
-        "state-hosts",
-    )
-    add(
-        "a snapshot's record, B, 50,000 claims",
-        LIMIT_RECORD,
-        tables["state-claims"].last("packed, B"),
-        "state-claims",
-    )
-    kinds = tables["record-bytes"]
-    whole = kinds.at("kind", "PublishFleet", "bytes")
-    deflated = kinds.at("kind", "PublishFleet", "deflated")
-    add(
-        "a published configuration's record, B",
-        LIMIT_RECORD,
-        whole,
-        "record-bytes",
-    )
-    for what, size in (("", whole), (", deflated", deflated)):
-        add(
-            "control, KB/s, if each change of the day publishes the whole "
-            f"configuration{what}, {DAEMONS} daemons",
-            LIMIT_KB_S,
-            traffic.at("daemons", DAEMONS, "all, KB/s")
-            + size * CHANGES_A_DAY / DAY_S / 1000,
-            "control-total, record-bytes",
-        )
-    for rate in CLAIM_RATES:
-        add(
-            f"control, KB/s, with {rate} claims a second, {DAEMONS} daemons",
-            LIMIT_KB_S,
-            traffic.at("daemons", DAEMONS, "all, KB/s")
-            + claimed.at("claims a second", rate, "read by each daemon, KB/s"),
-            "control-total, claims-load",
-        )
-    add(
-        "appends a second, 150 claims a second",
-        LIMIT_APPENDS,
-        claimed.at("claims a second", CLAIM_RATES[-1], "appends a second"),
-        "claims-load",
-    )
-    for what, name, column in (
-        ("from the platform", "starts", "from the platform, ms"),
-        ("from a peer", "starts", "from a peer, ms"),
-        ("a peer's work for one", "starts", "peer's work, ms"),
-        ("a zone's return, 256 records", "returns", "folding, ms"),
-    ):
-        add(
-            f"start, CPU ms, {what}",
-            "none given",
-            tables[name].last(column),
-            name,
-        )
-    add(
-        "start of the process until ready, s, from the platform",
-        "none given",
-        tables["daemon-hosts"].last("ready after, s"),
-        "daemon-hosts",
-    )
-    add("a change in force, s", 4, "", "")
-    add("an urgent request's start, s", 9.7, "", "")
-    return results.Table(
-        name="limits",
-        title="Limits, and the figures at the fleet's size",
-        columns=["what", "limit", "figure", "verdict", "table"],
-        rows=rows,
-    )
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -14,7 +14,14 @@
 
 
 def runs():
-    return results.load_all(command.RESULTS)
+    loaded = results.load_all(command.RESULTS)
+    return {name: command.derived(run) for name, run in loaded.items()}
+
+
+def test_derived_tables_follow_from_the_measured_ones():
+    recorded = results.load(command.RESULTS / "capacity.json")
+    again = results.load(command.RESULTS / "capacity.json")
+    assert command.derived(again) == recorded
 
 
 def prose(text):
