Be not ready while other daemons may still use a daemon's slots

Cause: a maintenance wave under traffic ended requests as unknown (502) or too late (504). The dump at the first failure shows a daemon that had just started, with every slot of its own resting until its peers have confirmed them free, and said to be ready meanwhile: what it was given could only wait. Ruled out: the wave itself (no host was draining then). Readiness now says so, and the test beds wait for readiness as a balancer does.

--- a/azurewood/operators/views.py
+++ b/azurewood/operators/views.py
@@ -8,6 +8,7 @@
 from azurewood.operators import messages
 from azurewood.state import agreed as agreed_state
 from azurewood.state import model
+from azurewood.state import slots
 from azurewood.state import transitions
 
 Knowledge = messages.Knowledge
@@ -23,6 +24,8 @@
             reasons.append("the platform's log cannot be read")
     if state.stopping_until:
         reasons.append("the daemon is stopping")
+    if slots.are_all_settling(state):
+        reasons.append("other daemons may still use this one's slots")
     return messages.Readiness(ready=not reasons, reasons=tuple(reasons))
 
 
--- a/azurewood/state/slots.py
+++ b/azurewood/state/slots.py
@@ -79,6 +79,14 @@
         refresh(state, host)
 
 
+def are_all_settling(state: model.State) -> bool:
+    """Tell whether this daemon owns slots and may not use any of them."""
+    hosts = [host for host in state.hosts.values() if host.owned]
+    return bool(hosts) and all(
+        host.settling.keys() >= host.owned for host in hosts
+    )
+
+
 def refresh(state: model.State, host: model.HostView) -> None:
     """Work out the idle slots of a host anew."""
     held = host.settling.keys() | host.lent.keys()
--- a/standins/testbed.py
+++ b/standins/testbed.py
@@ -293,6 +293,7 @@
     alive = sum(item["alive"] for item in status["daemons"])
     return (
         alive == daemons
+        and status["ready"]
         and bool(hosts)
         and all(host["phase"] == "serving" for host in hosts)
     )
--- a/tests/moves/deployment.py
+++ b/tests/moves/deployment.py
@@ -168,7 +168,11 @@
 
     def serves(self, daemon):
         hosts = daemon.agreed()["hosts"].values()
-        return hosts and all(h["phase"] == "serving" for h in hosts)
+        return (
+            hosts
+            and all(h["phase"] == "serving" for h in hosts)
+            and daemon.operate("GET", "/v1/status")["ready"]
+        )
 
     def move(self, daemon, host, to_pool, *, drain_ms=5000):
         """Propose a move and return how it was resolved."""
--- a/tests/operators/test_interface.py
+++ b/tests/operators/test_interface.py
@@ -11,6 +11,7 @@
 from azurewood.state import fold
 from azurewood.state import model
 from azurewood.state import records
+from azurewood.state import slots
 from tests import small_fleet
 
 TOKEN = "a-token-of-some-length"
@@ -132,6 +133,21 @@
     assert len(answer["reasons"]) == 2
 
 
+def test_a_daemon_whose_slots_all_settle_is_not_ready(call, runtime):
+    """A balancer would send it requests that can only wait."""
+    view = model.HostView(name="h", zone="z", rack="r", address="127.3.1.1")
+    runtime.state.hosts["h"] = view
+    view.owned = {0, 1}
+    slots.settle(runtime.state, view, 0, {"peer"}, 1.0)
+    assert call("GET", "/readyz")[0] == 200
+    slots.settle(runtime.state, view, 1, {"peer"}, 1.0)
+    status, answer = call("GET", "/readyz")
+    assert status == 503
+    assert answer["reasons"] == [
+        "other daemons may still use this one's slots"
+    ]
+
+
 def test_an_object_names_its_last_author(call, runtime):
     proposal = records.Proposal(
         object=records.IN_FORCE, base=1, change=USE, ticket="yannis~12345678.0"
--- a/tests/requests/deployment.py
+++ b/tests/requests/deployment.py
@@ -211,6 +211,7 @@
                 lambda daemon=daemon: (
                     daemon.is_serving(len(self.addresses))
                     and len(daemon.dump()["alive"]) == count - 1
+                    and daemon.status()["ready"]
                 ),
                 what=f"{daemon.name} serves",
             )
