--- a/azurewood/state/fold.py
+++ b/azurewood/state/fold.py
@@ -78,7 +78,11 @@
         state.seed_until_ms = state.at_ms + SEED_WINDOW_MS
     if record.revision <= state.revision or is_past_seeding(state):
         return
-    _adopt(state, agreed_state.unpack(record.state))
+    try:
+        seed = agreed_state.unpack(record.state)
+    except ValueError:
+        return
+    _adopt(state, seed)
     state.seeded_revision = state.revision
 
 
@@ -173,10 +177,15 @@
     refusal: str,
 ) -> agreed_state.Verdict:
     """Accept and carry out one proposal, or reject it with a reason."""
-    reason = refusal or _refusal(state, record.writer, proposal)
-    if not reason:
-        state.revision += 1
-        transitions.carry_out(state, record.writer, proposal)
+    try:
+        reason = refusal or _refusal(state, record.writer, proposal)
+        if not reason:
+            state.revision += 1
+            transitions.carry_out(state, record.writer, proposal)
+    except Exception as exc:
+        # The record stays in the log: an error that went further would end
+        # every daemon, and again at each start.
+        reason = f"this change cannot be folded: {exc!r}"
     return agreed_state.Verdict(
         writer=record.writer,
         sequence=record.sequence,
--- a/tests/agreement/test_failures.py
+++ b/tests/agreement/test_failures.py
@@ -350,6 +350,32 @@
             report.name == "record_malformed" for report in world.reports
         )
 
+    def test_a_change_that_the_fold_fails_on_ends_no_daemon(
+        self, world, monkeypatch
+    ):
+        """The record stays in the log, so every start would meet it again."""
+
+        def fail(*args):
+            raise KeyError("a fault")
+
+        with monkeypatch.context() as faulty:
+            faulty.setattr(transitions, "carry_out", fail)
+            ticket = world.propose("d0", records.IN_FORCE, PEAK)
+            world.run(1)
+        assert resolution(world, ticket) == Resolution.REJECTED
+        ticket = world.propose("d1", records.IN_FORCE, MAINTENANCE)
+        world.run(1)
+        assert resolution(world, ticket) == Resolution.ACCEPTED
+        assert everywhere(world, "maintenance")
+
+    def test_a_seed_that_cannot_be_read_is_skipped(self, world):
+        seed = records.Seed(writer="w", revision=99, state=b"not packed")
+        world.log.append(records.encode(seed), world.now)
+        world.run(4)
+        ticket = world.propose("d1", records.IN_FORCE, PEAK)
+        world.run(1)
+        assert resolution(world, ticket) == Resolution.ACCEPTED
+
     def test_unknown_objects_are_rejected(self, world):
         state = world.nodes["d0"].state.agreed
         assert transitions.revision_of(state, "nothing:at-all") == 0
