--- a/tests/input/test_daemons.py
+++ b/tests/input/test_daemons.py
@@ -118,7 +118,10 @@
         lambda: client.status().log_reachable, what="it reads the log"
     )
     publish(client)
-    assert probe(found["operators"], "/readyz")[0] == 200
+    processes.wait_for(
+        lambda: probe(found["operators"], "/readyz")[0] == 200,
+        what="it is ready",
+    )
     assert process.terminate() == 0
 
 
