Log a request of unknown outcome with its id; name the size aimed at

A warning line with the request's id and service for each answer that says unknown: what an operator looks for after a failure. A test with a process finds the line. A module of the capacity benchmark is named by what it holds, the target size.

--- a/azurewood/http/callers.py
+++ b/azurewood/http/callers.py
@@ -12,6 +12,8 @@
 import ssl
 import time
 
+import loguru
+
 from azurewood.daemons import runtime as runtimes
 from azurewood.fleet import model as fleet_model
 from azurewood.http import connections
@@ -75,6 +77,8 @@
             answer = self._answer(environ, request_id)
         except exceptions.BadRequest as exc:
             answer = outcomes.rejected(exc.status, str(exc))
+        if (outcomes.OUTCOME_HEADER, outcomes.UNKNOWN) in answer.headers:
+            _log_unknown(environ, request_id, answer)
         headers = [
             *answer.headers,
             (outcomes.REQUEST_ID_HEADER, request_id),
@@ -249,6 +253,16 @@
         return True
 
 
+def _log_unknown(
+    environ: Environ, request_id: str, answer: outcomes.CallerAnswer
+) -> None:
+    """Log a request that may have run and was not answered for."""
+    service, _ = _split(str(environ["PATH_INFO"]))
+    loguru.logger.bind(
+        event="request_unknown", request_id=request_id, service=service
+    ).warning("the outcome is unknown: {}", answer.body.decode())
+
+
 def _split(path: str) -> tuple[str, str]:
     """Split ``/service/rest`` into the service and ``/rest``."""
     service, _, rest = path.lstrip("/").partition("/")
--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -14,7 +14,6 @@
 from benchmarks.capacity import control
 from benchmarks.capacity import daemons
 from benchmarks.capacity import heartbeats
-from benchmarks.capacity import letter
 from benchmarks.capacity import limits
 from benchmarks.capacity import owners
 from benchmarks.capacity import platform
@@ -23,6 +22,7 @@
 from benchmarks.capacity import results
 from benchmarks.capacity import roles
 from benchmarks.capacity import starts
+from benchmarks.capacity import target_size
 from standins import processes
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -83,7 +83,7 @@
 def derived(run: results.Run) -> results.Run:
     """Return a run with the tables that follow from the measured ones."""
     if "entry-requests" in run.tables and run.name == WHOLE_RUN:
-        run.tables = letter.derive(run.tables)
+        run.tables = target_size.derive(run.tables)
         for table in (roles.table(run.tables), limits.table(run.tables)):
             run.tables[table.name] = table
     return run
--- a/benchmarks/capacity/limits.py
+++ b/benchmarks/capacity/limits.py
@@ -1,10 +1,10 @@
-"""Each limit of the letter's size beside the figure that was found."""
+"""Each limit of the size aimed at beside the figure that was found."""
 
 import dataclasses
 import typing
 
-from benchmarks.capacity import letter
 from benchmarks.capacity import results
+from benchmarks.capacity import target_size
 
 KEPT_CLAIMS = 200_000
 MIB = 1 << 20
@@ -68,13 +68,13 @@
     for daemons in traffic.column("daemons"):
         yield Row(
             what=f"control, % of a core, {daemons} daemons",
-            limit=letter.LIMIT_CORE,
+            limit=target_size.LIMIT_CORE,
             found=traffic.at("daemons", daemons, "all, core %"),
             source="control-total",
         )
         yield Row(
             what=f"control, KB/s, {daemons} daemons",
-            limit=letter.LIMIT_KB_S,
+            limit=target_size.LIMIT_KB_S,
             found=traffic.at("daemons", daemons, "all, KB/s"),
             source="control-total",
         )
@@ -85,13 +85,13 @@
     per_claim = tables["state-claims"].fit("memory, B").slope
     yield Row(
         what="memory, MiB, no claims",
-        limit=letter.LIMIT_MIB,
+        limit=target_size.LIMIT_MIB,
         found=memory,
         source="daemon-hosts",
     )
     yield Row(
         what=f"memory, MiB, {KEPT_CLAIMS:,} claims kept",
-        limit=letter.LIMIT_MIB,
+        limit=target_size.LIMIT_MIB,
         found=memory + per_claim * KEPT_CLAIMS / MIB,
         source="daemon-hosts, state-claims",
     )
@@ -100,7 +100,7 @@
 def _appends(tables: Tables) -> Rows:
     load = tables["log-load"]
     claimed = tables["claims-load"]
-    most = letter.CLAIM_RATES[-1]
+    most = target_size.CLAIM_RATES[-1]
     for what, found, source in (
         ("a day", load.at("source", "all", "a second"), load),
         ("a zone at once", float(load.rows[-1][-1]), load),
@@ -108,7 +108,7 @@
     ):
         yield Row(
             what=f"appends a second, {what}",
-            limit=letter.LIMIT_APPENDS,
+            limit=target_size.LIMIT_APPENDS,
             found=found,
             source=source.name,
         )
@@ -137,7 +137,7 @@
     ):
         yield Row(
             what=f"a record of the log, B: {what}",
-            limit=letter.LIMIT_RECORD,
+            limit=target_size.LIMIT_RECORD,
             found=found,
             source=source,
         )
@@ -145,7 +145,7 @@
 
 def _reading(tables: Tables) -> Rows:
     """Yield the traffic with changes that not every day has."""
-    daemons = letter.DAEMONS
+    daemons = target_size.DAEMONS
     traffic = tables["control-total"].at("daemons", daemons, "all, KB/s")
     kinds = tables["record-bytes"]
     for column, what in (("bytes", "whole"), ("deflated", "deflated")):
@@ -155,17 +155,18 @@
                 f"control, KB/s, {daemons} daemons, each change of the day "
                 f"publishes the configuration, {what}"
             ),
-            limit=letter.LIMIT_KB_S,
-            found=traffic + size * letter.CHANGES_A_DAY / letter.DAY_S / 1000,
+            limit=target_size.LIMIT_KB_S,
+            found=traffic
+            + size * target_size.CHANGES_A_DAY / target_size.DAY_S / 1000,
             source="control-total, record-bytes",
         )
     claimed = tables["claims-load"]
     column = "read by each daemon, KB/s"
-    for rate in letter.CLAIM_RATES:
+    for rate in target_size.CLAIM_RATES:
         read = claimed.at("claims a second", rate, column)
         yield Row(
             what=f"control, KB/s, {daemons} daemons, {rate} claims a second",
-            limit=letter.LIMIT_KB_S,
+            limit=target_size.LIMIT_KB_S,
             found=traffic + read,
             source="control-total, claims-load",
         )
--- a/tests/capacity/test_heartbeats.py
+++ b/tests/capacity/test_heartbeats.py
@@ -9,10 +9,10 @@
 from benchmarks.capacity import deployments
 from benchmarks.capacity import fleets
 from benchmarks.capacity import heartbeats as counted
-from benchmarks.capacity import letter
+from benchmarks.capacity import target_size
 from benchmarks.capacity import wire
 
-LIMIT_BYTES_PER_S = letter.LIMIT_KB_S * 1000
+LIMIT_BYTES_PER_S = target_size.LIMIT_KB_S * 1000
 STEP_S = 0.1
 
 
--- a/tests/requests/test_callers.py
+++ b/tests/requests/test_callers.py
@@ -1,5 +1,6 @@
 """What callers get of one daemon with real processes."""
 
+import json
 import signal
 import socket
 import time
@@ -23,6 +24,20 @@
     return [entry["path"] for entry in fleet.executions()]
 
 
+def test_an_unknown_outcome_is_logged_with_the_requests_id(fleet):
+    daemon = fleet.daemons[0]
+    reply = daemon.call("/x", method="GET", Fault="hang", Work_Ms=1)
+    assert reply.outcome == "unknown"
+    lines = [
+        json.loads(line)
+        for line in daemon.process.output().splitlines()
+        if '"request_unknown"' in line
+    ]
+    (line,) = lines
+    assert line["request_id"].startswith(f"{daemon.name}-")
+    assert (line["service"], line["level"]) == ("certs", "warning")
+
+
 def test_a_caller_that_left_is_not_served(fleet):
     daemon = fleet.daemons[0]
     calls = [
