--- /dev/null
+++ b/azurewood/commands/fleet.py
@@ -0,0 +1,57 @@
+"""``azurewood fleet``: run a fleet daemon on the users' platform."""
+
+import os
+import signal
+import sys
+
+import click
+from loguru import logger
+
+import azurewood.exceptions
+from azurewood.commands import exceptions
+from azurewood.daemons import fleet as daemons
+from azurewood.log import setup
+from azurewood.platform import base
+from azurewood.platform import settings as settings_files
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    default=lambda: os.environ.get(settings_files.VARIABLE, ""),
+    show_default=f"${settings_files.VARIABLE}",
+    help="Path of the settings file.",
+)
+def fleet(*, path: str) -> None:
+    """Run a fleet daemon until it is told to stop (SIGTERM)."""
+    try:
+        settings = settings_files.load(path)
+        setup.configure(
+            level="info",
+            format="json",
+            zone=settings.zone,
+            daemon=settings.name,
+            stream=sys.stdout,
+        )
+        daemon = daemons.FleetDaemon(
+            settings=settings,
+            platform=base.UsersPlatform(settings=settings),
+        )
+    except azurewood.exceptions.AzurewoodError as exc:
+        raise click.ClickException(str(exc)) from exc
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.stop())
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    logger.bind(event="daemon.started").info("started")
+    try:
+        daemon.run()
+    except Exception:
+        # The servers' threads would keep a daemon alive that does nothing.
+        logger.opt(exception=True).critical("the daemon's loop failed")
+        os._exit(int(exceptions.ExitCode.FAILED))
+    logger.bind(event="daemon.stopped").info("stopped")
+
+
+if __name__ == "__main__":
+    fleet()
--- /dev/null
+++ b/azurewood/daemons/term.py
@@ -0,0 +1,464 @@
+"""One term of the leader: from taking over to stepping down.
+
+Taking over goes through these steps, in this order:
+
+1. bar earlier leaders from the progress and the jobs;
+2. read how far the jobs go, and the progress records;
+3. wait until this daemon's register has read so far;
+4. begin to schedule, holding every host with the new fence.
+
+So nothing that an earlier leader stored is missed, and what it may have
+started is on record.
+"""
+
+from collections import abc
+import dataclasses
+import enum
+import time
+import typing
+
+from loguru import logger
+
+from azurewood.daemons import ports
+from azurewood.daemons import topics
+from azurewood.http import multiplex
+from azurewood.jobs import catalog
+from azurewood.jobs import records
+from azurewood.jobs import register
+from azurewood.journal import appender
+from azurewood.journal import follower
+from azurewood.journal import pages
+from azurewood.leadership import base as leadership
+from azurewood.scheduling import hosts
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+from azurewood.scheduling import reducer
+
+PRODUCER: typing.Final = "leader"
+TICK_S: typing.Final = 0.05
+"""Pause between ticks: a fortieth of the shortest bound on an answer."""
+HOSTS_EVERY_S: typing.Final = 0.25
+"""Pause between readings of the hosts' entries."""
+RETRY_S: typing.Final = 0.1
+ORDER_MARGIN_S: typing.Final = 0.5
+"""Added to the pause between two leaders' orders, for a late call."""
+
+
+class Stage(enum.Enum):
+    """How far a term has come."""
+
+    FENCING = enum.auto()
+    READING = enum.auto()
+    CATCHING_UP = enum.auto()
+    LEADING = enum.auto()
+    OVER = enum.auto()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Given:
+    """What a term has of its daemon."""
+
+    platform: ports.Platform
+    calls: multiplex.Multiplexer
+    clock: abc.Callable[[], float]
+    register: register.Register
+    catalog: abc.Callable[[], catalog.Catalog | None]
+    waves: abc.Callable[[], abc.Iterable[messages.WaveRequested]]
+    jobs_offset: abc.Callable[[], int]
+    election: leadership.Election
+    order_pause_s: float
+
+
+class Term:
+    """The work of the leader in one term."""
+
+    __slots__ = (
+        "_began_at",
+        "_fenced",
+        "_given",
+        "_hosts",
+        "_jobs",
+        "_jobs_end",
+        "_known_hosts",
+        "_progress",
+        "_progress_read",
+        "_retry_at",
+        "_stored",
+        "_tick_at",
+        "_waiting_calls",
+        "over",
+        "number",
+        "stage",
+        "state",
+    )
+
+    def __init__(self, *, given: Given, number: int) -> None:
+        self._given = given
+        self.number = number
+        self.over = ""
+        self.stage = Stage.FENCING
+        self.state: model.State | None = None
+        self._began_at = given.clock()
+        self._retry_at = 0.0
+        self._tick_at = 0.0
+        self._waiting_calls = False
+        self._fenced: set[pages.Topic] = set()
+        self._jobs_end = -1
+        self._stored: dict[str, bytes] = {}
+        self._progress_read = follower.Follower(
+            topic=pages.Topic.PROGRESS, keyed=True, wait_ms=0, pause_s=0.0
+        )
+        self._hosts = follower.Follower(
+            topic=pages.Topic.HOSTS,
+            keyed=True,
+            wait_ms=0,
+            pause_s=HOSTS_EVERY_S,
+        )
+        self._known_hosts: set[str] = set()
+        self._progress = topics.Writer(
+            platform=given.platform,
+            calls=given.calls,
+            clock=given.clock,
+            topic=pages.Topic.PROGRESS,
+            producer=PRODUCER,
+            epoch=number,
+        )
+        self._jobs = topics.Writer(
+            platform=given.platform,
+            calls=given.calls,
+            clock=given.clock,
+            topic=pages.Topic.JOBS,
+            producer=PRODUCER,
+            epoch=number,
+        )
+
+    def step(self, now: float) -> None:
+        """Do what is due."""
+        match self.stage:
+            case Stage.FENCING:
+                self._fence(now)
+            case Stage.READING:
+                self._read(now)
+            case Stage.CATCHING_UP:
+                self._catch_up(now)
+            case Stage.LEADING:
+                self._lead(now)
+
+    def next_at(self, now: float) -> float:
+        """Return when ``step`` has something to do again."""
+        return self._tick_at if self.stage is Stage.LEADING else now + RETRY_S
+
+    def stop(self, reason: str) -> None:
+        """End the term; answers that are still to come are dropped."""
+        if self.stage is not Stage.OVER:
+            self.stage = Stage.OVER
+            self.over = reason
+            logger.bind(
+                event="term.over", term=self.number, reason=reason
+            ).info("no longer the leader")
+
+    # Taking over
+
+    def _fence(self, now: float) -> None:
+        if self._waiting_calls or now < self._retry_at:
+            return
+        for topic in (pages.Topic.PROGRESS, pages.Topic.JOBS):
+            if topic not in self._fenced:
+                self._waiting_calls = True
+                self._given.calls.submit(
+                    self._given.platform.begin_epoch(
+                        topic, PRODUCER, self.number
+                    ),
+                    lambda reply, topic=topic: self._took_fence(topic, reply),
+                )
+                return
+        self.stage = Stage.READING
+
+    def _took_fence(self, topic: pages.Topic, reply: multiplex.Reply) -> None:
+        self._waiting_calls = False
+        self._retry_at = self._given.clock() + RETRY_S
+        match self._given.platform.append_result(reply):
+            case appender.Appended():
+                self._fenced.add(topic)
+                self._retry_at = 0.0
+            case appender.Fenced():
+                self.stop("a later term has begun")
+            case appender.NotDone(reason=reason) | appender.Unknown(
+                reason=reason
+            ):
+                logger.bind(event="term.fencing", topic=topic.value).warning(
+                    "the store did not take the term: {}", reason
+                )
+            case appender.Conflict(reason=reason):
+                logger.bind(event="term.fencing", topic=topic.value).error(
+                    "the store refused the term: {}", reason
+                )
+
+    def _read(self, now: float) -> None:
+        if self._jobs_end < 0:
+            self._read_jobs_end(now)
+            return
+        if self._progress_read.listed:
+            self.stage = Stage.CATCHING_UP
+            return
+        topics.read(
+            self._given.platform,
+            self._given.calls,
+            self._given.clock,
+            self._progress_read,
+            self._took_progress,
+        )
+
+    def _read_jobs_end(self, now: float) -> None:
+        if self._waiting_calls or now < self._retry_at:
+            return
+        self._waiting_calls = True
+        topic = pages.Topic.JOBS
+        offset = max(0, self._given.jobs_offset())
+        call = self._given.platform.read(topic, offset, 0)
+        self._given.calls.submit(
+            call, lambda reply: self._took_jobs_end(offset, reply)
+        )
+
+    def _took_jobs_end(self, offset: int, reply: multiplex.Reply) -> None:
+        self._waiting_calls = False
+        self._retry_at = self._given.clock() + RETRY_S
+        result = self._given.platform.read_result(
+            pages.Topic.JOBS, offset, reply
+        )
+        if isinstance(result, pages.Page):
+            self._jobs_end = result.end
+
+    def _took_progress(self, changes: follower.Changes) -> None:
+        self._stored = {
+            record.key: record.value
+            for record in changes.records
+            if record.value is not None
+        }
+
+    def _catch_up(self, now: float) -> None:
+        if self._given.jobs_offset() < self._jobs_end:
+            return
+        found = [
+            entry.job
+            for entry in self._given.register.entries.values()
+            if not entry.phase.final
+        ]
+        bound = now + leadership.VALID_S + hosts.LEASE_BOUND_S
+        self.state = reducer.begin(
+            term=self.number,
+            found=found,
+            stored=self._stored,
+            lease_bound_at=bound,
+            now=now,
+        )
+        known = self._given.catalog()
+        if known is not None:
+            self.take(messages.CatalogChanged(catalog=known))
+        for wave in self._given.waves():
+            self.take(wave)
+        self.stage = Stage.LEADING
+        logger.bind(
+            event="term.leading",
+            term=self.number,
+            jobs=len(found),
+            records=len(self._stored),
+            took_ms=int((now - self._began_at) * 1000),
+        ).info("this daemon schedules")
+        self._stored = {}
+
+    # Leading
+
+    def take(self, event: messages.Event) -> None:
+        """Take an event in, if this term schedules already."""
+        if self.state is not None and self.stage is not Stage.OVER:
+            reducer.take(self.state, event, self._given.clock())
+
+    def take_record(self, record: records.Record) -> None:
+        """Take in a record of the jobs that the register has taken in."""
+        match record:
+            case records.Accepted(job=job):
+                entry = self._given.register.entries.get(job.id)
+                if entry is not None and not entry.phase.final:
+                    self.take(messages.JobAdded(job=entry.job))
+            case records.Cancelled(id=job_id):
+                self.take(messages.JobCancelled(id=job_id))
+            case records.Ended(id=job_id):
+                self.take(messages.JobClosed(id=job_id))
+
+    def load(self) -> dict[str, float]:
+        """Return what the beat says of the queues."""
+        return {}
+
+    def _lead(self, now: float) -> None:
+        election = self._given.election
+        if not election.leads(now, within_s=leadership.VALID_S):
+            self._tick_at = now + TICK_S
+            return
+        topics.read(
+            self._given.platform,
+            self._given.calls,
+            self._given.clock,
+            self._hosts,
+            self._took_hosts,
+        )
+        if now >= self._tick_at:
+            self._tick_at = now + TICK_S
+            self.take(self._tick(now))
+        reducer.place(self.state, now)
+        for effect in reducer.finish(self.state, now):
+            self._carry_out(effect)
+        self._progress.step(now)
+        self._jobs.step(now)
+        if self._progress.fenced or self._jobs.fenced:
+            self.stop("a later term has written")
+
+    def _tick(self, now: float) -> messages.Tick:
+        election = self._given.election
+        pause = self._given.order_pause_s + leadership.ORDER_VALID_S
+        calm = now - self._began_at > pause + ORDER_MARGIN_S
+        recent = election.leads(now, within_s=leadership.ORDER_VALID_S)
+        return messages.Tick(
+            unix_ms=time.time() * 1000, may_order=calm and recent
+        )
+
+    def _took_hosts(self, changes: follower.Changes) -> None:
+        for key in list(follower.keys_gone(self._known_hosts, changes)):
+            self._known_hosts.discard(key)
+            self.take(messages.HostGone(id=key))
+        newest = {record.key: record for record in changes.records}
+        for record in newest.values():
+            event = self._given.platform.host_record(record)
+            match event:
+                case messages.HostSeen():
+                    self._known_hosts.add(record.key)
+                case messages.HostGone():
+                    self._known_hosts.discard(record.key)
+            if event is not None:
+                self.take(event)
+
+    def _carry_out(self, effect: messages.Effect) -> None:
+        match effect:
+            case messages.Note():
+                logger.bind(event=effect.event, **effect.fields).info("")
+            case messages.SaveProgress(values=values):
+                found = tuple(
+                    appender.Record(key=key, value=value)
+                    for key, value in values.items()
+                )
+                self._progress.add(found, self._saved)
+            case messages.JobBegun(ids=ids):
+                self._announce(records.Begun(ids=ids))
+            case messages.JobEnded(id=job_id, phase=phase):
+                self._announce(records.Ended(id=job_id, phase=phase))
+            case messages.ReadMachines():
+                self._read_machines("", (), self._given.clock())
+            case messages.MoveMachine() | messages.ServiceMachine():
+                self._order(effect)
+            case messages.ReportWave():
+                record = self._given.platform.wave_report(effect)
+                self._report(record)
+            case messages.AskAdvice():
+                self._given.calls.submit(
+                    self._given.platform.advice_call(effect),
+                    lambda reply: self._took(
+                        self._given.platform.advice_event(effect, reply)
+                    ),
+                )
+            case messages.StepDown(reason=reason):
+                self.stop(reason)
+            case _:
+                self._given.calls.submit(
+                    self._given.platform.host_call(effect, self.number),
+                    lambda reply: self._took(
+                        self._given.platform.host_event(effect, reply)
+                    ),
+                )
+
+    def _took(self, event: messages.Event | None) -> None:
+        if event is not None:
+            self.take(event)
+
+    def _saved(self) -> None:
+        self.take(messages.ProgressSaved())
+
+    def _announce(self, record: records.Record) -> None:
+        stored = appender.Record(
+            key=record.key, value=records.encode(record)
+        )
+        self._jobs.add((stored,), None)
+
+    def _report(self, record: appender.Record) -> None:
+        """Write what operators read, again until it is stored."""
+
+        def took(reply: multiplex.Reply) -> None:
+            result = self._given.platform.append_result(reply)
+            if not isinstance(result, appender.Appended):
+                logger.bind(event="report.retried", key=record.key).warning(
+                    "a report was not stored: {}", result
+                )
+                if self.stage is Stage.LEADING:
+                    self._report(record)
+
+        self._given.calls.submit(
+            self._given.platform.append_plain(pages.Topic.REPORTS, record),
+            took,
+        )
+
+    def _order(
+        self, order: messages.MoveMachine | messages.ServiceMachine
+    ) -> None:
+        now = self._given.clock()
+        recent = leadership.ORDER_VALID_S
+        if not self._given.election.leads(now, within_s=recent):
+            result = messages.OrderResult.NOT_DONE
+            event = messages.OrderAnswered(machine=order.machine, result=result)
+            self.take(event)
+            return
+        self._given.calls.submit(
+            self._given.platform.order_call(order, self.number),
+            lambda reply: self.take(
+                messages.OrderAnswered(
+                    machine=order.machine,
+                    result=self._given.platform.order_result(reply),
+                )
+            ),
+        )
+
+    def _read_machines(
+        self,
+        token: str,
+        found: tuple[messages.MachineEntry, ...],
+        began_at: float,
+    ) -> None:
+        def took(reply: multiplex.Reply) -> None:
+            page = self._given.platform.machines_page(reply)
+            if page is None:
+                logger.bind(event="machines.unread").warning(
+                    "the list of machines was not read: {} {}",
+                    reply.status,
+                    reply.reason,
+                )
+                return
+            every = found + page.machines
+            if page.token:
+                self._read_machines(page.token, every, began_at)
+            else:
+                self.take(
+                    messages.MachinesListed(machines=every, began_at=began_at)
+                )
+
+        self._given.calls.submit(
+            self._given.platform.machines_call(token), took
+        )
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return what operators may want to see of the term."""
+        state = self.state
+        return {
+            "term": self.number,
+            "stage": self.stage.name.lower(),
+            "jobs": len(state.jobs) if state else 0,
+            "hosts": len(state.hosts) if state else 0,
+        }
+
--- /dev/null
+++ b/azurewood/daemons/topics.py
@@ -0,0 +1,125 @@
+"""Followers and appenders of the store's topics, joined to their calls."""
+
+from collections import abc
+
+from loguru import logger
+
+from azurewood.daemons import ports
+from azurewood.http import multiplex
+from azurewood.journal import appender
+from azurewood.journal import follower
+from azurewood.journal import pages
+
+
+def read(
+    platform: ports.Platform,
+    calls: multiplex.Multiplexer,
+    clock: abc.Callable[[], float],
+    reader: follower.Follower,
+    changed: abc.Callable[[follower.Changes], None],
+) -> None:
+    """Make a follower's next read, if one is due."""
+    wanted = reader.next_call(clock())
+    topic = reader.topic
+
+    def took(result: pages.ReadResult | pages.NewestResult) -> None:
+        failing = reader.failing
+        changes = reader.took(result, clock())
+        if isinstance(result, pages.Failed) and not failing:
+            logger.bind(event="store.lost", topic=topic.value).warning(
+                "the store is not read: {}", result.reason
+            )
+        elif failing and not reader.failing:
+            logger.bind(event="store.back", topic=topic.value).info(
+                "the store is read again"
+            )
+        if changes is not None:
+            changed(changes)
+
+    match wanted:
+        case follower.ReadNewest(after=after):
+            calls.submit(
+                platform.newest(topic, after),
+                lambda reply: took(platform.newest_result(reply)),
+            )
+        case follower.ReadFrom(offset=offset, wait_ms=wait_ms):
+            calls.submit(
+                platform.read(topic, offset, wait_ms),
+                lambda reply: took(platform.read_result(topic, offset, reply)),
+            )
+
+
+class Writer:
+    """One producer's appends to a topic."""
+
+    __slots__ = (
+        "_appender",
+        "_calls",
+        "_clock",
+        "_platform",
+        "_producer",
+        "_topic",
+    )
+
+    def __init__(
+        self,
+        *,
+        platform: ports.Platform,
+        calls: multiplex.Multiplexer,
+        clock: abc.Callable[[], float],
+        topic: pages.Topic,
+        producer: str,
+        epoch: int,
+    ) -> None:
+        self._platform = platform
+        self._calls = calls
+        self._clock = clock
+        self._topic = topic
+        self._producer = producer
+        self._appender = appender.Appender(epoch=epoch, seed=epoch)
+
+    @property
+    def fenced(self) -> bool:
+        """Whether a later epoch of this producer has begun."""
+        return self._appender.fenced
+
+    def add(
+        self,
+        records: tuple[appender.Record, ...],
+        stored: abc.Callable[[], None] | None,
+    ) -> None:
+        """Append records and call ``stored`` once they are stored."""
+        self._appender.add(appender.Item(records=records, token=stored))
+        self.step(self._clock())
+
+    def withdraw(
+        self, wanted: abc.Callable[[appender.Item], bool]
+    ) -> list[appender.Item]:
+        """Take out and return items that certainly are not stored."""
+        return self._appender.withdraw(wanted)
+
+    def add_item(self, item: appender.Item) -> None:
+        """Append an item whose token is called once it is stored."""
+        self._appender.add(item)
+
+    def step(self, now: float) -> None:
+        """Make the next call, if there is one to make."""
+        request = self._appender.take(now)
+        if request is not None:
+            self._calls.submit(
+                self._platform.append(self._topic, request, self._producer),
+                self._took,
+            )
+
+    def _took(self, reply: multiplex.Reply) -> None:
+        result = self._platform.append_result(reply)
+        failing = self._appender.failing
+        stored = self._appender.settle(result, self._clock())
+        if self._appender.failing and not failing:
+            logger.bind(event="append.failed", topic=self._topic.value).warning(
+                "an append is repeated: {}", result
+            )
+        for item in stored:
+            if item.token is not None:
+                item.token()
+        self.step(self._clock())
--- a/azurewood/daemons/workers.py
+++ b/azurewood/daemons/workers.py
@@ -13,11 +13,11 @@
 
 from azurewood.daemons import runtime as runtimes
 from azurewood.peers import transport as transports
-from azurewood.platform import base as platform
-from azurewood.platform import exceptions
-from azurewood.platform import hosts
-from azurewood.platform import log
-from azurewood.platform import tasks
+from azurewood.provider import base as provider
+from azurewood.provider import exceptions
+from azurewood.provider import hosts
+from azurewood.provider import log
+from azurewood.provider import tasks
 from azurewood.state import effects
 from azurewood.state import events
 
@@ -78,8 +78,8 @@
             self.hear_peers,
         )
 
-    def _connection(self) -> platform.Connection:
-        return platform.Connection(url=self._url, zone=self._zone)
+    def _connection(self) -> provider.Connection:
+        return provider.Connection(url=self._url, zone=self._zone)
 
     def _effects(
         self, source: queue.SimpleQueue
--- /dev/null
+++ b/azurewood/http/multiplex.py
@@ -0,0 +1,260 @@
+"""Many HTTP calls at once from one thread, by pycurl's multi interface.
+
+A ``Multiplexer`` is used by one thread only; ``wake`` may be called by any.
+Connections are kept and used again. A connection on which a call timed out
+is closed by the library.
+"""
+
+from collections import abc
+import dataclasses
+import enum
+import io
+import selectors
+import socket
+import time
+import typing
+
+import pycurl
+
+MAX_IDLE: typing.Final = 512
+"""Connections kept; more than hosts times calls at once to each."""
+MAX_PER_HOST: typing.Final = 8
+"""Connections to one address: well under the 64 that hosts take."""
+CONNECT_TIMEOUT_MS: typing.Final = 700
+"""A handshake takes two network delays; the longest is about 25 ms."""
+
+NOT_SENT_CODES: typing.Final = frozenset(
+    {
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    }
+)
+
+
+class Outcome(enum.Enum):
+    """What is known of a call."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not sent"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Call:
+    """A call to make; the answer must be whole within ``timeout_ms``."""
+
+    method: str
+    url: str
+    headers: tuple[str, ...] = ()
+    body: bytes | None = None
+    timeout_ms: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Reply:
+    """What came of a call. ``status`` and ``body`` are set if answered.
+
+    ``sent_at`` and ``at`` are on the multiplexer's clock.
+    """
+
+    outcome: Outcome
+    status: int = 0
+    body: bytes = b""
+    reason: str = ""
+    sent_at: float
+    at: float
+
+
+Callback = abc.Callable[[Reply], None]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Transfer:
+    done: Callback
+    buffer: io.BytesIO
+    sent_at: float
+
+
+def nothing_sent(curl: pycurl.Curl, code: int) -> bool:
+    """Return whether a failed call certainly never left this process."""
+    if code in NOT_SENT_CODES:
+        return True
+    return not curl.getinfo(pycurl.REQUEST_SIZE)
+
+
+class Multiplexer:
+    """Makes calls and hands each reply to its callback."""
+
+    __slots__ = (
+        "_clock",
+        "_due",
+        "_free",
+        "_multi",
+        "_selector",
+        "_transfers",
+        "_waker",
+        "_waking",
+    )
+
+    def __init__(self, *, clock: abc.Callable[[], float]) -> None:
+        self._clock = clock
+        self._multi = pycurl.CurlMulti()
+        self._selector = selectors.DefaultSelector()
+        self._transfers: dict[pycurl.Curl, _Transfer] = {}
+        self._free: list[pycurl.Curl] = []
+        self._due: float | None = None
+        self._waking, self._waker = socket.socketpair()
+        self._waking.setblocking(False)
+        self._waker.setblocking(False)
+        self._selector.register(self._waking, selectors.EVENT_READ)
+        multi = self._multi
+        multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch)
+        multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE)
+        multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, MAX_PER_HOST)
+        multi.setopt(pycurl.M_PIPELINING, 0)
+
+    def submit(self, call: Call, done: Callback) -> None:
+        """Begin a call; ``done`` gets its reply, always."""
+        curl = self._free.pop() if self._free else pycurl.Curl()
+        buffer = io.BytesIO()
+        _prepare(curl, call, buffer)
+        self._transfers[curl] = _Transfer(
+            done=done, buffer=buffer, sent_at=self._clock()
+        )
+        self._multi.add_handle(curl)
+
+    def wake(self) -> None:
+        """End the wait of ``run_once`` from another thread."""
+        try:
+            self._waker.send(b"w")
+        except BlockingIOError:
+            # Enough wakes are waiting to be read already.
+            return
+
+    def run_once(self, timeout_s: float) -> None:
+        """Wait for at most ``timeout_s`` and handle what is ready."""
+        ready = self._selector.select(self._wait(timeout_s))
+        for key, mask in ready:
+            if key.fileobj is self._waking:
+                self._drain()
+            else:
+                self._act(key.fd, _curl_mask(mask))
+        if self._due is not None and time.monotonic() >= self._due:
+            self._due = None
+            self._act(pycurl.SOCKET_TIMEOUT, 0)
+        self._finish_all()
+
+    def _wait(self, timeout_s: float) -> float:
+        if self._due is None:
+            return max(0.0, timeout_s)
+        return max(0.0, min(timeout_s, self._due - time.monotonic()))
+
+    def _drain(self) -> None:
+        try:
+            while self._waking.recv(4096):
+                pass
+        except BlockingIOError:
+            return
+
+    def _act(self, fd: int, mask: int) -> None:
+        while True:
+            status, _ = self._multi.socket_action(fd, mask)
+            if status != pycurl.E_CALL_MULTI_PERFORM:
+                return
+
+    def _watch(self, what: int, fd: int, multi: object, data: object) -> None:
+        if what == pycurl.POLL_REMOVE:
+            try:
+                self._selector.unregister(fd)
+            except (KeyError, ValueError):
+                # The library reports sockets that were never watched.
+                return
+            return
+        mask = 0
+        if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            mask |= selectors.EVENT_READ
+        if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            mask |= selectors.EVENT_WRITE
+        try:
+            self._selector.modify(fd, mask)
+        except KeyError:
+            self._selector.register(fd, mask)
+
+    def _set_timer(self, timeout_ms: int) -> None:
+        if timeout_ms < 0:
+            self._due = None
+        else:
+            self._due = time.monotonic() + timeout_ms / 1000
+
+    def _finish_all(self) -> None:
+        while True:
+            left, good, bad = self._multi.info_read()
+            for curl in good:
+                self._finish(curl, None)
+            for curl, code, text in bad:
+                self._finish(curl, (code, text))
+            if not left:
+                return
+
+    def _finish(
+        self, curl: pycurl.Curl, error: tuple[int, str] | None
+    ) -> None:
+        transfer = self._transfers.pop(curl)
+        reply = self._reply(curl, transfer, error)
+        self._multi.remove_handle(curl)
+        curl.reset()
+        self._free.append(curl)
+        transfer.done(reply)
+
+    def _reply(
+        self,
+        curl: pycurl.Curl,
+        transfer: _Transfer,
+        error: tuple[int, str] | None,
+    ) -> Reply:
+        now = self._clock()
+        if error is None:
+            return Reply(
+                outcome=Outcome.ANSWERED,
+                status=curl.getinfo(pycurl.RESPONSE_CODE),
+                body=transfer.buffer.getvalue(),
+                sent_at=transfer.sent_at,
+                at=now,
+            )
+        code, text = error
+        unsent = nothing_sent(curl, code)
+        return Reply(
+            outcome=Outcome.NOT_SENT if unsent else Outcome.UNKNOWN,
+            reason=text,
+            sent_at=transfer.sent_at,
+            at=now,
+        )
+
+
+def _curl_mask(mask: int) -> int:
+    wanted = 0
+    if mask & selectors.EVENT_READ:
+        wanted |= pycurl.CSELECT_IN
+    if mask & selectors.EVENT_WRITE:
+        wanted |= pycurl.CSELECT_OUT
+    return wanted
+
+
+def _prepare(curl: pycurl.Curl, call: Call, buffer: io.BytesIO) -> None:
+    curl.setopt(pycurl.URL, call.url)
+    curl.setopt(pycurl.HTTPHEADER, ["Expect:", *call.headers])
+    curl.setopt(pycurl.WRITEFUNCTION, buffer.write)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    curl.setopt(pycurl.TCP_NODELAY, 1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+    curl.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
+    if call.body is not None:
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
+        curl.setopt(pycurl.POSTFIELDS, call.body)
+    curl.setopt(pycurl.CUSTOMREQUEST, call.method)
--- /dev/null
+++ b/azurewood/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' jobs: what they ask for, their lasting records, their states."""
--- /dev/null
+++ b/azurewood/journal/__init__.py
@@ -0,0 +1,1 @@
+"""Writing to the platform's store so that each outcome becomes known."""
--- /dev/null
+++ b/azurewood/journal/appender.py
@@ -0,0 +1,215 @@
+"""Appends in order, one call at a time, each with a sequence number.
+
+A call without an answer is repeated with the same sequence number, which
+the store answers as it did the first time. So the outcome of every append
+becomes known once the store answers again, and nothing is appended twice.
+"""
+
+import collections
+import dataclasses
+import random
+import typing
+
+BATCH_BYTES: typing.Final = 1 << 20
+"""Most bytes of one call; half of what stores take in one."""
+FIRST_RETRY_S: typing.Final = 0.05
+"""First pause after a failed call, doubled up to ``LAST_RETRY_S``."""
+LAST_RETRY_S: typing.Final = 0.8
+FIRST_TIMEOUT_S: typing.Final = 0.4
+"""Wait for the first answer: a hundred times the store's usual 4 ms."""
+LAST_TIMEOUT_S: typing.Final = 2.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Record:
+    """A record to append: without a value it drops its key."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Item:
+    """Records that are appended together, and who wants to know."""
+
+    records: tuple[Record, ...]
+    token: typing.Any = None
+
+    @property
+    def size(self) -> int:
+        """Bytes of the records, roughly."""
+        return sum(
+            len(record.key) + len(record.value or b"") + 8
+            for record in self.records
+        )
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Appended:
+    """The records stand at ``offset`` and after."""
+
+    offset: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class NotDone:
+    """The store did nothing with this call."""
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Unknown:
+    """The call may have taken effect, or may do so later."""
+
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Fenced:
+    """A later epoch of the same producer has appended."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Conflict:
+    """The store refused the call's condition or sequence number."""
+
+    reason: str
+    end: int = -1
+
+
+Result = Appended | NotDone | Unknown | Fenced | Conflict
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Request:
+    """One call to make: all records in one, by a deadline."""
+
+    records: tuple[Record, ...]
+    epoch: int
+    sequence: int
+    timeout_s: float
+
+
+class Appender:
+    """The appends of one producer to one topic.
+
+    ``add`` takes items; ``take`` returns the call to make now, if any;
+    ``settle`` takes its result and returns the items that are stored.
+    """
+
+    __slots__ = (
+        "_batch",
+        "_doubtful",
+        "_epoch",
+        "_failures",
+        "_in_flight",
+        "_pending",
+        "_random",
+        "_retry_at",
+        "_sequence",
+        "fenced",
+        "last_error",
+    )
+
+    def __init__(self, *, epoch: int, seed: int = 0) -> None:
+        self._epoch = epoch
+        self._pending: collections.deque[Item] = collections.deque()
+        self._batch: tuple[Item, ...] = ()
+        self._in_flight = False
+        self._doubtful = False
+        self._failures = 0
+        self._retry_at = 0.0
+        self._sequence = 1
+        self._random = random.Random(seed)
+        self.fenced = False
+        self.last_error = ""
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits and no call is under way."""
+        return not self._batch and not self._pending
+
+    @property
+    def failing(self) -> bool:
+        """Whether the newest call failed."""
+        return self._failures > 0
+
+    def add(self, item: Item) -> None:
+        """Append an item after all earlier ones."""
+        self._pending.append(item)
+
+    def withdraw(self, wanted: typing.Callable[[Item], bool]) -> list[Item]:
+        """Take out and return items that certainly are not stored.
+
+        Those of a call that may have taken effect stay.
+        """
+        if self._batch and not self._in_flight and not self._doubtful:
+            self._pending.extendleft(reversed(self._batch))
+            self._batch = ()
+        taken = [item for item in self._pending if wanted(item)]
+        if taken:
+            kept = [item for item in self._pending if not wanted(item)]
+            self._pending = collections.deque(kept)
+        return taken
+
+    def take(self, now: float) -> Request | None:
+        """Return the call to make now, if there is one."""
+        if self._in_flight or self.fenced or now < self._retry_at:
+            return None
+        if not self._batch:
+            self._batch = tuple(self._next_batch())
+        if not self._batch:
+            return None
+        self._in_flight = True
+        timeout = min(LAST_TIMEOUT_S, FIRST_TIMEOUT_S * 2**self._failures)
+        return Request(
+            records=tuple(r for item in self._batch for r in item.records),
+            epoch=self._epoch,
+            sequence=self._sequence,
+            timeout_s=timeout,
+        )
+
+    def _next_batch(self) -> typing.Iterator[Item]:
+        size = 0
+        while self._pending:
+            size += self._pending[0].size
+            if size > BATCH_BYTES and size > self._pending[0].size:
+                return
+            yield self._pending.popleft()
+
+    def settle(self, result: Result, now: float) -> tuple[Item, ...]:
+        """Take the result of the call; return the items now stored."""
+        self._in_flight = False
+        match result:
+            case Appended():
+                return self._stored()
+            case Fenced():
+                self.fenced = True
+                self.last_error = "a later epoch has appended"
+                return ()
+            case NotDone(reason=reason) | Conflict(reason=reason):
+                self._fail(reason, now)
+            case Unknown(reason=reason):
+                self._doubtful = True
+                self._fail(reason, now)
+        return ()
+
+    def _stored(self) -> tuple[Item, ...]:
+        batch = self._batch
+        self._batch = ()
+        self._doubtful = False
+        self._failures = 0
+        self._retry_at = 0.0
+        self._sequence += 1
+        return batch
+
+    def _fail(self, reason: str, now: float) -> None:
+        self.last_error = reason
+        pause = min(LAST_RETRY_S, FIRST_RETRY_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 10)
+        self._retry_at = now + pause * self._random.uniform(0.5, 1.0)
+
+    def next_at(self) -> float:
+        """Return when ``take`` may have a call again."""
+        return self._retry_at
--- /dev/null
+++ b/azurewood/journal/follower.py
@@ -0,0 +1,170 @@
+"""Following a topic: its newest records once, then every change in order.
+
+No clock and no call here. ``next_call`` says what to read, ``took`` takes
+the answer. When the records that come next are gone, the newest are read
+again.
+"""
+
+from collections import abc
+import dataclasses
+import random
+import typing
+
+from azurewood.journal import appender
+from azurewood.journal import pages
+
+RETRY_S: typing.Final = 0.1
+"""First pause after a failed read, doubled up to ``LAST_RETRY_S``."""
+LAST_RETRY_S: typing.Final = 0.8
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ReadNewest:
+    """Read the newest record of the keys after ``after``."""
+
+    after: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ReadFrom:
+    """Read records from ``offset`` on, waiting for the first."""
+
+    offset: int
+    wait_ms: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Changes:
+    """Records in order. ``whole`` if they are all that there is."""
+
+    records: tuple[appender.Record, ...]
+    whole: bool = False
+
+
+class Follower:
+    """How far one daemon has read a topic.
+
+    ``pause_s`` is the least time between two reads; ``fresh_at`` is when
+    the newest read that succeeded began.
+    """
+
+    __slots__ = (
+        "_after",
+        "_failures",
+        "_found",
+        "_listed_end",
+        "_next_at",
+        "_random",
+        "_reading",
+        "began_at",
+        "fresh_at",
+        "keyed",
+        "offset",
+        "pause_s",
+        "topic",
+        "wait_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        topic: pages.Topic,
+        keyed: bool,
+        wait_ms: int,
+        pause_s: float,
+        seed: int = 0,
+    ) -> None:
+        self.topic = topic
+        self.keyed = keyed
+        self.wait_ms = wait_ms
+        self.pause_s = pause_s
+        self.offset = -1 if keyed else 0
+        self.fresh_at = 0.0
+        self.began_at = 0.0
+        self._after = ""
+        self._found: list[appender.Record] = []
+        self._listed_end = 0
+        self._failures = 0
+        self._next_at = 0.0
+        self._reading = False
+        self._random = random.Random(seed)
+
+    @property
+    def listed(self) -> bool:
+        """Whether the newest records were read."""
+        return self.offset >= 0
+
+    @property
+    def failing(self) -> bool:
+        """Whether the newest read failed."""
+        return self._failures > 0
+
+    def next_at(self) -> float | None:
+        """Return when the next read is due, None while one is under way."""
+        return None if self._reading else self._next_at
+
+    def next_call(self, now: float) -> ReadNewest | ReadFrom | None:
+        """Return the read to make now, if one is due."""
+        if self._reading or now < self._next_at:
+            return None
+        self._reading = True
+        self.began_at = now
+        if self.offset < 0:
+            return ReadNewest(after=self._after)
+        return ReadFrom(offset=self.offset, wait_ms=self.wait_ms)
+
+    def took(
+        self, result: pages.ReadResult | pages.NewestResult, now: float
+    ) -> Changes | None:
+        """Take the answer in; return what changed."""
+        self._reading = False
+        match result:
+            case pages.Failed():
+                self._fail(now)
+                return None
+            case pages.Trimmed(first=first):
+                self._restart(first)
+                return None
+        self._failures = 0
+        self.fresh_at = self.began_at
+        self._next_at = max(now, self.began_at + self.pause_s)
+        match result:
+            case pages.Page(records=records):
+                self.offset += len(records)
+                return Changes(records=records)
+            case pages.Newest():
+                return self._take_newest(result, now)
+
+    def _take_newest(
+        self, page: pages.Newest, now: float
+    ) -> Changes | None:
+        if not self._after:
+            self._found = []
+            self._listed_end = page.end
+        self._found.extend(page.records)
+        self._next_at = now
+        if page.more and page.records:
+            self._after = page.records[-1].key
+            return None
+        self._after = ""
+        self.offset = self._listed_end
+        found, self._found = tuple(self._found), []
+        return Changes(records=found, whole=True)
+
+    def _fail(self, now: float) -> None:
+        pause = min(LAST_RETRY_S, RETRY_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 10)
+        self._next_at = now + pause * self._random.uniform(0.5, 1.0)
+
+    def _restart(self, first: int) -> None:
+        self._after = ""
+        self.offset = -1 if self.keyed else max(0, first)
+
+
+def keys_gone(
+    known: abc.Iterable[str], changes: Changes
+) -> abc.Iterator[str]:
+    """Return the known keys that a whole listing does not have."""
+    if changes.whole:
+        listed = {record.key for record in changes.records}
+        yield from (key for key in known if key not in listed)
--- a/azurewood/platform/base.py
+++ b/azurewood/platform/base.py
@@ -1,124 +1,179 @@
-"""One HTTP connection to the platform, by pycurl.
+"""The adapter as the fleet daemon uses it."""
 
-A ``Connection`` is used by one thread at a time.
-"""
+import typing
 
-import dataclasses
-import io
-
-import msgspec
-import pycurl
+from loguru import logger
 
+from azurewood.conf import fleet
+from azurewood.daemons import ports
+from azurewood.http import multiplex
+from azurewood.jobs import catalog
+from azurewood.jobs import desk
+from azurewood.journal import appender
+from azurewood.journal import pages
+from azurewood.platform import catalogs
 from azurewood.platform import exceptions
-
-CONNECT_TIMEOUT_MS = 1000
-MAX_ANSWER_BYTES = 64 << 20
-ZONE_HEADER = "Azurewood-Zone"
-
-_BEFORE_SENDING = frozenset(
-    {
-        pycurl.E_COULDNT_CONNECT,
-        pycurl.E_COULDNT_RESOLVE_HOST,
-        pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
-    }
-)
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Answer:
-    """A whole answer: the HTTP status and the body."""
-
-    status: int
-    body: bytes
-
-
-class Connection:
-    """A connection to the platform that is kept open between calls."""
-
-    __slots__ = ("_curl", "_headers", "_url")
-
-    def __init__(self, *, url: str, zone: str) -> None:
-        self._url = url.rstrip("/")
-        self._headers = [f"{ZONE_HEADER}: {zone}", "Expect:"]
-        self._curl = pycurl.Curl()
-
-    def call(
-        self,
-        method: str,
-        path: str,
-        *,
-        body: bytes | None = None,
-        timeout_s: float = 2.0,
-    ) -> Answer:
-        """Call the platform and return its whole answer.
-
-        Raise ``NotDone`` if nothing was sent, ``OutcomeUnknown`` if
-        something was and no whole answer came.
-        """
-        buffer = io.BytesIO()
-        self._prepare(method, path, body, timeout_s)
-        self._curl.setopt(pycurl.WRITEDATA, buffer)
+from azurewood.platform import frontdoor
+from azurewood.platform import hosts
+from azurewood.platform import machines
+from azurewood.platform import store
+from azurewood.scheduling import messages
+
+CONFIG_KEY: typing.Final = "config"
+WAVE_PREFIX: typing.Final = "wave/"
+APPEND_TIMEOUT_MS: typing.Final = 800
+"""Appends take about 7 ms, and up to 0.5 s while the store is slow."""
+
+
+class UsersPlatform:
+    """Calls and answers of the users' platform."""
+
+    __slots__ = ("_settings",)
+
+    def __init__(self, *, settings: fleet.FleetSettings) -> None:
+        self._settings = settings
+
+    def append(
+        self, topic: pages.Topic, request: appender.Request, producer: str
+    ) -> multiplex.Call:
+        """Append records under a producer's sequence number."""
+        return store.append(
+            self._settings.store_url, topic, request, producer
+        )
+
+    def begin_epoch(
+        self, topic: pages.Topic, producer: str, epoch: int
+    ) -> multiplex.Call:
+        """Bar earlier epochs of a producer from a topic."""
+        url = self._settings.store_url
+        return store.begin_epoch(
+            url, topic, producer, epoch, APPEND_TIMEOUT_MS
+        )
+
+    def append_at(
+        self, topic: pages.Topic, data: bytes, at: int
+    ) -> multiplex.Call:
+        """Append a record if the topic ends at an offset."""
+        url = self._settings.store_url
+        return store.append_at(url, topic, data, at, APPEND_TIMEOUT_MS)
+
+    def append_plain(
+        self, topic: pages.Topic, record: appender.Record
+    ) -> multiplex.Call:
+        """Append a record that may be appended twice."""
+        url = self._settings.store_url
+        return store.append_plain(url, topic, record, APPEND_TIMEOUT_MS)
+
+    def append_result(self, reply: multiplex.Reply) -> appender.Result:
+        """Decode the answer to any append."""
+        return store.append_result(reply)
+
+    def read(
+        self, topic: pages.Topic, offset: int, wait_ms: int
+    ) -> multiplex.Call:
+        """Read records from an offset on."""
+        return store.read(self._settings.store_url, topic, offset, wait_ms)
+
+    def read_result(
+        self, topic: pages.Topic, offset: int, reply: multiplex.Reply
+    ) -> pages.ReadResult:
+        """Decode the answer to a read."""
+        return store.read_result(topic, offset, reply)
+
+    def newest(self, topic: pages.Topic, after: str) -> multiplex.Call:
+        """Read the newest records of keys after one."""
+        return store.newest(self._settings.store_url, topic, after)
+
+    def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
+        """Decode a page of newest records."""
+        return store.newest_result(reply)
+
+    def host_call(
+        self, effect: messages.Effect, fence: int
+    ) -> multiplex.Call:
+        """Carry out an effect on a host."""
+        return hosts.call(effect, fence)
+
+    def host_event(
+        self, effect: messages.Effect, reply: multiplex.Reply
+    ) -> messages.Event | None:
+        """Decode a host's answer."""
+        return hosts.event(effect, reply)
+
+    def machines_call(self, token: str) -> multiplex.Call:
+        """Read a page of the list of machines."""
+        return machines.list_call(self._settings.machines_url, token)
+
+    def machines_page(
+        self, reply: multiplex.Reply
+    ) -> machines.MachinePage | None:
+        """Decode a page of the list of machines."""
+        return machines.list_page(reply)
+
+    def order_call(
+        self, order: messages.Effect, fence: int
+    ) -> multiplex.Call:
+        """Give a machine an order."""
+        url = self._settings.machines_url
+        return machines.order_call(url, order, self._settings.name, fence)
+
+    def order_result(self, reply: multiplex.Reply) -> messages.OrderResult:
+        """Decode the answer to an order."""
+        return machines.order_result(reply)
+
+    def advice_call(self, ask: messages.AskAdvice) -> multiplex.Call:
+        """Ask which hosts may run a step."""
+        return machines.advice_call(self._settings.advice_url, ask)
+
+    def advice_event(
+        self, ask: messages.AskAdvice, reply: multiplex.Reply
+    ) -> messages.Advised | None:
+        """Decode advice."""
+        return machines.advice_event(ask, reply)
+
+    def operators_record(
+        self, record: appender.Record
+    ) -> catalog.Catalog | messages.WaveRequested | None:
+        """Decode what operators wrote; None if it is none of ours."""
+        if record.value is None:
+            return None
+        try:
+            if record.key == CONFIG_KEY:
+                return catalogs.decode(record.value)
+            if record.key.startswith(WAVE_PREFIX):
+                return machines.decode_wave(record.key, record.value)
+        except exceptions.InvalidMessage as exc:
+            _warn(record.key, exc)
+        return None
+
+    def host_record(
+        self, record: appender.Record
+    ) -> messages.HostSeen | messages.HostGone | None:
+        """Decode a host's entry; None if it cannot be read."""
+        if record.value is None:
+            return messages.HostGone(id=record.key)
         try:
-            self._curl.perform()
-        except pycurl.error as exc:
-            raise self._failure(exc) from exc
-        status = self._curl.getinfo(pycurl.RESPONSE_CODE)
-        return Answer(status=status, body=buffer.getvalue())
-
-    def _prepare(
-        self, method: str, path: str, body: bytes | None, timeout_s: float
-    ) -> None:
-        curl = self._curl
-        curl.reset()
-        curl.setopt(pycurl.URL, self._url + path)
-        curl.setopt(pycurl.CUSTOMREQUEST, method)
-        curl.setopt(pycurl.HTTPHEADER, self._headers)
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
-        curl.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
-        curl.setopt(pycurl.PROXY, "")
-        if body is not None:
-            curl.setopt(pycurl.POST, 1)
-            curl.setopt(pycurl.CUSTOMREQUEST, method)
-            curl.setopt(pycurl.POSTFIELDSIZE, len(body))
-            curl.setopt(pycurl.POSTFIELDS, body)
-
-    def _failure(self, exc: pycurl.error) -> exceptions.PlatformError:
-        code, text = exc.args
-        sent = self._curl.getinfo(pycurl.REQUEST_SIZE)
-        if code in _BEFORE_SENDING or not sent:
-            return exceptions.NotDone(f"platform: {text}")
-        return exceptions.OutcomeUnknown(f"platform: {text}")
-
-    def close(self) -> None:
-        """Close the connection."""
-        self._curl.close()
-
-
-def check(answer: Answer, *expected: int) -> Answer:
-    """Return the answer if its status is expected, else raise.
-
-    Raise ``Rejected`` for 4xx, ``NotDone`` for 429 and 503, which promise
-    that nothing was done, and ``OutcomeUnknown`` for the rest.
-    """
-    if answer.status in expected:
-        return answer
-    text = answer.body[:200].decode("utf-8", "replace")
-    reason = f"platform answered {answer.status}: {text}"
-    if answer.status in (429, 503):
-        raise exceptions.NotDone(reason)
-    if 400 <= answer.status < 500:
-        raise exceptions.Rejected(reason)
-    raise exceptions.OutcomeUnknown(reason)
-
-
-def decode(body: bytes, kind: type) -> object:
-    """Decode a MessagePack body; raise ``OutcomeUnknown`` if malformed."""
-    try:
-        return msgspec.msgpack.decode(body, type=kind)
-    except msgspec.DecodeError as exc:
-        raise exceptions.OutcomeUnknown(
-            f"platform's answer is malformed: {exc}"
-        ) from exc
+            entry = hosts.decode_entry(record.key, record.value)
+        except exceptions.InvalidMessage as exc:
+            _warn(record.key, exc)
+            return None
+        return messages.HostSeen(entry=entry)
+
+    def wave_report(self, report: messages.ReportWave) -> appender.Record:
+        """Encode how far a wave is."""
+        key, value = machines.encode_report(report)
+        return appender.Record(key=key, value=value)
+
+    def callers(self, desk: desk.Desk) -> ports.Application:
+        """Return the application of callers' requests."""
+        return frontdoor.Callers(desk=desk)
+
+    def readiness(self, desk: desk.Desk) -> ports.Application:
+        """Return the application that balancers ask."""
+        return frontdoor.Readiness(desk=desk)
+
+
+def _warn(key: str, exc: exceptions.InvalidMessage) -> None:
+    logger.bind(event="record.unreadable", key=key).warning(
+        "a record is left out: {}", exc
+    )
--- /dev/null
+++ b/azurewood/platform/catalogs.py
@@ -0,0 +1,88 @@
+"""The operators' manifest, decoded into the product's catalog."""
+
+import msgspec
+
+from azurewood.jobs import catalog
+from azurewood.platform import exceptions
+
+
+class _Hint(msgspec.Struct):
+    decision_ms: int = 0
+    per_item_ms: int = 0
+    validity_ms: int = 0
+
+
+class _Route(msgspec.Struct):
+    """A queue. ``slo_factor`` and ``slo_ms`` make up its objective."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    slo_factor: float = 1.0
+    slo_ms: int = 0
+    hint: _Hint | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    enforce_capacity: bool = False
+    standby: bool = False
+
+
+class _Limits(msgspec.Struct):
+    body_bytes: int = catalog.DEFAULT_BODY_BYTES
+
+
+class _Manifest(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode(data: bytes) -> catalog.Catalog:
+    """Return the catalog of a manifest; raise ``InvalidMessage``."""
+    try:
+        found = msgspec.json.decode(data, type=_Manifest)
+    except msgspec.DecodeError as exc:
+        raise exceptions.InvalidMessage(f"manifest: {exc}") from exc
+    return catalog.Catalog(
+        version=found.version,
+        queues={route.name: _queue(route) for route in found.routes},
+        pools={
+            service.name: catalog.Pool(
+                name=service.name,
+                guards_room=service.enforce_capacity,
+                standby=service.standby,
+            )
+            for service in found.services
+        },
+        body_bytes=found.limits.body_bytes,
+    )
+
+
+def _queue(route: _Route) -> catalog.Queue:
+    return catalog.Queue(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        objective_factor=route.slo_factor,
+        objective_ms=route.slo_ms,
+        advice=_advice(route.hint),
+    )
+
+
+def _advice(hint: _Hint | None) -> catalog.Advice | None:
+    if hint is None:
+        return None
+    return catalog.Advice(
+        decision_ms=hint.decision_ms,
+        per_host_ms=hint.per_item_ms,
+        validity_ms=hint.validity_ms,
+    )
--- a/azurewood/platform/exceptions.py
+++ b/azurewood/platform/exceptions.py
@@ -1,19 +1,15 @@
-"""Errors of the platform's clients."""
+"""Errors of the platform's adapter."""
 
 from azurewood import exceptions
 
 
 class PlatformError(exceptions.AzurewoodError):
-    """Base of the errors of the platform's clients."""
+    """Base of the errors of this package."""
 
 
-class NotDone(PlatformError):
-    """The call certainly had no effect."""
+class InvalidMessage(PlatformError):
+    """A message of the platform cannot be read; the text says why."""
 
 
-class OutcomeUnknown(PlatformError):
-    """The call may or may not have taken effect."""
-
-
-class Rejected(PlatformError):
-    """The platform answered that the call is wrong (4xx)."""
+class InvalidSettings(PlatformError):
+    """The settings file cannot be read; the text says why."""
--- /dev/null
+++ b/azurewood/platform/frontdoor.py
@@ -0,0 +1,144 @@
+"""What callers and the balancer speak: HTTP requests about jobs.
+
+PREFIX + ID hands a job in (POST), shows its state (GET) or cancels it
+(DELETE); GET PREFIX shows how many jobs of the queue wait.
+"""
+
+from collections import abc
+import time
+import typing
+
+from werkzeug import wrappers
+
+from azurewood.jobs import catalog
+from azurewood.jobs import desk
+from azurewood.jobs import exceptions
+from azurewood.platform import jobs
+
+DEADLINE_HEADER: typing.Final = "X-Deadline-Ms"
+DEFAULT_WAIT_MS: typing.Final = 3000
+"""How long a caller waits if it does not say."""
+ANSWER_MARGIN_S: typing.Final = 0.1
+"""Time left for an answer to reach its caller."""
+READY_PATH: typing.Final = "/api/readyz"
+JSON: typing.Final = "application/json"
+
+StartResponse = abc.Callable[..., typing.Any]
+
+
+class Callers:
+    """The WSGI application of callers' requests."""
+
+    __slots__ = ("_desk",)
+
+    def __init__(self, *, desk: desk.Desk) -> None:
+        self._desk = desk
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: StartResponse
+    ) -> abc.Iterable[bytes]:
+        """Answer one request."""
+        req = wrappers.Request(environ)
+        return self._answer(req)(environ, start_response)
+
+    def _answer(self, req: wrappers.Request) -> wrappers.Response:
+        known = self._desk.catalog
+        if known is None:
+            return _refuse(503, "no configuration is known yet", 1)
+        queue = known.find(req.host, req.path)
+        if queue is None:
+            return _refuse(404, "no such queue")
+        job_id = req.path[len(queue.path_prefix) :]
+        match req.method:
+            case "POST":
+                return self._submit(req, queue, job_id, known.body_bytes)
+            case "GET" if not job_id:
+                count = self._desk.waiting(queue.name)
+                return _json(200, jobs.encode_waiting(count))
+            case "GET":
+                return self._show(job_id)
+            case "DELETE":
+                verdict = self._desk.cancel(job_id, until=_until(req))
+                return _verdict(verdict)
+            case _:
+                return _refuse(405, "POST, GET or DELETE")
+
+    def _submit(
+        self,
+        req: wrappers.Request,
+        queue: catalog.Queue,
+        job_id: str,
+        body_bytes: int,
+    ) -> wrappers.Response:
+        if (req.content_length or 0) > body_bytes:
+            return _refuse(413, f"more than {body_bytes} bytes")
+        now_ms = int(time.time() * 1000)
+        try:
+            job = jobs.decode(job_id, queue, req.get_data(), now_ms)
+        except exceptions.InvalidJob as exc:
+            return _refuse(400, str(exc))
+        return _verdict(self._desk.submit(job, until=_until(req)))
+
+    def _show(self, job_id: str) -> wrappers.Response:
+        match self._desk.show(job_id):
+            case desk.Shown(phase=phase):
+                return _json(200, jobs.encode_phase(phase))
+            case desk.NotThere():
+                return _refuse(410, "no such job")
+            case desk.NotKnown(retry_after_s=after_s):
+                return _refuse(503, "not in touch with the store", after_s)
+
+
+class Readiness:
+    """The WSGI application that the platform's balancer asks."""
+
+    __slots__ = ("_desk",)
+
+    def __init__(self, *, desk: desk.Desk) -> None:
+        self._desk = desk
+
+    def __call__(
+        self, environ: dict[str, typing.Any], start_response: StartResponse
+    ) -> abc.Iterable[bytes]:
+        """Answer 200 if this daemon takes requests, else 503."""
+        if environ["PATH_INFO"] != READY_PATH:
+            response = _refuse(404, "not found")
+        elif self._desk.ready():
+            response = _json(200, b"{}")
+        else:
+            response = _refuse(503, "not ready", 1)
+        return response(environ, start_response)
+
+
+def _until(req: wrappers.Request) -> float:
+    """Return when the caller stops waiting, in seconds of its wait."""
+    text = req.headers.get(DEADLINE_HEADER, "")
+    wait_ms = int(text) if text.isdecimal() else DEFAULT_WAIT_MS
+    return max(0.0, wait_ms / 1000 - ANSWER_MARGIN_S)
+
+
+def _verdict(verdict: desk.Verdict) -> wrappers.Response:
+    match verdict:
+        case desk.Taken():
+            return _json(200, b"{}")
+        case desk.NotThere():
+            return _refuse(410, "no such job")
+        case desk.Refused(reason=reason, retry_after_s=after_s, busy=busy):
+            return _refuse(429 if busy else 503, reason, after_s)
+        case desk.OutcomeUnknown(reason=reason):
+            return _refuse(504, reason)
+
+
+def _json(status: int, body: bytes) -> wrappers.Response:
+    return wrappers.Response(body, status=status, content_type=JSON)
+
+
+def _refuse(
+    status: int, reason: str, retry_after_s: int = 0
+) -> wrappers.Response:
+    response = wrappers.Response(
+        reason + "\n", status=status, content_type="text/plain"
+    )
+    if retry_after_s:
+        response.headers["Retry-After"] = str(retry_after_s)
+    return response
--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -1,44 +1,257 @@
-"""Client of the platform's list of live and leaving hosts."""
+"""The platform's workers, which are our hosts: entries and calls.
+
+A worker's ``clock_ms`` is its steady clock; ``deadline_ms`` is the time on
+that clock at which its lease ends, for all that runs there.
+"""
+
+import typing
 
 import msgspec
 
-from azurewood.platform import base
-from azurewood.state import events
+from azurewood.http import multiplex
+from azurewood.jobs import model
+from azurewood.platform import exceptions
+from azurewood.scheduling import messages
 
-WAIT_MARGIN_S = 2.0
+CALL_TIMEOUT_MS: typing.Final = 800
+"""Calls take a few ms; a fault that delays them more lasts seconds."""
+HOLD_MARGIN_MS: typing.Final = 800
+TARGET_HEADER: typing.Final = "X-Target-Instance"
+JSON_HEADER: typing.Final = "Content-Type: application/json"
 
 
-class _Host(msgspec.Struct, kw_only=True):
-    name: str
-    state: str
+class Capacity(msgspec.Struct):
+    """Room of a worker: ``cpu`` in thousandths of a core."""
 
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
 
-class _Listing(msgspec.Struct, kw_only=True):
-    version: int
-    hosts: list[_Host]
+    def resources(self) -> model.Resources:
+        """Return it as the product's type."""
+        return model.Resources(self.cpu, self.mem_mb, self.gpu)
 
 
-class HostListClient:
-    """Reads the host list, which lags behind the hosts."""
+class _Entry(msgspec.Struct):
+    """``born`` is the Unix ms at which this life began."""
 
-    __slots__ = ("_conn",)
+    service: str
+    addr: str
+    state: typing.Literal["ready", "draining"]
+    capacity: Capacity
+    zone: str = ""
+    labels: list[str] = []
+    born: int = 0
 
-    def __init__(self, *, conn: base.Connection) -> None:
-        self._conn = conn
 
-    def read(self, since: int, *, wait_ms: int) -> events.HostsListed:
-        """Read the list, waiting for a version other than ``since``."""
-        answer = self._conn.call(
-            "GET",
-            f"/v1/hosts?since={since}&wait_ms={wait_ms}",
-            timeout_s=wait_ms / 1000 + WAIT_MARGIN_S,
-        )
-        base.check(answer, 200)
-        listing = base.decode(answer.body, _Listing)
-        return events.HostsListed(
-            version=listing.version,
-            hosts=tuple(
-                events.ListedHost(name=host.name, state=host.state)
-                for host in listing.hosts
-            ),
+class _Answer(msgspec.Struct):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class _Listing(msgspec.Struct):
+    clock_ms: int
+    running: list[list]
+    ended_runs: list[list]
+    born: int = 0
+
+
+_REFUSALS: typing.Final = {
+    "fence": messages.Refusal.FENCE,
+    "old": messages.Refusal.OLD,
+    "late": messages.Refusal.LATE,
+    "room": messages.Refusal.ROOM,
+    "ticket": messages.Refusal.TICKET,
+}
+
+
+def decode_entry(key: str, data: bytes) -> messages.HostEntry:
+    """Return a worker's entry; raise ``InvalidMessage``."""
+    try:
+        entry = msgspec.json.decode(data, type=_Entry)
+    except msgspec.DecodeError as exc:
+        raise exceptions.InvalidMessage(f"entry of {key}: {exc}") from exc
+    return messages.HostEntry(
+        id=key,
+        address=entry.addr,
+        service=entry.service,
+        zone=entry.zone,
+        state=messages.HostState(entry.state),
+        room=entry.capacity.resources(),
+        labels=tuple(entry.labels),
+        born_ms=entry.born,
+    )
+
+
+def task_name(task: model.TaskId) -> str:
+    """Return the platform's name of a task."""
+    return f"{task.job}.{task.occurrence}.{task.step}.{task.index}"
+
+
+def task_id(name: str) -> model.TaskId:
+    """Return the task of a name; raise ``InvalidMessage``."""
+    job, *numbers = name.split(".")
+    if len(numbers) != 3 or not all(n.isdecimal() for n in numbers):
+        raise exceptions.InvalidMessage(f"{name!r} names no task")
+    return model.TaskId(job, *map(int, numbers))
+
+
+def call(effect: messages.Effect, fence: int) -> multiplex.Call:
+    """Return the call that carries out an effect on a host."""
+    match effect:
+        case messages.StartRun():
+            body = {
+                "task": task_name(effect.task),
+                "run": effect.run,
+                "spec": effect.payload,
+                "deadline_ms": effect.lease_until_ms,
+                "fence": fence,
+            }
+            if effect.saved:
+                body["last_checkpoint"] = effect.saved
+            if effect.ticket:
+                body["ticket"] = effect.ticket
+            return _post(effect, "/api/run-start", body, CALL_TIMEOUT_MS)
+        case messages.StopRun():
+            body = {
+                "task": task_name(effect.task),
+                "run": effect.run,
+                "fence": fence,
+            }
+            return _post(effect, "/api/run-stop", body, CALL_TIMEOUT_MS)
+        case messages.PaceRun():
+            body = {
+                "task": task_name(effect.task),
+                "run": effect.run,
+                "pct": effect.percent,
+                "fence": fence,
+            }
+            return _post(effect, "/api/pace", body, CALL_TIMEOUT_MS)
+        case messages.HoldHost():
+            body = {"fence": fence, "ack_cursor": effect.acknowledged}
+            if effect.lease_until_ms is not None:
+                body["deadline_ms"] = effect.lease_until_ms
+            if effect.wait_ms:
+                body["wait_ms"] = effect.wait_ms
+            timeout = effect.wait_ms + HOLD_MARGIN_MS
+            return _post(effect, "/api/hold", body, timeout)
+        case _:
+            raise TypeError(f"not an effect on a host: {effect!r}")
+
+
+def _post(
+    effect: typing.Any, path: str, body: dict[str, object], timeout_ms: int
+) -> multiplex.Call:
+    return multiplex.Call(
+        method="POST",
+        url=f"http://{effect.address}{path}",
+        headers=(JSON_HEADER, f"{TARGET_HEADER}: {effect.host}"),
+        body=msgspec.json.encode(body),
+        timeout_ms=timeout_ms,
+    )
+
+
+def event(
+    effect: messages.Effect, reply: multiplex.Reply
+) -> messages.Event | None:
+    """Return the event of a host's answer, None if it matters to nobody."""
+    match effect:
+        case messages.StartRun():
+            return messages.StartAnswered(
+                host=effect.host,
+                task=effect.task,
+                run=effect.run,
+                refusal=_refusal(reply),
+                clock_ms=_answer(reply).clock_ms,
+            )
+        case messages.StopRun():
+            return messages.StopAnswered(
+                host=effect.host,
+                task=effect.task,
+                run=effect.run,
+                refusal=_refusal(reply),
+            )
+        case messages.HoldHost():
+            return _listing(effect, reply)
+        case _:
+            return None
+
+
+def _refusal(reply: multiplex.Reply) -> messages.Refusal | None:
+    match reply.outcome:
+        case multiplex.Outcome.NOT_SENT:
+            return messages.Refusal.NOT_SENT
+        case multiplex.Outcome.UNKNOWN:
+            return messages.Refusal.UNKNOWN
+    match reply.status:
+        case 200:
+            return None
+        case 400:
+            return messages.Refusal.MALFORMED
+        case 409:
+            reason = _answer(reply).reason
+            return _REFUSALS.get(reason, messages.Refusal.UNKNOWN)
+        case 421:
+            return messages.Refusal.OTHER_LIFE
+        case 429 | 503:
+            return messages.Refusal.UNHEALTHY
+        case _:
+            return messages.Refusal.UNKNOWN
+
+
+def _answer(reply: multiplex.Reply) -> _Answer:
+    """Return an answer's body; one that cannot be read says nothing."""
+    try:
+        return msgspec.json.decode(reply.body or b"{}", type=_Answer)
+    except msgspec.DecodeError:
+        return _Answer()
+
+
+def _listing(
+    effect: messages.HoldHost, reply: multiplex.Reply
+) -> messages.Event:
+    refusal = _refusal(reply)
+    if refusal is not None:
+        return messages.HoldFailed(host=effect.host, reason=refusal)
+    try:
+        found = msgspec.json.decode(reply.body, type=_Listing)
+        running = tuple(_running(row) for row in found.running)
+        ended = tuple(_ended(row) for row in found.ended_runs)
+    except (
+        msgspec.DecodeError,
+        exceptions.InvalidMessage,
+        LookupError,
+        TypeError,
+        ValueError,
+    ):
+        return messages.HoldFailed(
+            host=effect.host, reason=messages.Refusal.MALFORMED
         )
+    return messages.HostListed(
+        host=effect.host,
+        born_ms=found.born,
+        clock_ms=found.clock_ms,
+        sent_at=reply.sent_at,
+        running=running,
+        ended=ended,
+    )
+
+
+def _running(row: list) -> messages.RunningRow:
+    return messages.RunningRow(
+        task=task_id(row[0]),
+        run=row[1],
+        saved=row[2] or "",
+        percent=int(row[3]),
+        measure=int(row[4]) if len(row) > 4 and row[4] is not None else 0,
+    )
+
+
+def _ended(row: list) -> messages.EndedRow:
+    return messages.EndedRow(
+        number=row[0],
+        task=task_id(row[1]),
+        run=row[2],
+        how=messages.End(row[3]),
+        saved=row[4] or "",
+    )
--- /dev/null
+++ b/azurewood/platform/machines.py
@@ -0,0 +1,205 @@
+"""The platform's machines: their list, moves and upkeep; and advice."""
+
+import typing
+import urllib.parse
+
+import msgspec
+
+from azurewood.http import multiplex
+from azurewood.platform import exceptions
+from azurewood.platform import hosts
+from azurewood.scheduling import messages
+
+CALL_TIMEOUT_MS: typing.Final = 2000
+HOLDER_HEADER: typing.Final = "X-Lease-Holder"
+FENCE_HEADER: typing.Final = "X-Fencing-Token"
+
+
+class _Machine(msgspec.Struct):
+    """``id`` is the machine's present worker."""
+
+    machine: str
+    pool: str
+    state: typing.Literal["up", "moving", "upkeep", "down"]
+    zone: str = ""
+    id: str | None = None
+
+
+class _Listing(msgspec.Struct):
+    nodes: list[_Machine]
+    next_token: str | int | None = None
+
+
+class _Wave(msgspec.Struct):
+    """``tranche`` is the wave's number."""
+
+    tranche: int
+    nodes: list[str]
+    max_count: int = 1
+    finish_by_s: float = 0.0
+
+
+class _Advice(msgspec.Struct):
+    approved: list[tuple[str, str]]
+    validity_ms: int = 0
+
+
+class _Refused(msgspec.Struct):
+    reason: str = ""
+
+
+class MachinePage(msgspec.Struct, frozen=True):
+    """One page of the list; ``token`` asks for the next, if there is one."""
+
+    machines: tuple[messages.MachineEntry, ...]
+    token: str
+
+
+def list_call(url: str, token: str) -> multiplex.Call:
+    """Return the call that reads a page of the list."""
+    query = "?" + urllib.parse.urlencode({"page_token": token})
+    return multiplex.Call(
+        method="GET",
+        url=f"{url}/api/machines{query if token else ''}",
+        timeout_ms=CALL_TIMEOUT_MS,
+    )
+
+
+def list_page(reply: multiplex.Reply) -> MachinePage | None:
+    """Return a page of the list, None if the answer has none."""
+    if reply.outcome is not multiplex.Outcome.ANSWERED or reply.status != 200:
+        return None
+    try:
+        found = msgspec.json.decode(reply.body, type=_Listing)
+    except msgspec.DecodeError:
+        return None
+    token = found.next_token
+    return MachinePage(
+        machines=tuple(
+            messages.MachineEntry(
+                name=entry.machine,
+                pool=entry.pool,
+                state=messages.MachineState(entry.state),
+                host=entry.id or "",
+                zone=entry.zone,
+            )
+            for entry in found.nodes
+        ),
+        token="" if token is None else str(token),
+    )
+
+
+def order_call(
+    url: str,
+    order: messages.MoveMachine | messages.ServiceMachine,
+    holder: str,
+    fence: int,
+) -> multiplex.Call:
+    """Return the call that gives an order to a machine."""
+    match order:
+        case messages.MoveMachine(machine=machine, pool=pool):
+            path = "/api/machine-move"
+            body = {"machine": machine, "pool": pool}
+        case messages.ServiceMachine(machine=machine, wave=wave):
+            path = "/api/machine-upkeep"
+            body = {"machine": machine, "tranche": wave}
+    return multiplex.Call(
+        method="POST",
+        url=url + path,
+        headers=(
+            hosts.JSON_HEADER,
+            f"{HOLDER_HEADER}: {holder}",
+            f"{FENCE_HEADER}: {fence}",
+        ),
+        body=msgspec.json.encode(body),
+        timeout_ms=CALL_TIMEOUT_MS,
+    )
+
+
+def order_result(reply: multiplex.Reply) -> messages.OrderResult:
+    """Return what an answer says of an order."""
+    match reply.outcome:
+        case multiplex.Outcome.NOT_SENT:
+            return messages.OrderResult.NOT_DONE
+        case multiplex.Outcome.UNKNOWN:
+            return messages.OrderResult.UNKNOWN
+    match reply.status:
+        case 200:
+            return messages.OrderResult.DONE
+        case 400:
+            return messages.OrderResult.REFUSED
+        case 409:
+            return _conflict(reply.body)
+        case 429 | 503:
+            return messages.OrderResult.NOT_DONE
+        case _:
+            return messages.OrderResult.UNKNOWN
+
+
+def _conflict(body: bytes) -> messages.OrderResult:
+    try:
+        reason = msgspec.json.decode(body, type=_Refused).reason
+    except msgspec.DecodeError:
+        reason = ""
+    match reason:
+        case "fence":
+            return messages.OrderResult.FENCED
+        case "wave":
+            return messages.OrderResult.REFUSED
+        case _:
+            return messages.OrderResult.BUSY
+
+
+def decode_wave(key: str, data: bytes) -> messages.WaveRequested:
+    """Return a wave; raise ``InvalidMessage``."""
+    try:
+        wave = msgspec.json.decode(data, type=_Wave)
+    except msgspec.DecodeError as exc:
+        raise exceptions.InvalidMessage(f"{key}: {exc}") from exc
+    return messages.WaveRequested(
+        number=wave.tranche,
+        machines=tuple(wave.nodes),
+        max_down=wave.max_count,
+        finish_by_s=wave.finish_by_s,
+    )
+
+
+def encode_report(report: messages.ReportWave) -> tuple[str, bytes]:
+    """Return the key and value that report a wave."""
+    state = "completed" if report.completed else "running"
+    value = {"tranche": report.number, "state": state}
+    return f"wave/{report.number}", msgspec.json.encode(value)
+
+
+def advice_call(url: str, ask: messages.AskAdvice) -> multiplex.Call:
+    """Return the call that asks which hosts may run a step."""
+    body = {
+        "phase": f"{ask.job}.{ask.occurrence}.{ask.step}",
+        "workers": list(ask.hosts),
+    }
+    return multiplex.Call(
+        method="POST",
+        url=f"{url}/api/advise",
+        headers=(hosts.JSON_HEADER,),
+        body=msgspec.json.encode(body),
+        timeout_ms=CALL_TIMEOUT_MS,
+    )
+
+
+def advice_event(
+    ask: messages.AskAdvice, reply: multiplex.Reply
+) -> messages.Advised | None:
+    """Return the advice of an answer, None if there is none."""
+    if reply.outcome is not multiplex.Outcome.ANSWERED or reply.status != 200:
+        return None
+    try:
+        advice = msgspec.json.decode(reply.body, type=_Advice)
+    except msgspec.DecodeError:
+        return None
+    return messages.Advised(
+        job=ask.job,
+        occurrence=ask.occurrence,
+        step=ask.step,
+        tickets=dict(advice.approved),
+        valid_until=reply.sent_at + advice.validity_ms / 1000,
+    )
--- /dev/null
+++ b/azurewood/platform/settings.py
@@ -0,0 +1,96 @@
+"""The settings file that the platform writes, a YAML mapping.
+
+Fields that are not declared here are ignored.
+"""
+
+import pathlib
+import typing
+
+import msgspec
+
+from azurewood.conf import fleet
+from azurewood.conf import kinds
+from azurewood.platform import exceptions
+
+VARIABLE: typing.Final = "AZUREWOOD_SETTINGS"
+"""Environment variable with the path of the file."""
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Store(msgspec.Struct):
+    addr: str
+    keep_s: float = 0.0
+
+
+class _Cloud(msgspec.Struct):
+    addr: str
+    rate_per_s: float = 0.0
+    duty_per_s: float = 0.0
+
+
+class _Bounds(msgspec.Struct):
+    """``hold_max_ms`` is the longest lease that a host grants."""
+
+    grace_s: float = 6.0
+    hold_max_ms: int = 6000
+    lease_ms: int = 3000
+    status_s: float = 120.0
+
+
+class _Settings(msgspec.Struct):
+    """``hint`` is the address of the advice service."""
+
+    node: str
+    zone: str
+    listen: _Listen
+    platform: _Store
+    cloud: _Cloud
+    hint: str | None = None
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def load(path: str) -> fleet.FleetSettings:
+    """Return the settings in a file; raise ``InvalidSettings``."""
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as exc:
+        raise exceptions.InvalidSettings(f"cannot read {path}: {exc}") from exc
+    return parse(data)
+
+
+def parse(data: bytes) -> fleet.FleetSettings:
+    """Return the settings in YAML; raise ``InvalidSettings``."""
+    try:
+        found = msgspec.yaml.decode(data, type=_Settings)
+    except msgspec.DecodeError as exc:
+        raise exceptions.InvalidSettings(f"settings: {exc}") from exc
+    return fleet.FleetSettings(
+        name=found.node,
+        zone=found.zone,
+        front=_address("listen.front", found.listen.front),
+        ready=_address("listen.ready", found.listen.ready),
+        store_url=_url("platform.addr", found.platform.addr),
+        machines_url=_url("cloud.addr", found.cloud.addr),
+        advice_url=_url("hint", found.hint) if found.hint else "",
+        stop_within_s=found.bounds.grace_s,
+        turn_pause_s=found.bounds.lease_ms / 1000,
+        retention_s=found.bounds.status_s,
+    )
+
+
+def _url(place: str, text: str) -> str:
+    return f"http://{_address(place, text)}"
+
+
+def _address(place: str, text: str) -> kinds.Address:
+    host, _, port = text.rpartition(":")
+    if not host or not kinds.PORT.fullmatch(port):
+        raise exceptions.InvalidSettings(
+            f"settings: {place}: {text!r} is not an address and a port"
+        )
+    return kinds.Address(host=host.strip("[]"), port=int(port))
--- /dev/null
+++ b/azurewood/platform/store.py
@@ -0,0 +1,256 @@
+"""The platform's store: an HTTP log with topics, partitions and keys.
+
+A topic whose name begins with ``keyed.`` keeps the newest record of each
+key. All topics here use partition 0.
+"""
+
+import base64
+import enum
+import struct
+import typing
+import urllib.parse
+
+import msgspec
+
+from azurewood.http import multiplex
+from azurewood.journal import appender
+from azurewood.journal import pages
+from azurewood.platform import exceptions
+
+LENGTH: typing.Final = struct.Struct(">I")
+HEAD: typing.Final = struct.Struct(">QQ")
+READ_KB: typing.Final = 1024
+READ_MARGIN_MS: typing.Final = 1500
+"""Added to a read's own wait before it is given up."""
+READ_TIMEOUT_MS: typing.Final = 2500
+
+NAMES: typing.Final = {
+    pages.Topic.JOBS: "keyed.jobs",
+    pages.Topic.PROGRESS: "keyed.progress",
+    pages.Topic.LEADER: "leader",
+    pages.Topic.OPERATORS: "keyed.op",
+    pages.Topic.HOSTS: "keyed.servers",
+    pages.Topic.REPORTS: "keyed.status",
+}
+KEYED: typing.Final = frozenset(NAMES) - {pages.Topic.LEADER}
+
+
+class _Reason(enum.Enum):
+    FENCED = "fenced"
+    SEQ = "seq"
+
+
+class _AppendAnswer(msgspec.Struct):
+    """``end`` is the partition's end; ``seq`` is not used here."""
+
+    offset: int = -1
+    end: int = -1
+    reason: str = ""
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    end: int
+
+
+class _Trimmed(msgspec.Struct):
+    first_offset: int
+
+
+def append(
+    url: str, topic: pages.Topic, request: appender.Request, producer: str
+) -> multiplex.Call:
+    """Return the call that appends records under a sequence number."""
+    query = {
+        "topic": NAMES[topic],
+        "part": 0,
+        "producer": producer,
+        "epoch": request.epoch,
+        "seq": request.sequence,
+    }
+    body = b"".join(_frame(topic, record) for record in request.records)
+    return _append(url, query, body, int(request.timeout_s * 1000))
+
+
+def begin_epoch(
+    url: str, topic: pages.Topic, producer: str, epoch: int, timeout_ms: int
+) -> multiplex.Call:
+    """Return the call that bars a producer's earlier epochs."""
+    query = {
+        "topic": NAMES[topic],
+        "part": 0,
+        "producer": producer,
+        "epoch": epoch,
+        "seq": 0,
+    }
+    return _append(url, query, b"", timeout_ms)
+
+
+def append_at(
+    url: str, topic: pages.Topic, data: bytes, at: int, timeout_ms: int
+) -> multiplex.Call:
+    """Return the call that appends a record if the log ends at ``at``."""
+    query = {"topic": NAMES[topic], "part": 0, "at": at}
+    body = _frame(topic, appender.Record(key="", value=data))
+    return _append(url, query, body, timeout_ms)
+
+
+def append_plain(
+    url: str, topic: pages.Topic, record: appender.Record, timeout_ms: int
+) -> multiplex.Call:
+    """Return the call that appends a record without any condition."""
+    query = {"topic": NAMES[topic], "part": 0}
+    return _append(url, query, _frame(topic, record), timeout_ms)
+
+
+def _append(
+    url: str, query: dict[str, object], body: bytes, timeout_ms: int
+) -> multiplex.Call:
+    return multiplex.Call(
+        method="POST",
+        url=f"{url}/api/log-append?{urllib.parse.urlencode(query)}",
+        headers=("Content-Type: application/octet-stream",),
+        body=body,
+        timeout_ms=timeout_ms,
+    )
+
+
+def _frame(topic: pages.Topic, record: appender.Record) -> bytes:
+    data = record.value or b""
+    if topic in KEYED:
+        key = record.key.encode()
+        data = bytes((len(key),)) + key + data
+    return LENGTH.pack(len(data)) + data
+
+
+def append_result(reply: multiplex.Reply) -> appender.Result:
+    """Return what an answer says of an append."""
+    match reply.outcome:
+        case multiplex.Outcome.NOT_SENT:
+            return appender.NotDone(reason=reply.reason)
+        case multiplex.Outcome.UNKNOWN:
+            return appender.Unknown(reason=reply.reason)
+    if reply.status in (429, 503):
+        return appender.NotDone(reason=f"store answered {reply.status}")
+    try:
+        answer = msgspec.json.decode(reply.body or b"{}", type=_AppendAnswer)
+    except msgspec.DecodeError as exc:
+        return appender.Unknown(reason=f"store's answer is malformed: {exc}")
+    match reply.status:
+        case 200:
+            return appender.Appended(offset=answer.offset)
+        case 409 if answer.reason == _Reason.FENCED.value:
+            return appender.Fenced()
+        case 409 | 412:
+            return appender.Conflict(
+                reason=answer.reason or "condition", end=answer.end
+            )
+        case 400 | 403 | 404 | 413 | 507:
+            return appender.NotDone(reason=f"store answered {reply.status}")
+        case _:
+            return appender.Unknown(reason=f"store answered {reply.status}")
+
+
+def read(
+    url: str, topic: pages.Topic, offset: int, wait_ms: int
+) -> multiplex.Call:
+    """Return the call that reads records from an offset on."""
+    query = {
+        "topic": NAMES[topic],
+        "part": 0,
+        "from": offset,
+        "max_kb": READ_KB,
+    }
+    if wait_ms:
+        query["wait_ms"] = wait_ms
+    return multiplex.Call(
+        method="GET",
+        url=f"{url}/api/log-read?{urllib.parse.urlencode(query)}",
+        timeout_ms=wait_ms + READ_MARGIN_MS,
+    )
+
+
+def read_result(
+    topic: pages.Topic, offset: int, reply: multiplex.Reply
+) -> pages.ReadResult:
+    """Return the records of an answer, or why there are none."""
+    if reply.outcome is not multiplex.Outcome.ANSWERED:
+        return pages.Failed(reason=reply.reason)
+    if reply.status == 410:
+        return pages.Trimmed(first=_first_offset(reply.body))
+    if reply.status != 200:
+        return pages.Failed(reason=f"store answered {reply.status}")
+    try:
+        end, first = HEAD.unpack_from(reply.body)
+        records = tuple(_records(topic, reply.body))
+    except (struct.error, exceptions.InvalidMessage) as exc:
+        return pages.Failed(reason=f"store's answer is malformed: {exc}")
+    return pages.Page(offset=offset, records=records, end=end, first=first)
+
+
+def _first_offset(body: bytes) -> int:
+    try:
+        return msgspec.json.decode(body, type=_Trimmed).first_offset
+    except msgspec.DecodeError:
+        return -1
+
+
+def _records(
+    topic: pages.Topic, body: bytes
+) -> typing.Iterator[appender.Record]:
+    position = HEAD.size
+    while position < len(body):
+        (length,) = LENGTH.unpack_from(body, position)
+        position += LENGTH.size
+        data = body[position : position + length]
+        if len(data) < length:
+            raise exceptions.InvalidMessage("a record is cut short")
+        position += length
+        yield _record(topic, data)
+
+
+def _record(topic: pages.Topic, data: bytes) -> appender.Record:
+    if topic not in KEYED:
+        return appender.Record(key="", value=data)
+    if not data or len(data) < 1 + data[0]:
+        raise exceptions.InvalidMessage("a record's key is cut short")
+    key = data[1 : 1 + data[0]].decode("utf-8", "replace")
+    return appender.Record(key=key, value=data[1 + data[0] :] or None)
+
+
+def newest(url: str, topic: pages.Topic, after: str) -> multiplex.Call:
+    """Return the call that reads the newest record of each key."""
+    query = {"topic": NAMES[topic], "part": 0}
+    if after:
+        query["after"] = after
+    return multiplex.Call(
+        method="GET",
+        url=f"{url}/api/log-newest?{urllib.parse.urlencode(query)}",
+        timeout_ms=READ_TIMEOUT_MS,
+    )
+
+
+def newest_result(reply: multiplex.Reply) -> pages.NewestResult:
+    """Return one page of newest records, or why there is none."""
+    if reply.outcome is not multiplex.Outcome.ANSWERED:
+        return pages.Failed(reason=reply.reason)
+    if reply.status == 404:
+        return pages.Newest(records=(), more=False, end=0)
+    if reply.status != 200:
+        return pages.Failed(reason=f"store answered {reply.status}")
+    try:
+        page = msgspec.json.decode(reply.body, type=_Newest)
+        records = tuple(
+            appender.Record(key=i.key, value=base64.b64decode(i.value))
+            for i in page.items
+        )
+    except (msgspec.DecodeError, ValueError) as exc:
+        return pages.Failed(reason=f"store's answer is malformed: {exc}")
+    return pages.Newest(records=records, more=page.has_more, end=page.end)
--- /dev/null
+++ b/azurewood/policy/upkeep.py
@@ -0,0 +1,63 @@
+"""Which machines of a wave are emptied and taken down next.
+
+Answers the load of a wave that covers much of the fleet in half a minute
+while queues have their peaks: machines without runs go first, those of the
+spare pool before others, and as many are emptied ahead as may be down, so
+that the next is ready when one comes back. Within a pool at most
+``POOL_SHARE`` of the hosts are away for it at a time unless time is short.
+"""
+
+from collections import abc
+import typing
+
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+
+EMPTY_AHEAD: typing.Final = 1
+"""Machines emptied beyond those that may be down."""
+
+
+def order(
+    state: model.State, names: abc.Iterable[str]
+) -> list[messages.MachineEntry]:
+    """Return the machines that are up, those to take first first."""
+    up = (
+        state.machines[name]
+        for name in names
+        if name in state.machines
+        and state.machines[name].state is messages.MachineState.UP
+    )
+    return sorted(up, key=lambda machine: _rank(state, machine))
+
+
+def _rank(state: model.State, machine: messages.MachineEntry) -> tuple:
+    host = state.hosts.get(machine.host)
+    if host is None:
+        return (0, 0, 0, machine.name)
+    lasting = sum(1 for run in host.runs.values() if run.step.lasting)
+    return (not host.leaving, lasting, host.used.cpu, machine.name)
+
+
+def may_stop(state: model.State, run: model.Run, now: float) -> bool:
+    """Return whether a lasting run may be stopped without harm.
+
+    So many others of its step may be away as the step allows, whatever
+    took them away; one if the step says nothing.
+    """
+    allowed = max(1, run.step.may_be_away)
+    return away(state, run, now) < allowed
+
+
+def away(state: model.State, run: model.Run, now: float) -> int:
+    """Return how many other tasks of a run's step are not at work."""
+    at_work = sum(
+        1
+        for host in state.hosts.values()
+        if host.silent_since is None
+        for other in host.runs.values()
+        if other.task[:3] == run.task[:3]
+        and other.task != run.task
+        and other.phase is model.RunPhase.RUNNING
+        and other.percent >= 100
+    )
+    return run.step.count - 1 - at_work
--- /dev/null
+++ b/azurewood/provider/base.py
@@ -0,0 +1,115 @@
+"""One HTTP connection to the platform, by pycurl.
+
+A ``Connection`` is used by one thread at a time.
+"""
+
+import dataclasses
+import io
+
+import msgspec
+import pycurl
+
+from azurewood.http import multiplex
+from azurewood.provider import exceptions
+
+CONNECT_TIMEOUT_MS = 1000
+MAX_ANSWER_BYTES = 64 << 20
+ZONE_HEADER = "Azurewood-Zone"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Answer:
+    """A whole answer: the HTTP status and the body."""
+
+    status: int
+    body: bytes
+
+
+class Connection:
+    """A connection to the platform that is kept open between calls."""
+
+    __slots__ = ("_curl", "_headers", "_url")
+
+    def __init__(self, *, url: str, zone: str) -> None:
+        self._url = url.rstrip("/")
+        self._headers = [f"{ZONE_HEADER}: {zone}", "Expect:"]
+        self._curl = pycurl.Curl()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        timeout_s: float = 2.0,
+    ) -> Answer:
+        """Call the platform and return its whole answer.
+
+        Raise ``NotDone`` if nothing was sent, ``OutcomeUnknown`` if
+        something was and no whole answer came.
+        """
+        buffer = io.BytesIO()
+        self._prepare(method, path, body, timeout_s)
+        self._curl.setopt(pycurl.WRITEDATA, buffer)
+        try:
+            self._curl.perform()
+        except pycurl.error as exc:
+            raise self._failure(exc) from exc
+        status = self._curl.getinfo(pycurl.RESPONSE_CODE)
+        return Answer(status=status, body=buffer.getvalue())
+
+    def _prepare(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> None:
+        curl = self._curl
+        curl.reset()
+        curl.setopt(pycurl.URL, self._url + path)
+        curl.setopt(pycurl.CUSTOMREQUEST, method)
+        curl.setopt(pycurl.HTTPHEADER, self._headers)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
+        curl.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
+        curl.setopt(pycurl.PROXY, "")
+        if body is not None:
+            curl.setopt(pycurl.POST, 1)
+            curl.setopt(pycurl.CUSTOMREQUEST, method)
+            curl.setopt(pycurl.POSTFIELDSIZE, len(body))
+            curl.setopt(pycurl.POSTFIELDS, body)
+
+    def _failure(self, exc: pycurl.error) -> exceptions.PlatformError:
+        code, text = exc.args
+        if multiplex.nothing_sent(self._curl, code):
+            return exceptions.NotDone(f"platform: {text}")
+        return exceptions.OutcomeUnknown(f"platform: {text}")
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._curl.close()
+
+
+def check(answer: Answer, *expected: int) -> Answer:
+    """Return the answer if its status is expected, else raise.
+
+    Raise ``Rejected`` for 4xx, ``NotDone`` for 429 and 503, which promise
+    that nothing was done, and ``OutcomeUnknown`` for the rest.
+    """
+    if answer.status in expected:
+        return answer
+    text = answer.body[:200].decode("utf-8", "replace")
+    reason = f"platform answered {answer.status}: {text}"
+    if answer.status in (429, 503):
+        raise exceptions.NotDone(reason)
+    if 400 <= answer.status < 500:
+        raise exceptions.Rejected(reason)
+    raise exceptions.OutcomeUnknown(reason)
+
+
+def decode(body: bytes, kind: type) -> object:
+    """Decode a MessagePack body; raise ``OutcomeUnknown`` if malformed."""
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise exceptions.OutcomeUnknown(
+            f"platform's answer is malformed: {exc}"
+        ) from exc
--- /dev/null
+++ b/azurewood/provider/exceptions.py
@@ -0,0 +1,19 @@
+"""Errors of the platform's clients."""
+
+from azurewood import exceptions
+
+
+class PlatformError(exceptions.AzurewoodError):
+    """Base of the errors of the platform's clients."""
+
+
+class NotDone(PlatformError):
+    """The call certainly had no effect."""
+
+
+class OutcomeUnknown(PlatformError):
+    """The call may or may not have taken effect."""
+
+
+class Rejected(PlatformError):
+    """The platform answered that the call is wrong (4xx)."""
--- a/azurewood/platform/log.py
+++ b/azurewood/provider/log.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from azurewood.platform import base
+from azurewood.provider import base
 from azurewood.state import events
 
 READ_LIMIT = 512
--- a/azurewood/platform/tasks.py
+++ b/azurewood/provider/tasks.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from azurewood.platform import base
+from azurewood.provider import base
 from azurewood.state import effects
 from azurewood.state import events
 
@@ -44,7 +44,7 @@
         """Carry out an effect on tasks or hosts.
 
         Return the task's state as the answer gives it, empty if it does
-        not. Raise an error of ``azurewood.platform.exceptions``.
+        not. Raise an error of ``azurewood.provider.exceptions``.
         """
         match effect:
             case effects.StartTask():
--- /dev/null
+++ b/azurewood/scheduling/model.py
@@ -0,0 +1,337 @@
+"""The leader's state: jobs with their tasks, hosts with their runs."""
+
+import enum
+import typing
+
+from azurewood.jobs import catalog
+from azurewood.jobs import model
+from azurewood.scheduling import messages
+
+
+class TaskPhase(enum.IntEnum):
+    """Where a task stands. ``OPEN``: a run of it may exist."""
+
+    WAITING = 0
+    OPEN = 1
+    DONE = 2
+
+
+class Task:
+    """One task: its newest run, and how often it failed."""
+
+    __slots__ = (
+        "avoid",
+        "failures",
+        "host",
+        "host_born_ms",
+        "id",
+        "phase",
+        "run",
+        "saved",
+        "waits_until",
+    )
+
+    def __init__(self, *, id: model.TaskId) -> None:
+        self.id = id
+        self.phase = TaskPhase.WAITING
+        self.run = 0
+        self.failures = 0
+        self.host = ""
+        self.host_born_ms = 0
+        self.saved = ""
+        self.avoid: set[str] = set()
+        self.waits_until = 0.0
+
+
+class RunPhase(enum.Enum):
+    """How far the leader is with a run on a host."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """A run that may exist on a host and so takes its room there.
+
+    ``adopted`` runs were started by an earlier leader. ``born_ms`` is the
+    life of the host in which the run was started. ``settled_at`` is when
+    the newest start or stop was answered, None while that is unknown.
+    """
+
+    __slots__ = (
+        "adopted",
+        "began_at",
+        "born_ms",
+        "calling",
+        "measure",
+        "pace",
+        "percent",
+        "phase",
+        "retry_at",
+        "run",
+        "saved",
+        "settled_at",
+        "step",
+        "strained_since",
+        "task",
+        "tries",
+    )
+
+    def __init__(
+        self, *, task: model.TaskId, run: int, step: model.Step, now: float
+    ) -> None:
+        self.task = task
+        self.run = run
+        self.step = step
+        self.phase = RunPhase.STARTING
+        self.adopted = False
+        self.began_at = now
+        self.born_ms = 0
+        self.calling = False
+        self.tries = 0
+        self.retry_at = 0.0
+        self.settled_at: float | None = None
+        self.percent = 0
+        self.measure = 0
+        self.saved = ""
+        self.pace = 100
+        self.strained_since: float | None = None
+
+    @property
+    def key(self) -> tuple[model.TaskId, int]:
+        """What tells runs of a host apart."""
+        return (self.task, self.run)
+
+
+class Host:
+    """One host: what it said of itself, its lease and its runs.
+
+    ``synced`` is whether it has answered this leader, so that it takes no
+    order of an earlier one. ``bound_at`` is when all its leases have
+    lapsed at the latest.
+    """
+
+    __slots__ = (
+        "acknowledged",
+        "bound_at",
+        "clock_at",
+        "clock_ms",
+        "entry",
+        "failed_tasks",
+        "foreign",
+        "hold_at",
+        "holding",
+        "id",
+        "leaving",
+        "listed",
+        "listed_at",
+        "present",
+        "runs",
+        "silent_since",
+        "suspended_until",
+        "synced",
+        "used",
+    )
+
+    def __init__(self, *, id: str, bound_at: float) -> None:
+        self.id = id
+        self.entry: messages.HostEntry | None = None
+        self.present = False
+        self.synced = False
+        self.bound_at = bound_at
+        self.clock_ms: int | None = None
+        self.clock_at = 0.0
+        self.holding = False
+        self.hold_at = 0.0
+        self.listed = 0
+        self.acknowledged = 0
+        self.listed_at = 0.0
+        self.silent_since: float | None = None
+        self.suspended_until = 0.0
+        self.failed_tasks: set[model.TaskId] = set()
+        self.runs: dict[tuple[model.TaskId, int], Run] = {}
+        self.used = model.Resources()
+        self.foreign = 0
+        self.leaving = False
+
+    @property
+    def room(self) -> model.Resources:
+        """What is free for further runs."""
+        if self.entry is None:
+            return model.Resources()
+        return self.entry.room.minus(self.used)
+
+    def add(self, run: Run) -> None:
+        """Count a run's room as taken."""
+        self.runs[run.key] = run
+        self.used = self.used.plus(run.step.reserved)
+
+    def remove(self, run: Run) -> None:
+        """Free a run's room."""
+        del self.runs[run.key]
+        self.used = self.used.minus(run.step.reserved)
+
+    def clock(self, now: float) -> int | None:
+        """Return the host's clock in ms as it should stand now."""
+        if self.clock_ms is None:
+            return None
+        return self.clock_ms + int((now - self.clock_at) * 1000)
+
+
+class JobState:
+    """A job that is not over, and its tasks by occurrence and step."""
+
+    __slots__ = (
+        "added_at",
+        "begun",
+        "cancelled",
+        "closing",
+        "job",
+        "steps",
+        "tickets",
+        "undone",
+    )
+
+    def __init__(self, *, job: model.Job, now: float) -> None:
+        self.job = job
+        self.added_at = now
+        self.begun = False
+        self.cancelled = False
+        self.closing = False
+        self.steps: dict[tuple[int, int], list[Task]] = {}
+        self.undone: dict[tuple[int, int], int] = {}
+        self.tickets: dict[tuple[int, int], messages.Advised] = {}
+        for occurrence in range(job.occurrences):
+            for number, step in enumerate(job.steps):
+                self._add_step(occurrence, number, step)
+
+    def _add_step(self, occurrence: int, number: int, step: model.Step) -> None:
+        key = (occurrence, number)
+        self.undone[key] = step.count
+        self.steps[key] = [
+            Task(id=model.TaskId(self.job.id, occurrence, number, index))
+            for index in range(step.count)
+        ]
+
+    def task(self, id: model.TaskId) -> Task | None:
+        """Return a task of the job, or None if it has no such task."""
+        tasks = self.steps.get((id.occurrence, id.step), [])
+        return tasks[id.index] if 0 <= id.index < len(tasks) else None
+
+    def step_of(self, id: model.TaskId) -> model.Step:
+        """Return the step of a task of the job."""
+        return self.job.steps[id.step]
+
+    def may_start(self, occurrence: int, step: int, unix_ms: float) -> bool:
+        """Return whether a step's turn has come."""
+        if unix_ms < self.job.due_ms(occurrence):
+            return False
+        after = self.job.steps[step].after
+        return all(self.undone[(occurrence, other)] == 0 for other in after)
+
+    @property
+    def done(self) -> bool:
+        """Whether every task is done."""
+        return not any(self.undone.values())
+
+
+class Wave:
+    """A wave of upkeep: which machines were ordered down and came back.
+
+    ``ordered`` has the id of the host that each machine had when its
+    upkeep was decided.
+    """
+
+    __slots__ = (
+        "back",
+        "began_at",
+        "completed",
+        "confirmed",
+        "number",
+        "ordered",
+        "reported",
+        "request",
+    )
+
+    def __init__(
+        self, *, request: messages.WaveRequested, now: float
+    ) -> None:
+        self.number = request.number
+        self.request = request
+        self.began_at = now
+        self.ordered: dict[str, str] = {}
+        self.confirmed: set[str] = set()
+        self.back: set[str] = set()
+        self.completed = False
+        self.reported = ""
+
+
+class State:
+    """All that a leader knows in its term."""
+
+    __slots__ = (
+        "catalog",
+        "dirty",
+        "effects",
+        "held",
+        "hosts",
+        "jobs",
+        "lease_bound_at",
+        "machines",
+        "machines_at",
+        "machines_due",
+        "orders",
+        "placing",
+        "saving",
+        "began_ids",
+        "term",
+        "unix_ms",
+        "values",
+        "waves",
+    )
+
+    def __init__(self, *, term: int, lease_bound_at: float) -> None:
+        self.term = term
+        self.lease_bound_at = lease_bound_at
+        self.catalog: catalog.Catalog | None = None
+        self.jobs: dict[str, JobState] = {}
+        self.hosts: dict[str, Host] = {}
+        self.machines: dict[str, messages.MachineEntry] = {}
+        self.machines_at = -1.0
+        self.machines_due = 0.0
+        self.orders: dict[str, float] = {}
+        self.waves: dict[int, Wave] = {}
+        self.unix_ms = 0.0
+        self.placing: set[str] = set()
+        self.began_ids: list[str] = []
+        self.dirty: set[str] = set()
+        self.values: dict[str, bytes | None] = {}
+        self.held: list[messages.Effect] = []
+        self.saving: list[messages.Effect] | None = None
+        self.effects: list[messages.Effect] = []
+
+    def host(self, id: str) -> Host:
+        """Return a host, added if it was not known."""
+        host = self.hosts.get(id)
+        if host is None:
+            host = Host(id=id, bound_at=self.lease_bound_at)
+            self.hosts[id] = host
+        return host
+
+    def service_of(self, job: model.Job) -> str:
+        """Return the service whose hosts run a job now."""
+        queue = self.catalog and self.catalog.queues.get(job.queue)
+        return queue.service if queue else job.service
+
+    def emit(self, effect: messages.Effect) -> None:
+        """Ask for an effect at once."""
+        self.effects.append(effect)
+
+    def emit_saved(self, effect: messages.Effect) -> None:
+        """Ask for an effect once what is known now is stored."""
+        self.held.append(effect)
+
+    def note(self, event: str, **fields: typing.Any) -> None:
+        """Log a decision."""
+        self.effects.append(messages.Note(event=event, fields=fields))
--- /dev/null
+++ b/azurewood/scheduling/placing.py
@@ -0,0 +1,236 @@
+"""Giving waiting tasks a host, in the order and by the choice of policy."""
+
+import collections
+from collections import abc
+
+from azurewood.jobs import model as jobs
+from azurewood.policy import host_choice
+from azurewood.policy import job_order
+from azurewood.scheduling import hosts as host_calls
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+
+MAX_STARTS_A_PASS = 200
+"""Bound on the starts of one pass, so that holds are not held up."""
+MAX_ADVISED_HOSTS = 30
+"""Hosts named in one call for advice; the call grows with each."""
+
+
+def place(state: model.State, now: float) -> None:
+    """Place what waits for the services in which something changed."""
+    services, state.placing = state.placing, set()
+    if not services:
+        return
+    waiting: dict[str, list[model.JobState]] = collections.defaultdict(list)
+    for job in state.jobs.values():
+        service = state.service_of(job.job)
+        if service in services and not (job.cancelled or job.closing):
+            waiting[service].append(job)
+    for service, found in waiting.items():
+        _place_service(state, service, found, now)
+
+
+def _place_service(
+    state: model.State,
+    service: str,
+    found: list[model.JobState],
+    now: float,
+) -> None:
+    pool = [
+        host
+        for host in state.hosts.values()
+        if host.entry is not None and host.entry.service == service
+    ]
+    found.sort(key=lambda job: job_order.key(job, state.unix_ms))
+    budget = MAX_STARTS_A_PASS
+    for job in found:
+        for (occurrence, number), tasks in job.steps.items():
+            if not job.undone[(occurrence, number)]:
+                continue
+            if not job.may_start(occurrence, number, state.unix_ms):
+                continue
+            budget -= _place_step(state, pool, job, tasks, now)
+            if budget <= 0:
+                state.placing.add(service)
+                return
+
+
+def _place_step(
+    state: model.State,
+    pool: list[model.Host],
+    job: model.JobState,
+    tasks: list[model.Task],
+    now: float,
+) -> int:
+    """Place a step's waiting tasks; return how many were placed."""
+    ready = [task for task in _waiting(tasks) if now >= task.waits_until]
+    if not ready:
+        return 0
+    step = job.step_of(ready[0].id)
+    allowed = _advised(state, job, ready[0].id, pool, now)
+    counts = _counts(allowed, ready[0].id)
+    if step.gang:
+        return _place_gang(state, allowed, job, tasks, counts, now)
+    placed = 0
+    for task in ready:
+        host = host_choice.choose(allowed, step, task, counts, now)
+        if host is None:
+            if not task.avoid:
+                break
+            continue
+        open_run(state, host, job, task, now)
+        counts[host.id] = counts.get(host.id, 0) + 1
+        placed += 1
+    return placed
+
+
+def _waiting(tasks: list[model.Task]) -> abc.Iterator[model.Task]:
+    return (task for task in tasks if task.phase is model.TaskPhase.WAITING)
+
+
+def _counts(pool: list[model.Host], id: jobs.TaskId) -> dict[str, int]:
+    """Return how many runs of a task's step each host may have."""
+    counts = {}
+    for host in pool:
+        counts[host.id] = sum(
+            1 for run in host.runs.values() if run.task[:3] == id[:3]
+        )
+    return counts
+
+
+def _place_gang(
+    state: model.State,
+    pool: list[model.Host],
+    job: model.JobState,
+    tasks: list[model.Task],
+    counts: dict[str, int],
+    now: float,
+) -> int:
+    """Place all tasks of a gang at once, or none."""
+    if any(task.phase is not model.TaskPhase.WAITING for task in tasks):
+        return 0
+    step = job.step_of(tasks[0].id)
+    for group in _gang_pools(pool, step):
+        chosen = _choose_all(group, step, tasks, dict(counts), now)
+        if chosen is not None:
+            run = max(task.run for task in tasks)
+            saved = max(task.saved for task in tasks)
+            for task, host in zip(tasks, chosen, strict=True):
+                task.run = run
+                task.saved = saved
+                open_run(state, host, job, task, now)
+            return len(tasks)
+    return 0
+
+
+def _gang_pools(
+    pool: list[model.Host], step: jobs.Step
+) -> abc.Iterator[list[model.Host]]:
+    """Return the hosts rack by rack if that matters, then all of them."""
+    if step.same_rack:
+        racks = collections.defaultdict(list)
+        for host in pool:
+            for label in host.entry.labels[1:]:
+                racks[label].append(host)
+        yield from racks.values()
+    yield pool
+
+
+def _choose_all(
+    pool: list[model.Host],
+    step: jobs.Step,
+    tasks: list[model.Task],
+    counts: dict[str, int],
+    now: float,
+) -> list[model.Host] | None:
+    chosen: list[model.Host] = []
+    try:
+        for task in tasks:
+            host = host_choice.choose(pool, step, task, counts, now)
+            if host is None:
+                return None
+            chosen.append(host)
+            counts[host.id] = counts.get(host.id, 0) + 1
+            host.used = host.used.plus(step.reserved)
+        return chosen
+    finally:
+        for host in chosen:
+            host.used = host.used.minus(step.reserved)
+
+
+def _advised(
+    state: model.State,
+    job: model.JobState,
+    id: jobs.TaskId,
+    pool: list[model.Host],
+    now: float,
+) -> list[model.Host]:
+    """Return the hosts that the queue's advice approves for a step."""
+    queue = state.catalog and state.catalog.queues.get(job.job.queue)
+    if not queue or queue.advice is None:
+        return pool
+    advised = job.tickets.get((id.occurrence, id.step))
+    if advised is None or now >= advised.valid_until:
+        _ask_advice(state, job, id, pool, now)
+        return []
+    return [host for host in pool if host.id in advised.tickets]
+
+
+def _ask_advice(
+    state: model.State,
+    job: model.JobState,
+    id: jobs.TaskId,
+    pool: list[model.Host],
+    now: float,
+) -> None:
+    hosts = sorted(pool, key=lambda host: -host.room.cpu)[:MAX_ADVISED_HOSTS]
+    queue = state.catalog.queues[job.job.queue]
+    length_ms = queue.advice.decision_ms + queue.advice.per_host_ms * len(hosts)
+    job.tickets[(id.occurrence, id.step)] = messages.Advised(
+        job=job.job.id,
+        occurrence=id.occurrence,
+        step=id.step,
+        tickets={},
+        valid_until=now + 2 * length_ms / 1000 + 1.0,
+    )
+    state.emit(
+        messages.AskAdvice(
+            job=job.job.id,
+            occurrence=id.occurrence,
+            step=id.step,
+            hosts=tuple(host.id for host in hosts),
+        )
+    )
+
+
+def open_run(
+    state: model.State,
+    host: model.Host,
+    job: model.JobState,
+    task: model.Task,
+    now: float,
+) -> None:
+    """Begin a task's next run on a host; its start follows its record."""
+    task.phase = model.TaskPhase.OPEN
+    task.run += 1
+    task.host = host.id
+    task.host_born_ms = host.entry.born_ms
+    step = job.step_of(task.id)
+    run = model.Run(task=task.id, run=task.run, step=step, now=now)
+    run.born_ms = host.entry.born_ms
+    run.saved = task.saved
+    host.add(run)
+    state.dirty.add(job.job.id)
+    if not job.begun:
+        job.begun = True
+        state.began_ids.append(job.job.id)
+    host_calls.send_start(state, host, run, now, saved_first=True)
+    state.note(
+        "task.placed",
+        job=job.job.id,
+        task=str(tuple(task.id[1:])),
+        run=task.run,
+        host=host.id,
+        room_cpu=host.room.cpu,
+        listed_ms_ago=int((now - host.listed_at) * 1000),
+    )
--- /dev/null
+++ b/azurewood/scheduling/progress.py
@@ -0,0 +1,160 @@
+"""Progress records: what a later leader has to know of jobs and waves.
+
+A run is recorded before its start is sent, and an end before it is
+acknowledged to its host. So a later leader knows every run that may exist
+and every end that a host may have forgotten.
+"""
+
+import typing
+
+import msgspec
+
+from azurewood.jobs import model
+from azurewood.scheduling import messages
+from azurewood.scheduling import model as scheduling
+
+VERSION: typing.Final = 1
+JOB_PREFIX: typing.Final = "j/"
+WAVE_PREFIX: typing.Final = "w/"
+
+
+class TaskRow(msgspec.Struct, frozen=True, array_like=True):
+    """A task that has had a run."""
+
+    occurrence: int
+    step: int
+    index: int
+    phase: int
+    run: int
+    failures: int
+    host: str
+    host_born_ms: int
+    saved: str
+
+
+class JobProgress(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
+    """The tasks of a job that have had a run."""
+
+    tasks: tuple[TaskRow, ...]
+    version: int = VERSION
+
+
+class WaveProgress(msgspec.Struct, frozen=True, kw_only=True, tag="wave"):
+    """The machines of a wave whose upkeep was decided, with their hosts."""
+
+    ordered: dict[str, str]
+    version: int = VERSION
+
+
+Progress = JobProgress | WaveProgress
+_decoder = msgspec.msgpack.Decoder(Progress)
+
+
+def decode(data: bytes) -> Progress | None:
+    """Return a record, or None if it is of a later version or damaged."""
+    try:
+        record = _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+    return record if record.version <= VERSION else None
+
+
+def of_job(job: scheduling.JobState) -> bytes:
+    """Return a job's progress record."""
+    rows = tuple(
+        TaskRow(
+            task.id.occurrence,
+            task.id.step,
+            task.id.index,
+            int(task.phase),
+            task.run,
+            task.failures,
+            task.host,
+            task.host_born_ms,
+            task.saved,
+        )
+        for tasks in job.steps.values()
+        for task in tasks
+        if task.run
+    )
+    return msgspec.msgpack.encode(JobProgress(tasks=rows))
+
+
+def of_wave(wave: scheduling.Wave) -> bytes:
+    """Return a wave's progress record."""
+    return msgspec.msgpack.encode(WaveProgress(ordered=dict(wave.ordered)))
+
+
+def adopt_job(
+    state: scheduling.State,
+    job: scheduling.JobState,
+    record: JobProgress,
+    now: float,
+) -> None:
+    """Take in what an earlier leader recorded of a job."""
+    for row in record.tasks:
+        id = model.TaskId(job.job.id, row.occurrence, row.step, row.index)
+        task = job.task(id)
+        if task is not None:
+            _adopt_task(state, job, task, row, now)
+
+
+def _adopt_task(
+    state: scheduling.State,
+    job: scheduling.JobState,
+    task: scheduling.Task,
+    row: TaskRow,
+    now: float,
+) -> None:
+    job.begun = True
+    task.phase = scheduling.TaskPhase(row.phase)
+    task.run = row.run
+    task.failures = row.failures
+    task.host = row.host
+    task.host_born_ms = row.host_born_ms
+    task.saved = row.saved
+    match task.phase:
+        case scheduling.TaskPhase.DONE:
+            job.undone[(row.occurrence, row.step)] -= 1
+        case scheduling.TaskPhase.OPEN:
+            step = job.step_of(task.id)
+            run = scheduling.Run(task=task.id, run=row.run, step=step, now=now)
+            run.adopted = True
+            run.born_ms = row.host_born_ms
+            run.phase = scheduling.RunPhase.RUNNING
+            state.host(row.host).add(run)
+
+
+def adopt_wave(
+    wave: scheduling.Wave, record: WaveProgress
+) -> None:
+    """Take in what an earlier leader recorded of a wave."""
+    wave.ordered.update(record.ordered)
+
+
+def flush(state: scheduling.State) -> None:
+    """Store what changed, and let go what had to wait for it.
+
+    One record batch is under way at a time.
+    """
+    if state.saving is not None:
+        return
+    values = state.values
+    for job_id in state.dirty:
+        job = state.jobs.get(job_id)
+        if job is not None:
+            values[JOB_PREFIX + job_id] = of_job(job)
+    state.dirty = set()
+    state.values = {}
+    held, state.held = state.held, []
+    if not values:
+        state.effects.extend(held)
+        return
+    state.saving = held
+    state.emit(messages.SaveProgress(values=values))
+
+
+def saved(state: scheduling.State) -> None:
+    """Let go what waited for the batch that is stored now."""
+    held, state.saving = state.saving, None
+    state.effects.extend(held or ())
--- /dev/null
+++ b/azurewood/scheduling/tasks.py
@@ -0,0 +1,215 @@
+"""What becomes of tasks: placed, ended, failed too often, cancelled."""
+
+from azurewood.jobs import model
+from azurewood.scheduling import messages
+from azurewood.scheduling import model as scheduling
+
+FAILED_PAUSE_S = 0.02
+"""Pause before a failed task's next run; it goes to another host."""
+
+
+def add_job(
+    state: scheduling.State, job: model.Job, now: float
+) -> scheduling.JobState | None:
+    """Take in an accepted job; return it if it is new."""
+    if job.id in state.jobs:
+        return None
+    added = scheduling.JobState(job=job, now=now)
+    state.jobs[job.id] = added
+    state.placing.add(state.service_of(job))
+    return added
+
+
+def cancel(state: scheduling.State, job_id: str, now: float) -> None:
+    """Stop all runs of a job; none starts again."""
+    job = state.jobs.get(job_id)
+    if job is None or job.cancelled:
+        return
+    job.cancelled = True
+    stopped = _stop_all(state, job_id, now)
+    state.note("job.cancelled", job=job_id, runs_stopped=stopped)
+    close(state, job_id)
+
+
+def close(state: scheduling.State, job_id: str) -> None:
+    """Forget a job that is over; runs of it stay with their hosts."""
+    job = state.jobs.pop(job_id, None)
+    if job is None:
+        return
+    state.dirty.discard(job_id)
+    if job.begun:
+        state.values["j/" + job_id] = None
+
+
+def _stop_all(state: scheduling.State, job_id: str, now: float) -> int:
+    count = 0
+    for host in state.hosts.values():
+        for run in list(host.runs.values()):
+            if run.task.job == job_id:
+                count += 1
+                stop(run, now)
+    return count
+
+
+def stop(run: scheduling.Run, now: float) -> None:
+    """Have a run stopped; the stop is sent by the next look at its host."""
+    if run.phase is not scheduling.RunPhase.STOPPING:
+        run.phase = scheduling.RunPhase.STOPPING
+        run.settled_at = None
+        run.retry_at = now
+        run.tries = 0
+
+
+def current(
+    state: scheduling.State, run: scheduling.Run
+) -> scheduling.Task | None:
+    """Return the task whose open run this is, or None."""
+    job = state.jobs.get(run.task.job)
+    task = job.task(run.task) if job else None
+    if task is None or task.phase is not scheduling.TaskPhase.OPEN:
+        return None
+    return task if task.run == run.run else None
+
+
+def ended(
+    state: scheduling.State,
+    host: scheduling.Host,
+    run: scheduling.Run,
+    row: messages.EndedRow,
+    now: float,
+) -> None:
+    """Take in the listed end of a run, which leaves its host."""
+    host.remove(run)
+    task = current(state, run)
+    if task is None:
+        return
+    job = state.jobs[run.task.job]
+    state.dirty.add(run.task.job)
+    match row.how:
+        case messages.End.DONE:
+            _done(state, job, task)
+        case messages.End.FAILED:
+            _failed(state, host, job, task, now)
+        case _:
+            _wait_again(state, job, task, row.saved or run.saved, now)
+            state.note(
+                "task.ended",
+                job=run.task.job,
+                task=str(tuple(run.task[1:])),
+                run=run.run,
+                host=host.id,
+                how=row.how.value,
+            )
+
+
+def lost(
+    state: scheduling.State,
+    host: scheduling.Host,
+    run: scheduling.Run,
+    reason: str,
+    now: float,
+) -> None:
+    """Take in that a run certainly does not exist any more."""
+    host.remove(run)
+    task = current(state, run)
+    state.note(
+        "run.gone",
+        job=run.task.job,
+        task=str(tuple(run.task[1:])),
+        run=run.run,
+        host=host.id,
+        reason=reason,
+    )
+    if task is not None:
+        state.dirty.add(run.task.job)
+        _wait_again(state, state.jobs[run.task.job], task, run.saved, now)
+
+
+def _wait_again(
+    state: scheduling.State,
+    job: scheduling.JobState,
+    task: scheduling.Task,
+    saved: str,
+    now: float,
+) -> None:
+    task.phase = scheduling.TaskPhase.WAITING
+    task.saved = saved or task.saved
+    task.waits_until = now
+    state.placing.add(state.service_of(job.job))
+
+
+def _done(
+    state: scheduling.State,
+    job: scheduling.JobState,
+    task: scheduling.Task,
+) -> None:
+    step = job.step_of(task.id)
+    if step.lasting:
+        task.phase = scheduling.TaskPhase.WAITING
+        state.placing.add(state.service_of(job.job))
+        return
+    key = (task.id.occurrence, task.id.step)
+    members = job.steps[key] if step.gang else [task]
+    for member in members:
+        if member.phase is not scheduling.TaskPhase.DONE:
+            member.phase = scheduling.TaskPhase.DONE
+            member.saved = ""
+            job.undone[key] -= 1
+    if job.undone[key] == 0:
+        state.placing.add(state.service_of(job.job))
+    finish_if_done(state, job)
+
+
+def finish_if_done(
+    state: scheduling.State, job: scheduling.JobState
+) -> None:
+    """Announce a job's end once all its tasks are done."""
+    if job.done and not job.closing and not job.job.lasting:
+        _announce(state, job, model.Phase.COMPLETED)
+
+
+def _failed(
+    state: scheduling.State,
+    host: scheduling.Host,
+    job: scheduling.JobState,
+    task: scheduling.Task,
+    now: float,
+) -> None:
+    step = job.step_of(task.id)
+    key = (task.id.occurrence, task.id.step)
+    members = job.steps[key] if step.gang else [task]
+    failures = max(member.failures for member in members) + 1
+    for member in members:
+        member.failures = failures
+    task.avoid.add(host.id)
+    task.phase = scheduling.TaskPhase.WAITING
+    task.waits_until = now + FAILED_PAUSE_S
+    state.placing.add(state.service_of(job.job))
+    state.note(
+        "task.failed",
+        job=job.job.id,
+        task=str(tuple(task.id[1:])),
+        run=task.run,
+        host=host.id,
+        failures=failures,
+        attempts=job.job.attempts,
+    )
+    if failures >= job.job.attempts and not step.lasting:
+        _announce(state, job, model.Phase.FAILED)
+        _stop_all(state, job.job.id, now)
+
+
+def _announce(
+    state: scheduling.State, job: scheduling.JobState, phase: model.Phase
+) -> None:
+    """Tell how a job ended, once its progress is stored."""
+    if job.closing:
+        return
+    job.closing = True
+    state.emit_saved(messages.JobEnded(id=job.job.id, phase=phase))
+    state.note(
+        "job.ended",
+        job=job.job.id,
+        phase=phase.value,
+        after_ms=int(state.unix_ms - job.job.accepted_ms),
+    )
--- /dev/null
+++ b/azurewood/scheduling/upkeep.py
@@ -0,0 +1,187 @@
+"""Carrying out waves of upkeep: empty a machine, take it down, wait.
+
+A machine's upkeep is recorded before it is ordered, so that a later leader
+counts it as down until the platform lists it as up with another host.
+"""
+
+import typing
+
+from azurewood.policy import upkeep as policy
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+from azurewood.scheduling import progress
+from azurewood.scheduling import tasks
+
+MACHINES_EVERY_S: typing.Final = 0.5
+"""Pause between readings of the list while something is under way."""
+MACHINES_IDLE_S: typing.Final = 5.0
+ORDER_RETRY_S: typing.Final = 0.5
+TIMED_WAIT_S: typing.Final = 3.0
+"""How long timed tasks may go on on a machine that is being emptied."""
+
+
+def requested(
+    state: model.State, event: messages.WaveRequested, now: float
+) -> None:
+    """Take in operators' wish for a wave."""
+    wave = state.waves.get(event.number)
+    if wave is None:
+        wave = model.Wave(request=event, now=now)
+        state.waves[event.number] = wave
+        state.note(
+            "wave.requested",
+            wave=event.number,
+            machines=len(event.machines),
+            max_down=event.max_down,
+            finish_by_s=event.finish_by_s,
+        )
+    wave.request = event
+    state.machines_due = now
+
+
+def listed(
+    state: model.State, event: messages.MachinesListed, now: float
+) -> None:
+    """Take in the list of machines."""
+    state.machines = {entry.name: entry for entry in event.machines}
+    state.machines_at = event.began_at
+    for wave in state.waves.values():
+        for name, host in wave.ordered.items():
+            entry = state.machines.get(name)
+            if name in wave.back or name not in wave.confirmed:
+                continue
+            left = entry is None
+            up = not left and entry.state is messages.MachineState.UP
+            if left or (up and entry.host != host):
+                wave.back.add(name)
+                _old_host_ended(state, host, now)
+
+
+def _old_host_ended(state: model.State, host_id: str, now: float) -> None:
+    host = state.hosts.get(host_id)
+    for run in list(host.runs.values()) if host else ():
+        tasks.lost(state, host, run, "its machine has another host", now)
+
+
+def step(state: model.State, now: float, *, may_order: bool) -> None:
+    """Do what is due for all waves."""
+    busy = any(not wave.completed for wave in state.waves.values())
+    if now >= state.machines_due:
+        pause = MACHINES_EVERY_S if busy else MACHINES_IDLE_S
+        state.machines_due = now + pause
+        if busy:
+            state.emit(messages.ReadMachines())
+    for wave in state.waves.values():
+        if not wave.completed:
+            _step_wave(state, wave, now, may_order=may_order)
+
+
+def _step_wave(
+    state: model.State, wave: model.Wave, now: float, *, may_order: bool
+) -> None:
+    if state.machines_at < 0:
+        return
+    names = set(wave.request.machines)
+    open_orders = [n for n in wave.ordered if n not in wave.back]
+    if may_order:
+        for name in open_orders:
+            _order(state, wave, name, now)
+    todo = [n for n in names if n not in wave.ordered and n in state.machines]
+    _report(state, wave, done=not todo and not open_orders)
+    if wave.completed or not may_order:
+        return
+    free = max(1, wave.request.max_down) - len(open_orders)
+    candidates = policy.order(state, todo)
+    for machine in candidates[: max(0, free) + policy.EMPTY_AHEAD]:
+        _empty(state, machine, now)
+        if free > 0 and _is_empty(state, machine):
+            free -= 1
+            _decide(state, wave, machine)
+
+
+def _report(state: model.State, wave: model.Wave, *, done: bool) -> None:
+    wanted = "completed" if done else "running"
+    if wave.reported != wanted:
+        wave.reported = wanted
+        wave.completed = done
+        state.emit_saved(
+            messages.ReportWave(number=wave.number, completed=done)
+        )
+        state.note("wave.reported", wave=wave.number, state=wanted)
+
+
+def _empty(
+    state: model.State, machine: messages.MachineEntry, now: float
+) -> None:
+    """Give a machine's host no more tasks, and stop what may be stopped."""
+    host = state.hosts.get(machine.host)
+    if host is None:
+        return
+    if not host.leaving:
+        host.leaving = True
+        state.note("host.emptying", host=host.id, runs=len(host.runs))
+    for run in list(host.runs.values()):
+        if run.phase is not model.RunPhase.RUNNING:
+            continue
+        if run.step.lasting:
+            if policy.may_stop(state, run, now):
+                tasks.stop(run, now)
+        elif now - run.began_at > TIMED_WAIT_S:
+            tasks.stop(run, now)
+
+
+def _is_empty(state: model.State, machine: messages.MachineEntry) -> bool:
+    host = state.hosts.get(machine.host)
+    return host is None or not host.runs
+
+
+def _decide(
+    state: model.State, wave: model.Wave, machine: messages.MachineEntry
+) -> None:
+    """Record that a machine goes down; its order follows the record."""
+    wave.ordered[machine.name] = machine.host
+    key = f"{progress.WAVE_PREFIX}{wave.number}"
+    state.values[key] = progress.of_wave(wave)
+    state.orders[machine.name] = float("inf")
+    state.emit_saved(
+        messages.ServiceMachine(machine=machine.name, wave=wave.number)
+    )
+    state.note("machine.upkeep", machine=machine.name, wave=wave.number)
+
+
+def _order(
+    state: model.State, wave: model.Wave, name: str, now: float
+) -> None:
+    """Repeat an order whose outcome is not known."""
+    if name in wave.confirmed or now < state.orders.get(name, 0.0):
+        return
+    state.orders[name] = float("inf")
+    state.emit(messages.ServiceMachine(machine=name, wave=wave.number))
+
+
+def answered(
+    state: model.State, event: messages.OrderAnswered, now: float
+) -> None:
+    """Take in what became of an order to a machine."""
+    state.orders[event.machine] = now + ORDER_RETRY_S
+    state.note(
+        "machine.answered", machine=event.machine, result=event.result.value
+    )
+    for wave in state.waves.values():
+        host = wave.ordered.get(event.machine)
+        if host is None or event.machine in wave.confirmed:
+            continue
+        match event.result:
+            case messages.OrderResult.DONE:
+                wave.confirmed.add(event.machine)
+                _old_host_ended(state, host, now)
+                state.machines_due = min(state.machines_due, now + 1.0)
+            case messages.OrderResult.REFUSED:
+                wave.confirmed.add(event.machine)
+                wave.back.add(event.machine)
+            case messages.OrderResult.FENCED:
+                state.emit(
+                    messages.StepDown(reason="fenced by a machine's order")
+                )
+            case _:
+                continue
--- a/benchmarks/capacity/platform.py
+++ b/benchmarks/capacity/platform.py
@@ -4,10 +4,10 @@
 
 import pycurl
 
-from azurewood.platform import base
-from azurewood.platform import hosts as host_lists
-from azurewood.platform import log as logs
-from azurewood.platform import tasks as task_lists
+from azurewood.provider import base
+from azurewood.provider import hosts as host_lists
+from azurewood.provider import log as logs
+from azurewood.provider import tasks as task_lists
 from azurewood.state import records
 from benchmarks.capacity import agreed
 from benchmarks.capacity import fleets
