Give a silent host no lease, and run the daemons' code on a platform in memory

Cause: tasks of a host that was cut off never started elsewhere. Each hold that was sent to it, answered or not, was counted as one that might have renewed its lease, so the time at which all its leases had lapsed never came.

Change: a host that does not answer is asked for its list without a lease.

--- a/azurewood/commands/fleet.py
+++ b/azurewood/commands/fleet.py
@@ -7,9 +7,9 @@
 import click
 from loguru import logger
 
-import azurewood.exceptions
 from azurewood.commands import exceptions
 from azurewood.daemons import fleet as daemons
+import azurewood.exceptions
 from azurewood.log import setup
 from azurewood.platform import base
 from azurewood.platform import settings as settings_files
--- a/azurewood/daemons/ports.py
+++ b/azurewood/daemons/ports.py
@@ -17,6 +17,17 @@
 Application = abc.Callable[..., abc.Iterable[bytes]]
 
 
+class Calls(typing.Protocol):
+    """Makes calls and hands each reply to its callback, always."""
+
+    def submit(
+        self,
+        call: multiplex.Call,
+        done: abc.Callable[[multiplex.Reply], None],
+    ) -> None:
+        """Begin a call."""
+
+
 class Platform(typing.Protocol):
     """Calls and answers of one platform."""
 
@@ -59,9 +70,7 @@
     def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
         """Decode a page of newest records."""
 
-    def host_call(
-        self, effect: messages.Effect, fence: int
-    ) -> multiplex.Call:
+    def host_call(self, effect: messages.Effect, fence: int) -> multiplex.Call:
         """Carry out an effect on a host."""
 
     def host_event(
@@ -75,9 +84,7 @@
     def machines_page(self, reply: multiplex.Reply) -> typing.Any:
         """Decode a page of the list of machines."""
 
-    def order_call(
-        self, order: messages.Effect, fence: int
-    ) -> multiplex.Call:
+    def order_call(self, order: messages.Effect, fence: int) -> multiplex.Call:
         """Give a machine an order."""
 
     def order_result(self, reply: multiplex.Reply) -> messages.OrderResult:
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -14,7 +14,6 @@
 from collections import abc
 import dataclasses
 import enum
-import time
 import typing
 
 from loguru import logger
@@ -59,8 +58,9 @@
     """What a term has of its daemon."""
 
     platform: ports.Platform
-    calls: multiplex.Multiplexer
+    calls: ports.Calls
     clock: abc.Callable[[], float]
+    unix_ms: abc.Callable[[], float]
     register: register.Register
     catalog: abc.Callable[[], catalog.Catalog | None]
     waves: abc.Callable[[], abc.Iterable[messages.WaveRequested]]
@@ -183,8 +183,9 @@
                 self._retry_at = 0.0
             case appender.Fenced():
                 self.stop("a later term has begun")
-            case appender.NotDone(reason=reason) | appender.Unknown(
-                reason=reason
+            case (
+                appender.NotDone(reason=reason)
+                | appender.Unknown(reason=reason)
             ):
                 logger.bind(event="term.fencing", topic=topic.value).warning(
                     "the store did not take the term: {}", reason
@@ -319,7 +320,7 @@
         calm = now - self._began_at > pause + ORDER_MARGIN_S
         recent = election.leads(now, within_s=leadership.ORDER_VALID_S)
         return messages.Tick(
-            unix_ms=time.time() * 1000, may_order=calm and recent
+            unix_ms=self._given.unix_ms(), may_order=calm and recent
         )
 
     def _took_hosts(self, changes: follower.Changes) -> None:
@@ -383,9 +384,7 @@
         self.take(messages.ProgressSaved())
 
     def _announce(self, record: records.Record) -> None:
-        stored = appender.Record(
-            key=record.key, value=records.encode(record)
-        )
+        stored = appender.Record(key=record.key, value=records.encode(record))
         self._jobs.add((stored,), None)
 
     def _report(self, record: appender.Record) -> None:
@@ -412,7 +411,9 @@
         recent = leadership.ORDER_VALID_S
         if not self._given.election.leads(now, within_s=recent):
             result = messages.OrderResult.NOT_DONE
-            event = messages.OrderAnswered(machine=order.machine, result=result)
+            event = messages.OrderAnswered(
+                machine=order.machine, result=result
+            )
             self.take(event)
             return
         self._given.calls.submit(
@@ -461,4 +462,3 @@
             "jobs": len(state.jobs) if state else 0,
             "hosts": len(state.hosts) if state else 0,
         }
-
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -13,7 +13,7 @@
 
 def read(
     platform: ports.Platform,
-    calls: multiplex.Multiplexer,
+    calls: ports.Calls,
     clock: abc.Callable[[], float],
     reader: follower.Follower,
     changed: abc.Callable[[follower.Changes], None],
@@ -65,7 +65,7 @@
         self,
         *,
         platform: ports.Platform,
-        calls: multiplex.Multiplexer,
+        calls: ports.Calls,
         clock: abc.Callable[[], float],
         topic: pages.Topic,
         producer: str,
@@ -116,9 +116,9 @@
         failing = self._appender.failing
         stored = self._appender.settle(result, self._clock())
         if self._appender.failing and not failing:
-            logger.bind(event="append.failed", topic=self._topic.value).warning(
-                "an append is repeated: {}", result
-            )
+            logger.bind(
+                event="append.failed", topic=self._topic.value
+            ).warning("an append is repeated: {}", result)
         for item in stored:
             if item.token is not None:
                 item.token()
--- a/azurewood/jobs/records.py
+++ b/azurewood/jobs/records.py
@@ -79,7 +79,9 @@
     try:
         record = _decoder.decode(data)
     except msgspec.DecodeError as exc:
-        raise exceptions.InvalidRecord(f"not a record of a job: {exc}") from exc
+        raise exceptions.InvalidRecord(
+            f"not a record of a job: {exc}"
+        ) from exc
     if record.version > VERSION:
         raise exceptions.InvalidRecord(
             f"record of version {record.version}, {VERSION} is known"
--- a/azurewood/jobs/register.py
+++ b/azurewood/jobs/register.py
@@ -51,7 +51,7 @@
             case records.Cancelled(id=job_id) | records.Ended(id=job_id):
                 return self._settle(job_id, record)
             case records.Begun(ids=ids):
-                return any([self._begin(job_id) for job_id in ids])
+                return True in [self._begin(job_id) for job_id in ids]
 
     def drop(self, job_id: str) -> None:
         """Forget a job whose retention is over."""
--- a/azurewood/journal/follower.py
+++ b/azurewood/journal/follower.py
@@ -135,9 +135,7 @@
             case pages.Newest():
                 return self._take_newest(result, now)
 
-    def _take_newest(
-        self, page: pages.Newest, now: float
-    ) -> Changes | None:
+    def _take_newest(self, page: pages.Newest, now: float) -> Changes | None:
         if not self._after:
             self._found = []
             self._listed_end = page.end
@@ -161,9 +159,7 @@
         self.offset = -1 if self.keyed else max(0, first)
 
 
-def keys_gone(
-    known: abc.Iterable[str], changes: Changes
-) -> abc.Iterator[str]:
+def keys_gone(known: abc.Iterable[str], changes: Changes) -> abc.Iterator[str]:
     """Return the known keys that a whole listing does not have."""
     if changes.whole:
         listed = {record.key for record in changes.records}
--- a/azurewood/platform/base.py
+++ b/azurewood/platform/base.py
@@ -37,9 +37,7 @@
         self, topic: pages.Topic, request: appender.Request, producer: str
     ) -> multiplex.Call:
         """Append records under a producer's sequence number."""
-        return store.append(
-            self._settings.store_url, topic, request, producer
-        )
+        return store.append(self._settings.store_url, topic, request, producer)
 
     def begin_epoch(
         self, topic: pages.Topic, producer: str, epoch: int
@@ -88,9 +86,7 @@
         """Decode a page of newest records."""
         return store.newest_result(reply)
 
-    def host_call(
-        self, effect: messages.Effect, fence: int
-    ) -> multiplex.Call:
+    def host_call(self, effect: messages.Effect, fence: int) -> multiplex.Call:
         """Carry out an effect on a host."""
         return hosts.call(effect, fence)
 
@@ -110,9 +106,7 @@
         """Decode a page of the list of machines."""
         return machines.list_page(reply)
 
-    def order_call(
-        self, order: messages.Effect, fence: int
-    ) -> multiplex.Call:
+    def order_call(self, order: messages.Effect, fence: int) -> multiplex.Call:
         """Give a machine an order."""
         url = self._settings.machines_url
         return machines.order_call(url, order, self._settings.name, fence)
--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -24,14 +24,8 @@
 
     ``counts`` has the runs of the task's step by host.
     """
-    fitting = (
-        host
-        for host in hosts
-        if suits(host, step, counts, now)
-    )
-    return min(
-        fitting, key=lambda host: _rank(host, step, task), default=None
-    )
+    fitting = (host for host in hosts if suits(host, step, counts, now))
+    return min(fitting, key=lambda host: _rank(host, step, task), default=None)
 
 
 def suits(
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -96,10 +96,13 @@
     if not host.present and not host.runs and now > host.bound_at:
         return
     clock = host.clock(now)
-    lease = None if clock is None else clock + LEASE_MS
     calm = host.synced and host.silent_since is None
+    lease = None
+    if calm and clock is not None:
+        # A silent host gets no lease, or its tasks could start nowhere else.
+        lease = clock + LEASE_MS
+        host.bound_at = max(host.bound_at, now + LEASE_BOUND_S)
     host.holding = True
-    host.bound_at = max(host.bound_at, now + LEASE_BOUND_S)
     state.emit(
         messages.HoldHost(
             host=host.id,
@@ -325,9 +328,7 @@
     state.placing.add(host.entry.service)
 
 
-def _with_born(
-    entry: messages.HostEntry, born_ms: int
-) -> messages.HostEntry:
+def _with_born(entry: messages.HostEntry, born_ms: int) -> messages.HostEntry:
     return messages.HostEntry(
         id=entry.id,
         address=entry.address,
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -71,8 +71,11 @@
 
 @_frozen
 class RunningRow:
-    """A run that a host lists; ``measure`` is the tail in ms for a task
-    with a latency target, else the processor in use."""
+    """A run that a host lists.
+
+    ``measure`` is the tail in ms for a task with a latency target, else the
+    processor in use.
+    """
 
     task: model.TaskId
     run: int
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -206,7 +206,9 @@
             for number, step in enumerate(job.steps):
                 self._add_step(occurrence, number, step)
 
-    def _add_step(self, occurrence: int, number: int, step: model.Step) -> None:
+    def _add_step(
+        self, occurrence: int, number: int, step: model.Step
+    ) -> None:
         key = (occurrence, number)
         self.undone[key] = step.count
         self.steps[key] = [
@@ -254,9 +256,7 @@
         "request",
     )
 
-    def __init__(
-        self, *, request: messages.WaveRequested, now: float
-    ) -> None:
+    def __init__(self, *, request: messages.WaveRequested, now: float) -> None:
         self.number = request.number
         self.request = request
         self.began_at = now
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -185,7 +185,9 @@
 ) -> None:
     hosts = sorted(pool, key=lambda host: -host.room.cpu)[:MAX_ADVISED_HOSTS]
     queue = state.catalog.queues[job.job.queue]
-    length_ms = queue.advice.decision_ms + queue.advice.per_host_ms * len(hosts)
+    length_ms = queue.advice.decision_ms + queue.advice.per_host_ms * len(
+        hosts
+    )
     job.tickets[(id.occurrence, id.step)] = messages.Advised(
         job=job.job.id,
         occurrence=id.occurrence,
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -125,9 +125,7 @@
             state.host(row.host).add(run)
 
 
-def adopt_wave(
-    wave: scheduling.Wave, record: WaveProgress
-) -> None:
+def adopt_wave(wave: scheduling.Wave, record: WaveProgress) -> None:
     """Take in what an earlier leader recorded of a wave."""
     wave.ordered.update(record.ordered)
 
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -77,9 +77,7 @@
     return [e for e in effects if not _outdated(state, e, now)]
 
 
-def _outdated(
-    state: model.State, effect: messages.Effect, now: float
-) -> bool:
+def _outdated(state: model.State, effect: messages.Effect, now: float) -> bool:
     """Drop a start that waited for the store and is not wanted any more."""
     if not isinstance(effect, messages.StartRun):
         return False
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -160,9 +160,7 @@
     finish_if_done(state, job)
 
 
-def finish_if_done(
-    state: scheduling.State, job: scheduling.JobState
-) -> None:
+def finish_if_done(state: scheduling.State, job: scheduling.JobState) -> None:
     """Announce a job's end once all its tasks are done."""
     if job.done and not job.closing and not job.job.lasting:
         _announce(state, job, model.Phase.COMPLETED)
--- /dev/null
+++ b/standins/fleet/platform.py
@@ -0,0 +1,252 @@
+"""The port of a platform, answered by the stand-in in memory.
+
+A call is a closure over the stand-in; the network of `standins.fleet.world`
+carries it out late, twice, or not at all.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from azurewood.http import multiplex
+from azurewood.jobs import catalog
+from azurewood.journal import appender
+from azurewood.journal import pages
+from azurewood.scheduling import messages
+
+STORE = "store"
+MACHINES = "machines"
+STORE_TIMEOUT_S = 1.0
+HOST_TIMEOUT_S = 0.8
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class SimCall:
+    """A call: to whom, what it does there, and how long it may wait.
+
+    ``wait`` registers for the moment at which ``act`` has something to
+    answer, and ``ready`` says whether it has.
+    """
+
+    target: str
+    act: abc.Callable[[float], typing.Any]
+    timeout_s: float
+    changes: bool = True
+    wait_s: float = 0.0
+    ready: abc.Callable[[], bool] | None = None
+    wait: abc.Callable[[abc.Callable[[], None]], None] | None = None
+
+
+def unwrap(reply: multiplex.Reply, otherwise: typing.Any) -> typing.Any:
+    """Return what the stand-in answered."""
+    if reply.outcome is multiplex.Outcome.ANSWERED:
+        return reply.body
+    return otherwise
+
+
+class SimPlatform:
+    """The port, for one member of a `standins.fleet.world.World`."""
+
+    __slots__ = ("_world",)
+
+    def __init__(self, *, world: typing.Any) -> None:
+        self._world = world
+
+    def append(
+        self, topic: pages.Topic, request: appender.Request, producer: str
+    ) -> SimCall:
+        """Append records under a producer's sequence number."""
+        store = self._world.store
+        return SimCall(
+            target=STORE,
+            act=lambda at: store.append(
+                topic,
+                request.records,
+                producer,
+                request.epoch,
+                request.sequence,
+            ),
+            timeout_s=request.timeout_s,
+        )
+
+    def begin_epoch(
+        self, topic: pages.Topic, producer: str, epoch: int
+    ) -> SimCall:
+        """Bar earlier epochs of a producer from a topic."""
+        store = self._world.store
+        return SimCall(
+            target=STORE,
+            act=lambda at: store.append(topic, (), producer, epoch, 0),
+            timeout_s=STORE_TIMEOUT_S,
+        )
+
+    def append_at(self, topic: pages.Topic, data: bytes, at: int) -> SimCall:
+        """Append a record if the topic ends at an offset."""
+        store = self._world.store
+        record = appender.Record(key="", value=data)
+        return SimCall(
+            target=STORE,
+            act=lambda _: store.append_at(topic, record, at),
+            timeout_s=STORE_TIMEOUT_S,
+        )
+
+    def append_plain(
+        self, topic: pages.Topic, record: appender.Record
+    ) -> SimCall:
+        """Append a record that may be appended twice."""
+        store = self._world.store
+        return SimCall(
+            target=STORE,
+            act=lambda at: store.add(topic, (record,)),
+            timeout_s=STORE_TIMEOUT_S,
+        )
+
+    def append_result(self, reply: multiplex.Reply) -> appender.Result:
+        """Return what came of an append."""
+        if reply.outcome is multiplex.Outcome.NOT_SENT:
+            return appender.NotDone(reason=reply.reason)
+        return unwrap(reply, appender.Unknown(reason=reply.reason))
+
+    def read(self, topic: pages.Topic, offset: int, wait_ms: int) -> SimCall:
+        """Read records from an offset on."""
+        store = self._world.store
+        return SimCall(
+            target=STORE,
+            act=lambda at: store.read(topic, offset),
+            timeout_s=STORE_TIMEOUT_S + wait_ms / 1000,
+            changes=False,
+            wait_s=wait_ms / 1000,
+            ready=lambda: store.end(topic) > offset,
+            wait=lambda what: store.when_appended(topic, what),
+        )
+
+    def read_result(
+        self, topic: pages.Topic, offset: int, reply: multiplex.Reply
+    ) -> pages.ReadResult:
+        """Return what was read."""
+        return unwrap(reply, pages.Failed(reason=reply.reason))
+
+    def newest(self, topic: pages.Topic, after: str) -> SimCall:
+        """Read the newest records of keys after one."""
+        store = self._world.store
+        return SimCall(
+            target=STORE,
+            act=lambda at: store.newest(topic, after),
+            timeout_s=STORE_TIMEOUT_S,
+            changes=False,
+        )
+
+    def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
+        """Return a page of newest records."""
+        return unwrap(reply, pages.Failed(reason=reply.reason))
+
+    def host_call(self, effect: messages.Effect, fence: int) -> SimCall:
+        """Carry out an effect on a host."""
+        world = self._world
+        wait_s = 0.0
+        if isinstance(effect, messages.HoldHost):
+            wait_s = effect.wait_ms / 1000
+        return SimCall(
+            target=effect.host,
+            act=lambda at: world.on_host(effect, fence, at),
+            timeout_s=HOST_TIMEOUT_S + wait_s,
+            changes=not isinstance(effect, messages.HoldHost),
+            wait_s=wait_s,
+            ready=lambda: world.hosts[effect.host].has_ends(),
+            wait=lambda what: world.hosts[effect.host].when_ended(what),
+        )
+
+    def host_event(
+        self, effect: messages.Effect, reply: multiplex.Reply
+    ) -> messages.Event | None:
+        """Return the event of a host's answer."""
+        found = unwrap(reply, None)
+        if found is not None:
+            return found
+        unsent = reply.outcome is multiplex.Outcome.NOT_SENT
+        reason = messages.Refusal.NOT_SENT
+        if not unsent:
+            reason = messages.Refusal.UNKNOWN
+        match effect:
+            case messages.StartRun():
+                return messages.StartAnswered(
+                    host=effect.host,
+                    task=effect.task,
+                    run=effect.run,
+                    refusal=reason,
+                )
+            case messages.StopRun():
+                return messages.StopAnswered(
+                    host=effect.host,
+                    task=effect.task,
+                    run=effect.run,
+                    refusal=reason,
+                )
+            case messages.HoldHost():
+                return messages.HoldFailed(host=effect.host, reason=reason)
+            case _:
+                return None
+
+    def machines_call(self, token: str) -> SimCall:
+        """Read the list of machines."""
+        return SimCall(
+            target=MACHINES,
+            act=lambda at: self._world.machine_page(),
+            timeout_s=STORE_TIMEOUT_S,
+            changes=False,
+        )
+
+    def machines_page(self, reply: multiplex.Reply) -> typing.Any:
+        """Return the list of machines."""
+        return unwrap(reply, None)
+
+    def order_call(self, order: messages.Effect, fence: int) -> SimCall:
+        """Give a machine an order."""
+        return SimCall(
+            target=MACHINES,
+            act=lambda at: self._world.order(order, fence),
+            timeout_s=STORE_TIMEOUT_S,
+        )
+
+    def order_result(self, reply: multiplex.Reply) -> messages.OrderResult:
+        """Return what became of an order."""
+        return unwrap(reply, messages.OrderResult.UNKNOWN)
+
+    def advice_call(self, ask: messages.AskAdvice) -> SimCall:
+        """Ask which hosts may run a step: all of them here."""
+        return SimCall(
+            target=MACHINES,
+            act=lambda at: messages.Advised(
+                job=ask.job,
+                occurrence=ask.occurrence,
+                step=ask.step,
+                tickets=dict.fromkeys(ask.hosts, "ticket"),
+                valid_until=at + 3.0,
+            ),
+            timeout_s=STORE_TIMEOUT_S,
+        )
+
+    def advice_event(
+        self, ask: messages.AskAdvice, reply: multiplex.Reply
+    ) -> messages.Advised | None:
+        """Return advice."""
+        return unwrap(reply, None)
+
+    def operators_record(
+        self, record: appender.Record
+    ) -> catalog.Catalog | messages.WaveRequested | None:
+        """Return what operators wrote: the stand-in's value as it is."""
+        return record.value
+
+    def host_record(
+        self, record: appender.Record
+    ) -> messages.HostSeen | messages.HostGone | None:
+        """Return a host's entry."""
+        if record.value is None:
+            return messages.HostGone(id=record.key)
+        return messages.HostSeen(entry=record.value)
+
+    def wave_report(self, report: messages.ReportWave) -> appender.Record:
+        """Encode how far a wave is."""
+        state = b"completed" if report.completed else b"running"
+        return appender.Record(key=f"wave/{report.number}", value=state)
--- /dev/null
+++ b/standins/fleet/rules.py
@@ -0,0 +1,173 @@
+"""What must always hold, checked from what hosts and callers see.
+
+Every breach is collected with its time and place.
+"""
+
+import collections
+import dataclasses
+
+from azurewood.jobs import model
+from azurewood.scheduling import messages
+from standins.fleet import clock as clocks
+from standins.fleet import hosts
+
+CANCEL_S = 3.5
+"""A cancelled job's tasks have to be gone so long after its record."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Breach:
+    """A rule that did not hold."""
+
+    at: float
+    rule: str
+    place: str
+
+    def __str__(self) -> str:
+        return f"{self.at:.3f} s: {self.rule}: {self.place}"
+
+
+class Rules:
+    """Watches starts and ends; ``breaches`` has what was wrong."""
+
+    __slots__ = (
+        "_clock",
+        "_done",
+        "_failed",
+        "_live",
+        "asked",
+        "breaches",
+        "cancelled_at",
+        "refused",
+        "started_jobs",
+        "starts",
+    )
+
+    def __init__(self, *, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self.breaches: list[Breach] = []
+        self.asked: dict[str, model.Job] = {}
+        self.refused: set[str] = set()
+        self.cancelled_at: dict[str, float] = {}
+        self.started_jobs: set[str] = set()
+        self.starts = 0
+        self._live: dict[model.TaskId, list[tuple[str, int]]] = (
+            collections.defaultdict(list)
+        )
+        self._done: set[model.TaskId] = set()
+        self._failed: dict[model.TaskId, int] = collections.Counter()
+
+    def breach(self, rule: str, place: str) -> None:
+        """Note a rule that did not hold."""
+        self.breaches.append(
+            Breach(at=self._clock.now, rule=rule, place=place)
+        )
+
+    def observe(
+        self,
+        what: str,
+        host: hosts.SimHost,
+        run: hosts.SimRun,
+        how: messages.End | None = None,
+    ) -> None:
+        """Take in a start or an end."""
+        match what:
+            case "start":
+                self._started(host, run)
+            case _:
+                self._ended(host, run, how)
+
+    def _started(self, host: hosts.SimHost, run: hosts.SimRun) -> None:
+        self.starts += 1
+        task = run.task
+        place = f"{task} run {run.run} on {host.id}"
+        self.started_jobs.add(task.job)
+        job = self.asked.get(task.job)
+        if job is None:
+            self.breach("unasked", place)
+            return
+        if task.job in self.refused:
+            self.breach("refused", place)
+        if task in self._done:
+            self.breach("started after its end", place)
+        if self._live[task]:
+            self.breach("twice", f"{place} beside {self._live[task]}")
+        self._live[task].append((host.id, run.run))
+        if host.service != job.service:
+            self.breach("wrong service", place)
+        self._check_room(host, place)
+        self._check_order(job, task, place)
+        if self._failed[task] >= job.attempts and not run.step.lasting:
+            self.breach("too many attempts", place)
+        cancelled = self.cancelled_at.get(task.job)
+        if cancelled is not None and self._clock.now > cancelled + CANCEL_S:
+            self.breach("started after its cancellation", place)
+
+    def _check_room(self, host: hosts.SimHost, place: str) -> None:
+        used = model.Resources()
+        for run in host.runs.values():
+            used = used.plus(run.step.reserved)
+        if not used.fits(host.room):
+            self.breach("room exceeded", f"{place}: {used} of {host.room}")
+
+    def _check_order(
+        self, job: model.Job, task: model.TaskId, place: str
+    ) -> None:
+        for before in job.steps[task.step].after:
+            for index in range(job.steps[before].count):
+                earlier = model.TaskId(job.id, task.occurrence, before, index)
+                if earlier not in self._done:
+                    self.breach("order", f"{place} before {earlier}")
+                    return
+
+    def _ended(
+        self,
+        host: hosts.SimHost,
+        run: hosts.SimRun,
+        how: messages.End | None,
+    ) -> None:
+        live = self._live[run.task]
+        if (host.id, run.run) in live:
+            live.remove((host.id, run.run))
+        if how is messages.End.DONE and not run.step.lasting:
+            self._done.add(run.task)
+        if how is messages.End.FAILED:
+            self._failed[run.task] += 1
+
+    def shown(self, job_id: str, phase: model.Phase | None) -> None:
+        """Check a phase that a caller was shown."""
+        job = self.asked.get(job_id)
+        if job is None:
+            if phase is not None:
+                self.breach("shown though nobody asked", job_id)
+            return
+        match phase:
+            case model.Phase.COMPLETED if not self._all_done(job):
+                self.breach("shown as completed", job_id)
+            case model.Phase.CANCELLED if job_id not in self.cancelled_at:
+                self.breach("shown as cancelled", job_id)
+            case model.Phase.FAILED if not self._has_failed(job):
+                self.breach("shown as failed", job_id)
+
+    def _tasks(self, job: model.Job) -> list[model.TaskId]:
+        return [
+            model.TaskId(job.id, occurrence, number, index)
+            for occurrence in range(job.occurrences)
+            for number, step in enumerate(job.steps)
+            for index in range(step.count)
+        ]
+
+    def _all_done(self, job: model.Job) -> bool:
+        return all(task in self._done for task in self._tasks(job))
+
+    def _has_failed(self, job: model.Job) -> bool:
+        tasks = self._tasks(job)
+        return any(self._failed[task] >= job.attempts for task in tasks)
+
+    def live(self, job_id: str) -> list[model.TaskId]:
+        """Return the tasks of a job that run now."""
+        return [
+            task
+            for task, runs in self._live.items()
+            if runs and task.job == job_id
+        ]
--- /dev/null
+++ b/standins/fleet/store.py
@@ -0,0 +1,144 @@
+"""The store: topics of records, conditions, epochs and sequence numbers."""
+
+from collections import abc
+import dataclasses
+
+from azurewood.journal import appender
+from azurewood.journal import pages
+
+LATE_ANSWERS = 5
+"""How many of a producer's newest appends answer a repetition."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Producer:
+    epoch: int = -1
+    sequence: int | None = None
+    answers: dict[int, appender.Result] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class _Topic:
+    __slots__ = ("first", "newest", "producers", "records", "waiters")
+
+    def __init__(self) -> None:
+        self.records: list[appender.Record] = []
+        self.first = 0
+        self.newest: dict[str, appender.Record] = {}
+        self.producers: dict[str, _Producer] = {}
+        self.waiters: list[abc.Callable[[], None]] = []
+
+    @property
+    def end(self) -> int:
+        """The offset that the next record gets."""
+        return self.first + len(self.records)
+
+
+class Store:
+    """What the store holds; every call takes effect at once."""
+
+    __slots__ = ("_topics", "appended")
+
+    def __init__(self) -> None:
+        self._topics = {topic: _Topic() for topic in pages.Topic}
+        self.appended = 0
+
+    def append(
+        self,
+        topic: pages.Topic,
+        records: tuple[appender.Record, ...],
+        producer: str,
+        epoch: int,
+        sequence: int,
+    ) -> appender.Result:
+        """Append records under a sequence number, or nothing."""
+        known = self._topics[topic].producers.setdefault(producer, _Producer())
+        if epoch < known.epoch:
+            return appender.Fenced()
+        if epoch > known.epoch:
+            known.epoch = epoch
+            known.sequence = None
+            known.answers = {}
+        if not records:
+            known.sequence = sequence
+            return appender.Appended(offset=self._topics[topic].end)
+        if sequence in known.answers:
+            return known.answers[sequence]
+        if known.sequence is not None and sequence != known.sequence + 1:
+            return appender.Conflict(reason="sequence")
+        known.sequence = sequence
+        answer = self.add(topic, records)
+        known.answers[sequence] = answer
+        for old in sorted(known.answers)[:-LATE_ANSWERS]:
+            del known.answers[old]
+        return answer
+
+    def append_at(
+        self, topic: pages.Topic, record: appender.Record, at: int
+    ) -> appender.Result:
+        """Append a record if the topic ends at an offset."""
+        end = self._topics[topic].end
+        if end != at:
+            return appender.Conflict(reason="condition", end=end)
+        return self.add(topic, (record,))
+
+    def add(
+        self, topic: pages.Topic, records: tuple[appender.Record, ...]
+    ) -> appender.Appended:
+        """Append records without any condition."""
+        found = self._topics[topic]
+        offset = found.end
+        found.records.extend(records)
+        self.appended += len(records)
+        for record in records:
+            found.newest.pop(record.key, None)
+            if record.value is not None:
+                found.newest[record.key] = record
+        waiters, found.waiters = found.waiters, []
+        for waiter in waiters:
+            waiter()
+        return appender.Appended(offset=offset)
+
+    def end(self, topic: pages.Topic) -> int:
+        """Return the offset that the next record gets."""
+        return self._topics[topic].end
+
+    def read(self, topic: pages.Topic, offset: int) -> pages.ReadResult:
+        """Return the records from an offset on."""
+        found = self._topics[topic]
+        if offset < found.first:
+            return pages.Trimmed(first=found.first)
+        records = tuple(found.records[offset - found.first :])
+        return pages.Page(
+            offset=offset, records=records, end=found.end, first=found.first
+        )
+
+    def when_appended(
+        self, topic: pages.Topic, what: abc.Callable[[], None]
+    ) -> None:
+        """Call something once the topic's next record is there."""
+        self._topics[topic].waiters.append(what)
+
+    def newest(self, topic: pages.Topic, after: str) -> pages.NewestResult:
+        """Return a page of the newest records of the keys."""
+        found = self._topics[topic]
+        keys = sorted(key for key in found.newest if key > after)
+        page = tuple(found.newest[key] for key in keys[:50])
+        return pages.Newest(
+            records=page, more=len(keys) > len(page), end=found.end
+        )
+
+    def values(self, topic: pages.Topic) -> dict[str, bytes]:
+        """Return the newest value of each key."""
+        newest = self._topics[topic].newest
+        return {key: record.value for key, record in newest.items()}
+
+    def forget(self, topic: pages.Topic) -> None:
+        """Drop the history; the newest record of each key is kept."""
+        found = self._topics[topic]
+        found.first = found.end
+        found.records = []
+        waiters, found.waiters = found.waiters, []
+        for waiter in waiters:
+            waiter()
--- /dev/null
+++ b/standins/fleet/world.py
@@ -0,0 +1,529 @@
+"""Members, hosts and the store under one clock, and what goes wrong.
+
+Faults: members that are killed, frozen or cut off from the store or from
+hosts; hosts that crash, are cut off, or fail what they run; a store that is
+down, loses answers or forgets its history; orders that are carried out
+late.
+"""
+
+from collections import abc
+import random
+
+from azurewood.daemons import member as members
+from azurewood.http import multiplex
+from azurewood.jobs import catalog
+from azurewood.jobs import desk
+from azurewood.jobs import model
+from azurewood.journal import appender
+from azurewood.journal import pages
+from azurewood.scheduling import messages
+from standins.fleet import clock as clocks
+from standins.fleet import hosts as sim_hosts
+from standins.fleet import platform
+from standins.fleet import rules as rule_checks
+from standins.fleet import store as stores
+
+ONE_WAY_S = 0.001
+STORE_S = 0.003
+BEAT_S = 1.5
+SILENCE_S = 4.5
+LATE_S = (2.0, 12.0)
+UPKEEP_S = 2.0
+MOVE_S = 1.5
+ORDER_PAUSE_S = 3.0
+
+
+class SimCalls:
+    """The calls of one life of a member, through the world's network."""
+
+    __slots__ = ("_member", "_world")
+
+    def __init__(self, *, world: "World", member: "SimMember") -> None:
+        self._world = world
+        self._member = member
+
+    def submit(
+        self,
+        call: platform.SimCall,
+        done: abc.Callable[[multiplex.Reply], None],
+    ) -> None:
+        """Send a call; its reply, or none, comes later."""
+        _Transfer(
+            world=self._world, member=self._member, call=call, done=done
+        ).send()
+
+
+class _Transfer:
+    """One call under way."""
+
+    __slots__ = (
+        "_answered",
+        "call",
+        "done",
+        "life",
+        "member",
+        "sent_at",
+        "world",
+    )
+
+    def __init__(
+        self,
+        *,
+        world: "World",
+        member: "SimMember",
+        call: platform.SimCall,
+        done: abc.Callable[[multiplex.Reply], None],
+    ) -> None:
+        self.world = world
+        self.member = member
+        self.call = call
+        self.done = done
+        self.life = member.life
+        self.sent_at = world.clock.now
+        self._answered = False
+
+    def send(self) -> None:
+        """Begin the call and its timeout."""
+        self.world.clock.after(self.call.timeout_s, self._give_up)
+        fault = self.world.fault_of(self.call)
+        if fault == "late":
+            self.world.clock.after(
+                self.world.random.uniform(*LATE_S), lambda: self._act("lost")
+            )
+            return
+        delay = self.world.delay(self.call.target)
+        self.world.clock.after(delay, lambda: self._arrive(fault))
+
+    def _arrive(self, fault: str) -> None:
+        if not self.world.reachable(self.member, self.call.target):
+            return
+        call = self.call
+        if call.wait_s and call.ready and not call.ready():
+            self._wait(fault)
+            return
+        self._act(fault)
+
+    def _wait(self, fault: str) -> None:
+        """Answer at the first change, or when the wait is over."""
+        state = {"over": False}
+
+        def go() -> None:
+            if not state["over"]:
+                state["over"] = True
+                self._act(fault)
+
+        if self.call.target in self.world.hosts:
+            # A hold takes effect as it arrives and is answered later.
+            self.call.act(self.sent_at)
+        self.call.wait(go)
+        self.world.clock.after(self.call.wait_s, go)
+
+    def _act(self, fault: str) -> None:
+        if not self.world.serves(self.call.target):
+            return
+        answer = self.call.act(self.sent_at)
+        if fault == "lost" or answer is None:
+            return
+        delay = self.world.delay(self.call.target)
+        self.world.clock.after(delay, lambda: self._answer(answer))
+
+    def _answer(self, answer: object) -> None:
+        if self.world.reachable(self.member, self.call.target):
+            self._finish(multiplex.Outcome.ANSWERED, answer)
+
+    def _give_up(self) -> None:
+        self._finish(multiplex.Outcome.UNKNOWN, b"")
+
+    def _finish(self, outcome: multiplex.Outcome, answer: object) -> None:
+        if self._answered or self.life != self.member.life:
+            return
+        if self.member.frozen:
+            self.member.thawed.append(lambda: self._finish(outcome, answer))
+            return
+        self._answered = True
+        self.done(
+            multiplex.Reply(
+                outcome=outcome,
+                body=answer,
+                reason=outcome.value,
+                sent_at=self.sent_at,
+                at=self.world.clock.now,
+            )
+        )
+        self.member.step()
+
+
+class SimMember:
+    """A daemon of the fleet in the simulation, over all its lives."""
+
+    __slots__ = (
+        "cut_from",
+        "frozen",
+        "life",
+        "member",
+        "name",
+        "thawed",
+        "up",
+        "world",
+    )
+
+    def __init__(self, *, world: "World", name: str) -> None:
+        self.world = world
+        self.name = name
+        self.life = 0
+        self.up = False
+        self.frozen = False
+        self.thawed: list[abc.Callable[[], None]] = []
+        self.cut_from: set[str] = set()
+        self.member: members.Member | None = None
+
+    def start(self) -> None:
+        """Begin a life."""
+        self.life += 1
+        self.up = True
+        self.frozen = False
+        self.thawed = []
+        world = self.world
+        self.member = members.Member(
+            name=self.name,
+            nonce=f"{world.random.getrandbits(64):016x}",
+            platform=platform.SimPlatform(world=world),
+            calls=SimCalls(world=world, member=self),
+            clock=lambda: world.clock.now,
+            unix_ms=lambda: world.clock.now * 1000,
+            wake=self.step,
+            order_pause_s=ORDER_PAUSE_S,
+        )
+        self._loop(self.life)
+
+    def kill(self) -> None:
+        """End a life at once."""
+        self.life += 1
+        self.up = False
+        self.member = None
+
+    def freeze(self, seconds: float) -> None:
+        """Stand still for a while."""
+        if self.up and not self.frozen:
+            self.frozen = True
+            life = self.life
+            self.world.clock.after(seconds, lambda: self._thaw(life))
+
+    def _thaw(self, life: int) -> None:
+        if life != self.life:
+            return
+        self.frozen = False
+        thawed, self.thawed = self.thawed, []
+        for what in thawed:
+            what()
+        self.step()
+
+    def step(self) -> None:
+        """Let the member do what is due."""
+        if self.up and not self.frozen:
+            self.member.step(self.world.clock.now)
+
+    def _loop(self, life: int) -> None:
+        if life != self.life:
+            return
+        self.step()
+        now = self.world.clock.now
+        pause = max(0.005, self.member.next_at(now) - now)
+        self.world.clock.after(pause, lambda: self._loop(life))
+
+    @property
+    def leads(self) -> bool:
+        """Whether this daemon schedules."""
+        return self.up and self.member.term is not None
+
+
+class World:
+    """Everything: ``rules`` has what was wrong."""
+
+    def __init__(self, *, seed: int, members: int, pools: dict[str, int]):
+        self.random = random.Random(seed)
+        self.clock = clocks.Clock()
+        self.store = stores.Store()
+        self.rules = rule_checks.Rules(clock=self.clock)
+        self.hosts: dict[str, sim_hosts.SimHost] = {}
+        self.machines: dict[str, messages.MachineEntry] = {}
+        self.upkeep_done: dict[int, set[str]] = {}
+        self.fences: dict[str, int] = {}
+        self.cut_hosts: set[str] = set()
+        self.store_down = False
+        self.lost_share = 0.0
+        self.late_share = 0.0
+        self.slow = 1.0
+        self.length = lambda task, step: step.estimate_ms / 1000
+        self._names = 0
+        for service, count in pools.items():
+            for number in range(count):
+                self._add_machine(service, number)
+        self.members = [
+            SimMember(world=self, name=f"m{number}")
+            for number in range(members)
+        ]
+        for member in self.members:
+            member.start()
+
+    def _add_machine(self, service: str, number: int) -> None:
+        name = f"{service}-{number}"
+        host = self.add_host(name, service, (f"rack-{number % 2}",))
+        self.machines[name] = messages.MachineEntry(
+            name=name,
+            pool=service,
+            state=messages.MachineState.UP,
+            host=host.id,
+            zone="a",
+        )
+
+    def add_host(
+        self, machine: str, service: str, labels: tuple[str, ...]
+    ) -> sim_hosts.SimHost:
+        """Add a host of a machine; it says so in the store."""
+        self._names += 1
+        host = sim_hosts.SimHost(
+            id=f"h{self._names}",
+            machine=machine,
+            service=service,
+            room=model.Resources(4000, 8000, 0),
+            labels=("kind", *labels),
+            clock=self.clock,
+            length=lambda task, step: self.length(task, step),
+            observe=self.rules.observe,
+            pace=self.random.choice((1.0, 0.98)),
+        )
+        self.hosts[host.id] = host
+        self._beat(host)
+        return host
+
+    def _beat(self, host: sim_hosts.SimHost) -> None:
+        """Write a host's entry, again and again while it is up."""
+        if self.hosts.get(host.id) is not host:
+            return
+        if host.up and not self.store_down:
+            self.say(host)
+        self.clock.after(BEAT_S, lambda: self._beat(host))
+
+    def say(self, host: sim_hosts.SimHost) -> None:
+        """Write a host's entry now."""
+        record = appender.Record(key=host.id, value=host.entry())
+        self.store.add(pages.Topic.HOSTS, (record,))
+
+    # The network
+
+    def delay(self, target: str) -> float:
+        """Return one way's delay."""
+        if target == platform.STORE:
+            return STORE_S * self.slow * self.random.uniform(0.8, 1.5)
+        return ONE_WAY_S * self.random.uniform(0.5, 2.0)
+
+    def fault_of(self, call: platform.SimCall) -> str:
+        """Return what goes wrong with a call."""
+        if call.target == platform.STORE:
+            if call.changes and self.random.random() < self.lost_share:
+                return "lost"
+            return ""
+        order = call.changes and call.target in self.hosts
+        if order and self.random.random() < self.late_share:
+            return "late"
+        return ""
+
+    def reachable(self, member: SimMember, target: str) -> bool:
+        """Return whether packets pass between both."""
+        return target not in member.cut_from and target not in self.cut_hosts
+
+    def serves(self, target: str) -> bool:
+        """Return whether whoever is called is there."""
+        if target == platform.STORE:
+            return not self.store_down
+        host = self.hosts.get(target)
+        return host is None or host.up
+
+    # What calls do
+
+    def on_host(
+        self, effect: messages.Effect, fence: int, sent_at: float
+    ) -> messages.Event | None:
+        """Carry an effect out on its host."""
+        host = self.hosts[effect.host]
+        match effect:
+            case messages.StartRun():
+                job = self.rules.asked.get(effect.task.job)
+                if job is None:
+                    self.rules.breach("unasked", str(effect.task))
+                    return None
+                step = job.steps[effect.task.step]
+                return messages.StartAnswered(
+                    host=host.id,
+                    task=effect.task,
+                    run=effect.run,
+                    refusal=host.start(effect, fence, step),
+                    clock_ms=host.clock_ms(),
+                )
+            case messages.StopRun():
+                return messages.StopAnswered(
+                    host=host.id,
+                    task=effect.task,
+                    run=effect.run,
+                    refusal=host.stop(effect.task, effect.run, fence),
+                )
+            case messages.HoldHost():
+                refusal = host.hold(effect, fence)
+                if refusal is not None:
+                    return messages.HoldFailed(host=host.id, reason=refusal)
+                return host.listing(sent_at)
+            case _:
+                return None
+
+    def machine_page(self) -> "MachinePage":
+        """Return the list of machines."""
+        return MachinePage(machines=tuple(self.machines.values()))
+
+    def order(
+        self, order: messages.Effect, fence: int
+    ) -> messages.OrderResult:
+        """Carry out an order to a machine."""
+        machine = self.machines[order.machine]
+        if fence < self.fences.get(machine.name, 0):
+            self.rules.breach("an old order to a machine", machine.name)
+        self.fences[machine.name] = fence
+        if machine.state is not messages.MachineState.UP:
+            return messages.OrderResult.BUSY
+        match order:
+            case messages.ServiceMachine(wave=wave):
+                done = self.upkeep_done.setdefault(wave, set())
+                if machine.name in done:
+                    return messages.OrderResult.DONE
+                done.add(machine.name)
+                state = messages.MachineState.UPKEEP
+                self._replace(machine, machine.pool, state, UPKEEP_S)
+            case messages.MoveMachine(pool=pool):
+                if machine.pool != pool:
+                    state = messages.MachineState.MOVING
+                    self._replace(machine, pool, state, MOVE_S)
+        return messages.OrderResult.DONE
+
+    def _replace(
+        self,
+        machine: messages.MachineEntry,
+        pool: str,
+        state: messages.MachineState,
+        seconds: float,
+    ) -> None:
+        """End a machine's host; another joins the pool later."""
+        host = self.hosts[machine.host]
+        host.crash()
+        gone = appender.Record(key=host.id, value=None)
+        self.store.add(pages.Topic.HOSTS, (gone,))
+        self._set_machine(machine.name, pool, state, "")
+        labels = host.labels[1:]
+
+        def back() -> None:
+            fresh = self.add_host(machine.name, pool, labels)
+            up = messages.MachineState.UP
+            self._set_machine(machine.name, pool, up, fresh.id)
+
+        self.clock.after(seconds, back)
+
+    def _set_machine(
+        self, name: str, pool: str, state: messages.MachineState, host: str
+    ) -> None:
+        self.machines[name] = messages.MachineEntry(
+            name=name, pool=pool, state=state, host=host, zone="a"
+        )
+
+    # Operators and callers
+
+    def configure(self, found: catalog.Catalog) -> None:
+        """Put a configuration in force."""
+        record = appender.Record(key="config", value=found)
+        self.store.add(pages.Topic.OPERATORS, (record,))
+
+    def request_wave(self, wave: messages.WaveRequested) -> None:
+        """Ask for a wave of upkeep."""
+        record = appender.Record(key=f"wave/{wave.number}", value=wave)
+        self.store.add(pages.Topic.OPERATORS, (record,))
+
+    def submit(self, member: SimMember, job: model.Job) -> "Asked":
+        """Hand a job in at a member; the answer comes later."""
+        asked = Asked()
+        if not member.up or member.frozen:
+            asked.verdict = desk.OutcomeUnknown(reason="nobody answers")
+            return asked
+        known = member.member.desk
+        if job.id in known.register.entries:
+            asked.verdict = desk.Taken()
+            return asked
+        self.rules.asked[job.id] = job
+        asked.begin(member, desk.records.Accepted(job=job), self.clock.now)
+        return asked
+
+    def cancel(self, member: SimMember, job_id: str) -> "Asked":
+        """Cancel a job at a member; the answer comes later."""
+        asked = Asked()
+        if member.up and not member.frozen:
+            record = desk.records.Cancelled(id=job_id)
+            self.rules.cancelled_at.setdefault(job_id, float("inf"))
+
+            def stored() -> None:
+                self.rules.cancelled_at[job_id] = self.clock.now
+
+            asked.begin(member, record, self.clock.now, stored)
+        return asked
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.run_until(self.clock.now + seconds)
+
+    def show_all(self) -> None:
+        """Check what every member shows of every job."""
+        for member in self.members:
+            if member.up and member.member.desk.loaded:
+                for job_id in self.rules.asked:
+                    entry = member.member.desk.register.entries.get(job_id)
+                    phase = entry.phase if entry else None
+                    self.rules.shown(job_id, phase)
+
+    def leaders(self) -> list[SimMember]:
+        """Return the members that schedule."""
+        return [member for member in self.members if member.leads]
+
+
+class MachinePage:
+    """The whole list of machines on one page."""
+
+    __slots__ = ("machines", "token")
+
+    def __init__(self, *, machines: tuple[messages.MachineEntry, ...]) -> None:
+        self.machines = machines
+        self.token = ""
+
+
+class Asked:
+    """A caller's wish and its verdict, None while it is open."""
+
+    __slots__ = ("verdict",)
+
+    def __init__(self) -> None:
+        self.verdict: desk.Verdict | None = None
+
+    def begin(
+        self,
+        member: SimMember,
+        record: desk.records.Record,
+        now: float,
+        stored: abc.Callable[[], None] | None = None,
+    ) -> None:
+        """Hand a record in."""
+        fut = desk.concurrent.futures.Future()
+
+        def done(answered: desk.concurrent.futures.Future) -> None:
+            self.verdict = answered.result()
+            if stored is not None and self.verdict == desk.Taken():
+                stored()
+
+        fut.add_done_callback(done)
+        member.member.hand_in(
+            desk.Wish(record=record, future=fut, asked_at=now)
+        )
--- /dev/null
+++ b/tests/scheduling/deployment.py
@@ -0,0 +1,99 @@
+"""A small deployment on the platform in memory, for tests."""
+
+from azurewood.jobs import catalog
+from azurewood.jobs import desk
+from azurewood.jobs import model
+from azurewood.scheduling import messages
+from standins.fleet import world as worlds
+
+CATALOG = catalog.Catalog(
+    version=1,
+    queues={
+        name: catalog.Queue(
+            name=name,
+            host="a.example",
+            path_prefix=f"/{name}/",
+            service=f"s-{name}",
+            attempts=2,
+            objective_factor=1.6,
+            objective_ms=600,
+        )
+        for name in ("one", "two")
+    },
+    pools={
+        "s-one": catalog.Pool(name="s-one"),
+        "s-two": catalog.Pool(name="s-two"),
+        "spare": catalog.Pool(name="spare", standby=True),
+    },
+)
+STEP = model.Step(
+    count=3, needs=model.Resources(1000, 500, 0), estimate_ms=400
+)
+LASTING = model.Step(
+    count=3, needs=model.Resources(500, 500, 0), lasting=True, per_host=1
+)
+
+
+def world(*, seed: int = 1, members: int = 3, **pools: int) -> worlds.World:
+    """Return a configured world whose members have settled."""
+    counts = pools or {"s-one": 3, "s-two": 2}
+    made = worlds.World(seed=seed, members=members, pools=counts)
+    made.configure(CATALOG)
+    made.run(4.0)
+    assert len(made.leaders()) == 1
+    return made
+
+
+def job(
+    made: worlds.World,
+    number: int,
+    *steps: model.Step,
+    queue: str = "one",
+) -> model.Job:
+    """Return a job of these steps, or of two steps of three tasks."""
+    found = CATALOG.queues[queue]
+    after = model.Step(
+        count=2,
+        needs=model.Resources(1000, 500, 0),
+        estimate_ms=300,
+        after=(0,),
+    )
+    return model.Job(
+        id=f"{number:016x}",
+        queue=queue,
+        service=found.service,
+        payload="payload",
+        steps=steps or (STEP, after),
+        accepted_ms=int(made.clock.now * 1000),
+        attempts=found.attempts,
+        objective_factor=found.objective_factor,
+        objective_ms=found.objective_ms,
+    )
+
+
+def phase(made: worlds.World, job_id: str) -> model.Phase | None:
+    """Return the phase that a live member shows, None if it knows none."""
+    for member in made.members:
+        if member.up:
+            shown = member.member.desk.show(job_id)
+            if isinstance(shown, desk.Shown):
+                return shown.phase
+    return None
+
+
+def at_work(made: worlds.World, job_id: str) -> int:
+    """Return how many tasks of a job run."""
+    return len(made.rules.live(job_id))
+
+
+def wave(number: int, *machines: str, max_down: int = 1):
+    """Return a wave of upkeep."""
+    return messages.WaveRequested(
+        number=number, machines=machines, max_down=max_down, finish_by_s=30.0
+    )
+
+
+def check(made: worlds.World) -> None:
+    """Fail with all breaches together, if there are any."""
+    made.show_all()
+    assert not made.rules.breaches, "\n".join(map(str, made.rules.breaches))
