Count a gang's failure once; a machine of faults over the daemons' code

Cause: when several members of a gang fail on their own, each counted as an attempt, and a job was shown as failed after fewer attempts than it has. Found by tests/scheduling/test_machine.py on its first run (a gang on a host that fails all it runs).

Change: a gang's run counts one failure.

--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -176,7 +176,10 @@
     step = job.step_of(task.id)
     key = (task.id.occurrence, task.id.step)
     members = job.steps[key] if step.gang else [task]
-    failures = max(member.failures for member in members) + 1
+    failures = max(member.failures for member in members)
+    if not (step.gang and job.failed_gangs.get(key) == task.run):
+        failures += 1
+    job.failed_gangs[key] = task.run
     for member in members:
         member.failures = failures
     task.avoid.add(host.id)
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -291,6 +291,7 @@
             clock=self.clock,
             length=lambda task, step: self.length(task, step),
             observe=self.rules.observe,
+            noted=self.rules.noted,
             pace=self.random.choice((1.0, 0.98)),
         )
         self.hosts[host.id] = host
--- /dev/null
+++ b/tests/scheduling/test_machine.py
@@ -0,0 +1,176 @@
+"""Any mix of faults, in any order, at any time: the rules hold.
+
+A machine of hypothesis drives three members over the platform in memory.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from azurewood.jobs import model
+from azurewood.journal import pages
+from azurewood.policy import host_choice
+from tests.scheduling import deployment
+
+MEMBERS = strategies.integers(0, 2)
+HOSTS = strategies.integers(0, 4)
+PAUSES = strategies.sampled_from((0.01, 0.1, 0.5, 1.5))
+SHAPES = strategies.sampled_from(("short", "long", "gang", "lasting"))
+
+STEPS = {
+    "short": None,
+    "long": model.Step(
+        count=4, needs=model.Resources(1500, 500, 0), estimate_ms=2500
+    ),
+    "gang": model.Step(
+        count=3,
+        needs=model.Resources(1500, 500, 0),
+        estimate_ms=800,
+        gang=True,
+    ),
+    "lasting": deployment.LASTING,
+}
+
+
+class FaultMachine(stateful.RuleBasedStateMachine):
+    """Jobs, cancellations and faults over one world."""
+
+    def __init__(self):
+        super().__init__()
+        self.made = deployment.world()
+        self.number = 0
+        self.jobs = []
+
+    def host(self, index):
+        """Return one of the hosts that are listed now."""
+        found = sorted(self.made.hosts)
+        return self.made.hosts[found[index % len(found)]]
+
+    @stateful.rule(member=MEMBERS, shape=SHAPES)
+    def submit(self, member, shape):
+        """Hand a job in."""
+        self.number += 1
+        step = STEPS[shape]
+        steps = () if step is None else (step,)
+        job = deployment.job(self.made, self.number, *steps)
+        self.jobs.append(job.id)
+        self.made.submit(self.made.members[member], job)
+
+    @stateful.precondition(lambda self: self.jobs)
+    @stateful.rule(member=MEMBERS, index=strategies.integers(0, 99))
+    def cancel(self, member, index):
+        """Cancel a job."""
+        job_id = self.jobs[index % len(self.jobs)]
+        self.made.cancel(self.made.members[member], job_id)
+
+    @stateful.rule(member=MEMBERS)
+    def kill_or_start(self, member):
+        """Kill a member, or start it again."""
+        found = self.made.members[member]
+        if found.up:
+            found.kill()
+        else:
+            found.start()
+
+    @stateful.rule(member=MEMBERS, seconds=strategies.sampled_from((1, 5)))
+    def freeze(self, member, seconds):
+        """Let a member stand still."""
+        self.made.members[member].freeze(seconds)
+
+    @stateful.rule(member=MEMBERS)
+    def cut_store(self, member):
+        """Cut a member off from the store, or join it again."""
+        self.made.members[member].cut_from ^= {"store"}
+
+    @stateful.rule(index=HOSTS)
+    def cut_host(self, index):
+        """Cut a host off, or join it again."""
+        self.made.cut_hosts ^= {self.host(index).id}
+
+    @stateful.rule(index=HOSTS)
+    def crash_or_restart(self, index):
+        """Crash a host, or let it begin another life."""
+        found = self.host(index)
+        if found.up:
+            found.crash()
+        elif self.made.machines[found.machine].host == found.id:
+            found.restart()
+
+    @stateful.rule(index=HOSTS)
+    def fail_or_mend(self, index):
+        """Let a host fail what it runs, or mend it."""
+        found = self.host(index)
+        found.failing = not found.failing
+
+    @stateful.rule(share=strategies.sampled_from((0.0, 0.3)))
+    def lose_answers(self, share):
+        """Let the store lose answers."""
+        self.made.lost_share = share
+
+    @stateful.rule(share=strategies.sampled_from((0.0, 0.3)))
+    def late_orders(self, share):
+        """Let hosts carry orders out late."""
+        self.made.late_share = share
+
+    @stateful.rule()
+    def store_down(self):
+        """Stop the store, or start it."""
+        self.made.store_down = not self.made.store_down
+
+    @stateful.rule(topic=strategies.sampled_from(list(pages.Topic)))
+    def forget(self, topic):
+        """Drop a topic's history."""
+        self.made.store.forget(topic)
+
+    @stateful.rule()
+    def request_wave(self):
+        """Ask for a wave of upkeep."""
+        names = sorted(self.made.machines)
+        self.made.request_wave(deployment.wave(1, *names, max_down=2))
+
+    @stateful.rule(seconds=PAUSES)
+    def wait(self, seconds):
+        """Let time pass."""
+        self.made.run(seconds)
+
+    @stateful.invariant()
+    def rules_hold(self):
+        """Check everything that hosts and callers saw."""
+        deployment.check(self.made)
+
+    def teardown(self):
+        """Mend everything; what was accepted is done in the end."""
+        self.made.run(2.0)
+        deployment.check(self.made)
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=80,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestFaults = FaultMachine.TestCase
+TestFaults.settings = SETTINGS
+
+
+def _run_broken():
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(FaultMachine, settings=SETTINGS)
+
+
+def test_fails_if_room_is_not_counted(monkeypatch):
+    real = host_choice.suits
+
+    def careless(host, step, counts, now):
+        used, host.used = host.used, model.Resources()
+        try:
+            return real(host, step, counts, now)
+        finally:
+            host.used = used
+
+    monkeypatch.setattr(host_choice, "suits", careless)
+    _run_broken()
--- /dev/null
+++ b/tests/scheduling/test_takeover.py
@@ -0,0 +1,94 @@
+"""What a new leader must know of its predecessor's runs.
+
+Each day is played as it is, and with the mechanism off, which must break a
+rule.
+"""
+
+import pytest
+
+from azurewood.jobs import model
+from azurewood.leadership import base as leadership
+from azurewood.scheduling import hosts
+from azurewood.scheduling import progress
+from tests.scheduling import deployment
+
+LONG = model.Step(
+    count=1, needs=model.Resources(1000, 500, 0), estimate_ms=4000
+)
+
+
+def _victim(made):
+    return next(h for h in made.hosts.values() if h.runs)
+
+
+def _start_then_lose_host_and_leader(made):
+    """Run a task on a host that is cut off as its leader dies."""
+    job = deployment.job(made, 1, LONG)
+    others = [m for m in made.members if not m.leads]
+    made.submit(others[0], job)
+    made.run(0.3)
+    made.cut_hosts.add(_victim(made).id)
+    made.leaders()[0].kill()
+    made.run(20.0)
+    return job.id
+
+
+def test_runs_on_hosts_out_of_reach_are_waited_for():
+    made = deployment.world()
+    job_id = _start_then_lose_host_and_leader(made)
+    assert deployment.phase(made, job_id) is model.Phase.COMPLETED
+    deployment.check(made)
+
+
+def test_breaks_if_progress_is_not_read(monkeypatch):
+    monkeypatch.setattr(progress, "adopt_job", lambda *args: None)
+    made = deployment.world()
+    _start_then_lose_host_and_leader(made)
+    with pytest.raises(AssertionError, match="twice"):
+        deployment.check(made)
+
+
+def test_breaks_if_silent_hosts_are_taken_for_dead_at_once(monkeypatch):
+    monkeypatch.setattr(hosts, "LEASE_BOUND_S", 0.5)
+    monkeypatch.setattr(leadership, "VALID_S", 0.5)
+    made = deployment.world()
+    _start_then_lose_host_and_leader(made)
+    with pytest.raises(AssertionError, match="twice"):
+        deployment.check(made)
+
+
+def _start_without_a_store(made):
+    """Let the store fail between a job's record and its start's."""
+    job = deployment.job(made, 1, LONG)
+    leader = made.leaders()[0]
+    others = [m for m in made.members if m is not leader]
+    made.submit(others[0], job)
+    while job.id not in leader.member.desk.register.entries:
+        made.run(0.001)
+    made.store_down = True
+    made.run(0.3)
+    started = [h for h in made.hosts.values() if h.runs]
+    made.cut_hosts.update(host.id for host in started)
+    leader.kill()
+    made.store_down = False
+    made.run(20.0)
+    return started
+
+
+def test_nothing_starts_without_its_record():
+    made = deployment.world()
+    assert not _start_without_a_store(made)
+    deployment.check(made)
+
+
+def test_breaks_if_a_start_does_not_wait_for_its_record(monkeypatch):
+    real = hosts.send_start
+
+    def at_once(state, host, run, now, *, saved_first=False):
+        real(state, host, run, now, saved_first=False)
+
+    monkeypatch.setattr(hosts, "send_start", at_once)
+    made = deployment.world()
+    assert _start_without_a_store(made)
+    with pytest.raises(AssertionError, match="twice"):
+        deployment.check(made)
