End a job whose failures are on record; pools by the pace of arrivals

Change: a new leader announces the ends that its records imply. A leader that stops resigns behind its own beat that is under way (the resignation was refused by the log's condition, so its term ran out only after 1.5 s). Orders to machines are recorded first, so a successor leaves only those machines alone for the pause and orders about all others at once. Pools grow by the pace of arrivals as well, lasting tasks share two hosts of a pool, and a silent host whose machine is down or has another host is known to have ended.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -271,6 +271,15 @@
             call, lambda reply: self._appended_leader(wanted, reply)
         )
 
+    def _resign_again(
+        self, wanted: leadership.Append, result: appender.Result
+    ) -> None:
+        """Resign behind the beat that was under way."""
+        resigning = isinstance(wanted.entry, leadership.Resign)
+        if resigning and isinstance(result, appender.Conflict):
+            again = leadership.Append(entry=wanted.entry, at=result.end)
+            self._append_leader(again)
+
     def _appended_leader(
         self, wanted: leadership.Append, reply: multiplex.Reply
     ) -> None:
@@ -286,6 +295,7 @@
                     at=wanted.at,
                 ).info("not appended: {}", result)
                 event = leadership.Lost(entry=wanted.entry)
+                self._resign_again(wanted, result)
         self.election.step(event, self._clock())
 
 
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -39,8 +39,9 @@
 HOSTS_EVERY_S: typing.Final = 0.25
 """Pause between readings of the hosts' entries."""
 RETRY_S: typing.Final = 0.1
-ORDER_MARGIN_S: typing.Final = 0.5
-"""Added to the pause between two leaders' orders, for a late call."""
+ORDER_MARGIN_S: typing.Final = leadership.ORDER_VALID_S + 0.5
+"""Added to the pause between two leaders' orders: how old a beat may be for
+which the earlier one sends, and a late call."""
 
 
 class Stage(enum.Enum):
@@ -251,6 +252,7 @@
             found=found,
             stored=self._stored,
             lease_bound_at=bound,
+            order_pause_s=self._given.order_pause_s + ORDER_MARGIN_S,
             now=now,
         )
         known = self._given.catalog()
@@ -316,12 +318,8 @@
 
     def _tick(self, now: float) -> messages.Tick:
         election = self._given.election
-        pause = self._given.order_pause_s + leadership.ORDER_VALID_S
-        calm = now - self._began_at > pause + ORDER_MARGIN_S
         recent = election.leads(now, within_s=leadership.ORDER_VALID_S)
-        return messages.Tick(
-            unix_ms=self._given.unix_ms(), may_order=calm and recent
-        )
+        return messages.Tick(unix_ms=self._given.unix_ms(), may_order=recent)
 
     def _took_hosts(self, changes: follower.Changes) -> None:
         for key in list(follower.keys_gone(self._known_hosts, changes)):
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -199,10 +199,11 @@
                 self.leader = name
                 own = nonce == self.nonce and not self.stopping
                 self.term = offset + 1 if own else 0
-            case Beat(load=load):
+            case Beat(nonce=nonce, load=load):
+                self._leader_nonce = nonce
                 self.load = load
-            case Resign():
-                self._resigned = True
+            case Resign(nonce=nonce):
+                self._resigned = nonce == self._leader_nonce
         if self.term and entry is not None and entry.nonce == self.nonce:
             self.confirmed_at = max(self.confirmed_at, at)
 
--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -2,8 +2,9 @@
 
 Answers the load of tasks of uneven size on hosts that are lent, parked and
 taken down for upkeep: timed tasks fill the hosts that are used most already,
-so that others become free as a whole; lasting tasks spread over hosts, so
-that the loss of one host takes few of them away.
+so that others become free as a whole; the lasting tasks of a step share two
+hosts, so that the loss of one leaves half of them at work and the pool's
+other hosts can be lent.
 """
 
 from collections import abc
@@ -25,7 +26,9 @@
     ``counts`` has the runs of the task's step by host.
     """
     fitting = (host for host in hosts if suits(host, step, counts, now))
-    return min(fitting, key=lambda host: _rank(host, step, task), default=None)
+    return min(
+        fitting, key=lambda host: _rank(host, step, task, counts), default=None
+    )
 
 
 def suits(
@@ -44,8 +47,24 @@
     return step.reserved.fits(host.room)
 
 
-def _rank(host: model.Host, step: jobs.Step, task: model.Task) -> tuple:
+def _rank(
+    host: model.Host,
+    step: jobs.Step,
+    task: model.Task,
+    counts: abc.Mapping[str, int],
+) -> tuple:
     failed_there = host.id in task.avoid
     far = bool(step.data_rack) and step.data_rack not in host.entry.labels
     free = host.room.cpu
-    return (failed_there, far, -free if step.lasting else free, host.id)
+    if step.lasting:
+        return (failed_there, far, *_lasting_rank(host, step, counts))
+    return (failed_there, far, free, host.id)
+
+
+def _lasting_rank(
+    host: model.Host, step: jobs.Step, counts: abc.Mapping[str, int]
+) -> tuple:
+    """Rank for lasting tasks: two hosts a step, shared with other steps."""
+    half = counts.get(host.id, 0) >= (step.count + 1) // 2
+    lasting = any(run.step.lasting for run in host.runs.values())
+    return (half, not lasting, -host.room.cpu, host.id)
--- a/azurewood/policy/pool_sizes.py
+++ b/azurewood/policy/pool_sizes.py
@@ -18,7 +18,7 @@
 CALM_S: typing.Final = 2.5
 """The prices of two moves over that of a host's second in a pool."""
 LEAST_HOSTS: typing.Final = 2
-"""Hosts that a pool keeps: the loss of one leaves it served."""
+"""Hosts that a pool keeps in reserve: the loss of one leaves it served."""
 FILL: typing.Final = 0.85
 """Share of a host's room that tasks of uneven size use in practice."""
 
@@ -74,9 +74,9 @@
 
 
 def wanted_hosts(
-    asked: model.Resources, host: model.Resources, labels: int = 0
+    asked: model.Resources, host: model.Resources, least: int = 0
 ) -> int:
-    """Return how many hosts hold so much."""
+    """Return how many hosts hold so much, at least ``least``."""
     shares = [
         need / (room * FILL)
         for need, room in (
@@ -86,53 +86,59 @@
         )
         if need and room
     ]
-    return max(LEAST_HOSTS, labels, math.ceil(max(shares, default=0.0)))
+    return max(least, math.ceil(max(shares, default=0.0)))
 
 
 def plan(
     pools: abc.Iterable[Pool], demands: abc.Mapping[str, Demand]
 ) -> list[Move]:
     """Return the moves to make now, the most urgent first."""
+    pools = list(pools)
     serving = [pool for pool in pools if not pool.standby]
     parked = [
         machine for pool in pools if pool.standby for machine in pool.idle
     ]
-    spare = {pool.name: _spare(pool, demands) for pool in serving}
-    short = sorted(serving, key=lambda pool: -_short(pool, demands))
-    moves = list(_grow(short, demands, parked, spare))
+    lendable = {
+        pool.name: _beyond(pool, _recent(pool, demands)) for pool in serving
+    }
+    moves = list(_grow(serving, demands, parked, lendable))
+    moves.extend(_keep_least(serving, demands, parked))
+    taken = {move.machine for move in moves}
     standby = next((pool.name for pool in pools if pool.standby), None)
     if standby is not None:
-        moves.extend(
-            Move(machine=machine, pool=standby, reason="not needed")
-            for machines in spare.values()
-            for machine in machines
-        )
+        moves.extend(_park(serving, demands, taken, standby))
     return moves
 
 
-def _short(pool: Pool, demands: abc.Mapping[str, Demand]) -> int:
+def _wanted(pool: Pool, demands: abc.Mapping[str, Demand]) -> int:
     demand = demands.get(pool.name)
-    wanted = demand.wanted if demand else LEAST_HOSTS
-    return wanted - pool.hosts - pool.coming
+    return demand.wanted if demand else 0
 
 
-def _spare(pool: Pool, demands: abc.Mapping[str, Demand]) -> list[str]:
-    """Return the idle machines beyond what was needed for a while."""
+def _recent(pool: Pool, demands: abc.Mapping[str, Demand]) -> int:
     demand = demands.get(pool.name)
-    recent = max(LEAST_HOSTS, demand.recent if demand else LEAST_HOSTS)
-    beyond = pool.hosts + pool.coming - recent
-    return list(pool.idle[: max(0, beyond)])
+    return demand.recent if demand else 0
+
+
+def _beyond(pool: Pool, count: int) -> list[str]:
+    """Return the idle machines of a pool beyond so many hosts."""
+    return list(pool.idle[: max(0, pool.hosts + pool.coming - count)])
 
 
 def _grow(
-    short: list[Pool],
+    serving: list[Pool],
     demands: abc.Mapping[str, Demand],
     parked: list[str],
-    spare: dict[str, list[str]],
+    lendable: dict[str, list[str]],
 ) -> abc.Iterator[Move]:
-    for pool in short:
-        for _ in range(max(0, _short(pool, demands))):
-            machine = _take(pool.name, parked, spare)
+    """Yield moves to pools for what is asked of them."""
+
+    def short(pool: Pool) -> int:
+        return _wanted(pool, demands) - pool.hosts - pool.coming
+
+    for pool in sorted(serving, key=lambda pool: -short(pool)):
+        for _ in range(max(0, short(pool))):
+            machine = _take(pool.name, parked, lendable)
             if machine is None:
                 return
             yield Move(
@@ -141,11 +147,40 @@
 
 
 def _take(
-    name: str, parked: list[str], spare: dict[str, list[str]]
+    name: str, parked: list[str], lendable: dict[str, list[str]]
 ) -> str | None:
     if parked:
         return parked.pop(0)
-    for other, machines in spare.items():
+    for other, machines in lendable.items():
         if other != name and machines:
             return machines.pop(0)
     return None
+
+
+def _keep_least(
+    serving: list[Pool],
+    demands: abc.Mapping[str, Demand],
+    parked: list[str],
+) -> abc.Iterator[Move]:
+    """Yield moves of parked machines to pools that have hardly any."""
+    for pool in serving:
+        has = max(pool.hosts + pool.coming, _wanted(pool, demands))
+        for _ in range(max(0, LEAST_HOSTS - has)):
+            if parked:
+                yield Move(
+                    machine=parked.pop(0), pool=pool.name, reason="reserve"
+                )
+
+
+def _park(
+    serving: list[Pool],
+    demands: abc.Mapping[str, Demand],
+    taken: set[str],
+    standby: str,
+) -> abc.Iterator[Move]:
+    """Yield moves of idle machines that were not needed for a while."""
+    for pool in serving:
+        least = max(LEAST_HOSTS, _recent(pool, demands))
+        for machine in _beyond(pool, least):
+            if machine not in taken:
+                yield Move(machine=machine, pool=standby, reason="not needed")
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -5,6 +5,7 @@
 
 from azurewood.jobs import catalog
 from azurewood.jobs import model
+from azurewood.policy import arrivals
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import messages
 
@@ -290,11 +291,13 @@
     """All that a leader knows in its term."""
 
     __slots__ = (
+        "arrivals",
         "catalog",
         "demands",
         "dirty",
         "effects",
         "held",
+        "host_machines",
         "hosts",
         "jobs",
         "lease_bound_at",
@@ -302,6 +305,8 @@
         "machines_at",
         "machines_due",
         "moving",
+        "order_after",
+        "ordered_at",
         "orders",
         "placing",
         "pools_due",
@@ -326,6 +331,10 @@
         self.moving: dict[str, Moving] = {}
         self.demands: dict[str, pool_sizes.Demand] = {}
         self.pools_due = 0.0
+        self.arrivals: dict[str, arrivals.Arrivals] = {}
+        self.ordered_at: dict[str, float] = {}
+        self.order_after: dict[str, float] = {}
+        self.host_machines: dict[str, str] = {}
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
         self.placing: set[str] = set()
@@ -344,6 +353,10 @@
             self.hosts[id] = host
         return host
 
+    def may_order(self, machine: str, now: float) -> bool:
+        """Return whether an earlier leader's order to it is long past."""
+        return now >= self.order_after.get(machine, 0.0)
+
     @property
     def orders_open(self) -> set[str]:
         """The machines that a wave has ordered down and not seen back."""
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -10,6 +10,7 @@
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
+from azurewood.scheduling import orders
 from azurewood.scheduling import tasks
 from azurewood.scheduling import upkeep
 
@@ -32,19 +33,29 @@
     if not may_order or now - state.machines_at > FRESH_S:
         return
     for move in pool_sizes.plan(_pools(state, now), state.demands):
-        _order(state, move, now)
+        if state.may_order(move.machine, now):
+            _order(state, move, now)
 
 
 def _note_demand(state: model.State, now: float) -> None:
     asked = collections.defaultdict(jobs.Resources)
+    least = collections.Counter()
     for job in state.jobs.values():
         if job.cancelled or job.closing:
             continue
         service = state.service_of(job.job)
         asked[service] = asked[service].plus(_asked(state, job))
+        least[service] = max(least[service], _least_hosts(state, job))
     for name in state.catalog.pools:
         room = _usual_room(state, name)
-        wanted = pool_sizes.wanted_hosts(asked[name], room)
+        arrivals = state.arrivals.get(name)
+        coming = arrivals.needed(now) if arrivals else jobs.Resources()
+        most = jobs.Resources(
+            max(asked[name].cpu, coming.cpu),
+            max(asked[name].memory_mb, coming.memory_mb),
+            asked[name].gpu,
+        )
+        wanted = pool_sizes.wanted_hosts(most, room, least[name])
         demand = state.demands.setdefault(name, pool_sizes.Demand())
         demand.note(wanted, now)
 
@@ -64,6 +75,17 @@
     return total
 
 
+def _least_hosts(state: model.State, job: model.JobState) -> int:
+    """Return how many hosts a job's tasks need because of their spread."""
+    least = 0
+    for (occurrence, number), left in job.undone.items():
+        step = job.job.steps[number]
+        may_start = job.may_start(occurrence, number, state.unix_ms)
+        if step.per_host and left and may_start:
+            least = max(least, -(-left // step.per_host))
+    return least
+
+
 def _usual_room(state: model.State, service: str) -> jobs.Resources:
     """Return the room of the hosts of a pool, or of any host."""
     rooms = [h.entry for h in state.hosts.values() if h.entry is not None]
@@ -126,7 +148,9 @@
     state.moving[move.machine] = model.Moving(
         pool=move.pool, host=machine.host, until=now + MOVE_TIMEOUT_S
     )
-    state.emit(messages.MoveMachine(machine=move.machine, pool=move.pool))
+    orders.give(
+        state, messages.MoveMachine(machine=move.machine, pool=move.pool), now
+    )
     demand = state.demands.get(move.pool)
     state.note(
         "machine.move",
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -16,6 +16,7 @@
 VERSION: typing.Final = 1
 JOB_PREFIX: typing.Final = "j/"
 WAVE_PREFIX: typing.Final = "w/"
+ORDERS_KEY: typing.Final = "o"
 
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
@@ -46,7 +47,14 @@
     version: int = VERSION
 
 
-Progress = JobProgress | WaveProgress
+class OrdersProgress(msgspec.Struct, frozen=True, kw_only=True, tag="orders"):
+    """The machines that a leader ordered about last."""
+
+    machines: tuple[str, ...]
+    version: int = VERSION
+
+
+Progress = JobProgress | WaveProgress | OrdersProgress
 _decoder = msgspec.msgpack.Decoder(Progress)
 
 
@@ -85,6 +93,11 @@
     return msgspec.msgpack.encode(WaveProgress(ordered=dict(wave.ordered)))
 
 
+def of_orders(machines: typing.Iterable[str]) -> bytes:
+    """Return the record of the machines ordered about last."""
+    return msgspec.msgpack.encode(OrdersProgress(machines=tuple(machines)))
+
+
 def adopt_job(
     state: scheduling.State,
     job: scheduling.JobState,
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -8,6 +8,7 @@
 from azurewood.scheduling import hosts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
+from azurewood.scheduling import orders
 from azurewood.scheduling import placing
 from azurewood.scheduling import pools
 from azurewood.scheduling import progress
@@ -21,13 +22,15 @@
     found: list[jobs.Job],
     stored: dict[str, bytes],
     lease_bound_at: float,
+    order_pause_s: float,
     now: float,
 ) -> model.State:
     """Return the state of a leader whose term begins.
 
     ``found`` are the jobs that are not over, ``stored`` the progress
     records of earlier leaders, and ``lease_bound_at`` is when all leases
-    that these gave have lapsed.
+    that these gave have lapsed. ``order_pause_s`` has to pass before a
+    machine that they ordered about is ordered again.
     """
     state = model.State(term=term, lease_bound_at=lease_bound_at)
     for job in found:
@@ -35,10 +38,14 @@
         record = _decode(stored, progress.JOB_PREFIX + job.id)
         if added and isinstance(record, progress.JobProgress):
             progress.adopt_job(state, added, record, now)
+            tasks.settle_adopted(state, added)
     for key, data in stored.items():
         record = progress.decode(data)
-        if isinstance(record, progress.WaveProgress):
-            _adopt_wave(state, key, record, now)
+        match record:
+            case progress.WaveProgress():
+                _adopt_wave(state, key, record, now)
+            case progress.OrdersProgress():
+                orders.adopt(state, record, now + order_pause_s)
     return state
 
 
@@ -145,8 +152,6 @@
 
 def _tick(state: model.State, event: messages.Tick, now: float) -> None:
     state.unix_ms = event.unix_ms
-    for job in list(state.jobs.values()):
-        _close_if_over(state, job)
     hosts.look(state, now)
     upkeep.step(state, now, may_order=event.may_order)
     pools.step(state, now, may_order=event.may_order)
@@ -161,9 +166,3 @@
     """Place what waits, after all events at hand were taken in."""
     if state.catalog is not None:
         placing.place(state, now)
-
-
-def _close_if_over(state: model.State, job: model.JobState) -> None:
-    """Announce an end that an earlier leader had no time to announce."""
-    if job.begun and not job.closing and not job.cancelled:
-        tasks.finish_if_done(state, job)
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -1,6 +1,7 @@
 """What becomes of tasks: placed, ended, failed too often, cancelled."""
 
 from azurewood.jobs import model
+from azurewood.policy import arrivals
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 
@@ -16,7 +17,9 @@
         return None
     added = scheduling.JobState(job=job, now=now)
     state.jobs[job.id] = added
-    state.placing.add(state.service_of(job))
+    service = state.service_of(job)
+    state.placing.add(service)
+    state.arrivals.setdefault(service, arrivals.Arrivals()).note(job, now)
     return added
 
 
@@ -166,6 +169,17 @@
         _announce(state, job, model.Phase.COMPLETED)
 
 
+def settle_adopted(state: scheduling.State, job: scheduling.JobState) -> None:
+    """Announce an end that an earlier leader recorded and did not tell."""
+    finish_if_done(state, job)
+    for tasks in job.steps.values():
+        for task in tasks:
+            lasting = job.step_of(task.id).lasting
+            if task.failures >= job.job.attempts and not lasting:
+                _announce(state, job, model.Phase.FAILED)
+                return
+
+
 def _failed(
     state: scheduling.State,
     host: scheduling.Host,
--- a/azurewood/scheduling/upkeep.py
+++ b/azurewood/scheduling/upkeep.py
@@ -9,6 +9,7 @@
 from azurewood.policy import upkeep as policy
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
+from azurewood.scheduling import orders
 from azurewood.scheduling import progress
 from azurewood.scheduling import tasks
 
@@ -46,6 +47,7 @@
     """Take in the list of machines."""
     state.machines = {entry.name: entry for entry in event.machines}
     state.machines_at = event.began_at
+    _end_hosts(state, now)
     for wave in state.waves.values():
         for name, host in wave.ordered.items():
             entry = state.machines.get(name)
@@ -59,6 +61,28 @@
                 _old_host_ended(state, host, now)
 
 
+def _end_hosts(state: model.State, now: float) -> None:
+    """Take in which hosts have ended, as their machines tell.
+
+    A machine that is down, or has another host, does not run the one that
+    it had; this is known before the leases of that host have lapsed.
+    """
+    for entry in state.machines.values():
+        if entry.host:
+            state.host_machines[entry.host] = entry.name
+    for host_id, name in list(state.host_machines.items()):
+        entry = state.machines.get(name)
+        host = state.hosts.get(host_id)
+        if host is None:
+            del state.host_machines[host_id]
+            continue
+        if entry is None or host.silent_since is None:
+            continue
+        down = entry.state is messages.MachineState.DOWN
+        if down or (entry.host and entry.host != host_id):
+            _old_host_ended(state, host_id, now)
+
+
 def _old_host_ended(state: model.State, host_id: str, now: float) -> None:
     host = state.hosts.get(host_id)
     for run in list(host.runs.values()) if host else ():
@@ -93,9 +117,10 @@
     candidates = policy.order(state, todo)
     for machine in candidates[: max(0, free) + policy.EMPTY_AHEAD]:
         _empty(state, machine, now)
-        if free > 0 and _is_empty(state, machine):
+        allowed = free > 0 and state.may_order(machine.name, now)
+        if allowed and _is_empty(state, machine):
             free -= 1
-            _decide(state, wave, machine)
+            _decide(state, wave, machine, now)
 
 
 def _report(state: model.State, wave: model.Wave, *, done: bool) -> None:
@@ -135,16 +160,18 @@
 
 
 def _decide(
-    state: model.State, wave: model.Wave, machine: messages.MachineEntry
+    state: model.State,
+    wave: model.Wave,
+    machine: messages.MachineEntry,
+    now: float,
 ) -> None:
     """Record that a machine goes down; its order follows the record."""
     wave.ordered[machine.name] = machine.host
     key = f"{progress.WAVE_PREFIX}{wave.number}"
     state.values[key] = progress.of_wave(wave)
     state.orders[machine.name] = float("inf")
-    state.emit_saved(
-        messages.ServiceMachine(machine=machine.name, wave=wave.number)
-    )
+    order = messages.ServiceMachine(machine=machine.name, wave=wave.number)
+    orders.give(state, order, now)
     state.note("machine.upkeep", machine=machine.name, wave=wave.number)
 
 
@@ -154,8 +181,11 @@
     """Repeat an order whose outcome is not known."""
     if name in wave.confirmed or now < state.orders.get(name, 0.0):
         return
+    if not state.may_order(name, now):
+        return
     state.orders[name] = float("inf")
-    state.emit(messages.ServiceMachine(machine=name, wave=wave.number))
+    order = messages.ServiceMachine(machine=name, wave=wave.number)
+    orders.give(state, order, now)
 
 
 def answered(
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -7,6 +7,7 @@
 import pytest
 
 from azurewood.jobs import model
+from azurewood.journal import pages
 from azurewood.leadership import base as leadership
 from azurewood.scheduling import hosts
 from azurewood.scheduling import progress
@@ -94,3 +95,37 @@
     assert _start_without_a_store(made)
     with pytest.raises(AssertionError, match="twice"):
         deployment.check(made)
+
+
+def _failures_on_record(made):
+    return [
+        row.failures
+        for value in made.store.values(pages.Topic.PROGRESS).values()
+        if isinstance(record := progress.decode(value), progress.JobProgress)
+        for row in record.tasks
+    ]
+
+
+def test_failures_on_record_end_the_job_under_a_new_leader():
+    """Found on trouble-2 --seed 397029584636 of the second site."""
+    made = deployment.world()
+    for host in made.hosts.values():
+        host.failing = True
+    job = deployment.job(made, 1, LONG)
+    made.submit(made.members[0], job)
+    while max(_failures_on_record(made), default=0) < job.attempts:
+        made.run(0.001)
+    made.leaders()[0].kill()
+    made.run(10.0)
+    assert deployment.phase(made, job.id) is model.Phase.FAILED
+    deployment.check(made)
+
+
+def test_leader_that_stops_is_succeeded_at_once():
+    made = deployment.world()
+    old = made.leaders()[0]
+    made.run(0.4)
+    old.member.leave()
+    made.run(0.6)
+    assert [m for m in made.leaders() if m is not old]
+    deployment.check(made)
