--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -195,6 +195,10 @@
     return pages.Page(offset=offset, records=records, end=end, first=first)
 
 
+def _bytes(text: str) -> bytes:
+    return base64.b64decode(text, validate=True)
+
+
 def _first_offset(body: bytes) -> int:
     try:
         return msgspec.json.decode(body, type=_Trimmed).first_offset
@@ -248,7 +252,7 @@
     try:
         page = msgspec.json.decode(reply.body, type=_Newest)
         records = tuple(
-            appender.Record(key=i.key, value=base64.b64decode(i.value))
+            appender.Record(key=i.key, value=_bytes(i.value))
             for i in page.items
         )
     except (msgspec.DecodeError, ValueError) as exc:
--- a/azurewood/policy/pool_sizes.py
+++ b/azurewood/policy/pool_sizes.py
@@ -27,10 +27,12 @@
 class Demand:
     """What one pool needs: the hosts wanted now and the recent most.
 
-    ``peaks`` has the hosts wanted and when, newest last.
+    ``peaks`` has the hosts wanted and when, newest last; ``asked_cpu`` is
+    what runs and could start, in thousandths of a core.
     """
 
     wanted: int = 0
+    asked_cpu: int = 0
     peaks: list[tuple[float, int]] = dataclasses.field(default_factory=list)
 
     def note(self, wanted: int, now: float) -> None:
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -310,6 +310,7 @@
         "orders",
         "placing",
         "pools_due",
+        "pools_told",
         "saving",
         "began_ids",
         "term",
@@ -331,6 +332,7 @@
         self.moving: dict[str, Moving] = {}
         self.demands: dict[str, pool_sizes.Demand] = {}
         self.pools_due = 0.0
+        self.pools_told = 0.0
         self.arrivals: dict[str, arrivals.Arrivals] = {}
         self.ordered_at: dict[str, float] = {}
         self.order_after: dict[str, float] = {}
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -16,6 +16,8 @@
 
 EVERY_S: typing.Final = 0.2
 """Pause between two plans; a move takes over a second anyway."""
+TOLD_EVERY_S: typing.Final = 1.0
+"""Pause between log lines about a pool."""
 FRESH_S: typing.Final = 1.2
 """Age of the list of machines up to which moves are planned from it."""
 MOVE_TIMEOUT_S: typing.Final = 6.0
@@ -30,6 +32,7 @@
         return
     state.pools_due = now + EVERY_S
     _note_demand(state, now)
+    _tell(state, now)
     if not may_order or now - state.machines_at > FRESH_S:
         return
     for move in pool_sizes.plan(_pools(state, now), state.demands):
@@ -37,6 +40,30 @@
             _order(state, move, now)
 
 
+def _tell(state: model.State, now: float) -> None:
+    """Log once a second what each pool has, uses and wants."""
+    if now < state.pools_told:
+        return
+    state.pools_told = now + TOLD_EVERY_S
+    for pool in _pools(state, now):
+        hosts = [
+            host
+            for host in state.hosts.values()
+            if host.entry is not None and host.entry.service == pool.name
+        ]
+        demand = state.demands.get(pool.name)
+        state.note(
+            "pool.state",
+            pool=pool.name,
+            hosts=pool.hosts,
+            coming=pool.coming,
+            idle=len(pool.idle),
+            wanted=demand.wanted if demand else 0,
+            used_cpu=sum(host.used.cpu for host in hosts if host.present),
+            asked_cpu=demand.asked_cpu if demand else 0,
+        )
+
+
 def _note_demand(state: model.State, now: float) -> None:
     asked = collections.defaultdict(jobs.Resources)
     least = collections.Counter()
@@ -58,6 +85,7 @@
         wanted = pool_sizes.wanted_hosts(most, room, least[name])
         demand = state.demands.setdefault(name, pool_sizes.Demand())
         demand.note(wanted, now)
+        demand.asked_cpu = asked[name].cpu
 
 
 def _asked(state: model.State, job: model.JobState) -> jobs.Resources:
--- /dev/null
+++ b/tests/leadership/test_election.py
@@ -0,0 +1,172 @@
+"""The election over a log with conditional appends."""
+
+import hypothesis
+from hypothesis import strategies
+
+from azurewood.leadership import base
+
+
+class Log:
+    """The log that members append to and read."""
+
+    def __init__(self):
+        self.entries = []
+
+    def append(self, wanted):
+        """Append if the condition holds; return the offset or None."""
+        if wanted.at != len(self.entries):
+            return None
+        self.entries.append(wanted.entry)
+        return wanted.at
+
+
+def _election(name, now=0.0):
+    return base.Election(name=name, nonce=name, now=now)
+
+
+def _read(log, election, now, began_at=None):
+    offset = max(0, election.end)
+    event = base.Read(
+        offset=offset,
+        entries=tuple(log.entries[offset:]),
+        end=len(log.entries),
+        began_at=now if began_at is None else began_at,
+    )
+    return election.step(event, now)
+
+
+def _store(log, election, wanted, now):
+    offset = log.append(wanted)
+    if offset is None:
+        election.step(base.Lost(entry=wanted.entry), now)
+        return False
+    stored = base.Stored(offset=offset, entry=wanted.entry, began_at=now)
+    election.step(stored, now)
+    return True
+
+
+def _leader(log, name="a", now=0.0):
+    election = _election(name, now)
+    wanted = _read(log, election, now)
+    assert _store(log, election, wanted, now)
+    return election
+
+
+def test_empty_log_is_claimed_at_once_by_one():
+    log = Log()
+    first, second = _election("a"), _election("b")
+    one, two = _read(log, first, 0.0), _read(log, second, 0.0)
+    assert _store(log, first, one, 0.0)
+    assert not _store(log, second, two, 0.0)
+    assert (first.term, second.term) == (1, 0)
+
+
+def test_silence_is_claimed_and_terms_rise():
+    log = Log()
+    first = _leader(log)
+    second = _election("b")
+    assert _read(log, second, 0.1) is None
+    assert _read(log, second, 1.0) is None
+    wanted = _read(log, second, 2.0)
+    assert _store(log, second, wanted, 2.0)
+    assert second.term > first.term
+    _read(log, first, 2.1)
+    assert first.term == 0
+
+
+def test_beats_keep_others_from_claiming():
+    log = Log()
+    first = _leader(log)
+    second = _election("b")
+    now = 0.0
+    for _ in range(20):
+        now += base.BEAT_S
+        _store(log, first, first.beat({}, now), now)
+        assert _read(log, second, now) is None
+    assert first.leads(now, within_s=base.ORDER_VALID_S)
+
+
+def test_a_read_that_began_before_the_silence_claims_nothing():
+    log = Log()
+    _leader(log)
+    second = _election("b")
+    _read(log, second, 0.0)
+    assert _read(log, second, 5.0, began_at=0.0) is None
+    assert _read(log, second, 5.1) is not None
+
+
+def test_resignation_is_followed_at_once():
+    log = Log()
+    first = _leader(log)
+    second = _election("b")
+    _read(log, second, 0.1)
+    _store(log, first, first.resign(), 0.2)
+    wanted = _read(log, second, 0.3)
+    assert isinstance(wanted.entry, base.Claim)
+
+
+def test_late_resignation_of_an_earlier_leader_is_ignored():
+    log = Log()
+    first = _leader(log)
+    second = _election("b")
+    _read(log, second, 0.1)
+    wanted = _read(log, second, 2.0)
+    _store(log, second, wanted, 2.0)
+    log.entries.append(base.Resign(nonce=first.nonce))
+    third = _election("c")
+    assert _read(log, third, 2.1) is None
+
+
+def test_lost_claim_that_was_stored_is_found_in_the_log():
+    log = Log()
+    election = _election("a")
+    wanted = _read(log, election, 0.0)
+    log.append(wanted)
+    election.step(base.Lost(entry=wanted.entry), 1.0)
+    assert election.term == 0
+    _read(log, election, 1.1)
+    assert election.term == 1
+
+
+def test_stopping_daemon_claims_nothing():
+    log = Log()
+    election = _election("a")
+    election.resign()
+    assert _read(log, election, 0.0) is None
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 2),
+        strategies.sampled_from(("read", "beat", "stale")),
+        strategies.floats(0.0, 2.0),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(steps=STEPS)
+def test_one_leader_is_confirmed_at_a_time(steps):
+    log = Log()
+    elections = [_election(name) for name in "abc"]
+    now = 0.0
+    terms = []
+    for index, what, pause in steps:
+        now += pause
+        election = elections[index]
+        wanted = None
+        match what:
+            case "read":
+                wanted = _read(log, election, now)
+            case "stale":
+                wanted = _read(log, election, now, began_at=now - 1.0)
+            case "beat":
+                wanted = election.beat({}, now)
+        if wanted is not None and _store(log, election, wanted, now):
+            term = election.term
+            assert term > 0
+            assert not terms or term >= terms[-1]
+            terms.append(term)
+    claims = [e for e in log.entries if isinstance(e, base.Claim)]
+    assert len(set(terms)) <= len(claims)
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,325 @@
+"""The users' platform over HTTP, for tests: store, hosts and machines.
+
+It speaks the published protocol over the stand-in in memory, whose clock
+follows real time.
+"""
+
+import base64
+import struct
+import threading
+import time
+
+import msgspec
+from werkzeug import wrappers
+
+from azurewood.http import server
+from azurewood.journal import appender
+from azurewood.journal import pages
+from azurewood.scheduling import messages
+from standins.fleet import world as worlds
+
+TOPICS = {
+    "keyed.jobs": pages.Topic.JOBS,
+    "keyed.progress": pages.Topic.PROGRESS,
+    "leader": pages.Topic.LEADER,
+    "keyed.op": pages.Topic.OPERATORS,
+    "keyed.servers": pages.Topic.HOSTS,
+    "keyed.status": pages.Topic.REPORTS,
+}
+
+
+class HttpWorld(worlds.World):
+    """A world without members, whose store holds bytes."""
+
+    def say(self, host):
+        """Write a host's entry as the platform spells it."""
+        entry = {
+            "service": host.service,
+            "addr": host.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if host.draining else "ready",
+            "cold_ms": 0,
+            "capacity": {
+                "cpu": host.room.cpu,
+                "mem_mb": host.room.memory_mb,
+                "gpu": 0,
+            },
+            "labels": list(host.labels),
+            "clock_ms": host.clock_ms(),
+            "born": host.born_ms,
+            "seq": 1,
+        }
+        record = appender.Record(key=host.id, value=msgspec.json.encode(entry))
+        self.store.add(pages.Topic.HOSTS, (record,))
+
+
+class Server:
+    """Serves store, hosts and machines at one address.
+
+    Hosts are told apart by the header that names the life that a call is
+    meant for. ``broken`` answers are given as they are, by path.
+    """
+
+    def __init__(self, *, port, pools):
+        self.lock = threading.RLock()
+        self.world = HttpWorld(seed=1, members=0, pools=pools)
+        self.began = time.monotonic()
+        self.broken = {}
+        self.calls = []
+        self.address = f"127.0.0.1:{port}"
+        self.listener = server.make(
+            host="127.0.0.1",
+            port=port,
+            application=self,
+            threads=24,
+            timeout_s=5.0,
+            max_header_bytes=16384,
+            max_body_bytes=1 << 21,
+        )
+        for host in self.world.hosts.values():
+            host.address = self.address
+            self.world.say(host)
+        threading.Thread(target=self.listener.serve, daemon=True).start()
+
+    def stop(self):
+        """Stop serving."""
+        self.listener.stop()
+
+    def advance(self):
+        """Let the world's time follow real time."""
+        end = 1000.0 + time.monotonic() - self.began
+        for host in self.world.hosts.values():
+            host.address = self.address
+        self.world.clock.run_until(end)
+
+    def put(self, topic, key, value):
+        """Write what operators write."""
+        with self.lock:
+            self.advance()
+            record = appender.Record(key=key, value=msgspec.json.encode(value))
+            self.world.store.add(topic, (record,))
+
+    def __call__(self, environ, start_response):
+        """Answer a call."""
+        req = wrappers.Request(environ)
+        with self.lock:
+            self.calls.append(req.path)
+        response = self.broken.get(req.path) or self._answer(req)
+        return response(environ, start_response)
+
+    def _answer(self, req):
+        match req.path:
+            case "/api/log-append":
+                return self._locked(self._append, req)
+            case "/api/log-read":
+                return self._read(req)
+            case "/api/log-newest":
+                return self._locked(self._newest, req)
+            case "/api/run-start" | "/api/run-stop" | "/api/pace":
+                return self._locked(self._run, req)
+            case "/api/hold":
+                return self._hold(req)
+            case "/api/machines":
+                return self._locked(self._machines, req)
+            case "/api/machine-move" | "/api/machine-upkeep":
+                return self._locked(self._order, req)
+        return wrappers.Response(status=404)
+
+    def _locked(self, what, req):
+        with self.lock:
+            self.advance()
+            return what(req)
+
+    def _append(self, req):
+        store = self.world.store
+        topic = TOPICS[req.args["topic"]]
+        records = tuple(_records(req.args["topic"], req.get_data()))
+        if "at" in req.args:
+            result = store.append_at(topic, records[0], int(req.args["at"]))
+        elif "producer" in req.args:
+            result = store.append(
+                topic,
+                records,
+                req.args["producer"],
+                int(req.args["epoch"]),
+                int(req.args["seq"]),
+            )
+        else:
+            result = store.add(topic, records)
+        match result:
+            case appender.Appended(offset=offset):
+                return _json(200, {"offset": offset, "end": store.end(topic)})
+            case appender.Fenced():
+                return _json(409, {"reason": "fenced"})
+            case appender.Conflict(reason="condition", end=end):
+                return _json(412, {"end": end})
+            case _:
+                return _json(409, {"reason": "seq"})
+
+    def _read(self, req):
+        topic = TOPICS[req.args["topic"]]
+        offset = int(req.args["from"])
+        until = time.monotonic() + int(req.args.get("wait_ms", 0)) / 1000
+        while True:
+            with self.lock:
+                self.advance()
+                page = self.world.store.read(topic, offset)
+            if isinstance(page, pages.Trimmed):
+                return _json(410, {"first_offset": page.first})
+            if page.records or time.monotonic() >= until:
+                return wrappers.Response(_page(req.args["topic"], page))
+            time.sleep(0.005)
+
+    def _newest(self, req):
+        topic = TOPICS[req.args["topic"]]
+        page = self.world.store.newest(topic, req.args.get("after", ""))
+        items = [
+            {
+                "key": record.key,
+                "value": base64.b64encode(record.value).decode(),
+                "offset": 0,
+            }
+            for record in page.records
+        ]
+        body = {"items": items, "has_more": page.more, "end": page.end}
+        return _json(200, body)
+
+    def _host(self, req):
+        return self.world.hosts[req.headers["X-Target-Instance"]]
+
+    def _run(self, req):
+        body = msgspec.json.decode(req.get_data())
+        host = self._host(req)
+        task = _task(body["task"])
+        if req.path == "/api/run-start":
+            effect = messages.StartRun(
+                host=host.id,
+                address="",
+                task=task,
+                run=body["run"],
+                payload=body["spec"],
+                saved=body.get("last_checkpoint", ""),
+                lease_until_ms=body["deadline_ms"],
+            )
+            step = self.world.rules.asked[task.job].steps[task.step]
+            refusal = host.start(effect, body["fence"], step)
+        else:
+            refusal = host.stop(task, body["run"], body["fence"])
+        answer = {"clock_ms": host.clock_ms()}
+        if refusal is not None:
+            return _json(409, answer | {"reason": refusal.value})
+        return _json(200, answer)
+
+    def _hold(self, req):
+        body = msgspec.json.decode(req.get_data())
+        effect = messages.HoldHost(
+            host="",
+            address="",
+            acknowledged=body["ack_cursor"],
+            lease_until_ms=body.get("deadline_ms"),
+            wait_ms=0,
+        )
+        until = time.monotonic() + body.get("wait_ms", 0) / 1000
+        with self.lock:
+            self.advance()
+            host = self._host(req)
+            if host.hold(effect, body["fence"]) is not None:
+                return _json(409, {"reason": "fence"})
+        while True:
+            with self.lock:
+                self.advance()
+                if host.has_ends() or time.monotonic() >= until:
+                    return _json(200, _listing(host))
+            time.sleep(0.005)
+
+    def _machines(self, req):
+        nodes = [
+            {
+                "machine": entry.name,
+                "pool": entry.pool,
+                "state": entry.state.value,
+                "zone": entry.zone,
+                "labels": [],
+                "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0},
+                "id": entry.host or None,
+            }
+            for entry in self.world.machines.values()
+        ]
+        return _json(200, {"nodes": nodes, "next_token": None})
+
+    def _order(self, req):
+        body = msgspec.json.decode(req.get_data())
+        fence = int(req.headers["X-Fencing-Token"])
+        if req.path == "/api/machine-move":
+            order = messages.MoveMachine(
+                machine=body["machine"], pool=body["pool"]
+            )
+        else:
+            order = messages.ServiceMachine(
+                machine=body["machine"], wave=body["tranche"]
+            )
+        match self.world.order(order, fence):
+            case messages.OrderResult.DONE:
+                return _json(200, {})
+            case _:
+                return _json(409, {"reason": "busy"})
+
+
+def _listing(host):
+    listing = host.listing(0.0)
+    return {
+        "clock_ms": listing.clock_ms,
+        "born": listing.born_ms,
+        "running": [
+            [_name(row.task), row.run, row.saved, row.percent, 0]
+            for row in listing.running
+        ],
+        "ended_runs": [
+            [row.number, _name(row.task), row.run, row.how.value, row.saved]
+            for row in listing.ended
+        ],
+    }
+
+
+def _name(task):
+    return ".".join(map(str, task))
+
+
+def _task(name):
+    job, *numbers = name.split(".")
+    return messages.model.TaskId(job, *map(int, numbers))
+
+
+def _records(topic, data):
+    position = 0
+    while position < len(data):
+        (length,) = struct.unpack_from(">I", data, position)
+        body = data[position + 4 : position + 4 + length]
+        position += 4 + length
+        if topic.startswith("keyed."):
+            key = body[1 : 1 + body[0]].decode()
+            value = body[1 + body[0] :] or None
+            yield appender.Record(key=key, value=value)
+        else:
+            yield appender.Record(key="", value=body)
+
+
+def _page(topic, page):
+    parts = [struct.pack(">QQ", page.end, page.first)]
+    for record in page.records:
+        body = record.value or b""
+        if topic.startswith("keyed."):
+            key = record.key.encode()
+            body = bytes((len(key),)) + key + body
+        parts.append(struct.pack(">I", len(body)) + body)
+    return b"".join(parts)
+
+
+def _json(status, body):
+    return wrappers.Response(
+        msgspec.json.encode(body),
+        status=status,
+        content_type="application/json",
+    )
