Order a pool's jobs so that the most can be in time

Change: policy/job_order.py puts off the jobs with the most work when those that can be in time do not fit (Moore and Hodgson's rule), over the whole room of the pool.

--- a/azurewood/policy/job_order.py
+++ b/azurewood/policy/job_order.py
@@ -1,33 +1,86 @@
 """In which order waiting tasks get room.
 
 Answers the load of queues that ask five times their mean in their turn: not
-everything can be in time, so what can still be comes before what cannot.
+everything can be in time, so room goes to the jobs with which the most can
+be.
 
 Lasting tasks come first, since each second that one is away counts for its
-users. Then jobs by priority; within one, jobs whose objective can still be
-met before those whose cannot, and of these the one with the earliest
-latest start. Jobs that are late already go by what is left of them, so that
-most callers get their answer soonest.
+users. Then jobs by priority; within one, those that can be in time by their
+objective's end. If these do not fit into the pool's room by then, the ones
+with the most work are put off until the rest does (Moore and Hodgson's rule
+for the least number of late jobs). What is late or put off goes by the work
+that is left, so that most callers get their answer soonest.
 """
 
-import typing
+from collections import abc
+import heapq
+import itertools
 
 from azurewood.scheduling import model
 
-LATE_RANK: typing.Final = 1
-IN_TIME_RANK: typing.Final = 0
 
+def in_order(
+    jobs: abc.Iterable[model.JobState], unix_ms: float, room_cpu: int
+) -> list[model.JobState]:
+    """Return jobs of one pool in the order in which they get room.
 
-def key(job: model.JobState, unix_ms: float) -> tuple[float, ...]:
-    """Return the sort key of a job's tasks; lower keys go first."""
-    asked = job.job
-    if asked.lasting:
-        return (0, asked.priority, 0, asked.accepted_ms)
-    left_ms = remaining_ms(job)
-    latest_start = asked.objective_at_ms() - left_ms
-    if unix_ms <= latest_start:
-        return (1, asked.priority, IN_TIME_RANK, latest_start)
-    return (1, asked.priority, LATE_RANK, left_ms, asked.accepted_ms)
+    ``room_cpu`` is the pool's whole room in thousandths of a core.
+    """
+    lasting = []
+    timed = []
+    for job in jobs:
+        (lasting if job.job.lasting else timed).append(job)
+    lasting.sort(key=lambda job: (job.job.priority, job.job.accepted_ms))
+    timed.sort(key=lambda job: job.job.priority)
+    found = lasting
+    for _, group in itertools.groupby(timed, lambda job: job.job.priority):
+        found.extend(_by_objective(list(group), unix_ms, room_cpu))
+    return found
+
+
+def _by_objective(
+    jobs: list[model.JobState], unix_ms: float, room_cpu: int
+) -> list[model.JobState]:
+    feasible = []
+    late = []
+    for job in jobs:
+        latest_start = job.job.objective_at_ms() - remaining_ms(job)
+        (feasible if unix_ms <= latest_start else late).append(job)
+    feasible.sort(key=lambda job: job.job.objective_at_ms())
+    put_off = _put_off(feasible, unix_ms, room_cpu)
+    in_time = [job for job in feasible if job.job.id not in put_off]
+    late.extend(job for job in feasible if job.job.id in put_off)
+    late.sort(key=work)
+    return in_time + late
+
+
+def _put_off(
+    feasible: list[model.JobState], unix_ms: float, room_cpu: int
+) -> set[str]:
+    """Return the ids of the jobs for which there is no room in time."""
+    put_off: set[str] = set()
+    kept: list[tuple[float, str]] = []
+    total = 0.0
+    for job in feasible:
+        amount = work(job)
+        total += amount
+        heapq.heappush(kept, (-amount, job.job.id))
+        until_ms = job.job.objective_at_ms() - unix_ms
+        while kept and total > room_cpu * until_ms:
+            largest, job_id = heapq.heappop(kept)
+            total += largest
+            put_off.add(job_id)
+    return put_off
+
+
+def work(job: model.JobState) -> float:
+    """Return the estimated work that is left, in thousandths x ms."""
+    return sum(
+        job.job.steps[number].needs.cpu
+        * job.job.steps[number].estimate_ms
+        * left
+        for (_, number), left in job.undone.items()
+    )
 
 
 def remaining_ms(job: model.JobState) -> float:
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -41,7 +41,8 @@
         for host in state.hosts.values()
         if host.entry is not None and host.entry.service == service
     ]
-    found.sort(key=lambda job: job_order.key(job, state.unix_ms))
+    room = sum(host.entry.room.cpu for host in pool if host.present)
+    found = job_order.in_order(found, state.unix_ms, room)
     budget = MAX_STARTS_A_PASS
     for job in found:
         for (occurrence, number), tasks in job.steps.items():
