Logs that never block, counted events, and azurewood explain

Cause: a line was written in the thread that decides, to a stream whose reader may stop; nothing was counted on this platform; and a complaint had to be followed through six daemons' lines by hand.

One line a placed step instead of one a task.

--- /dev/null
+++ b/azurewood/commands/explain.py
@@ -0,0 +1,80 @@
+"""``azurewood explain``: what the daemons decided about one job."""
+
+from collections import abc
+import typing
+
+import click
+import msgspec
+
+from azurewood.commands import base as commands_base
+
+AROUND: typing.Final = frozenset(
+    {
+        "term.leading",
+        "term.over",
+        "store.lost",
+        "store.back",
+        "append.failed",
+        "catalog.changed",
+        "log.left_out",
+    }
+)
+"""Events that concern every job of the time in which they happen."""
+HIDDEN: typing.Final = frozenset(
+    {"time", "level", "logger", "zone", "daemon", "event", "message", "job"}
+)
+
+
+@click.command(
+    help=commands_base.help_of(
+        "Print what all daemons decided about JOB, in order of time."
+        " LOG holds the daemons' lines, by default from standard input;"
+        " text before a line's JSON is skipped.",
+        "azurewood explain 5c0e7a21d94b36f8 daemons.log",
+    )
+)
+@click.argument("job")
+@click.argument("log", type=click.File("rb"), default="-")
+def explain(*, job: str, log: typing.BinaryIO) -> None:
+    """Print what all daemons decided about JOB, in order of time."""
+    lines = list(_parsed(log))
+    own = [line for line in lines if _concerns(line, job)]
+    if not own:
+        raise click.ClickException(f"no line of the log concerns job {job}")
+    times = sorted(line["time"] for line in own)
+    first, last = times[0], times[-1]
+    shown = [
+        line
+        for line in lines
+        if _concerns(line, job)
+        or (line.get("event") in AROUND and first <= line["time"] <= last)
+    ]
+    for line in sorted(shown, key=lambda line: line["time"]):
+        click.echo(_shown(line))
+
+
+def _parsed(log: typing.BinaryIO) -> abc.Iterator[dict[str, typing.Any]]:
+    for text in log:
+        begin = text.find(b"{")
+        if begin < 0:
+            continue
+        try:
+            line = msgspec.json.decode(text[begin:])
+        except msgspec.DecodeError:
+            # Other programs may write to the same stream.
+            continue
+        if isinstance(line, dict) and "time" in line:
+            yield line
+
+
+def _concerns(line: dict[str, typing.Any], job: str) -> bool:
+    return line.get("job") == job
+
+
+def _shown(line: dict[str, typing.Any]) -> str:
+    fields = " ".join(
+        f"{key}={value}" for key, value in line.items() if key not in HIDDEN
+    )
+    head = f"{line['time']} {line.get('daemon', '-')} {line.get('event', '-')}"
+    message = line.get("message", "")
+    return " ".join(part for part in (head, fields, message) if part)
--- a/azurewood/commands/fleet.py
+++ b/azurewood/commands/fleet.py
@@ -7,15 +7,23 @@
 import click
 from loguru import logger
 
+from azurewood.commands import base as commands_base
 from azurewood.commands import exceptions
 from azurewood.daemons import fleet as daemons
 import azurewood.exceptions
+from azurewood.log import bounded
+from azurewood.log import collected
 from azurewood.log import setup
 from azurewood.platform import base
 from azurewood.platform import settings as settings_files
 
 
-@click.command()
+@click.command(
+    help=commands_base.help_of(
+        "Run a fleet daemon until it is told to stop (SIGTERM).",
+        "azurewood fleet --settings /etc/azurewood/node.yaml",
+    )
+)
 @click.option(
     "--settings",
     "path",
@@ -25,6 +33,8 @@
 )
 def fleet(*, path: str) -> None:
     """Run a fleet daemon until it is told to stop (SIGTERM)."""
+    writer = bounded.BoundedWriter(stream=sys.stdout)
+    counted = collected.Collected()
     try:
         settings = settings_files.load(path)
         setup.configure(
@@ -32,11 +42,13 @@
             format="json",
             zone=settings.zone,
             daemon=settings.name,
-            stream=sys.stdout,
+            writer=writer,
+            observe=counted.observe,
         )
         daemon = daemons.FleetDaemon(
             settings=settings,
             platform=base.UsersPlatform(settings=settings),
+            metrics=counted,
         )
     except azurewood.exceptions.AzurewoodError as exc:
         raise click.ClickException(str(exc)) from exc
@@ -49,8 +61,10 @@
     except Exception:
         # The servers' threads would keep a daemon alive that does nothing.
         logger.opt(exception=True).critical("the daemon's loop failed")
+        writer.close()
         os._exit(int(exceptions.ExitCode.FAILED))
     logger.bind(event="daemon.stopped").info("stopped")
+    writer.close()
 
 
 if __name__ == "__main__":
--- a/azurewood/commands/main.py
+++ b/azurewood/commands/main.py
@@ -5,6 +5,8 @@
 from azurewood.commands import config
 from azurewood.commands import dump
 from azurewood.commands import entry
+from azurewood.commands import explain
+from azurewood.commands import fleet
 from azurewood.commands import host
 from azurewood.commands import outcome
 from azurewood.commands import preset
@@ -20,6 +22,8 @@
     wave.wave,
     outcome.outcome,
     dump.dump,
+    fleet.fleet,
+    explain.explain,
 )
 
 
--- a/azurewood/conf/fleet.py
+++ b/azurewood/conf/fleet.py
@@ -12,7 +12,7 @@
     ``stop_within_s`` is the time from SIGTERM to SIGKILL. Two leaders may
     not order about a machine within ``turn_pause_s``. A job's state is
     shown for ``retention_s`` after its end. ``advice_url`` is empty if
-    there is no advice service.
+    there is no advice service. ``metrics`` is None if none are served.
     """
 
     name: str
@@ -25,3 +25,4 @@
     stop_within_s: float
     turn_pause_s: float
     retention_s: float
+    metrics: kinds.Address | None = None
--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -56,7 +56,11 @@
     )
 
     def __init__(
-        self, *, settings: fleet.FleetSettings, platform: ports.Platform
+        self,
+        *,
+        settings: fleet.FleetSettings,
+        platform: ports.Platform,
+        metrics: ports.Application | None = None,
     ) -> None:
         """Listen; raise ``HttpError`` if that fails."""
         self._settings = settings
@@ -78,6 +82,10 @@
             _server(settings.ready, platform.readiness(desk), READY_THREADS),
             _server(settings.front, platform.callers(desk), FRONT_THREADS),
         ]
+        if metrics is not None and settings.metrics is not None:
+            self._servers.append(
+                _server(settings.metrics, metrics, READY_THREADS)
+            )
         self._pool = concurrent.futures.ThreadPoolExecutor(
             max_workers=len(self._servers)
         )
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -339,7 +339,9 @@
     def _carry_out(self, effect: messages.Effect) -> None:
         match effect:
             case messages.Note():
-                logger.bind(event=effect.event, **effect.fields).info("")
+                logger.bind(event=effect.event, **effect.fields).info(
+                    effect.event
+                )
             case messages.SaveProgress(values=values):
                 found = tuple(
                     appender.Record(key=key, value=value)
--- a/azurewood/log/setup.py
+++ b/azurewood/log/setup.py
@@ -13,6 +13,8 @@
 from loguru import logger
 import msgspec
 
+from azurewood.log import bounded
+
 HIDDEN: typing.Final = "[hidden]"
 MIN_SECRET: typing.Final = 4
 ESCAPES: typing.Final = {
@@ -28,11 +30,14 @@
     daemon: str,
     secrets: abc.Iterable[str] = (),
     stream: typing.TextIO | None = None,
+    writer: bounded.BoundedWriter | None = None,
+    observe: abc.Callable[[dict[str, typing.Any]], None] | None = None,
 ) -> None:
     """Send all logs to ``stream``, by default the standard error stream.
 
     ``format`` is ``json`` or ``text``. No line holds one of ``secrets``.
-    Variables' values are left out of tracebacks.
+    Variables' values are left out of tracebacks. With a ``writer``, lines
+    go there instead and never block. ``observe`` gets each line's fields.
     """
     hidden = tuple(text for text in secrets if len(text) >= MIN_SECRET)
     render = _render_json if format == "json" else _render_text
@@ -40,6 +45,12 @@
 
     def write(message: typing.Any) -> None:
         fields = _hide(_fields(message.record), hidden)
+        if observe is not None:
+            observe(fields)
+        if writer is not None:
+            kind = str(fields.get("event", fields["logger"]))
+            writer.offer(kind, render(fields) + "\n")
+            return
         target.write(render(fields) + "\n")
         target.flush()
 
--- a/azurewood/platform/settings.py
+++ b/azurewood/platform/settings.py
@@ -14,6 +14,8 @@
 
 VARIABLE: typing.Final = "AZUREWOOD_SETTINGS"
 """Environment variable with the path of the file."""
+METRICS_PORT: typing.Final = 9464
+"""Where metrics are served; the deploy file names the same port."""
 
 
 class _Listen(msgspec.Struct):
@@ -47,6 +49,7 @@
 
     node: str
     zone: str
+    ip: str
     listen: _Listen
     platform: _Store
     cloud: _Cloud
@@ -80,6 +83,7 @@
         stop_within_s=found.bounds.grace_s,
         turn_pause_s=found.bounds.lease_ms / 1000,
         retention_s=found.bounds.status_s,
+        metrics=kinds.Address(host=found.ip, port=METRICS_PORT),
     )
 
 
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -72,7 +72,7 @@
     counts = _counts(allowed, ready[0].id)
     if step.gang:
         return _place_gang(state, allowed, job, tasks, counts, now)
-    placed = 0
+    placed = []
     for task in ready:
         host = host_choice.choose(allowed, step, task, counts, now)
         if host is None:
@@ -81,8 +81,28 @@
             continue
         open_run(state, host, job, task, now)
         counts[host.id] = counts.get(host.id, 0) + 1
-        placed += 1
-    return placed
+        placed.append(task)
+    _tell_placed(state, job, placed, len(ready))
+    return len(placed)
+
+
+def _tell_placed(
+    state: model.State,
+    job: model.JobState,
+    placed: list[model.Task],
+    ready: int,
+) -> None:
+    """Log which runs of a step were given which hosts."""
+    if placed:
+        state.note(
+            "step.placed",
+            job=job.job.id,
+            occurrence=placed[0].id.occurrence,
+            step=placed[0].id.step,
+            runs=" ".join(f"{t.id.index}:{t.run}@{t.host}" for t in placed),
+            left=ready - len(placed),
+            waited_ms=int(state.unix_ms - job.job.accepted_ms),
+        )
 
 
 def _waiting(tasks: list[model.Task]) -> abc.Iterator[model.Task]:
@@ -120,6 +140,7 @@
                 task.run = run
                 task.saved = saved
                 open_run(state, host, job, task, now)
+            _tell_placed(state, job, tasks, len(tasks))
             return len(tasks)
     return 0
 
@@ -228,12 +249,3 @@
         job.begun = True
         state.began_ids.append(job.job.id)
     host_calls.send_start(state, host, run, now, saved_first=True)
-    state.note(
-        "task.placed",
-        job=job.job.id,
-        task=str(tuple(task.id[1:])),
-        run=task.run,
-        host=host.id,
-        room_cpu=host.room.cpu,
-        listed_ms_ago=int((now - host.listed_at) * 1000),
-    )
--- /dev/null
+++ b/tests/commands/test_explain.py
@@ -0,0 +1,45 @@
+"""``azurewood explain`` over lines of several daemons."""
+
+import json
+
+from click import testing
+
+from azurewood.commands import main
+
+
+def _line(at, event, daemon="m1", **fields):
+    body = {"time": f"2026-05-15T02:16:{at:06.3f}+00:00", "level": "info"}
+    body |= {"daemon": daemon, "event": event, "message": event, **fields}
+    return f"  {at:.4f} {daemon} {json.dumps(body)}"
+
+
+LOG = "\n".join(
+    [
+        _line(5.0, "step.placed", "m2", job="a1", runs="0:1@h1"),
+        _line(4.0, "accepted", job="a1", verdict="Taken"),
+        "not a line of a daemon {",
+        _line(4.5, "accepted", job="b2", verdict="Taken"),
+        _line(4.7, "term.leading", "m3", term=57),
+        _line(9.0, "term.leading", "m3", term=58),
+        _line(6.0, "job.ended", "m2", job="a1", phase="failed"),
+    ]
+)
+
+
+def _run(job):
+    runner = testing.CliRunner()
+    return runner.invoke(main.main, ["explain", job, "-"], input=LOG)
+
+
+def test_decisions_come_in_order_over_all_daemons():
+    result = _run("a1")
+    assert result.exit_code == 0
+    events = [line.split()[2] for line in result.output.splitlines()]
+    assert events == ["accepted", "term.leading", "step.placed", "job.ended"]
+    assert "phase=failed" in result.output
+
+
+def test_a_job_that_no_line_concerns():
+    result = _run("c3")
+    assert result.exit_code == 1
+    assert "no line" in result.output
--- a/tests/platform/test_daemons.py
+++ b/tests/platform/test_daemons.py
@@ -63,6 +63,7 @@
 node: "{name}"
 role: "entry"
 zone: "a"
+ip: "127.0.0.1"
 listen:
   front: "127.0.0.1:{front}"
   ready: "127.0.0.1:{ready}"
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -45,13 +45,14 @@
 
 def test_settings_without_a_needed_field_say_which():
     with pytest.raises(exceptions.InvalidSettings, match="listen"):
-        settings.parse(b"node: a\nzone: z\n")
+        settings.parse(b"node: a\nzone: z\nip: 10.1.0.9\n")
 
 
 def test_settings_with_a_bad_address_say_where():
     text = b"""
 node: a
 zone: z
+ip: "10.1.0.9"
 listen: {front: "10.1.0.9", ready: "10.1.0.9:1"}
 platform: {addr: "10.1.0.1:2"}
 cloud: {addr: "10.1.0.1:2"}
