Lend one turn's hosts to the next in one move; no pause for other machines

By the logs (pool.state, machine.move): the leader was stopped at 9.0 s; its successor took the 23 jobs that it read at once for a pace of arrivals and wanted 682 hosts, so that no idle host could be lent for 2.5 s; it left every machine ordered in the last 6 s alone for 4.5 s; and idle hosts of the turn that ended were parked and fetched again, two moves of 1.5 s, since a pool lent only what it had not needed for 2.5 s.

Change: jobs that are adopted are no arrivals; the record of orders has each order's age; a pool lends whatever it does not need now, and parks only what it has not needed for a while.

Tests: tests/scheduling/test_pools.py, both fail with their change off.

--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -39,9 +39,8 @@
 HOSTS_EVERY_S: typing.Final = 0.25
 """Pause between readings of the hosts' entries."""
 RETRY_S: typing.Final = 0.1
-ORDER_MARGIN_S: typing.Final = leadership.ORDER_VALID_S + 0.5
-"""Added to the pause between two leaders' orders: how old a beat may be for
-which the earlier one sends, and a late call."""
+ORDER_MARGIN_S: typing.Final = 0.5
+"""Added to the pause between two leaders' orders, for a late call."""
 
 
 class Stage(enum.Enum):
--- a/azurewood/policy/pool_sizes.py
+++ b/azurewood/policy/pool_sizes.py
@@ -3,7 +3,8 @@
 Answers the load of queues that take turns: each asks for five times its
 mean for some seconds and for a twentieth in between. A pool grows as soon
 as what is asked for does not fit, first by hosts of a standby pool, then by
-idle hosts of pools that have more than they need. It shrinks only once it
+idle hosts of pools that have more than they need now: one turn's hosts go
+to the next turn in one move. A pool's idle hosts are parked only once it
 has needed less for ``CALM_S``, as the two moves of a host that is parked
 and fetched cost as much as ``CALM_S`` in its pool.
 """
@@ -101,7 +102,7 @@
         machine for pool in pools if pool.standby for machine in pool.idle
     ]
     lendable = {
-        pool.name: _beyond(pool, _recent(pool, demands)) for pool in serving
+        pool.name: _beyond(pool, _wanted(pool, demands)) for pool in serving
     }
     moves = list(_grow(serving, demands, parked, lendable))
     moves.extend(_keep_least(serving, demands, parked))
--- a/azurewood/scheduling/orders.py
+++ b/azurewood/scheduling/orders.py
@@ -12,9 +12,8 @@
 from azurewood.scheduling import model
 from azurewood.scheduling import progress
 
-KEPT_S: typing.Final = 6.0
-"""How long an order stays on record: longer than the pause of 3 s and the
-second for which an order may be under way."""
+KEPT_S: typing.Final = 4.0
+"""How long an order stays on record: longer than the pause of 3 s."""
 
 
 def give(
@@ -27,15 +26,22 @@
         name: at for name, at in state.ordered_at.items() if at > now - KEPT_S
     }
     state.ordered_at[order.machine] = now
-    state.values[progress.ORDERS_KEY] = progress.of_orders(state.ordered_at)
+    state.values[progress.ORDERS_KEY] = progress.of_orders(
+        state.ordered_at, now
+    )
     state.emit_saved(order)
 
 
 def adopt(
     state: model.State,
     record: progress.OrdersProgress,
-    until: float,
+    pause_s: float,
+    now: float,
 ) -> None:
-    """Leave the machines alone that an earlier leader ordered last."""
-    for name in record.machines:
-        state.order_after[name] = until
+    """Leave the machines alone that an earlier leader ordered last.
+
+    The record was written before ``now``, so each order is at least as old
+    as the record says.
+    """
+    for name, age_ms in record.ages_ms.items():
+        state.order_after[name] = now + pause_s - age_ms / 1000
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -48,9 +48,12 @@
 
 
 class OrdersProgress(msgspec.Struct, frozen=True, kw_only=True, tag="orders"):
-    """The machines that a leader ordered about last."""
+    """The machines that a leader ordered about last, and when.
 
-    machines: tuple[str, ...]
+    ``ages_ms`` is how long before the record each was ordered.
+    """
+
+    ages_ms: dict[str, int]
     version: int = VERSION
 
 
@@ -93,9 +96,10 @@
     return msgspec.msgpack.encode(WaveProgress(ordered=dict(wave.ordered)))
 
 
-def of_orders(machines: typing.Iterable[str]) -> bytes:
+def of_orders(ordered_at: dict[str, float], now: float) -> bytes:
     """Return the record of the machines ordered about last."""
-    return msgspec.msgpack.encode(OrdersProgress(machines=tuple(machines)))
+    ages_ms = {name: int((now - at) * 1000) for name, at in ordered_at.items()}
+    return msgspec.msgpack.encode(OrdersProgress(ages_ms=ages_ms))
 
 
 def adopt_job(
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -34,7 +34,7 @@
     """
     state = model.State(term=term, lease_bound_at=lease_bound_at)
     for job in found:
-        added = tasks.add_job(state, job, now)
+        added = tasks.adopt_job(state, job, now)
         record = _decode(stored, progress.JOB_PREFIX + job.id)
         if added and isinstance(record, progress.JobProgress):
             progress.adopt_job(state, added, record, now)
@@ -45,7 +45,7 @@
             case progress.WaveProgress():
                 _adopt_wave(state, key, record, now)
             case progress.OrdersProgress():
-                orders.adopt(state, record, now + order_pause_s)
+                orders.adopt(state, record, order_pause_s, now)
     return state
 
 
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -12,14 +12,27 @@
 def add_job(
     state: scheduling.State, job: model.Job, now: float
 ) -> scheduling.JobState | None:
-    """Take in an accepted job; return it if it is new."""
+    """Take in a job that was just accepted; return it if it is new."""
+    added = adopt_job(state, job, now)
+    if added is not None:
+        service = state.service_of(job)
+        found = state.arrivals.setdefault(service, arrivals.Arrivals())
+        found.note(job, now)
+    return added
+
+
+def adopt_job(
+    state: scheduling.State, job: model.Job, now: float
+) -> scheduling.JobState | None:
+    """Take in a job that was accepted at some time; return it if new.
+
+    It tells nothing of the pace at which jobs arrive.
+    """
     if job.id in state.jobs:
         return None
     added = scheduling.JobState(job=job, now=now)
     state.jobs[job.id] = added
-    service = state.service_of(job)
-    state.placing.add(service)
-    state.arrivals.setdefault(service, arrivals.Arrivals()).note(job, now)
+    state.placing.add(state.service_of(job))
     return added
 
 
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -59,6 +59,24 @@
     assert [(m.machine, m.pool) for m in found] == [("t1", "one")]
 
 
+def test_one_turns_hosts_go_to_the_next_in_one_move():
+    """Found on incident inc-711c of the first site."""
+    ended = _demand(6, now=10.0)
+    ended.note(1, 11.0)
+    found = pool_sizes.plan(
+        [
+            _pool("one", 6, "o1", "o2", "o3"),
+            _pool("two", 2),
+            _pool("spare", 0, standby=True),
+        ],
+        {"one": ended, "two": _demand(4)},
+    )
+    assert [(m.machine, m.pool) for m in found] == [
+        ("o1", "two"),
+        ("o2", "two"),
+    ]
+
+
 def test_a_pool_shrinks_only_after_it_was_calm_for_a_while():
     demand = _demand(6, now=10.0)
     demand.note(2, 11.0)
@@ -112,3 +130,39 @@
     assert len(parked) == 5
     _in_time(made, 10, "one", 0.1)
     deployment.check(made)
+
+
+def test_a_new_leader_lends_hosts_at_once():
+    """Found on incident inc-711c of the first site.
+
+    Jobs that a new leader reads together are no pace of arrivals; and only
+    machines that its predecessor ordered just now have to wait.
+    """
+    made = deployment.world(**{"s-one": 6, "s-two": 2, "spare": 6})
+    made.run(6.0)
+    made.length = lambda task, step: 9.0
+    for number in range(12):
+        step = model.Step(
+            count=1, needs=model.Resources(1000, 500, 0), estimate_ms=300
+        )
+        job = deployment.job(made, 200 + number, step, queue="one")
+        made.submit(made.members[number % 3], job)
+        made.run(0.3)
+    made.leaders()[0].member.leave()
+    made.run(1.0)
+    leader = next(m for m in made.leaders() if not m.member.desk.stopping)
+    state = leader.member.term.state
+    assert state.demands["s-one"].recent <= 5
+    job = deployment.job(
+        made,
+        300,
+        model.Step(
+            count=20, needs=model.Resources(1000, 500, 0), estimate_ms=500
+        ),
+        queue="two",
+    )
+    others = [m for m in made.members if not m.member.desk.stopping]
+    made.submit(others[0], job)
+    made.run(1.0)
+    assert any(move.pool == "s-two" for move in state.moving.values())
+    deployment.check(made)
