Pace what fills beside what serves; forget jobs when their time is over

Cause: nothing slowed background tasks beside serving ones, on any deployment that has them; and the records of jobs that are over stayed for ever, until the store would refuse appends.

The leader drops a job's records when the promised time and 30 s are over; daemons forget it then. A job's start is told under its own key, so that dropping one job's records takes nothing of another's.

--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -76,6 +76,7 @@
             unix_ms=unix_ms,
             wake=self._calls.wake,
             order_pause_s=settings.turn_pause_s,
+            retention_s=settings.retention_s,
         )
         desk = self.member.desk
         self._servers = [
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -36,6 +36,8 @@
 """Pause between a follower's reads of the jobs; the leader has none."""
 LEADER_PAUSE_S: typing.Final = 0.005
 LOOP_S: typing.Final = 0.1
+RETENTION_MARGIN_S: typing.Final = 30.0
+"""Added to the time for which callers are promised a job's state."""
 
 
 class Member:
@@ -53,6 +55,7 @@
         "_operators",
         "_order_pause_s",
         "_platform",
+        "_retention_s",
         "_unix_ms",
         "_wake",
         "_waves",
@@ -73,6 +76,7 @@
         unix_ms: abc.Callable[[], float],
         wake: abc.Callable[[], None],
         order_pause_s: float,
+        retention_s: float,
     ) -> None:
         self._platform = platform
         self._calls = calls
@@ -80,6 +84,7 @@
         self._unix_ms = unix_ms
         self._wake = wake
         self._order_pause_s = order_pause_s
+        self._retention_s = retention_s + RETENTION_MARGIN_S
         self._inbox: collections.deque[desks.Wish] = collections.deque()
         self._waves: dict[int, messages.WaveRequested] = {}
         self.term: terms.Term | None = None
@@ -177,7 +182,9 @@
 
     def _take_job_record(self, stored: appender.Record) -> None:
         if stored.value is None:
-            self.desk.register.drop(stored.key.partition("/")[2])
+            job_id = records.dropped_job(stored.key)
+            if job_id is not None:
+                self.desk.register.drop(job_id)
             return
         try:
             record = records.decode(stored.value)
@@ -258,6 +265,7 @@
                 jobs_offset=lambda: self._jobs.offset,
                 election=self.election,
                 order_pause_s=self._order_pause_s,
+                retention_s=self._retention_s,
             ),
             number=number,
         )
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -11,6 +11,7 @@
 started is on record.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import enum
@@ -67,6 +68,7 @@
     jobs_offset: abc.Callable[[], int]
     election: leadership.Election
     order_pause_s: float
+    retention_s: float
 
 
 class Term:
@@ -82,6 +84,7 @@
         "_known_hosts",
         "_progress",
         "_progress_read",
+        "_retired",
         "_retry_at",
         "_stored",
         "_tick_at",
@@ -102,6 +105,9 @@
         self._retry_at = 0.0
         self._tick_at = 0.0
         self._waiting_calls = False
+        self._retired: collections.deque[tuple[float, str]] = (
+            collections.deque()
+        )
         self._fenced: set[pages.Topic] = set()
         self._jobs_end = -1
         self._stored: dict[str, bytes] = {}
@@ -254,6 +260,9 @@
             order_pause_s=self._given.order_pause_s + ORDER_MARGIN_S,
             now=now,
         )
+        for entry in self._given.register.entries.values():
+            if entry.phase.final:
+                self._retire_later(entry.job.id)
         known = self._given.catalog()
         if known is not None:
             self.take(messages.CatalogChanged(catalog=known))
@@ -284,10 +293,29 @@
                 if entry is not None and not entry.phase.final:
                     self.take(messages.JobAdded(job=entry.job))
             case records.Cancelled(id=job_id):
+                self._retire_later(job_id)
                 self.take(messages.JobCancelled(id=job_id))
             case records.Ended(id=job_id):
+                self._retire_later(job_id)
                 self.take(messages.JobClosed(id=job_id))
 
+    def _retire_later(self, job_id: str) -> None:
+        """Have a job that is over dropped when its retention ends."""
+        at = self._given.clock() + self._given.retention_s
+        self._retired.append((at, job_id))
+
+    def _retire(self, now: float) -> None:
+        """Drop the records of jobs whose retention is over."""
+        while self._retired and self._retired[0][0] <= now:
+            _, job_id = self._retired.popleft()
+            self._jobs.add(
+                tuple(
+                    appender.Record(key=key, value=None)
+                    for key in records.keys(job_id)
+                ),
+                None,
+            )
+
     def load(self) -> dict[str, float]:
         """Return what the beat says of the queues."""
         return {}
@@ -306,6 +334,7 @@
         )
         if now >= self._tick_at:
             self._tick_at = now + TICK_S
+            self._retire(now)
             self.take(self._tick(now))
         reducer.place(self.state, now)
         for effect in reducer.finish(self.state, now):
@@ -348,7 +377,8 @@
                 )
                 self._progress.add(found, self._saved)
             case messages.JobBegun(ids=ids):
-                self._announce(records.Begun(ids=ids))
+                for job_id in ids:
+                    self._announce(records.Begun(ids=(job_id,)))
             case messages.JobEnded(id=job_id, phase=phase):
                 self._announce(records.Ended(id=job_id, phase=phase))
             case messages.ReadMachines():
--- a/azurewood/jobs/records.py
+++ b/azurewood/jobs/records.py
@@ -64,6 +64,17 @@
         return f"b/{self.ids[0]}"
 
 
+def keys(job_id: str) -> tuple[str, ...]:
+    """Return the keys of all records of a job; the job's own comes last."""
+    return tuple(f"{kind}/{job_id}" for kind in ("b", "c", "e", "a"))
+
+
+def dropped_job(key: str) -> str | None:
+    """Return the job that a dropped key forgets, None if it forgets none."""
+    kind, _, job_id = key.partition("/")
+    return job_id if kind == "a" else None
+
+
 Record = Accepted | Cancelled | Ended | Begun
 
 _decoder = msgspec.msgpack.Decoder(Record)
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -9,6 +9,7 @@
 import typing
 
 from azurewood.policy import host_health
+from azurewood.policy import sharing
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import tasks
@@ -322,12 +323,37 @@
     ends = _take_ends(state, host, event, now)
     running = {(row.task, row.run): row for row in event.running}
     _take_running(state, host, event, running, ends, now)
-    if not host.synced:
-        host.synced = True
+    host.synced = True
+    _pace(state, host, now)
     host.hold_at = now + HOLD_PAUSE_S
     state.placing.add(host.entry.service)
 
 
+def _pace(state: scheduling.State, host: scheduling.Host, now: float) -> None:
+    """Slow or speed up what runs in the background of a host."""
+    for run, percent in sharing.paces(host, now):
+        state.note(
+            "run.paced",
+            job=run.task.job,
+            task=str(tuple(run.task[1:])),
+            run=run.run,
+            host=host.id,
+            percent=percent,
+            before=run.pace,
+        )
+        run.pace = percent
+        run.paced_at = now
+        state.emit(
+            messages.PaceRun(
+                host=host.id,
+                address=host.entry.address,
+                task=run.task,
+                run=run.run,
+                percent=percent,
+            )
+        )
+
+
 def _with_born(entry: messages.HostEntry, born_ms: int) -> messages.HostEntry:
     return messages.HostEntry(
         id=entry.id,
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -68,6 +68,7 @@
         "calling",
         "measure",
         "pace",
+        "paced_at",
         "percent",
         "phase",
         "retry_at",
@@ -75,7 +76,6 @@
         "saved",
         "settled_at",
         "step",
-        "strained_since",
         "task",
         "tries",
     )
@@ -98,7 +98,7 @@
         self.measure = 0
         self.saved = ""
         self.pace = 100
-        self.strained_since: float | None = None
+        self.paced_at = now
 
     @property
     def key(self) -> tuple[model.TaskId, int]:
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -31,6 +31,7 @@
 UPKEEP_S = 2.0
 MOVE_S = 1.5
 ORDER_PAUSE_S = 3.0
+RETENTION_S = 20.0
 
 
 class SimCalls:
@@ -193,6 +194,7 @@
             unix_ms=lambda: world.clock.now * 1000,
             wake=self.step,
             order_pause_s=ORDER_PAUSE_S,
+            retention_s=RETENTION_S,
         )
         self._loop(self.life)
 
--- a/tests/scheduling/test_days.py
+++ b/tests/scheduling/test_days.py
@@ -268,3 +268,19 @@
     made.run(25.0)
     assert made.upkeep_done[1] == set(names)
     deployment.check(made)
+
+
+def test_jobs_are_forgotten_when_their_retention_is_over():
+    made = deployment.world()
+    asked = _submit_some(made)
+    made.run(4.0)
+    assert _all_completed(made, asked)
+    made.run(40.0)
+    assert _all_completed(made, asked)
+    made.run(20.0)
+    shown = [made.members[0].member.desk.show(job_id) for job_id in asked]
+    assert shown == [desk.NotThere()] * len(asked)
+    assert not made.store.values(pages.Topic.JOBS)
+    left = made.store.values(pages.Topic.PROGRESS)
+    assert not [key for key in left if key.startswith("j/")]
+    deployment.check(made)
