--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -29,10 +29,10 @@
 from azurewood.journal import follower
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
-from azurewood.scheduling import hosts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import reducer
+from azurewood.scheduling import runs
 
 PRODUCER: typing.Final = "leader"
 TICK_S: typing.Final = 0.05
@@ -252,7 +252,7 @@
             for entry in self._given.register.entries.values()
             if not entry.phase.final
         ]
-        bound = now + leadership.VALID_S + hosts.LEASE_BOUND_S
+        bound = now + leadership.VALID_S + runs.LEASE_BOUND_S
         self.state = reducer.begin(
             term=self.number,
             found=found,
@@ -482,13 +482,3 @@
         self._given.calls.submit(
             self._given.platform.machines_call(token), took
         )
-
-    def dump(self) -> dict[str, typing.Any]:
-        """Return what operators may want to see of the term."""
-        state = self.state
-        return {
-            "term": self.number,
-            "stage": self.stage.name.lower(),
-            "jobs": len(state.jobs) if state else 0,
-            "hosts": len(state.hosts) if state else 0,
-        }
--- a/azurewood/jobs/catalog.py
+++ b/azurewood/jobs/catalog.py
@@ -69,7 +69,3 @@
             if best is None or len(queue.path_prefix) > len(best.path_prefix):
                 best = queue
         return best
-
-    def standby_pools(self) -> list[str]:
-        """Return the names of the pools whose hosts cost nothing."""
-        return sorted(p.name for p in self.pools.values() if p.standby)
--- a/azurewood/platform/settings.py
+++ b/azurewood/platform/settings.py
@@ -24,35 +24,27 @@
     control: str = ""
 
 
-class _Store(msgspec.Struct):
+class _Service(msgspec.Struct):
     addr: str
-    keep_s: float = 0.0
-
-
-class _Cloud(msgspec.Struct):
-    addr: str
-    rate_per_s: float = 0.0
-    duty_per_s: float = 0.0
 
 
 class _Bounds(msgspec.Struct):
-    """``hold_max_ms`` is the longest lease that a host grants."""
+    """``lease_ms`` is the pause between two holders' orders."""
 
     grace_s: float = 6.0
-    hold_max_ms: int = 6000
     lease_ms: int = 3000
     status_s: float = 120.0
 
 
 class _Settings(msgspec.Struct):
-    """``hint`` is the address of the advice service."""
+    """``platform`` is the store, ``hint`` the advice service's address."""
 
     node: str
     zone: str
     ip: str
     listen: _Listen
-    platform: _Store
-    cloud: _Cloud
+    platform: _Service
+    cloud: _Service
     hint: str | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -5,7 +5,6 @@
 """
 
 import base64
-import enum
 import struct
 import typing
 import urllib.parse
@@ -32,14 +31,10 @@
     pages.Topic.HOSTS: "keyed.servers",
     pages.Topic.REPORTS: "keyed.status",
 }
+FENCED: typing.Final = "fenced"
 KEYED: typing.Final = frozenset(NAMES) - {pages.Topic.LEADER}
 
 
-class _Reason(enum.Enum):
-    FENCED = "fenced"
-    SEQ = "seq"
-
-
 class _AppendAnswer(msgspec.Struct):
     """``end`` is the partition's end; ``seq`` is not used here."""
 
@@ -146,7 +141,7 @@
     match reply.status:
         case 200:
             return appender.Appended(offset=answer.offset)
-        case 409 if answer.reason == _Reason.FENCED.value:
+        case 409 if answer.reason == FENCED:
             return appender.Fenced()
         case 409 | 412:
             return appender.Conflict(
--- a/azurewood/policy/host_health.py
+++ b/azurewood/policy/host_health.py
@@ -2,8 +2,8 @@
 
 Answers the load of a host that takes work and fails all of it while it says
 that it is healthy: failing at once, it is always free and would draw ever
-more tasks. Failures of several tasks with none done between them suspend a
-host for a while; a job that fails everywhere has few tasks on one host.
+more tasks. Failures of several jobs' tasks with none done between them
+suspend a host for a while; a job that fails everywhere is only one.
 """
 
 import typing
@@ -11,8 +11,8 @@
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 
-FAILURES: typing.Final = 2
-"""Tasks that have to fail in a row: one may be the task's own fault."""
+FAILING_JOBS: typing.Final = 2
+"""Jobs whose tasks have to fail in a row: one may be the job's own fault."""
 PAUSE_S: typing.Final = 4.0
 """How long a host is then left out; faults of hosts last about 5 s."""
 
@@ -23,8 +23,8 @@
         case messages.End.DONE:
             host.failed_tasks = set()
         case messages.End.FAILED:
-            host.failed_tasks.add(row.task[:2] + row.task[2:])
-            if len({task[0] for task in host.failed_tasks}) >= FAILURES:
+            host.failed_tasks.add(row.task)
+            if len({task.job for task in host.failed_tasks}) >= FAILING_JOBS:
                 host.suspended_until = now + PAUSE_S
         case _:
             return
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -1,4 +1,4 @@
-"""The leader's dealings with hosts: leases, lists, starts and stops.
+"""What the leader knows of hosts: their lives, leases and lists.
 
 A run counts against its host's room from before its start is sent until it
 is known not to exist: its end is listed, a list sent after its start or
@@ -12,12 +12,9 @@
 from azurewood.policy import sharing
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import runs
 from azurewood.scheduling import tasks
 
-LEASE_MS: typing.Final = 5900
-"""Length of a lease, just under the longest that hosts grant (6 s)."""
-LEASE_BOUND_S: typing.Final = 6.4
-"""A lease's length by our clock: a host's clock may be 2% slow."""
 HOLD_WAIT_MS: typing.Final = 1000
 """How long a host keeps a hold open for an end to list."""
 FIRST_HOLD_WAIT_MS: typing.Final = 0
@@ -25,12 +22,6 @@
 """Pause between two holds, so that ends are listed together."""
 HOLD_RETRY_S: typing.Final = 0.2
 GONE_RETRY_S: typing.Final = 1.0
-CALL_RETRY_S: typing.Final = 0.25
-"""Pause before a start or stop of unknown outcome is sent again."""
-MAX_STARTS: typing.Final = 4
-"""Starts sent for one run before it is given up and stopped."""
-UNHEALTHY_PAUSE_S: typing.Final = 1.0
-ROOM_PAUSE_S: typing.Final = 0.3
 
 
 def seen(
@@ -89,7 +80,7 @@
             _hold(host, state, now)
         for run in list(host.runs.values()):
             if not run.calling and now >= run.retry_at:
-                _call(state, host, run, now)
+                runs.call_again(state, host, run, now)
         _expire(state, host, now)
 
 
@@ -101,8 +92,8 @@
     lease = None
     if calm and clock is not None:
         # A silent host gets no lease, or its tasks could start nowhere else.
-        lease = clock + LEASE_MS
-        host.bound_at = max(host.bound_at, now + LEASE_BOUND_S)
+        lease = clock + runs.LEASE_MS
+        host.bound_at = max(host.bound_at, now + runs.LEASE_BOUND_S)
     host.holding = True
     state.emit(
         messages.HoldHost(
@@ -115,76 +106,6 @@
     )
 
 
-def _call(
-    state: scheduling.State,
-    host: scheduling.Host,
-    run: scheduling.Run,
-    now: float,
-) -> None:
-    """Repeat a start or stop whose outcome is not known."""
-    match run.phase:
-        case scheduling.RunPhase.STARTING if run.settled_at is None:
-            if run.tries >= MAX_STARTS or host.entry.state.value != "ready":
-                tasks.stop(run, now)
-            elif run.tries and host.silent_since is None:
-                send_start(state, host, run, now)
-        case scheduling.RunPhase.STOPPING:
-            _send_stop(state, host, run, now)
-
-
-def send_start(
-    state: scheduling.State,
-    host: scheduling.Host,
-    run: scheduling.Run,
-    now: float,
-    *,
-    saved_first: bool = False,
-) -> None:
-    """Send a start, after what is known is stored if that is asked for."""
-    job = state.jobs.get(run.task.job)
-    clock = host.clock(now)
-    if job is None or clock is None:
-        tasks.stop(run, now)
-        return
-    advised = job.tickets.get((run.task.occurrence, run.task.step))
-    effect = messages.StartRun(
-        host=host.id,
-        address=host.entry.address,
-        task=run.task,
-        run=run.run,
-        payload=job.job.payload,
-        saved=run.saved,
-        lease_until_ms=clock + LEASE_MS,
-        ticket=advised.tickets.get(host.id, "") if advised else "",
-    )
-    run.calling = True
-    run.tries += 1
-    host.bound_at = max(host.bound_at, now + LEASE_BOUND_S)
-    if saved_first:
-        state.emit_saved(effect)
-    else:
-        state.emit(effect)
-
-
-def _send_stop(
-    state: scheduling.State,
-    host: scheduling.Host,
-    run: scheduling.Run,
-    now: float,
-) -> None:
-    run.calling = True
-    run.tries += 1
-    run.retry_at = now + CALL_RETRY_S
-    state.emit(
-        messages.StopRun(
-            host=host.id,
-            address=host.entry.address,
-            task=run.task,
-            run=run.run,
-        )
-    )
-
-
 def _expire(
     state: scheduling.State, host: scheduling.Host, now: float
 ) -> None:
@@ -197,79 +118,6 @@
         del state.hosts[host.id]
 
 
-def start_answered(
-    state: scheduling.State, event: messages.StartAnswered, now: float
-) -> None:
-    """Take in what a host says of a start."""
-    host = state.hosts.get(event.host)
-    run = host.runs.get((event.task, event.run)) if host else None
-    if host is None or run is None:
-        return
-    run.calling = False
-    if event.clock_ms:
-        _set_clock(host, event.clock_ms, now)
-    if run.phase is scheduling.RunPhase.STOPPING:
-        run.retry_at = now
-        return
-    doubtful = run.tries > 1
-    match event.refusal:
-        case None:
-            run.phase = scheduling.RunPhase.RUNNING
-            run.settled_at = now
-            return
-        case messages.Refusal.UNKNOWN:
-            run.retry_at = now + CALL_RETRY_S
-            return
-        case messages.Refusal.FENCE:
-            state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
-            return
-        case messages.Refusal.OTHER_LIFE:
-            _other_life(state, host, now)
-            return
-        case messages.Refusal.LATE:
-            run.retry_at = now
-            return
-        case messages.Refusal.UNHEALTHY:
-            host.suspended_until = now + UNHEALTHY_PAUSE_S
-        case messages.Refusal.ROOM | messages.Refusal.NOT_SENT:
-            host.suspended_until = now + ROOM_PAUSE_S
-    state.note(
-        "start.refused",
-        job=run.task.job,
-        task=str(tuple(run.task[1:])),
-        run=run.run,
-        host=host.id,
-        refusal=event.refusal.value,
-        tries=run.tries,
-    )
-    if doubtful:
-        tasks.stop(run, now)
-    else:
-        tasks.lost(state, host, run, f"refused: {event.refusal.value}", now)
-
-
-def stop_answered(
-    state: scheduling.State, event: messages.StopAnswered, now: float
-) -> None:
-    """Take in what a host says of a stop."""
-    host = state.hosts.get(event.host)
-    run = host.runs.get((event.task, event.run)) if host else None
-    if host is None or run is None:
-        return
-    run.calling = False
-    match event.refusal:
-        case None:
-            run.settled_at = now
-            run.retry_at = now + HOLD_RETRY_S * 5
-            host.hold_at = min(host.hold_at, now)
-        case messages.Refusal.FENCE:
-            state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
-        case messages.Refusal.OTHER_LIFE:
-            _other_life(state, host, now)
-        case _:
-            run.retry_at = now + CALL_RETRY_S
-
-
 def hold_failed(
     state: scheduling.State, event: messages.HoldFailed, now: float
 ) -> None:
@@ -282,28 +130,13 @@
         case messages.Refusal.FENCE:
             state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
         case messages.Refusal.OTHER_LIFE:
-            _other_life(state, host, now)
+            runs.other_life(state, host, now)
     if host.silent_since is None:
         host.silent_since = now
         state.note("host.silent", host=host.id, reason=event.reason.value)
     host.hold_at = now + (HOLD_RETRY_S if host.present else GONE_RETRY_S)
 
 
-def _other_life(
-    state: scheduling.State, host: scheduling.Host, now: float
-) -> None:
-    """Take in that another host has this one's address: it has ended."""
-    for run in list(host.runs.values()):
-        tasks.lost(state, host, run, "another host has its address", now)
-    host.synced = False
-    host.present = False
-
-
-def _set_clock(host: scheduling.Host, clock_ms: int, now: float) -> None:
-    host.clock_ms = clock_ms
-    host.clock_at = now
-
-
 def listed(
     state: scheduling.State, event: messages.HostListed, now: float
 ) -> None:
@@ -318,7 +151,7 @@
     if host.silent_since is not None:
         state.note("host.heard", host=host.id, runs=len(host.runs))
         host.silent_since = None
-    _set_clock(host, event.clock_ms, now)
+    runs.set_clock(host, event.clock_ms, now)
     host.listed_at = event.sent_at
     ends = _take_ends(state, host, event, now)
     running = {(row.task, row.run): row for row in event.running}
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -6,9 +6,9 @@
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_choice
 from azurewood.policy import job_order
-from azurewood.scheduling import hosts as host_calls
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
+from azurewood.scheduling import runs
 
 MAX_STARTS_A_PASS = 200
 """Bound on the starts of one pass, so that holds are not held up."""
@@ -248,4 +248,4 @@
     if not job.begun:
         job.begun = True
         state.began_ids.append(job.job.id)
-    host_calls.send_start(state, host, run, now, saved_first=True)
+    runs.send_start(state, host, run, now, saved_first=True)
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -12,6 +12,7 @@
 from azurewood.scheduling import placing
 from azurewood.scheduling import pools
 from azurewood.scheduling import progress
+from azurewood.scheduling import runs
 from azurewood.scheduling import tasks
 from azurewood.scheduling import upkeep
 
@@ -69,14 +70,6 @@
     state.waves[number] = wave
 
 
-def step(
-    state: model.State, event: messages.Event, now: float
-) -> list[messages.Effect]:
-    """Take an event in; return what is to be done."""
-    _take(state, event, now)
-    return finish(state, now)
-
-
 def finish(state: model.State, now: float) -> list[messages.Effect]:
     """Return what is to be done after events that were taken in."""
     progress.flush(state)
@@ -100,20 +93,16 @@
 
 
 def take(state: model.State, event: messages.Event, now: float) -> None:
-    """Take an event in without asking for effects yet."""
-    _take(state, event, now)
-
-
-def _take(state: model.State, event: messages.Event, now: float) -> None:
+    """Take an event in; ``finish`` returns what is to be done."""
     match event:
         case messages.Tick():
             _tick(state, event, now)
         case messages.HostListed():
             hosts.listed(state, event, now)
         case messages.StartAnswered():
-            hosts.start_answered(state, event, now)
+            runs.start_answered(state, event, now)
         case messages.StopAnswered():
-            hosts.stop_answered(state, event, now)
+            runs.stop_answered(state, event, now)
         case messages.HoldFailed():
             hosts.hold_failed(state, event, now)
         case messages.ProgressSaved():
--- /dev/null
+++ b/azurewood/scheduling/runs.py
@@ -0,0 +1,184 @@
+"""Starts and stops of runs, and what hosts answer to them.
+
+A start is recorded before it is sent. One of unknown outcome is sent again,
+which a host answers as the first time; after ``MAX_STARTS`` it is stopped,
+which also bars it from starting late.
+"""
+
+import typing
+
+from azurewood.scheduling import messages
+from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import tasks
+
+LEASE_MS: typing.Final = 5900
+"""Length of a lease, just under the longest that hosts grant (6 s)."""
+LEASE_BOUND_S: typing.Final = 6.4
+"""A lease's length by our clock: a host's clock may be 2% slow."""
+CALL_RETRY_S: typing.Final = 0.25
+"""Pause before a start or stop of unknown outcome is sent again."""
+MAX_STARTS: typing.Final = 4
+"""Starts sent for one run before it is given up and stopped."""
+UNHEALTHY_PAUSE_S: typing.Final = 1.0
+ROOM_PAUSE_S: typing.Final = 0.3
+LIST_WAIT_S: typing.Final = 1.0
+"""How long a stop that was taken has to show on the host's list."""
+
+
+def call_again(
+    state: scheduling.State,
+    host: scheduling.Host,
+    run: scheduling.Run,
+    now: float,
+) -> None:
+    """Repeat a start or stop whose outcome is not known."""
+    match run.phase:
+        case scheduling.RunPhase.STARTING if run.settled_at is None:
+            if run.tries >= MAX_STARTS or host.entry.state.value != "ready":
+                tasks.stop(run, now)
+            elif run.tries and host.silent_since is None:
+                send_start(state, host, run, now)
+        case scheduling.RunPhase.STOPPING:
+            _send_stop(state, host, run, now)
+
+
+def send_start(
+    state: scheduling.State,
+    host: scheduling.Host,
+    run: scheduling.Run,
+    now: float,
+    *,
+    saved_first: bool = False,
+) -> None:
+    """Send a start, after what is known is stored if that is asked for."""
+    job = state.jobs.get(run.task.job)
+    clock = host.clock(now)
+    if job is None or clock is None:
+        tasks.stop(run, now)
+        return
+    advised = job.tickets.get((run.task.occurrence, run.task.step))
+    effect = messages.StartRun(
+        host=host.id,
+        address=host.entry.address,
+        task=run.task,
+        run=run.run,
+        payload=job.job.payload,
+        saved=run.saved,
+        lease_until_ms=clock + LEASE_MS,
+        ticket=advised.tickets.get(host.id, "") if advised else "",
+    )
+    run.calling = True
+    run.tries += 1
+    host.bound_at = max(host.bound_at, now + LEASE_BOUND_S)
+    if saved_first:
+        state.emit_saved(effect)
+    else:
+        state.emit(effect)
+
+
+def _send_stop(
+    state: scheduling.State,
+    host: scheduling.Host,
+    run: scheduling.Run,
+    now: float,
+) -> None:
+    run.calling = True
+    run.tries += 1
+    run.retry_at = now + CALL_RETRY_S
+    state.emit(
+        messages.StopRun(
+            host=host.id,
+            address=host.entry.address,
+            task=run.task,
+            run=run.run,
+        )
+    )
+
+
+def start_answered(
+    state: scheduling.State, event: messages.StartAnswered, now: float
+) -> None:
+    """Take in what a host says of a start."""
+    host = state.hosts.get(event.host)
+    run = host.runs.get((event.task, event.run)) if host else None
+    if host is None or run is None:
+        return
+    run.calling = False
+    if event.clock_ms:
+        set_clock(host, event.clock_ms, now)
+    if run.phase is scheduling.RunPhase.STOPPING:
+        run.retry_at = now
+        return
+    doubtful = run.tries > 1
+    match event.refusal:
+        case None:
+            run.phase = scheduling.RunPhase.RUNNING
+            run.settled_at = now
+            return
+        case messages.Refusal.UNKNOWN:
+            run.retry_at = now + CALL_RETRY_S
+            return
+        case messages.Refusal.FENCE:
+            state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
+            return
+        case messages.Refusal.OTHER_LIFE:
+            other_life(state, host, now)
+            return
+        case messages.Refusal.LATE:
+            run.retry_at = now
+            return
+        case messages.Refusal.UNHEALTHY:
+            host.suspended_until = now + UNHEALTHY_PAUSE_S
+        case messages.Refusal.ROOM | messages.Refusal.NOT_SENT:
+            host.suspended_until = now + ROOM_PAUSE_S
+    state.note(
+        "start.refused",
+        job=run.task.job,
+        task=str(tuple(run.task[1:])),
+        run=run.run,
+        host=host.id,
+        refusal=event.refusal.value,
+        tries=run.tries,
+    )
+    if doubtful:
+        tasks.stop(run, now)
+    else:
+        tasks.lost(state, host, run, f"refused: {event.refusal.value}", now)
+
+
+def stop_answered(
+    state: scheduling.State, event: messages.StopAnswered, now: float
+) -> None:
+    """Take in what a host says of a stop."""
+    host = state.hosts.get(event.host)
+    run = host.runs.get((event.task, event.run)) if host else None
+    if host is None or run is None:
+        return
+    run.calling = False
+    match event.refusal:
+        case None:
+            run.settled_at = now
+            run.retry_at = now + LIST_WAIT_S
+            host.hold_at = min(host.hold_at, now)
+        case messages.Refusal.FENCE:
+            state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
+        case messages.Refusal.OTHER_LIFE:
+            other_life(state, host, now)
+        case _:
+            run.retry_at = now + CALL_RETRY_S
+
+
+def other_life(
+    state: scheduling.State, host: scheduling.Host, now: float
+) -> None:
+    """Take in that another host has this one's address: it has ended."""
+    for run in list(host.runs.values()):
+        tasks.lost(state, host, run, "another host has its address", now)
+    host.synced = False
+    host.present = False
+
+
+def set_clock(host: scheduling.Host, clock_ms: int, now: float) -> None:
+    """Take in what a host's clock said now."""
+    host.clock_ms = clock_ms
+    host.clock_at = now
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -9,8 +9,8 @@
 from azurewood.jobs import model
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
-from azurewood.scheduling import hosts
 from azurewood.scheduling import progress
+from azurewood.scheduling import runs
 from tests.scheduling import deployment
 
 LONG = model.Step(
@@ -50,7 +50,7 @@
 
 
 def test_breaks_if_silent_hosts_are_taken_for_dead_at_once(monkeypatch):
-    monkeypatch.setattr(hosts, "LEASE_BOUND_S", 0.5)
+    monkeypatch.setattr(runs, "LEASE_BOUND_S", 0.5)
     monkeypatch.setattr(leadership, "VALID_S", 0.5)
     made = deployment.world()
     _start_then_lose_host_and_leader(made)
@@ -85,12 +85,12 @@
 
 
 def test_breaks_if_a_start_does_not_wait_for_its_record(monkeypatch):
-    real = hosts.send_start
+    real = runs.send_start
 
     def at_once(state, host, run, now, *, saved_first=False):
         real(state, host, run, now, saved_first=False)
 
-    monkeypatch.setattr(hosts, "send_start", at_once)
+    monkeypatch.setattr(runs, "send_start", at_once)
     made = deployment.world()
     assert _start_without_a_store(made)
     with pytest.raises(AssertionError, match="twice"):
