--- a/azurewood/commands/explain.py
+++ b/azurewood/commands/explain.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from azurewood.commands import base as commands_base
+from azurewood.commands import output
 
 AROUND: typing.Final = frozenset(
     {
@@ -35,7 +36,8 @@
 )
 @click.argument("job")
 @click.argument("log", type=click.File("rb"), default="-")
-def explain(*, job: str, log: typing.BinaryIO) -> None:
+@commands_base.output_option
+def explain(*, job: str, log: typing.BinaryIO, **options: str) -> None:
     """Print what all daemons decided about JOB, in order of time."""
     lines = list(_parsed(log))
     own = [line for line in lines if _concerns(line, job)]
@@ -49,7 +51,11 @@
         if _concerns(line, job)
         or (line.get("event") in AROUND and first <= line["time"] <= last)
     ]
-    for line in sorted(shown, key=lambda line: line["time"]):
+    shown.sort(key=lambda line: line["time"])
+    if commands_base.Output(options["output"]) is commands_base.Output.JSON:
+        output.json(shown)
+        return
+    for line in shown:
         click.echo(_shown(line))
 
 
--- /dev/null
+++ b/standins/fleet/members.py
@@ -0,0 +1,221 @@
+"""Members of the fleet in the simulation, and the calls they make.
+
+A call travels through the world's network: it may be lost, carried out
+late, or answered to a member that has stood still meanwhile.
+"""
+
+from collections import abc
+import typing
+
+from azurewood.daemons import member as members
+from azurewood.http import multiplex
+from standins.fleet import platform
+
+LATE_S = (2.0, 12.0)
+ORDER_PAUSE_S = 3.0
+RETENTION_S = 20.0
+
+
+class SimCalls:
+    """The calls of one life of a member, through the world's network."""
+
+    __slots__ = ("_member", "_world")
+
+    def __init__(self, *, world: typing.Any, member: "SimMember") -> None:
+        self._world = world
+        self._member = member
+
+    def submit(
+        self,
+        call: platform.SimCall,
+        done: abc.Callable[[multiplex.Reply], None],
+    ) -> None:
+        """Send a call; its reply, or none, comes later."""
+        _Transfer(
+            world=self._world, member=self._member, call=call, done=done
+        ).send()
+
+
+class _Transfer:
+    """One call under way."""
+
+    __slots__ = (
+        "_answered",
+        "call",
+        "done",
+        "life",
+        "member",
+        "sent_at",
+        "world",
+    )
+
+    def __init__(
+        self,
+        *,
+        world: typing.Any,
+        member: "SimMember",
+        call: platform.SimCall,
+        done: abc.Callable[[multiplex.Reply], None],
+    ) -> None:
+        self.world = world
+        self.member = member
+        self.call = call
+        self.done = done
+        self.life = member.life
+        self.sent_at = world.clock.now
+        self._answered = False
+
+    def send(self) -> None:
+        """Begin the call and its timeout."""
+        self.world.clock.after(self.call.timeout_s, self._give_up)
+        fault = self.world.fault_of(self.call)
+        if fault == "late":
+            self.world.clock.after(
+                self.world.random.uniform(*LATE_S), lambda: self._act("lost")
+            )
+            return
+        delay = self.world.delay(self.call.target)
+        self.world.clock.after(delay, lambda: self._arrive(fault))
+
+    def _arrive(self, fault: str) -> None:
+        if not self.world.reachable(self.member, self.call.target):
+            return
+        call = self.call
+        if call.wait_s and call.ready and not call.ready():
+            self._wait(fault)
+            return
+        self._act(fault)
+
+    def _wait(self, fault: str) -> None:
+        """Answer at the first change, or when the wait is over."""
+        state = {"over": False}
+
+        def go() -> None:
+            if not state["over"]:
+                state["over"] = True
+                self._act(fault)
+
+        if self.call.target in self.world.hosts:
+            # A hold takes effect as it arrives and is answered later.
+            self.call.act(self.sent_at)
+        self.call.wait(go)
+        self.world.clock.after(self.call.wait_s, go)
+
+    def _act(self, fault: str) -> None:
+        if not self.world.serves(self.call.target):
+            return
+        answer = self.call.act(self.sent_at)
+        if fault == "lost" or answer is None:
+            return
+        delay = self.world.delay(self.call.target)
+        self.world.clock.after(delay, lambda: self._answer(answer))
+
+    def _answer(self, answer: object) -> None:
+        if self.world.reachable(self.member, self.call.target):
+            self._finish(multiplex.Outcome.ANSWERED, answer)
+
+    def _give_up(self) -> None:
+        self._finish(multiplex.Outcome.UNKNOWN, b"")
+
+    def _finish(self, outcome: multiplex.Outcome, answer: object) -> None:
+        if self._answered or self.life != self.member.life:
+            return
+        if self.member.frozen:
+            self.member.thawed.append(lambda: self._finish(outcome, answer))
+            return
+        self._answered = True
+        self.done(
+            multiplex.Reply(
+                outcome=outcome,
+                body=answer,
+                reason=outcome.value,
+                sent_at=self.sent_at,
+                at=self.world.clock.now,
+            )
+        )
+        self.member.step()
+
+
+class SimMember:
+    """A daemon of the fleet in the simulation, over all its lives."""
+
+    __slots__ = (
+        "cut_from",
+        "frozen",
+        "life",
+        "member",
+        "name",
+        "thawed",
+        "up",
+        "world",
+    )
+
+    def __init__(self, *, world: typing.Any, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.life = 0
+        self.up = False
+        self.frozen = False
+        self.thawed: list[abc.Callable[[], None]] = []
+        self.cut_from: set[str] = set()
+        self.member: members.Member | None = None
+
+    def start(self) -> None:
+        """Begin a life."""
+        self.life += 1
+        self.up = True
+        self.frozen = False
+        self.thawed = []
+        world = self.world
+        self.member = members.Member(
+            name=self.name,
+            nonce=f"{world.random.getrandbits(64):016x}",
+            platform=platform.SimPlatform(world=world),
+            calls=SimCalls(world=world, member=self),
+            clock=lambda: world.clock.now,
+            unix_ms=lambda: world.clock.now * 1000,
+            wake=self.step,
+            order_pause_s=ORDER_PAUSE_S,
+            retention_s=RETENTION_S,
+        )
+        self._loop(self.life)
+
+    def kill(self) -> None:
+        """End a life at once."""
+        self.life += 1
+        self.up = False
+        self.member = None
+
+    def freeze(self, seconds: float) -> None:
+        """Stand still for a while."""
+        if self.up and not self.frozen:
+            self.frozen = True
+            life = self.life
+            self.world.clock.after(seconds, lambda: self._thaw(life))
+
+    def _thaw(self, life: int) -> None:
+        if life != self.life:
+            return
+        self.frozen = False
+        thawed, self.thawed = self.thawed, []
+        for what in thawed:
+            what()
+        self.step()
+
+    def step(self) -> None:
+        """Let the member do what is due."""
+        if self.up and not self.frozen:
+            self.member.step(self.world.clock.now)
+
+    def _loop(self, life: int) -> None:
+        if life != self.life:
+            return
+        self.step()
+        now = self.world.clock.now
+        pause = max(0.005, self.member.next_at(now) - now)
+        self.world.clock.after(pause, lambda: self._loop(life))
+
+    @property
+    def leads(self) -> bool:
+        """Whether this daemon schedules."""
+        return self.up and self.member.term is not None
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -39,6 +39,14 @@
     assert "phase=failed" in result.output
 
 
+def test_json_has_the_same_lines():
+    runner = testing.CliRunner()
+    args = ["explain", "a1", "-", "--output", "json"]
+    lines = json.loads(runner.invoke(main.main, args, input=LOG).output)
+    assert [line["event"] for line in lines][0] == "accepted"
+    assert len(lines) == 4
+
+
 def test_a_job_that_no_line_concerns():
     result = _run("c3")
     assert result.exit_code == 1
