Ask the daemon that owns most slots of the host that moves

Cause: test_a_move_goes_on_when_its_steward_is_killed sent its four requests through entry-0. By rendezvous entry-0 owns none of h1's eight slots and one of h2's, so its requests ran wherever its peers lent it slots first; in about one run of five that was h2 alone, and the test waited for h1 in vain. The daemon is right; the test's assumption was wrong.

Change: the caller is the daemon, other than the steward, that owns most slots of h1. What the test checks is unchanged.

--- a/tests/moves/test_paused_daemon.py
+++ b/tests/moves/test_paused_daemon.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from azurewood.fleet import model
 from azurewood.policy import ownership
 from standins import processes
 from tests.moves import deployment
@@ -11,6 +12,7 @@
 NAIVE = ("tests.moves.naive_entry", "entry")
 HOSTS = {"h1": "quoting", "h2": "quoting", "h3": "certs"}
 WORK_MS = 1500
+SLOTS = model.Host(name="h1", zone="z1", rack="r1", address="").slots
 
 
 def run_move(tmp_path, module):
@@ -73,6 +75,17 @@
     processes.wait_for(is_warm, what="connections to h1 and h2 are open")
 
 
+def slots_of_h1(dep, daemon):
+    """Return how many slots of h1 a daemon owns.
+
+    One that owns none runs its requests where a peer lends it a slot, on
+    h1 or on h2 as it happens.
+    """
+    names = [other.name for other in dep.daemons]
+    owners = [ownership.slot_owner("h1", n, names) for n in range(SLOTS)]
+    return owners.count(daemon)
+
+
 def running_on(dep, host):
     return any(e["ending"] == "running" for e in dep.executions(host))
 
@@ -102,7 +115,9 @@
         dep.publish()
         names = {daemon.name: daemon for daemon in dep.daemons}
         steward = names.pop(ownership.owner("h1", names))
-        first, second = names.values()
+        most = max(names, key=lambda name: slots_of_h1(dep, name))
+        first = names.pop(most)
+        (second,) = names.values()
         busy = [
             pool.submit(first.call, "quoting", Work_Ms=WORK_MS)
             for _ in range(4)
