--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -122,6 +122,7 @@
         (wave,) = running.commands.checked_json("wave", "list")
         return wave["phase"], len(wave["hosts"])
 
+    running.commands.checked("preset", "use", "ordinary", "--wait")
     running.commands.checked("wave", "start", "w1", "--rack", "a")
     running.commands.checked("wave", "pause", "w1")
     assert phase() == ("paused", 3)
