Pass over a long queue without a look at every host for each job

With 450 jobs waiting for 140 hosts each pass held every waiting step against every host, and counted all runs of all hosts for each step; a pass ran at each event.

Change: hosts that may be used are picked once a pass; a step that needs more than the most that any of them has free is passed over; runs are counted only for steps whose spread matters; a job's objective is worked out once; the next pass waits 0.1 ms a waiting job.

Ruled out: a slow machine service (orders were answered).

--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -14,6 +14,20 @@
 from azurewood.scheduling import model
 
 
+def most_room(hosts: abc.Iterable[model.Host]) -> jobs.Resources:
+    """Return the most that any host has free of each resource.
+
+    What does not fit into this fits on no host; so the long queue of a full
+    pool is passed over without a look at its hosts.
+    """
+    rooms = [host.room for host in hosts]
+    return jobs.Resources(
+        max((room.cpu for room in rooms), default=0),
+        max((room.memory_mb for room in rooms), default=0),
+        max((room.gpu for room in rooms), default=0),
+    )
+
+
 def choose(
     hosts: abc.Iterable[model.Host],
     step: jobs.Step,
@@ -38,13 +52,13 @@
     now: float,
 ) -> bool:
     """Return whether a host may take one more task of a step."""
+    if not step.reserved.fits(host.room):
+        return False
     if not host_health.usable(host, now):
         return False
     if step.label and step.label not in host.entry.labels:
         return False
-    if step.per_host and counts.get(host.id, 0) >= step.per_host:
-        return False
-    return step.reserved.fits(host.room)
+    return not step.per_host or counts.get(host.id, 0) < step.per_host
 
 
 def _rank(
--- a/azurewood/policy/job_order.py
+++ b/azurewood/policy/job_order.py
@@ -44,9 +44,9 @@
     feasible = []
     late = []
     for job in jobs:
-        latest_start = job.job.objective_at_ms() - remaining_ms(job)
+        latest_start = job.objective_at_ms - remaining_ms(job)
         (feasible if unix_ms <= latest_start else late).append(job)
-    feasible.sort(key=lambda job: job.job.objective_at_ms())
+    feasible.sort(key=lambda job: job.objective_at_ms)
     put_off = _put_off(feasible, unix_ms, room_cpu)
     in_time = [job for job in feasible if job.job.id not in put_off]
     late.extend(job for job in feasible if job.job.id in put_off)
@@ -65,7 +65,7 @@
         amount = work(job)
         total += amount
         heapq.heappush(kept, (-amount, job.job.id))
-        until_ms = job.job.objective_at_ms() - unix_ms
+        until_ms = job.objective_at_ms - unix_ms
         while kept and total > room_cpu * until_ms:
             largest, job_id = heapq.heappop(kept)
             total += largest
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -195,6 +195,7 @@
         "closing",
         "failed_gangs",
         "job",
+        "objective_at_ms",
         "steps",
         "tickets",
         "undone",
@@ -202,6 +203,7 @@
 
     def __init__(self, *, job: model.Job, now: float) -> None:
         self.job = job
+        self.objective_at_ms = job.objective_at_ms()
         self.added_at = now
         self.begun = False
         self.cancelled = False
@@ -308,6 +310,7 @@
         "order_after",
         "ordered_at",
         "orders",
+        "placed_at",
         "placing",
         "pools_due",
         "pools_told",
@@ -340,6 +343,7 @@
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
         self.placing: set[str] = set()
+        self.placed_at: dict[str, tuple[float, float]] = {}
         self.began_ids: list[str] = []
         self.dirty: set[str] = set()
         self.values: dict[str, bytes | None] = {}
@@ -355,6 +359,11 @@
             self.hosts[id] = host
         return host
 
+    def place_after(self, service: str) -> float:
+        """Return when a service's waiting tasks may be placed again."""
+        at, pause_s = self.placed_at.get(service, (0.0, 0.0))
+        return at + pause_s
+
     def may_order(self, machine: str, now: float) -> bool:
         """Return whether an earlier leader's order to it is long past."""
         return now >= self.order_after.get(machine, 0.0)
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -5,6 +5,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_choice
+from azurewood.policy import host_health
 from azurewood.policy import job_order
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -12,21 +13,26 @@
 
 MAX_STARTS_A_PASS = 200
 """Bound on the starts of one pass, so that holds are not held up."""
+PASS_S_A_JOB = 0.0001
+"""Pause after a pass, a waiting job: about what the pass itself takes, so
+that half of the leader's time is left for holds and starts."""
 MAX_ADVISED_HOSTS = 30
 """Hosts named in one call for advice; the call grows with each."""
 
 
 def place(state: model.State, now: float) -> None:
     """Place what waits for the services in which something changed."""
-    services, state.placing = state.placing, set()
-    if not services:
+    due = {name for name in state.placing if now >= state.place_after(name)}
+    if not due:
         return
+    state.placing -= due
     waiting: dict[str, list[model.JobState]] = collections.defaultdict(list)
     for job in state.jobs.values():
         service = state.service_of(job.job)
-        if service in services and not (job.cancelled or job.closing):
+        if service in due and not (job.cancelled or job.closing):
             waiting[service].append(job)
     for service, found in waiting.items():
+        state.placed_at[service] = (now, PASS_S_A_JOB * len(found))
         _place_service(state, service, found, now)
 
 
@@ -42,23 +48,36 @@
         if host.entry is not None and host.entry.service == service
     ]
     room = sum(host.entry.room.cpu for host in pool if host.present)
-    found = job_order.in_order(found, state.unix_ms, room)
+    usable = [host for host in pool if host_health.usable(host, now)]
+    if not usable:
+        return
+    most = host_choice.most_room(usable)
     budget = MAX_STARTS_A_PASS
-    for job in found:
-        for (occurrence, number), tasks in job.steps.items():
-            if not job.undone[(occurrence, number)]:
-                continue
-            if not job.may_start(occurrence, number, state.unix_ms):
+    for job in job_order.in_order(found, state.unix_ms, room):
+        for number, tasks in _open_steps(state, job):
+            if not job.job.steps[number].reserved.fits(most):
                 continue
-            budget -= _place_step(state, pool, job, tasks, now)
+            placed = _place_step(state, usable, job, tasks, now)
+            # What did not fit tells as much about the room as what did.
+            most = host_choice.most_room(usable)
+            budget -= placed
             if budget <= 0:
                 state.placing.add(service)
                 return
 
 
+def _open_steps(
+    state: model.State, job: model.JobState
+) -> abc.Iterator[tuple[int, list[model.Task]]]:
+    """Return the steps of a job that wait for room, each with its tasks."""
+    for key, tasks in job.steps.items():
+        if job.undone[key] and job.may_start(*key, state.unix_ms):
+            yield key[1], tasks
+
+
 def _place_step(
     state: model.State,
-    pool: list[model.Host],
+    usable: list[model.Host],
     job: model.JobState,
     tasks: list[model.Task],
     now: float,
@@ -68,17 +87,15 @@
     if not ready:
         return 0
     step = job.step_of(ready[0].id)
-    allowed = _advised(state, job, ready[0].id, pool, now)
-    counts = _counts(allowed, ready[0].id)
+    allowed = _advised(state, job, ready[0].id, usable, now)
+    counts = _counts(allowed, ready[0].id, step)
     if step.gang:
         return _place_gang(state, allowed, job, tasks, counts, now)
     placed = []
     for task in ready:
         host = host_choice.choose(allowed, step, task, counts, now)
         if host is None:
-            if not task.avoid:
-                break
-            continue
+            break
         open_run(state, host, job, task, now)
         counts[host.id] = counts.get(host.id, 0) + 1
         placed.append(task)
@@ -109,9 +126,16 @@
     return (task for task in tasks if task.phase is model.TaskPhase.WAITING)
 
 
-def _counts(pool: list[model.Host], id: jobs.TaskId) -> dict[str, int]:
-    """Return how many runs of a task's step each host may have."""
-    counts = {}
+def _counts(
+    pool: list[model.Host], id: jobs.TaskId, step: jobs.Step
+) -> dict[str, int]:
+    """Return how many runs of a task's step each host may have.
+
+    Nothing is counted for a step whose tasks may lie anyhow.
+    """
+    counts: dict[str, int] = {}
+    if not (step.per_host or step.lasting):
+        return counts
     for host in pool:
         counts[host.id] = sum(
             1 for run in host.runs.values() if run.task[:3] == id[:3]
