Soak the fleet daemons as processes under faults from outside

The daemons' ports are on addresses of their own: a first try with free ports of one address lost a race with outgoing connections.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint format capacity bench clean
+.PHONY: setup demo test soak lint format capacity bench clean
 
 setup: $(VENV)/.ready
 
@@ -18,6 +18,9 @@
 test: setup
 	$(BIN)/python -m pytest
 
+soak: setup
+	$(BIN)/python -m tests.soak
+
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -62,15 +62,15 @@
     meant for. ``broken`` answers are given as they are, by path.
     """
 
-    def __init__(self, *, port, pools):
+    def __init__(self, *, port, pools, ip="127.0.0.1"):
         self.lock = threading.RLock()
         self.world = HttpWorld(seed=1, members=0, pools=pools)
         self.began = time.monotonic()
         self.broken = {}
         self.calls = []
-        self.address = f"127.0.0.1:{port}"
+        self.address = f"{ip}:{port}"
         self.listener = server.make(
-            host="127.0.0.1",
+            host=ip,
             port=port,
             application=self,
             threads=24,
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: daemons as processes, faults from outside them."""
--- /dev/null
+++ b/tests/soak/base.py
@@ -0,0 +1,375 @@
+"""One run of the soak: start everything, play the plan, heal, check.
+
+What must hold is checked from what callers and hosts see, while the run
+goes on (`standins.fleet.rules`) and at its end: each job that was accepted
+is shown by every daemon in a final phase, a daemon that was only told to
+stop has cut no request, and no daemon ended by itself.
+"""
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import signal
+import threading
+import time
+
+from azurewood.jobs import catalog
+from azurewood.journal import pages
+from standins import processes
+from tests.platform import standin
+from tests.platform import test_daemons
+from tests.soak import callers
+from tests.soak import member
+from tests.soak import plan
+from tests.soak import platform
+from tests.soak import proxy
+
+POOLS = {"one": 4, "spare": 2}
+QUEUE = catalog.Queue(
+    name="r-1", host="", path_prefix="", service="one", attempts=2
+)
+PATH = "/one/"
+FLEET = ("azurewood.commands.fleet_process",)
+PORT = 9000
+"""Of the platform; its links have the next ones."""
+PLATFORM = 200
+"""Last number of the platform's address; daemons count from 1."""
+CALLERS = 6
+PAUSE_S = 0.4
+SLACK_S = 0.2
+"""A request that was read may be cut this soon after it was sent only."""
+SETTLE_S = 25.0
+"""Restart, leases of a silent host (6.4 s) and the longest job."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Result:
+    """What a run showed; no findings if all held."""
+
+    seed: int
+    findings: list[str]
+    faults: list
+    accepted: int
+    starts: int
+
+
+class Run:
+    """A deployment of processes, links and callers, and its plan."""
+
+    def __init__(
+        self, *, seed, seconds, daemons, folder, stack, module, faults, task_s
+    ):
+        self.seed = seed
+        self.seconds = seconds
+        self._findings = []
+        self._stopping = set()
+        self._timers = []
+        self._ip = f"127.{20 + os.getpid() // 250 % 200}.{os.getpid() % 250}"
+        self._server = platform.SoakServer(
+            ip=self._address(PLATFORM), port=PORT, pools=POOLS
+        )
+        stack.callback(self._server.stop)
+        self._proxy = proxy.Proxy()
+        stack.callback(self._proxy.close)
+        self._machines = sorted(self._server.world.machines)
+        self._server.link_machines(
+            {
+                name: self._link(f"machine-{number}")
+                for number, name in enumerate(self._machines)
+            }
+        )
+        self._server.put(
+            pages.Topic.OPERATORS, "config", test_daemons.MANIFEST
+        )
+        running = stack.enter_context(
+            processes.Processes(log_dir=pathlib.Path(folder))
+        )
+        self._daemons = [
+            member.Daemon(
+                number=number,
+                running=running,
+                folder=folder,
+                ip=self._address(number + 1),
+                store=self._link(f"daemon-{number}").address,
+                module=module,
+            )
+            for number in range(daemons)
+        ]
+        self._book = callers.Book()
+        machines = len(self._machines)
+        self.faults = faults or plan.draw(
+            seed, seconds=seconds, daemons=daemons, machines=machines
+        )
+        if task_s:
+            self._server.world.length = lambda task, step: task_s
+
+    def _address(self, number):
+        """Return a loopback address that only this run uses."""
+        return f"{self._ip}.{number}"
+
+    def _link(self, name):
+        port = PORT + 1 + len(self._proxy.links)
+        return self._proxy.add(name, self._address(PLATFORM), port, PORT)
+
+    def play(self):
+        """Return what the run showed."""
+        for daemon in self._daemons:
+            self._wait(lambda d=daemon: self._ready(d), 15, "ready at first")
+        stopped = threading.Event()
+        threads = [self._caller(n, stopped) for n in range(CALLERS)]
+        self._inject()
+        stopped.set()
+        for thread in threads:
+            thread.join(10)
+        self._heal()
+        self._settle()
+        self._check_lost()
+        rules = self._server.world.rules
+        breaches = [str(breach) for breach in rules.breaches]
+        return Result(
+            seed=self.seed,
+            findings=self._findings + breaches,
+            faults=self.faults,
+            accepted=len(self._book.accepted),
+            starts=rules.starts,
+        )
+
+    def _caller(self, number, stopped):
+        caller = callers.Caller(
+            seed=self.seed * 100 + number,
+            addresses=[
+                (daemon.ip, member.FRONT_PORT) for daemon in self._daemons
+            ],
+            server=self._server,
+            book=self._book,
+            queue=QUEUE,
+            path=PATH,
+        )
+        thread = threading.Thread(
+            target=caller.run, args=(stopped, PAUSE_S), daemon=True
+        )
+        thread.start()
+        return thread
+
+    # Faults
+
+    def _inject(self):
+        began = time.monotonic()
+        for fault in self.faults:
+            time.sleep(max(0.0, began + fault.at - time.monotonic()))
+            self._begin(fault)
+        time.sleep(max(0.0, began + self.seconds - time.monotonic()))
+        for timer in self._timers:
+            timer.join(10)
+
+    def _later(self, seconds, what):
+        timer = threading.Timer(seconds, what)
+        timer.start()
+        self._timers.append(timer)
+
+    def _begin(self, fault):
+        match fault:
+            case plan.Signal(count=count, daemon=first):
+                for step in range(count):
+                    number = (first + step) % len(self._daemons)
+                    daemon = self._daemons[number]
+                    self._later(
+                        0.3 * step, lambda d=daemon: self._signal(fault, d)
+                    )
+            case plan.Cut(link=name):
+                self._cut(fault, self._proxy.links[name])
+            case plan.Store(kind=kind):
+                self._store(kind)
+                self._later(fault.for_s, self._store_back)
+            case plan.Machine():
+                self._machine(fault)
+
+    def _signal(self, fault, daemon):
+        match fault.kind:
+            case "kill":
+                daemon.kill()
+                self._later(fault.for_s, daemon.start)
+            case "pause":
+                daemon.process.pause()
+                self._later(fault.for_s, daemon.process.resume)
+            case "reload":
+                daemon.reload()
+            case _:
+                self._later(0.0, lambda: self._stop(daemon, fault.for_s))
+
+    def _stop(self, daemon, for_s):
+        """Tell a daemon to stop, and end it after its grace."""
+        process = daemon.process
+        process.signal(signal.SIGTERM)
+        self._stopping.add(process.pid)
+        end = time.monotonic() + member.GRACE_S
+        while process.alive and time.monotonic() < end:
+            time.sleep(0.02)
+        if process.alive:
+            daemon.kill()
+        self._later(for_s, daemon.start)
+
+    def _cut(self, fault, link):
+        match fault.kind:
+            case "delay":
+                link.delay_s = 0.4
+            case "reset":
+                self._proxy.reset(link.name)
+            case "requests":
+                link.to_target = False
+            case "answers":
+                link.to_caller = False
+            case "silence":
+                link.to_target = link.to_caller = False
+            case "refuse":
+                link.open = False
+                self._proxy.reset(link.name)
+        self._later(fault.for_s, link.heal)
+
+    def _store(self, kind):
+        refusal = standin.wrappers.Response(status=503)
+        match kind:
+            case "forget":
+                with self._server.lock:
+                    for topic in (pages.Topic.JOBS, pages.Topic.PROGRESS):
+                        self._server.world.store.forget(topic)
+            case "no-appends":
+                self._server.broken["/api/log-append"] = refusal
+            case _:
+                for call in ("append", "read", "newest"):
+                    self._server.broken[f"/api/log-{call}"] = refusal
+
+    def _store_back(self):
+        self._server.broken.clear()
+
+    def _machine(self, fault):
+        world = self._server.world
+        with self._server.lock:
+            self._server.advance()
+            machine = world.machines[self._machines[fault.number]]
+            host = world.hosts.get(machine.host)
+            if host is None or not host.up:
+                return
+            if fault.kind == "fail":
+                host.failing = True
+            else:
+                host.crash()
+        self._later(fault.for_s, lambda: self._host_back(host))
+
+    def _host_back(self, host):
+        with self._server.lock:
+            self._server.advance()
+            host.failing = False
+            machine = self._server.world.machines[host.machine]
+            if not host.up and machine.host == host.id:
+                host.restart()
+                self._server.world.say(host)
+
+    # The end
+
+    def _heal(self):
+        for link in self._proxy.links.values():
+            link.heal()
+        self._store_back()
+        for daemon in self._daemons:
+            daemon.process.resume()
+            died = not daemon.process.alive
+            told = daemon.process.pid in self._stopping or daemon.killed_at
+            if died and not told:
+                self._findings.append(f"m{daemon.number} ended by itself")
+            daemon.start()
+
+    def _settle(self):
+        for daemon in self._daemons:
+            self._wait(lambda d=daemon: self._ready(d), SETTLE_S, "ready")
+        open_ids = dict.fromkeys(self._book.accepted, "")
+        end = time.monotonic() + SETTLE_S
+        while open_ids and time.monotonic() < end:
+            for job_id in list(open_ids):
+                open_ids[job_id] = states = self._states(job_id)
+                if len(set(states)) == 1 and states[0] in callers.FINAL:
+                    del open_ids[job_id]
+            time.sleep(0.1)
+        for job_id, states in open_ids.items():
+            self._findings.append(f"job {job_id} is not over: {states}")
+
+    def _states(self, job_id):
+        """Return what each daemon shows of a job."""
+        states = []
+        for daemon in self._daemons:
+            caller = self._asker(daemon)
+            status, body = caller.ask("GET", PATH + job_id)
+            state = standin.msgspec.json.decode(body) if status == 200 else {}
+            states.append(state.get("state", str(status)))
+            if status == 200:
+                with self._server.lock:
+                    self._server.advance()
+                    phase = callers.model.Phase(state["state"])
+                    self._server.world.rules.shown(job_id, phase)
+        return states
+
+    def _asker(self, daemon, port=member.FRONT_PORT):
+        return callers.Caller(
+            seed=0,
+            addresses=[(daemon.ip, port)],
+            server=self._server,
+            book=callers.Book(),
+            queue=QUEUE,
+            path=PATH,
+        )
+
+    def _check_lost(self):
+        """Find requests that a daemon cut that was not killed."""
+        for lost in self._book.lost:
+            killed = self._daemons[lost.daemon].killed_at
+            near = any(
+                lost.sent_at - SLACK_S <= at <= lost.at + SLACK_S
+                for at in killed
+            )
+            if lost.at - lost.sent_at > SLACK_S and not near:
+                self._findings.append(
+                    f"m{lost.daemon} cut a request"
+                    f" {lost.at - lost.sent_at:.2f} s after it was sent"
+                )
+
+    def _ready(self, daemon):
+        caller = self._asker(daemon, port=member.READY_PORT)
+        return caller.ask("GET", "/api/readyz")[0] == 200
+
+    def _wait(self, what, seconds, name):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if what():
+                return
+            time.sleep(0.05)
+        self._findings.append(f"{name}: not within {seconds} s")
+
+
+def play(
+    *,
+    seed,
+    folder,
+    seconds=20.0,
+    daemons=4,
+    module=FLEET,
+    faults=(),
+    task_s=0.0,
+):
+    """Play one seed and return what it showed.
+
+    ``faults`` are played instead of the seed's, ``module`` instead of the
+    daemon; ``task_s`` is how long every task runs, if not as estimated.
+    """
+    with contextlib.ExitStack() as stack:
+        run = Run(
+            seed=seed,
+            seconds=seconds,
+            daemons=daemons,
+            folder=folder,
+            stack=stack,
+            module=module,
+            faults=faults,
+            task_s=task_s,
+        )
+        return run.play()
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,155 @@
+"""Callers that hand jobs in, ask for them and cancel some.
+
+Each keeps its connection to a daemon until that ends it, and goes to the
+next daemon after an outcome that it cannot know.
+"""
+
+import dataclasses
+import http.client
+import random
+import time
+
+import msgspec
+
+from azurewood.jobs import model
+from azurewood.platform import jobs
+
+TIMEOUT_S = 3.0
+TRIES = 6
+FINAL = frozenset({"completed", "failed", "cancelled"})
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Lost:
+    """A request that was sent and never answered whole."""
+
+    daemon: int
+    sent_at: float
+    at: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Book:
+    """What callers know: jobs that were accepted, and lost answers."""
+
+    accepted: dict[str, float] = dataclasses.field(default_factory=dict)
+    cancelling: set[str] = dataclasses.field(default_factory=set)
+    lost: list[Lost] = dataclasses.field(default_factory=list)
+    tries: int = 0
+    asked: int = 0
+
+
+class Caller:
+    """One caller; ``ask`` is a request on its kept connection."""
+
+    def __init__(self, *, seed, addresses, server, book, queue, path):
+        self._rng = random.Random(seed)
+        self._addresses = addresses
+        self._server = server
+        self._book = book
+        self._queue = queue
+        self._path = path
+        self._daemon = self._rng.randrange(len(addresses))
+        self._conn = None
+
+    def run(self, stopped, pause_s):
+        """Hand in jobs until told to stop; ask for each a few times."""
+        mine = []
+        while not stopped.wait(self._rng.expovariate(1 / pause_s)):
+            job_id = f"{self._rng.getrandbits(64):016x}"
+            if self._submit(job_id):
+                mine.append(job_id)
+            for job_id in self._rng.sample(mine, min(2, len(mine))):
+                self._show(job_id)
+            if mine and self._rng.random() < 0.1:
+                self._cancel(self._rng.choice(mine))
+        if self._conn is not None:
+            self._conn.close()
+
+    def _job(self):
+        steps = [
+            {
+                "count": self._rng.randint(1, 4),
+                "cpu": self._rng.choice((500, 1000, 2000)),
+                "mem_mb": 100,
+                "est_ms": self._rng.randint(50, 900),
+            }
+        ]
+        if self._rng.random() < 0.4:
+            step = {"count": 1, "cpu": 500, "mem_mb": 100, "est_ms": 200}
+            steps.append(step | {"after": [0]})
+        return {"spec": "text", "steps": steps}
+
+    def _submit(self, job_id):
+        body = msgspec.json.encode(self._job())
+        world = self._server.world
+        with self._server.lock:
+            queue = self._queue
+            world.rules.asked[job_id] = jobs.decode(job_id, queue, body, 0)
+            self._book.asked += 1
+        unsure = False
+        for _ in range(TRIES):
+            status, _ = self.ask("POST", self._path + job_id, body)
+            if status == 200:
+                self._book.accepted[job_id] = time.monotonic()
+                return True
+            if status in (429, 503):
+                break
+            unsure = True
+        if not unsure:
+            with self._server.lock:
+                world.rules.refused.add(job_id)
+        return False
+
+    def _show(self, job_id):
+        status, body = self.ask("GET", self._path + job_id)
+        if status == 200:
+            with self._server.lock:
+                self._server.advance()
+                phase = model.Phase(msgspec.json.decode(body)["state"])
+                self._server.world.rules.shown(job_id, phase)
+
+    def _cancel(self, job_id):
+        world = self._server.world
+        self._book.cancelling.add(job_id)
+        with self._server.lock:
+            world.rules.cancelled_at.setdefault(job_id, float("inf"))
+        status, _ = self.ask("DELETE", self._path + job_id)
+        if status == 200:
+            with self._server.lock:
+                world.rules.cancelled_at[job_id] = world.clock.now
+
+    def ask(self, method, path, body=None):
+        """Return status and body, (0, b"") if no whole answer came."""
+        self._book.tries += 1
+        sent_at = time.monotonic()
+        try:
+            if self._conn is None:
+                ip, port = self._addresses[self._daemon]
+                self._conn = http.client.HTTPConnection(
+                    ip, port, timeout=TIMEOUT_S
+                )
+                self._conn.connect()
+            headers = {"Host": "jobs.example"}
+            self._conn.request(method, path, body=body, headers=headers)
+            sent_at = time.monotonic()
+            answer = self._conn.getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException) as exc:
+            ended = not isinstance(exc, TimeoutError)
+            if ended and self._conn is not None:
+                self._book.lost.append(
+                    Lost(
+                        daemon=self._daemon,
+                        sent_at=sent_at,
+                        at=time.monotonic(),
+                    )
+                )
+            self._next()
+            return 0, b""
+
+    def _next(self):
+        """Go to another daemon after a broken connection."""
+        self._conn.close()
+        self._conn = None
+        self._daemon = (self._daemon + 1) % len(self._addresses)
--- /dev/null
+++ b/tests/soak/member.py
@@ -0,0 +1,73 @@
+"""A daemon's process in the soak: its settings and its signals."""
+
+import pathlib
+import signal
+import time
+
+FRONT_PORT = 8624
+READY_PORT = 8622
+"""Each daemon has an address of its own, so no port is ever taken."""
+GRACE_S = 6.0
+INTERPRETER_S = 0.15
+"""Until then a process runs none of our code, so a signal's default holds."""
+SETTINGS = """
+node: "{name}"
+role: "entry"
+zone: "a"
+ip: "{ip}"
+listen:
+  front: "{ip}:{front}"
+  ready: "{ip}:{ready}"
+bounds:
+  grace_s: {grace_s}
+  lease_ms: 3000
+platform:
+  addr: "{store}"
+cloud:
+  addr: "{store}"
+hint: null
+"""
+
+
+class Daemon:
+    """A daemon's process, its settings, and when it was disturbed."""
+
+    def __init__(self, *, number, ip, running, folder, store, module):
+        self.number = number
+        self.ip = ip
+        self._module = module
+        self._started_at = 0.0
+        self.killed_at = []
+        self._running = running
+        text = SETTINGS.format(
+            name=f"m{number}",
+            ip=ip,
+            front=FRONT_PORT,
+            ready=READY_PORT,
+            store=store,
+            grace_s=GRACE_S,
+        )
+        self._path = pathlib.Path(folder) / f"m{number}.yaml"
+        self._path.write_text(text, encoding="utf-8")
+        self.process = None
+        self.start()
+
+    def start(self):
+        """Start the process if it is not running."""
+        if self.process is None or not self.process.alive:
+            self.process = self._running.start(
+                f"m{self.number}",
+                *self._module,
+                *("--settings", str(self._path)),
+            )
+            self._started_at = time.monotonic()
+
+    def reload(self):
+        """Send SIGHUP, unless the interpreter itself has hardly begun."""
+        if time.monotonic() - self._started_at > INTERPRETER_S:
+            self.process.signal(signal.SIGHUP)
+
+    def kill(self):
+        """End the process at once."""
+        self.killed_at.append(time.monotonic())
+        self.process.kill()
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,101 @@
+"""What goes wrong in a run, and when: drawn from its seed alone."""
+
+import dataclasses
+import random
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Signal:
+    """A daemon gets a signal, in turn with ``count`` - 1 others.
+
+    It is back ``for_s`` later: woken, or started again.
+    """
+
+    at: float
+    for_s: float
+    kind: str
+    daemon: int
+    count: int = 1
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Cut:
+    """A link is disturbed: of a daemon to the platform, or of a host."""
+
+    at: float
+    for_s: float
+    kind: str
+    link: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Store:
+    """The store refuses appends or all calls, or forgets its history."""
+
+    at: float
+    for_s: float
+    kind: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Machine:
+    """A host crashes and begins again, or fails what it runs."""
+
+    at: float
+    for_s: float
+    kind: str
+    number: int
+
+
+SIGNALS = ("kill", "pause", "stop", "reload")
+CUTS = ("delay", "reset", "requests", "answers", "silence", "refuse")
+STORES = ("no-appends", "down", "forget")
+MACHINES = ("crash", "fail")
+LONGEST_S = {"pause": 6.0, "delay": 4.0, "fail": 2.0}
+"""A daemon that is paused for longer than its leases is the worst case."""
+
+
+def draw(seed, *, seconds, daemons, machines):
+    """Return the faults of a run, which overlap and come in series."""
+    rng = random.Random(seed)
+    faults = []
+    for _ in range(rng.randint(3, 8)):
+        at = round(rng.uniform(1.0, seconds - 1.0), 2)
+        faults.append(_one(rng, at, daemons, machines))
+        if rng.random() < 0.3:
+            faults.append(dataclasses.replace(faults[-1], at=at + 0.7))
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _one(rng, at, daemons, machines):
+    kind = rng.choice(("signal", "signal", "cut", "cut", "store", "machine"))
+    match kind:
+        case "signal":
+            what = rng.choice(SIGNALS)
+            return Signal(
+                at=at,
+                for_s=_length(rng, what),
+                kind=what,
+                daemon=rng.randrange(daemons),
+                count=rng.choice((1, 1, 2, daemons)),
+            )
+        case "cut":
+            what = rng.choice(CUTS)
+            names = [f"daemon-{n}" for n in range(daemons)]
+            names += [f"machine-{n}" for n in range(machines)]
+            link = rng.choice(names)
+            return Cut(at=at, for_s=_length(rng, what), kind=what, link=link)
+        case "store":
+            what = rng.choice(STORES)
+            return Store(at=at, for_s=_length(rng, what), kind=what)
+        case _:
+            what = rng.choice(MACHINES)
+            number = rng.randrange(machines)
+            return Machine(
+                at=at, for_s=_length(rng, what), kind=what, number=number
+            )
+
+
+def _length(rng, kind):
+    longest = LONGEST_S.get(kind, 5.0)
+    return round(rng.uniform(0.2, longest), 2)
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,116 @@
+"""A loopback proxy whose links are delayed, reset, cut or silenced.
+
+Bytes that a cut holds back are passed on when it ends, as packets that are
+sent again would be; so orders may arrive seconds late.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import threading
+
+CHUNK = 1 << 16
+POLL_S = 0.01
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Link:
+    """A port that passes connections on to another port of its ``ip``.
+
+    ``delay_s`` applies to each direction; ``to_target`` and ``to_caller``
+    say which direction passes bytes; a link that is not ``open`` refuses
+    connections and ends those that it has.
+    """
+
+    name: str
+    ip: str
+    port: int
+    target: int
+    delay_s: float = 0.0
+    to_target: bool = True
+    to_caller: bool = True
+    open: bool = True
+
+    @property
+    def address(self):
+        """Return where the link listens."""
+        return f"{self.ip}:{self.port}"
+
+    def heal(self):
+        """Pass everything again."""
+        self.delay_s = 0.0
+        self.to_target = self.to_caller = self.open = True
+
+
+class Proxy:
+    """All links of a run, served by one thread."""
+
+    def __init__(self):
+        self.links = {}
+        self._writers = {}
+        self._servers = []
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    def add(self, name, ip, port, target):
+        """Open a link from one port of an address to another."""
+        link = Link(name=name, ip=ip, port=port, target=target)
+        self.links[name] = link
+        self._writers[name] = set()
+        serving = asyncio.start_server(
+            lambda r, w: self._connected(link, r, w), ip, port
+        )
+        fut = asyncio.run_coroutine_threadsafe(serving, self._loop)
+        self._servers.append(fut.result(5))
+        return link
+
+    def reset(self, name):
+        """End a link's connections at once, without a farewell."""
+        self._loop.call_soon_threadsafe(self._abort, name)
+
+    def close(self):
+        """End all connections and the thread."""
+        for name in self.links:
+            self.reset(name)
+        for server in self._servers:
+            self._loop.call_soon_threadsafe(server.close)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5)
+
+    def _abort(self, name):
+        for writer in list(self._writers[name]):
+            writer.transport.abort()
+
+    async def _connected(self, link, reader, writer):
+        writers = self._writers[link.name]
+        if not link.open:
+            writer.transport.abort()
+            return
+        try:
+            back, forth = await asyncio.open_connection(link.ip, link.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        writers.update((writer, forth))
+        await asyncio.gather(
+            self._pump(link, reader, forth, "to_target"),
+            self._pump(link, back, writer, "to_caller"),
+        )
+        writers.difference_update((writer, forth))
+
+    async def _pump(self, link, reader, writer, direction):
+        """Pass bytes on in one direction until one side ends."""
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK):
+                if link.delay_s:
+                    await asyncio.sleep(link.delay_s)
+                while not getattr(link, direction):
+                    await asyncio.sleep(POLL_S)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,64 @@
+"""A short seeded soak, and the seeds that ever showed a fault."""
+
+import pytest
+
+from tests.soak import base
+from tests.soak import plan
+
+REGRESSIONS = {
+    1: "SIGHUP ended a process that was loading its modules",
+}
+
+
+@pytest.mark.parametrize("seed", REGRESSIONS)
+def test_seed_that_once_failed(seed, tmp_path):
+    result = base.play(seed=seed, folder=tmp_path)
+    assert result.findings == []
+    assert result.starts
+
+
+def test_short_run_of_a_fixed_seed(tmp_path):
+    result = base.play(seed=500, folder=tmp_path, seconds=8.0, daemons=3)
+    assert result.findings == []
+    assert result.accepted
+
+
+def test_a_plan_is_its_seed_alone():
+    drawn = [
+        plan.draw(9, seconds=20.0, daemons=4, machines=6) for _ in range(2)
+    ]
+    assert drawn[0] == drawn[1]
+    assert drawn[0] != plan.draw(10, seconds=20.0, daemons=4, machines=6)
+
+
+def test_a_daemon_that_cuts_its_callers_is_found(tmp_path):
+    faults = [
+        plan.Store(at=2.0, for_s=3.0, kind="no-appends"),
+        plan.Signal(at=3.0, for_s=0.5, kind="stop", daemon=0, count=3),
+    ]
+    result = base.play(
+        seed=3,
+        folder=tmp_path,
+        seconds=6.0,
+        daemons=3,
+        module=("tests.soak.naive", "graceful-stop"),
+        faults=faults,
+    )
+    assert any("cut a request" in finding for finding in result.findings)
+
+
+def test_a_task_that_runs_twice_is_found(tmp_path):
+    silent = [
+        plan.Cut(at=3.0, for_s=5.0, kind="silence", link=f"machine-{number}")
+        for number in range(2)
+    ]
+    result = base.play(
+        seed=3,
+        folder=tmp_path,
+        seconds=9.0,
+        daemons=3,
+        module=("tests.soak.naive", "leases"),
+        faults=silent,
+        task_s=6.0,
+    )
+    assert any("twice" in finding for finding in result.findings)
