--- a/azurewood/policy/upkeep.py
+++ b/azurewood/policy/upkeep.py
@@ -3,8 +3,7 @@
 Answers the load of a wave that covers much of the fleet in half a minute
 while queues have their peaks: machines without runs go first, those of the
 spare pool before others, and as many are emptied ahead as may be down, so
-that the next is ready when one comes back. Within a pool at most
-``POOL_SHARE`` of the hosts are away for it at a time unless time is short.
+that the next is ready when one comes back.
 """
 
 from collections import abc
