List a topic's newest records in the order of their appends

Daemons that read both as they came showed the first, daemons that started later listed the newest records by key and took the cancellation first: two showed completed, two cancelled, for good. Ruled out: a lost record (both are in the store), the leader (it had ended the job once).

Change: a page of newest records keeps their offsets, and a follower gives the listing in that order. The stand-ins answer with true offsets.

Figures: the test on the stand-in fails without the change ({cancelled, completed} where one phase is due), and passes with it. Not covered: a second cancellation of the same job stored after its end, by another daemon within milliseconds, moves the record's offset.

--- a/azurewood/journal/follower.py
+++ b/azurewood/journal/follower.py
@@ -1,5 +1,9 @@
 """Following a topic: its newest records once, then every change in order.
 
+The newest records are given in the order in which they were appended too,
+so that a daemon that lists them comes to the same state as one that read
+them as they came.
+
 No clock and no call here. ``next_call`` says what to read, ``took`` takes
 the answer. When the records that come next are gone, the newest are read
 again.
@@ -82,7 +86,7 @@
         self.fresh_at = 0.0
         self.began_at = 0.0
         self._after = ""
-        self._found: list[appender.Record] = []
+        self._found: list[tuple[int, appender.Record]] = []
         self._listed_end = 0
         self._failures = 0
         self._next_at = 0.0
@@ -139,15 +143,17 @@
         if not self._after:
             self._found = []
             self._listed_end = page.end
-        self._found.extend(page.records)
+        self._found.extend(zip(page.offsets, page.records, strict=True))
         self._next_at = now
         if page.more and page.records:
             self._after = page.records[-1].key
             return None
         self._after = ""
         self.offset = self._listed_end
-        found, self._found = tuple(self._found), []
-        return Changes(records=found, whole=True)
+        found, self._found = self._found, []
+        found.sort(key=lambda item: item[0])
+        records = tuple(record for _, record in found)
+        return Changes(records=records, whole=True)
 
     def _fail(self, now: float) -> None:
         pause = min(LAST_RETRY_S, RETRY_S * 2**self._failures)
--- a/azurewood/journal/pages.py
+++ b/azurewood/journal/pages.py
@@ -43,10 +43,12 @@
     """The newest records of some keys; ``more`` if there are others.
 
     Pages are no snapshot: changes from the first page's ``end`` on have to
-    be read as well.
+    be read as well. They come in the order of the keys; ``offsets`` tells
+    in which order the records were appended.
     """
 
     records: tuple[appender.Record, ...]
+    offsets: tuple[int, ...]
     more: bool
     end: int
 
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -241,7 +241,7 @@
     if reply.outcome is not multiplex.Outcome.ANSWERED:
         return pages.Failed(reason=reply.reason)
     if reply.status == 404:
-        return pages.Newest(records=(), more=False, end=0)
+        return pages.Newest(records=(), offsets=(), more=False, end=0)
     if reply.status != 200:
         return pages.Failed(reason=f"store answered {reply.status}")
     try:
@@ -252,4 +252,9 @@
         )
     except (msgspec.DecodeError, ValueError) as exc:
         return pages.Failed(reason=f"store's answer is malformed: {exc}")
-    return pages.Newest(records=records, more=page.has_more, end=page.end)
+    return pages.Newest(
+        records=records,
+        offsets=tuple(item.offset for item in page.items),
+        more=page.has_more,
+        end=page.end,
+    )
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         self.records: list[appender.Record] = []
         self.first = 0
-        self.newest: dict[str, appender.Record] = {}
+        self.newest: dict[str, tuple[int, appender.Record]] = {}
         self.producers: dict[str, _Producer] = {}
         self.waiters: list[abc.Callable[[], None]] = []
 
@@ -91,10 +91,10 @@
         offset = found.end
         found.records.extend(records)
         self.appended += len(records)
-        for record in records:
+        for number, record in enumerate(records):
             found.newest.pop(record.key, None)
             if record.value is not None:
-                found.newest[record.key] = record
+                found.newest[record.key] = (offset + number, record)
         waiters, found.waiters = found.waiters, []
         for waiter in waiters:
             waiter()
@@ -124,15 +124,18 @@
         """Return a page of the newest records of the keys."""
         found = self._topics[topic]
         keys = sorted(key for key in found.newest if key > after)
-        page = tuple(found.newest[key] for key in keys[:50])
+        page = [found.newest[key] for key in keys[:50]]
         return pages.Newest(
-            records=page, more=len(keys) > len(page), end=found.end
+            records=tuple(record for _, record in page),
+            offsets=tuple(offset for offset, _ in page),
+            more=len(keys) > len(page),
+            end=found.end,
         )
 
     def values(self, topic: pages.Topic) -> dict[str, bytes]:
         """Return the newest value of each key."""
         newest = self._topics[topic].newest
-        return {key: record.value for key, record in newest.items()}
+        return {key: record.value for key, (_, record) in newest.items()}
 
     def forget(self, topic: pages.Topic) -> None:
         """Drop the history; the newest record of each key is kept."""
--- a/tests/journal/test_follower.py
+++ b/tests/journal/test_follower.py
@@ -9,6 +9,12 @@
     return appender.Record(key=key, value=value)
 
 
+def _newest(key, *, end, offset=0, more=False):
+    return pages.Newest(
+        records=(_record(key),), offsets=(offset,), more=more, end=end
+    )
+
+
 def _made(keyed=True):
     return follower.Follower(
         topic=pages.Topic.JOBS, keyed=keyed, wait_ms=1000, pause_s=0.1
@@ -18,7 +24,7 @@
 def _listed():
     made = _made()
     assert made.next_call(0.0) == follower.ReadNewest(after="")
-    page = pages.Newest(records=(_record("a"),), more=False, end=5)
+    page = _newest("a", end=5)
     changes = made.took(page, 0.01)
     assert changes.whole
     return made
@@ -27,15 +33,25 @@
 def test_newest_first_then_changes_from_the_first_pages_end():
     made = _made()
     made.next_call(0.0)
-    first = pages.Newest(records=(_record("a"),), more=True, end=5)
+    first = _newest("a", more=True, end=5)
     assert made.took(first, 0.0) is None
     assert made.next_call(0.0) == follower.ReadNewest(after="a")
-    second = pages.Newest(records=(_record("b"),), more=False, end=9)
+    second = _newest("b", offset=1, end=9)
     changes = made.took(second, 0.0)
     assert [record.key for record in changes.records] == ["a", "b"]
     assert made.next_call(1.0) == follower.ReadFrom(offset=5, wait_ms=1000)
 
 
+def test_newest_records_come_in_the_order_of_their_appends():
+    """Found by seed 14 of the soak: see docs/findings.md."""
+    made = _made()
+    made.next_call(0.0)
+    assert made.took(_newest("a", offset=4, more=True, end=5), 0.0) is None
+    made.next_call(0.0)
+    changes = made.took(_newest("b", offset=2, end=5), 0.0)
+    assert [record.key for record in changes.records] == ["b", "a"]
+
+
 def test_one_read_at_a_time_and_a_pause_between():
     made = _listed()
     assert made.next_call(0.02) is not None
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -179,9 +179,9 @@
             {
                 "key": record.key,
                 "value": base64.b64encode(record.value).decode(),
-                "offset": 0,
+                "offset": offset,
             }
-            for record in page.records
+            for offset, record in zip(page.offsets, page.records, strict=True)
         ]
         body = {"items": items, "has_more": page.more, "end": page.end}
         return _json(200, body)
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -7,6 +7,8 @@
 import pytest
 
 from azurewood.jobs import model
+from azurewood.jobs import records
+from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
 from azurewood.scheduling import progress
@@ -129,3 +131,26 @@
     made.run(0.6)
     assert [m for m in made.leaders() if m is not old]
     deployment.check(made)
+
+
+def test_a_daemon_that_starts_later_shows_the_same_end():
+    """Found by seed 14 of the soak: a job's end raced its cancellation.
+
+    The end was stored first. Daemons that were there showed the job as
+    completed, those that started later as cancelled, as the store lists
+    records by their keys.
+    """
+    made = deployment.world()
+    job = deployment.job(made, 1, LONG)
+    made.submit(made.members[0], job)
+    made.run(6.0)
+    late = records.Cancelled(id=job.id)
+    stored = appender.Record(key=late.key, value=records.encode(late))
+    made.store.add(pages.Topic.JOBS, (stored,))
+    made.run(1.0)
+    restarted = made.members[2]
+    restarted.kill()
+    restarted.start()
+    made.run(6.0)
+    shown = {member.member.desk.show(job.id).phase for member in made.members}
+    assert shown == {model.Phase.COMPLETED}
--- a/tests/soak/base.py
+++ b/tests/soak/base.py
@@ -207,7 +207,7 @@
         while process.alive and time.monotonic() < end:
             time.sleep(0.02)
         if process.alive:
-            daemon.kill()
+            daemon.kill(process)
         self._later(for_s, daemon.start)
 
     def _cut(self, fault, link):
--- a/tests/soak/member.py
+++ b/tests/soak/member.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import signal
+import threading
 import time
 
 FRONT_PORT = 8624
@@ -37,6 +38,7 @@
         self.ip = ip
         self._module = module
         self._started_at = 0.0
+        self._lock = threading.Lock()
         self.killed_at = []
         self._running = running
         text = SETTINGS.format(
@@ -54,20 +56,21 @@
 
     def start(self):
         """Start the process if it is not running."""
-        if self.process is None or not self.process.alive:
-            self.process = self._running.start(
-                f"m{self.number}",
-                *self._module,
-                *("--settings", str(self._path)),
-            )
-            self._started_at = time.monotonic()
+        with self._lock:
+            if self.process is None or not self.process.alive:
+                self.process = self._running.start(
+                    f"m{self.number}",
+                    *self._module,
+                    *("--settings", str(self._path)),
+                )
+                self._started_at = time.monotonic()
 
     def reload(self):
         """Send SIGHUP, unless the interpreter itself has hardly begun."""
         if time.monotonic() - self._started_at > INTERPRETER_S:
             self.process.signal(signal.SIGHUP)
 
-    def kill(self):
-        """End the process at once."""
+    def kill(self, process=None):
+        """End the process at once, the present one if none is given."""
         self.killed_at.append(time.monotonic())
-        self.process.kill()
+        (process or self.process).kill()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,8 @@
 
 REGRESSIONS = {
     1: "SIGHUP ended a process that was loading its modules",
+    14: "daemons that started later showed another end of a job",
+    20: "the soak itself started a daemon twice at once",
 }
 
 
