Refuse at once the jobs that no machine can hold

Cause: a job with a task larger than the largest machine was accepted and waited for good; only the leader knows the machines.

Before a list of machines was read nothing is refused for it.

The test on the wire gets 200 without the change.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -26,6 +26,7 @@
 from azurewood.journal import follower
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
+from azurewood.policy import feasibility
 from azurewood.scheduling import messages
 
 WAIT_MS: typing.Final = 1000
@@ -213,7 +214,13 @@
     # Callers' wishes
 
     def _admit(self, job: model.Job) -> desks.Refused | None:
-        return None
+        """Refuse what no machine can hold; called by any thread."""
+        reason = feasibility.misfit(job, self.election.largest)
+        if not reason:
+            return None
+        return desks.Refused(
+            reason=reason, retry_after_s=feasibility.RETRY_AFTER_S
+        )
 
     def hand_in(self, wish: desks.Wish) -> None:
         """Take a caller's wish, from any thread."""
@@ -246,7 +253,7 @@
         self._jobs.pause_s = LEADER_PAUSE_S if self.term else JOBS_PAUSE_S
         if self.term is None:
             return
-        self._append_leader(election.beat(self.term.load(), now))
+        self._append_leader(election.beat(self.term.largest_room(), now))
         self.term.step(now)
         if self.term.over:
             election.step_down()
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -23,6 +23,7 @@
 from azurewood.daemons import topics
 from azurewood.http import multiplex
 from azurewood.jobs import catalog
+from azurewood.jobs import model
 from azurewood.jobs import records
 from azurewood.jobs import register
 from azurewood.journal import appender
@@ -30,7 +31,7 @@
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
 from azurewood.scheduling import messages
-from azurewood.scheduling import model
+from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import reducer
 from azurewood.scheduling import runs
 
@@ -103,7 +104,7 @@
         self.number = number
         self.over = ""
         self.stage = Stage.FENCING
-        self.state: model.State | None = None
+        self.state: scheduling.State | None = None
         self._began_at = given.clock()
         self._retry_at = 0.0
         self._tick_at = 0.0
@@ -319,9 +320,10 @@
                 None,
             )
 
-    def load(self) -> dict[str, float]:
-        """Return what the beat says of the queues."""
-        return {}
+    def largest_room(self) -> model.Resources:
+        """Return the largest machine's room, which beats tell all daemons."""
+        machines = self.state.machines.values() if self.state else ()
+        return model.most(entry.room for entry in machines)
 
     def _lead(self, now: float) -> None:
         election = self._given.election
--- a/azurewood/jobs/model.py
+++ b/azurewood/jobs/model.py
@@ -1,5 +1,6 @@
 """What a caller asks for: a job of steps, each of a number of tasks."""
 
+from collections import abc
 import enum
 import typing
 
@@ -56,6 +57,16 @@
         )
 
 
+def most(rooms: abc.Iterable[Resources]) -> Resources:
+    """Return the most of each resource that any of some rooms has."""
+    rooms = list(rooms)
+    return Resources(
+        max((room.cpu for room in rooms), default=0),
+        max((room.memory_mb for room in rooms), default=0),
+        max((room.gpu for room in rooms), default=0),
+    )
+
+
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One step: ``count`` like tasks.
 
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from azurewood.jobs import model
+
 BEAT_S: typing.Final = 0.4
 """Pause between a leader's beats: three may be lost before a claim."""
 CLAIM_AFTER_S: typing.Final = 1.5
@@ -34,10 +36,10 @@
 
 
 class Beat(msgspec.Struct, frozen=True, kw_only=True, tag="beat"):
-    """The leader is alive."""
+    """The leader is alive. ``largest`` is the largest machine's room."""
 
     nonce: str
-    load: dict[str, float] = {}
+    largest: model.Resources = model.Resources()
 
 
 class Resign(msgspec.Struct, frozen=True, kw_only=True, tag="resign"):
@@ -104,8 +106,8 @@
     """What one daemon knows of the term in force.
 
     ``nonce`` is unique to this run of the daemon. ``term`` is above zero
-    only while this daemon leads. ``load`` is what the newest beat says of
-    the queues.
+    only while this daemon leads. ``largest`` is the room of the
+    largest machine, as the newest beat says.
     """
 
     __slots__ = (
@@ -116,8 +118,8 @@
         "_seen_at",
         "confirmed_at",
         "end",
+        "largest",
         "leader",
-        "load",
         "name",
         "nonce",
         "stopping",
@@ -130,7 +132,7 @@
         self.term = 0
         self.end = -1
         self.leader = ""
-        self.load: dict[str, float] = {}
+        self.largest = model.Resources()
         self.confirmed_at = 0.0
         self.stopping = False
         self._leader_nonce = ""
@@ -155,14 +157,16 @@
                 self._appending = False
         return None
 
-    def beat(self, load: dict[str, float], now: float) -> Append | None:
+    def beat(self, largest: model.Resources, now: float) -> Append | None:
         """Return the leader's next beat if it is due."""
         due = now >= self._beat_at + BEAT_S
         if not self.term or self._appending or not due:
             return None
         self._beat_at = now
         self._appending = True
-        return Append(entry=Beat(nonce=self.nonce, load=load), at=self.end)
+        return Append(
+            entry=Beat(nonce=self.nonce, largest=largest), at=self.end
+        )
 
     def resign(self) -> Append | None:
         """Return the record that ends this daemon's term, if it leads."""
@@ -200,9 +204,9 @@
                 self.leader = name
                 own = nonce == self.nonce and not self.stopping
                 self.term = offset + 1 if own else 0
-            case Beat(nonce=nonce, load=load):
+            case Beat(nonce=nonce, largest=largest):
                 self._leader_nonce = nonce
-                self.load = load
+                self.largest = largest
             case Resign(nonce=nonce):
                 self._resigned = nonce == self._leader_nonce
         if self.term and entry is not None and entry.nonce == self.nonce:
--- a/azurewood/platform/machines.py
+++ b/azurewood/platform/machines.py
@@ -23,6 +23,7 @@
     state: typing.Literal["up", "moving", "upkeep", "down"]
     zone: str = ""
     id: str | None = None
+    capacity: hosts.Capacity = msgspec.field(default_factory=hosts.Capacity)
 
 
 class _Listing(msgspec.Struct):
@@ -82,6 +83,7 @@
                 state=messages.MachineState(entry.state),
                 host=entry.id or "",
                 zone=entry.zone,
+                room=entry.capacity.resources(),
             )
             for entry in found.nodes
         ),
--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -20,12 +20,7 @@
     What does not fit into this fits on no host; so the long queue of a full
     pool is passed over without a look at its hosts.
     """
-    rooms = [host.room for host in hosts]
-    return jobs.Resources(
-        max((room.cpu for room in rooms), default=0),
-        max((room.memory_mb for room in rooms), default=0),
-        max((room.gpu for room in rooms), default=0),
-    )
+    return jobs.most(host.room for host in hosts)
 
 
 def choose(
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -60,13 +60,17 @@
 
 @_frozen
 class MachineEntry:
-    """A machine in the platform's list, and the id of its host."""
+    """A machine in the platform's list, and the id of its host.
+
+    ``room`` is what a host on it has, nothing if the list does not say.
+    """
 
     name: str
     pool: str
     state: MachineState
     host: str
     zone: str
+    room: model.Resources = model.Resources()
 
 
 @_frozen
--- a/tests/leadership/test_election.py
+++ b/tests/leadership/test_election.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from azurewood.jobs import model
 from azurewood.leadership import base
 
 
@@ -81,7 +82,7 @@
     now = 0.0
     for _ in range(20):
         now += base.BEAT_S
-        _store(log, first, first.beat({}, now), now)
+        _store(log, first, first.beat(model.Resources(), now), now)
         assert _read(log, second, now) is None
     assert first.leads(now, within_s=base.ORDER_VALID_S)
 
@@ -162,7 +163,7 @@
             case "stale":
                 wanted = _read(log, election, now, began_at=now - 1.0)
             case "beat":
-                wanted = election.beat({}, now)
+                wanted = election.beat(model.Resources(), now)
         if wanted is not None and _store(log, election, wanted, now):
             term = election.term
             assert term > 0
--- a/tests/platform/test_daemons.py
+++ b/tests/platform/test_daemons.py
@@ -182,6 +182,24 @@
     assert call("GET", "/nowhere", port=1)[0] == 404
 
 
+def test_a_job_that_no_machine_can_hold_is_refused_at_once(server, daemons):
+    large = {"spec": "text", "steps": [{"count": 1, "cpu": 4001}]}
+    fits = {"spec": "text", "steps": [{"count": 1, "cpu": 4000}]}
+    ids = iter(f"00000000000001{number:02x}" for number in range(256))
+
+    def verdict(daemon, body):
+        job_id = next(ids)
+        _ask(server, job_id)
+        return daemon.call("POST", f"/one/{job_id}", body)
+
+    for daemon in daemons:
+        wait_for(lambda d=daemon: d.daemon.member.election.largest.cpu)
+        status, reason = verdict(daemon, large)
+        assert status == 503
+        assert b"step 0 needs 4001 mcpu" in reason
+        assert verdict(daemon, fits)[0] == 200
+
+
 def test_a_cancelled_job_is_shown_so_by_all(server, daemons):
     job_id = "00000000000000aa"
     _ask(server, job_id)
