Check a fleet daemon's settings and the deploy file before a deploy

Cause: config check knew only the fleet's configuration; a wrong settings or deploy file showed when daemons did not start, one fault at a time.

The checks lie in the adapter, as the files' names are the platform's.

--- a/azurewood/commands/config.py
+++ b/azurewood/commands/config.py
@@ -1,5 +1,6 @@
 """``azurewood config``: check, apply and show the configuration."""
 
+import enum
 import pathlib
 import typing
 
@@ -13,6 +14,7 @@
 from azurewood.fleet import document
 from azurewood.fleet import model
 from azurewood.operators import messages
+from azurewood.platform import checks as platform_checks
 from azurewood.state import records
 
 ExitCode = exceptions.ExitCode
@@ -23,39 +25,66 @@
     """Check, apply and show the configuration."""
 
 
-def _read(path: str) -> document.Reading:
+def _text(path: str) -> str:
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as exc:
         raise exceptions.CommandError(
             f"{path}: {exc}", code=ExitCode.FINDINGS
         ) from exc
-    return document.read(text, path)
+
+
+def _read(path: str) -> document.Reading:
+    return document.read(_text(path), path)
+
+
+class Kind(enum.StrEnum):
+    """What a file that is checked describes."""
+
+    FLEET = "fleet"
+    SETTINGS = "settings"
+    DEPLOY = "deploy"
 
 
 @config.command(
     help=base.help_of(
-        "Check a configuration file without sending it.",
+        "Check a file without sending it: a configuration of the fleet, a"
+        " fleet daemon's settings, or a deploy file.",
         "azurewood config check examples/al-hadeed.yaml",
+        "azurewood config check --kind deploy deploy/system.toml",
+        "azurewood config check --kind settings /etc/azurewood/node.yaml",
     )
 )
 @click.argument("file")
+@click.option(
+    "--kind",
+    type=click.Choice([item.value for item in Kind]),
+    default=Kind.FLEET.value,
+    show_default=True,
+    help="What the file describes.",
+)
 @base.output_option
-def check(*, file: str, **options: str) -> None:
+def check(*, file: str, kind: str, **options: str) -> None:
     """Print all findings; exit 2 if one of them is an error."""
-    reading = _read(file)
+    findings = _findings(Kind(kind), file)
+    is_valid = not checks.errors(findings)
     if base.Output(options["output"]) is base.Output.JSON:
-        _print_json(reading)
+        output.json({"valid": is_valid, "findings": findings})
     else:
-        click.echo(checks.render(reading.findings))
-    if reading.fleet is None:
+        click.echo(checks.render(findings))
+    if not is_valid:
         raise SystemExit(int(ExitCode.FINDINGS))
 
 
-def _print_json(reading: document.Reading) -> None:
-    output.json(
-        {"valid": reading.fleet is not None, "findings": reading.findings}
-    )
+def _findings(kind: Kind, path: str) -> list[checks.Finding]:
+    match kind:
+        case Kind.FLEET:
+            return list(_read(path).findings)
+        case Kind.SETTINGS:
+            text = _text(path).encode()
+            return platform_checks.settings_findings(text, path)
+        case Kind.DEPLOY:
+            return platform_checks.deploy_findings(_text(path), path)
 
 
 @config.command(
