Move the take-over of a term into a module of its own

Change: daemons/takeover.py has the four steps and what a term is given; Term schedules. No behaviour changes.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from azurewood.daemons import ports
+from azurewood.daemons import takeover as takeovers
 from azurewood.daemons import term as terms
 from azurewood.daemons import topics
 from azurewood.http import multiplex
@@ -262,7 +263,7 @@
         number = self.election.term
         logger.bind(event="term.begun", term=number).info("elected")
         self.term = terms.Term(
-            given=terms.Given(
+            given=takeovers.Given(
                 platform=self._platform,
                 calls=self._calls,
                 clock=self._clock,
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -1,31 +1,19 @@
-"""One term of the leader: from taking over to stepping down.
+"""One term of the leader: from its election to stepping down.
 
-Taking over goes through these steps, in this order:
-
-1. bar earlier leaders from the progress and the jobs;
-2. read how far the jobs go, and the progress records;
-3. wait until this daemon's register has read so far;
-4. begin to schedule, holding every host with the new fence.
-
-So nothing that an earlier leader stored is missed, and what it may have
-started is on record.
+It takes over first, as `azurewood.daemons.takeover` says, and schedules
+until the log shows another leader.
 """
 
 import collections
-from collections import abc
-import dataclasses
-import enum
 import typing
 
 from loguru import logger
 
-from azurewood.daemons import ports
+from azurewood.daemons import takeover as takeovers
 from azurewood.daemons import topics
 from azurewood.http import multiplex
-from azurewood.jobs import catalog
 from azurewood.jobs import model
 from azurewood.jobs import records
-from azurewood.jobs import register
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
@@ -33,91 +21,42 @@
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import reducer
-from azurewood.scheduling import runs
 
-PRODUCER: typing.Final = "leader"
 TICK_S: typing.Final = 0.05
 """Pause between ticks: a fortieth of the shortest bound on an answer."""
 HOSTS_EVERY_S: typing.Final = 0.25
 """Pause between readings of the hosts' entries."""
 HOSTS_COMING_S: typing.Final = 0.08
 """The same while machines are on their way, whose hosts are waited for."""
-RETRY_S: typing.Final = 0.1
-ORDER_MARGIN_S: typing.Final = 1.0
-"""Added to the pause between two leaders' orders: the longest wait for the
-answer to the order's record, after which the order is sent."""
-
-
-class Stage(enum.Enum):
-    """How far a term has come."""
-
-    FENCING = enum.auto()
-    READING = enum.auto()
-    CATCHING_UP = enum.auto()
-    LEADING = enum.auto()
-    OVER = enum.auto()
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Given:
-    """What a term has of its daemon."""
-
-    platform: ports.Platform
-    calls: ports.Calls
-    clock: abc.Callable[[], float]
-    unix_ms: abc.Callable[[], float]
-    register: register.Register
-    catalog: abc.Callable[[], catalog.Catalog | None]
-    waves: abc.Callable[[], abc.Iterable[messages.WaveRequested]]
-    jobs_offset: abc.Callable[[], int]
-    election: leadership.Election
-    order_pause_s: float
-    retention_s: float
 
 
 class Term:
     """The work of the leader in one term."""
 
     __slots__ = (
-        "_began_at",
-        "_fenced",
         "_given",
         "_hosts",
         "_jobs",
-        "_jobs_end",
         "_known_hosts",
         "_progress",
-        "_progress_read",
         "_retired",
-        "_retry_at",
-        "_stored",
+        "_takeover",
         "_tick_at",
-        "_waiting_calls",
-        "over",
         "number",
-        "stage",
+        "over",
         "state",
     )
 
-    def __init__(self, *, given: Given, number: int) -> None:
+    def __init__(self, *, given: takeovers.Given, number: int) -> None:
         self._given = given
         self.number = number
         self.over = ""
-        self.stage = Stage.FENCING
         self.state: scheduling.State | None = None
-        self._began_at = given.clock()
-        self._retry_at = 0.0
+        self._takeover = takeovers.Takeover(given=given, number=number)
         self._tick_at = 0.0
-        self._waiting_calls = False
         self._retired: collections.deque[tuple[float, str]] = (
             collections.deque()
         )
-        self._fenced: set[pages.Topic] = set()
-        self._jobs_end = -1
-        self._stored: dict[str, bytes] = {}
-        self._progress_read = follower.Follower(
-            topic=pages.Topic.PROGRESS, keyed=True, wait_ms=0, pause_s=0.0
-        )
         self._hosts = follower.Follower(
             topic=pages.Topic.HOSTS,
             keyed=True,
@@ -130,7 +69,7 @@
             calls=given.calls,
             clock=given.clock,
             topic=pages.Topic.PROGRESS,
-            producer=PRODUCER,
+            producer=takeovers.PRODUCER,
             epoch=number,
         )
         self._jobs = topics.Writer(
@@ -138,132 +77,40 @@
             calls=given.calls,
             clock=given.clock,
             topic=pages.Topic.JOBS,
-            producer=PRODUCER,
+            producer=takeovers.PRODUCER,
             epoch=number,
         )
 
     def step(self, now: float) -> None:
         """Do what is due."""
-        match self.stage:
-            case Stage.FENCING:
-                self._fence(now)
-            case Stage.READING:
-                self._read(now)
-            case Stage.CATCHING_UP:
-                self._catch_up(now)
-            case Stage.LEADING:
-                self._lead(now)
+        if self.over:
+            return
+        if self.state is not None:
+            self._lead(now)
+            return
+        found = self._takeover.step(now)
+        if found is not None:
+            self._begin(found)
+        elif self._takeover.failure:
+            self.stop(self._takeover.failure)
 
     def next_at(self, now: float) -> float:
         """Return when ``step`` has something to do again."""
-        return self._tick_at if self.stage is Stage.LEADING else now + RETRY_S
+        if self.state is None:
+            return now + takeovers.RETRY_S
+        return self._tick_at
 
     def stop(self, reason: str) -> None:
         """End the term; answers that are still to come are dropped."""
-        if self.stage is not Stage.OVER:
-            self.stage = Stage.OVER
+        if not self.over:
             self.over = reason
             logger.bind(
                 event="term.over", term=self.number, reason=reason
             ).info("no longer the leader")
 
-    # Taking over
-
-    def _fence(self, now: float) -> None:
-        if self._waiting_calls or now < self._retry_at:
-            return
-        for topic in (pages.Topic.PROGRESS, pages.Topic.JOBS):
-            if topic not in self._fenced:
-                self._waiting_calls = True
-                self._given.calls.submit(
-                    self._given.platform.begin_epoch(
-                        topic, PRODUCER, self.number
-                    ),
-                    lambda reply, topic=topic: self._took_fence(topic, reply),
-                )
-                return
-        self.stage = Stage.READING
-
-    def _took_fence(self, topic: pages.Topic, reply: multiplex.Reply) -> None:
-        self._waiting_calls = False
-        self._retry_at = self._given.clock() + RETRY_S
-        match self._given.platform.append_result(reply):
-            case appender.Appended():
-                self._fenced.add(topic)
-                self._retry_at = 0.0
-            case appender.Fenced():
-                self.stop("a later term has begun")
-            case (
-                appender.NotDone(reason=reason)
-                | appender.Unknown(reason=reason)
-            ):
-                logger.bind(event="term.fencing", topic=topic.value).warning(
-                    "the store did not take the term: {}", reason
-                )
-            case appender.Conflict(reason=reason):
-                logger.bind(event="term.fencing", topic=topic.value).error(
-                    "the store refused the term: {}", reason
-                )
-
-    def _read(self, now: float) -> None:
-        if self._jobs_end < 0:
-            self._read_jobs_end(now)
-            return
-        if self._progress_read.listed:
-            self.stage = Stage.CATCHING_UP
-            return
-        topics.read(
-            self._given.platform,
-            self._given.calls,
-            self._given.clock,
-            self._progress_read,
-            self._took_progress,
-        )
-
-    def _read_jobs_end(self, now: float) -> None:
-        if self._waiting_calls or now < self._retry_at:
-            return
-        self._waiting_calls = True
-        topic = pages.Topic.JOBS
-        offset = max(0, self._given.jobs_offset())
-        call = self._given.platform.read(topic, offset, 0)
-        self._given.calls.submit(
-            call, lambda reply: self._took_jobs_end(offset, reply)
-        )
-
-    def _took_jobs_end(self, offset: int, reply: multiplex.Reply) -> None:
-        self._waiting_calls = False
-        self._retry_at = self._given.clock() + RETRY_S
-        result = self._given.platform.read_result(
-            pages.Topic.JOBS, offset, reply
-        )
-        if isinstance(result, pages.Page):
-            self._jobs_end = result.end
-
-    def _took_progress(self, changes: follower.Changes) -> None:
-        self._stored = {
-            record.key: record.value
-            for record in changes.records
-            if record.value is not None
-        }
-
-    def _catch_up(self, now: float) -> None:
-        if self._given.jobs_offset() < self._jobs_end:
-            return
-        found = [
-            entry.job
-            for entry in self._given.register.entries.values()
-            if not entry.phase.final
-        ]
-        bound = now + leadership.VALID_S + runs.LEASE_BOUND_S
-        self.state = reducer.begin(
-            term=self.number,
-            found=found,
-            stored=self._stored,
-            lease_bound_at=bound,
-            order_pause_s=self._given.order_pause_s + ORDER_MARGIN_S,
-            now=now,
-        )
+    def _begin(self, state: scheduling.State) -> None:
+        """Schedule from the state that the take-over found."""
+        self.state = state
         for entry in self._given.register.entries.values():
             if entry.phase.final:
                 self._retire_later(entry.job.id)
@@ -272,21 +119,10 @@
             self.take(messages.CatalogChanged(catalog=known))
         for wave in self._given.waves():
             self.take(wave)
-        self.stage = Stage.LEADING
-        logger.bind(
-            event="term.leading",
-            term=self.number,
-            jobs=len(found),
-            records=len(self._stored),
-            took_ms=int((now - self._began_at) * 1000),
-        ).info("this daemon schedules")
-        self._stored = {}
-
-    # Leading
 
     def take(self, event: messages.Event) -> None:
         """Take an event in, if this term schedules already."""
-        if self.state is not None and self.stage is not Stage.OVER:
+        if self.state is not None and not self.over:
             reducer.take(self.state, event, self._given.clock())
 
     def take_record(self, record: records.Record) -> None:
@@ -432,7 +268,7 @@
                 logger.bind(event="report.retried", key=record.key).warning(
                     "a report was not stored: {}", result
                 )
-                if self.stage is Stage.LEADING:
+                if not self.over:
                     self._report(record)
 
         self._given.calls.submit(
