Acknowledge no ends to a host that is silent

The new life numbers its ends from 1 and forgot as many of its own unseen; the next leader found its runs neither running nor ended, took them for lost and started them again. Ruled out: the lists' order and settled starts (the run's start was answered before the list was asked for).

Change: a hold to a silent host acknowledges nothing; it does again from the first answer on.

Not covered: a host that ends and begins anew in the 10 ms between two holds.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -99,7 +99,9 @@
         messages.HoldHost(
             host=host.id,
             address=host.entry.address,
-            acknowledged=host.acknowledged,
+            # A silent host may have begun another life, which numbers its
+            # ends anew and must not have them acknowledged unseen.
+            acknowledged=host.acknowledged if calm else 0,
             lease_until_ms=lease,
             wait_ms=HOLD_WAIT_MS if calm else FIRST_HOLD_WAIT_MS,
         )
--- a/tests/scheduling/test_days.py
+++ b/tests/scheduling/test_days.py
@@ -4,6 +4,7 @@
 from azurewood.jobs import model
 from azurewood.journal import pages
 from azurewood.scheduling import messages
+from azurewood.scheduling import pools
 from tests.scheduling import deployment
 
 UPKEEP = messages.MachineState.UPKEEP
@@ -298,3 +299,38 @@
     made.run(4.0)
     assert _all_completed(made, asked)
     deployment.check(made)
+
+
+def test_ends_of_a_life_begun_in_silence_are_not_acknowledged_unseen(
+    monkeypatch,
+):
+    """Found by seeds 202 and 206 of the soak.
+
+    A host's ends are numbered anew in each life; acknowledging those of the
+    life before to the next one hides as many of its own. Here the leader
+    is cut off from the store and does not read that the host began anew.
+    """
+    monkeypatch.setattr(pools, "step", lambda *args, **kwargs: None)
+    made = deployment.world(**{"s-one": 2, "s-two": 2})
+    first = _submit_some(made, count=6)
+    made.run(8.0)
+    assert _all_completed(made, first)
+    (leader,) = made.leaders()
+    others = [member for member in made.members if member is not leader]
+    hosts = [h for h in made.hosts.values() if h.service == "s-one"]
+    for host in hosts:
+        host.crash()
+    made.run(3.0)
+    leader.cut_from.add("store")
+    for host in hosts:
+        host.restart()
+        made.say(host)
+    made.run(3.0)
+    jobs = [deployment.job(made, number) for number in range(50, 56)]
+    for job in jobs:
+        made.submit(others[0], job)
+    made.run(12.0)
+    leader.cut_from.clear()
+    made.run(4.0)
+    assert _all_completed(made, [job.id for job in jobs])
+    deployment.check(made)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,8 @@
     1: "SIGHUP ended a process that was loading its modules",
     14: "daemons that started later showed another end of a job",
     20: "the soak itself started a daemon twice at once",
+    202: "ends of a new life were acknowledged unseen",
+    206: "the same, by a leader cut off from the store",
 }
 
 
