--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -4,6 +4,9 @@
 rule.
 """
 
+import collections
+import itertools
+
 import pytest
 
 from azurewood.jobs import model
@@ -11,10 +14,14 @@
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
+from azurewood.scheduling import orders
 from azurewood.scheduling import progress
 from azurewood.scheduling import runs
+from standins.fleet import members
 from tests.scheduling import deployment
 
+ORDER_PAUSE_S = members.ORDER_PAUSE_S
+
 LONG = model.Step(
     count=1, needs=model.Resources(1000, 500, 0), estimate_ms=4000
 )
@@ -133,6 +140,57 @@
     deployment.check(made)
 
 
+def _orders_around_a_new_leader():
+    """Ask for hosts, let the leader leave after its first orders.
+
+    Return each machine's orders: when, and by which leader's fence.
+    """
+    made = deployment.world(**{"s-one": 2, "s-two": 2, "spare": 6})
+    made.run(5.0)
+    given = collections.defaultdict(list)
+    order = made.order
+
+    def noted(wanted, fence):
+        given[wanted.machine].append((made.clock.now, fence))
+        return order(wanted, fence)
+
+    made.order = noted
+    many = model.Step(
+        count=24, needs=model.Resources(1000, 500, 0), estimate_ms=300
+    )
+    made.submit(made.members[0], deployment.job(made, 1, many))
+    while not given:
+        made.run(0.01)
+    made.leaders()[0].kill()
+    # Another turn wants the machines that were moved just now.
+    made.run(2.6)
+    others = [member for member in made.members if member.up]
+    for number in range(2, 8):
+        job = deployment.job(made, number, many, queue="two")
+        made.submit(others[0], job)
+    made.run(8.0)
+    return given
+
+
+def _pauses(given):
+    """Yield the seconds between orders of two leaders about a machine."""
+    for machine in given.values():
+        for (at, fence), (later, other) in itertools.pairwise(machine):
+            if fence != other:
+                yield later - at
+
+
+def test_two_leaders_orders_keep_their_pause():
+    pauses = list(_pauses(_orders_around_a_new_leader()))
+    assert pauses
+    assert min(pauses) >= ORDER_PAUSE_S
+
+
+def test_breaks_if_earlier_orders_are_not_adopted(monkeypatch):
+    monkeypatch.setattr(orders, "adopt", lambda *args: None)
+    assert min(_pauses(_orders_around_a_new_leader())) < ORDER_PAUSE_S
+
+
 def test_a_daemon_that_starts_later_shows_the_same_end():
     """Found by seed 14 of the soak: a job's end raced its cancellation.
 
