End a host's connections with it in the soak

A process that ends takes its connections along; the stand-in's did not, as one server plays all hosts.

Change: while a host is down its machine's link refuses connections and has none.

--- a/tests/soak/base.py
+++ b/tests/soak/base.py
@@ -255,12 +255,18 @@
                 host.failing = True
             else:
                 host.crash()
-        self._later(fault.for_s, lambda: self._host_back(host))
-
-    def _host_back(self, host):
+        link = self._proxy.links[f"machine-{fault.number}"]
+        if fault.kind == "crash":
+            # The connections of a process end with it.
+            link.open = False
+            self._proxy.reset(link.name)
+        self._later(fault.for_s, lambda: self._host_back(host, link))
+
+    def _host_back(self, host, link):
         with self._server.lock:
             self._server.advance()
             host.failing = False
+            link.open = True
             machine = self._server.world.machines[host.machine]
             if not host.up and machine.host == host.id:
                 host.restart()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,8 @@
     20: "the soak itself started a daemon twice at once",
     202: "ends of a new life were acknowledged unseen",
     206: "the same, by a leader cut off from the store",
+    238: "the same; and a hold outlived its host in the stand-in",
+    260: "the same as 202",
 }
 
 
