Store when a service is looked at again, not how long it rests

Cause: read as a newcomer, the pass over waiting tasks kept a time and a length, where the project stores deadlines; and it worked out the room again after a step that placed nothing.

Change: State.place_at; the room is worked out after starts only.

--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -290,7 +290,11 @@
 
 
 class State:
-    """All that a leader knows in its term."""
+    """All that a leader knows in its term.
+
+    ``placing`` are the services whose waiting tasks are to be placed,
+    ``place_at`` is when each may be looked at again.
+    """
 
     __slots__ = (
         "arrivals",
@@ -310,7 +314,7 @@
         "order_after",
         "ordered_at",
         "orders",
-        "placed_at",
+        "place_at",
         "placing",
         "pools_due",
         "pools_told",
@@ -343,7 +347,7 @@
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
         self.placing: set[str] = set()
-        self.placed_at: dict[str, tuple[float, float]] = {}
+        self.place_at: dict[str, float] = {}
         self.began_ids: list[str] = []
         self.dirty: set[str] = set()
         self.values: dict[str, bytes | None] = {}
@@ -359,11 +363,6 @@
             self.hosts[id] = host
         return host
 
-    def place_after(self, service: str) -> float:
-        """Return when a service's waiting tasks may be placed again."""
-        at, pause_s = self.placed_at.get(service, (0.0, 0.0))
-        return at + pause_s
-
     def may_order(self, machine: str, now: float) -> bool:
         """Return whether an earlier leader's order to it is long past."""
         return now >= self.order_after.get(machine, 0.0)
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -22,7 +22,9 @@
 
 def place(state: model.State, now: float) -> None:
     """Place what waits for the services in which something changed."""
-    due = {name for name in state.placing if now >= state.place_after(name)}
+    due = {
+        name for name in state.placing if now >= state.place_at.get(name, 0.0)
+    }
     if not due:
         return
     state.placing -= due
@@ -32,7 +34,7 @@
         if service in due and not (job.cancelled or job.closing):
             waiting[service].append(job)
     for service, found in waiting.items():
-        state.placed_at[service] = (now, PASS_S_A_JOB * len(found))
+        state.place_at[service] = now + PASS_S_A_JOB * len(found)
         _place_service(state, service, found, now)
 
 
@@ -58,8 +60,8 @@
             if not job.job.steps[number].reserved.fits(most):
                 continue
             placed = _place_step(state, usable, job, tasks, now)
-            # What did not fit tells as much about the room as what did.
-            most = host_choice.most_room(usable)
+            if placed:
+                most = host_choice.most_room(usable)
             budget -= placed
             if budget <= 0:
                 state.placing.add(service)
