Take a stopped run for gone by the first list after its first stop

The stop is repeated each second, an idle host answers a hold after one second, and each answered stop moved the time from which a list tells: 29 stops answered, the newest always later than the newest list's call. The job stayed running for good.

Change: the first stop that a host takes counts; it bars the run for good.

Ruled out: the store and the leader, which went on.

--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -157,7 +157,10 @@
     run.calling = False
     match event.refusal:
         case None:
-            run.settled_at = now
+            # The first stop that was taken bars the run for good. A later
+            # one must not put off the list that shows it gone.
+            if run.settled_at is None:
+                run.settled_at = now
             run.retry_at = now + LIST_WAIT_S
             host.hold_at = min(host.hold_at, now)
         case messages.Refusal.FENCE:
--- a/tests/scheduling/test_days.py
+++ b/tests/scheduling/test_days.py
@@ -334,3 +334,27 @@
     made.run(4.0)
     assert _all_completed(made, [job.id for job in jobs])
     deployment.check(made)
+
+
+def test_a_stopped_run_whose_end_is_never_listed_is_taken_for_gone():
+    """Found by seed 230 of the soak.
+
+    A stop is repeated as often as an idle host answers a hold, so that no
+    list was ever asked for after the newest stop.
+    """
+    made = deployment.world()
+    made.length = lambda task, step: 60.0
+    job = deployment.job(made, 1)
+    made.submit(made.members[0], job)
+    made.run(1.0)
+    hosts = [host for host in made.hosts.values() if host.runs]
+    made.cancel(made.members[0], job.id)
+    while not any(r.stopping for h in hosts for r in h.runs.values()):
+        made.run(0.01)
+    made.run(0.1)
+    for host in hosts:
+        host.runs.clear()
+    made.run(4.0)
+    (leader,) = made.leaders()
+    known = leader.member.term.state.hosts.values()
+    assert [run.key for host in known for run in host.runs.values()] == []
