--- a/tests/commands/conftest.py
+++ b/tests/commands/conftest.py
@@ -1,4 +1,5 @@
 import dataclasses
+import os
 import pathlib
 
 import pytest
@@ -9,7 +10,8 @@
 from standins import testbed
 from tests import small_fleet
 
-NETWORK = 233
+NETWORK = 60 + os.getpid() % 190
+"""Of this run alone: another may go on beside it on the same machine."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/input/conftest.py
+++ b/tests/input/conftest.py
@@ -2,6 +2,7 @@
 import datetime
 import ipaddress
 import json
+import os
 import socket
 
 from cryptography.hazmat.primitives.asymmetric import ec
@@ -16,7 +17,8 @@
 from standins import testbed
 from tests import small_fleet
 
-NETWORK = 234
+NETWORK = 60 + os.getpid() % 190
+"""Of this run alone: another may go on beside it on the same machine."""
 TIMEOUT_S = 10.0
 MAX_BODY = 20000
 SENDER_TIMEOUT_MS = 700
