--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -10,10 +10,13 @@
 from azurewood.daemons import member as members
 from azurewood.http import multiplex
 from standins.fleet import platform
+from standins.fleet import processor
 
 LATE_S = (2.0, 12.0)
 ORDER_PAUSE_S = 3.0
 RETENTION_S = 20.0
+CALL_COST = 200
+"""Processor time of a call over the network, in function calls."""
 
 
 class SimCalls:
@@ -31,6 +34,7 @@
         done: abc.Callable[[multiplex.Reply], None],
     ) -> None:
         """Send a call; its reply, or none, comes later."""
+        self._member.processor.charge(CALL_COST)
         _Transfer(
             world=self._world, member=self._member, call=call, done=done
         ).send()
@@ -124,6 +128,9 @@
             self.member.thawed.append(lambda: self._finish(outcome, answer))
             return
         self._answered = True
+        self.member.handle(lambda: self._done(outcome, answer))
+
+    def _done(self, outcome: multiplex.Outcome, answer: object) -> None:
         self.done(
             multiplex.Reply(
                 outcome=outcome,
@@ -133,18 +140,19 @@
                 at=self.world.clock.now,
             )
         )
-        self.member.step()
 
 
 class SimMember:
     """A daemon of the fleet in the simulation, over all its lives."""
 
     __slots__ = (
+        "_step_waits",
         "cut_from",
         "frozen",
         "life",
         "member",
         "name",
+        "processor",
         "thawed",
         "up",
         "world",
@@ -153,7 +161,9 @@
     def __init__(self, *, world: typing.Any, name: str) -> None:
         self.world = world
         self.name = name
+        self.processor = processor.Processor(clock=world.clock)
         self.life = 0
+        self._step_waits = False
         self.up = False
         self.frozen = False
         self.thawed: list[abc.Callable[[], None]] = []
@@ -202,8 +212,29 @@
             what()
         self.step()
 
+    def handle(self, what: abc.Callable[[], None]) -> None:
+        """Take an answer in, then do what is due."""
+        life = self.life
+
+        def work() -> None:
+            if life != self.life:
+                return
+            if self.frozen:
+                self.thawed.append(what)
+                return
+            what()
+            self._step()
+
+        self.processor.run(work)
+
     def step(self) -> None:
-        """Let the member do what is due."""
+        """Let the member do what is due, unless that is to come anyway."""
+        if not self._step_waits:
+            self._step_waits = True
+            self.processor.run(self._step)
+
+    def _step(self) -> None:
+        self._step_waits = False
         if self.up and not self.frozen:
             self.member.step(self.world.clock.now)
 
--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -28,7 +28,10 @@
 
 
 class Rules:
-    """Watches starts and ends; ``breaches`` has what was wrong."""
+    """Watches starts and ends; ``breaches`` has what was wrong.
+
+    ``ended_at`` is when the last task of a job was done.
+    """
 
     __slots__ = (
         "_clock",
@@ -40,6 +43,7 @@
         "asked",
         "breaches",
         "cancelled_at",
+        "ended_at",
         "refused",
         "started_jobs",
         "starts",
@@ -52,6 +56,7 @@
         self.refused: set[str] = set()
         self.cancelled_at: dict[str, float] = {}
         self.started_jobs: set[str] = set()
+        self.ended_at: dict[str, float] = {}
         self.starts = 0
         self._live: dict[model.TaskId, list[tuple[str, int]]] = (
             collections.defaultdict(list)
@@ -139,10 +144,17 @@
             live.remove((host.id, run.run))
         if how is messages.End.DONE and not run.step.lasting:
             self._done.update(_represented(run))
+            self._note_end(run.task.job)
         if how is messages.End.FAILED:
             for task in _represented(run):
                 self._failed[task].add(run.run)
 
+    def _note_end(self, job_id: str) -> None:
+        """Note when the last task of a job was done."""
+        job = self.asked.get(job_id)
+        if job is not None and self._all_done(job):
+            self.ended_at.setdefault(job_id, self._clock.now)
+
     def noted(self, row: messages.EndedRow) -> None:
         """Take in that an end was acknowledged to its host."""
         job = self.asked.get(row.task.job)
