Count earlier leaders' renewals from their newest record, not from now

Hosts had gone for good, and two seconds later the leader died. The task was started again 14.1 s after its host had gone; the users take it for lost after 13.5 s. Timed tasks of such hosts waited as long.

Cause: a new leader waits until all leases of a host that does not answer have lapsed. It took for granted that its predecessor renews for 4 s from the new leader's own beginning, 1.5 to 2 s after the predecessor's newest record, and after a resignation too. Each change of leader began the 10.4 s anew.

Change: a leader is confirmed as of when it sent a record, also when it learns by a reading that it is stored, so always before anybody can read it. A daemon notes when it read each leader's newest record; 4 s later that leader renews nothing. One that resigned renews nothing from then on. After a start or a gap the first reading counts.

test_no_leader_renews_longer_than_its_successors_reckon fails if readings confirm a leader as of when they began, as before.

--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -212,7 +212,8 @@
             term=self._number,
             found=found,
             stored=self._stored,
-            lease_bound_at=now + leadership.VALID_S + runs.LEASE_BOUND_S,
+            lease_bound_at=self._given.election.earlier_renewals_end()
+            + runs.LEASE_BOUND_S,
             order_pause_s=self._given.order_pause_s + ORDER_MARGIN_S,
             now=now,
         )
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -108,12 +108,20 @@
     ``nonce`` is unique to this run of the daemon. ``term`` is above zero
     only while this daemon leads. ``largest`` is the room of the
     largest machine, as the newest beat says.
+
+    A leader is confirmed as of when its record was sent, which is before
+    anybody can have read it. So whoever reads one knows until when at most
+    its writer renews leases, however late the writer learns that it is
+    stored.
     """
 
     __slots__ = (
         "_appending",
+        "_attempt_at",
+        "_attempt_end",
         "_beat_at",
         "_leader_nonce",
+        "_renewals",
         "_resigned",
         "_seen_at",
         "confirmed_at",
@@ -140,11 +148,18 @@
         self._appending = False
         self._seen_at = now
         self._beat_at = 0.0
+        self._attempt_end = -1
+        self._attempt_at = 0.0
+        self._renewals: dict[str, float] = {}
 
     def leads(self, now: float, *, within_s: float) -> bool:
         """Return whether this daemon's term was confirmed so recently."""
         return self.term > 0 and now - self.confirmed_at < within_s
 
+    def earlier_renewals_end(self) -> float:
+        """Return until when at most earlier leaders renew leases."""
+        return max(self._renewals.values(), default=0.0)
+
     def step(self, event: Event, now: float) -> Append | None:
         """Take an event in; return what is to be appended, if anything."""
         match event:
@@ -163,10 +178,7 @@
         if not self.term or self._appending or not due:
             return None
         self._beat_at = now
-        self._appending = True
-        return Append(
-            entry=Beat(nonce=self.nonce, largest=largest), at=self.end
-        )
+        return self._attempt(Beat(nonce=self.nonce, largest=largest), now)
 
     def resign(self) -> Append | None:
         """Return the record that ends this daemon's term, if it leads."""
@@ -180,23 +192,38 @@
         """Stop leading, whatever the log says."""
         self.term = 0
 
+    def _attempt(self, entry: Entry, now: float) -> Append:
+        """Return the append of an entry at the end that is known."""
+        self._appending = True
+        if self._attempt_end != self.end:
+            self._attempt_end = self.end
+            self._attempt_at = now
+        return Append(entry=entry, at=self.end)
+
     def _read(self, event: Read, now: float) -> None:
+        if event.offset > self.end:
+            # Whoever wrote what was missed did so before now.
+            self._renewals[""] = now + VALID_S
         for index, entry in enumerate(event.entries):
-            self._take(event.offset + index, entry, event.began_at)
+            # A record of this daemon's own was sent then at the earliest.
+            self._take(event.offset + index, entry, self._attempt_at, now)
         if event.entries:
             self._seen_at = now
         self.end = max(self.end, event.end)
 
     def _stored(self, event: Stored, now: float) -> None:
         self._appending = False
-        self._take(event.offset, event.entry, event.began_at)
+        self._take(event.offset, event.entry, event.began_at, now)
         self._seen_at = now
         self.end = max(self.end, event.offset + 1)
 
-    def _take(self, offset: int, entry: Entry | None, at: float) -> None:
+    def _take(
+        self, offset: int, entry: Entry | None, sent_at: float, now: float
+    ) -> None:
         if offset < self.end:
             return
         self.end = offset + 1
+        self._note_renewals(entry, now)
         match entry:
             case Claim(name=name, nonce=nonce):
                 self._leader_nonce = nonce
@@ -210,7 +237,20 @@
             case Resign(nonce=nonce):
                 self._resigned = nonce == self._leader_nonce
         if self.term and entry is not None and entry.nonce == self.nonce:
-            self.confirmed_at = max(self.confirmed_at, at)
+            self.confirmed_at = max(self.confirmed_at, sent_at)
+
+    def _note_renewals(self, entry: Entry | None, now: float) -> None:
+        """Note until when the writer of a record may renew leases."""
+        match entry:
+            case Claim(nonce=nonce) if nonce == self.nonce:
+                # An earlier term of this daemon, if it had one.
+                self._renewals[self.nonce] = self.confirmed_at + VALID_S
+            case Claim(nonce=nonce) | Beat(nonce=nonce):
+                if nonce != self.nonce:
+                    self._renewals[nonce] = now + VALID_S
+            case Resign(nonce=nonce) if nonce in self._renewals:
+                # It had stopped before it wrote this.
+                self._renewals[nonce] = now
 
     def _claim(self, event: Read, now: float) -> Append | None:
         """Return a claim if the leader is silent and this call saw it."""
@@ -221,9 +261,7 @@
         vacant = self._resigned or (self.end == 0 and not self.leader)
         if event.end != self.end or not (vacant or (silent and long_enough)):
             return None
-        self._appending = True
-        claim = Claim(name=self.name, nonce=self.nonce)
-        return Append(entry=claim, at=self.end)
+        return self._attempt(Claim(name=self.name, nonce=self.nonce), now)
 
 
 def encode(entry: Entry) -> bytes:
--- a/tests/leadership/test_election.py
+++ b/tests/leadership/test_election.py
@@ -171,3 +171,88 @@
             terms.append(term)
     claims = [e for e in log.entries if isinstance(e, base.Claim)]
     assert len(set(terms)) <= len(claims)
+
+
+def _lose_answer(log, election, wanted, now):
+    log.append(wanted)
+    election.step(base.Lost(entry=wanted.entry), now)
+
+
+def _renewals_past(elections, bounds):
+    """Yield how long a leader renews beyond what later ones reckon with."""
+    for election in elections:
+        for term, bound in bounds.items():
+            if 0 < election.term < term:
+                yield election.confirmed_at + base.VALID_S - bound
+
+
+RENEWAL_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 2),
+        strategies.sampled_from(("read", "stored", "lost")),
+        strategies.floats(0.0, 1.6),
+    ),
+    max_size=80,
+)
+
+
+def _play_renewals(steps):
+    log = Log()
+    elections = [_election(name) for name in "abc"]
+    bounds = {}
+    now = 10.0
+    for index, what, pause in steps:
+        now += pause
+        election = elections[index]
+        wanted = _read(log, election, now)
+        if wanted is None and what != "read":
+            wanted = election.beat(model.Resources(), now)
+        match what:
+            case "lost" if wanted is not None:
+                _lose_answer(log, election, wanted, now)
+            case _ if wanted is not None:
+                _store(log, election, wanted, now)
+        if election.term and election.term not in bounds:
+            bounds[election.term] = election.earlier_renewals_end()
+        assert max(_renewals_past(elections, bounds), default=0.0) <= 1e-6
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+@hypothesis.given(steps=RENEWAL_STEPS)
+def test_no_leader_renews_longer_than_its_successors_reckon(steps):
+    _play_renewals(steps)
+
+
+def test_a_leader_is_confirmed_as_of_when_its_beat_was_sent():
+    """A beat that is stored unheard of, read by its writer much later."""
+    log = Log()
+    first, second = _leader(log), _election("b")
+    _read(log, second, 0.1)
+    _lose_answer(log, first, first.beat(model.Resources(), 0.4), 0.4)
+    _read(log, second, 0.5)
+    _read(log, first, 1.9)
+    wanted = _read(log, second, 2.0)
+    assert _store(log, second, wanted, 2.0)
+    end = second.earlier_renewals_end()
+    assert first.confirmed_at + base.VALID_S <= end < 0.5 + base.VALID_S + 0.1
+
+
+def test_a_leader_that_resigned_renews_no_more():
+    log = Log()
+    first, second = _leader(log), _election("b")
+    _read(log, second, 5.0)
+    _store(log, first, first.resign(), 6.0)
+    wanted = _read(log, second, 6.1)
+    assert _store(log, second, wanted, 6.1)
+    # What it had not read before its first reading may be of another.
+    assert second.earlier_renewals_end() == 5.0 + base.VALID_S
+
+
+def test_records_that_were_missed_may_be_another_leaders():
+    log = Log()
+    _leader(log)
+    second = _election("b")
+    _read(log, second, 0.1)
+    event = base.Read(offset=40, entries=(), end=40, began_at=9.0)
+    second.step(event, 9.0)
+    assert second.earlier_renewals_end() == 9.0 + base.VALID_S
