Read the daemon's cores from its settings

`limits.cpu_share` times `limits.vcpus`, 0 if the file does not say: a daemon that does not know its processor competes with nobody.

--- a/azurewood/conf/fleet.py
+++ b/azurewood/conf/fleet.py
@@ -13,6 +13,7 @@
     not order about a machine within ``turn_pause_s``. A job's state is
     shown for ``retention_s`` after its end. ``advice_url`` is empty if
     there is no advice service. ``metrics`` is None if none are served.
+    ``cores`` is the daemon's processor, 0 if it is not known.
     """
 
     name: str
@@ -25,4 +26,5 @@
     stop_within_s: float
     turn_pause_s: float
     retention_s: float
+    cores: float = 0.0
     metrics: kinds.Address | None = None
--- a/azurewood/platform/checks.py
+++ b/azurewood/platform/checks.py
@@ -23,6 +23,7 @@
     ("cloud", "addr"),
 )
 BOUNDS: typing.Final = ("grace_s", "lease_ms", "status_s")
+LIMITS: typing.Final = ("cpu_share", "vcpus")
 LEAST_GRACE_S: typing.Final = 3.0
 """A daemon needs 2.5 s until its balancer sends nobody, and 0.5 s to end."""
 SERVES: typing.Final = frozenset({"edge", "control"})
@@ -63,19 +64,30 @@
             f"{path}: hint",
             f"{advice!r} is not an address and a port",
         )
-    yield from _bounds(_section(found, "bounds"), path)
-
-
-def _bounds(bounds: dict[str, typing.Any], path: str) -> Findings:
-    for name in BOUNDS:
-        value = bounds.get(name, 1)
+    yield from _numbers(found, "bounds", BOUNDS, path)
+    yield from _grace(_section(found, "bounds"), path)
+    yield from _numbers(found, "limits", LIMITS, path)
+
+
+def _numbers(
+    found: dict[str, typing.Any],
+    section: str,
+    names: tuple[str, ...],
+    path: str,
+) -> Findings:
+    values = _section(found, section)
+    for name in names:
+        value = values.get(name, 1)
         is_number = isinstance(value, int | float)
         if not is_number or isinstance(value, bool) or value <= 0:
             yield _finding(
                 "E504",
-                f"{path}: bounds.{name}",
+                f"{path}: {section}.{name}",
                 f"{value!r} is not a number above 0",
             )
+
+
+def _grace(bounds: dict[str, typing.Any], path: str) -> Findings:
     grace_s = bounds.get("grace_s")
     if isinstance(grace_s, int | float) and 0 < grace_s < LEAST_GRACE_S:
         yield _finding(
--- a/azurewood/platform/settings.py
+++ b/azurewood/platform/settings.py
@@ -36,6 +36,13 @@
     status_s: float = 120.0
 
 
+class _Limits(msgspec.Struct):
+    """``cpu_share`` of a core that is ``vcpus`` times as fast."""
+
+    cpu_share: float = 0.0
+    vcpus: float = 1.0
+
+
 class _Settings(msgspec.Struct):
     """``platform`` is the store, ``hint`` the advice service's address."""
 
@@ -47,6 +54,7 @@
     cloud: _Service
     hint: str | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load(path: str) -> fleet.FleetSettings:
@@ -75,6 +83,7 @@
         stop_within_s=found.bounds.grace_s,
         turn_pause_s=found.bounds.lease_ms / 1000,
         retention_s=found.bounds.status_s,
+        cores=max(0.0, found.limits.cpu_share * found.limits.vcpus),
         metrics=kinds.Address(host=found.ip, port=METRICS_PORT),
     )
 
--- a/tests/platform/test_checks.py
+++ b/tests/platform/test_checks.py
@@ -82,6 +82,14 @@
     assert _ids(found) == ["E513", "E514"]
 
 
+@pytest.mark.parametrize("value", ["0", "true", "'1'"])
+@pytest.mark.parametrize("name", ["cpu_share", "vcpus"])
+def test_a_limit_that_is_no_number_above_zero_is_found(name, value):
+    text = f"{SETTINGS}\nlimits: {{{name}: {value}}}\n"
+    (found,) = checks.settings_findings(text.encode(), "s")
+    assert found.place == f"s: limits.{name}"
+
+
 def test_a_short_grace_is_a_warning_alone():
     text = SETTINGS.replace("grace_s: 6", "grace_s: 2")
     (found,) = checks.settings_findings(text.encode(), "s")
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -61,6 +61,29 @@
         settings.parse(text)
 
 
+SETTINGS = """
+node: a
+zone: z
+ip: "10.1.0.9"
+listen: {front: "10.1.0.9:1", ready: "10.1.0.9:2"}
+platform: {addr: "10.1.0.1:2"}
+cloud: {addr: "10.1.0.1:2"}
+"""
+
+
+@pytest.mark.parametrize(
+    ("limits", "cores"),
+    [
+        ("limits: {cpu_share: 0.5, vcpus: 3, disk_mb: 0}", 1.5),
+        ("limits: {cpu_share: 0.5}", 0.5),
+        ("limits: {vcpus: 3}", 0.0),
+        ("", 0.0),
+    ],
+)
+def test_cores_are_the_share_of_a_core_times_its_speed(limits, cores):
+    assert settings.parse((SETTINGS + limits).encode()).cores == cores
+
+
 def test_settings_that_are_no_yaml_or_not_there(tmp_path):
     with pytest.raises(exceptions.InvalidSettings):
         settings.parse(b"a: [")
