Let the daemon with the most processor lead

What callers saw: SHORT on the grown sites. One daemon leads all, 6 of 45 hosts have 2.15 cores and 39 have 0.516; which of them led was chance.

Cause: the election did not know processors. Whoever read first claimed, after the start, a silent leader, a resignation or an outage of the store.

Claims and beats say their writer's cores. A daemon with 1.5 times the leader's cores claims over it; whoever knows of a stronger one lets half a second of readable silence pass before it claims. Records of earlier versions are read, and ours by them.

A leader could so far be sure that no other had ordered a machine within 1.5 s, as claims only followed silence.

--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -79,6 +79,7 @@
             wake=self._calls.wake,
             order_pause_s=settings.turn_pause_s,
             retention_s=settings.retention_s,
+            cores=settings.cores,
         )
         desk = self.member.desk
         self._servers = [
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -79,6 +79,7 @@
         wake: abc.Callable[[], None],
         order_pause_s: float,
         retention_s: float,
+        cores: float = 0.0,
     ) -> None:
         self._platform = platform
         self._calls = calls
@@ -91,7 +92,7 @@
         self._waves: dict[int, messages.WaveRequested] = {}
         self.term: terms.Term | None = None
         self.election = leadership.Election(
-            name=name, nonce=nonce, now=self._clock()
+            name=name, nonce=nonce, now=self._clock(), cores=cores
         )
         self.desk = desks.Desk(
             clock=self._clock, wishes=self.hand_in, admission=self._admit
@@ -120,7 +121,7 @@
         if self.term is not None:
             self.term.stop("the daemon stops")
             self.term = None
-        self._append_leader(self.election.resign())
+        self._append_leader(self.election.resign(self._clock()))
 
     def step(self, now: float) -> None:
         """Do what is due."""
@@ -209,8 +210,12 @@
             entries=entries,
             end=read.offset,
             began_at=read.began_at,
+            ready=self.desk.ready(),
         )
-        self._append_leader(self.election.step(event, self._clock()))
+        wanted = self.election.step(event, self._clock())
+        if wanted is not None:
+            self._note_claim()
+        self._append_leader(wanted)
 
     # Callers' wishes
 
@@ -257,11 +262,23 @@
         self._append_leader(election.beat(self.term.largest_room(), now))
         self.term.step(now)
         if self.term.over:
-            election.step_down()
+            election.step_down(now)
+        elif election.is_contested and self.term.hears_no_host(now):
+            self._hand_back(now)
+
+    def _hand_back(self, now: float) -> None:
+        """Give back a term that another daemon can do more with."""
+        self.term.stop("no host answers this daemon")
+        self._append_leader(self.election.hand_back(now))
 
     def _begin_term(self) -> None:
         number = self.election.term
-        logger.bind(event="term.begun", term=number).info("elected")
+        logger.bind(
+            event="term.begun",
+            term=number,
+            cores=self.election.cores,
+            strongest=self.election.strongest,
+        ).info("elected")
         self.term = terms.Term(
             given=takeovers.Given(
                 platform=self._platform,
@@ -279,6 +296,16 @@
             number=number,
         )
 
+    def _note_claim(self) -> None:
+        election = self.election
+        logger.bind(
+            event="election.claim",
+            cores=election.cores,
+            leader=election.leader,
+            leader_cores=election.leader_cores,
+            strongest=election.strongest,
+        ).info("claims to lead")
+
     def _append_leader(self, wanted: leadership.Append | None) -> None:
         if wanted is None:
             return
--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -196,6 +196,7 @@
         if self._given.jobs_offset() < self._jobs_end:
             return None
         self.stage = Stage.DONE
+        late_s = max(ORDER_MARGIN_S, self._given.election.orders_wait_s(now))
         found = [
             entry.job
             for entry in self._given.register.entries.values()
@@ -213,6 +214,6 @@
             found=found,
             stored=self._stored,
             lease_bound_at=now + leadership.VALID_S + runs.LEASE_BOUND_S,
-            order_pause_s=self._given.order_pause_s + ORDER_MARGIN_S,
+            order_pause_s=self._given.order_pause_s + late_s,
             now=now,
         )
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -29,6 +29,9 @@
 HOSTS_COMING_S: typing.Final = 0.08
 """The same while machines are on their way, whose hosts are waited for."""
 
+PROVE_S: typing.Final = 2.0
+"""Time in which a host answers a leader that reaches any."""
+
 
 class Term:
     """The work of the leader in one term."""
@@ -38,6 +41,7 @@
         "_hosts",
         "_jobs",
         "_known_hosts",
+        "_prove_at",
         "_progress",
         "_retired",
         "_takeover",
@@ -54,6 +58,7 @@
         self.state: scheduling.State | None = None
         self._takeover = takeovers.Takeover(given=given, number=number)
         self._tick_at = 0.0
+        self._prove_at = float("inf")
         self._retired: collections.deque[tuple[float, str]] = (
             collections.deque()
         )
@@ -111,6 +116,7 @@
     def _begin(self, state: scheduling.State) -> None:
         """Schedule from the state that the take-over found."""
         self.state = state
+        self._prove_at = self._given.clock() + PROVE_S
         for entry in self._given.register.entries.values():
             if entry.phase.final:
                 self._retire_later(entry.job.id)
@@ -156,6 +162,13 @@
                 None,
             )
 
+    def hears_no_host(self, now: float) -> bool:
+        """Return whether no host has answered although it had the time."""
+        if self.state is None or now < self._prove_at:
+            return False
+        hosts = self.state.hosts.values()
+        return bool(hosts) and not any(host.synced for host in hosts)
+
     def largest_room(self) -> model.Resources:
         """Return the largest machine's room, which beats tell all daemons."""
         machines = self.state.machines.values() if self.state else ()
@@ -189,8 +202,9 @@
 
     def _tick(self, now: float) -> messages.Tick:
         election = self._given.election
-        recent = election.leads(now, within_s=leadership.ORDER_VALID_S)
-        return messages.Tick(unix_ms=self._given.unix_ms(), may_order=recent)
+        return messages.Tick(
+            unix_ms=self._given.unix_ms(), may_order=election.may_order(now)
+        )
 
     def _took_hosts(self, changes: follower.Changes) -> None:
         for key in list(follower.keys_gone(self._known_hosts, changes)):
@@ -280,8 +294,7 @@
         self, order: messages.MoveMachine | messages.ServiceMachine
     ) -> None:
         now = self._given.clock()
-        recent = leadership.ORDER_VALID_S
-        if not self._given.election.leads(now, within_s=recent):
+        if not self._given.election.may_order(now):
             result = messages.OrderResult.NOT_DONE
             event = messages.OrderAnswered(
                 machine=order.machine, result=result
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -6,6 +6,12 @@
 proves that nobody else had claimed by then. A daemon that has read no new
 record for ``CLAIM_AFTER_S`` claims.
 
+The leader's processor bounds what the whole fleet serves, so a daemon with
+clearly more processor claims over the leader, and those with less let it
+claim first. Every such claim raises the leader's processor by ``STRONGER``
+at least, and a daemon makes one in ``REST_S`` at most, so that daemons
+that fail again and again change the leader a bounded number of times.
+
 No clock and no call here: ``Election.step`` takes an event and the time and
 returns what is to be appended, if anything.
 """
@@ -25,14 +31,30 @@
 """How long after its newest stored beat a leader may renew hosts' leases."""
 ORDER_VALID_S: typing.Final = 1.5
 """The same for orders to machines, which no lease bounds: nobody claims
-within ``CLAIM_AFTER_S`` of a beat."""
+orders within ``CLAIM_AFTER_S`` of another leader's beat."""
+STRONGER: typing.Final = 1.5
+"""By what factor a daemon's cores exceed a leader's to claim over it. Equal
+hosts, and those of neighbouring sizes, never compete."""
+FRESH_S: typing.Final = 1.0
+"""Age from which a read says nothing of now: twice the time for which the
+store holds one open."""
+YIELD_S: typing.Final = 0.5
+"""How long a daemon lets stronger ones claim first: one held read."""
+KNOWN_S: typing.Final = 30.0
+"""How long a stronger daemon that wrote nothing more is reckoned with."""
+REST_S: typing.Final = 10.0
+"""Time after a daemon's claim or the end of its term in which it claims
+over nobody."""
+LAST_REST_S: typing.Final = 80.0
+"""``REST_S`` doubles up to here with each term that ends by itself."""
 
 
 class Claim(msgspec.Struct, frozen=True, kw_only=True, tag="claim"):
-    """A daemon begins a term."""
+    """A daemon begins a term; ``cores`` is 0 if it does not know them."""
 
     name: str
     nonce: str
+    cores: float = 0.0
 
 
 class Beat(msgspec.Struct, frozen=True, kw_only=True, tag="beat"):
@@ -40,10 +62,11 @@
 
     nonce: str
     largest: model.Resources = model.Resources()
+    cores: float = 0.0
 
 
 class Resign(msgspec.Struct, frozen=True, kw_only=True, tag="resign"):
-    """The leader stops; others may claim at once."""
+    """The leader gives its term up; others may claim at once."""
 
     nonce: str
 
@@ -62,12 +85,16 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Read:
-    """Records from ``offset`` on; the call began at ``began_at``."""
+    """Records from ``offset`` on; the call began at ``began_at``.
+
+    ``ready`` is whether this daemon could schedule at once.
+    """
 
     offset: int
     entries: tuple[Entry | None, ...]
     end: int
     began_at: float
+    ready: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -107,50 +134,92 @@
 
     ``nonce`` is unique to this run of the daemon. ``term`` is above zero
     only while this daemon leads. ``largest`` is the room of the
-    largest machine, as the newest beat says.
+    largest machine, as the newest beat says. ``cores`` is this daemon's
+    processor, 0 if not known, ``strongest`` the most that a writer of
+    the log has had lately. ``is_contested`` is whether this daemon's term
+    was claimed over a leader that was alive.
     """
 
     __slots__ = (
         "_appending",
         "_beat_at",
         "_leader_nonce",
+        "_leader_seen_at",
+        "_orders_from",
+        "_read_at",
         "_resigned",
+        "_rest_s",
+        "_rest_until",
+        "_ripe_at",
         "_seen_at",
+        "_strongest_at",
         "confirmed_at",
+        "cores",
         "end",
+        "is_contested",
         "largest",
         "leader",
+        "leader_cores",
         "name",
         "nonce",
         "stopping",
+        "strongest",
         "term",
     )
 
-    def __init__(self, *, name: str, nonce: str, now: float) -> None:
+    def __init__(
+        self, *, name: str, nonce: str, now: float, cores: float = 0.0
+    ) -> None:
         self.name = name
         self.nonce = nonce
+        self.cores = cores
         self.term = 0
         self.end = -1
         self.leader = ""
+        self.leader_cores = 0.0
+        self.strongest = 0.0
         self.largest = model.Resources()
         self.confirmed_at = 0.0
         self.stopping = False
+        self.is_contested = False
         self._leader_nonce = ""
+        self._leader_seen_at = 0.0
         self._resigned = False
         self._appending = False
         self._seen_at = now
+        self._read_at = now
         self._beat_at = 0.0
+        self._strongest_at = now
+        self._orders_from = 0.0
+        self._rest_until = 0.0
+        self._rest_s = REST_S
+        self._ripe_at: float | None = None
 
     def leads(self, now: float, *, within_s: float) -> bool:
         """Return whether this daemon's term was confirmed so recently."""
         return self.term > 0 and now - self.confirmed_at < within_s
 
+    def may_order(self, now: float) -> bool:
+        """Return whether an order to a machine may be sent.
+
+        An earlier leader that is alive may send some until its newest
+        beat is ``ORDER_VALID_S`` old.
+        """
+        recent = self.leads(now, within_s=ORDER_VALID_S)
+        return recent and now >= self._orders_from
+
+    def orders_wait_s(self, now: float) -> float:
+        """Return how long an earlier leader may still send orders."""
+        return max(0.0, self._orders_from - now)
+
     def step(self, event: Event, now: float) -> Append | None:
         """Take an event in; return what is to be appended, if anything."""
         match event:
             case Read():
                 self._read(event, now)
-                return self._claim(event, now)
+                wanted = self._claim(event, now)
+                self._read_at = now
+                return wanted
             case Stored():
                 self._stored(event, now)
             case Lost():
@@ -164,67 +233,138 @@
             return None
         self._beat_at = now
         self._appending = True
-        return Append(
-            entry=Beat(nonce=self.nonce, largest=largest), at=self.end
-        )
+        entry = Beat(nonce=self.nonce, largest=largest, cores=self.cores)
+        return Append(entry=entry, at=self.end)
 
-    def resign(self) -> Append | None:
-        """Return the record that ends this daemon's term, if it leads."""
+    def resign(self, now: float) -> Append | None:
+        """Claim no more; return the end of this daemon's term, if any."""
         self.stopping = True
+        return self.hand_back(now)
+
+    def hand_back(self, now: float) -> Append | None:
+        """Return the record that ends this daemon's term, if it leads."""
         if not self.term:
             return None
-        self.step_down()
+        self.step_down(now)
         return Append(entry=Resign(nonce=self.nonce), at=self.end)
 
-    def step_down(self) -> None:
-        """Stop leading, whatever the log says."""
+    def step_down(self, now: float) -> None:
+        """Stop leading, whatever the log says, and rest."""
+        if self.term:
+            self._rest(now)
+            self._rest_s = min(LAST_REST_S, 2 * self._rest_s)
         self.term = 0
 
+    def _rest(self, now: float) -> None:
+        self._rest_until = max(self._rest_until, now + self._rest_s)
+
     def _read(self, event: Read, now: float) -> None:
         for index, entry in enumerate(event.entries):
-            self._take(event.offset + index, entry, event.began_at)
+            self._take(event.offset + index, entry, event.began_at, now)
         if event.entries:
             self._seen_at = now
+            self._ripe_at = None
         self.end = max(self.end, event.end)
 
     def _stored(self, event: Stored, now: float) -> None:
         self._appending = False
-        self._take(event.offset, event.entry, event.began_at)
+        self._take(event.offset, event.entry, event.began_at, now)
         self._seen_at = now
+        self._ripe_at = None
         self.end = max(self.end, event.offset + 1)
 
-    def _take(self, offset: int, entry: Entry | None, at: float) -> None:
+    def _take(
+        self, offset: int, entry: Entry | None, at: float, now: float
+    ) -> None:
         if offset < self.end:
             return
         self.end = offset + 1
         match entry:
-            case Claim(name=name, nonce=nonce):
-                self._leader_nonce = nonce
-                self._resigned = False
-                self.leader = name
-                own = nonce == self.nonce and not self.stopping
-                self.term = offset + 1 if own else 0
-            case Beat(nonce=nonce, largest=largest):
+            case Claim():
+                self._take_claim(entry, offset, now)
+            case Beat(nonce=nonce, largest=largest, cores=cores):
                 self._leader_nonce = nonce
+                self._leader_seen_at = now
+                self.leader_cores = cores
                 self.largest = largest
+                self._reckon_with(cores, now)
             case Resign(nonce=nonce):
                 self._resigned = nonce == self._leader_nonce
         if self.term and entry is not None and entry.nonce == self.nonce:
             self.confirmed_at = max(self.confirmed_at, at)
 
+    def _take_claim(self, claim: Claim, offset: int, now: float) -> None:
+        if self.term or claim.name == self.name:
+            self._rest(now)
+        if self._leader_nonce and not self._resigned:
+            until = self._leader_seen_at + ORDER_VALID_S
+            self._orders_from = max(self._orders_from, until)
+        self.is_contested = now < self._orders_from
+        self._leader_nonce = claim.nonce
+        self._leader_seen_at = now
+        self._resigned = False
+        self.leader = claim.name
+        self.leader_cores = claim.cores
+        self._reckon_with(claim.cores, now)
+        own = claim.nonce == self.nonce and not self.stopping
+        self.term = offset + 1 if own else 0
+
+    def _reckon_with(self, cores: float, now: float) -> None:
+        known = now - self._strongest_at < KNOWN_S
+        if cores >= self.strongest or not known:
+            self.strongest = cores
+            self._strongest_at = now
+
     def _claim(self, event: Read, now: float) -> Append | None:
-        """Return a claim if the leader is silent and this call saw it."""
+        """Return a claim if the term is free, or this daemon's to take."""
         if self.stopping or self.term or self._appending:
             return None
-        silent = event.began_at - self._seen_at >= CLAIM_AFTER_S * 2 / 3
-        long_enough = now - self._seen_at >= CLAIM_AFTER_S
-        vacant = self._resigned or (self.end == 0 and not self.leader)
-        if event.end != self.end or not (vacant or (silent and long_enough)):
+        if event.end != self.end:
+            return None
+        if self._is_free(event, now):
+            if self._yields(now) and not self._is_ripe(event, now):
+                return None
+        elif not self._outdoes(event, now):
             return None
         self._appending = True
-        claim = Claim(name=self.name, nonce=self.nonce)
+        claim = Claim(name=self.name, nonce=self.nonce, cores=self.cores)
         return Append(entry=claim, at=self.end)
 
+    def _is_free(self, event: Read, now: float) -> bool:
+        """Return whether nobody leads, or this call saw a silent leader."""
+        silent = event.began_at - self._seen_at >= CLAIM_AFTER_S * 2 / 3
+        long_enough = now - self._seen_at >= CLAIM_AFTER_S
+        vacant = self._resigned or (self.end == 0 and not self.leader)
+        return vacant or (silent and long_enough)
+
+    def _yields(self, now: float) -> bool:
+        """Return whether others are to claim first, if there are any."""
+        gave_up = self._resigned and self._leader_nonce == self.nonce
+        known = now - self._strongest_at < KNOWN_S
+        return gave_up or (known and _is_stronger(self.strongest, self.cores))
+
+    def _is_ripe(self, event: Read, now: float) -> bool:
+        """Return whether stronger daemons had time to claim.
+
+        Reads must have come in all the while: time in which the store was
+        away, or this daemon stood still, was nobody's to claim in.
+        """
+        gap = event.began_at - self._read_at >= FRESH_S
+        if self._ripe_at is None or gap:
+            self._ripe_at = now + YIELD_S
+        return now >= self._ripe_at
+
+    def _outdoes(self, event: Read, now: float) -> bool:
+        """Return whether this daemon is to claim over the leader."""
+        able = event.ready and now - event.began_at < FRESH_S
+        rested = now >= self._rest_until
+        return able and rested and _is_stronger(self.cores, self.leader_cores)
+
+
+def _is_stronger(cores: float, than: float) -> bool:
+    """Return whether a daemon has clearly more processor; both are known."""
+    return than > 0 and cores >= STRONGER * than
+
 
 def encode(entry: Entry) -> bytes:
     """Return an entry's stored bytes."""
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -143,10 +143,14 @@
 
 
 class SimMember:
-    """A daemon of the fleet in the simulation, over all its lives."""
+    """A daemon of the fleet in the simulation, over all its lives.
+
+    ``cores`` is what its settings say, 0 for nothing.
+    """
 
     __slots__ = (
         "_step_waits",
+        "cores",
         "cut_from",
         "frozen",
         "life",
@@ -158,9 +162,12 @@
         "world",
     )
 
-    def __init__(self, *, world: typing.Any, name: str) -> None:
+    def __init__(
+        self, *, world: typing.Any, name: str, cores: float = 0.0
+    ) -> None:
         self.world = world
         self.name = name
+        self.cores = cores
         self.processor = processor.Processor(clock=world.clock)
         self.life = 0
         self._step_waits = False
@@ -187,6 +194,7 @@
             wake=self.step,
             order_pause_s=ORDER_PAUSE_S,
             retention_s=RETENTION_S,
+            cores=self.cores,
         )
         self._loop(self.life)
 
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -34,7 +34,12 @@
     """Everything: ``rules`` has what was wrong."""
 
     def __init__(
-        self, *, seed: int, members: int, pools: dict[str, int]
+        self,
+        *,
+        seed: int,
+        members: int,
+        pools: dict[str, int],
+        cores: tuple[float, ...] = (),
     ) -> None:
         self.random = random.Random(seed)
         self.clock = clocks.Clock()
@@ -55,7 +60,11 @@
             for number in range(count):
                 self._add_machine(service, number)
         self.members = [
-            sim_members.SimMember(world=self, name=f"m{number}")
+            sim_members.SimMember(
+                world=self,
+                name=f"m{number}",
+                cores=cores[number] if cores else 0.0,
+            )
             for number in range(members)
         ]
         for member in self.members:
--- a/tests/leadership/test_election.py
+++ b/tests/leadership/test_election.py
@@ -2,6 +2,8 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
+import pytest
 
 from azurewood.jobs import model
 from azurewood.leadership import base
@@ -21,17 +23,18 @@
         return wanted.at
 
 
-def _election(name, now=0.0):
-    return base.Election(name=name, nonce=name, now=now)
+def _election(name, now=0.0, cores=0.0):
+    return base.Election(name=name, nonce=name, now=now, cores=cores)
 
 
-def _read(log, election, now, began_at=None):
+def _read(log, election, now, began_at=None, ready=True):
     offset = max(0, election.end)
     event = base.Read(
         offset=offset,
         entries=tuple(log.entries[offset:]),
         end=len(log.entries),
         began_at=now if began_at is None else began_at,
+        ready=ready,
     )
     return election.step(event, now)
 
@@ -46,8 +49,8 @@
     return True
 
 
-def _leader(log, name="a", now=0.0):
-    election = _election(name, now)
+def _leader(log, name="a", now=0.0, cores=0.0):
+    election = _election(name, now, cores)
     wanted = _read(log, election, now)
     assert _store(log, election, wanted, now)
     return election
@@ -101,7 +104,7 @@
     first = _leader(log)
     second = _election("b")
     _read(log, second, 0.1)
-    _store(log, first, first.resign(), 0.2)
+    _store(log, first, first.resign(0.2), 0.2)
     wanted = _read(log, second, 0.3)
     assert isinstance(wanted.entry, base.Claim)
 
@@ -132,10 +135,176 @@
 def test_stopping_daemon_claims_nothing():
     log = Log()
     election = _election("a")
-    election.resign()
+    election.resign(0.0)
     assert _read(log, election, 0.0) is None
 
 
+def test_clearly_stronger_daemon_claims_over_the_leader():
+    log = Log()
+    weak = _leader(log, cores=1.0)
+    strong = _election("b", cores=1.5)
+    wanted = _read(log, strong, 0.1)
+    assert _store(log, strong, wanted, 0.1)
+    _read(log, weak, 0.2)
+    assert (weak.term, strong.term) == (0, 2)
+
+
+@pytest.mark.parametrize(
+    ("leader", "own"), [(1.0, 1.0), (1.0, 1.4), (2.0, 1.0), (0, 9), (1.0, 0)]
+)
+def test_equal_weaker_and_unknown_daemons_claim_over_nobody(leader, own):
+    log = Log()
+    _leader(log, cores=leader)
+    assert _read(log, _election("b", cores=own), 0.1) is None
+
+
+@pytest.mark.parametrize(
+    "state", [{"ready": False}, {"began_at": -base.FRESH_S}]
+)
+def test_a_daemon_that_cannot_schedule_now_claims_over_nobody(state):
+    log = Log()
+    _leader(log, cores=1.0)
+    strong = _election("b", cores=2.0)
+    assert _read(log, strong, 0.1, **state) is None
+    assert _read(log, strong, 0.2) is not None
+
+
+def _taken_over(log, now=0.1):
+    _leader(log, cores=1.0)
+    strong = _election("b", cores=2.0)
+    assert _store(log, strong, _read(log, strong, now), now)
+    return strong
+
+
+def _weak_claim(log, now):
+    """Let a weak daemon claim whatever it knows."""
+    log.entries.append(base.Claim(name="c", nonce="c", cores=1.0))
+
+
+@pytest.mark.parametrize("ending", ["claimed", "step_down", "hand_back"])
+def test_a_daemon_whose_term_ended_rests(ending):
+    log = Log()
+    strong = _taken_over(log)
+    over = 20.0
+    match ending:
+        case "step_down":
+            strong.step_down(over)
+        case "hand_back":
+            _store(log, strong, strong.hand_back(over), over)
+    _weak_claim(log, over)
+    for later in (0.0, base.REST_S - 0.1):
+        _beat(log, "c")
+        assert _read(log, strong, over + later) is None
+    _beat(log, "c")
+    assert _read(log, strong, over + base.REST_S + 0.1) is not None
+
+
+def test_a_rest_grows_with_each_term_that_ends_by_itself():
+    log = Log()
+    strong = _taken_over(log)
+    strong.step_down(20.0)
+    _weak_claim(log, 20.0)
+    _read(log, strong, 20.0)
+    _beat(log, "c")
+    wanted = _read(log, strong, 40.1)
+    assert _store(log, strong, wanted, 40.1)
+    strong.step_down(41.0)
+    _weak_claim(log, 41.0)
+    _read(log, strong, 41.0)
+    _beat(log, "c")
+    assert _read(log, strong, 41.0 + base.REST_S + 0.1) is None
+
+
+def test_a_daemon_that_starts_again_rests_after_its_earlier_claim():
+    log = Log()
+    _taken_over(log)
+    _weak_claim(log, 1.0)
+    again = base.Election(name="b", nonce="b2", now=2.0, cores=2.0)
+    assert _read(log, again, 2.0) is None
+    _beat(log, "c")
+    assert _read(log, again, 2.1 + base.REST_S) is not None
+
+
+def _beat(log, nonce):
+    log.entries.append(base.Beat(nonce=nonce, cores=1.0))
+
+
+def test_who_gave_the_term_back_lets_others_claim_first():
+    log = Log()
+    strong = _taken_over(log)
+    weak = _election("c", 0.1, cores=1.0)
+    _read(log, weak, 0.2)
+    _store(log, strong, strong.hand_back(5.0), 5.0)
+    assert _read(log, strong, 5.0) is None
+    assert _read(log, strong, 5.0 + base.YIELD_S) is not None
+
+
+@pytest.mark.parametrize("cores", [0.0, 1.0])
+def test_a_silent_leader_is_claimed_by_the_strong_first(cores):
+    log = Log()
+    _leader(log, cores=3.0)
+    strong = _election("b", cores=2.5)
+    weak = _election("c", cores=cores)
+    for election in (strong, weak):
+        _read(log, election, 0.0)
+        _read(log, election, 1.0)
+    assert _read(log, strong, 2.0) is not None
+    # A daemon that does not know its own cores yields to nobody.
+    assert (_read(log, weak, 2.0) is None) == (cores > 0)
+    assert cores == 0 or _read(log, weak, 2.0 + base.YIELD_S) is not None
+
+
+def test_time_without_reads_is_nobodys_to_claim_in():
+    log = Log()
+    _leader(log, cores=2.0)
+    weak = _election("c", cores=1.0)
+    for now in (0.0, 1.0, 2.0):
+        assert _read(log, weak, now) is None
+    assert _read(log, weak, 12.0) is None
+    assert _read(log, weak, 12.0 + base.YIELD_S) is not None
+
+
+def test_the_stronger_daemon_is_forgotten_in_time():
+    log = Log()
+    _leader(log, cores=2.0)
+    weak = _election("c", cores=1.0)
+    _read(log, weak, 0.0)
+    assert _read(log, weak, base.KNOWN_S + 0.1) is not None
+
+
+def test_orders_wait_for_those_of_a_leader_that_was_alive():
+    log = Log()
+    strong = _taken_over(log, 0.1)
+    assert not strong.may_order(0.2)
+    now = 0.1 + base.ORDER_VALID_S
+    _store(log, strong, strong.beat(model.Resources(), now), now)
+    assert strong.may_order(now)
+
+
+def test_orders_wait_for_nobody_after_a_resignation():
+    log = Log()
+    first = _leader(log)
+    second = _election("b")
+    _read(log, second, 0.1)
+    _store(log, first, first.resign(0.2), 0.2)
+    _store(log, second, _read(log, second, 0.3), 0.3)
+    assert second.may_order(0.3)
+
+
+class _ClaimBefore(msgspec.Struct, tag="claim"):
+    """A claim as earlier versions wrote and read it."""
+
+    name: str
+    nonce: str
+
+
+def test_claims_of_earlier_versions_are_read_and_ours_by_them():
+    old = msgspec.msgpack.encode(_ClaimBefore(name="a", nonce="n"))
+    assert base.decode(old) == base.Claim(name="a", nonce="n")
+    new = base.encode(base.Claim(name="a", nonce="n", cores=2.0))
+    assert msgspec.msgpack.decode(new, type=_ClaimBefore).name == "a"
+
+
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.integers(0, 2),
@@ -150,7 +319,11 @@
 @hypothesis.given(steps=STEPS)
 def test_one_leader_is_confirmed_at_a_time(steps):
     log = Log()
-    elections = [_election(name) for name in "abc"]
+    cores = (0.5, 0.5, 2.0)
+    elections = [
+        _election(name, cores=own)
+        for name, own in zip("abc", cores, strict=True)
+    ]
     now = 0.0
     terms = []
     for index, what, pause in steps:
--- a/tests/scheduling/deployment.py
+++ b/tests/scheduling/deployment.py
@@ -34,10 +34,21 @@
 )
 
 
-def world(*, seed: int = 1, members: int = 3, **pools: int) -> worlds.World:
-    """Return a configured world whose members have settled."""
+def world(
+    *,
+    seed: int = 1,
+    members: int = 3,
+    cores: tuple[float, ...] = (),
+    **pools: int,
+) -> worlds.World:
+    """Return a configured world whose members have settled.
+
+    ``cores`` has an entry a member; without it none knows its own.
+    """
     counts = pools or {"s-one": 3, "s-two": 2}
-    made = worlds.World(seed=seed, members=members, pools=counts)
+    made = worlds.World(
+        seed=seed, members=len(cores) or members, pools=counts, cores=cores
+    )
     made.configure(CATALOG)
     made.run(4.0)
     assert len(made.leaders()) == 1
--- a/tests/scheduling/test_machine.py
+++ b/tests/scheduling/test_machine.py
@@ -38,7 +38,7 @@
 
     def __init__(self):
         super().__init__()
-        self.made = deployment.world()
+        self.made = deployment.world(cores=(0.5, 2.0, 0.8))
         self.number = 0
         self.jobs = []
 
