Tell a slow leader, a full pool and stuck work apart from the logs

Until now the logs could not tell the incident's hypotheses apart: a leader without processor time, a pool without room and a late place in the queue all looked like jobs that wait.

- leader.loop, once a second: steps, longest step, longest time between two ticks, time not spent waiting, processor time, calls, queue, starts. leader.late when a tick is 0.25 s late, leader.saturated when the loop did not wait for nine tenths of a second: with many short answers ticks come in time although answers queue up.
- pool.state: waiting jobs and tasks, age of the oldest job. job.ended: queue, time over the objective, time to the first host.
- term.begun, term.leading: how long the last leader was silent. term.over: starts that waited for the store, machines ordered about.
- task.stuck: a job or lasting task of which nothing has run for 2 s though its turn has come, with the reason; ten a second at most, told again as the time doubles.
- request.cut: a request that was read whole ended without its answer.
- Gauges and histograms of the same; explain shows what concerns all jobs.

--- a/azurewood/commands/explain.py
+++ b/azurewood/commands/explain.py
@@ -11,12 +11,15 @@
 
 AROUND: typing.Final = frozenset(
     {
+        "term.begun",
         "term.leading",
         "term.over",
         "store.lost",
         "store.back",
         "append.failed",
         "catalog.changed",
+        "leader.late",
+        "leader.saturated",
         "log.left_out",
     }
 )
@@ -74,7 +77,8 @@
 
 
 def _concerns(line: dict[str, typing.Any], job: str) -> bool:
-    return line.get("job") == job
+    named = str(line.get("path", "")).rpartition("/")[2]
+    return job in (line.get("job"), named)
 
 
 def _shown(line: dict[str, typing.Any]) -> str:
--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -105,6 +105,8 @@
         # Callers whose requests are being answered wait for this thread.
         while boot_clock() < end and not all(f.done() for f in closing):
             self._step()
+        for listener in self._servers:
+            listener.answering.cut_all("the daemon ends")
         self._pool.shutdown(wait=False)
 
     def _step(self) -> None:
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -261,7 +261,11 @@
 
     def _begin_term(self) -> None:
         number = self.election.term
-        logger.bind(event="term.begun", term=number).info("elected")
+        logger.bind(
+            event="term.begun",
+            term=number,
+            silent_ms=int(self.election.claimed_after_s * 1000),
+        ).info("elected")
         self.term = terms.Term(
             given=takeovers.Given(
                 platform=self._platform,
--- a/azurewood/daemons/ports.py
+++ b/azurewood/daemons/ports.py
@@ -18,7 +18,16 @@
 
 
 class Calls(typing.Protocol):
-    """Makes calls and hands each reply to its callback, always."""
+    """Makes calls and hands each reply to its callback, always.
+
+    ``waited_s`` is how long its thread has waited for something to do.
+    """
+
+    waited_s: float
+
+    @property
+    def under_way(self) -> int:
+        """How many calls have no reply yet."""
 
     def submit(
         self,
--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -206,6 +206,7 @@
             term=self._number,
             jobs=len(found),
             records=len(self._stored),
+            silent_ms=int(self._given.election.claimed_after_s * 1000),
             took_ms=int((now - self.began_at) * 1000),
         ).info("this daemon schedules")
         return reducer.begin(
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from azurewood.daemons import pace
 from azurewood.daemons import takeover as takeovers
 from azurewood.daemons import topics
 from azurewood.http import multiplex
@@ -38,6 +39,7 @@
         "_hosts",
         "_jobs",
         "_known_hosts",
+        "_pace",
         "_progress",
         "_retired",
         "_takeover",
@@ -64,6 +66,7 @@
             pause_s=HOSTS_EVERY_S,
         )
         self._known_hosts: set[str] = set()
+        self._pace: pace.Pace | None = None
         self._progress = topics.Writer(
             platform=given.platform,
             calls=given.calls,
@@ -105,12 +108,33 @@
         if not self.over:
             self.over = reason
             logger.bind(
-                event="term.over", term=self.number, reason=reason
+                event="term.over",
+                term=self.number,
+                reason=reason,
+                **self._in_hand(),
             ).info("no longer the leader")
 
+    def _in_hand(self) -> dict[str, int]:
+        """Return how much a term that ends had begun and not finished."""
+        state = self.state
+        if state is None:
+            return {}
+        waiting = (*state.held, *(state.saving or ()))
+        starts = [e for e in waiting if isinstance(e, messages.StartRun)]
+        return {
+            "jobs": len(state.jobs),
+            "starts_unstored": len(starts),
+            "orders_open": len(state.moving) + len(state.orders_open),
+        }
+
     def _begin(self, state: scheduling.State) -> None:
         """Schedule from the state that the take-over found."""
         self.state = state
+        self._pace = pace.Pace(
+            term=self.number,
+            calls=self._given.calls,
+            now=self._given.clock(),
+        )
         for entry in self._given.register.entries.values():
             if entry.phase.final:
                 self._retire_later(entry.job.id)
@@ -162,6 +186,7 @@
         return model.most(entry.room for entry in machines)
 
     def _lead(self, now: float) -> None:
+        self._pace.step(self.state, now)
         election = self._given.election
         if not election.leads(now, within_s=leadership.VALID_S):
             self._tick_at = now + TICK_S
@@ -176,6 +201,7 @@
             self._took_hosts,
         )
         if now >= self._tick_at:
+            self._pace.tick(self.state, due=self._tick_at, now=now)
             self._tick_at = now + TICK_S
             self._retire(now)
             self.take(self._tick(now))
@@ -241,6 +267,8 @@
             case messages.StepDown(reason=reason):
                 self.stop(reason)
             case _:
+                if isinstance(effect, messages.StartRun):
+                    self._pace.started()
                 self._given.calls.submit(
                     self._given.platform.host_call(effect, self.number),
                     lambda reply: self._took(
--- a/azurewood/http/connections.py
+++ b/azurewood/http/connections.py
@@ -19,6 +19,7 @@
 import loguru
 import msgspec
 
+from azurewood.http import answering
 from azurewood.http import exceptions
 from azurewood.http import outcomes
 
@@ -201,12 +202,26 @@
 
     def respond(self) -> None:
         """Answer the request, or say why its body cannot be read."""
+        open_requests = self.server.answering
+        open_requests.begin(id(self), self._named())
         try:
             super().respond()
         except BodyError as exc:
             self.close_connection = True
             if not self.sent_headers:
                 self.simple_response(exc.status, str(exc))
+        except OSError as exc:
+            if isinstance(self.rfile, BodyReader) and self.rfile.ended:
+                open_requests.cut(id(self), str(exc))
+            raise
+        finally:
+            open_requests.end(id(self))
+
+    def _named(self) -> answering.Named:
+        return answering.Named(
+            method=self.method.decode("latin-1"),
+            path=self.path.decode("latin-1"),
+        )
 
     def send_headers(self) -> None:
         """Send the head of an answer.
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -85,7 +85,10 @@
 
 
 class Multiplexer:
-    """Makes calls and hands each reply to its callback."""
+    """Makes calls and hands each reply to its callback.
+
+    ``waited_s`` is how long it has waited for something to do, in all.
+    """
 
     __slots__ = (
         "_clock",
@@ -96,6 +99,7 @@
         "_transfers",
         "_waker",
         "_waking",
+        "waited_s",
     )
 
     def __init__(self, *, clock: abc.Callable[[], float]) -> None:
@@ -105,6 +109,7 @@
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
         self._free: list[pycurl.Curl] = []
         self._due: float | None = None
+        self.waited_s = 0.0
         self._waking, self._waker = socket.socketpair()
         self._waking.setblocking(False)
         self._waker.setblocking(False)
@@ -116,6 +121,11 @@
         multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, MAX_PER_HOST)
         multi.setopt(pycurl.M_PIPELINING, 0)
 
+    @property
+    def under_way(self) -> int:
+        """How many calls have no reply yet."""
+        return len(self._transfers)
+
     def submit(self, call: Call, done: Callback) -> None:
         """Begin a call; ``done`` gets its reply, always."""
         curl = self._free.pop() if self._free else pycurl.Curl()
@@ -136,7 +146,9 @@
 
     def run_once(self, timeout_s: float) -> None:
         """Wait for at most ``timeout_s`` and handle what is ready."""
+        began_at = self._clock()
         ready = self._selector.select(self._wait(timeout_s))
+        self.waited_s += self._clock() - began_at
         for key, mask in ready:
             if key.fileobj is self._waking:
                 self._drain()
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -12,6 +12,7 @@
 from cheroot import wsgi
 import loguru
 
+from azurewood.http import answering
 from azurewood.http import connections
 from azurewood.http import exceptions
 
@@ -59,6 +60,7 @@
     server.readings = connections.Readings(
         limit_s=timeout_s * connections.READ_TIMEOUTS
     )
+    server.answering = answering.Answering()
     server.ssl_adapter = _adapter(tls)
     try:
         server.prepare()
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -107,7 +107,8 @@
 
     ``nonce`` is unique to this run of the daemon. ``term`` is above zero
     only while this daemon leads. ``largest`` is the room of the
-    largest machine, as the newest beat says.
+    largest machine, as the newest beat says. ``claimed_after_s`` is how
+    long no record had been read when this daemon last claimed.
     """
 
     __slots__ = (
@@ -116,6 +117,7 @@
         "_leader_nonce",
         "_resigned",
         "_seen_at",
+        "claimed_after_s",
         "confirmed_at",
         "end",
         "largest",
@@ -140,6 +142,7 @@
         self._appending = False
         self._seen_at = now
         self._beat_at = 0.0
+        self.claimed_after_s = 0.0
 
     def leads(self, now: float, *, within_s: float) -> bool:
         """Return whether this daemon's term was confirmed so recently."""
@@ -222,6 +225,7 @@
         if event.end != self.end or not (vacant or (silent and long_enough)):
             return None
         self._appending = True
+        self.claimed_after_s = now - self._seen_at
         claim = Claim(name=self.name, nonce=self.nonce)
         return Append(entry=claim, at=self.end)
 
--- a/azurewood/log/collected.py
+++ b/azurewood/log/collected.py
@@ -1,10 +1,12 @@
 """Counters and histograms of log events, in the text format of Prometheus.
 
 Every event that is logged is counted, also when its line is left out; a
-field ``took_ms`` or ``after_ms`` goes into the event's histogram.
+field ``took_ms`` or ``after_ms`` goes into the event's histogram. Some
+events also set gauges, which are dropped when this daemon leads no more.
 """
 
 from collections import abc
+import dataclasses
 import typing
 
 import prometheus_client
@@ -34,12 +36,86 @@
     "reason",
 )
 """The field of an event that tells its outcome; the first that it has."""
+JOB_ENDED: typing.Final = "job.ended"
+TERM_OVER: typing.Final = "term.over"
+"""After this event another daemon has the gauges of the fleet."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Gauge:
+    """A gauge that an event's field sets, divided by ``divisor``.
+
+    ``label`` is the field whose value tells its series apart, ``per`` the
+    field by which the value is divided, if any.
+    """
+
+    event: str
+    field: str
+    name: str
+    help: str
+    divisor: float = 1.0
+    label: str = ""
+    per: str = ""
+
+
+GAUGES: typing.Final = (
+    Gauge(
+        event="leader.loop",
+        field="longest_step_ms",
+        name="azurewood_leader_longest_step_seconds",
+        help="Longest step of the leader's loop in its newest second.",
+        divisor=1000.0,
+    ),
+    Gauge(
+        event="leader.loop",
+        field="longest_gap_ms",
+        name="azurewood_leader_longest_gap_seconds",
+        help="Longest time between two ticks in its newest second.",
+        divisor=1000.0,
+    ),
+    Gauge(
+        event="leader.loop",
+        field="busy_ms",
+        name="azurewood_leader_busy_ratio",
+        help="Share of the time in which the leader's loop did not wait.",
+        per="over_ms",
+    ),
+    Gauge(
+        event="leader.loop",
+        field="processor_ms",
+        name="azurewood_leader_processor_cores",
+        help="Processor time that the leader's process used, in cores.",
+        per="over_ms",
+    ),
+    Gauge(
+        event="pool.state",
+        field="jobs_waiting",
+        name="azurewood_pool_waiting_jobs",
+        help="Jobs with a task whose turn has come and that has no host.",
+        label="pool",
+    ),
+    Gauge(
+        event="pool.state",
+        field="oldest_ms",
+        name="azurewood_pool_oldest_waiting_seconds",
+        help="For how long the oldest of these jobs has waited.",
+        divisor=1000.0,
+        label="pool",
+    ),
+)
 
 
 class Collected:
     """What one daemon counts."""
 
-    __slots__ = ("_events", "_registry", "_seconds")
+    __slots__ = (
+        "_events",
+        "_gauges",
+        "_late",
+        "_registry",
+        "_seconds",
+        "_waits",
+    )
 
     def __init__(self) -> None:
         self._registry = prometheus_client.CollectorRegistry()
@@ -56,6 +132,28 @@
             buckets=BOUNDS_S,
             registry=self._registry,
         )
+        self._waits = prometheus_client.Histogram(
+            "azurewood_job_first_host_seconds",
+            "Time from a job's acceptance to its first task's host.",
+            ["queue"],
+            buckets=BOUNDS_S,
+            registry=self._registry,
+        )
+        self._late = prometheus_client.Counter(
+            "azurewood_jobs_late",
+            "Jobs that ended after their objective.",
+            ["queue"],
+            registry=self._registry,
+        )
+        self._gauges = {
+            gauge: prometheus_client.Gauge(
+                gauge.name,
+                gauge.help,
+                [gauge.label] if gauge.label else [],
+                registry=self._registry,
+            )
+            for gauge in GAUGES
+        }
 
     def observe(self, fields: abc.Mapping[str, typing.Any]) -> None:
         """Take in the fields of a log line."""
@@ -69,6 +167,27 @@
             if name in fields:
                 seconds = float(fields[name]) / 1000
                 self._seconds.labels(event=event).observe(seconds)
+        self._set_gauges(event, fields)
+        if event == JOB_ENDED:
+            self._count_end(fields)
+
+    def _count_end(self, fields: abc.Mapping[str, typing.Any]) -> None:
+        """Count a job's end by its queue."""
+        queue = str(fields.get("queue", ""))
+        if fields.get("wait_ms") is not None:
+            seconds = float(fields["wait_ms"]) / 1000
+            self._waits.labels(queue=queue).observe(seconds)
+        if fields.get("late_ms", 0) > 0:
+            self._late.labels(queue=queue).inc()
+
+    def _set_gauges(
+        self, event: str, fields: abc.Mapping[str, typing.Any]
+    ) -> None:
+        for declared, gauge in self._gauges.items():
+            if event == TERM_OVER:
+                _reset(declared, gauge)
+            elif event == declared.event and declared.field in fields:
+                _series(declared, gauge, fields).set(_value(declared, fields))
 
     def page(self) -> bytes:
         """Return all counters and histograms as text."""
@@ -88,3 +207,25 @@
         ]
         start_response("200 OK", headers)
         return [body]
+
+
+def _reset(declared: Gauge, gauge: prometheus_client.Gauge) -> None:
+    if declared.label:
+        gauge.clear()
+    else:
+        gauge.set(0)
+
+
+def _series(
+    declared: Gauge,
+    gauge: prometheus_client.Gauge,
+    fields: abc.Mapping[str, typing.Any],
+) -> prometheus_client.Gauge:
+    if declared.label:
+        return gauge.labels(str(fields[declared.label]))
+    return gauge
+
+
+def _value(declared: Gauge, fields: abc.Mapping[str, typing.Any]) -> float:
+    divisor = float(fields[declared.per]) if declared.per else 1.0
+    return float(fields[declared.field]) / declared.divisor / max(divisor, 1.0)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -8,6 +8,7 @@
 from azurewood.policy import arrivals
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import messages
+from azurewood.scheduling import waiting
 
 
 class TaskPhase(enum.IntEnum):
@@ -185,7 +186,8 @@
     """A job that is not over, and its tasks by occurrence and step.
 
     ``failed_gangs`` has the newest run of each gang that failed: it counts
-    once, however many of its members fail.
+    once, however many of its members fail. ``first_run_ms`` is when this
+    leader gave its first task a host, in Unix ms; None if an earlier one did.
     """
 
     __slots__ = (
@@ -194,6 +196,7 @@
         "cancelled",
         "closing",
         "failed_gangs",
+        "first_run_ms",
         "job",
         "objective_at_ms",
         "steps",
@@ -206,6 +209,7 @@
         self.objective_at_ms = job.objective_at_ms()
         self.added_at = now
         self.begun = False
+        self.first_run_ms: float | None = None
         self.cancelled = False
         self.closing = False
         self.steps: dict[tuple[int, int], list[Task]] = {}
@@ -298,6 +302,7 @@
 
     __slots__ = (
         "arrivals",
+        "backlogs",
         "catalog",
         "demands",
         "dirty",
@@ -319,6 +324,8 @@
         "pools_due",
         "pools_told",
         "saving",
+        "standstills",
+        "stuck_due",
         "began_ids",
         "term",
         "unix_ms",
@@ -340,6 +347,9 @@
         self.demands: dict[str, pool_sizes.Demand] = {}
         self.pools_due = 0.0
         self.pools_told = 0.0
+        self.backlogs: dict[str, waiting.Backlog] = {}
+        self.standstills: dict[str | model.TaskId, waiting.Standstill] = {}
+        self.stuck_due = 0.0
         self.arrivals: dict[str, arrivals.Arrivals] = {}
         self.ordered_at: dict[str, float] = {}
         self.order_after: dict[str, float] = {}
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -273,5 +273,6 @@
     state.dirty.add(job.job.id)
     if not job.begun:
         job.begun = True
+        job.first_run_ms = state.unix_ms
         state.began_ids.append(job.job.id)
     runs.send_start(state, host, run, now, saved_first=True)
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -8,11 +8,13 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import backlog
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
 from azurewood.scheduling import tasks
 from azurewood.scheduling import upkeep
+from azurewood.scheduling import waiting
 
 EVERY_S: typing.Final = 0.2
 """Pause between two plans; a move takes over a second anyway."""
@@ -45,6 +47,7 @@
     if now < state.pools_told:
         return
     state.pools_told = now + TOLD_EVERY_S
+    state.backlogs = backlog.by_pool(state)
     for pool in _pools(state, now):
         hosts = [
             host
@@ -52,6 +55,7 @@
             if host.entry is not None and host.entry.service == pool.name
         ]
         demand = state.demands.get(pool.name)
+        queued = state.backlogs.get(pool.name, waiting.Backlog())
         state.note(
             "pool.state",
             pool=pool.name,
@@ -61,6 +65,9 @@
             wanted=demand.wanted if demand else 0,
             used_cpu=sum(host.used.cpu for host in hosts if host.present),
             asked_cpu=demand.asked_cpu if demand else 0,
+            jobs_waiting=queued.jobs,
+            tasks_waiting=queued.tasks,
+            oldest_ms=queued.age_ms(state.unix_ms),
         )
 
 
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -13,6 +13,7 @@
 from azurewood.scheduling import pools
 from azurewood.scheduling import progress
 from azurewood.scheduling import runs
+from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
 from azurewood.scheduling import upkeep
 
@@ -144,6 +145,7 @@
     hosts.look(state, now)
     upkeep.step(state, now, may_order=event.may_order)
     pools.step(state, now, may_order=event.may_order)
+    stuck.look(state, now)
     if state.began_ids:
         ids, state.began_ids = tuple(state.began_ids), []
         state.emit_saved(messages.JobBegun(ids=ids))
--- /dev/null
+++ b/azurewood/scheduling/stuck.py
@@ -0,0 +1,215 @@
+"""Finding work that has nothing running although its turn has come.
+
+A job is looked at as a whole, a lasting step task by task. Each is told
+after a while (``waiting.STUCK_S``), and again each time that this doubles.
+"""
+
+from collections import abc
+import enum
+import typing
+
+from azurewood.jobs import model as jobs
+from azurewood.policy import host_choice
+from azurewood.policy import host_health
+from azurewood.scheduling import backlog
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+from azurewood.scheduling import waiting
+
+LOOK_EVERY_S: typing.Final = 1.0
+"""Pause between two looks at all tasks."""
+MAX_LINES: typing.Final = 10
+"""Lines of one look; a full pool has hundreds of jobs that wait."""
+
+
+class Why(enum.Enum):
+    """What work that stands waits for."""
+
+    RETRY = "pause after a failure"
+    NO_HOST = "no host in the pool"
+    UNSYNCED = "no host of the pool has answered this leader"
+    UNUSABLE = "hosts of the pool are silent, leaving or suspended"
+    ADVICE = "waiting for advice"
+    ROOM = "waiting for room"
+    NOT_PLACED = "a host has room, by order, label or spread not for it"
+    NO_RUN = "its run is on no host's record"
+    HOST_SILENT = "the host of its run is silent"
+    HOST_UNSYNCED = "the host of its run has not answered this leader"
+    STORE = "its start waits for the store"
+    STARTING = "its start is not answered"
+    STOPPING = "its run is stopping and not gone"
+
+
+class _Pool:
+    """The most room of a host of a pool, or why it takes no task at all."""
+
+    __slots__ = ("room", "why")
+
+    def __init__(self, *, room: jobs.Resources, why: Why | None) -> None:
+        self.room = room
+        self.why = why
+
+
+class _Pools:
+    """The pools of one look, each looked at once."""
+
+    __slots__ = ("_found",)
+
+    def __init__(self) -> None:
+        self._found: dict[str, _Pool] = {}
+
+    def get(self, state: model.State, service: str, now: float) -> _Pool:
+        """Return what is known of a service's pool."""
+        if service not in self._found:
+            self._found[service] = _pool(state, service, now)
+        return self._found[service]
+
+
+def look(state: model.State, now: float) -> None:
+    """Tell what has stood for too long, once a second."""
+    if now < state.stuck_due or state.catalog is None:
+        return
+    state.stuck_due = now + LOOK_EVERY_S
+    known, state.standstills = state.standstills, {}
+    due = []
+    for key, task in _standing(state):
+        found = known.get(key) or waiting.Standstill(now=now)
+        state.standstills[key] = found
+        if now >= found.tell_at:
+            due.append((found, task))
+    # What was not told before goes first, then what stands longest.
+    due.sort(key=lambda entry: (entry[0].told, entry[0].since))
+    pools = _Pools()
+    for found, task in due[:MAX_LINES]:
+        found.tell(now)
+        _tell(state, found, task, pools, now)
+
+
+def _standing(
+    state: model.State,
+) -> abc.Iterator[tuple[object, model.Task]]:
+    """Return what has nothing running: its key and a task of it."""
+    for job in state.jobs.values():
+        if job.cancelled or job.closing:
+            continue
+        if job.job.lasting:
+            for task in _due(state, job):
+                if not _runs(state, task):
+                    yield task.id, task
+            continue
+        first = next(_due(state, job), None)
+        at_work = any(_runs(state, task) for task in _due(state, job))
+        if first is not None and not at_work:
+            yield job.job.id, first
+
+
+def _due(state: model.State, job: model.JobState) -> abc.Iterator[model.Task]:
+    """Return the tasks that are not done and whose turn has come."""
+    for _, tasks in backlog.due_steps(state, job):
+        yield from (t for t in tasks if t.phase is not model.TaskPhase.DONE)
+
+
+def _run(state: model.State, task: model.Task) -> model.Run | None:
+    host = state.hosts.get(task.host)
+    return host.runs.get((task.id, task.run)) if host else None
+
+
+def _runs(state: model.State, task: model.Task) -> bool:
+    """Return whether a task runs for certain, as far as is known."""
+    if task.phase is not model.TaskPhase.OPEN:
+        return False
+    run = _run(state, task)
+    if run is None or run.phase is not model.RunPhase.RUNNING:
+        return False
+    host = state.hosts[task.host]
+    return host.synced and host.silent_since is None
+
+
+def _tell(
+    state: model.State,
+    found: waiting.Standstill,
+    task: model.Task,
+    pools: _Pools,
+    now: float,
+) -> None:
+    run = _run(state, task)
+    state.note(
+        "task.stuck",
+        job=task.id.job,
+        task=str(tuple(task.id[1:])),
+        phase=task.phase.name.lower(),
+        run=task.run,
+        run_phase=run.phase.value if run else "",
+        host=task.host,
+        why=_why(state, task, pools, now).value,
+        stuck_ms=int((now - found.since) * 1000),
+    )
+
+
+def _why(
+    state: model.State, task: model.Task, pools: _Pools, now: float
+) -> Why:
+    if task.phase is model.TaskPhase.OPEN:
+        return _why_open(state, task)
+    return _why_waiting(state, task, pools, now)
+
+
+def _why_open(state: model.State, task: model.Task) -> Why:
+    """Say why an open run is not known to run."""
+    run = _run(state, task)
+    if run is None:
+        return Why.NO_RUN
+    host = state.hosts[task.host]
+    if host.silent_since is not None:
+        return Why.HOST_SILENT
+    match run.phase:
+        case model.RunPhase.STOPPING:
+            return Why.STOPPING
+        case model.RunPhase.STARTING:
+            return Why.STORE if _unsent(state, run) else Why.STARTING
+        case _:
+            return Why.HOST_UNSYNCED
+
+
+def _unsent(state: model.State, run: model.Run) -> bool:
+    """Return whether a run's start waits for its record to be stored."""
+    return any(
+        isinstance(effect, messages.StartRun)
+        and (effect.task, effect.run) == run.key
+        for effect in (*state.held, *(state.saving or ()))
+    )
+
+
+def _why_waiting(
+    state: model.State, task: model.Task, pools: _Pools, now: float
+) -> Why:
+    """Say why a waiting task has no host."""
+    if now < task.waits_until:
+        return Why.RETRY
+    job = state.jobs[task.id.job]
+    pool = pools.get(state, state.service_of(job.job), now)
+    if pool.why is not None:
+        return pool.why
+    if not job.step_of(task.id).reserved.fits(pool.room):
+        return Why.ROOM
+    queue = state.catalog.queues.get(job.job.queue)
+    if queue is not None and queue.advice is not None:
+        return Why.ADVICE
+    return Why.NOT_PLACED
+
+
+def _pool(state: model.State, service: str, now: float) -> _Pool:
+    hosts = [
+        host
+        for host in state.hosts.values()
+        if host.present and host.entry and host.entry.service == service
+    ]
+    usable = [host for host in hosts if host_health.usable(host, now)]
+    why = None
+    if not hosts:
+        why = Why.NO_HOST
+    elif not any(host.synced for host in hosts):
+        why = Why.UNSYNCED
+    elif not usable:
+        why = Why.UNUSABLE
+    return _Pool(room=host_choice.most_room(usable), why=why)
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -238,6 +238,19 @@
     state.note(
         "job.ended",
         job=job.job.id,
+        queue=job.job.queue,
         phase=phase.value,
         after_ms=int(state.unix_ms - job.job.accepted_ms),
+        late_ms=int(state.unix_ms - job.objective_at_ms),
+        wait_ms=_wait_ms(job),
     )
+
+
+def _wait_ms(job: scheduling.JobState) -> int | None:
+    """Return the time from a job's acceptance to its first task's host.
+
+    None if an earlier leader gave it, or nobody.
+    """
+    if job.first_run_ms is None:
+        return None
+    return int(job.first_run_ms - job.job.accepted_ms)
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -22,11 +22,17 @@
 class SimCalls:
     """The calls of one life of a member, through the world's network."""
 
-    __slots__ = ("_member", "_world")
+    __slots__ = ("_member", "_world", "under_way")
 
     def __init__(self, *, world: typing.Any, member: "SimMember") -> None:
         self._world = world
         self._member = member
+        self.under_way = 0
+
+    @property
+    def waited_s(self) -> float:
+        """How long the member has waited for something to do."""
+        return self._world.clock.now - self._member.processor.busy_s
 
     def submit(
         self,
@@ -35,8 +41,14 @@
     ) -> None:
         """Send a call; its reply, or none, comes later."""
         self._member.processor.charge(CALL_COST)
+        self.under_way += 1
+
+        def took(reply: multiplex.Reply) -> None:
+            self.under_way -= 1
+            done(reply)
+
         _Transfer(
-            world=self._world, member=self._member, call=call, done=done
+            world=self._world, member=self._member, call=call, done=took
         ).send()
 
 
--- a/standins/fleet/processor.py
+++ b/standins/fleet/processor.py
@@ -17,9 +17,17 @@
     """Runs one piece of work after the other.
 
     ``speed`` is in function calls a second; None takes no time.
+    ``busy_s`` is the time that all work has taken.
     """
 
-    __slots__ = ("_calls", "_clock", "_free_at", "_waiting", "speed")
+    __slots__ = (
+        "_calls",
+        "_clock",
+        "_free_at",
+        "_waiting",
+        "busy_s",
+        "speed",
+    )
 
     def __init__(self, *, clock: clocks.Clock) -> None:
         self._clock = clock
@@ -28,6 +36,7 @@
         )
         self._free_at = 0.0
         self._calls = 0
+        self.busy_s = 0.0
         self.speed: float | None = None
 
     def charge(self, calls: int) -> None:
@@ -55,7 +64,9 @@
             work()
         finally:
             sys.setprofile(before)
-        self._free_at = self._clock.now + self._calls / self.speed
+        took_s = self._calls / self.speed
+        self.busy_s += took_s
+        self._free_at = self._clock.now + took_s
         self._waiting.popleft()
         if self._waiting:
             self._wait()
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -22,6 +22,11 @@
         _line(4.7, "term.leading", "m3", term=57),
         _line(9.0, "term.leading", "m3", term=58),
         _line(6.0, "job.ended", "m2", job="a1", phase="failed"),
+        _line(5.1, "leader.late", "m2", job_count=1, late_ms=900),
+        _line(5.2, "task.stuck", "m2", job="a1", why="waiting for room"),
+        _line(5.3, "task.stuck", "m2", job="b2", why="waiting for room"),
+        _line(5.9, "request.cut", "m1", path="/q/a1", reason="reset"),
+        _line(9.9, "leader.late", "m3", late_ms=400),
     ]
 )
 
@@ -35,7 +40,15 @@
     result = _run("a1")
     assert result.exit_code == 0
     events = [line.split()[2] for line in result.output.splitlines()]
-    assert events == ["accepted", "term.leading", "step.placed", "job.ended"]
+    assert events == [
+        "accepted",
+        "term.leading",
+        "step.placed",
+        "leader.late",
+        "task.stuck",
+        "request.cut",
+        "job.ended",
+    ]
     assert "phase=failed" in result.output
 
 
@@ -44,7 +57,7 @@
     args = ["explain", "a1", "-", "--output", "json"]
     lines = json.loads(runner.invoke(main.main, args, input=LOG).output)
     assert [line["event"] for line in lines][0] == "accepted"
-    assert len(lines) == 4
+    assert len(lines) == 7
 
 
 def test_a_job_that_no_line_concerns():
--- a/tests/log/test_collected.py
+++ b/tests/log/test_collected.py
@@ -23,5 +23,49 @@
     assert 'azurewood_events_total{event="other",outcome=""} 1.0' in page
 
 
+def test_a_leaders_second_and_its_pools_are_gauges():
+    made = collected.Collected()
+    made.observe(
+        {
+            "event": "leader.loop",
+            "over_ms": 1000,
+            "busy_ms": 250,
+            "processor_ms": 100,
+            "longest_step_ms": 40,
+            "longest_gap_ms": 60,
+        }
+    )
+    state = {"event": "pool.state", "pool": "p1", "jobs_waiting": 7}
+    made.observe(state | {"oldest_ms": 1500})
+    page = made.page().decode()
+    assert "azurewood_leader_busy_ratio 0.25" in page
+    assert "azurewood_leader_processor_cores 0.1" in page
+    assert "azurewood_leader_longest_step_seconds 0.04" in page
+    assert "azurewood_leader_longest_gap_seconds 0.06" in page
+    assert 'azurewood_pool_waiting_jobs{pool="p1"} 7.0' in page
+    assert 'azurewood_pool_oldest_waiting_seconds{pool="p1"} 1.5' in page
+
+
+def test_gauges_go_when_the_term_is_over():
+    made = collected.Collected()
+    loop = {"event": "leader.loop", "over_ms": 1000, "busy_ms": 250}
+    made.observe(loop)
+    made.observe({"event": "pool.state", "pool": "p1", "jobs_waiting": 7})
+    made.observe({"event": "term.over", "reason": "the daemon stops"})
+    page = made.page().decode()
+    assert "azurewood_leader_busy_ratio 0.0" in page
+    assert 'pool="p1"' not in page
+
+
+def test_first_waits_and_lateness_are_counted_by_queue():
+    made = collected.Collected()
+    ended = {"event": "job.ended", "phase": "completed", "queue": "q1"}
+    made.observe(ended | {"wait_ms": 150, "late_ms": -20})
+    made.observe(ended | {"wait_ms": None, "late_ms": 20})
+    page = made.page().decode()
+    assert 'azurewood_job_first_host_seconds_count{queue="q1"} 1.0' in page
+    assert 'azurewood_jobs_late_total{queue="q1"} 1.0' in page
+
+
 def test_other_paths_are_not_found():
     assert _get(collected.Collected(), "/")[0] == "404 Not Found"
--- /dev/null
+++ b/tests/scheduling/test_leader_lines.py
@@ -0,0 +1,207 @@
+"""What a leader's lines tell of its pace, its queue and what stands."""
+
+import collections
+import time
+
+from loguru import logger
+import pytest
+
+from azurewood.daemons import pace
+from azurewood.http import multiplex
+from azurewood.jobs import model
+from azurewood.scheduling import stuck
+from tests.scheduling import deployment
+
+SMALL = 150_000
+"""Function calls a second: too few for the turn below."""
+STEP = model.Step(
+    count=6, needs=model.Resources(1000, 500, 0), estimate_ms=800
+)
+
+
+@pytest.fixture
+def lines(no_logs):
+    """Return the fields of all lines, as they are logged."""
+    found = []
+    logger.enable("azurewood")
+    sink = logger.add(
+        lambda message: found.append(message.record["extra"]), level="INFO"
+    )
+    yield found
+    logger.remove(sink)
+
+
+def _of(lines, event):
+    return [line for line in lines if line.get("event") == event]
+
+
+def _turn(speed):
+    made = deployment.world(members=2, **{"s-one": 30})
+    for member in made.members:
+        member.processor.speed = speed
+    for number in range(60):
+        job = deployment.job(made, number, STEP)
+        made.submit(made.members[number % 2], job)
+        made.run(0.05)
+    return made
+
+
+def test_a_leader_without_time_left_says_so(lines):
+    _turn(SMALL)
+    saturated = _of(lines, "leader.saturated")
+    assert saturated
+    for line in saturated:
+        assert line["busy_ms"] >= pace.SATURATED_SHARE * line["over_ms"]
+    longest = max(
+        line["longest_step_ms"] for line in _of(lines, "leader.loop")
+    )
+    assert longest >= 20
+
+
+def test_a_leader_whose_ticks_are_late_says_so(lines):
+    made = deployment.world()
+    made.submit(made.members[0], deployment.job(made, 1, STEP))
+    made.run(0.2)
+    made.leaders()[0].freeze(0.8)
+    made.run(2.5)
+    (line,) = _of(lines, "leader.late")
+    assert 700 <= line["late_ms"] <= 800
+    assert line["jobs"] == 1
+    gaps = [line["longest_gap_ms"] for line in _of(lines, "leader.loop")]
+    assert max(gaps) >= 750
+
+
+def test_a_leader_that_keeps_up_is_never_late(lines):
+    _turn(None)
+    assert not _of(lines, "leader.late")
+    assert not _of(lines, "leader.saturated")
+    gaps = [line["longest_gap_ms"] for line in _of(lines, "leader.loop")]
+    assert gaps
+    assert max(gaps) < pace.LATE_S * 1000
+
+
+def test_the_loop_has_one_line_a_second(lines):
+    made = deployment.world()
+    del lines[:]
+    made.run(10.0)
+    loops = _of(lines, "leader.loop")
+    assert 8 <= len(loops) <= 10
+    assert all(line["steps"] > 0 for line in loops)
+
+
+def test_starts_and_calls_are_counted(lines):
+    made = deployment.world()
+    del lines[:]
+    made.submit(made.members[0], deployment.job(made, 1, STEP))
+    made.run(2.5)
+    loops = _of(lines, "leader.loop")
+    assert sum(line["starts"] for line in loops) == STEP.count
+    assert max(line["calls"] for line in loops) > 0
+
+
+def test_a_wait_for_calls_is_not_busy():
+    calls = multiplex.Multiplexer(clock=time.monotonic)
+    calls.run_once(0.05)
+    assert calls.waited_s >= 0.04
+    assert calls.under_way == 0
+
+
+def _crowd(count):
+    """Return a world with more jobs than its one host can hold."""
+    made = deployment.world(**{"s-one": 1})
+    made.length = lambda task, step: 30.0
+    large = model.Step(
+        count=1, needs=model.Resources(4000, 500, 0), estimate_ms=400
+    )
+    for number in range(count):
+        job = deployment.job(made, number, large)
+        made.submit(made.members[number % 3], job)
+    return made
+
+
+def test_pool_state_tells_what_waits_and_for_how_long(lines):
+    made = _crowd(6)
+    made.run(4.0)
+    shown = [p for p in _of(lines, "pool.state") if p["pool"] == "s-one"]
+    assert shown[0]["jobs_waiting"] == shown[0]["oldest_ms"] == 0
+    assert shown[-1]["jobs_waiting"] == shown[-1]["tasks_waiting"] >= 5
+    assert shown[-1]["oldest_ms"] >= 2500
+
+
+def test_a_jobs_end_tells_its_queue_wait_and_lateness(lines):
+    made = deployment.world()
+    job = deployment.job(made, 1)
+    made.submit(made.members[0], job)
+    made.run(5.0)
+    (ended,) = _of(lines, "job.ended")
+    assert ended["queue"] == "one"
+    assert 0 <= ended["wait_ms"] < ended["after_ms"]
+    allowed_ms = job.objective_at_ms() - job.accepted_ms
+    assert abs(ended["after_ms"] - allowed_ms - ended["late_ms"]) <= 1
+
+
+def test_jobs_without_room_are_told_and_bounded(lines):
+    made = _crowd(60)
+    made.run(10.0)
+    told = _of(lines, "task.stuck")
+    assert told
+    assert {line["why"] for line in told} == {stuck.Why.ROOM.value}
+    assert all(line["stuck_ms"] >= 2000 for line in told)
+    assert len(told) <= 10 * stuck.MAX_LINES
+    assert len({line["job"] for line in told}) >= 50
+
+
+def test_a_job_whose_host_is_silent_is_told_with_its_run(lines):
+    made = deployment.world()
+    made.length = lambda task, step: 30.0
+    job = deployment.job(made, 1, STEP)
+    made.submit(made.members[0], job)
+    made.run(1.0)
+    holding = {host.id for host in made.hosts.values() if host.runs}
+    made.cut_hosts.update(holding)
+    made.run(5.0)
+    (first, *_) = _of(lines, "task.stuck")
+    assert first["job"] == job.id
+    assert first["host"] in holding
+    assert first["why"] == stuck.Why.HOST_SILENT.value
+    assert (first["phase"], first["run_phase"]) == ("open", "running")
+
+
+def test_each_lasting_task_is_told(lines):
+    made = deployment.world(**{"s-one": 2})
+    many = model.Step(
+        count=3, needs=model.Resources(500, 500, 0), lasting=True, per_host=1
+    )
+    made.submit(made.members[0], deployment.job(made, 1, many))
+    made.run(6.0)
+    told = collections.Counter(
+        line["task"] for line in _of(lines, "task.stuck")
+    )
+    assert len(told) == 1
+    # Told after two seconds, and again when that has doubled.
+    assert max(told.values()) <= 2
+
+
+def test_nothing_is_told_while_all_goes_well(lines):
+    made = deployment.world()
+    made.length = lambda task, step: 6.0
+    made.submit(made.members[0], deployment.job(made, 1, STEP))
+    made.run(8.0)
+    assert not _of(lines, "task.stuck")
+
+
+def test_terms_tell_the_silence_before_and_what_was_in_hand(lines):
+    made = deployment.world()
+    made.length = lambda task, step: 30.0
+    made.submit(made.members[0], deployment.job(made, 1, STEP))
+    made.run(1.0)
+    made.leaders()[0].kill()
+    made.run(4.0)
+    assert _of(lines, "term.begun")[-1]["silent_ms"] >= 1500
+    assert _of(lines, "term.leading")[-1]["silent_ms"] >= 1500
+    made.leaders()[0].member.leave()
+    made.run(2.0)
+    over = _of(lines, "term.over")[-1]
+    assert (over["jobs"], over["starts_unstored"]) == (1, 0)
+    assert over["orders_open"] == 0
+    assert _of(lines, "term.begun")[-1]["silent_ms"] < 1500
--- /dev/null
+++ b/tests/scheduling/test_stuck.py
@@ -0,0 +1,200 @@
+"""Why work has nothing running, for each of the reasons."""
+
+import dataclasses
+
+import pytest
+
+from azurewood.jobs import catalog
+from azurewood.jobs import model as jobs
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+from azurewood.scheduling import placing
+from azurewood.scheduling import progress
+from azurewood.scheduling import runs
+from azurewood.scheduling import stuck
+from azurewood.scheduling import tasks
+from tests.scheduling import deployment
+
+NOW = 100.0
+STEP = jobs.Step(count=1, needs=jobs.Resources(1000, 500, 0), estimate_ms=400)
+
+
+def _entry():
+    return messages.HostEntry(
+        id="h1",
+        address="127.0.0.1:1",
+        service="s-one",
+        zone="a",
+        state=messages.HostState.READY,
+        room=jobs.Resources(4000, 8000, 0),
+        labels=(),
+        born_ms=1,
+    )
+
+
+def _state(*, advice=None):
+    state = model.State(term=1, lease_bound_at=0.0)
+    queue = dataclasses.replace(
+        deployment.CATALOG.queues["one"], advice=advice
+    )
+    state.catalog = dataclasses.replace(
+        deployment.CATALOG, queues={"one": queue}
+    )
+    job = jobs.Job(
+        id="j", queue="one", service="s-one", payload="", steps=(STEP,)
+    )
+    tasks.adopt_job(state, job, NOW)
+    host = state.host("h1")
+    host.entry = _entry()
+    host.present = host.synced = True
+    # A start needs the host's clock.
+    runs.set_clock(host, 1, NOW)
+    return state
+
+
+def _host(state):
+    return state.hosts["h1"]
+
+
+def _task(state):
+    return state.jobs["j"].steps[(0, 0)][0]
+
+
+def _run(state):
+    (run,) = _host(state).runs.values()
+    return run
+
+
+def _opened():
+    state = _state()
+    placing.open_run(state, _host(state), state.jobs["j"], _task(state), NOW)
+    return state
+
+
+def _without_host():
+    state = _state()
+    state.hosts.clear()
+    return state
+
+
+def _unsynced_pool():
+    state = _state()
+    _host(state).synced = False
+    return state
+
+
+def _suspended():
+    state = _state()
+    _host(state).suspended_until = NOW + 60.0
+    return state
+
+
+def _full():
+    state = _state()
+    _host(state).used = jobs.Resources(3500, 0, 0)
+    return state
+
+
+def _retry():
+    state = _state()
+    _task(state).waits_until = NOW + 60.0
+    return state
+
+
+def _advice():
+    return _state(
+        advice=catalog.Advice(decision_ms=1, per_host_ms=1, validity_ms=1)
+    )
+
+
+def _starting():
+    state = _opened()
+    progress.flush(state)
+    progress.saved(state)
+    return state
+
+
+def _stopping():
+    state = _starting()
+    tasks.stop(_run(state), NOW)
+    return state
+
+
+def _silent():
+    state = _starting()
+    _run(state).phase = model.RunPhase.RUNNING
+    _host(state).silent_since = NOW
+    return state
+
+
+def _unsynced():
+    state = _starting()
+    _run(state).phase = model.RunPhase.RUNNING
+    _host(state).synced = False
+    return state
+
+
+def _no_run():
+    state = _starting()
+    _host(state).remove(_run(state))
+    return state
+
+
+def _running():
+    state = _starting()
+    _run(state).phase = model.RunPhase.RUNNING
+    return state
+
+
+def _told(state):
+    for second in range(4):
+        stuck.look(state, NOW + second)
+    return [
+        effect.fields
+        for effect in state.effects
+        if isinstance(effect, messages.Note) and effect.event == "task.stuck"
+    ]
+
+
+@pytest.mark.parametrize(
+    ("made", "why"),
+    [
+        (_without_host, stuck.Why.NO_HOST),
+        (_unsynced_pool, stuck.Why.UNSYNCED),
+        (_suspended, stuck.Why.UNUSABLE),
+        (_full, stuck.Why.ROOM),
+        (_retry, stuck.Why.RETRY),
+        (_advice, stuck.Why.ADVICE),
+        (_state, stuck.Why.NOT_PLACED),
+        (_opened, stuck.Why.STORE),
+        (_starting, stuck.Why.STARTING),
+        (_stopping, stuck.Why.STOPPING),
+        (_silent, stuck.Why.HOST_SILENT),
+        (_unsynced, stuck.Why.HOST_UNSYNCED),
+        (_no_run, stuck.Why.NO_RUN),
+    ],
+)
+def test_the_reason_is_told(made, why):
+    (line,) = _told(made())
+    assert line["why"] == why.value
+    assert (line["job"], line["task"]) == ("j", "(0, 0, 0)")
+
+
+def test_every_reason_has_its_case():
+    (mark,) = test_the_reason_is_told.pytestmark
+    assert {why for _, why in mark.args[1]} == set(stuck.Why)
+
+
+def test_work_that_runs_is_not_told():
+    assert not _told(_running())
+
+
+def test_time_counts_from_when_work_stood_last():
+    state = _starting()
+    run = _run(state)
+    stuck.look(state, NOW)
+    run.phase = model.RunPhase.RUNNING
+    stuck.look(state, NOW + 1.0)
+    run.phase = model.RunPhase.STARTING
+    stuck.look(state, NOW + 2.5)
+    assert [found.since for found in state.standstills.values()] == [NOW + 2.5]
