--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -278,6 +278,7 @@
             term=number,
             cores=self.election.cores,
             strongest=self.election.strongest,
+            silent_ms=int(self.election.claimed_after_s * 1000),
         ).info("elected")
         self.term = terms.Term(
             given=takeovers.Given(
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -137,7 +137,8 @@
     largest machine, as the newest beat says. ``cores`` is this daemon's
     processor, 0 if not known, ``strongest`` the most that a writer of
     the log has had lately. ``is_contested`` is whether this daemon's term
-    was claimed over a leader that was alive.
+    was claimed over a leader that was alive. ``claimed_after_s`` is how
+    long no record had been read when this daemon last claimed.
 
     A leader is confirmed as of when its record was sent, which is before
     anybody can have read it. So whoever reads one knows until when at most
@@ -161,6 +162,7 @@
         "_ripe_at",
         "_seen_at",
         "_strongest_at",
+        "claimed_after_s",
         "confirmed_at",
         "cores",
         "end",
@@ -205,6 +207,7 @@
         self._rest_until = 0.0
         self._rest_s = REST_S
         self._ripe_at: float | None = None
+        self.claimed_after_s = 0.0
 
     def leads(self, now: float, *, within_s: float) -> bool:
         """Return whether this daemon's term was confirmed so recently."""
@@ -366,6 +369,7 @@
                 return None
         elif not self._outdoes(event, now):
             return None
+        self.claimed_after_s = now - self._seen_at
         claim = Claim(name=self.name, nonce=self.nonce, cores=self.cores)
         return self._attempt(claim, now)
 
