Send an order to a machine within a second of its record, or never

What was seen: the pause between two leaders' orders allows one second between an order's record and the order. Nothing bounded that time: a record that is repeated under its sequence number is answered late, a call waits in the library while all eight connections of an address are busy or shake hands, and a process may stand still between its check of the beat and the call. So an order could leave seconds late, within the pause that its successor keeps.

An order has the time by which it has to leave: a second after it was decided, and 1.5 s after the leader's newest beat, whichever is first. The library asks for it just before it sends the request, on a clock that counts suspension; an order that is too late is not sent, which is known, and is planned again.

--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -27,14 +27,12 @@
 from azurewood.leadership import base as leadership
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
+from azurewood.scheduling import orders
 from azurewood.scheduling import reducer
 from azurewood.scheduling import runs
 
 PRODUCER: typing.Final = "leader"
 RETRY_S: typing.Final = 0.1
-ORDER_MARGIN_S: typing.Final = 1.0
-"""Added to the pause between two leaders' orders: the longest wait for the
-answer to the order's record, after which the order is sent."""
 
 
 class Stage(enum.Enum):
@@ -213,6 +211,6 @@
             found=found,
             stored=self._stored,
             lease_bound_at=now + leadership.VALID_S + runs.LEASE_BOUND_S,
-            order_pause_s=self._given.order_pause_s + ORDER_MARGIN_S,
+            order_pause_s=self._given.order_pause_s + orders.SEND_WITHIN_S,
             now=now,
         )
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import dataclasses
 import typing
 
 from loguru import logger
@@ -279,15 +280,21 @@
     def _order(
         self, order: messages.MoveMachine | messages.ServiceMachine
     ) -> None:
-        now = self._given.clock()
-        recent = leadership.ORDER_VALID_S
-        if not self._given.election.leads(now, within_s=recent):
+        """Send an order at once or not at all.
+
+        It may leave until its own time or the leader's, whichever is first;
+        the call sees to that, as the process may stand still meanwhile.
+        """
+        confirmed_at = self._given.election.confirmed_at
+        send_by = min(order.send_by, confirmed_at + leadership.ORDER_VALID_S)
+        if not self._given.election.term or self._given.clock() >= send_by:
             result = messages.OrderResult.NOT_DONE
             event = messages.OrderAnswered(
                 machine=order.machine, result=result
             )
             self.take(event)
             return
+        order = dataclasses.replace(order, send_by=send_by)
         self._given.calls.submit(
             self._given.platform.order_call(order, self.number),
             lambda reply: self.take(
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -43,13 +43,19 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Call:
-    """A call to make; the answer must be whole within ``timeout_ms``."""
+    """A call to make; the answer must be whole within ``timeout_ms``.
+
+    If it has not left by ``send_by``, on the multiplexer's clock, it is not
+    sent at all, be it that connections are busy, that a handshake takes
+    long or that the process stood still.
+    """
 
     method: str
     url: str
     headers: tuple[str, ...] = ()
     body: bytes | None = None
     timeout_ms: int
+    send_by: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -121,11 +127,23 @@
         curl = self._free.pop() if self._free else pycurl.Curl()
         buffer = io.BytesIO()
         _prepare(curl, call, buffer)
+        if call.send_by is not None:
+            curl.setopt(pycurl.PREREQFUNCTION, self._in_time(call.send_by))
         self._transfers[curl] = _Transfer(
             done=done, buffer=buffer, sent_at=self._clock()
         )
         self._multi.add_handle(curl)
 
+    def _in_time(self, send_by: float) -> abc.Callable[..., int]:
+        """Return what the library asks before it sends a request."""
+
+        def check(*_: object) -> int:
+            if self._clock() < send_by:
+                return pycurl.PREREQFUNC_OK
+            return pycurl.PREREQFUNC_ABORT
+
+        return check
+
     def wake(self) -> None:
         """End the wait of ``run_once`` from another thread."""
         try:
--- a/azurewood/platform/machines.py
+++ b/azurewood/platform/machines.py
@@ -115,6 +115,7 @@
         ),
         body=msgspec.json.encode(body),
         timeout_ms=CALL_TIMEOUT_MS,
+        send_by=order.send_by,
     )
 
 
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 from azurewood.jobs import catalog
@@ -360,18 +361,20 @@
 
 @_frozen
 class MoveMachine:
-    """Move a machine to another pool."""
+    """Move a machine to another pool; not sent after ``send_by``."""
 
     machine: str
     pool: str
+    send_by: float = math.inf
 
 
 @_frozen
 class ServiceMachine:
-    """Take a machine down for its upkeep in a wave."""
+    """Take a machine down for its upkeep; not sent after ``send_by``."""
 
     machine: str
     wave: int
+    send_by: float = math.inf
 
 
 @_frozen
--- a/azurewood/scheduling/orders.py
+++ b/azurewood/scheduling/orders.py
@@ -4,16 +4,23 @@
 the machines that it orders before each order. A later leader, which bars
 the record's writer, leaves those alone until the pause is over, and no
 others.
+
+So these have to fit into the pause: the time until an order leaves, and
+that until its call is given up, after which no byte of it arrives.
 """
 
+import dataclasses
 import typing
 
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import progress
 
+SEND_WITHIN_S: typing.Final = 1.0
+"""How long an order's record may take; later it is not sent at all."""
 KEPT_S: typing.Final = 4.0
-"""How long an order stays on record: longer than the pause of 3 s."""
+"""How long an order stays on record: the platform's pause of 3 s and
+``SEND_WITHIN_S``."""
 
 
 def give(
@@ -21,7 +28,7 @@
     order: messages.MoveMachine | messages.ServiceMachine,
     now: float,
 ) -> None:
-    """Give an order, once it is on record."""
+    """Give an order, once it is on record, if that is soon."""
     state.ordered_at = {
         name: at for name, at in state.ordered_at.items() if at > now - KEPT_S
     }
@@ -29,7 +36,8 @@
     state.values[progress.ORDERS_KEY] = progress.of_orders(
         state.ordered_at, now
     )
-    state.emit_saved(order)
+    send_by = now + SEND_WITHIN_S
+    state.emit_saved(dataclasses.replace(order, send_by=send_by))
 
 
 def adopt(
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -71,6 +71,10 @@
 
     def send(self) -> None:
         """Begin the call and its timeout."""
+        if self.sent_at >= self.call.send_by:
+            unsent = multiplex.Outcome.NOT_SENT
+            self.world.clock.after(0.0, lambda: self._finish(unsent, b""))
+            return
         self.world.clock.after(self.call.timeout_s, self._give_up)
         fault = self.world.fault_of(self.call)
         if fault == "late":
--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import typing
 
 from azurewood.http import multiplex
@@ -18,6 +19,7 @@
 MACHINES = "machines"
 STORE_TIMEOUT_S = 1.0
 HOST_TIMEOUT_S = 0.8
+ORDER_TIMEOUT_S = 2.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -32,6 +34,7 @@
     act: abc.Callable[[float], typing.Any]
     timeout_s: float
     changes: bool = True
+    send_by: float = math.inf
     wait_s: float = 0.0
     ready: abc.Callable[[], bool] | None = None
     wait: abc.Callable[[abc.Callable[[], None]], None] | None = None
@@ -205,11 +208,14 @@
         return SimCall(
             target=MACHINES,
             act=lambda at: self._world.order(order, fence),
-            timeout_s=STORE_TIMEOUT_S,
+            timeout_s=ORDER_TIMEOUT_S,
+            send_by=order.send_by,
         )
 
     def order_result(self, reply: multiplex.Reply) -> messages.OrderResult:
         """Return what became of an order."""
+        if reply.outcome is multiplex.Outcome.NOT_SENT:
+            return messages.OrderResult.NOT_DONE
         return unwrap(reply, messages.OrderResult.UNKNOWN)
 
     def advice_call(self, ask: messages.AskAdvice) -> SimCall:
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -7,6 +7,7 @@
 """
 
 from collections import abc
+import dataclasses
 import random
 
 from azurewood.jobs import catalog
@@ -28,6 +29,16 @@
 SILENCE_S = 4.5
 UPKEEP_S = 2.0
 MOVE_S = 1.5
+HOLDER_PAUSE_S = 3.0
+"""Time between the orders of two leaders to one machine."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Ordered:
+    """The newest order to a machine."""
+
+    fence: int
+    at: float
 
 
 class World:
@@ -43,7 +54,7 @@
         self.hosts: dict[str, sim_hosts.SimHost] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
         self.upkeep_done: dict[int, set[str]] = {}
-        self.fences: dict[str, int] = {}
+        self.ordered: dict[str, Ordered] = {}
         self.cut_hosts: set[str] = set()
         self.store_down = False
         self.lost_share = 0.0
@@ -181,9 +192,7 @@
     ) -> messages.OrderResult:
         """Carry out an order to a machine."""
         machine = self.machines[order.machine]
-        if fence < self.fences.get(machine.name, 0):
-            self.rules.breach("an old order to a machine", machine.name)
-        self.fences[machine.name] = fence
+        self._check_holder(machine.name, fence)
         if machine.state is not messages.MachineState.UP:
             return messages.OrderResult.BUSY
         match order:
@@ -200,6 +209,19 @@
                     self._replace(machine, pool, state, MOVE_S)
         return messages.OrderResult.DONE
 
+    def _check_holder(self, machine: str, fence: int) -> None:
+        """Check that leaders order a machine one after another, with a pause.
+
+        Machines do not check fences themselves.
+        """
+        now = self.clock.now
+        last = self.ordered.get(machine, Ordered(fence=fence, at=now))
+        if fence < last.fence:
+            self.rules.breach("an old order to a machine", machine)
+        elif fence > last.fence and now < last.at + HOLDER_PAUSE_S:
+            self.rules.breach("leaders order in turns", machine)
+        self.ordered[machine] = Ordered(fence=fence, at=now)
+
     def _replace(
         self,
         machine: messages.MachineEntry,
--- /dev/null
+++ b/tests/platform/test_given_up.py
@@ -0,0 +1,151 @@
+"""Calls that are given up take no effect later: over real sockets."""
+
+import select
+import socket
+import time
+
+import pytest
+
+from azurewood.http import multiplex
+
+BODY = b"x" * 50_000 + b"the end"
+"""More than a server's window holds, less than a sender's queue."""
+DEADLINE_S = 10.0
+
+
+class Server:
+    """Listens with a small window; reads only when it is told to."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.listener.settimeout(DEADLINE_S)
+        self.connections = []
+
+    @property
+    def url(self):
+        """Return where it listens."""
+        return f"http://127.0.0.1:{self.listener.getsockname()[1]}/"
+
+    def accept(self):
+        """Return a new connection."""
+        conn, _ = self.listener.accept()
+        conn.settimeout(DEADLINE_S)
+        self.connections.append(conn)
+        return conn
+
+    def close(self):
+        """Close everything."""
+        for sock in (self.listener, *self.connections):
+            sock.close()
+
+
+@pytest.fixture
+def server():
+    """A server that is closed in the end."""
+    made = Server()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def calls():
+    """A multiplexer on the steady clock."""
+    return multiplex.Multiplexer(clock=time.monotonic)
+
+
+def post(server, *, timeout_ms=200, body=BODY, send_by=None):
+    """Return a call to a server."""
+    return multiplex.Call(
+        method="POST",
+        url=server.url,
+        body=body,
+        timeout_ms=timeout_ms,
+        send_by=send_by,
+    )
+
+
+def run_until(calls, condition):
+    """Make calls until a condition holds; fail after a while."""
+    end = time.monotonic() + DEADLINE_S
+    while not condition():
+        assert time.monotonic() < end
+        calls.run_once(0.01)
+
+
+def readable(sock):
+    """Return whether a socket has something to accept or to read."""
+    return bool(select.select([sock], [], [], 0)[0])
+
+
+def answer(conn):
+    """Read a small request and answer it."""
+    assert conn.recv(1 << 16)
+    conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+
+def hold_all_connections(calls, server, timeout_ms):
+    """Have as many calls under way as one address may have."""
+    for _ in range(multiplex.MAX_PER_HOST):
+        call = post(server, timeout_ms=timeout_ms, body=b"held")
+        calls.submit(call, lambda reply: None)
+    for _ in range(multiplex.MAX_PER_HOST):
+        run_until(calls, lambda: readable(server.listener))
+        server.accept()
+
+
+def wait_for_a_connection(calls, server, *, send_by):
+    """Return the reply of a call that waits for a connection first."""
+    hold_all_connections(calls, server, 600)
+    replies = []
+    call = post(server, timeout_ms=3000, body=b"queued", send_by=send_by)
+    calls.submit(call, replies.append)
+    run_until(calls, lambda: replies or readable(server.listener))
+    if not replies:
+        conn = server.accept()
+        run_until(calls, lambda: replies or readable(conn))
+    if not replies:
+        answer(conn)
+        run_until(calls, lambda: replies)
+    return replies[0]
+
+
+def test_call_that_waited_too_long_for_a_connection_is_not_sent(server, calls):
+    send_by = time.monotonic() + 0.3
+    reply = wait_for_a_connection(calls, server, send_by=send_by)
+    assert reply.outcome is multiplex.Outcome.NOT_SENT
+
+
+def test_breaks_if_a_waiting_call_has_no_deadline(server, calls):
+    reply = wait_for_a_connection(calls, server, send_by=None)
+    assert reply.outcome is multiplex.Outcome.ANSWERED
+
+
+def test_call_of_a_process_that_stood_still_is_not_sent(server):
+    now = 100.0
+    calls = multiplex.Multiplexer(clock=lambda: now)
+    replies = []
+    calls.submit(post(server, send_by=101.0), replies.append)
+    now = 104.0
+    run_until(calls, lambda: replies)
+    assert replies[0].outcome is multiplex.Outcome.NOT_SENT
+
+
+def test_deadline_of_one_call_does_not_bind_the_next(server, calls):
+    replies = []
+    late = post(server, body=b"1", send_by=time.monotonic())
+    calls.submit(late, replies.append)
+    run_until(calls, lambda: replies)
+    calls.submit(post(server, timeout_ms=5000, body=b"2"), replies.append)
+    server.accept()
+    run_until(calls, lambda: readable(server.listener))
+    conn = server.accept()
+    run_until(calls, lambda: readable(conn))
+    answer(conn)
+    run_until(calls, lambda: len(replies) == 2)
+    assert [reply.outcome for reply in replies] == [
+        multiplex.Outcome.NOT_SENT,
+        multiplex.Outcome.ANSWERED,
+    ]
--- /dev/null
+++ b/tests/scheduling/test_late_orders.py
@@ -0,0 +1,101 @@
+"""Orders to machines, which check no fence, are sent at once or never.
+
+Each day is played as it is, and with the mechanism off, which must break a
+rule.
+"""
+
+import dataclasses
+import math
+
+import pytest
+
+from azurewood.jobs import model
+from azurewood.scheduling import orders
+from azurewood.scheduling import progress
+from standins.fleet import platform
+from tests.scheduling import deployment
+
+MANY = model.Step(
+    count=24, needs=model.Resources(1000, 500, 0), estimate_ms=300
+)
+
+
+def _before_calls(made, act):
+    """Have ``act`` see each call as it is sent; it may name a fault."""
+    usual = made.fault_of
+    made.fault_of = lambda call: act(call) or usual(call)
+
+
+def _world():
+    made = deployment.world(**{"s-one": 2, "s-two": 2, "spare": 6})
+    made.run(5.0)
+    return made
+
+
+def _ask(made, numbers, queue):
+    """Hand jobs in that need more hosts than a pool has."""
+    up = next(m for m in made.members if m.up and not m.cut_from)
+    for number in numbers:
+        made.submit(up, deployment.job(made, number, MANY, queue=queue))
+
+
+def _run_until(made, condition):
+    end = made.clock.now + 10.0
+    while not condition():
+        assert made.clock.now < end
+        made.run(0.001)
+
+
+def _answer_an_orders_record_late(made, monkeypatch, seconds):
+    """Let the store take a record of orders, but answer it seconds later.
+
+    Meanwhile the leader plans more orders, and then it leaves.
+    """
+    leader = made.leaders()[0]
+    real = platform.SimPlatform.append
+    calls = []
+
+    def marked(self, topic, request, producer):
+        call = real(self, topic, request, producer)
+        keys = {record.key for record in request.records}
+        if progress.ORDERS_KEY in keys or calls:
+            calls.append(call)
+        return call
+
+    def lose(call):
+        late = any(call is sent for sent in calls)
+        return "lost" if late and made.clock.now < answered_at else ""
+
+    monkeypatch.setattr(platform.SimPlatform, "append", marked)
+    _before_calls(made, lose)
+    answered_at = made.clock.now + seconds
+    _ask(made, (1,), "one")
+    _run_until(made, lambda: calls)
+    made.run(seconds - 0.5)
+    _ask(made, (2, 3), "one")
+    _run_until(made, lambda: made.ordered)
+    made.run(0.05)
+    leader.member.leave()
+    _ask(made, range(4, 10), "two")
+    made.run(8.0)
+
+
+def test_order_is_not_sent_long_after_its_record(monkeypatch):
+    made = _world()
+    _answer_an_orders_record_late(made, monkeypatch, 3.2)
+    deployment.check(made)
+
+
+def test_breaks_if_an_order_may_wait_for_its_record(monkeypatch):
+    real = orders.give
+
+    def careless(state, *args):
+        real(state, *args)
+        order = dataclasses.replace(state.held[-1], send_by=math.inf)
+        state.held[-1] = order
+
+    monkeypatch.setattr(orders, "give", careless)
+    made = _world()
+    _answer_an_orders_record_late(made, monkeypatch, 3.2)
+    with pytest.raises(AssertionError, match="leaders order in turns"):
+        deployment.check(made)
