Drop the bytes of a call that was given up

Machines check no fence there.

Cause: pycurl closes a connection whose call timed out in the usual way, and the kernel goes on sending what is queued. In test_given_up.py a server with a small window gets the whole request after its caller has reported a timeout. A process that is killed or stands still leaves such bytes, too.

Connections are now closed with a linger time of zero, which resets them and drops the queue, also when the process is killed; TCP_USER_TIMEOUT of 2 s does the same while the process stands still. An order leaves within 1 s of its decision and its bytes live 2 s at most, so none arrives later than 3 s after it; a successor waits 4 s.

The stand-in holds what is sent into a cut until it is over. There a leader that is cut off while it moves machines breaks "an old order to a machine" unless unsent bytes are dropped.

--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -2,7 +2,7 @@
 
 A ``Multiplexer`` is used by one thread only; ``wake`` may be called by any.
 Connections are kept and used again. A connection on which a call timed out
-is closed by the library.
+is closed by the library, and so reset: see `azurewood.http.sockets`.
 """
 
 from collections import abc
@@ -16,6 +16,8 @@
 
 import pycurl
 
+from azurewood.http import sockets
+
 MAX_IDLE: typing.Final = 512
 """Connections kept; more than hosts times calls at once to each."""
 MAX_PER_HOST: typing.Final = 8
@@ -269,6 +271,7 @@
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.TCP_NODELAY, 1)
+    curl.setopt(pycurl.SOCKOPTFUNCTION, sockets.drop_unsent)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     curl.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
     if call.body is not None:
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -1,7 +1,8 @@
 """Members of the fleet in the simulation, and the calls they make.
 
-A call travels through the world's network: it may be lost, carried out
-late, or answered to a member that has stood still meanwhile.
+A call travels through the world's network: it may be lost, held back by a
+cut until that is over, carried out late, or answered to a member that has
+stood still meanwhile.
 """
 
 from collections import abc
@@ -9,12 +10,17 @@
 
 from azurewood.daemons import member as members
 from azurewood.http import multiplex
+from azurewood.http import sockets
 from standins.fleet import platform
 from standins.fleet import processor
 
 LATE_S = (2.0, 12.0)
 ORDER_PAUSE_S = 3.0
 RETENTION_S = 20.0
+HELD_POLL_S = 0.05
+"""Pause between two trials to pass on what a cut holds back."""
+HELD_S = 15.0
+"""How long bytes are sent again for a caller that does not drop them."""
 CALL_COST = 200
 """Processor time of a call over the network, in function calls."""
 
@@ -87,6 +93,10 @@
 
     def _arrive(self, fault: str) -> None:
         if not self.world.reachable(self.member, self.call.target):
+            if not self._dropped():
+                self.world.clock.after(
+                    HELD_POLL_S, lambda: self._arrive(fault)
+                )
             return
         call = self.call
         if call.wait_s and call.ready and not call.ready():
@@ -94,6 +104,18 @@
             return
         self._act(fault)
 
+    def _dropped(self) -> bool:
+        """Return whether the bytes that a cut holds back are dropped.
+
+        That is so once the caller has given the call up or was killed, and
+        after a while though it stands still.
+        """
+        held_s = self.world.clock.now - self.sent_at
+        if not self.world.drops_unsent:
+            return held_s >= HELD_S
+        over = self._answered or self.life != self.member.life
+        return over or held_s >= sockets.UNSENT_MS / 1000
+
     def _wait(self, fault: str) -> None:
         """Answer at the first change, or when the wait is over."""
         state = {"over": False}
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -3,7 +3,8 @@
 Faults: members that are killed, frozen or cut off from the store or from
 hosts; hosts that crash, are cut off, or fail what they run; a store that is
 down, loses answers or forgets its history; orders that are carried out
-late.
+late. What a member sends into a cut arrives when the cut is over, unless
+it has dropped those bytes by then, as members do if ``drops_unsent``.
 """
 
 from collections import abc
@@ -56,6 +57,7 @@
         self.upkeep_done: dict[int, set[str]] = {}
         self.ordered: dict[str, Ordered] = {}
         self.cut_hosts: set[str] = set()
+        self.drops_unsent = True
         self.store_down = False
         self.lost_share = 0.0
         self.late_share = 0.0
--- a/tests/platform/test_given_up.py
+++ b/tests/platform/test_given_up.py
@@ -1,12 +1,15 @@
 """Calls that are given up take no effect later: over real sockets."""
 
+import contextlib
 import select
 import socket
 import time
 
+import pycurl
 import pytest
 
 from azurewood.http import multiplex
+from azurewood.http import sockets
 
 BODY = b"x" * 50_000 + b"the end"
 """More than a server's window holds, less than a sender's queue."""
@@ -80,12 +83,86 @@
     return bool(select.select([sock], [], [], 0)[0])
 
 
+def all_of(conn):
+    """Return what a connection delivers until it ends, however it ends."""
+    data = bytearray()
+    with contextlib.suppress(ConnectionResetError):
+        while found := conn.recv(1 << 16):
+            data += found
+    return bytes(data)
+
+
 def answer(conn):
     """Read a small request and answer it."""
     assert conn.recv(1 << 16)
     conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
 
+def give_up(calls, server):
+    """Make a call whose server reads nothing in time."""
+    replies = []
+    calls.submit(post(server), replies.append)
+    run_until(calls, lambda: replies)
+    assert replies[0].outcome is multiplex.Outcome.UNKNOWN
+
+
+def test_call_that_timed_out_is_not_delivered_later(server, calls):
+    give_up(calls, server)
+    assert not all_of(server.accept()).endswith(BODY)
+
+
+def test_the_same_on_a_connection_that_is_used_again(server, calls):
+    replies = []
+    calls.submit(post(server, timeout_ms=5000, body=b"1"), replies.append)
+    run_until(calls, lambda: readable(server.listener))
+    conn = server.accept()
+    run_until(calls, lambda: readable(conn))
+    answer(conn)
+    run_until(calls, lambda: replies)
+    give_up(calls, server)
+    assert not readable(server.listener)
+    assert not all_of(conn).endswith(BODY)
+
+
+def test_breaks_if_connections_are_closed_in_an_orderly_way(
+    server, calls, monkeypatch
+):
+    monkeypatch.setattr(sockets, "drop_unsent", lambda *_: pycurl.SOCKOPT_OK)
+    give_up(calls, server)
+    assert all_of(server.accept()).endswith(BODY)
+
+
+def deliver_to_a_caller_that_stands_still(server, calls, seconds):
+    """Return what arrives of a call whose process stops running."""
+    calls.submit(post(server, timeout_ms=9000), lambda reply: None)
+    run_until(calls, lambda: readable(server.listener))
+    conn = server.accept()
+    run_until(calls, lambda: readable(conn))
+    time.sleep(seconds)
+    conn.settimeout(1.0)
+    data = bytearray()
+    with contextlib.suppress(ConnectionResetError, TimeoutError):
+        while found := conn.recv(1 << 16):
+            data += found
+    return bytes(data)
+
+
+def test_bytes_of_a_process_that_stands_still_are_dropped(
+    server, calls, monkeypatch
+):
+    monkeypatch.setattr(sockets, "UNSENT_MS", 300)
+    data = deliver_to_a_caller_that_stands_still(server, calls, 1.5)
+    assert not data.endswith(BODY)
+
+
+def test_breaks_if_bytes_may_stay_unsent_for_longer(
+    server, calls, monkeypatch
+):
+    monkeypatch.setattr(sockets, "UNSENT_MS", 30_000)
+    data = deliver_to_a_caller_that_stands_still(server, calls, 1.5)
+    assert data.endswith(BODY)
+
+
 def hold_all_connections(calls, server, timeout_ms):
     """Have as many calls under way as one address may have."""
     for _ in range(multiplex.MAX_PER_HOST):
--- a/tests/scheduling/test_late_orders.py
+++ b/tests/scheduling/test_late_orders.py
@@ -18,6 +18,7 @@
 MANY = model.Step(
     count=24, needs=model.Resources(1000, 500, 0), estimate_ms=300
 )
+LEADER_PATHS = frozenset({platform.STORE, platform.MACHINES})
 
 
 def _before_calls(made, act):
@@ -26,6 +27,10 @@
     made.fault_of = lambda call: act(call) or usual(call)
 
 
+def _is_order(call):
+    return call.target == platform.MACHINES and call.send_by < math.inf
+
+
 def _world():
     made = deployment.world(**{"s-one": 2, "s-two": 2, "spare": 6})
     made.run(5.0)
@@ -39,6 +44,46 @@
         made.submit(up, deployment.job(made, number, MANY, queue=queue))
 
 
+def _cut_a_leader_off_as_it_orders(made, job, queue):
+    """Let a leader order into a cut that ends after its successor's order.
+
+    Return how many orders it sent into the cut.
+    """
+    old = made.leaders()[0]
+    sent = []
+
+    def cut(call):
+        if old.leads and _is_order(call):
+            old.cut_from |= LEADER_PATHS
+            sent.append(call)
+
+    _before_calls(made, cut)
+    _ask(made, (job,), queue)
+    made.run(2.6)
+    for turn in range(1, 5):
+        _ask(made, (job + turn,), "two" if turn % 2 else "one")
+        made.run(1.5)
+    old.cut_from.clear()
+    made.run(4.0)
+    return len(sent)
+
+
+def test_order_into_a_cut_does_not_arrive_after_a_successors():
+    """Found on scale-2 of a grown site: an old order to a machine."""
+    made = _world()
+    assert _cut_a_leader_off_as_it_orders(made, 1, "one")
+    assert _cut_a_leader_off_as_it_orders(made, 11, "two")
+    deployment.check(made)
+
+
+def test_breaks_if_what_a_call_has_not_sent_is_not_dropped():
+    made = _world()
+    made.drops_unsent = False
+    _cut_a_leader_off_as_it_orders(made, 1, "one")
+    with pytest.raises(AssertionError, match="an old order to a machine"):
+        deployment.check(made)
+
+
 def _run_until(made, condition):
     end = made.clock.now + 10.0
     while not condition():
