--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -27,14 +27,12 @@
 from azurewood.leadership import base as leadership
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
+from azurewood.scheduling import orders
 from azurewood.scheduling import reducer
 from azurewood.scheduling import runs
 
 PRODUCER: typing.Final = "leader"
 RETRY_S: typing.Final = 0.1
-ORDER_MARGIN_S: typing.Final = 1.0
-"""Added to the pause between two leaders' orders: the longest wait for the
-answer to the order's record, after which the order is sent."""
 
 
 class Stage(enum.Enum):
@@ -196,7 +194,9 @@
         if self._given.jobs_offset() < self._jobs_end:
             return None
         self.stage = Stage.DONE
-        late_s = max(ORDER_MARGIN_S, self._given.election.orders_wait_s(now))
+        late_s = max(
+            orders.SEND_WITHIN_S, self._given.election.orders_wait_s(now)
+        )
         found = [
             entry.job
             for entry in self._given.register.entries.values()
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import dataclasses
 import typing
 
 from loguru import logger
@@ -45,6 +46,7 @@
         "_pace",
         "_prove_at",
         "_progress",
+        "_reports",
         "_retired",
         "_takeover",
         "_tick_at",
@@ -72,21 +74,19 @@
         )
         self._known_hosts: set[str] = set()
         self._pace: pace.Pace | None = None
-        self._progress = topics.Writer(
-            platform=given.platform,
-            calls=given.calls,
-            clock=given.clock,
-            topic=pages.Topic.PROGRESS,
-            producer=takeovers.PRODUCER,
-            epoch=number,
-        )
-        self._jobs = topics.Writer(
-            platform=given.platform,
-            calls=given.calls,
-            clock=given.clock,
-            topic=pages.Topic.JOBS,
+        self._progress = self._writer(pages.Topic.PROGRESS)
+        self._jobs = self._writer(pages.Topic.JOBS)
+        self._reports = self._writer(pages.Topic.REPORTS)
+
+    def _writer(self, topic: pages.Topic) -> topics.Writer:
+        """Return this term's appends to a topic, which a later term bars."""
+        return topics.Writer(
+            platform=self._given.platform,
+            calls=self._given.calls,
+            clock=self._given.clock,
+            topic=topic,
             producer=takeovers.PRODUCER,
-            epoch=number,
+            epoch=self.number,
         )
 
     def step(self, now: float) -> None:
@@ -223,7 +223,9 @@
             self._carry_out(effect)
         self._progress.step(now)
         self._jobs.step(now)
-        if self._progress.fenced or self._jobs.fenced:
+        self._reports.step(now)
+        written = (self._progress, self._jobs, self._reports)
+        if any(writer.fenced for writer in written):
             self.stop("a later term has written")
 
     def _tick(self, now: float) -> messages.Tick:
@@ -270,7 +272,7 @@
                 self._order(effect)
             case messages.ReportWave():
                 record = self._given.platform.wave_report(effect)
-                self._report(record)
+                self._reports.add((record,), None)
             case messages.AskAdvice():
                 self._given.calls.submit(
                     self._given.platform.advice_call(effect),
@@ -301,34 +303,25 @@
         stored = appender.Record(key=record.key, value=records.encode(record))
         self._jobs.add((stored,), None)
 
-    def _report(self, record: appender.Record) -> None:
-        """Write what operators read, again until it is stored."""
-
-        def took(reply: multiplex.Reply) -> None:
-            result = self._given.platform.append_result(reply)
-            if not isinstance(result, appender.Appended):
-                logger.bind(event="report.retried", key=record.key).warning(
-                    "a report was not stored: {}", result
-                )
-                if not self.over:
-                    self._report(record)
-
-        self._given.calls.submit(
-            self._given.platform.append_plain(pages.Topic.REPORTS, record),
-            took,
-        )
-
     def _order(
         self, order: messages.MoveMachine | messages.ServiceMachine
     ) -> None:
+        """Send an order at once or not at all.
+
+        It may leave until its own time or the leader's, whichever is first;
+        the call sees to that, as the process may stand still meanwhile.
+        """
+        confirmed_at = self._given.election.confirmed_at
+        send_by = min(order.send_by, confirmed_at + leadership.ORDER_VALID_S)
         now = self._given.clock()
-        if not self._given.election.may_order(now):
+        if not self._given.election.may_order(now) or now >= send_by:
             result = messages.OrderResult.NOT_DONE
             event = messages.OrderAnswered(
                 machine=order.machine, result=result
             )
             self.take(event)
             return
+        order = dataclasses.replace(order, send_by=send_by)
         self._given.calls.submit(
             self._given.platform.order_call(order, self.number),
             lambda reply: self.take(
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -2,7 +2,7 @@
 
 A ``Multiplexer`` is used by one thread only; ``wake`` may be called by any.
 Connections are kept and used again. A connection on which a call timed out
-is closed by the library.
+is closed by the library, and so reset: see `azurewood.http.sockets`.
 """
 
 from collections import abc
@@ -16,6 +16,8 @@
 
 import pycurl
 
+from azurewood.http import sockets
+
 MAX_IDLE: typing.Final = 512
 """Connections kept; more than hosts times calls at once to each."""
 MAX_PER_HOST: typing.Final = 8
@@ -43,13 +45,19 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Call:
-    """A call to make; the answer must be whole within ``timeout_ms``."""
+    """A call to make; the answer must be whole within ``timeout_ms``.
+
+    If it has not left by ``send_by``, on the multiplexer's clock, it is not
+    sent at all, be it that connections are busy, that a handshake takes
+    long or that the process stood still.
+    """
 
     method: str
     url: str
     headers: tuple[str, ...] = ()
     body: bytes | None = None
     timeout_ms: int
+    send_by: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -131,11 +139,23 @@
         curl = self._free.pop() if self._free else pycurl.Curl()
         buffer = io.BytesIO()
         _prepare(curl, call, buffer)
+        if call.send_by is not None:
+            curl.setopt(pycurl.PREREQFUNCTION, self._in_time(call.send_by))
         self._transfers[curl] = _Transfer(
             done=done, buffer=buffer, sent_at=self._clock()
         )
         self._multi.add_handle(curl)
 
+    def _in_time(self, send_by: float) -> abc.Callable[..., int]:
+        """Return what the library asks before it sends a request."""
+
+        def check(*_: object) -> int:
+            if self._clock() < send_by:
+                return pycurl.PREREQFUNC_OK
+            return pycurl.PREREQFUNC_ABORT
+
+        return check
+
     def wake(self) -> None:
         """End the wait of ``run_once`` from another thread."""
         try:
@@ -263,6 +283,7 @@
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.TCP_NODELAY, 1)
+    curl.setopt(pycurl.SOCKOPTFUNCTION, sockets.drop_unsent)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     curl.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
     if call.body is not None:
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -3,10 +3,12 @@
 Faults: members that are killed, frozen or cut off from the store or from
 hosts; hosts that crash, are cut off, or fail what they run; a store that is
 down, loses answers or forgets its history; orders that are carried out
-late.
+late. What a member sends into a cut arrives when the cut is over, unless
+it has dropped those bytes by then, as members do if ``drops_unsent``.
 """
 
 from collections import abc
+import dataclasses
 import random
 
 from azurewood.jobs import catalog
@@ -28,6 +30,16 @@
 SILENCE_S = 4.5
 UPKEEP_S = 2.0
 MOVE_S = 1.5
+HOLDER_PAUSE_S = 3.0
+"""Time between the orders of two leaders to one machine."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Ordered:
+    """The newest order to a machine."""
+
+    fence: int
+    at: float
 
 
 class World:
@@ -48,8 +60,9 @@
         self.hosts: dict[str, sim_hosts.SimHost] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
         self.upkeep_done: dict[int, set[str]] = {}
-        self.fences: dict[str, int] = {}
+        self.ordered: dict[str, Ordered] = {}
         self.cut_hosts: set[str] = set()
+        self.drops_unsent = True
         self.store_down = False
         self.lost_share = 0.0
         self.late_share = 0.0
@@ -190,9 +203,7 @@
     ) -> messages.OrderResult:
         """Carry out an order to a machine."""
         machine = self.machines[order.machine]
-        if fence < self.fences.get(machine.name, 0):
-            self.rules.breach("an old order to a machine", machine.name)
-        self.fences[machine.name] = fence
+        self._check_holder(machine.name, fence)
         if machine.state is not messages.MachineState.UP:
             return messages.OrderResult.BUSY
         match order:
@@ -209,6 +220,19 @@
                     self._replace(machine, pool, state, MOVE_S)
         return messages.OrderResult.DONE
 
+    def _check_holder(self, machine: str, fence: int) -> None:
+        """Check that leaders order a machine one after another, with a pause.
+
+        Machines do not check fences themselves.
+        """
+        now = self.clock.now
+        last = self.ordered.get(machine, Ordered(fence=fence, at=now))
+        if fence < last.fence:
+            self.rules.breach("an old order to a machine", machine)
+        elif fence > last.fence and now < last.at + HOLDER_PAUSE_S:
+            self.rules.breach("leaders order in turns", machine)
+        self.ordered[machine] = Ordered(fence=fence, at=now)
+
     def _replace(
         self,
         machine: messages.MachineEntry,
