--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -158,8 +158,7 @@
 
     def largest_room(self) -> model.Resources:
         """Return the largest machine's room, which beats tell all daemons."""
-        machines = self.state.machines.values() if self.state else ()
-        return model.most(entry.room for entry in machines)
+        return self.state.largest_room if self.state else model.Resources()
 
     def _lead(self, now: float) -> None:
         election = self._given.election
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -324,7 +324,8 @@
     """All that a leader knows in its term.
 
     ``placing`` are the services whose waiting tasks are to be placed,
-    ``place_at`` is when each may be looked at again.
+    ``place_at`` is when each may be looked at again. ``largest_room`` is the
+    most that any machine on the list has of each resource.
     """
 
     __slots__ = (
@@ -337,6 +338,7 @@
         "host_machines",
         "hosts",
         "jobs",
+        "largest_room",
         "lease_bound_at",
         "machines",
         "machines_at",
@@ -364,6 +366,7 @@
         self.jobs: dict[str, JobState] = {}
         self.hosts: dict[str, Host] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
+        self.largest_room = model.Resources()
         self.machines_at = -1.0
         self.machines_due = 0.0
         self.orders: dict[str, float] = {}
--- a/azurewood/scheduling/upkeep.py
+++ b/azurewood/scheduling/upkeep.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from azurewood.jobs import model as jobs
 from azurewood.policy import upkeep as policy
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -47,6 +48,7 @@
     """Take in the list of machines."""
     state.machines = {entry.name: entry for entry in event.machines}
     state.machines_at = event.began_at
+    state.largest_room = jobs.most(entry.room for entry in event.machines)
     _end_hosts(state, now)
     for wave in state.waves.values():
         for name, host in wave.ordered.items():
