Ask a lasting step's own tasks how many of them are away

While a wave goes on, each lasting run on a machine that is emptied is asked for in each tick whether it may be stopped; each time all runs of all hosts were looked at: 0.29 of 4.9 s of a saturated leader's loop. The set of the machines that waves hold was built anew for each machine, five times a second.

The tasks of the run's step know their hosts, so only these are asked: 114 and 378 us before on 50 and 200 hosts with four other runs each, 5.1 and 5.6 us after. A comparison with the look at all runs, by hypothesis, shows the same count. A run whose job is over may be stopped without a look.

--- a/azurewood/policy/upkeep.py
+++ b/azurewood/policy/upkeep.py
@@ -42,22 +42,33 @@
     """Return whether a lasting run may be stopped without harm.
 
     So many others of its step may be away as the step allows, whatever
-    took them away; one if the step says nothing.
+    took them away; one if the step says nothing. Nobody misses a run whose
+    job is over.
     """
+    if run.task.job not in state.jobs:
+        return True
     allowed = max(1, run.step.may_be_away)
     return away(state, run, now) < allowed
 
 
 def away(state: model.State, run: model.Run, now: float) -> int:
-    """Return how many other tasks of a run's step are not at work."""
-    at_work = sum(
-        1
-        for host in state.hosts.values()
-        if host.silent_since is None
-        for other in host.runs.values()
-        if other.task[:3] == run.task[:3]
-        and other.task != run.task
-        and other.phase is model.RunPhase.RUNNING
-        and other.percent >= 100
-    )
+    """Return how many other tasks of a run's step are not at work.
+
+    The run's job is not over.
+    """
+    others = state.jobs[run.task.job].tasks_beside(run.task)
+    at_work = sum(1 for task in others if _at_work(state, task))
     return run.step.count - 1 - at_work
+
+
+def _at_work(state: model.State, task: model.Task) -> bool:
+    """Return whether a task's newest run does its work, as far as known."""
+    host = state.hosts.get(task.host)
+    if host is None or host.silent_since is not None:
+        return False
+    run = host.runs.get((task.id, task.run))
+    return (
+        run is not None
+        and run.phase is model.RunPhase.RUNNING
+        and run.percent >= 100
+    )
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -1,5 +1,6 @@
 """The leader's state: jobs with their tasks, hosts with their runs."""
 
+from collections import abc
 import enum
 import typing
 
@@ -262,6 +263,11 @@
         tasks = self.steps.get((id.occurrence, id.step), [])
         return tasks[id.index] if 0 <= id.index < len(tasks) else None
 
+    def tasks_beside(self, id: model.TaskId) -> abc.Iterator[Task]:
+        """Return the other tasks of a task's step and occurrence."""
+        tasks = self.steps.get((id.occurrence, id.step), [])
+        return (task for task in tasks if task.id != id)
+
     def step_of(self, id: model.TaskId) -> model.Step:
         """Return the step of a task of the job."""
         return self.job.steps[id.step]
@@ -401,15 +407,12 @@
         """Return whether an earlier leader's order to it is long past."""
         return now >= self.order_after.get(machine, 0.0)
 
-    @property
-    def orders_open(self) -> set[str]:
-        """The machines that a wave has ordered down and not seen back."""
-        return {
-            name
+    def ordered_down(self, machine: str) -> bool:
+        """Return whether a wave took a machine down and misses it yet."""
+        return any(
+            machine in wave.ordered and machine not in wave.back
             for wave in self.waves.values()
-            for name in wave.ordered
-            if name not in wave.back
-        }
+        )
 
     def service_of(self, job: model.Job) -> str:
         """Return the service whose hosts run a job now."""
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -159,7 +159,7 @@
 def _is_idle(
     state: model.State, machine: messages.MachineEntry, now: float
 ) -> bool:
-    if machine.name in state.orders_open:
+    if state.ordered_down(machine.name):
         return False
     host = state.hosts.get(machine.host)
     if host is None:
