Keep what the order of the queue needs of a job until its tasks change

Each pass, for each job of the queue, worked out anew which steps may start, how much work is left and how long its longest chain is, and looked through the tasks of steps of which all run already; the demand of the pools did so five times a second.

Tasks change their phase by one method now, which keeps count of those that wait; the rest is kept until a task is done. A pass ends before it sorts the queue if no waiting step fits on any host. `test_job_order` marks tasks as done by the new method.

--- a/azurewood/policy/job_order.py
+++ b/azurewood/policy/job_order.py
@@ -29,7 +29,7 @@
     lasting = []
     timed = []
     for job in jobs:
-        (lasting if job.job.lasting else timed).append(job)
+        (lasting if job.lasting else timed).append(job)
     lasting.sort(key=lambda job: (job.job.priority, job.job.accepted_ms))
     timed.sort(key=lambda job: job.job.priority)
     found = lasting
@@ -44,13 +44,13 @@
     feasible = []
     late = []
     for job in jobs:
-        latest_start = job.objective_at_ms - remaining_ms(job)
+        latest_start = job.objective_at_ms - job.remaining_ms()
         (feasible if unix_ms <= latest_start else late).append(job)
     feasible.sort(key=lambda job: job.objective_at_ms)
     put_off = _put_off(feasible, unix_ms, room_cpu)
     in_time = [job for job in feasible if job.job.id not in put_off]
     late.extend(job for job in feasible if job.job.id in put_off)
-    late.sort(key=work)
+    late.sort(key=model.JobState.work)
     return in_time + late
 
 
@@ -62,7 +62,7 @@
     kept: list[tuple[float, str]] = []
     total = 0.0
     for job in feasible:
-        amount = work(job)
+        amount = job.work()
         total += amount
         heapq.heappush(kept, (-amount, job.job.id))
         until_ms = job.objective_at_ms - unix_ms
@@ -71,23 +71,3 @@
             total += largest
             put_off.add(job_id)
     return put_off
-
-
-def work(job: model.JobState) -> float:
-    """Return the estimated work that is left, in thousandths x ms."""
-    return sum(
-        job.job.steps[number].needs.cpu
-        * job.job.steps[number].estimate_ms
-        * left
-        for (_, number), left in job.undone.items()
-    )
-
-
-def remaining_ms(job: model.JobState) -> float:
-    """Return the estimated length of the longest chain that is undone."""
-    ends: list[float] = []
-    for number, step in enumerate(job.job.steps):
-        begin = max((ends[i] for i in step.after), default=0.0)
-        undone = job.undone[(0, number)]
-        ends.append(begin + (step.estimate_ms if undone else 0.0))
-    return max(ends, default=0.0)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -216,25 +216,34 @@
 class JobState:
     """A job that is not over, and its tasks by occurrence and step.
 
+    ``undone`` and ``waiting`` count each step's tasks that are not done, and
+    that wait for a host; tasks change their phase by ``set_phase`` only.
+    What is worked out from the counts is kept until they change.
     ``failed_gangs`` has the newest run of each gang that failed: it counts
     once, however many of its members fail.
     """
 
     __slots__ = (
+        "_open",
+        "_remaining_ms",
+        "_work",
         "added_at",
         "begun",
         "cancelled",
         "closing",
         "failed_gangs",
         "job",
+        "lasting",
         "objective_at_ms",
         "steps",
         "tickets",
         "undone",
+        "waiting",
     )
 
     def __init__(self, *, job: model.Job, now: float) -> None:
         self.job = job
+        self.lasting = job.lasting
         self.objective_at_ms = job.objective_at_ms()
         self.added_at = now
         self.begun = False
@@ -242,6 +251,10 @@
         self.closing = False
         self.steps: dict[tuple[int, int], list[Task]] = {}
         self.undone: dict[tuple[int, int], int] = {}
+        self.waiting: dict[tuple[int, int], int] = {}
+        self._open: list[tuple[int, int]] | None = None
+        self._work: int | None = None
+        self._remaining_ms: int | None = None
         self.tickets: dict[tuple[int, int], messages.Advised] = {}
         self.failed_gangs: dict[tuple[int, int], int] = {}
         for occurrence in range(job.occurrences):
@@ -253,6 +266,7 @@
     ) -> None:
         key = (occurrence, number)
         self.undone[key] = step.count
+        self.waiting[key] = step.count
         self.steps[key] = [
             Task(id=model.TaskId(self.job.id, occurrence, number, index))
             for index in range(step.count)
@@ -272,13 +286,61 @@
         """Return the step of a task of the job."""
         return self.job.steps[id.step]
 
-    def may_start(self, occurrence: int, step: int, unix_ms: float) -> bool:
-        """Return whether a step's turn has come."""
-        if unix_ms < self.job.due_ms(occurrence):
-            return False
+    def set_phase(self, task: Task, phase: TaskPhase) -> None:
+        """Have a task enter a phase; one that is done stays so."""
+        key = (task.id.occurrence, task.id.step)
+        self.waiting[key] -= task.phase is TaskPhase.WAITING
+        self.waiting[key] += phase is TaskPhase.WAITING
+        if phase is TaskPhase.DONE and task.phase is not TaskPhase.DONE:
+            self.undone[key] -= 1
+            self._work = None
+            if not self.undone[key]:
+                self._open = None
+                self._remaining_ms = None
+        task.phase = phase
+
+    def open_steps(self, unix_ms: float) -> list[tuple[int, int]]:
+        """Return the steps that are not done and whose turn has come."""
+        if self._open is None:
+            self._open = [
+                key
+                for key, left in self.undone.items()
+                if left and self._ready(*key)
+            ]
+        if self.job.schedule is None:
+            return self._open
+        return [
+            (occurrence, step)
+            for occurrence, step in self._open
+            if unix_ms >= self.job.due_ms(occurrence)
+        ]
+
+    def _ready(self, occurrence: int, step: int) -> bool:
         after = self.job.steps[step].after
         return all(self.undone[(occurrence, other)] == 0 for other in after)
 
+    def work(self) -> int:
+        """Return the estimated work that is left, in thousandths x ms."""
+        if self._work is None:
+            self._work = sum(
+                self.job.steps[number].needs.cpu
+                * self.job.steps[number].estimate_ms
+                * left
+                for (_, number), left in self.undone.items()
+            )
+        return self._work
+
+    def remaining_ms(self) -> int:
+        """Return the estimated length of the longest chain that is undone."""
+        if self._remaining_ms is None:
+            ends: list[int] = []
+            for number, step in enumerate(self.job.steps):
+                begin = max((ends[i] for i in step.after), default=0)
+                undone = self.undone[(0, number)]
+                ends.append(begin + (step.estimate_ms if undone else 0))
+            self._remaining_ms = max(ends, default=0)
+        return self._remaining_ms
+
     @property
     def done(self) -> bool:
         """Whether every task is done."""
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -55,6 +55,8 @@
         return
     rooms = host_choice.Rooms(hosts=usable)
     most = rooms.most()
+    if not any(_could_start(state, job, most) for job in found):
+        return
     budget = MAX_STARTS_A_PASS
     for job in job_order.in_order(found, state.unix_ms, room):
         for number, tasks in _open_steps(state, job):
@@ -69,13 +71,23 @@
                 return
 
 
+def _could_start(
+    state: model.State, job: model.JobState, most: jobs.Resources
+) -> bool:
+    """Return whether a step of a job waits that may fit on some host."""
+    return any(
+        job.job.steps[number].reserved.fits(most)
+        for number, _ in _open_steps(state, job)
+    )
+
+
 def _open_steps(
     state: model.State, job: model.JobState
 ) -> abc.Iterator[tuple[int, list[model.Task]]]:
     """Return the steps of a job that wait for room, each with its tasks."""
-    for key, tasks in job.steps.items():
-        if job.undone[key] and job.may_start(*key, state.unix_ms):
-            yield key[1], tasks
+    for key in job.open_steps(state.unix_ms):
+        if job.waiting[key]:
+            yield key[1], job.steps[key]
 
 
 def _place_step(
@@ -248,7 +260,7 @@
     now: float,
 ) -> None:
     """Begin a task's next run on a host; its start follows its record."""
-    task.phase = model.TaskPhase.OPEN
+    job.set_phase(task, model.TaskPhase.OPEN)
     task.run += 1
     task.host = host.id
     task.host_born_ms = host.entry.born_ms
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -90,27 +90,23 @@
 
 def _asked(state: model.State, job: model.JobState) -> jobs.Resources:
     """Return the room of a job's tasks that run or could start."""
-    total = jobs.Resources()
-    for (occurrence, number), left in job.undone.items():
-        if not left or not job.may_start(occurrence, number, state.unix_ms):
-            continue
-        one = job.job.steps[number].reserved
-        total = total.plus(
-            jobs.Resources(
-                one.cpu * left, one.memory_mb * left, one.gpu * left
-            )
-        )
-    return total
+    cpu = memory_mb = gpu = 0
+    for key in job.open_steps(state.unix_ms):
+        left = job.undone[key]
+        one = job.job.steps[key[1]].reserved
+        cpu += one.cpu * left
+        memory_mb += one.memory_mb * left
+        gpu += one.gpu * left
+    return jobs.Resources(cpu, memory_mb, gpu)
 
 
 def _least_hosts(state: model.State, job: model.JobState) -> int:
     """Return how many hosts a job's tasks need because of their spread."""
     least = 0
-    for (occurrence, number), left in job.undone.items():
-        step = job.job.steps[number]
-        may_start = job.may_start(occurrence, number, state.unix_ms)
-        if step.per_host and left and may_start:
-            least = max(least, -(-left // step.per_host))
+    for key in job.open_steps(state.unix_ms):
+        step = job.job.steps[key[1]]
+        if step.per_host:
+            least = max(least, -(-job.undone[key] // step.per_host))
     return least
 
 
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -124,22 +124,20 @@
     now: float,
 ) -> None:
     job.begun = True
-    task.phase = scheduling.TaskPhase(row.phase)
+    job.set_phase(task, scheduling.TaskPhase(row.phase))
     task.run = row.run
     task.failures = row.failures
     task.host = row.host
     task.host_born_ms = row.host_born_ms
     task.saved = row.saved
-    match task.phase:
-        case scheduling.TaskPhase.DONE:
-            job.undone[(row.occurrence, row.step)] -= 1
-        case scheduling.TaskPhase.OPEN:
-            step = job.step_of(task.id)
-            run = scheduling.Run(task=task.id, run=row.run, step=step, now=now)
-            run.adopted = True
-            run.born_ms = row.host_born_ms
-            run.phase = scheduling.RunPhase.RUNNING
-            state.host(row.host).add(run)
+    if task.phase is not scheduling.TaskPhase.OPEN:
+        return
+    step = job.step_of(task.id)
+    run = scheduling.Run(task=task.id, run=row.run, step=step, now=now)
+    run.adopted = True
+    run.born_ms = row.host_born_ms
+    run.phase = scheduling.RunPhase.RUNNING
+    state.host(row.host).add(run)
 
 
 def adopt_wave(wave: scheduling.Wave, record: WaveProgress) -> None:
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -148,7 +148,7 @@
     saved: str,
     now: float,
 ) -> None:
-    task.phase = scheduling.TaskPhase.WAITING
+    job.set_phase(task, scheduling.TaskPhase.WAITING)
     task.saved = saved or task.saved
     task.waits_until = now
     state.placing.add(state.service_of(job.job))
@@ -161,16 +161,15 @@
 ) -> None:
     step = job.step_of(task.id)
     if step.lasting:
-        task.phase = scheduling.TaskPhase.WAITING
+        job.set_phase(task, scheduling.TaskPhase.WAITING)
         state.placing.add(state.service_of(job.job))
         return
     key = (task.id.occurrence, task.id.step)
     members = job.steps[key] if step.gang else [task]
     for member in members:
         if member.phase is not scheduling.TaskPhase.DONE:
-            member.phase = scheduling.TaskPhase.DONE
+            job.set_phase(member, scheduling.TaskPhase.DONE)
             member.saved = ""
-            job.undone[key] -= 1
     if job.undone[key] == 0:
         state.placing.add(state.service_of(job.job))
     finish_if_done(state, job)
@@ -178,7 +177,7 @@
 
 def finish_if_done(state: scheduling.State, job: scheduling.JobState) -> None:
     """Announce a job's end once all its tasks are done."""
-    if job.done and not job.closing and not job.job.lasting:
+    if job.done and not job.closing and not job.lasting:
         _announce(state, job, model.Phase.COMPLETED)
 
 
@@ -210,7 +209,7 @@
     for member in members:
         member.failures = failures
     task.avoid.add(host.id)
-    task.phase = scheduling.TaskPhase.WAITING
+    job.set_phase(task, scheduling.TaskPhase.WAITING)
     task.waits_until = now + FAILED_PAUSE_S
     state.placing.add(state.service_of(job.job))
     state.note(
--- a/standins/fleet/processor.py
+++ b/standins/fleet/processor.py
@@ -16,10 +16,11 @@
 class Processor:
     """Runs one piece of work after the other.
 
-    ``speed`` is in function calls a second; None takes no time.
+    ``speed`` is in function calls a second; None takes no time and is not
+    counted. ``total`` is the number of function calls counted so far.
     """
 
-    __slots__ = ("_calls", "_clock", "_free_at", "_waiting", "speed")
+    __slots__ = ("_calls", "_clock", "_free_at", "_waiting", "speed", "total")
 
     def __init__(self, *, clock: clocks.Clock) -> None:
         self._clock = clock
@@ -29,6 +30,7 @@
         self._free_at = 0.0
         self._calls = 0
         self.speed: float | None = None
+        self.total = 0
 
     def charge(self, calls: int) -> None:
         """Count work that is done outside of the simulated code."""
@@ -55,6 +57,7 @@
             work()
         finally:
             sys.setprofile(before)
+        self.total += self._calls
         self._free_at = self._clock.now + self._calls / self.speed
         self._waiting.popleft()
         if self._waiting:
--- a/tests/policy/test_job_order.py
+++ b/tests/policy/test_job_order.py
@@ -93,7 +93,8 @@
             while job.undone[(0, 0)] and step.needs.cpu <= free:
                 free -= step.needs.cpu
                 running.append((now + step.estimate_ms, step.needs.cpu))
-                job.undone[(0, 0)] -= 1
+                task = job.steps[(0, 0)][job.undone[(0, 0)] - 1]
+                job.set_phase(task, scheduling.TaskPhase.DONE)
             if not job.undone[(0, 0)]:
                 here.remove(job)
                 end = now + step.estimate_ms
--- /dev/null
+++ b/tests/scheduling/test_leader_cost.py
@@ -0,0 +1,34 @@
+"""What a start costs the leader, in function calls, at two sizes of fleet."""
+
+from azurewood.jobs import model
+from tests.scheduling import deployment
+
+SMALL = 500_000
+"""Function calls a second: about half of a core."""
+SECONDS = 4
+STEP = model.Step(
+    count=8, needs=model.Resources(1000, 500, 0), estimate_ms=800
+)
+
+
+def _calls_a_start(hosts):
+    """Serve a fleet at a third of its room; return the leader's calls."""
+    made = deployment.world(members=1, **{"s-one": hosts})
+    processor = made.leaders()[0].processor
+    # It is counted but takes no time, so all fleets are served alike.
+    processor.speed = float("inf")
+    jobs_a_second = hosts // 5
+    for number in range(jobs_a_second * SECONDS):
+        job = deployment.job(made, number, STEP)
+        made.submit(made.members[0], job)
+        made.run(1 / jobs_a_second)
+    deployment.check(made)
+    assert made.rules.starts >= 0.8 * STEP.count * jobs_a_second * SECONDS
+    return processor.total / made.rules.starts
+
+
+def test_a_start_costs_no_more_in_a_larger_fleet():
+    """Guards against SHORT: a leader whose work a start grows with hosts."""
+    small, large = _calls_a_start(50), _calls_a_start(200)
+    assert large <= 1.25 * small
+    assert large <= SMALL / (STEP.count * 200 // 5)
