Rest after a pass over the queue by what the pass took

The pause after a pass was a constant for each waiting job, whatever the pass cost on the processor at hand; and a pass looked through the pool's hosts even if no task waited.

A term measures its pass by its clock and rests three times as long, so a quarter of a busy leader's time at most goes to the queue; the loop wakes when the rest is over. A pass without a waiting task ends before it looks at hosts. The clock of a simulated daemon moves on with the calls that it has made in the work at hand. `test_leader_cost` plays a leader with half of a core instead of one that takes no time, for which there is no rest.

--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -24,6 +24,9 @@
 
 TICK_S: typing.Final = 0.05
 """Pause between ticks: a fortieth of the shortest bound on an answer."""
+PASS_REST: typing.Final = 3
+"""Rest after a pass over the queue, in lengths of the pass: three quarters
+of a busy leader's time are left for holds, starts and ends."""
 HOSTS_EVERY_S: typing.Final = 0.25
 """Pause between readings of the hosts' entries."""
 HOSTS_COMING_S: typing.Final = 0.08
@@ -38,6 +41,7 @@
         "_hosts",
         "_jobs",
         "_known_hosts",
+        "_place_at",
         "_progress",
         "_retired",
         "_takeover",
@@ -54,6 +58,7 @@
         self.state: scheduling.State | None = None
         self._takeover = takeovers.Takeover(given=given, number=number)
         self._tick_at = 0.0
+        self._place_at = 0.0
         self._retired: collections.deque[tuple[float, str]] = (
             collections.deque()
         )
@@ -98,6 +103,8 @@
         """Return when ``step`` has something to do again."""
         if self.state is None:
             return now + takeovers.RETRY_S
+        if self.state.placing and now < self._place_at:
+            return min(self._tick_at, self._place_at)
         return self._tick_at
 
     def stop(self, reason: str) -> None:
@@ -178,7 +185,8 @@
             self._tick_at = now + TICK_S
             self._retire(now)
             self.take(self._tick(now))
-        reducer.place(self.state, now)
+        if now >= self._place_at:
+            self._place(now)
         for effect in reducer.finish(self.state, now):
             self._carry_out(effect)
         self._progress.step(now)
@@ -186,6 +194,13 @@
         if self._progress.fenced or self._jobs.fenced:
             self.stop("a later term has written")
 
+    def _place(self, now: float) -> None:
+        """Make a pass over the queue; the next waits by what it took."""
+        began_at = self._given.clock()
+        reducer.place(self.state, now)
+        ended_at = self._given.clock()
+        self._place_at = ended_at + PASS_REST * (ended_at - began_at)
+
     def _tick(self, now: float) -> messages.Tick:
         election = self._given.election
         recent = election.leads(now, within_s=leadership.ORDER_VALID_S)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -391,9 +391,9 @@
 class State:
     """All that a leader knows in its term.
 
-    ``placing`` are the services whose waiting tasks are to be placed,
-    ``place_at`` is when each may be looked at again. ``largest_room`` is the
-    most that any machine on the list has of each resource.
+    ``placing`` are the services whose waiting tasks are to be placed.
+    ``largest_room`` is the most that any machine on the list has of each
+    resource.
     """
 
     __slots__ = (
@@ -415,7 +415,6 @@
         "order_after",
         "ordered_at",
         "orders",
-        "place_at",
         "placing",
         "pools_due",
         "pools_told",
@@ -449,7 +448,6 @@
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
         self.placing: set[str] = set()
-        self.place_at: dict[str, float] = {}
         self.began_ids: list[str] = []
         self.dirty: set[str] = set()
         self.values: dict[str, bytes | None] = {}
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -13,28 +13,21 @@
 
 MAX_STARTS_A_PASS = 200
 """Bound on the starts of one pass, so that holds are not held up."""
-PASS_S_A_JOB = 0.0001
-"""Pause after a pass, a waiting job: about what the pass itself takes, so
-that half of the leader's time is left for holds and starts."""
 MAX_ADVISED_HOSTS = 30
 """Hosts named in one call for advice; the call grows with each."""
 
 
 def place(state: model.State, now: float) -> None:
     """Place what waits for the services in which something changed."""
-    due = {
-        name for name in state.placing if now >= state.place_at.get(name, 0.0)
-    }
+    due, state.placing = state.placing, set()
     if not due:
         return
-    state.placing -= due
     waiting: dict[str, list[model.JobState]] = collections.defaultdict(list)
     for job in state.jobs.values():
         service = state.service_of(job.job)
         if service in due and not (job.cancelled or job.closing):
             waiting[service].append(job)
     for service, found in waiting.items():
-        state.place_at[service] = now + PASS_S_A_JOB * len(found)
         _place_service(state, service, found, now)
 
 
@@ -44,6 +37,8 @@
     found: list[model.JobState],
     now: float,
 ) -> None:
+    if not any(_waits(state, job) for job in found):
+        return
     pool = [
         host
         for host in state.hosts.values()
@@ -71,6 +66,11 @@
                 return
 
 
+def _waits(state: model.State, job: model.JobState) -> bool:
+    """Return whether a task of a job waits for room."""
+    return any(job.waiting[key] for key in job.open_steps(state.unix_ms))
+
+
 def _could_start(
     state: model.State, job: model.JobState, most: jobs.Resources
 ) -> bool:
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -182,7 +182,7 @@
             nonce=f"{world.random.getrandbits(64):016x}",
             platform=platform.SimPlatform(world=world),
             calls=SimCalls(world=world, member=self),
-            clock=lambda: world.clock.now,
+            clock=lambda: world.clock.now + self.processor.spent_s,
             unix_ms=lambda: world.clock.now * 1000,
             wake=self.step,
             order_pause_s=ORDER_PAUSE_S,
--- a/standins/fleet/processor.py
+++ b/standins/fleet/processor.py
@@ -32,6 +32,11 @@
         self.speed: float | None = None
         self.total = 0
 
+    @property
+    def spent_s(self) -> float:
+        """How long the work that is being done has taken so far."""
+        return self._calls / self.speed if self.speed else 0.0
+
     def charge(self, calls: int) -> None:
         """Count work that is done outside of the simulated code."""
         self._calls += calls
@@ -58,7 +63,8 @@
         finally:
             sys.setprofile(before)
         self.total += self._calls
-        self._free_at = self._clock.now + self._calls / self.speed
+        self._free_at = self._clock.now + self.spent_s
+        self._calls = 0
         self._waiting.popleft()
         if self._waiting:
             self._wait()
--- a/tests/scheduling/test_leader_cost.py
+++ b/tests/scheduling/test_leader_cost.py
@@ -1,4 +1,4 @@
-"""What a start costs the leader, in function calls, at two sizes of fleet."""
+"""What a start costs a small leader, in function calls, by size of fleet."""
 
 from azurewood.jobs import model
 from tests.scheduling import deployment
@@ -15,8 +15,7 @@
     """Serve a fleet at a third of its room; return the leader's calls."""
     made = deployment.world(members=1, **{"s-one": hosts})
     processor = made.leaders()[0].processor
-    # It is counted but takes no time, so all fleets are served alike.
-    processor.speed = float("inf")
+    processor.speed = SMALL
     jobs_a_second = hosts // 5
     for number in range(jobs_a_second * SECONDS):
         job = deployment.job(made, number, STEP)
