--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -26,6 +26,9 @@
 
 TICK_S: typing.Final = 0.05
 """Pause between ticks: a fortieth of the shortest bound on an answer."""
+PASS_REST: typing.Final = 3
+"""Rest after a pass over the queue, in lengths of the pass: three quarters
+of a busy leader's time are left for holds, starts and ends."""
 HOSTS_EVERY_S: typing.Final = 0.25
 """Pause between readings of the hosts' entries."""
 HOSTS_COMING_S: typing.Final = 0.08
@@ -44,6 +47,7 @@
         "_jobs",
         "_known_hosts",
         "_pace",
+        "_place_at",
         "_prove_at",
         "_progress",
         "_reports",
@@ -62,6 +66,7 @@
         self.state: scheduling.State | None = None
         self._takeover = takeovers.Takeover(given=given, number=number)
         self._tick_at = 0.0
+        self._place_at = 0.0
         self._prove_at = float("inf")
         self._retired: collections.deque[tuple[float, str]] = (
             collections.deque()
@@ -106,6 +111,8 @@
         """Return when ``step`` has something to do again."""
         if self.state is None:
             return now + takeovers.RETRY_S
+        if self.state.placing and now < self._place_at:
+            return min(self._tick_at, self._place_at)
         return self._tick_at
 
     def stop(self, reason: str) -> None:
@@ -126,10 +133,11 @@
             return {}
         waiting = (*state.held, *(state.saving or ()))
         starts = [e for e in waiting if isinstance(e, messages.StartRun)]
+        down = [name for name in state.machines if state.ordered_down(name)]
         return {
             "jobs": len(state.jobs),
             "starts_unstored": len(starts),
-            "orders_open": len(state.moving) + len(state.orders_open),
+            "orders_open": len(state.moving) + len(down),
         }
 
     def _begin(self, state: scheduling.State) -> None:
@@ -195,8 +203,7 @@
 
     def largest_room(self) -> model.Resources:
         """Return the largest machine's room, which beats tell all daemons."""
-        machines = self.state.machines.values() if self.state else ()
-        return model.most(entry.room for entry in machines)
+        return self.state.largest_room if self.state else model.Resources()
 
     def _lead(self, now: float) -> None:
         self._pace.step(self.state, now)
@@ -218,7 +225,8 @@
             self._tick_at = now + TICK_S
             self._retire(now)
             self.take(self._tick(now))
-        reducer.place(self.state, now)
+        if now >= self._place_at:
+            self._place(now)
         for effect in reducer.finish(self.state, now):
             self._carry_out(effect)
         self._progress.step(now)
@@ -228,6 +236,13 @@
         if any(writer.fenced for writer in written):
             self.stop("a later term has written")
 
+    def _place(self, now: float) -> None:
+        """Make a pass over the queue; the next waits by what it took."""
+        began_at = self._given.clock()
+        reducer.place(self.state, now)
+        ended_at = self._given.clock()
+        self._place_at = ended_at + PASS_REST * (ended_at - began_at)
+
     def _tick(self, now: float) -> messages.Tick:
         election = self._given.election
         return messages.Tick(
--- a/azurewood/scheduling/backlog.py
+++ b/azurewood/scheduling/backlog.py
@@ -33,6 +33,5 @@
     state: model.State, job: model.JobState
 ) -> abc.Iterator[tuple[tuple[int, int], list[model.Task]]]:
     """Return the steps that are not done and whose turn has come."""
-    for key, left in job.undone.items():
-        if left and job.may_start(*key, state.unix_ms):
-            yield key, job.steps[key]
+    for key in job.open_steps(state.unix_ms):
+        yield key, job.steps[key]
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -1,5 +1,6 @@
 """The leader's state: jobs with their tasks, hosts with their runs."""
 
+from collections import abc
 import enum
 import typing
 
@@ -46,6 +47,11 @@
         self.waits_until = 0.0
 
 
+def step_key(task: model.TaskId) -> tuple[str, int, int]:
+    """Return what the tasks of one step and occurrence have in common."""
+    return task[:3]
+
+
 class RunPhase(enum.Enum):
     """How far the leader is with a run on a host."""
 
@@ -110,9 +116,11 @@
 class Host:
     """One host: what it said of itself, its lease and its runs.
 
-    ``synced`` is whether it has answered this leader, so that it takes no
-    order of an earlier one. ``bound_at`` is when all its leases have
-    lapsed at the latest.
+    ``room`` is what is free for further runs, ``used`` what runs take,
+    ``step_runs`` the number of runs of each step, ``lasting`` that of
+    lasting runs. ``synced`` is whether it has answered this leader, so that
+    it takes no order of an earlier one. ``bound_at`` is when all its leases
+    have lapsed at the latest.
     """
 
     __slots__ = (
@@ -126,12 +134,15 @@
         "hold_at",
         "holding",
         "id",
+        "lasting",
         "leaving",
         "listed",
         "listed_at",
         "present",
+        "room",
         "runs",
         "silent_since",
+        "step_runs",
         "suspended_until",
         "synced",
         "used",
@@ -155,25 +166,46 @@
         self.failed_tasks: set[model.TaskId] = set()
         self.runs: dict[tuple[model.TaskId, int], Run] = {}
         self.used = model.Resources()
+        self.room = model.Resources()
+        self.step_runs: dict[tuple[str, int, int], int] = {}
+        self.lasting = 0
         self.foreign = 0
         self.leaving = False
 
-    @property
-    def room(self) -> model.Resources:
-        """What is free for further runs."""
-        if self.entry is None:
-            return model.Resources()
-        return self.entry.room.minus(self.used)
+    def describe(self, entry: messages.HostEntry) -> None:
+        """Take in what the host says of itself."""
+        self.entry = entry
+        self.room = entry.room.minus(self.used)
 
     def add(self, run: Run) -> None:
         """Count a run's room as taken."""
         self.runs[run.key] = run
-        self.used = self.used.plus(run.step.reserved)
+        self.lasting += run.step.lasting
+        self.reserve(run.task, run.step)
 
     def remove(self, run: Run) -> None:
         """Free a run's room."""
         del self.runs[run.key]
-        self.used = self.used.minus(run.step.reserved)
+        self.lasting -= run.step.lasting
+        self.release(run.task, run.step)
+
+    def reserve(self, task: model.TaskId, step: model.Step) -> None:
+        """Take the room of one task of a step."""
+        key = step_key(task)
+        self.step_runs[key] = self.step_runs.get(key, 0) + 1
+        self.used = self.used.plus(step.reserved)
+        if self.entry is not None:
+            self.room = self.entry.room.minus(self.used)
+
+    def release(self, task: model.TaskId, step: model.Step) -> None:
+        """Give back what ``reserve`` took."""
+        key = step_key(task)
+        self.step_runs[key] -= 1
+        if not self.step_runs[key]:
+            del self.step_runs[key]
+        self.used = self.used.minus(step.reserved)
+        if self.entry is not None:
+            self.room = self.entry.room.minus(self.used)
 
     def clock(self, now: float) -> int | None:
         """Return the host's clock in ms as it should stand now."""
@@ -185,12 +217,18 @@
 class JobState:
     """A job that is not over, and its tasks by occurrence and step.
 
+    ``undone`` and ``waiting`` count each step's tasks that are not done, and
+    that wait for a host; tasks change their phase by ``set_phase`` only.
+    What is worked out from the counts is kept until they change.
     ``failed_gangs`` has the newest run of each gang that failed: it counts
     once, however many of its members fail. ``first_run_ms`` is when this
     leader gave its first task a host, in Unix ms; None if an earlier one did.
     """
 
     __slots__ = (
+        "_open",
+        "_remaining_ms",
+        "_work",
         "added_at",
         "begun",
         "cancelled",
@@ -198,14 +236,17 @@
         "failed_gangs",
         "first_run_ms",
         "job",
+        "lasting",
         "objective_at_ms",
         "steps",
         "tickets",
         "undone",
+        "waiting",
     )
 
     def __init__(self, *, job: model.Job, now: float) -> None:
         self.job = job
+        self.lasting = job.lasting
         self.objective_at_ms = job.objective_at_ms()
         self.added_at = now
         self.begun = False
@@ -214,6 +255,10 @@
         self.closing = False
         self.steps: dict[tuple[int, int], list[Task]] = {}
         self.undone: dict[tuple[int, int], int] = {}
+        self.waiting: dict[tuple[int, int], int] = {}
+        self._open: list[tuple[int, int]] | None = None
+        self._work: int | None = None
+        self._remaining_ms: int | None = None
         self.tickets: dict[tuple[int, int], messages.Advised] = {}
         self.failed_gangs: dict[tuple[int, int], int] = {}
         for occurrence in range(job.occurrences):
@@ -225,6 +270,7 @@
     ) -> None:
         key = (occurrence, number)
         self.undone[key] = step.count
+        self.waiting[key] = step.count
         self.steps[key] = [
             Task(id=model.TaskId(self.job.id, occurrence, number, index))
             for index in range(step.count)
@@ -235,17 +281,70 @@
         tasks = self.steps.get((id.occurrence, id.step), [])
         return tasks[id.index] if 0 <= id.index < len(tasks) else None
 
+    def tasks_beside(self, id: model.TaskId) -> abc.Iterator[Task]:
+        """Return the other tasks of a task's step and occurrence."""
+        tasks = self.steps.get((id.occurrence, id.step), [])
+        return (task for task in tasks if task.id != id)
+
     def step_of(self, id: model.TaskId) -> model.Step:
         """Return the step of a task of the job."""
         return self.job.steps[id.step]
 
-    def may_start(self, occurrence: int, step: int, unix_ms: float) -> bool:
-        """Return whether a step's turn has come."""
-        if unix_ms < self.job.due_ms(occurrence):
-            return False
+    def set_phase(self, task: Task, phase: TaskPhase) -> None:
+        """Have a task enter a phase; one that is done stays so."""
+        key = (task.id.occurrence, task.id.step)
+        self.waiting[key] -= task.phase is TaskPhase.WAITING
+        self.waiting[key] += phase is TaskPhase.WAITING
+        if phase is TaskPhase.DONE and task.phase is not TaskPhase.DONE:
+            self.undone[key] -= 1
+            self._work = None
+            if not self.undone[key]:
+                self._open = None
+                self._remaining_ms = None
+        task.phase = phase
+
+    def open_steps(self, unix_ms: float) -> list[tuple[int, int]]:
+        """Return the steps that are not done and whose turn has come."""
+        if self._open is None:
+            self._open = [
+                key
+                for key, left in self.undone.items()
+                if left and self._ready(*key)
+            ]
+        if self.job.schedule is None:
+            return self._open
+        return [
+            (occurrence, step)
+            for occurrence, step in self._open
+            if unix_ms >= self.job.due_ms(occurrence)
+        ]
+
+    def _ready(self, occurrence: int, step: int) -> bool:
         after = self.job.steps[step].after
         return all(self.undone[(occurrence, other)] == 0 for other in after)
 
+    def work(self) -> int:
+        """Return the estimated work that is left, in thousandths x ms."""
+        if self._work is None:
+            self._work = sum(
+                self.job.steps[number].needs.cpu
+                * self.job.steps[number].estimate_ms
+                * left
+                for (_, number), left in self.undone.items()
+            )
+        return self._work
+
+    def remaining_ms(self) -> int:
+        """Return the estimated length of the longest chain that is undone."""
+        if self._remaining_ms is None:
+            ends: list[int] = []
+            for number, step in enumerate(self.job.steps):
+                begin = max((ends[i] for i in step.after), default=0)
+                undone = self.undone[(0, number)]
+                ends.append(begin + (step.estimate_ms if undone else 0))
+            self._remaining_ms = max(ends, default=0)
+        return self._remaining_ms
+
     @property
     def done(self) -> bool:
         """Whether every task is done."""
@@ -296,8 +395,9 @@
 class State:
     """All that a leader knows in its term.
 
-    ``placing`` are the services whose waiting tasks are to be placed,
-    ``place_at`` is when each may be looked at again.
+    ``placing`` are the services whose waiting tasks are to be placed.
+    ``largest_room`` is the most that any machine on the list has of each
+    resource.
     """
 
     __slots__ = (
@@ -311,6 +411,7 @@
         "host_machines",
         "hosts",
         "jobs",
+        "largest_room",
         "lease_bound_at",
         "machines",
         "machines_at",
@@ -319,7 +420,6 @@
         "order_after",
         "ordered_at",
         "orders",
-        "place_at",
         "placing",
         "pools_due",
         "pools_told",
@@ -340,6 +440,7 @@
         self.jobs: dict[str, JobState] = {}
         self.hosts: dict[str, Host] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
+        self.largest_room = model.Resources()
         self.machines_at = -1.0
         self.machines_due = 0.0
         self.orders: dict[str, float] = {}
@@ -357,7 +458,6 @@
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
         self.placing: set[str] = set()
-        self.place_at: dict[str, float] = {}
         self.began_ids: list[str] = []
         self.dirty: set[str] = set()
         self.values: dict[str, bytes | None] = {}
@@ -377,15 +477,12 @@
         """Return whether an earlier leader's order to it is long past."""
         return now >= self.order_after.get(machine, 0.0)
 
-    @property
-    def orders_open(self) -> set[str]:
-        """The machines that a wave has ordered down and not seen back."""
-        return {
-            name
+    def ordered_down(self, machine: str) -> bool:
+        """Return whether a wave took a machine down and misses it yet."""
+        return any(
+            machine in wave.ordered and machine not in wave.back
             for wave in self.waves.values()
-            for name in wave.ordered
-            if name not in wave.back
-        }
+        )
 
     def service_of(self, job: model.Job) -> str:
         """Return the service whose hosts run a job now."""
--- a/standins/fleet/processor.py
+++ b/standins/fleet/processor.py
@@ -16,8 +16,9 @@
 class Processor:
     """Runs one piece of work after the other.
 
-    ``speed`` is in function calls a second; None takes no time.
-    ``busy_s`` is the time that all work has taken.
+    ``speed`` is in function calls a second; None takes no time and is not
+    counted. ``total`` is the number of function calls counted so far,
+    ``busy_s`` the time that all of them have taken.
     """
 
     __slots__ = (
@@ -27,6 +28,7 @@
         "_waiting",
         "busy_s",
         "speed",
+        "total",
     )
 
     def __init__(self, *, clock: clocks.Clock) -> None:
@@ -38,6 +40,12 @@
         self._calls = 0
         self.busy_s = 0.0
         self.speed: float | None = None
+        self.total = 0
+
+    @property
+    def spent_s(self) -> float:
+        """How long the work that is being done has taken so far."""
+        return self._calls / self.speed if self.speed else 0.0
 
     def charge(self, calls: int) -> None:
         """Count work that is done outside of the simulated code."""
@@ -64,9 +72,10 @@
             work()
         finally:
             sys.setprofile(before)
-        took_s = self._calls / self.speed
-        self.busy_s += took_s
-        self._free_at = self._clock.now + took_s
+        self.total += self._calls
+        self.busy_s += self.spent_s
+        self._free_at = self._clock.now + self.spent_s
+        self._calls = 0
         self._waiting.popleft()
         if self._waiting:
             self._wait()
