--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -9,7 +9,6 @@
 import typing
 
 from azurewood.jobs import model as jobs
-from azurewood.policy import host_choice
 from azurewood.policy import host_health
 from azurewood.scheduling import backlog
 from azurewood.scheduling import messages
@@ -31,7 +30,7 @@
     UNUSABLE = "hosts of the pool are silent, leaving or suspended"
     ADVICE = "waiting for advice"
     ROOM = "waiting for room"
-    NOT_PLACED = "a host has room, by order, label or spread not for it"
+    NOT_PLACED = "a host has room, but not by order, spread or gang"
     NO_RUN = "its run is on no host's record"
     HOST_SILENT = "the host of its run is silent"
     HOST_UNSYNCED = "the host of its run has not answered this leader"
@@ -41,14 +40,27 @@
 
 
 class _Pool:
-    """The most room of a host of a pool, or why it takes no task at all."""
+    """The room and labels of a pool's hosts, or why none takes a task."""
 
-    __slots__ = ("room", "why")
+    __slots__ = ("hosts", "why")
 
-    def __init__(self, *, room: jobs.Resources, why: Why | None) -> None:
-        self.room = room
+    def __init__(
+        self,
+        *,
+        hosts: list[tuple[jobs.Resources, tuple[str, ...]]],
+        why: Why | None,
+    ) -> None:
+        self.hosts = hosts
         self.why = why
 
+    def fits(self, step: jobs.Step) -> bool:
+        """Return whether any host has the room and label for a task."""
+        return any(
+            step.reserved.fits(room)
+            for room, labels in self.hosts
+            if not step.label or step.label in labels
+        )
+
 
 class _Pools:
     """The pools of one look, each looked at once."""
@@ -190,7 +202,7 @@
     pool = pools.get(state, state.service_of(job.job), now)
     if pool.why is not None:
         return pool.why
-    if not job.step_of(task.id).reserved.fits(pool.room):
+    if not pool.fits(job.step_of(task.id)):
         return Why.ROOM
     queue = state.catalog.queues.get(job.job.queue)
     if queue is not None and queue.advice is not None:
@@ -212,4 +224,5 @@
         why = Why.UNSYNCED
     elif not usable:
         why = Why.UNUSABLE
-    return _Pool(room=host_choice.most_room(usable), why=why)
+    rooms = [(host.room, host.entry.labels) for host in usable]
+    return _Pool(hosts=rooms, why=why)
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -198,3 +198,15 @@
     run.phase = model.RunPhase.STARTING
     stuck.look(state, NOW + 2.5)
     assert [found.since for found in state.standstills.values()] == [NOW + 2.5]
+
+
+def test_room_of_several_hosts_is_not_room_on_one():
+    """Hosts that lack processor or memory do not make room together."""
+    state = _state()
+    _host(state).used = jobs.Resources(3500, 0, 0)
+    other = state.host("h2")
+    other.entry = _entry()
+    other.present = other.synced = True
+    other.used = jobs.Resources(0, 7800, 0)
+    (line,) = _told(state)
+    assert line["why"] == stuck.Why.ROOM.value
