--- a/azurewood/commands/explain.py
+++ b/azurewood/commands/explain.py
@@ -64,7 +64,8 @@
 
 def _parsed(log: typing.BinaryIO) -> abc.Iterator[dict[str, typing.Any]]:
     for text in log:
-        begin = text.find(b"{")
+        # What a line that was cut short left behind may stand before it.
+        begin = text.rfind(b'{"time"')
         if begin < 0:
             continue
         try:
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -253,4 +253,5 @@
     """
     if job.first_run_ms is None:
         return None
-    return int(job.first_run_ms - job.job.accepted_ms)
+    # The daemon that accepted it may have a clock that is ahead.
+    return max(0, int(job.first_run_ms - job.job.accepted_ms))
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -26,6 +26,8 @@
         _line(5.2, "task.stuck", "m2", job="a1", why="waiting for room"),
         _line(5.3, "task.stuck", "m2", job="b2", why="waiting for room"),
         _line(5.9, "request.cut", "m1", path="/q/a1", reason="reset"),
+        '{"time":"2026-05-15T02:16:05.95","ev'
+        + _line(5.95, "leader.saturated"),
         _line(9.9, "leader.late", "m3", late_ms=400),
     ]
 )
@@ -47,6 +49,7 @@
         "leader.late",
         "task.stuck",
         "request.cut",
+        "leader.saturated",
         "job.ended",
     ]
     assert "phase=failed" in result.output
@@ -57,7 +60,7 @@
     args = ["explain", "a1", "-", "--output", "json"]
     lines = json.loads(runner.invoke(main.main, args, input=LOG).output)
     assert [line["event"] for line in lines][0] == "accepted"
-    assert len(lines) == 7
+    assert len(lines) == 8
 
 
 def test_a_job_that_no_line_concerns():
