Look at a line's gauges only for the events that set some

Each log line went through all declared gauges, on the leader up to a thousand times a second. They are kept by their event now; the metrics page is the same (tests/log).

--- a/azurewood/log/collected.py
+++ b/azurewood/log/collected.py
@@ -103,6 +103,9 @@
         label="pool",
     ),
 )
+GAUGE_EVENTS: typing.Final = frozenset(
+    {TERM_OVER, *(gauge.event for gauge in GAUGES)}
+)
 
 
 class Collected:
@@ -167,8 +170,9 @@
             if name in fields:
                 seconds = float(fields[name]) / 1000
                 self._seconds.labels(event=event).observe(seconds)
-        self._set_gauges(event, fields)
-        if event == JOB_ENDED:
+        if event in GAUGE_EVENTS:
+            self._set_gauges(event, fields)
+        elif event == JOB_ENDED:
             self._count_end(fields)
 
     def _count_end(self, fields: abc.Mapping[str, typing.Any]) -> None:
