Bar earlier leaders from the reports of waves

What was seen, in the stand-in: a leader that is cut off as it reports a wave repeats that report. When the cut is over, operators who had read that the wave is completed, as its successor reported, read that it is running.

Cause: reports were the only appends of a leader without a condition.

They are appended like its other records, by the producer of the leaders with the term as its epoch.

--- a/azurewood/daemons/ports.py
+++ b/azurewood/daemons/ports.py
@@ -46,11 +46,6 @@
     ) -> multiplex.Call:
         """Append a record if the topic ends at an offset."""
 
-    def append_plain(
-        self, topic: pages.Topic, record: appender.Record
-    ) -> multiplex.Call:
-        """Append a record that may be appended twice."""
-
     def append_result(self, reply: multiplex.Reply) -> appender.Result:
         """Decode the answer to any append."""
 
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -40,6 +40,7 @@
         "_jobs",
         "_known_hosts",
         "_progress",
+        "_reports",
         "_retired",
         "_takeover",
         "_tick_at",
@@ -65,21 +66,19 @@
             pause_s=HOSTS_EVERY_S,
         )
         self._known_hosts: set[str] = set()
-        self._progress = topics.Writer(
-            platform=given.platform,
-            calls=given.calls,
-            clock=given.clock,
-            topic=pages.Topic.PROGRESS,
+        self._progress = self._writer(pages.Topic.PROGRESS)
+        self._jobs = self._writer(pages.Topic.JOBS)
+        self._reports = self._writer(pages.Topic.REPORTS)
+
+    def _writer(self, topic: pages.Topic) -> topics.Writer:
+        """Return this term's appends to a topic, which a later term bars."""
+        return topics.Writer(
+            platform=self._given.platform,
+            calls=self._given.calls,
+            clock=self._given.clock,
+            topic=topic,
             producer=takeovers.PRODUCER,
-            epoch=number,
-        )
-        self._jobs = topics.Writer(
-            platform=given.platform,
-            calls=given.calls,
-            clock=given.clock,
-            topic=pages.Topic.JOBS,
-            producer=takeovers.PRODUCER,
-            epoch=number,
+            epoch=self.number,
         )
 
     def step(self, now: float) -> None:
@@ -179,6 +178,7 @@
         if now >= self._tick_at:
             self._tick_at = now + TICK_S
             self._retire(now)
+            self._reports.step(now)
             self.take(self._tick(now))
         reducer.place(self.state, now)
         for effect in reducer.finish(self.state, now):
@@ -231,7 +231,7 @@
                 self._order(effect)
             case messages.ReportWave():
                 record = self._given.platform.wave_report(effect)
-                self._report(record)
+                self._reports.add((record,), None)
             case messages.AskAdvice():
                 self._given.calls.submit(
                     self._given.platform.advice_call(effect),
@@ -260,23 +260,6 @@
         stored = appender.Record(key=record.key, value=records.encode(record))
         self._jobs.add((stored,), None)
 
-    def _report(self, record: appender.Record) -> None:
-        """Write what operators read, again until it is stored."""
-
-        def took(reply: multiplex.Reply) -> None:
-            result = self._given.platform.append_result(reply)
-            if not isinstance(result, appender.Appended):
-                logger.bind(event="report.retried", key=record.key).warning(
-                    "a report was not stored: {}", result
-                )
-                if not self.over:
-                    self._report(record)
-
-        self._given.calls.submit(
-            self._given.platform.append_plain(pages.Topic.REPORTS, record),
-            took,
-        )
-
     def _order(
         self, order: messages.MoveMachine | messages.ServiceMachine
     ) -> None:
--- a/azurewood/platform/base.py
+++ b/azurewood/platform/base.py
@@ -55,13 +55,6 @@
         url = self._settings.store_url
         return store.append_at(url, topic, data, at, APPEND_TIMEOUT_MS)
 
-    def append_plain(
-        self, topic: pages.Topic, record: appender.Record
-    ) -> multiplex.Call:
-        """Append a record that may be appended twice."""
-        url = self._settings.store_url
-        return store.append_plain(url, topic, record, APPEND_TIMEOUT_MS)
-
     def append_result(self, reply: multiplex.Reply) -> appender.Result:
         """Decode the answer to any append."""
         return store.append_result(reply)
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -97,14 +97,6 @@
     return _append(url, query, body, timeout_ms)
 
 
-def append_plain(
-    url: str, topic: pages.Topic, record: appender.Record, timeout_ms: int
-) -> multiplex.Call:
-    """Return the call that appends a record without any condition."""
-    query = {"topic": NAMES[topic], "part": 0}
-    return _append(url, query, _frame(topic, record), timeout_ms)
-
-
 def _append(
     url: str, query: dict[str, object], body: bytes, timeout_ms: int
 ) -> multiplex.Call:
--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -93,17 +93,6 @@
             timeout_s=STORE_TIMEOUT_S,
         )
 
-    def append_plain(
-        self, topic: pages.Topic, record: appender.Record
-    ) -> SimCall:
-        """Append a record that may be appended twice."""
-        store = self._world.store
-        return SimCall(
-            target=STORE,
-            act=lambda at: store.add(topic, (record,)),
-            timeout_s=STORE_TIMEOUT_S,
-        )
-
     def append_result(self, reply: multiplex.Reply) -> appender.Result:
         """Return what came of an append."""
         if reply.outcome is multiplex.Outcome.NOT_SENT:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -18,6 +18,7 @@
 from azurewood.scheduling import progress
 from azurewood.scheduling import runs
 from standins.fleet import members
+from standins.fleet import platform
 from tests.scheduling import deployment
 
 ORDER_PAUSE_S = members.ORDER_PAUSE_S
@@ -191,6 +192,44 @@
     assert min(_pauses(_orders_around_a_new_leader())) < ORDER_PAUSE_S
 
 
+def _report_into_a_cut(made, monkeypatch):
+    """Cut a leader off as it reports a wave; its successor ends the wave.
+
+    The cut is over while the first leader repeats its report. Return what
+    operators read one after another.
+    """
+    old = made.leaders()[0]
+    real = platform.SimPlatform.wave_report
+
+    def cut(self, report):
+        if made.leaders() == [old]:
+            old.cut_from.update((platform.STORE, *made.hosts))
+        return real(self, report)
+
+    def reported():
+        page = made.store.read(pages.Topic.REPORTS, 0)
+        return [record.value for record in page.records]
+
+    monkeypatch.setattr(platform.SimPlatform, "wave_report", cut)
+    made.request_wave(deployment.wave(1, min(made.machines)))
+    end = made.clock.now + 20.0
+    while b"completed" not in reported():
+        assert made.clock.now < end
+        made.run(0.01)
+    assert old.cut_from
+    old.cut_from.clear()
+    made.run(5.0)
+    return reported()
+
+
+def test_earlier_leaders_report_does_not_replace_a_later_ones(monkeypatch):
+    made = deployment.world()
+    reported = _report_into_a_cut(made, monkeypatch)
+    assert reported == sorted(reported, reverse=True)
+    assert reported[-1] == b"completed"
+    deployment.check(made)
+
+
 def test_a_daemon_that_starts_later_shows_the_same_end():
     """Found by seed 14 of the soak: a job's end raced its cancellation.
 
