--- a/tests/scheduling/test_late_orders.py
+++ b/tests/scheduling/test_late_orders.py
@@ -9,9 +9,12 @@
 
 import pytest
 
+from azurewood.http import sockets
 from azurewood.jobs import model
+from azurewood.platform import machines
 from azurewood.scheduling import orders
 from azurewood.scheduling import progress
+from standins.fleet import members
 from standins.fleet import platform
 from tests.scheduling import deployment
 
@@ -182,3 +185,10 @@
     _answer_an_orders_record_late(made, monkeypatch, 3.2)
     with pytest.raises(AssertionError, match="leaders order in turns"):
         deployment.check(made)
+
+
+def test_an_orders_bytes_are_gone_before_a_successors_order():
+    call_s = max(machines.CALL_TIMEOUT_MS, sockets.UNSENT_MS) / 1000
+    pause_s = members.ORDER_PAUSE_S + orders.SEND_WITHIN_S
+    assert orders.SEND_WITHIN_S + call_s < pause_s
+    assert pause_s <= orders.KEPT_S
