--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -224,6 +224,7 @@
             self._pace.tick(self.state, due=self._tick_at, now=now)
             self._tick_at = now + TICK_S
             self._retire(now)
+            self._reports.step(now)
             self.take(self._tick(now))
         if now >= self._place_at:
             self._place(now)
@@ -231,7 +232,6 @@
             self._carry_out(effect)
         self._progress.step(now)
         self._jobs.step(now)
-        self._reports.step(now)
         written = (self._progress, self._jobs, self._reports)
         if any(writer.fenced for writer in written):
             self.stop("a later term has written")
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -110,7 +110,7 @@
         host = rooms.choose(step, task, among)
         if host is None:
             break
-        _open_run(state, rooms, host, job, task, now)
+        open_run(state, rooms, host, job, task, now)
         placed.append(task)
     _tell_placed(state, job, placed, len(ready))
     return len(placed)
@@ -159,7 +159,7 @@
             for task, host in zip(tasks, chosen, strict=True):
                 task.run = run
                 task.saved = saved
-                _open_run(state, rooms, host, job, task, now)
+                open_run(state, rooms, host, job, task, now)
             _tell_placed(state, job, tasks, len(tasks))
             return len(tasks)
     return 0
@@ -251,7 +251,7 @@
     )
 
 
-def _open_run(
+def open_run(
     state: model.State,
     rooms: host_choice.Rooms,
     host: model.Host,
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 
+import msgspec
 import pytest
 
 from azurewood.jobs import catalog
 from azurewood.jobs import model as jobs
+from azurewood.policy import host_choice
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import placing
@@ -45,7 +47,7 @@
     )
     tasks.adopt_job(state, job, NOW)
     host = state.host("h1")
-    host.entry = _entry()
+    host.describe(_entry())
     host.present = host.synced = True
     # A start needs the host's clock.
     runs.set_clock(host, 1, NOW)
@@ -67,7 +69,9 @@
 
 def _opened():
     state = _state()
-    placing.open_run(state, _host(state), state.jobs["j"], _task(state), NOW)
+    host = _host(state)
+    rooms = host_choice.Rooms(hosts=[host])
+    placing.open_run(state, rooms, host, state.jobs["j"], _task(state), NOW)
     return state
 
 
@@ -91,7 +95,8 @@
 
 def _full():
     state = _state()
-    _host(state).used = jobs.Resources(3500, 0, 0)
+    big = msgspec.structs.replace(STEP, needs=jobs.Resources(3500, 0, 0))
+    _host(state).reserve(jobs.TaskId("other", 0, 0, 0), big)
     return state
 
 
@@ -203,10 +208,12 @@
 def test_room_of_several_hosts_is_not_room_on_one():
     """Hosts that lack processor or memory do not make room together."""
     state = _state()
-    _host(state).used = jobs.Resources(3500, 0, 0)
+    big = msgspec.structs.replace(STEP, needs=jobs.Resources(3500, 0, 0))
+    _host(state).reserve(jobs.TaskId("other", 0, 0, 0), big)
     other = state.host("h2")
-    other.entry = _entry()
+    other.describe(_entry())
     other.present = other.synced = True
-    other.used = jobs.Resources(0, 7800, 0)
+    light = msgspec.structs.replace(STEP, needs=jobs.Resources(0, 7800, 0))
+    other.reserve(jobs.TaskId("other", 0, 0, 1), light)
     (line,) = _told(state)
     assert line["why"] == stuck.Why.ROOM.value
