Record silent hosts, so that a new leader need not wait for them anew

Callers saw: tasks of a host that was gone before the leader changed were started again only 10.4 s after the old leader's newest record, though the old leader had given that host no lease for seconds.

Cause: when the last lease of a silent host ends was known to one leader only.

Change: the leader records for silent hosts with runs how much of their leases is left; a new leader adopts that, as the record is older than its reading. A host on record that is heard again stays silent until a record without it is stored, and each new leader rewrites the record. So the newest record names no host that has had a lease since. A host goes on record after 0.8 s, so that one lost call writes nothing; while the store is away, a host that was silent for longer gets no lease.

Limit: a leader of an earlier version neither reads nor rewrites the record, so versions must not take turns as the leader with a host cut off.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -13,6 +13,7 @@
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import runs
+from azurewood.scheduling import silence
 from azurewood.scheduling import tasks
 
 HOLD_WAIT_MS: typing.Final = 1000
@@ -81,6 +82,7 @@
         for run in list(host.runs.values()):
             if not run.calling and now >= run.retry_at:
                 runs.call_again(state, host, run, now)
+        silence.look(state, host, now)
         _expire(state, host, now)
 
 
@@ -128,6 +130,7 @@
     if host is None:
         return
     host.holding = False
+    host.answered = False
     match event.reason:
         case messages.Refusal.FENCE:
             state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
@@ -152,7 +155,7 @@
         _begin_life(state, host, event.born_ms, now)
     if host.silent_since is not None:
         state.note("host.heard", host=host.id, runs=len(host.runs))
-        host.silent_since = None
+    silence.heard(state, host, now)
     runs.set_clock(host, event.clock_ms, now)
     host.listed_at = event.sent_at
     ends = _take_ends(state, host, event, now)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -111,11 +111,12 @@
 
     ``synced`` is whether it has answered this leader, so that it takes no
     order of an earlier one. ``bound_at`` is when all its leases have
-    lapsed at the latest.
+    lapsed at the latest. ``answered`` is whether the newest hold was.
     """
 
     __slots__ = (
         "acknowledged",
+        "answered",
         "bound_at",
         "clock_at",
         "clock_ms",
@@ -150,6 +151,7 @@
         self.acknowledged = 0
         self.listed_at = 0.0
         self.silent_since: float | None = None
+        self.answered = False
         self.suspended_until = 0.0
         self.failed_tasks: set[model.TaskId] = set()
         self.runs: dict[tuple[model.TaskId, int], Run] = {}
@@ -293,7 +295,8 @@
     """All that a leader knows in its term.
 
     ``placing`` are the services whose waiting tasks are to be placed,
-    ``place_at`` is when each may be looked at again.
+    ``place_at`` is when each may be looked at again. ``silent_on_record``
+    are the hosts that a stored record may name as silent.
     """
 
     __slots__ = (
@@ -319,6 +322,8 @@
         "pools_due",
         "pools_told",
         "saving",
+        "silence_changed",
+        "silent_on_record",
         "began_ids",
         "term",
         "unix_ms",
@@ -346,6 +351,8 @@
         self.host_machines: dict[str, str] = {}
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
+        self.silence_changed = False
+        self.silent_on_record: set[str] = set()
         self.placing: set[str] = set()
         self.place_at: dict[str, float] = {}
         self.began_ids: list[str] = []
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -5,6 +5,7 @@
 and every end that a host may have forgotten.
 """
 
+import math
 import typing
 
 import msgspec
@@ -17,6 +18,7 @@
 JOB_PREFIX: typing.Final = "j/"
 WAVE_PREFIX: typing.Final = "w/"
 ORDERS_KEY: typing.Final = "o"
+SILENT_KEY: typing.Final = "s"
 
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
@@ -57,7 +59,17 @@
     version: int = VERSION
 
 
-Progress = JobProgress | WaveProgress | OrdersProgress
+class SilentProgress(msgspec.Struct, frozen=True, kw_only=True, tag="silent"):
+    """The silent hosts with runs, and when their leases have lapsed.
+
+    ``left_ms`` is how long after the record each host's last lease ends.
+    """
+
+    left_ms: dict[str, int]
+    version: int = VERSION
+
+
+Progress = JobProgress | WaveProgress | OrdersProgress | SilentProgress
 _decoder = msgspec.msgpack.Decoder(Progress)
 
 
@@ -102,6 +114,15 @@
     return msgspec.msgpack.encode(OrdersProgress(ages_ms=ages_ms))
 
 
+def of_silent(bounds: dict[str, float], now: float) -> bytes:
+    """Return the record of silent hosts, whose leases lapse at ``bounds``."""
+    left_ms = {
+        id: max(0, math.ceil((bound_at - now) * 1000))
+        for id, bound_at in bounds.items()
+    }
+    return msgspec.msgpack.encode(SilentProgress(left_ms=left_ms))
+
+
 def adopt_job(
     state: scheduling.State,
     job: scheduling.JobState,
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -13,6 +13,7 @@
 from azurewood.scheduling import pools
 from azurewood.scheduling import progress
 from azurewood.scheduling import runs
+from azurewood.scheduling import silence
 from azurewood.scheduling import tasks
 from azurewood.scheduling import upkeep
 
@@ -47,6 +48,8 @@
                 _adopt_wave(state, key, record, now)
             case progress.OrdersProgress():
                 orders.adopt(state, record, order_pause_s, now)
+            case progress.SilentProgress():
+                silence.adopt(state, record, now)
     return state
 
 
@@ -72,9 +75,12 @@
 
 def finish(state: model.State, now: float) -> list[messages.Effect]:
     """Return what is to be done after events that were taken in."""
+    if state.saving is None:
+        silence.record(state, now)
     progress.flush(state)
     effects, state.effects = state.effects, []
     effects = hosts.release_acknowledgements(effects, now)
+    effects = silence.release(state, effects, now)
     return [e for e in effects if not _outdated(state, e, now)]
 
 
