Let a reborn host's list tell what it runs

Cause: a host that crashes and begins anew under its id may take a start before the leader knows of its new life. As soon as another life was known, all runs with the earlier one were taken for gone and started elsewhere.

Change: a new life only makes the host unsynced; its next list decides, as it does for every other run. What is not listed is gone as before, at the first list that was asked for after the start was answered.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -32,7 +32,7 @@
     host = state.host(entry.id)
     known = host.entry
     if known is not None and known.born_ms != entry.born_ms:
-        _begin_life(state, host, entry.born_ms, now)
+        _begin_life(host)
     if known is None or known.state is not entry.state:
         state.note(
             "host.seen",
@@ -53,16 +53,12 @@
         state.note("host.gone", host=host_id, runs=len(host.runs))
 
 
-def _begin_life(
-    state: scheduling.State,
-    host: scheduling.Host,
-    born_ms: int,
-    now: float,
-) -> None:
-    """Take in that a host runs nothing of before ``born_ms``."""
-    for run in list(host.runs.values()):
-        if run.born_ms != born_ms:
-            tasks.lost(state, host, run, "host began another life", now)
+def _begin_life(host: scheduling.Host) -> None:
+    """Take in that a host began anew.
+
+    Its next list tells what it runs: a start may have reached the new life
+    before anybody knew of it.
+    """
     host.synced = False
     host.clock_ms = None
     host.listed = 0
@@ -152,7 +148,7 @@
     host.holding = False
     if event.born_ms and event.born_ms != host.entry.born_ms:
         host.entry = _with_born(host.entry, event.born_ms)
-        _begin_life(state, host, event.born_ms, now)
+        _begin_life(host)
     if host.silent_since is not None:
         state.note("host.heard", host=host.id, runs=len(host.runs))
     silence.heard(state, host, now)
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -93,11 +93,14 @@
     def _wait(self, fault: str) -> None:
         """Answer at the first change, or when the wait is over."""
         state = {"over": False}
+        life = self.world.life(self.call.target)
 
         def go() -> None:
             if not state["over"]:
                 state["over"] = True
-                self._act(fault)
+                # A connection ends with the life that it was made to.
+                if self.world.life(self.call.target) == life:
+                    self._act(fault)
 
         if self.call.target in self.world.hosts:
             # A hold takes effect as it arrives and is answered later.
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -136,6 +136,11 @@
         host = self.hosts.get(target)
         return host is None or host.up
 
+    def life(self, target: str) -> int:
+        """Return which life of a host is there, 0 for all else."""
+        host = self.hosts.get(target)
+        return host.born_ms if host is not None else 0
+
     # What calls do
 
     def on_host(
--- a/tests/scheduling/test_days.py
+++ b/tests/scheduling/test_days.py
@@ -134,6 +134,24 @@
     deployment.check(made)
 
 
+def test_a_start_that_reached_a_life_not_known_yet_is_not_repeated():
+    """Found by a search over seeds: hosts that begin anew unnoticed."""
+    made = deployment.world(**{"s-one": 2, "s-two": 2})
+    for host in made.hosts.values():
+        host.crash()
+        host.restart()
+    job = deployment.job(made, 1)
+    made.submit(made.members[0], job)
+    made.run(0.1)
+    assert deployment.at_work(made, job.id) == 3
+    for host in made.hosts.values():
+        made.say(host)
+    made.run(4.0)
+    assert _all_completed(made, [job.id])
+    assert made.rules.starts == 5
+    deployment.check(made)
+
+
 def test_late_orders_run_nothing_twice():
     made = deployment.world()
     made.late_share = 0.3
