--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -13,6 +13,7 @@
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import runs
+from azurewood.scheduling import silence
 from azurewood.scheduling import tasks
 
 HOLD_WAIT_MS: typing.Final = 1000
@@ -31,7 +32,7 @@
     host = state.host(entry.id)
     known = host.entry
     if known is not None and known.born_ms != entry.born_ms:
-        _begin_life(state, host, entry.born_ms, now)
+        _begin_life(host)
     if known is None or known.state is not entry.state:
         state.note(
             "host.seen",
@@ -52,16 +53,12 @@
         state.note("host.gone", host=host_id, runs=len(host.runs))
 
 
-def _begin_life(
-    state: scheduling.State,
-    host: scheduling.Host,
-    born_ms: int,
-    now: float,
-) -> None:
-    """Take in that a host runs nothing of before ``born_ms``."""
-    for run in list(host.runs.values()):
-        if run.born_ms != born_ms:
-            tasks.lost(state, host, run, "host began another life", now)
+def _begin_life(host: scheduling.Host) -> None:
+    """Take in that a host began anew.
+
+    Its next list tells what it runs: a start may have reached the new life
+    before anybody knew of it.
+    """
     host.synced = False
     host.clock_ms = None
     host.listed = 0
@@ -81,6 +78,7 @@
         for run in list(host.runs.values()):
             if not run.calling and now >= run.retry_at:
                 runs.call_again(state, host, run, now)
+        silence.look(state, host, now)
         _expire(state, host, now)
 
 
@@ -128,6 +126,7 @@
     if host is None:
         return
     host.holding = False
+    host.answered = False
     match event.reason:
         case messages.Refusal.FENCE:
             state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
@@ -149,10 +148,10 @@
     host.holding = False
     if event.born_ms and event.born_ms != host.entry.born_ms:
         host.describe(_with_born(host.entry, event.born_ms))
-        _begin_life(state, host, event.born_ms, now)
+        _begin_life(host)
     if host.silent_since is not None:
         state.note("host.heard", host=host.id, runs=len(host.runs))
-        host.silent_since = None
+    silence.heard(state, host, now)
     runs.set_clock(host, event.clock_ms, now)
     host.listed_at = event.sent_at
     ends = _take_ends(state, host, event, now)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -120,11 +120,12 @@
     ``step_runs`` the number of runs of each step, ``lasting`` that of
     lasting runs. ``synced`` is whether it has answered this leader, so that
     it takes no order of an earlier one. ``bound_at`` is when all its leases
-    have lapsed at the latest.
+    have lapsed at the latest. ``answered`` is whether the newest hold was.
     """
 
     __slots__ = (
         "acknowledged",
+        "answered",
         "bound_at",
         "clock_at",
         "clock_ms",
@@ -162,6 +163,7 @@
         self.acknowledged = 0
         self.listed_at = 0.0
         self.silent_since: float | None = None
+        self.answered = False
         self.suspended_until = 0.0
         self.failed_tasks: set[model.TaskId] = set()
         self.runs: dict[tuple[model.TaskId, int], Run] = {}
@@ -397,7 +399,8 @@
 
     ``placing`` are the services whose waiting tasks are to be placed.
     ``largest_room`` is the most that any machine on the list has of each
-    resource.
+    resource. ``silent_on_record`` are the hosts that a stored record may
+    name as silent.
     """
 
     __slots__ = (
@@ -426,6 +429,8 @@
         "saving",
         "standstills",
         "stuck_due",
+        "silence_changed",
+        "silent_on_record",
         "began_ids",
         "term",
         "unix_ms",
@@ -457,6 +462,8 @@
         self.host_machines: dict[str, str] = {}
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
+        self.silence_changed = False
+        self.silent_on_record: set[str] = set()
         self.placing: set[str] = set()
         self.began_ids: list[str] = []
         self.dirty: set[str] = set()
