--- /dev/null
+++ b/tests/leadership/test_late_resignation.py
@@ -0,0 +1,23 @@
+"""A resignation that is refused after its daemon has claimed again."""
+
+from azurewood.journal import appender
+from azurewood.journal import pages
+from azurewood.leadership import base as leadership
+from tests.scheduling import deployment
+
+
+def test_no_resignation_is_repeated_behind_a_later_claim():
+    """Guards against TWICE: successors would take its leases for over."""
+    made = deployment.world(members=1)
+    member = made.members[0].member
+    election = member.election
+    assert election.term
+    resign = leadership.Resign(nonce=election.nonce)
+    member._resign_again(
+        leadership.Append(entry=resign, at=election.end - 1),
+        appender.Conflict(reason="", end=election.end),
+    )
+    made.run(0.2)
+    page = made.store.read(pages.Topic.LEADER, 0)
+    entries = [leadership.decode(record.value) for record in page.records]
+    assert resign not in entries
