Ask hosts what they run before a lapsed lease counts

What was seen: after 10 s without a leader, all that ran on hosts was done again (review; 12 starts in place of 6 in test_work_done_in_an_outage_is_not_done_again, after 10 and 12 s).

Cause: since leases are reckoned from the records of earlier leaders, their end may lie in the past when a term begins, and the first look at a host took its runs for gone before the host had been asked.

A bound is now 1.5 s ahead at least: a reading of the entries and a call.

--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -35,6 +35,11 @@
 RETRY_S: typing.Final = 0.1
 
 
+ASK_HOSTS_S: typing.Final = 1.5
+"""Time in which hosts are asked what they run before a lapsed lease counts:
+a reading of their entries and a call."""
+
+
 class Stage(enum.Enum):
     """How far a take-over has come."""
 
@@ -194,7 +199,7 @@
         if self._given.jobs_offset() < self._jobs_end:
             return None
         self.stage = Stage.DONE
-        late_s = max(
+        margin_s = max(
             orders.SEND_WITHIN_S, self._given.election.orders_wait_s(now)
         )
         found = [
@@ -214,8 +219,11 @@
             term=self._number,
             found=found,
             stored=self._stored,
-            lease_bound_at=self._given.election.earlier_renewals_end()
-            + runs.LEASE_BOUND_S,
-            order_pause_s=self._given.order_pause_s + late_s,
+            lease_bound_at=max(
+                self._given.election.earlier_renewals_end()
+                + runs.LEASE_BOUND_S,
+                now + ASK_HOSTS_S,
+            ),
+            order_pause_s=self._given.order_pause_s + margin_s,
             now=now,
         )
