Bound what the lines of waiting and stuck work cost a leader

A backlog is summed up from the counts that a job keeps, and a look for stuck work goes through 400 jobs, those taken in first.

--- a/azurewood/scheduling/backlog.py
+++ b/azurewood/scheduling/backlog.py
@@ -1,12 +1,11 @@
 """What waits for a host, pool by pool."""
 
 from collections import abc
+import math
 
 from azurewood.scheduling import model
 from azurewood.scheduling import waiting
 
-WAITING = model.TaskPhase.WAITING
-
 
 def by_pool(state: model.State) -> dict[str, waiting.Backlog]:
     """Return the backlog of each pool that has one."""
@@ -14,18 +13,17 @@
     for job in state.jobs.values():
         if job.cancelled or job.closing:
             continue
-        steps = [
-            (occurrence, count)
-            for (occurrence, _), tasks in due_steps(state, job)
-            if (count := len([t for t in tasks if t.phase is WAITING]))
-        ]
-        if steps:
+        count = 0
+        due_ms = math.inf
+        for key in job.open_steps(state.unix_ms):
+            if job.waiting[key]:
+                count += job.waiting[key]
+                due_ms = min(due_ms, job.job.due_ms(key[0]))
+        if count:
             pool = state.service_of(job.job)
-            due_ms = min(job.job.due_ms(number) for number, _ in steps)
-            found.setdefault(pool, waiting.Backlog()).add(
-                tasks=sum(count for _, count in steps),
-                since_ms=max(job.job.accepted_ms, due_ms),
-            )
+            backlog = found.setdefault(pool, waiting.Backlog())
+            since_ms = max(job.job.accepted_ms, due_ms)
+            backlog.add(tasks=count, since_ms=since_ms)
     return found
 
 
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 import enum
+import itertools
 import typing
 
 from azurewood.jobs import model as jobs
@@ -17,6 +18,8 @@
 
 LOOK_EVERY_S: typing.Final = 1.0
 """Pause between two looks at all tasks."""
+MOST_JOBS: typing.Final = 400
+"""Jobs that one look goes through, so that a long queue costs no more."""
 MAX_LINES: typing.Final = 10
 """Lines of one look; a full pool has hundreds of jobs that wait."""
 
@@ -100,8 +103,11 @@
 def _standing(
     state: model.State,
 ) -> abc.Iterator[tuple[object, model.Task]]:
-    """Return what has nothing running: its key and a task of it."""
-    for job in state.jobs.values():
+    """Return what has nothing running: its key and a task of it.
+
+    Only the jobs that were taken in first are looked at.
+    """
+    for job in itertools.islice(state.jobs.values(), MOST_JOBS):
         if job.cancelled or job.closing:
             continue
         if job.job.lasting:
@@ -109,10 +115,24 @@
                 if not _runs(state, task):
                     yield task.id, task
             continue
-        first = next(_due(state, job), None)
-        at_work = any(_runs(state, task) for task in _due(state, job))
-        if first is not None and not at_work:
-            yield job.job.id, first
+        keys = job.open_steps(state.unix_ms)
+        if keys and not _at_work(state, job, keys):
+            yield job.job.id, next(_due(state, job))
+
+
+def _at_work(
+    state: model.State, job: model.JobState, keys: list[tuple[int, int]]
+) -> bool:
+    """Return whether a task of these steps runs.
+
+    The tasks of a step that all wait are not looked at.
+    """
+    return any(
+        _runs(state, task)
+        for key in keys
+        if job.waiting[key] < job.undone[key]
+        for task in job.steps[key]
+    )
 
 
 def _due(state: model.State, job: model.JobState) -> abc.Iterator[model.Task]:
