Keep the term from a strong daemon that reaches few hosts

What was seen (review): a strong daemon without hosts gave the term back, won it again by waiting as long as the weak one, and kept it; one that reached 2 of 20 hosts kept it too; a resignation was repeated under a term claimed since; a leader that stood still for 1.2 s in a pass placed nothing for 3.4 s more.

A term claimed over a living leader is given back if under half of the hosts answered in its first 2 s. Who gave a term back lets all others claim for 1.5 s. A resignation is not repeated while this daemon leads. The rest after a pass over the queue is 0.2 s at most.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -263,12 +263,12 @@
         self.term.step(now)
         if self.term.over:
             election.step_down(now)
-        elif election.is_contested and self.term.hears_no_host(now):
+        elif election.is_contested and self.term.hears_few_hosts(now):
             self._hand_back(now)
 
     def _hand_back(self, now: float) -> None:
         """Give back a term that another daemon can do more with."""
-        self.term.stop("no host answers this daemon")
+        self.term.stop("few hosts answer this daemon")
         self._append_leader(self.election.hand_back(now))
 
     def _begin_term(self) -> None:
@@ -320,6 +320,9 @@
         self, wanted: leadership.Append, result: appender.Result
     ) -> None:
         """Resign behind the beat that was under way."""
+        if self.election.term:
+            # A later claim of this daemon's was stored meanwhile.
+            return
         resigning = isinstance(wanted.entry, leadership.Resign)
         if resigning and isinstance(result, appender.Conflict):
             again = leadership.Append(entry=wanted.entry, at=result.end)
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 
 from loguru import logger
@@ -29,6 +30,8 @@
 PASS_REST: typing.Final = 3
 """Rest after a pass over the queue, in lengths of the pass: three quarters
 of a busy leader's time are left for holds, starts and ends."""
+MOST_REST_S: typing.Final = 0.2
+"""Bound on that rest: a pass in which the process stood still looks long."""
 HOSTS_EVERY_S: typing.Final = 0.25
 """Pause between readings of the hosts' entries."""
 HOSTS_COMING_S: typing.Final = 0.08
@@ -67,7 +70,7 @@
         self._takeover = takeovers.Takeover(given=given, number=number)
         self._tick_at = 0.0
         self._place_at = 0.0
-        self._prove_at = float("inf")
+        self._prove_at = math.inf
         self._retired: collections.deque[tuple[float, str]] = (
             collections.deque()
         )
@@ -194,12 +197,16 @@
                 None,
             )
 
-    def hears_no_host(self, now: float) -> bool:
-        """Return whether no host has answered although it had the time."""
+    def hears_few_hosts(self, now: float) -> bool:
+        """Return whether under half of the hosts answered, given the time.
+
+        That is asked once: later on, hosts come and go.
+        """
         if self.state is None or now < self._prove_at:
             return False
-        hosts = self.state.hosts.values()
-        return bool(hosts) and not any(host.synced for host in hosts)
+        self._prove_at = math.inf
+        asked = [host for host in self.state.hosts.values() if host.present]
+        return 2 * sum(host.synced for host in asked) < len(asked)
 
     def largest_room(self) -> model.Resources:
         """Return the largest machine's room, which beats tell all daemons."""
@@ -241,7 +248,8 @@
         began_at = self._given.clock()
         reducer.place(self.state, now)
         ended_at = self._given.clock()
-        self._place_at = ended_at + PASS_REST * (ended_at - began_at)
+        rest_s = min(MOST_REST_S, PASS_REST * (ended_at - began_at))
+        self._place_at = ended_at + rest_s
 
     def _tick(self, now: float) -> messages.Tick:
         election = self._given.election
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -10,7 +10,7 @@
 clearly more processor claims over the leader, and those with less let it
 claim first. Every such claim raises the leader's processor by ``STRONGER``
 at least, and a daemon makes one in ``REST_S`` at most, so that daemons
-that fail again and again change the leader a bounded number of times.
+that fail again and again change the leader once in that time at most.
 
 No clock and no call here: ``Election.step`` takes an event and the time and
 returns what is to be appended, if anything.
@@ -30,8 +30,8 @@
 VALID_S: typing.Final = 4.0
 """How long after its newest stored beat a leader may renew hosts' leases."""
 ORDER_VALID_S: typing.Final = 1.5
-"""The same for orders to machines, which no lease bounds: nobody claims
-orders within ``CLAIM_AFTER_S`` of another leader's beat."""
+"""The same for orders to machines, which no lease bounds. A daemon that
+claims over a living leader waits until that one's newest beat is so old."""
 STRONGER: typing.Final = 1.5
 """By what factor a daemon's cores exceed a leader's to claim over it. Equal
 hosts, and those of neighbouring sizes, never compete."""
@@ -40,6 +40,9 @@
 store holds one open."""
 YIELD_S: typing.Final = 0.5
 """How long a daemon lets stronger ones claim first: one held read."""
+GAVE_UP_S: typing.Final = 1.5
+"""How long a daemon that gave its term up lets any other one claim: longer
+than those that let a stronger one go first."""
 KNOWN_S: typing.Final = 30.0
 """How long a stronger daemon that wrote nothing more is reckoned with."""
 REST_S: typing.Final = 10.0
@@ -382,9 +385,14 @@
 
     def _yields(self, now: float) -> bool:
         """Return whether others are to claim first, if there are any."""
-        gave_up = self._resigned and self._leader_nonce == self.nonce
         known = now - self._strongest_at < KNOWN_S
-        return gave_up or (known and _is_stronger(self.strongest, self.cores))
+        outdone = known and _is_stronger(self.strongest, self.cores)
+        return self._gave_up or outdone
+
+    @property
+    def _gave_up(self) -> bool:
+        """Whether the newest term was this daemon's, and given up."""
+        return self._resigned and self._leader_nonce == self.nonce
 
     def _is_ripe(self, event: Read, now: float) -> bool:
         """Return whether stronger daemons had time to claim.
@@ -394,7 +402,8 @@
         """
         gap = event.began_at - self._read_at >= FRESH_S
         if self._ripe_at is None or gap:
-            self._ripe_at = now + YIELD_S
+            pause_s = GAVE_UP_S if self._gave_up else YIELD_S
+            self._ripe_at = now + pause_s
         return now >= self._ripe_at
 
     def _outdoes(self, event: Read, now: float) -> bool:
--- a/tests/leadership/test_election.py
+++ b/tests/leadership/test_election.py
@@ -236,7 +236,9 @@
     _read(log, weak, 0.2)
     _store(log, strong, strong.hand_back(5.0), 5.0)
     assert _read(log, strong, 5.0) is None
-    assert _read(log, strong, 5.0 + base.YIELD_S) is not None
+    assert _read(log, strong, 5.0 + base.YIELD_S) is None
+    assert _read(log, strong, 5.0 + base.YIELD_S + 0.5) is None
+    assert _read(log, strong, 5.0 + base.GAVE_UP_S) is not None
 
 
 @pytest.mark.parametrize("cores", [0.0, 1.0])
