Name what an election and the new lines keep as readers expect

Renames only, from the review: what claims over a living leader, who lets a stronger one go first, the requests that are open, the gauge of a field.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -263,7 +263,9 @@
         self.term.step(now)
         if self.term.over:
             election.step_down(now)
-        elif election.is_contested and self.term.hears_few_hosts(now):
+        elif election.took_from_living_leader and self.term.hears_few_hosts(
+            now
+        ):
             self._hand_back(now)
 
     def _hand_back(self, now: float) -> None:
--- a/azurewood/http/answering.py
+++ b/azurewood/http/answering.py
@@ -10,22 +10,22 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Named:
+class RequestName:
     """What tells a request: its method and path."""
 
     method: str
     path: str
 
 
-class Answering:
+class OpenRequests:
     """Used by all threads of a server: each step is one change of a dict."""
 
     __slots__ = ("_open",)
 
     def __init__(self) -> None:
-        self._open: dict[int, Named] = {}
+        self._open: dict[int, RequestName] = {}
 
-    def begin(self, key: int, named: Named) -> None:
+    def begin(self, key: int, named: RequestName) -> None:
         """Note that a request is being answered."""
         self._open[key] = named
 
@@ -45,7 +45,7 @@
             _tell(named, reason)
 
 
-def _tell(named: Named, reason: str) -> None:
+def _tell(named: RequestName, reason: str) -> None:
     loguru.logger.bind(
         event="request.cut",
         method=named.method,
--- a/azurewood/http/connections.py
+++ b/azurewood/http/connections.py
@@ -217,8 +217,8 @@
         finally:
             open_requests.end(id(self))
 
-    def _named(self) -> answering.Named:
-        return answering.Named(
+    def _named(self) -> answering.RequestName:
+        return answering.RequestName(
             method=self.method.decode("latin-1"),
             path=self.path.decode("latin-1"),
         )
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -60,7 +60,7 @@
     server.readings = connections.Readings(
         limit_s=timeout_s * connections.READ_TIMEOUTS
     )
-    server.answering = answering.Answering()
+    server.answering = answering.OpenRequests()
     server.ssl_adapter = _adapter(tls)
     try:
         server.prepare()
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -139,9 +139,10 @@
     only while this daemon leads. ``largest`` is the room of the
     largest machine, as the newest beat says. ``cores`` is this daemon's
     processor, 0 if not known, ``strongest`` the most that a writer of
-    the log has had lately. ``is_contested`` is whether this daemon's term
-    was claimed over a leader that was alive. ``claimed_after_s`` is how
-    long no record had been read when this daemon last claimed.
+    the log has had lately. ``took_from_living_leader`` is whether this
+    daemon's term was claimed over a leader that was alive.
+    ``claimed_after_s`` is how long no record had been read when this daemon
+    last claimed.
 
     A leader is confirmed as of when its record was sent, which is before
     anybody can have read it. So whoever reads one knows until when at most
@@ -162,14 +163,13 @@
         "_resigned",
         "_rest_s",
         "_rest_until",
-        "_ripe_at",
         "_seen_at",
+        "_stronger_until",
         "_strongest_at",
         "claimed_after_s",
         "confirmed_at",
         "cores",
         "end",
-        "is_contested",
         "largest",
         "leader",
         "leader_cores",
@@ -178,6 +178,7 @@
         "stopping",
         "strongest",
         "term",
+        "took_from_living_leader",
     )
 
     def __init__(
@@ -194,7 +195,7 @@
         self.largest = model.Resources()
         self.confirmed_at = 0.0
         self.stopping = False
-        self.is_contested = False
+        self.took_from_living_leader = False
         self._leader_nonce = ""
         self._leader_seen_at = 0.0
         self._resigned = False
@@ -209,7 +210,7 @@
         self._orders_from = 0.0
         self._rest_until = 0.0
         self._rest_s = REST_S
-        self._ripe_at: float | None = None
+        self._stronger_until: float | None = None
         self.claimed_after_s = 0.0
 
     def leads(self, now: float, *, within_s: float) -> bool:
@@ -295,14 +296,14 @@
             self._take(event.offset + index, entry, self._attempt_at, now)
         if event.entries:
             self._seen_at = now
-            self._ripe_at = None
+            self._stronger_until = None
         self.end = max(self.end, event.end)
 
     def _stored(self, event: Stored, now: float) -> None:
         self._appending = False
         self._take(event.offset, event.entry, event.began_at, now)
         self._seen_at = now
-        self._ripe_at = None
+        self._stronger_until = None
         self.end = max(self.end, event.offset + 1)
 
     def _take(
@@ -345,7 +346,7 @@
         if self._leader_nonce and not self._resigned:
             until = self._leader_seen_at + ORDER_VALID_S
             self._orders_from = max(self._orders_from, until)
-        self.is_contested = now < self._orders_from
+        self.took_from_living_leader = now < self._orders_from
         self._leader_nonce = claim.nonce
         self._leader_seen_at = now
         self._resigned = False
@@ -368,9 +369,10 @@
         if event.end != self.end:
             return None
         if self._is_free(event, now):
-            if self._yields(now) and not self._is_ripe(event, now):
+            waits = self._lets_stronger_first(now)
+            if waits and not self._stronger_had_time(event, now):
                 return None
-        elif not self._outdoes(event, now):
+        elif not self._may_claim_over_leader(event, now):
             return None
         self.claimed_after_s = now - self._seen_at
         claim = Claim(name=self.name, nonce=self.nonce, cores=self.cores)
@@ -383,7 +385,7 @@
         vacant = self._resigned or (self.end == 0 and not self.leader)
         return vacant or (silent and long_enough)
 
-    def _yields(self, now: float) -> bool:
+    def _lets_stronger_first(self, now: float) -> bool:
         """Return whether others are to claim first, if there are any."""
         known = now - self._strongest_at < KNOWN_S
         outdone = known and _is_stronger(self.strongest, self.cores)
@@ -394,19 +396,19 @@
         """Whether the newest term was this daemon's, and given up."""
         return self._resigned and self._leader_nonce == self.nonce
 
-    def _is_ripe(self, event: Read, now: float) -> bool:
+    def _stronger_had_time(self, event: Read, now: float) -> bool:
         """Return whether stronger daemons had time to claim.
 
         Reads must have come in all the while: time in which the store was
         away, or this daemon stood still, was nobody's to claim in.
         """
         gap = event.began_at - self._read_at >= FRESH_S
-        if self._ripe_at is None or gap:
+        if self._stronger_until is None or gap:
             pause_s = GAVE_UP_S if self._gave_up else YIELD_S
-            self._ripe_at = now + pause_s
-        return now >= self._ripe_at
+            self._stronger_until = now + pause_s
+        return now >= self._stronger_until
 
-    def _outdoes(self, event: Read, now: float) -> bool:
+    def _may_claim_over_leader(self, event: Read, now: float) -> bool:
         """Return whether this daemon is to claim over the leader."""
         able = event.ready and now - event.began_at < FRESH_S
         rested = now >= self._rest_until
--- a/azurewood/log/collected.py
+++ b/azurewood/log/collected.py
@@ -42,7 +42,7 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Gauge:
+class FieldGauge:
     """A gauge that an event's field sets, divided by ``divisor``.
 
     ``label`` is the field whose value tells its series apart, ``per`` the
@@ -59,42 +59,42 @@
 
 
 GAUGES: typing.Final = (
-    Gauge(
+    FieldGauge(
         event="leader.loop",
         field="longest_step_ms",
         name="azurewood_leader_longest_step_seconds",
         help="Longest step of the leader's loop in its newest second.",
         divisor=1000.0,
     ),
-    Gauge(
+    FieldGauge(
         event="leader.loop",
         field="longest_gap_ms",
         name="azurewood_leader_longest_gap_seconds",
         help="Longest time between two ticks in its newest second.",
         divisor=1000.0,
     ),
-    Gauge(
+    FieldGauge(
         event="leader.loop",
         field="busy_ms",
         name="azurewood_leader_busy_ratio",
         help="Share of the time in which the leader's loop did not wait.",
         per="over_ms",
     ),
-    Gauge(
+    FieldGauge(
         event="leader.loop",
         field="processor_ms",
         name="azurewood_leader_processor_cores",
         help="Processor time that the leader's process used, in cores.",
         per="over_ms",
     ),
-    Gauge(
+    FieldGauge(
         event="pool.state",
         field="jobs_waiting",
         name="azurewood_pool_waiting_jobs",
         help="Jobs with a task whose turn has come and that has no host.",
         label="pool",
     ),
-    Gauge(
+    FieldGauge(
         event="pool.state",
         field="oldest_ms",
         name="azurewood_pool_oldest_waiting_seconds",
@@ -213,7 +213,7 @@
         return [body]
 
 
-def _reset(declared: Gauge, gauge: prometheus_client.Gauge) -> None:
+def _reset(declared: FieldGauge, gauge: prometheus_client.Gauge) -> None:
     if declared.label:
         gauge.clear()
     else:
@@ -221,7 +221,7 @@
 
 
 def _series(
-    declared: Gauge,
+    declared: FieldGauge,
     gauge: prometheus_client.Gauge,
     fields: abc.Mapping[str, typing.Any],
 ) -> prometheus_client.Gauge:
@@ -230,6 +230,8 @@
     return gauge
 
 
-def _value(declared: Gauge, fields: abc.Mapping[str, typing.Any]) -> float:
+def _value(
+    declared: FieldGauge, fields: abc.Mapping[str, typing.Any]
+) -> float:
     divisor = float(fields[declared.per]) if declared.per else 1.0
     return float(fields[declared.field]) / declared.divisor / max(divisor, 1.0)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -293,7 +293,7 @@
         return self.job.steps[id.step]
 
     def set_phase(self, task: Task, phase: TaskPhase) -> None:
-        """Have a task enter a phase; one that is done stays so."""
+        """Have a task enter a phase; the count of undone tasks never rises."""
         key = (task.id.occurrence, task.id.step)
         self.waiting[key] -= task.phase is TaskPhase.WAITING
         self.waiting[key] += phase is TaskPhase.WAITING
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -42,7 +42,7 @@
     STOPPING = "its run is stopping and not gone"
 
 
-class _Pool:
+class _Room:
     """The room and labels of a pool's hosts, or why none takes a task."""
 
     __slots__ = ("hosts", "why")
@@ -65,15 +65,15 @@
         )
 
 
-class _Pools:
+class _RoomByPool:
     """The pools of one look, each looked at once."""
 
     __slots__ = ("_found",)
 
     def __init__(self) -> None:
-        self._found: dict[str, _Pool] = {}
+        self._found: dict[str, _Room] = {}
 
-    def get(self, state: model.State, service: str, now: float) -> _Pool:
+    def get(self, state: model.State, service: str, now: float) -> _Room:
         """Return what is known of a service's pool."""
         if service not in self._found:
             self._found[service] = _pool(state, service, now)
@@ -94,9 +94,9 @@
             due.append((found, task))
     # What was not told before goes first, then what stands longest.
     due.sort(key=lambda entry: (entry[0].told, entry[0].since))
-    pools = _Pools()
+    pools = _RoomByPool()
     for found, task in due[:MAX_LINES]:
-        found.tell(now)
+        found.note_told(now)
         _tell(state, found, task, pools, now)
 
 
@@ -161,7 +161,7 @@
     state: model.State,
     found: waiting.Standstill,
     task: model.Task,
-    pools: _Pools,
+    pools: _RoomByPool,
     now: float,
 ) -> None:
     run = _run(state, task)
@@ -179,7 +179,7 @@
 
 
 def _why(
-    state: model.State, task: model.Task, pools: _Pools, now: float
+    state: model.State, task: model.Task, pools: _RoomByPool, now: float
 ) -> Why:
     if task.phase is model.TaskPhase.OPEN:
         return _why_open(state, task)
@@ -213,7 +213,7 @@
 
 
 def _why_waiting(
-    state: model.State, task: model.Task, pools: _Pools, now: float
+    state: model.State, task: model.Task, pools: _RoomByPool, now: float
 ) -> Why:
     """Say why a waiting task has no host."""
     if now < task.waits_until:
@@ -230,7 +230,7 @@
     return Why.NOT_PLACED
 
 
-def _pool(state: model.State, service: str, now: float) -> _Pool:
+def _pool(state: model.State, service: str, now: float) -> _Room:
     hosts = [
         host
         for host in state.hosts.values()
@@ -245,4 +245,4 @@
     elif not usable:
         why = Why.UNUSABLE
     rooms = [(host.room, host.entry.labels) for host in usable]
-    return _Pool(hosts=rooms, why=why)
+    return _Room(hosts=rooms, why=why)
--- a/azurewood/scheduling/waiting.py
+++ b/azurewood/scheduling/waiting.py
@@ -40,7 +40,7 @@
         self.tell_at = now + STUCK_S
         self.told = False
 
-    def tell(self, now: float) -> None:
+    def note_told(self, now: float) -> None:
         """Note that it is told now; the next time is at twice its age."""
         self.told = True
         self.tell_at = now + max(STUCK_S, now - self.since)
