--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -15,6 +15,7 @@
 from collections import abc
 
 from azurewood.jobs import model as jobs
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import model
 
 
@@ -47,7 +48,7 @@
     def choose(
         self,
         step: jobs.Step,
-        task: model.Task,
+        task: jobstates.Task,
         among: abc.Container[str] | None = None,
     ) -> model.Host | None:
         """Return the best host with room for a task, or None.
@@ -74,7 +75,7 @@
     def _fitting(
         self,
         step: jobs.Step,
-        task: model.Task,
+        task: jobstates.Task,
         among: abc.Container[str] | None,
     ) -> abc.Iterator[model.Host]:
         """Return the hosts with room for a task, the fullest first."""
@@ -86,7 +87,7 @@
                 yield host
 
     def reserve(
-        self, host: model.Host, step: jobs.Step, task: model.Task
+        self, host: model.Host, step: jobs.Step, task: jobstates.Task
     ) -> None:
         """Take a task's room on a host."""
         self._drop(host)
@@ -94,7 +95,7 @@
         self._insert(host)
 
     def release(
-        self, host: model.Host, step: jobs.Step, task: model.Task
+        self, host: model.Host, step: jobs.Step, task: jobstates.Task
     ) -> None:
         """Give back what ``reserve`` took."""
         self._drop(host)
@@ -121,7 +122,7 @@
         bisect.insort(self._gpus, room.gpu)
 
 
-def suits(host: model.Host, step: jobs.Step, task: model.Task) -> bool:
+def suits(host: model.Host, step: jobs.Step, task: jobstates.Task) -> bool:
     """Return whether a usable host may take one more task of a step."""
     if not step.reserved.fits(host.room):
         return False
@@ -129,21 +130,21 @@
         return False
     if not step.per_host:
         return True
-    return host.step_runs.get(model.step_key(task.id), 0) < step.per_host
+    return host.step_runs.get(jobstates.step_key(task.id), 0) < step.per_host
 
 
 def _rank(
-    host: model.Host, step: jobs.Step, task: model.Task
+    host: model.Host, step: jobs.Step, task: jobstates.Task
 ) -> tuple[bool, bool]:
     far = bool(step.data_rack) and step.data_rack not in host.entry.labels
     return (host.id in task.avoid, far)
 
 
 def _lasting_rank(
-    host: model.Host, step: jobs.Step, task: model.Task
+    host: model.Host, step: jobs.Step, task: jobstates.Task
 ) -> tuple:
     """Rank for lasting tasks: two hosts a step, shared with other steps."""
-    here = host.step_runs.get(model.step_key(task.id), 0)
+    here = host.step_runs.get(jobstates.step_key(task.id), 0)
     half = here >= (step.count + 1) // 2
     rank = _rank(host, step, task)
     return (*rank, half, not host.lasting, -host.room.cpu, host.id)
--- a/azurewood/policy/job_order.py
+++ b/azurewood/policy/job_order.py
@@ -16,12 +16,12 @@
 import heapq
 import itertools
 
-from azurewood.scheduling import model
+from azurewood.scheduling import jobstates
 
 
 def in_order(
-    jobs: abc.Iterable[model.JobState], unix_ms: float, room_cpu: int
-) -> list[model.JobState]:
+    jobs: abc.Iterable[jobstates.JobState], unix_ms: float, room_cpu: int
+) -> list[jobstates.JobState]:
     """Return jobs of one pool in the order in which they get room.
 
     ``room_cpu`` is the pool's whole room in thousandths of a core.
@@ -39,8 +39,8 @@
 
 
 def _by_objective(
-    jobs: list[model.JobState], unix_ms: float, room_cpu: int
-) -> list[model.JobState]:
+    jobs: list[jobstates.JobState], unix_ms: float, room_cpu: int
+) -> list[jobstates.JobState]:
     feasible = []
     late = []
     for job in jobs:
@@ -50,12 +50,12 @@
     put_off = _put_off(feasible, unix_ms, room_cpu)
     in_time = [job for job in feasible if job.job.id not in put_off]
     late.extend(job for job in feasible if job.job.id in put_off)
-    late.sort(key=model.JobState.work)
+    late.sort(key=jobstates.JobState.work)
     return in_time + late
 
 
 def _put_off(
-    feasible: list[model.JobState], unix_ms: float, room_cpu: int
+    feasible: list[jobstates.JobState], unix_ms: float, room_cpu: int
 ) -> set[str]:
     """Return the ids of the jobs for which there is no room in time."""
     put_off: set[str] = set()
--- a/azurewood/policy/upkeep.py
+++ b/azurewood/policy/upkeep.py
@@ -9,6 +9,7 @@
 from collections import abc
 import typing
 
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 
@@ -61,7 +62,7 @@
     return run.step.count - 1 - at_work
 
 
-def _at_work(state: model.State, task: model.Task) -> bool:
+def _at_work(state: model.State, task: jobstates.Task) -> bool:
     """Return whether a task's newest run does its work, as far as known."""
     host = state.hosts.get(task.host)
     if host is None or host.silent_since is not None:
--- a/azurewood/scheduling/backlog.py
+++ b/azurewood/scheduling/backlog.py
@@ -3,6 +3,7 @@
 from collections import abc
 import math
 
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import model
 from azurewood.scheduling import waiting
 
@@ -28,8 +29,8 @@
 
 
 def due_steps(
-    state: model.State, job: model.JobState
-) -> abc.Iterator[tuple[tuple[int, int], list[model.Task]]]:
+    state: model.State, job: jobstates.JobState
+) -> abc.Iterator[tuple[tuple[int, int], list[jobstates.Task]]]:
     """Return the steps that are not done and whose turn has come."""
     for key in job.open_steps(state.unix_ms):
         yield key, job.steps[key]
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -1,6 +1,5 @@
-"""The leader's state: jobs with their tasks, hosts with their runs."""
+"""The leader's state: hosts with their runs, waves, and all the rest."""
 
-from collections import abc
 import enum
 import typing
 
@@ -8,50 +7,11 @@
 from azurewood.jobs import model
 from azurewood.policy import arrivals
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import waiting
 
 
-class TaskPhase(enum.IntEnum):
-    """Where a task stands. ``OPEN``: a run of it may exist."""
-
-    WAITING = 0
-    OPEN = 1
-    DONE = 2
-
-
-class Task:
-    """One task: its newest run, and how often it failed."""
-
-    __slots__ = (
-        "avoid",
-        "failures",
-        "host",
-        "host_born_ms",
-        "id",
-        "phase",
-        "run",
-        "saved",
-        "waits_until",
-    )
-
-    def __init__(self, *, id: model.TaskId) -> None:
-        self.id = id
-        self.phase = TaskPhase.WAITING
-        self.run = 0
-        self.failures = 0
-        self.host = ""
-        self.host_born_ms = 0
-        self.saved = ""
-        self.avoid: set[str] = set()
-        self.waits_until = 0.0
-
-
-def step_key(task: model.TaskId) -> tuple[str, int, int]:
-    """Return what the tasks of one step and occurrence have in common."""
-    return task[:3]
-
-
 class RunPhase(enum.Enum):
     """How far the leader is with a run on a host."""
 
@@ -193,7 +153,7 @@
 
     def reserve(self, task: model.TaskId, step: model.Step) -> None:
         """Take the room of one task of a step."""
-        key = step_key(task)
+        key = jobstates.step_key(task)
         self.step_runs[key] = self.step_runs.get(key, 0) + 1
         self.used = self.used.plus(step.reserved)
         if self.entry is not None:
@@ -201,7 +161,7 @@
 
     def release(self, task: model.TaskId, step: model.Step) -> None:
         """Give back what ``reserve`` took."""
-        key = step_key(task)
+        key = jobstates.step_key(task)
         self.step_runs[key] -= 1
         if not self.step_runs[key]:
             del self.step_runs[key]
@@ -216,143 +176,6 @@
         return self.clock_ms + int((now - self.clock_at) * 1000)
 
 
-class JobState:
-    """A job that is not over, and its tasks by occurrence and step.
-
-    ``undone`` and ``waiting`` count each step's tasks that are not done, and
-    that wait for a host; tasks change their phase by ``set_phase`` only.
-    What is worked out from the counts is kept until they change.
-    ``failed_gangs`` has the newest run of each gang that failed: it counts
-    once, however many of its members fail. ``first_run_ms`` is when this
-    leader gave its first task a host, in Unix ms; None if an earlier one did.
-    """
-
-    __slots__ = (
-        "_open",
-        "_remaining_ms",
-        "_work",
-        "added_at",
-        "begun",
-        "cancelled",
-        "closing",
-        "failed_gangs",
-        "first_run_ms",
-        "job",
-        "lasting",
-        "objective_at_ms",
-        "steps",
-        "tickets",
-        "undone",
-        "waiting",
-    )
-
-    def __init__(self, *, job: model.Job, now: float) -> None:
-        self.job = job
-        self.lasting = job.lasting
-        self.objective_at_ms = job.objective_at_ms()
-        self.added_at = now
-        self.begun = False
-        self.first_run_ms: float | None = None
-        self.cancelled = False
-        self.closing = False
-        self.steps: dict[tuple[int, int], list[Task]] = {}
-        self.undone: dict[tuple[int, int], int] = {}
-        self.waiting: dict[tuple[int, int], int] = {}
-        self._open: list[tuple[int, int]] | None = None
-        self._work: int | None = None
-        self._remaining_ms: int | None = None
-        self.tickets: dict[tuple[int, int], messages.Advised] = {}
-        self.failed_gangs: dict[tuple[int, int], int] = {}
-        for occurrence in range(job.occurrences):
-            for number, step in enumerate(job.steps):
-                self._add_step(occurrence, number, step)
-
-    def _add_step(
-        self, occurrence: int, number: int, step: model.Step
-    ) -> None:
-        key = (occurrence, number)
-        self.undone[key] = step.count
-        self.waiting[key] = step.count
-        self.steps[key] = [
-            Task(id=model.TaskId(self.job.id, occurrence, number, index))
-            for index in range(step.count)
-        ]
-
-    def task(self, id: model.TaskId) -> Task | None:
-        """Return a task of the job, or None if it has no such task."""
-        tasks = self.steps.get((id.occurrence, id.step), [])
-        return tasks[id.index] if 0 <= id.index < len(tasks) else None
-
-    def tasks_beside(self, id: model.TaskId) -> abc.Iterator[Task]:
-        """Return the other tasks of a task's step and occurrence."""
-        tasks = self.steps.get((id.occurrence, id.step), [])
-        return (task for task in tasks if task.id != id)
-
-    def step_of(self, id: model.TaskId) -> model.Step:
-        """Return the step of a task of the job."""
-        return self.job.steps[id.step]
-
-    def set_phase(self, task: Task, phase: TaskPhase) -> None:
-        """Have a task enter a phase; the count of undone tasks never rises."""
-        key = (task.id.occurrence, task.id.step)
-        self.waiting[key] -= task.phase is TaskPhase.WAITING
-        self.waiting[key] += phase is TaskPhase.WAITING
-        if phase is TaskPhase.DONE and task.phase is not TaskPhase.DONE:
-            self.undone[key] -= 1
-            self._work = None
-            if not self.undone[key]:
-                self._open = None
-                self._remaining_ms = None
-        task.phase = phase
-
-    def open_steps(self, unix_ms: float) -> list[tuple[int, int]]:
-        """Return the steps that are not done and whose turn has come."""
-        if self._open is None:
-            self._open = [
-                key
-                for key, left in self.undone.items()
-                if left and self._ready(*key)
-            ]
-        if self.job.schedule is None:
-            return self._open
-        return [
-            (occurrence, step)
-            for occurrence, step in self._open
-            if unix_ms >= self.job.due_ms(occurrence)
-        ]
-
-    def _ready(self, occurrence: int, step: int) -> bool:
-        after = self.job.steps[step].after
-        return all(self.undone[(occurrence, other)] == 0 for other in after)
-
-    def work(self) -> int:
-        """Return the estimated work that is left, in thousandths x ms."""
-        if self._work is None:
-            self._work = sum(
-                self.job.steps[number].needs.cpu
-                * self.job.steps[number].estimate_ms
-                * left
-                for (_, number), left in self.undone.items()
-            )
-        return self._work
-
-    def remaining_ms(self) -> int:
-        """Return the estimated length of the longest chain that is undone."""
-        if self._remaining_ms is None:
-            ends: list[int] = []
-            for number, step in enumerate(self.job.steps):
-                begin = max((ends[i] for i in step.after), default=0)
-                undone = self.undone[(0, number)]
-                ends.append(begin + (step.estimate_ms if undone else 0))
-            self._remaining_ms = max(ends, default=0)
-        return self._remaining_ms
-
-    @property
-    def done(self) -> bool:
-        """Whether every task is done."""
-        return not any(self.undone.values())
-
-
 class Wave:
     """A wave of upkeep: which machines were ordered down and came back.
 
@@ -442,7 +265,7 @@
         self.term = term
         self.lease_bound_at = lease_bound_at
         self.catalog: catalog.Catalog | None = None
-        self.jobs: dict[str, JobState] = {}
+        self.jobs: dict[str, jobstates.JobState] = {}
         self.hosts: dict[str, Host] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
         self.largest_room = model.Resources()
--- a/azurewood/scheduling/placing.py
+++ b/azurewood/scheduling/placing.py
@@ -7,6 +7,7 @@
 from azurewood.policy import host_choice
 from azurewood.policy import host_health
 from azurewood.policy import job_order
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import runs
@@ -22,7 +23,9 @@
     due, state.placing = state.placing, set()
     if not due:
         return
-    waiting: dict[str, list[model.JobState]] = collections.defaultdict(list)
+    waiting: dict[str, list[jobstates.JobState]] = collections.defaultdict(
+        list
+    )
     for job in state.jobs.values():
         service = state.service_of(job.job)
         if service in due and not (job.cancelled or job.closing):
@@ -34,7 +37,7 @@
 def _place_service(
     state: model.State,
     service: str,
-    found: list[model.JobState],
+    found: list[jobstates.JobState],
     now: float,
 ) -> None:
     if not any(_waits(state, job) for job in found):
@@ -66,13 +69,13 @@
                 return
 
 
-def _waits(state: model.State, job: model.JobState) -> bool:
+def _waits(state: model.State, job: jobstates.JobState) -> bool:
     """Return whether a task of a job waits for room."""
     return any(job.waiting[key] for key in job.open_steps(state.unix_ms))
 
 
 def _could_start(
-    state: model.State, job: model.JobState, most: jobs.Resources
+    state: model.State, job: jobstates.JobState, most: jobs.Resources
 ) -> bool:
     """Return whether a step of a job waits that may fit on some host."""
     return any(
@@ -82,8 +85,8 @@
 
 
 def _open_steps(
-    state: model.State, job: model.JobState
-) -> abc.Iterator[tuple[int, list[model.Task]]]:
+    state: model.State, job: jobstates.JobState
+) -> abc.Iterator[tuple[int, list[jobstates.Task]]]:
     """Return the steps of a job that wait for room, each with its tasks."""
     for key in job.open_steps(state.unix_ms):
         if job.waiting[key]:
@@ -93,8 +96,8 @@
 def _place_step(
     state: model.State,
     rooms: host_choice.Rooms,
-    job: model.JobState,
-    tasks: list[model.Task],
+    job: jobstates.JobState,
+    tasks: list[jobstates.Task],
     now: float,
 ) -> int:
     """Place a step's waiting tasks; return how many were placed."""
@@ -118,8 +121,8 @@
 
 def _tell_placed(
     state: model.State,
-    job: model.JobState,
-    placed: list[model.Task],
+    job: jobstates.JobState,
+    placed: list[jobstates.Task],
     ready: int,
 ) -> None:
     """Log which runs of a step were given which hosts."""
@@ -135,20 +138,22 @@
         )
 
 
-def _waiting(tasks: list[model.Task]) -> abc.Iterator[model.Task]:
-    return (task for task in tasks if task.phase is model.TaskPhase.WAITING)
+def _waiting(tasks: list[jobstates.Task]) -> abc.Iterator[jobstates.Task]:
+    return (
+        task for task in tasks if task.phase is jobstates.TaskPhase.WAITING
+    )
 
 
 def _place_gang(
     state: model.State,
     rooms: host_choice.Rooms,
-    job: model.JobState,
-    tasks: list[model.Task],
+    job: jobstates.JobState,
+    tasks: list[jobstates.Task],
     among: abc.Container[str] | None,
     now: float,
 ) -> int:
     """Place all tasks of a gang at once, or none."""
-    if any(task.phase is not model.TaskPhase.WAITING for task in tasks):
+    if any(task.phase is not jobstates.TaskPhase.WAITING for task in tasks):
         return 0
     step = job.step_of(tasks[0].id)
     for group in _gang_pools(rooms.hosts, step, among):
@@ -184,7 +189,7 @@
 def _choose_all(
     rooms: host_choice.Rooms,
     step: jobs.Step,
-    tasks: list[model.Task],
+    tasks: list[jobstates.Task],
     among: abc.Container[str] | None,
 ) -> list[model.Host] | None:
     chosen: list[model.Host] = []
@@ -203,7 +208,7 @@
 
 def _advised(
     state: model.State,
-    job: model.JobState,
+    job: jobstates.JobState,
     id: jobs.TaskId,
     pool: list[model.Host],
     now: float,
@@ -224,7 +229,7 @@
 
 def _ask_advice(
     state: model.State,
-    job: model.JobState,
+    job: jobstates.JobState,
     id: jobs.TaskId,
     pool: list[model.Host],
     now: float,
@@ -255,12 +260,12 @@
     state: model.State,
     rooms: host_choice.Rooms,
     host: model.Host,
-    job: model.JobState,
-    task: model.Task,
+    job: jobstates.JobState,
+    task: jobstates.Task,
     now: float,
 ) -> None:
     """Begin a task's next run on a host; its start follows its record."""
-    job.set_phase(task, model.TaskPhase.OPEN)
+    job.set_phase(task, jobstates.TaskPhase.OPEN)
     task.run += 1
     task.host = host.id
     task.host_born_ms = host.entry.born_ms
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -9,6 +9,7 @@
 from azurewood.jobs import model as jobs
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import backlog
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
@@ -95,7 +96,7 @@
         demand.asked_cpu = asked[name].cpu
 
 
-def _asked(state: model.State, job: model.JobState) -> jobs.Resources:
+def _asked(state: model.State, job: jobstates.JobState) -> jobs.Resources:
     """Return the room of a job's tasks that run or could start."""
     cpu = memory_mb = gpu = 0
     for key in job.open_steps(state.unix_ms):
@@ -107,7 +108,7 @@
     return jobs.Resources(cpu, memory_mb, gpu)
 
 
-def _least_hosts(state: model.State, job: model.JobState) -> int:
+def _least_hosts(state: model.State, job: jobstates.JobState) -> int:
     """Return how many hosts a job's tasks need because of their spread."""
     least = 0
     for key in job.open_steps(state.unix_ms):
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurewood.jobs import model
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 
@@ -82,7 +83,7 @@
     return record if record.version <= VERSION else None
 
 
-def of_job(job: scheduling.JobState) -> bytes:
+def of_job(job: jobstates.JobState) -> bytes:
     """Return a job's progress record."""
     rows = tuple(
         TaskRow(
@@ -125,7 +126,7 @@
 
 def adopt_job(
     state: scheduling.State,
-    job: scheduling.JobState,
+    job: jobstates.JobState,
     record: JobProgress,
     now: float,
 ) -> None:
@@ -139,19 +140,19 @@
 
 def _adopt_task(
     state: scheduling.State,
-    job: scheduling.JobState,
-    task: scheduling.Task,
+    job: jobstates.JobState,
+    task: jobstates.Task,
     row: TaskRow,
     now: float,
 ) -> None:
     job.begun = True
-    job.set_phase(task, scheduling.TaskPhase(row.phase))
+    job.set_phase(task, jobstates.TaskPhase(row.phase))
     task.run = row.run
     task.failures = row.failures
     task.host = row.host
     task.host_born_ms = row.host_born_ms
     task.saved = row.saved
-    if task.phase is not scheduling.TaskPhase.OPEN:
+    if task.phase is not jobstates.TaskPhase.OPEN:
         return
     step = job.step_of(task.id)
     run = scheduling.Run(task=task.id, run=row.run, step=step, now=now)
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -12,6 +12,7 @@
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_health
 from azurewood.scheduling import backlog
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import waiting
@@ -102,7 +103,7 @@
 
 def _standing(
     state: model.State,
-) -> abc.Iterator[tuple[object, model.Task]]:
+) -> abc.Iterator[tuple[object, jobstates.Task]]:
     """Return what has nothing running: its key and a task of it.
 
     Only the jobs that were taken in first are looked at.
@@ -121,7 +122,7 @@
 
 
 def _at_work(
-    state: model.State, job: model.JobState, keys: list[tuple[int, int]]
+    state: model.State, job: jobstates.JobState, keys: list[tuple[int, int]]
 ) -> bool:
     """Return whether a task of these steps runs.
 
@@ -135,20 +136,24 @@
     )
 
 
-def _due(state: model.State, job: model.JobState) -> abc.Iterator[model.Task]:
+def _due(
+    state: model.State, job: jobstates.JobState
+) -> abc.Iterator[jobstates.Task]:
     """Return the tasks that are not done and whose turn has come."""
     for _, tasks in backlog.due_steps(state, job):
-        yield from (t for t in tasks if t.phase is not model.TaskPhase.DONE)
+        yield from (
+            t for t in tasks if t.phase is not jobstates.TaskPhase.DONE
+        )
 
 
-def _run(state: model.State, task: model.Task) -> model.Run | None:
+def _run(state: model.State, task: jobstates.Task) -> model.Run | None:
     host = state.hosts.get(task.host)
     return host.runs.get((task.id, task.run)) if host else None
 
 
-def _runs(state: model.State, task: model.Task) -> bool:
+def _runs(state: model.State, task: jobstates.Task) -> bool:
     """Return whether a task runs for certain, as far as is known."""
-    if task.phase is not model.TaskPhase.OPEN:
+    if task.phase is not jobstates.TaskPhase.OPEN:
         return False
     run = _run(state, task)
     if run is None or run.phase is not model.RunPhase.RUNNING:
@@ -160,7 +165,7 @@
 def _tell(
     state: model.State,
     found: waiting.Standstill,
-    task: model.Task,
+    task: jobstates.Task,
     pools: _RoomByPool,
     now: float,
 ) -> None:
@@ -179,14 +184,14 @@
 
 
 def _why(
-    state: model.State, task: model.Task, pools: _RoomByPool, now: float
+    state: model.State, task: jobstates.Task, pools: _RoomByPool, now: float
 ) -> Why:
-    if task.phase is model.TaskPhase.OPEN:
+    if task.phase is jobstates.TaskPhase.OPEN:
         return _why_open(state, task)
     return _why_waiting(state, task, pools, now)
 
 
-def _why_open(state: model.State, task: model.Task) -> Why:
+def _why_open(state: model.State, task: jobstates.Task) -> Why:
     """Say why an open run is not known to run."""
     run = _run(state, task)
     if run is None:
@@ -213,7 +218,7 @@
 
 
 def _why_waiting(
-    state: model.State, task: model.Task, pools: _RoomByPool, now: float
+    state: model.State, task: jobstates.Task, pools: _RoomByPool, now: float
 ) -> Why:
     """Say why a waiting task has no host."""
     if now < task.waits_until:
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -2,6 +2,7 @@
 
 from azurewood.jobs import model
 from azurewood.policy import arrivals
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 
@@ -11,7 +12,7 @@
 
 def add_job(
     state: scheduling.State, job: model.Job, now: float
-) -> scheduling.JobState | None:
+) -> jobstates.JobState | None:
     """Take in a job that was just accepted; return it if it is new."""
     added = adopt_job(state, job, now)
     if added is not None:
@@ -23,14 +24,14 @@
 
 def adopt_job(
     state: scheduling.State, job: model.Job, now: float
-) -> scheduling.JobState | None:
+) -> jobstates.JobState | None:
     """Take in a job that was accepted at some time; return it if new.
 
     It tells nothing of the pace at which jobs arrive.
     """
     if job.id in state.jobs:
         return None
-    added = scheduling.JobState(job=job, now=now)
+    added = jobstates.JobState(job=job, now=now)
     state.jobs[job.id] = added
     state.placing.add(state.service_of(job))
     return added
@@ -78,11 +79,11 @@
 
 def current(
     state: scheduling.State, run: scheduling.Run
-) -> scheduling.Task | None:
+) -> jobstates.Task | None:
     """Return the task whose open run this is, or None."""
     job = state.jobs.get(run.task.job)
     task = job.task(run.task) if job else None
-    if task is None or task.phase is not scheduling.TaskPhase.OPEN:
+    if task is None or task.phase is not jobstates.TaskPhase.OPEN:
         return None
     return task if task.run == run.run else None
 
@@ -143,12 +144,12 @@
 
 def _wait_again(
     state: scheduling.State,
-    job: scheduling.JobState,
-    task: scheduling.Task,
+    job: jobstates.JobState,
+    task: jobstates.Task,
     saved: str,
     now: float,
 ) -> None:
-    job.set_phase(task, scheduling.TaskPhase.WAITING)
+    job.set_phase(task, jobstates.TaskPhase.WAITING)
     task.saved = saved or task.saved
     task.waits_until = now
     state.placing.add(state.service_of(job.job))
@@ -156,32 +157,32 @@
 
 def _done(
     state: scheduling.State,
-    job: scheduling.JobState,
-    task: scheduling.Task,
+    job: jobstates.JobState,
+    task: jobstates.Task,
 ) -> None:
     step = job.step_of(task.id)
     if step.lasting:
-        job.set_phase(task, scheduling.TaskPhase.WAITING)
+        job.set_phase(task, jobstates.TaskPhase.WAITING)
         state.placing.add(state.service_of(job.job))
         return
     key = (task.id.occurrence, task.id.step)
     members = job.steps[key] if step.gang else [task]
     for member in members:
-        if member.phase is not scheduling.TaskPhase.DONE:
-            job.set_phase(member, scheduling.TaskPhase.DONE)
+        if member.phase is not jobstates.TaskPhase.DONE:
+            job.set_phase(member, jobstates.TaskPhase.DONE)
             member.saved = ""
     if job.undone[key] == 0:
         state.placing.add(state.service_of(job.job))
     finish_if_done(state, job)
 
 
-def finish_if_done(state: scheduling.State, job: scheduling.JobState) -> None:
+def finish_if_done(state: scheduling.State, job: jobstates.JobState) -> None:
     """Announce a job's end once all its tasks are done."""
     if job.done and not job.closing and not job.lasting:
         _announce(state, job, model.Phase.COMPLETED)
 
 
-def settle_adopted(state: scheduling.State, job: scheduling.JobState) -> None:
+def settle_adopted(state: scheduling.State, job: jobstates.JobState) -> None:
     """Announce an end that an earlier leader recorded and did not tell."""
     finish_if_done(state, job)
     for tasks in job.steps.values():
@@ -195,8 +196,8 @@
 def _failed(
     state: scheduling.State,
     host: scheduling.Host,
-    job: scheduling.JobState,
-    task: scheduling.Task,
+    job: jobstates.JobState,
+    task: jobstates.Task,
     now: float,
 ) -> None:
     step = job.step_of(task.id)
@@ -209,7 +210,7 @@
     for member in members:
         member.failures = failures
     task.avoid.add(host.id)
-    job.set_phase(task, scheduling.TaskPhase.WAITING)
+    job.set_phase(task, jobstates.TaskPhase.WAITING)
     task.waits_until = now + FAILED_PAUSE_S
     state.placing.add(state.service_of(job.job))
     state.note(
@@ -227,7 +228,7 @@
 
 
 def _announce(
-    state: scheduling.State, job: scheduling.JobState, phase: model.Phase
+    state: scheduling.State, job: jobstates.JobState, phase: model.Phase
 ) -> None:
     """Tell how a job ended, once its progress is stored."""
     if job.closing:
@@ -245,7 +246,7 @@
     )
 
 
-def _wait_ms(job: scheduling.JobState) -> int | None:
+def _wait_ms(job: jobstates.JobState) -> int | None:
     """Return the time from a job's acceptance to its first task's host.
 
     None if an earlier leader gave it, or nobody.
--- a/tests/policy/test_host_choice.py
+++ b/tests/policy/test_host_choice.py
@@ -5,6 +5,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_choice
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 
@@ -112,7 +113,7 @@
     rooms = host_choice.Rooms(hosts=hosts)
     for index, (number, avoid, among, kept) in enumerate(picks):
         step = steps[number]
-        task = model.Task(id=jobs.TaskId("j", 0, number, index))
+        task = jobstates.Task(id=jobs.TaskId("j", 0, number, index))
         task.avoid = avoid
         allowed = [h for h in hosts if among is None or h.id in among]
         expected = _plain(allowed, step, task)
--- a/tests/policy/test_job_order.py
+++ b/tests/policy/test_job_order.py
@@ -4,7 +4,7 @@
 
 from azurewood.jobs import model
 from azurewood.policy import job_order
-from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import jobstates
 
 ROOM_CPU = 8000
 STEP_MS = 50
@@ -28,7 +28,7 @@
         objective_factor=1.6,
         objective_ms=600,
     )
-    return scheduling.JobState(job=job, now=0.0)
+    return jobstates.JobState(job=job, now=0.0)
 
 
 def _ids(jobs):
@@ -94,7 +94,7 @@
                 free -= step.needs.cpu
                 running.append((now + step.estimate_ms, step.needs.cpu))
                 task = job.steps[(0, 0)][job.undone[(0, 0)] - 1]
-                job.set_phase(task, scheduling.TaskPhase.DONE)
+                job.set_phase(task, jobstates.TaskPhase.DONE)
             if not job.undone[(0, 0)]:
                 here.remove(job)
                 end = now + step.estimate_ms
--- a/tests/policy/test_upkeep.py
+++ b/tests/policy/test_upkeep.py
@@ -5,6 +5,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import upkeep
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import model
 
 COUNT = 5
@@ -55,7 +56,7 @@
 )
 def test_tasks_away_are_those_that_a_look_at_all_runs_finds(started, silent):
     state = model.State(term=1, lease_bound_at=0.0)
-    job = model.JobState(job=JOB, now=0.0)
+    job = jobstates.JobState(job=JOB, now=0.0)
     state.jobs["j"] = job
     for number in silent:
         state.host(f"h{number}").silent_since = 0.0
--- a/tests/scheduling/test_job_state.py
+++ b/tests/scheduling/test_job_state.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 
 from azurewood.jobs import model
-from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import jobstates
 
 STEPS = (
     model.Step(count=2, needs=model.Resources(500, 0, 0), estimate_ms=300),
@@ -25,7 +25,7 @@
 CHANGES = strategies.tuples(
     strategies.integers(0, 5),
     strategies.integers(0, 2),
-    strategies.sampled_from(list(scheduling.TaskPhase)),
+    strategies.sampled_from(list(jobstates.TaskPhase)),
 )
 
 
@@ -34,7 +34,7 @@
 
 
 def _undone(job, key):
-    return _count(job, key, lambda p: p is not scheduling.TaskPhase.DONE)
+    return _count(job, key, lambda p: p is not jobstates.TaskPhase.DONE)
 
 
 def _open(job, unix_ms):
@@ -81,16 +81,16 @@
         steps=STEPS,
         schedule=schedule,
     )
-    job = scheduling.JobState(job=described, now=0.0)
+    job = jobstates.JobState(job=described, now=0.0)
     for place, index, phase in changes:
         key = list(job.steps)[place % len(job.steps)]
         task = job.steps[key][index % len(job.steps[key])]
-        if task.phase is not scheduling.TaskPhase.DONE:
+        if task.phase is not jobstates.TaskPhase.DONE:
             job.set_phase(task, phase)
         for key in job.steps:
             assert job.undone[key] == _undone(job, key)
             assert job.waiting[key] == _count(
-                job, key, lambda p: p is scheduling.TaskPhase.WAITING
+                job, key, lambda p: p is jobstates.TaskPhase.WAITING
             )
         assert job.open_steps(unix_ms) == _open(job, unix_ms)
         assert job.work() == _work(job)
