Take no call for unsent that the library had begun to send

Cause: pycurl repeats a request by itself if a connection that was used before is reset without an answer. If the repetition cannot connect, its error says so, and a call that had arrived was taken for one that never left: a start was given to another host, a stored job was refused.

The library asks before each time it sends; a call is unsent only if it never asked. So too in the client of the project's own platform, which had the same fault.

--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -25,15 +25,6 @@
 CONNECT_TIMEOUT_MS: typing.Final = 700
 """A handshake takes two network delays; the longest is about 25 ms."""
 
-NOT_SENT_CODES: typing.Final = frozenset(
-    {
-        pycurl.E_COULDNT_CONNECT,
-        pycurl.E_COULDNT_RESOLVE_HOST,
-        pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
-    }
-)
-
 
 class Outcome(enum.Enum):
     """What is known of a call."""
@@ -80,16 +71,16 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Transfer:
+    """A call under way.
+
+    ``left`` is whether the request may have left this process: the library
+    was about to send it, once or more.
+    """
+
     done: Callback
     buffer: io.BytesIO
     sent_at: float
-
-
-def nothing_sent(curl: pycurl.Curl, code: int) -> bool:
-    """Return whether a failed call certainly never left this process."""
-    if code in NOT_SENT_CODES:
-        return True
-    return not curl.getinfo(pycurl.REQUEST_SIZE)
+    left: bool = False
 
 
 class Multiplexer:
@@ -139,22 +130,28 @@
         curl = self._free.pop() if self._free else pycurl.Curl()
         buffer = io.BytesIO()
         _prepare(curl, call, buffer)
-        if call.send_by is not None:
-            curl.setopt(pycurl.PREREQFUNCTION, self._in_time(call.send_by))
-        self._transfers[curl] = _Transfer(
-            done=done, buffer=buffer, sent_at=self._clock()
-        )
+        transfer = _Transfer(done=done, buffer=buffer, sent_at=self._clock())
+        leaving = self._leaving(transfer, call.send_by)
+        curl.setopt(pycurl.PREREQFUNCTION, leaving)
+        self._transfers[curl] = transfer
         self._multi.add_handle(curl)
 
-    def _in_time(self, send_by: float) -> abc.Callable[..., int]:
-        """Return what the library asks before it sends a request."""
+    def _leaving(
+        self, transfer: _Transfer, send_by: float | None
+    ) -> abc.Callable[..., int]:
+        """Return what the library asks before it sends a request.
+
+        It asks again before it repeats one by itself, as it does if a
+        connection that was used before is reset without an answer.
+        """
 
-        def check(*_: object) -> int:
-            if self._clock() < send_by:
-                return pycurl.PREREQFUNC_OK
-            return pycurl.PREREQFUNC_ABORT
+        def ask(*_: object) -> int:
+            if send_by is not None and self._clock() >= send_by:
+                return pycurl.PREREQFUNC_ABORT
+            transfer.left = True
+            return pycurl.PREREQFUNC_OK
 
-        return check
+        return ask
 
     def wake(self) -> None:
         """End the wait of ``run_once`` from another thread."""
@@ -256,10 +253,9 @@
                 sent_at=transfer.sent_at,
                 at=now,
             )
-        code, text = error
-        unsent = nothing_sent(curl, code)
+        _, text = error
         return Reply(
-            outcome=Outcome.NOT_SENT if unsent else Outcome.UNKNOWN,
+            outcome=Outcome.UNKNOWN if transfer.left else Outcome.NOT_SENT,
             reason=text,
             sent_at=transfer.sent_at,
             at=now,
--- a/azurewood/provider/base.py
+++ b/azurewood/provider/base.py
@@ -9,7 +9,6 @@
 import msgspec
 import pycurl
 
-from azurewood.http import multiplex
 from azurewood.provider import exceptions
 
 CONNECT_TIMEOUT_MS = 1000
@@ -28,12 +27,13 @@
 class Connection:
     """A connection to the platform that is kept open between calls."""
 
-    __slots__ = ("_curl", "_headers", "_url")
+    __slots__ = ("_curl", "_headers", "_left", "_url")
 
     def __init__(self, *, url: str, zone: str) -> None:
         self._url = url.rstrip("/")
         self._headers = [f"{ZONE_HEADER}: {zone}", "Expect:"]
         self._curl = pycurl.Curl()
+        self._left = False
 
     def call(
         self,
@@ -63,6 +63,8 @@
     ) -> None:
         curl = self._curl
         curl.reset()
+        self._left = False
+        curl.setopt(pycurl.PREREQFUNCTION, self._leaving)
         curl.setopt(pycurl.URL, self._url + path)
         curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(pycurl.HTTPHEADER, self._headers)
@@ -77,11 +79,16 @@
             curl.setopt(pycurl.POSTFIELDSIZE, len(body))
             curl.setopt(pycurl.POSTFIELDS, body)
 
+    def _leaving(self, *_: object) -> int:
+        """Note that the library is about to send the request."""
+        self._left = True
+        return pycurl.PREREQFUNC_OK
+
     def _failure(self, exc: pycurl.error) -> exceptions.PlatformError:
-        code, text = exc.args
-        if multiplex.nothing_sent(self._curl, code):
-            return exceptions.NotDone(f"platform: {text}")
-        return exceptions.OutcomeUnknown(f"platform: {text}")
+        _, text = exc.args
+        if self._left:
+            return exceptions.OutcomeUnknown(f"platform: {text}")
+        return exceptions.NotDone(f"platform: {text}")
 
     def close(self) -> None:
         """Close the connection."""
