Move the records of the election into a module of their own

The test of a term to be given back stands on a line of its own. No logic is changed; tests of elections, daemons and scheduling pass.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -27,6 +27,7 @@
 from azurewood.journal import follower
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
+from azurewood.leadership import records as election_records
 from azurewood.policy import feasibility
 from azurewood.scheduling import messages
 
@@ -202,7 +203,7 @@
     def _took_leader(self, changes: follower.Changes) -> None:
         read = self._leader
         entries = tuple(
-            leadership.decode(record.value or b"")
+            election_records.decode(record.value or b"")
             for record in changes.records
         )
         event = leadership.Read(
@@ -263,9 +264,9 @@
         self.term.step(now)
         if self.term.over:
             election.step_down(now)
-        elif election.took_from_living_leader and self.term.hears_few_hosts(
-            now
-        ):
+            return
+        taken = election.took_from_living_leader
+        if taken and self.term.hears_few_hosts(now):
             self._hand_back(now)
 
     def _hand_back(self, now: float) -> None:
@@ -312,7 +313,7 @@
     def _append_leader(self, wanted: leadership.Append | None) -> None:
         if wanted is None:
             return
-        data = leadership.encode(wanted.entry)
+        data = election_records.encode(wanted.entry)
         call = self._platform.append_at(pages.Topic.LEADER, data, wanted.at)
         self._calls.submit(
             call, lambda reply: self._appended_leader(wanted, reply)
@@ -325,7 +326,7 @@
         if self.election.term:
             # A later claim of this daemon's was stored meanwhile.
             return
-        resigning = isinstance(wanted.entry, leadership.Resign)
+        resigning = isinstance(wanted.entry, election_records.Resign)
         if resigning and isinstance(result, appender.Conflict):
             again = leadership.Append(entry=wanted.entry, at=result.end)
             self._append_leader(again)
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -19,9 +19,8 @@
 import dataclasses
 import typing
 
-import msgspec
-
 from azurewood.jobs import model
+from azurewood.leadership import records
 
 BEAT_S: typing.Final = 0.4
 """Pause between a leader's beats: three may be lost before a claim."""
@@ -52,40 +51,6 @@
 """``REST_S`` doubles up to here with each term that ends by itself."""
 
 
-class Claim(msgspec.Struct, frozen=True, kw_only=True, tag="claim"):
-    """A daemon begins a term; ``cores`` is 0 if it does not know them."""
-
-    name: str
-    nonce: str
-    cores: float = 0.0
-
-
-class Beat(msgspec.Struct, frozen=True, kw_only=True, tag="beat"):
-    """The leader is alive. ``largest`` is the largest machine's room."""
-
-    nonce: str
-    largest: model.Resources = model.Resources()
-    cores: float = 0.0
-
-
-class Resign(msgspec.Struct, frozen=True, kw_only=True, tag="resign"):
-    """The leader gives its term up; others may claim at once."""
-
-    nonce: str
-
-
-Entry = Claim | Beat | Resign
-_decoder = msgspec.msgpack.Decoder(Entry)
-
-
-def decode(data: bytes) -> Entry | None:
-    """Return an entry, or None if it cannot be read."""
-    try:
-        return _decoder.decode(data)
-    except msgspec.DecodeError:
-        return None
-
-
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Read:
     """Records from ``offset`` on; the call began at ``began_at``.
@@ -94,7 +59,7 @@
     """
 
     offset: int
-    entries: tuple[Entry | None, ...]
+    entries: tuple[records.Entry | None, ...]
     end: int
     began_at: float
     ready: bool = False
@@ -105,7 +70,7 @@
     """An append was stored; its call began at ``began_at``."""
 
     offset: int
-    entry: Entry
+    entry: records.Entry
     began_at: float
 
 
@@ -113,7 +78,7 @@
 class Lost:
     """An append failed, was refused, or its outcome is not known."""
 
-    entry: Entry
+    entry: records.Entry
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -125,7 +90,7 @@
 class Append:
     """Append an entry if the log ends at ``at``."""
 
-    entry: Entry
+    entry: records.Entry
     at: int
 
 
@@ -254,7 +219,9 @@
         if not self.term or self._appending or not due:
             return None
         self._beat_at = now
-        entry = Beat(nonce=self.nonce, largest=largest, cores=self.cores)
+        entry = records.Beat(
+            nonce=self.nonce, largest=largest, cores=self.cores
+        )
         return self._attempt(entry, now)
 
     def resign(self, now: float) -> Append | None:
@@ -267,7 +234,7 @@
         if not self.term:
             return None
         self.step_down(now)
-        return Append(entry=Resign(nonce=self.nonce), at=self.end)
+        return Append(entry=records.Resign(nonce=self.nonce), at=self.end)
 
     def step_down(self, now: float) -> None:
         """Stop leading, whatever the log says, and rest."""
@@ -279,7 +246,7 @@
     def _rest(self, now: float) -> None:
         self._rest_until = max(self._rest_until, now + self._rest_s)
 
-    def _attempt(self, entry: Entry, now: float) -> Append:
+    def _attempt(self, entry: records.Entry, now: float) -> Append:
         """Return the append of an entry at the end that is known."""
         self._appending = True
         if self._attempt_end != self.end:
@@ -307,40 +274,46 @@
         self.end = max(self.end, event.offset + 1)
 
     def _take(
-        self, offset: int, entry: Entry | None, sent_at: float, now: float
+        self,
+        offset: int,
+        entry: records.Entry | None,
+        sent_at: float,
+        now: float,
     ) -> None:
         if offset < self.end:
             return
         self.end = offset + 1
         self._note_renewals(entry, now)
         match entry:
-            case Claim():
+            case records.Claim():
                 self._take_claim(entry, offset, now)
-            case Beat(nonce=nonce, largest=largest, cores=cores):
+            case records.Beat(nonce=nonce, largest=largest, cores=cores):
                 self._leader_nonce = nonce
                 self._leader_seen_at = now
                 self.leader_cores = cores
                 self.largest = largest
                 self._reckon_with(cores, now)
-            case Resign(nonce=nonce):
+            case records.Resign(nonce=nonce):
                 self._resigned = nonce == self._leader_nonce
         if self.term and entry is not None and entry.nonce == self.nonce:
             self.confirmed_at = max(self.confirmed_at, sent_at)
 
-    def _note_renewals(self, entry: Entry | None, now: float) -> None:
+    def _note_renewals(self, entry: records.Entry | None, now: float) -> None:
         """Note until when the writer of a record may renew leases."""
         match entry:
-            case Claim(nonce=nonce) if nonce == self.nonce:
+            case records.Claim(nonce=nonce) if nonce == self.nonce:
                 # An earlier term of this daemon, if it had one.
                 self._renewals[self.nonce] = self.confirmed_at + VALID_S
-            case Claim(nonce=nonce) | Beat(nonce=nonce):
+            case records.Claim(nonce=nonce) | records.Beat(nonce=nonce):
                 if nonce != self.nonce:
                     self._renewals[nonce] = now + VALID_S
-            case Resign(nonce=nonce) if nonce in self._renewals:
+            case records.Resign(nonce=nonce) if nonce in self._renewals:
                 # It had stopped before it wrote this.
                 self._renewals[nonce] = now
 
-    def _take_claim(self, claim: Claim, offset: int, now: float) -> None:
+    def _take_claim(
+        self, claim: records.Claim, offset: int, now: float
+    ) -> None:
         if self.term or claim.name == self.name:
             self._rest(now)
         if self._leader_nonce and not self._resigned:
@@ -375,7 +348,9 @@
         elif not self._may_claim_over_leader(event, now):
             return None
         self.claimed_after_s = now - self._seen_at
-        claim = Claim(name=self.name, nonce=self.nonce, cores=self.cores)
+        claim = records.Claim(
+            name=self.name, nonce=self.nonce, cores=self.cores
+        )
         return self._attempt(claim, now)
 
     def _is_free(self, event: Read, now: float) -> bool:
@@ -418,8 +393,3 @@
 def _is_stronger(cores: float, than: float) -> bool:
     """Return whether a daemon has clearly more processor; both are known."""
     return than > 0 and cores >= STRONGER * than
-
-
-def encode(entry: Entry) -> bytes:
-    """Return an entry's stored bytes."""
-    return msgspec.msgpack.encode(entry)
--- a/tests/leadership/test_election.py
+++ b/tests/leadership/test_election.py
@@ -7,6 +7,7 @@
 
 from azurewood.jobs import model
 from azurewood.leadership import base
+from azurewood.leadership import records
 
 
 class Log:
@@ -106,7 +107,7 @@
     _read(log, second, 0.1)
     _store(log, first, first.resign(0.2), 0.2)
     wanted = _read(log, second, 0.3)
-    assert isinstance(wanted.entry, base.Claim)
+    assert isinstance(wanted.entry, records.Claim)
 
 
 def test_late_resignation_of_an_earlier_leader_is_ignored():
@@ -116,7 +117,7 @@
     _read(log, second, 0.1)
     wanted = _read(log, second, 2.0)
     _store(log, second, wanted, 2.0)
-    log.entries.append(base.Resign(nonce=first.nonce))
+    log.entries.append(records.Resign(nonce=first.nonce))
     third = _election("c")
     assert _read(log, third, 2.1) is None
 
@@ -178,7 +179,7 @@
 
 def _weak_claim(log, now):
     """Let a weak daemon claim whatever it knows."""
-    log.entries.append(base.Claim(name="c", nonce="c", cores=1.0))
+    log.entries.append(records.Claim(name="c", nonce="c", cores=1.0))
 
 
 @pytest.mark.parametrize("ending", ["claimed", "step_down", "hand_back"])
@@ -226,7 +227,7 @@
 
 
 def _beat(log, nonce):
-    log.entries.append(base.Beat(nonce=nonce, cores=1.0))
+    log.entries.append(records.Beat(nonce=nonce, cores=1.0))
 
 
 def test_who_gave_the_term_back_lets_others_claim_first():
@@ -302,8 +303,8 @@
 
 def test_claims_of_earlier_versions_are_read_and_ours_by_them():
     old = msgspec.msgpack.encode(_ClaimBefore(name="a", nonce="n"))
-    assert base.decode(old) == base.Claim(name="a", nonce="n")
-    new = base.encode(base.Claim(name="a", nonce="n", cores=2.0))
+    assert records.decode(old) == records.Claim(name="a", nonce="n")
+    new = records.encode(records.Claim(name="a", nonce="n", cores=2.0))
     assert msgspec.msgpack.decode(new, type=_ClaimBefore).name == "a"
 
 
@@ -344,7 +345,7 @@
             assert term > 0
             assert not terms or term >= terms[-1]
             terms.append(term)
-    claims = [e for e in log.entries if isinstance(e, base.Claim)]
+    claims = [e for e in log.entries if isinstance(e, records.Claim)]
     assert len(set(terms)) <= len(claims)
 
 
--- a/tests/leadership/test_late_resignation.py
+++ b/tests/leadership/test_late_resignation.py
@@ -3,6 +3,7 @@
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
+from azurewood.leadership import records
 from tests.scheduling import deployment
 
 
@@ -12,12 +13,12 @@
     member = made.members[0].member
     election = member.election
     assert election.term
-    resign = leadership.Resign(nonce=election.nonce)
+    resign = records.Resign(nonce=election.nonce)
     member._resign_again(
         leadership.Append(entry=resign, at=election.end - 1),
         appender.Conflict(reason="", end=election.end),
     )
     made.run(0.2)
     page = made.store.read(pages.Topic.LEADER, 0)
-    entries = [leadership.decode(record.value) for record in page.records]
+    entries = [records.decode(record.value) for record in page.records]
     assert resign not in entries
--- a/tests/scheduling/test_strong_leader.py
+++ b/tests/scheduling/test_strong_leader.py
@@ -7,6 +7,7 @@
 from azurewood.jobs import model
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
+from azurewood.leadership import records
 from tests.scheduling import deployment
 
 SMALL, LARGE = 0.516, 2.15
@@ -30,8 +31,8 @@
 def _claims(made):
     """Return the names of those who claimed, in order."""
     page = made.store.read(pages.Topic.LEADER, 0)
-    entries = (leadership.decode(record.value) for record in page.records)
-    return [e.name for e in entries if isinstance(e, leadership.Claim)]
+    entries = (records.decode(record.value) for record in page.records)
+    return [e.name for e in entries if isinstance(e, records.Claim)]
 
 
 def _run_jobs(made, seconds):
