Name the open requests of a server by what they are

A module called answering with a class called OpenRequests had to be looked up; module, attribute and class are open requests now.

--- a/azurewood/http/connections.py
+++ b/azurewood/http/connections.py
@@ -19,8 +19,8 @@
 import loguru
 import msgspec
 
-from azurewood.http import answering
 from azurewood.http import exceptions
+from azurewood.http import open_requests
 from azurewood.http import outcomes
 
 SOCKET_KEY = "azurewood.socket"
@@ -202,8 +202,8 @@
 
     def respond(self) -> None:
         """Answer the request, or say why its body cannot be read."""
-        open_requests = self.server.answering
-        open_requests.begin(id(self), self._named())
+        asked = self.server.open_requests
+        asked.begin(id(self), self._named())
         try:
             super().respond()
         except BodyError as exc:
@@ -212,13 +212,13 @@
                 self.simple_response(exc.status, str(exc))
         except OSError as exc:
             if isinstance(self.rfile, BodyReader) and self.rfile.ended:
-                open_requests.cut(id(self), str(exc))
+                asked.cut(id(self), str(exc))
             raise
         finally:
-            open_requests.end(id(self))
+            asked.end(id(self))
 
-    def _named(self) -> answering.RequestName:
-        return answering.RequestName(
+    def _named(self) -> open_requests.RequestName:
+        return open_requests.RequestName(
             method=self.method.decode("latin-1"),
             path=self.path.decode("latin-1"),
         )
--- a/azurewood/http/endpoints.py
+++ b/azurewood/http/endpoints.py
@@ -13,6 +13,7 @@
 import pycurl
 
 from azurewood.http import links
+from azurewood.http import sockets
 from azurewood.http import watch
 from azurewood.state import events
 
@@ -271,7 +272,7 @@
 def _failure(curl: pycurl.Curl, exc: pycurl.error, elapsed: float) -> Reply:
     """Tell what an error means for whether the request ran."""
     code, text = exc.args
-    if not curl.getinfo(pycurl.REQUEST_SIZE):
+    if sockets.nothing_sent(curl):
         result = Result.REFUSED
     elif code == pycurl.E_OPERATION_TIMEDOUT:
         result = Result.TIMED_OUT
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -71,16 +71,9 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Transfer:
-    """A call under way.
-
-    ``left`` is whether the request may have left this process: the library
-    was about to send it, once or more.
-    """
-
     done: Callback
     buffer: io.BytesIO
     sent_at: float
-    left: bool = False
 
 
 class Multiplexer:
@@ -130,28 +123,22 @@
         curl = self._free.pop() if self._free else pycurl.Curl()
         buffer = io.BytesIO()
         _prepare(curl, call, buffer)
-        transfer = _Transfer(done=done, buffer=buffer, sent_at=self._clock())
-        leaving = self._leaving(transfer, call.send_by)
-        curl.setopt(pycurl.PREREQFUNCTION, leaving)
-        self._transfers[curl] = transfer
+        if call.send_by is not None:
+            curl.setopt(pycurl.PREREQFUNCTION, self._in_time(call.send_by))
+        self._transfers[curl] = _Transfer(
+            done=done, buffer=buffer, sent_at=self._clock()
+        )
         self._multi.add_handle(curl)
 
-    def _leaving(
-        self, transfer: _Transfer, send_by: float | None
-    ) -> abc.Callable[..., int]:
-        """Return what the library asks before it sends a request.
-
-        It asks again before it repeats one by itself, as it does if a
-        connection that was used before is reset without an answer.
-        """
+    def _in_time(self, send_by: float) -> abc.Callable[..., int]:
+        """Return what the library asks before it sends a request."""
 
-        def ask(*_: object) -> int:
-            if send_by is not None and self._clock() >= send_by:
-                return pycurl.PREREQFUNC_ABORT
-            transfer.left = True
-            return pycurl.PREREQFUNC_OK
+        def check(*_: object) -> int:
+            if self._clock() < send_by:
+                return pycurl.PREREQFUNC_OK
+            return pycurl.PREREQFUNC_ABORT
 
-        return ask
+        return check
 
     def wake(self) -> None:
         """End the wait of ``run_once`` from another thread."""
@@ -254,8 +241,9 @@
                 at=now,
             )
         _, text = error
+        unsent = sockets.nothing_sent(curl)
         return Reply(
-            outcome=Outcome.UNKNOWN if transfer.left else Outcome.NOT_SENT,
+            outcome=Outcome.NOT_SENT if unsent else Outcome.UNKNOWN,
             reason=text,
             sent_at=transfer.sent_at,
             at=now,
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -12,9 +12,9 @@
 from cheroot import wsgi
 import loguru
 
-from azurewood.http import answering
 from azurewood.http import connections
 from azurewood.http import exceptions
+from azurewood.http import open_requests
 
 BACKLOG = 256
 SHUTDOWN_S = 5
@@ -60,7 +60,7 @@
     server.readings = connections.Readings(
         limit_s=timeout_s * connections.READ_TIMEOUTS
     )
-    server.answering = answering.OpenRequests()
+    server.open_requests = open_requests.OpenRequests()
     server.ssl_adapter = _adapter(tls)
     try:
         server.prepare()
--- a/azurewood/http/sockets.py
+++ b/azurewood/http/sockets.py
@@ -1,4 +1,6 @@
-"""Sockets whose unsent bytes are dropped once their call is given up.
+"""What pycurl's calls leave on their sockets.
+
+A call that is given up leaves nothing to be sent later.
 
 By default the kernel goes on sending what a closed connection has queued,
 so a call that timed out on a path that was cut arrives when the path is
@@ -29,3 +31,13 @@
         # The library owns the descriptor.
         sock.detach()
     return pycurl.SOCKOPT_OK
+
+
+def nothing_sent(curl: pycurl.Curl) -> bool:
+    """Return whether a failed call certainly never left this process.
+
+    The kind of error does not tell: if a connection that was used before is
+    reset, the library repeats the request by itself, and may then fail to
+    connect. What it has sent is counted over all repetitions.
+    """
+    return not curl.getinfo(pycurl.REQUEST_SIZE)
--- a/azurewood/operators/client.py
+++ b/azurewood/operators/client.py
@@ -17,6 +17,7 @@
 import msgspec
 import pycurl
 
+from azurewood.http import sockets
 from azurewood.operators import exceptions
 from azurewood.operators import messages
 from azurewood.state import effects
@@ -34,10 +35,6 @@
 Resolution = effects.Resolution
 T = typing.TypeVar("T")
 
-_BEFORE_SENDING = frozenset(
-    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
-)
-
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Answer:
@@ -211,10 +208,9 @@
             status = curl.getinfo(pycurl.RESPONSE_CODE)
             return Answer(status=status, body=buffer.getvalue())
         except pycurl.error as exc:
-            code, text = exc.args
+            _, text = exc.args
             reason = f"{url}: {text}"
-            is_sent = bool(curl.getinfo(pycurl.REQUEST_SIZE))
-            if code in _BEFORE_SENDING or not is_sent:
+            if sockets.nothing_sent(curl):
                 raise _NotSent(reason) from exc
             raise _LostAnswer(reason) from exc
         finally:
--- a/azurewood/provider/base.py
+++ b/azurewood/provider/base.py
@@ -9,6 +9,7 @@
 import msgspec
 import pycurl
 
+from azurewood.http import sockets
 from azurewood.provider import exceptions
 
 CONNECT_TIMEOUT_MS = 1000
@@ -27,13 +28,12 @@
 class Connection:
     """A connection to the platform that is kept open between calls."""
 
-    __slots__ = ("_curl", "_headers", "_left", "_url")
+    __slots__ = ("_curl", "_headers", "_url")
 
     def __init__(self, *, url: str, zone: str) -> None:
         self._url = url.rstrip("/")
         self._headers = [f"{ZONE_HEADER}: {zone}", "Expect:"]
         self._curl = pycurl.Curl()
-        self._left = False
 
     def call(
         self,
@@ -63,8 +63,6 @@
     ) -> None:
         curl = self._curl
         curl.reset()
-        self._left = False
-        curl.setopt(pycurl.PREREQFUNCTION, self._leaving)
         curl.setopt(pycurl.URL, self._url + path)
         curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(pycurl.HTTPHEADER, self._headers)
@@ -79,16 +77,11 @@
             curl.setopt(pycurl.POSTFIELDSIZE, len(body))
             curl.setopt(pycurl.POSTFIELDS, body)
 
-    def _leaving(self, *_: object) -> int:
-        """Note that the library is about to send the request."""
-        self._left = True
-        return pycurl.PREREQFUNC_OK
-
     def _failure(self, exc: pycurl.error) -> exceptions.PlatformError:
         _, text = exc.args
-        if self._left:
-            return exceptions.OutcomeUnknown(f"platform: {text}")
-        return exceptions.NotDone(f"platform: {text}")
+        if sockets.nothing_sent(self._curl):
+            return exceptions.NotDone(f"platform: {text}")
+        return exceptions.OutcomeUnknown(f"platform: {text}")
 
     def close(self) -> None:
         """Close the connection."""
--- a/tests/http/test_open_requests.py
+++ b/tests/http/test_open_requests.py
@@ -94,7 +94,7 @@
     held, listener = served
     _ask(listener, REQUEST + b"ab")
     assert held.begun.wait(10)
-    listener.answering.cut_all("the daemon ends")
+    listener.open_requests.cut_all("the daemon ends")
     assert [line["reason"] for line in cut()] == ["the daemon ends"]
 
 
@@ -105,8 +105,8 @@
     size = 0
     while size < 64 * 1024:
         size += len(conn.recv(65536))
-    _within(10, lambda: not listener.answering._open)
-    listener.answering.cut_all("the daemon ends")
+    _within(10, lambda: not listener.open_requests._open)
+    listener.open_requests.cut_all("the daemon ends")
     assert not cut()
 
 
@@ -115,5 +115,5 @@
     conn = _ask(listener, REQUEST + b"a")
     conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     conn.close()
-    _within(10, lambda: not listener.answering._open)
+    _within(10, lambda: not listener.open_requests._open)
     assert not cut()
--- a/tests/http/test_reset_calls.py
+++ b/tests/http/test_reset_calls.py
@@ -1,11 +1,16 @@
 """What is known of a call whose connection is reset: over real sockets."""
 
+import contextlib
 import socket
 import struct
 import threading
 import time
 
+import pytest
+
 from azurewood.http import multiplex
+from azurewood.provider import base as provider
+from azurewood.provider import exceptions
 
 DEADLINE_S = 5.0
 RESET = struct.pack("ii", 1, 0)
@@ -30,6 +35,17 @@
     conn.close()
 
 
+@contextlib.contextmanager
+def _server():
+    """Give the address of a server that goes away with its second call."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    thread = threading.Thread(target=_serve, args=(listener,), daemon=True)
+    thread.start()
+    yield url
+    thread.join(DEADLINE_S)
+
+
 def _reply(calls, url):
     found = []
     call = multiplex.Call(method="POST", url=url, body=b"x", timeout_ms=3000)
@@ -42,19 +58,27 @@
 
 def test_a_call_that_arrived_is_not_said_to_be_unsent():
     """Guards against REFUSED and TWICE: the library tries anew by itself."""
-    listener = socket.create_server(("127.0.0.1", 0))
-    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
-    server = threading.Thread(target=_serve, args=(listener,), daemon=True)
-    server.start()
     calls = multiplex.Multiplexer(clock=time.monotonic)
-    assert _reply(calls, url).outcome is multiplex.Outcome.ANSWERED
-    assert _reply(calls, url).outcome is multiplex.Outcome.UNKNOWN
-    server.join(DEADLINE_S)
+    with _server() as url:
+        assert _reply(calls, url).outcome is multiplex.Outcome.ANSWERED
+        assert _reply(calls, url).outcome is multiplex.Outcome.UNKNOWN
+
+
+def test_a_change_that_arrived_is_not_said_to_be_not_done():
+    """Guards against the same in the client of the project's platform."""
+    with _server() as url:
+        conn = provider.Connection(url=url, zone="a")
+        assert conn.call("POST", "/", body=b"x").status == 200
+        with pytest.raises(exceptions.OutcomeUnknown):
+            conn.call("POST", "/", body=b"x")
 
 
 def test_a_call_that_nobody_could_take_is_unsent():
     listener = socket.create_server(("127.0.0.1", 0))
-    url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
     listener.close()
     calls = multiplex.Multiplexer(clock=time.monotonic)
     assert _reply(calls, url).outcome is multiplex.Outcome.NOT_SENT
+    conn = provider.Connection(url=url, zone="a")
+    with pytest.raises(exceptions.NotDone):
+        conn.call("POST", "/", body=b"x")
