Take no unreadable record for absent, and end a term instead of a process

Cause: a host's list with a task name that is a number raised AttributeError in the leader's loop, which ended the process, and the next leader's after it; rows with other types reached the scheduling state. An error that nobody expected in the leader's reducer ended the whole daemon.

Change: rows of hosts' lists are decoded into typed rows; a malformed 410 is a failed read and not an offset of -1; records without ids are malformed. The registry notes jobs with unreadable records: their state is unknown (503, or 504 to a repeated submission), and a new leader neither starts nor stops anything of a job whose progress it cannot read. An unreadable record of orders blocks all machines for the pause. An unexpected error ends the term, with its traceback in the log, and the daemon goes on.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -201,6 +201,8 @@
             logger.bind(event="record.unreadable", key=stored.key).error(
                 "skipping unreadable job record: {}", exc
             )
+            job_id = records.job_of(stored.key)
+            self.job_service.registry.unreadable.add(job_id)
             return
         if self.job_service.registry.apply(record) and self.term is not None:
             self.term.handle_record(record)
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -103,6 +103,12 @@
         """Run one iteration of the takeover or of the leader's work."""
         if self.end_reason:
             return
+        try:
+            self._step(now)
+        except Exception:
+            self._fail()
+
+    def _step(self, now: float) -> None:
         if self.state is not None:
             self._lead(now)
             return
@@ -112,6 +118,18 @@
         elif self._takeover.failure:
             self.stop(self._takeover.failure)
 
+    def _fail(self) -> None:
+        """End the term after an unexpected error.
+
+        The scheduling state may be inconsistent, so nothing more is done
+        with it. The daemon goes on serving callers, and a leader restores
+        the state from the records.
+        """
+        logger.bind(event="term.error", term=self.number).exception(
+            "unexpected error; ending the term"
+        )
+        self.stop("unexpected error")
+
     def next_at(self, now: float) -> float:
         """Return when ``step`` is due again."""
         if self.state is None:
@@ -167,8 +185,12 @@
 
     def handle_event(self, event: messages.Event) -> None:
         """Handle an event, unless the takeover runs or the term is over."""
-        if self.state is not None and not self.end_reason:
+        if self.state is None or self.end_reason:
+            return
+        try:
             reducer.handle_event(self.state, event, self._context.clock())
+        except Exception:
+            self._fail()
 
     def handle_record(self, record: records.Record) -> None:
         """Handle a job record that the job registry has applied."""
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -135,6 +135,8 @@
 
     def show(self, job_id: str) -> JobStatus | NotThere | StatusUnknown:
         """Return the status of a job, as far as this daemon knows it."""
+        if job_id in self.registry.unreadable:
+            return StatusUnknown()
         entry = self.registry.entries.get(job_id)
         if entry is not None:
             return JobStatus(phase=entry.phase)
@@ -144,6 +146,8 @@
         """Store a job; wait for at most ``timeout_s`` seconds."""
         if job.id in self.registry.entries:
             return Taken()
+        if job.id in self.registry.unreadable:
+            return OutcomeUnknown(reason="the job's record cannot be read")
         if not self._is_fresh():
             return self._refuse(job.id, Refused(reason="store out of touch"))
         refused = self.admission(job)
@@ -165,7 +169,7 @@
         """Store a cancellation; wait for at most ``timeout_s`` seconds."""
         entry = self.registry.entries.get(job_id)
         if entry is None:
-            if self._is_fresh():
+            if self._is_fresh() and job_id not in self.registry.unreadable:
                 return NotThere()
             return Refused(reason="not in touch with the store")
         if entry.phase.final:
--- a/azurewood/jobs/records.py
+++ b/azurewood/jobs/records.py
@@ -55,7 +55,7 @@
 class Begun(msgspec.Struct, frozen=True, kw_only=True, tag="begun"):
     """The first task of each of these jobs has started."""
 
-    ids: tuple[str, ...]
+    ids: typing.Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
     version: int = VERSION
 
     @property
@@ -69,13 +69,17 @@
     return tuple(f"{kind}/{job_id}" for kind in ("b", "c", "e", "a"))
 
 
+def job_of(key: str) -> str:
+    """Return the id of the job that a record's key names."""
+    return key.partition("/")[2]
+
+
 def removed_job(key: str) -> str | None:
     """Return the id of the job whose removal a deleted key completes.
 
     The result is None for the keys that are deleted before the last one.
     """
-    kind, _, job_id = key.partition("/")
-    return job_id if kind == "a" else None
+    return job_of(key) if key.startswith("a/") else None
 
 
 Record = Accepted | Cancelled | Ended | Begun
--- a/azurewood/jobs/registry.py
+++ b/azurewood/jobs/registry.py
@@ -30,13 +30,18 @@
 
 
 class JobRegistry:
-    """All jobs by id, and the number of pending jobs of each queue."""
+    """All jobs by id, and the number of pending jobs of each queue.
 
-    __slots__ = ("_records_before_job", "entries", "waiting")
+    ``unreadable`` has the jobs with a stored record that this daemon cannot
+    read, so that their state is not known here.
+    """
+
+    __slots__ = ("_records_before_job", "entries", "unreadable", "waiting")
 
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
         self.waiting: dict[str, int] = {}
+        self.unreadable: set[str] = set()
         self._records_before_job: dict[str, list[records.Record]] = {}
 
     def apply(self, record: records.Record) -> bool:
@@ -56,6 +61,7 @@
 
     def drop(self, job_id: str) -> None:
         """Remove a job whose retention time has passed."""
+        self.unreadable.discard(job_id)
         entry = self.entries.pop(job_id, None)
         if entry is not None and _is_waiting(entry):
             self._add_waiting(entry, -1)
--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from loguru import logger
 import msgspec
 
 from azurewood.http import multiplex
@@ -23,6 +24,11 @@
 JSON_HEADER: typing.Final = "Content-Type: application/json"
 
 
+MAX_FIGURE: typing.Final = 1 << 53
+"""Bound of the figures in a host's list, which are not always integers."""
+_Finite = typing.Annotated[float, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+
+
 class Capacity(msgspec.Struct):
     """Resources that a host offers; ``cpu`` is in thousandths of a core."""
 
@@ -52,10 +58,28 @@
     reason: str = ""
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    """``measure`` is missing on hosts that do not measure their load."""
+
+    task: str
+    run: int
+    saved: str | None
+    percent: _Finite
+    measure: _Finite | None = None
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    how: messages.End
+    saved: str | None
+
+
 class _Listing(msgspec.Struct):
     clock_ms: int
-    running: list[list]
-    ended_runs: list[list]
+    running: list[_RunningRow]
+    ended_runs: list[_EndedRow]
     born: int = 0
 
 
@@ -233,13 +257,10 @@
         found = msgspec.json.decode(reply.body, type=_Listing)
         running = tuple(_running(row) for row in found.running)
         ended = tuple(_ended(row) for row in found.ended_runs)
-    except (
-        msgspec.DecodeError,
-        exceptions.InvalidMessage,
-        LookupError,
-        TypeError,
-        ValueError,
-    ):
+    except (msgspec.DecodeError, exceptions.InvalidMessage) as exc:
+        logger.bind(event="host.unreadable", host=effect.host).warning(
+            "malformed list of runs: {}", exc
+        )
         return messages.RenewalFailed(
             host=effect.host, reason=messages.Refusal.MALFORMED
         )
@@ -253,21 +274,21 @@
     )
 
 
-def _running(row: list) -> messages.RunningRow:
+def _running(row: _RunningRow) -> messages.RunningRow:
     return messages.RunningRow(
-        task=task_id(row[0]),
-        run=row[1],
-        saved=row[2] or "",
-        percent=int(row[3]),
-        measure=int(row[4]) if len(row) > 4 and row[4] is not None else 0,
+        task=task_id(row.task),
+        run=row.run,
+        saved=row.saved or "",
+        percent=int(row.percent),
+        measure=int(row.measure or 0),
     )
 
 
-def _ended(row: list) -> messages.EndedRow:
+def _ended(row: _EndedRow) -> messages.EndedRow:
     return messages.EndedRow(
-        number=row[0],
-        task=task_id(row[1]),
-        run=row[2],
-        how=messages.End(row[3]),
-        saved=row[4] or "",
+        number=row.number,
+        task=task_id(row.task),
+        run=row.run,
+        how=row.how,
+        saved=row.saved or "",
     )
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -59,7 +59,7 @@
 
 
 class _Trimmed(msgspec.Struct):
-    first_offset: int
+    first_offset: typing.Annotated[int, msgspec.Meta(ge=0)]
 
 
 def append(
@@ -180,7 +180,7 @@
     if reply.outcome is not multiplex.Outcome.ANSWERED:
         return pages.Failed(reason=reply.reason)
     if reply.status == 410:
-        return pages.Trimmed(first=_first_offset(reply.body))
+        return _trimmed(reply.body)
     if reply.status != 200:
         return pages.Failed(reason=f"store answered {reply.status}")
     try:
@@ -195,11 +195,12 @@
     return base64.b64decode(text, validate=True)
 
 
-def _first_offset(body: bytes) -> int:
+def _trimmed(body: bytes) -> pages.ReadResult:
     try:
-        return msgspec.json.decode(body, type=_Trimmed).first_offset
-    except msgspec.DecodeError:
-        return -1
+        answer = msgspec.json.decode(body, type=_Trimmed)
+    except msgspec.DecodeError as exc:
+        return pages.Failed(reason=f"store's answer is malformed: {exc}")
+    return pages.Trimmed(first=answer.first_offset)
 
 
 def _records(
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -293,7 +293,8 @@
     unknown = [row for row in event.running if _key(row) not in host.runs]
     host.unknown_runs = len(unknown)
     for row in unknown:
-        _stop_unknown_run(state, host, row)
+        if row.task.job not in state.unreadable_jobs:
+            _stop_unknown_run(state, host, row)
 
 
 def _key(row: messages.RunningRow) -> tuple:
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -233,7 +233,9 @@
     ``placement_due`` has the services whose waiting tasks the next
     scheduling pass places. ``largest_capacity`` is the most that any listed
     machine has of each resource. ``recorded_unresponsive`` has the hosts
-    that a stored record may name as unresponsive.
+    that a stored record may name as unresponsive. ``unreadable_jobs`` has
+    the jobs whose progress record cannot be read. ``no_order_before`` is
+    the time from which machines may get orders at all.
 
     ``values`` and the progress of ``dirty_jobs`` are stored in the next
     batch, for which ``deferred_effects`` wait. ``saving_effects`` wait for
@@ -258,6 +260,7 @@
         "machines_at",
         "machines_due",
         "moving",
+        "no_order_before",
         "order_after",
         "ordered_at",
         "orders",
@@ -270,6 +273,7 @@
         "stuck_work",
         "term",
         "unix_ms",
+        "unreadable_jobs",
         "unresponsive_changed",
         "values",
         "waves",
@@ -296,9 +300,11 @@
         self.arrivals: dict[str, arrivals.Arrivals] = {}
         self.ordered_at: dict[str, float] = {}
         self.order_after: dict[str, float] = {}
+        self.no_order_before = 0.0
         self.host_machines: dict[str, str] = {}
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
+        self.unreadable_jobs: set[str] = set()
         self.unresponsive_changed = False
         self.recorded_unresponsive: set[str] = set()
         self.placement_due: set[str] = set()
@@ -322,7 +328,8 @@
 
         It may not until the pause after an earlier leader's order is over.
         """
-        return now >= self.order_after.get(machine, 0.0)
+        after = self.order_after.get(machine, 0.0)
+        return now >= max(after, self.no_order_before)
 
     def awaiting_maintenance(self, machine: str) -> bool:
         """Return whether a wave took a machine down that isn't back yet."""
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -28,7 +28,7 @@
     occurrence: int
     step: int
     index: int
-    phase: int
+    phase: jobstates.TaskPhase
     run: int
     failures: int
     host: str
@@ -91,7 +91,7 @@
             task.id.occurrence,
             task.id.step,
             task.id.index,
-            int(task.phase),
+            task.phase,
             task.run,
             task.failures,
             task.host,
@@ -150,7 +150,7 @@
     now: float,
 ) -> None:
     job.begun = True
-    job.set_phase(task, jobstates.TaskPhase(row.phase))
+    job.set_phase(task, row.phase)
     task.run = row.run
     task.failures = row.failures
     task.host = row.host
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -4,6 +4,8 @@
 event, and all actions are returned as data.
 """
 
+from collections import abc
+
 from azurewood.jobs import model as jobs
 from azurewood.scheduling import hosts
 from azurewood.scheduling import maintenance
@@ -23,6 +25,7 @@
     *,
     term: int,
     found: list[jobs.Job],
+    unreadable: abc.Set[str] = frozenset(),
     stored: dict[str, bytes],
     leases_expire_at: float,
     order_pause_s: float,
@@ -30,20 +33,18 @@
 ) -> model.State:
     """Return the state of a leader whose term begins.
 
-    ``found`` has the jobs that are not over and ``stored`` the progress
-    records of earlier leaders, all of whose leases have expired at
+    ``found`` has the jobs that are not over, ``unreadable`` the ids of jobs
+    with a record that cannot be read, and ``stored`` the progress records of
+    earlier leaders, all of whose leases have expired at
     ``leases_expire_at``. A machine to which they sent an order gets
     the next order no sooner than ``order_pause_s`` later.
     """
     state = model.State(term=term, leases_expire_at=leases_expire_at)
+    state.unreadable_jobs.update(unreadable)
+    decoded = {key: progress.decode(data) for key, data in stored.items()}
     for job in found:
-        added = tasks.restore_job(state, job, now)
-        record = _decode(stored, progress.JOB_PREFIX + job.id)
-        if added and isinstance(record, progress.JobProgress):
-            progress.restore_job(state, added, record, now)
-            tasks.announce_inherited_end(state, added)
-    for key, data in stored.items():
-        record = progress.decode(data)
+        _restore_job(state, job, decoded, now)
+    for key, record in decoded.items():
         match record:
             case progress.WaveProgress():
                 _restore_wave(state, key, record, now)
@@ -51,12 +52,34 @@
                 orders.restore(state, record, order_pause_s, now)
             case progress.SilentProgress():
                 unresponsive.restore(state, record, now)
+            case None:
+                state.log_event("progress.unreadable", key=key)
+    if decoded.get(progress.ORDERS_KEY, True) is None:
+        state.no_order_before = now + order_pause_s
     return state
 
 
-def _decode(stored: dict[str, bytes], key: str) -> progress.Progress | None:
-    data = stored.get(key)
-    return None if data is None else progress.decode(data)
+def _restore_job(
+    state: model.State,
+    job: jobs.Job,
+    decoded: dict[str, progress.Progress | None],
+    now: float,
+) -> None:
+    """Restore a job and its progress.
+
+    A job whose progress cannot be read may have runs anywhere. It is left as
+    it is: nothing of it is started, and its runs are not stopped.
+    """
+    key = progress.JOB_PREFIX + job.id
+    record = decoded.get(key)
+    if key in decoded and not isinstance(record, progress.JobProgress):
+        state.unreadable_jobs.add(job.id)
+    if job.id in state.unreadable_jobs:
+        return
+    added = tasks.restore_job(state, job, now)
+    if added and record is not None:
+        progress.restore_job(state, added, record, now)
+        tasks.announce_inherited_end(state, added)
 
 
 def _restore_wave(
@@ -125,6 +148,7 @@
         case messages.JobAdded(job=job):
             tasks.add_job(state, job, now)
         case messages.JobCancelled(id=job_id):
+            state.unreadable_jobs.discard(job_id)
             tasks.cancel(state, job_id, now)
         case messages.JobClosed(id=job_id):
             tasks.close(state, job_id)
