--- a/azurewood/policy/job_order.py
+++ b/azurewood/policy/job_order.py
@@ -31,7 +31,7 @@
     timed = []
     for job in jobs:
         (long_lived if job.long_lived else timed).append(job)
-    long_lived.sort(key=lambda job: (job.job.priority, job.job.accepted_ms))
+    long_lived.sort(key=lambda job: (job.job.priority, job.accepted_ms))
     timed.sort(key=lambda job: job.job.priority)
     found = long_lived
     for _, group in itertools.groupby(timed, lambda job: job.job.priority):
--- a/azurewood/scheduling/backlog.py
+++ b/azurewood/scheduling/backlog.py
@@ -23,7 +23,7 @@
         if count:
             pool = state.service_of(job.job)
             backlog = found.setdefault(pool, waiting.Backlog())
-            since_ms = max(job.job.accepted_ms, due_ms)
+            since_ms = max(job.accepted_ms, due_ms)
             backlog.add(tasks=count, since_ms=since_ms)
     return found
 
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -233,7 +233,10 @@
     ``placement_due`` has the services whose waiting tasks the next
     scheduling pass places. ``largest_capacity`` is the most that any listed
     machine has of each resource. ``recorded_unresponsive`` has the hosts
-    that a stored record may name as unresponsive. ``unreadable_jobs`` has
+    that a stored record may name as unresponsive. ``unix_ms`` is the time of
+    day, which may be set back or forward; only schedules follow it.
+    ``clock_ms``, for ages and objectives, advances with the monotonic clock
+    from the time of day at the beginning of the term. ``unreadable_jobs`` has
     the jobs whose progress record cannot be read. ``no_order_before`` is
     the time from which machines may get orders at all.
 
@@ -247,6 +250,8 @@
         "backlogs",
         "begun_job_ids",
         "catalog",
+        "clock_ms",
+        "clock_offset_ms",
         "deferred_effects",
         "demands",
         "dirty_jobs",
@@ -304,6 +309,8 @@
         self.host_machines: dict[str, str] = {}
         self.waves: dict[int, Wave] = {}
         self.unix_ms = 0.0
+        self.clock_ms = 0.0
+        self.clock_offset_ms = 0.0
         self.unreadable_jobs: set[str] = set()
         self.unresponsive_changed = False
         self.recorded_unresponsive: set[str] = set()
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -59,7 +59,7 @@
     if not any(_could_start(state, job, largest_free) for job in found):
         return
     budget = MAX_STARTS_PER_PASS
-    for job in job_order.order_jobs(found, state.unix_ms, pool_cpu):
+    for job in job_order.order_jobs(found, state.clock_ms, pool_cpu):
         for number, tasks in _open_steps(state, job):
             if not job.job.steps[number].reserved.fits(largest_free):
                 continue
@@ -140,7 +140,7 @@
             step=placed[0].id.step,
             runs=" ".join(f"{t.id.index}:{t.run}@{t.host}" for t in placed),
             left=ready - len(placed),
-            waited_ms=int(state.unix_ms - job.job.accepted_ms),
+            waited_ms=int(state.clock_ms - job.accepted_ms),
         )
 
 
@@ -290,6 +290,6 @@
     state.dirty_jobs.add(job.job.id)
     if not job.begun:
         job.begun = True
-        job.first_run_ms = state.unix_ms
+        job.first_run_ms = state.clock_ms
         state.begun_job_ids.append(job.job.id)
     runs.send_start(state, host, run, now, saved_first=True)
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -69,7 +69,7 @@
             asked_cpu=demand.asked_cpu if demand else 0,
             jobs_waiting=queued.jobs,
             tasks_waiting=queued.tasks,
-            oldest_ms=queued.age_ms(state.unix_ms),
+            oldest_ms=queued.age_ms(state.clock_ms),
         )
 
 
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -30,6 +30,7 @@
     leases_expire_at: float,
     order_pause_s: float,
     now: float,
+    unix_ms: float = 0.0,
 ) -> model.State:
     """Return the state of a leader whose term begins.
 
@@ -40,6 +41,8 @@
     the next order no sooner than ``order_pause_s`` later.
     """
     state = model.State(term=term, leases_expire_at=leases_expire_at)
+    state.clock_offset_ms = unix_ms - now * 1000
+    state.clock_ms = unix_ms
     state.unreadable_jobs.update(unreadable)
     decoded = {key: progress.decode(data) for key, data in stored.items()}
     for job in found:
@@ -180,6 +183,7 @@
 
 def _tick(state: model.State, event: messages.Tick, now: float) -> None:
     state.unix_ms = event.unix_ms
+    state.clock_ms = now * 1000 + state.clock_offset_ms
     hosts.send_due_calls(state, now)
     maintenance.drive_waves(state, now, may_order=event.may_order)
     pools.plan_moves(state, now, may_order=event.may_order)
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -6,6 +6,8 @@
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 
+MAX_APPEND_MS = 2000
+"""Longest time from a job's acceptance until its record is read."""
 RETRY_PAUSE_S = 0.02
 """Pause before a failed task's next run, which avoids the same host."""
 
@@ -13,9 +15,15 @@
 def add_job(
     state: scheduling.State, job: model.Job, now: float
 ) -> jobstates.JobState | None:
-    """Add a job that was just accepted; return it if it is new."""
+    """Add a job that was just accepted; return it if it is new.
+
+    Its time of acceptance is by the clock of another daemon, which may be
+    wrong. Its record was just read, so it cannot be older than an append.
+    """
     added = restore_job(state, job, now)
     if added is not None:
+        earliest_ms = state.clock_ms - MAX_APPEND_MS
+        added.accepted_ms = max(added.accepted_ms, earliest_ms)
         service = state.service_of(job)
         found = state.arrivals.setdefault(service, arrivals.Arrivals())
         found.record(job, now)
@@ -32,6 +40,7 @@
     if job.id in state.jobs:
         return None
     added = jobstates.JobState(job=job, now=now)
+    added.accepted_ms = min(added.accepted_ms, state.clock_ms)
     state.jobs[job.id] = added
     state.placement_due.add(state.service_of(job))
     return added
@@ -242,8 +251,8 @@
         job=job.job.id,
         queue=job.job.queue,
         phase=phase.value,
-        after_ms=int(state.unix_ms - job.job.accepted_ms),
-        late_ms=int(state.unix_ms - job.objective_at_ms),
+        after_ms=int(state.clock_ms - job.accepted_ms),
+        late_ms=int(state.clock_ms - job.objective_at_ms),
         wait_ms=_wait_ms(job),
     )
 
@@ -255,5 +264,4 @@
     """
     if job.first_run_ms is None:
         return None
-    # The clock of the daemon that accepted the job may be ahead.
-    return max(0, int(job.first_run_ms - job.job.accepted_ms))
+    return max(0, int(job.first_run_ms - job.accepted_ms))
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -192,11 +192,13 @@
     """A simulated daemon of the fleet, across all its incarnations.
 
     ``cores`` is the number of cores in its settings, 0 if not set.
+    ``clock_step_ms`` is by how much its time of day is wrong.
     ``deferred`` holds the callbacks that wait for the end of a freeze.
     """
 
     __slots__ = (
         "_step_queued",
+        "clock_step_ms",
         "cores",
         "cut_from",
         "deferred",
@@ -217,6 +219,7 @@
         self.cores = cores
         self.processor = processor.Processor(clock=world.clock)
         self.incarnation = 0
+        self.clock_step_ms = 0.0
         self._step_queued = False
         self.up = False
         self.frozen = False
@@ -237,7 +240,7 @@
             platform=platform.SimPlatform(world=world),
             calls=SimCalls(world=world, member=self),
             clock=lambda: world.clock.now + self.processor.spent_s,
-            unix_ms=lambda: world.clock.now * 1000,
+            unix_ms=lambda: world.clock.now * 1000 + self.clock_step_ms,
             wake=self.step,
             order_pause_s=ORDER_PAUSE_S,
             retention_s=RETENTION_S,
