Store accepted jobs in an intake of 16 partitions while the store is slow

Cause: a partition of the store carries out one append after the other, 3 ms each. All daemons append accepted jobs to the one partition of the jobs topic, each job alone, as each daemon has few.

Change: the leader's beats carry how long its newest append took. From 80 ms on, for as long as the report is younger than 1.5 s, daemons store accepted jobs in one of up to 16 partitions of a topic of its own, by their name (policy/intake.py). The leader copies them to the jobs topic in batches under its fence, and deletes them once the copy is stored (daemons/intake.py); a new leader copies what is left. While jobs may be there that are not among the jobs, an unknown id is answered 503 and not 410. Leaders of earlier versions report no latency, so nothing goes there.

Also: numbers in callers' jobs are limited to 2**53. One above 2**64 passed the checks and raised OverflowError in the loop that encodes records, which ended the daemon, and each daemon at which the caller tried again (found by the new fuzzing, seen failing).

--- a/azurewood/conf/fleet.py
+++ b/azurewood/conf/fleet.py
@@ -14,7 +14,8 @@
     other. The state of a job can be read for ``retention_s`` after its end.
     ``advice_url`` is empty if there is no advice service. ``metrics`` is
     the address that serves metrics, None if there is none. ``cores`` is
-    the number of processor cores of the daemon, 0 if unknown.
+    the number of processor cores of the daemon, 0 if unknown. A topic of
+    the store has ``store_partitions`` at most.
     """
 
     name: str
@@ -27,5 +28,6 @@
     stop_within_s: float
     turn_pause_s: float
     retention_s: float
+    store_partitions: int = 1
     cores: float = 0.0
     metrics: kinds.Address | None = None
--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -81,6 +81,7 @@
             order_pause_s=settings.turn_pause_s,
             retention_s=settings.retention_s,
             cores=settings.cores,
+            store_partitions=settings.store_partitions,
         )
         job_service = self.member.job_service
         self._servers = [
--- /dev/null
+++ b/azurewood/daemons/intake.py
@@ -0,0 +1,146 @@
+"""The leader's side of the intake: copies its jobs to the jobs topic.
+
+Daemons store accepted jobs in the intake while the jobs' only partition is
+too slow for all of their appends, see `azurewood.policy.intake`. The leader
+copies each of them as the record that the daemon would have stored itself,
+and deletes it from the intake once the copy is stored. The copies are fenced
+with the leader's other records, so no copy is stored after a takeover.
+"""
+
+from collections import abc
+import typing
+
+from loguru import logger
+
+from azurewood.daemons import ports
+from azurewood.daemons import topics
+from azurewood.jobs import records
+from azurewood.jobs import registry as registries
+from azurewood.journal import appender
+from azurewood.journal import follower
+from azurewood.journal import pages
+
+READ_PAUSE_S: typing.Final = 0.02
+IN_USE_WAIT_MS: typing.Final = 1000
+IDLE_WAIT_MS: typing.Final = 5000
+"""How long the store holds a read open while nobody uses the intake. Only
+appends that are carried out late arrive then."""
+IN_USE_S: typing.Final = 10.0
+"""How long the intake counts as in use after the newest slow append: longer
+than the store takes to carry out a late append."""
+
+Append = abc.Callable[
+    [tuple[appender.Record, ...], abc.Callable[[], None]], None
+]
+
+
+class IntakeCopier:
+    """Copies the intake's jobs during one term.
+
+    ``append`` stores records in the jobs topic and calls back once they are
+    stored.
+    """
+
+    __slots__ = (
+        "_append",
+        "_calls",
+        "_clock",
+        "_in_use_until",
+        "_platform",
+        "_readers",
+        "_registry",
+        "_uncopied",
+        "_writers",
+    )
+
+    def __init__(
+        self,
+        *,
+        platform: ports.Platform,
+        calls: ports.Calls,
+        clock: abc.Callable[[], float],
+        registry: registries.JobRegistry,
+        partitions: int,
+        producer: str,
+        epoch: int,
+        append: Append,
+    ) -> None:
+        self._platform = platform
+        self._calls = calls
+        self._clock = clock
+        self._registry = registry
+        self._append = append
+        self._in_use_until = clock() + IN_USE_S
+        self._uncopied: set[str] = set()
+        self._readers = [
+            follower.Follower(
+                topic=pages.Topic.INTAKE,
+                part=part,
+                keyed=True,
+                wait_ms=IN_USE_WAIT_MS,
+                pause_s=READ_PAUSE_S,
+            )
+            for part in range(partitions)
+        ]
+        self._writers = [
+            topics.Writer(
+                platform=platform,
+                calls=calls,
+                clock=clock,
+                topic=pages.Topic.INTAKE,
+                part=part,
+                producer=producer,
+                epoch=epoch,
+            )
+            for part in range(partitions)
+        ]
+
+    @property
+    def complete(self) -> bool:
+        """Whether each job that was listed is copied and deleted here."""
+        return not self._uncopied and all(r.listed for r in self._readers)
+
+    def step(self, now: float, *, slow: bool) -> None:
+        """Make due reads and appends; ``slow`` is whether daemons may use it.
+
+        A read that is in flight ends by itself, so a daemon's first append
+        after ``slow`` has begun is answered at once in any case.
+        """
+        if slow:
+            self._in_use_until = now + IN_USE_S
+        in_use = now < self._in_use_until
+        for reader in self._readers:
+            reader.wait_ms = IN_USE_WAIT_MS if in_use else IDLE_WAIT_MS
+            topics.read(
+                self._platform,
+                self._calls,
+                self._clock,
+                reader,
+                lambda changes, part=reader.part: self._on_read(part, changes),
+            )
+        for writer in self._writers:
+            writer.step(now)
+
+    def _on_read(self, part: int, changes: follower.Changes) -> None:
+        found = tuple(r for r in changes.records if r.value is not None)
+        if not found:
+            return
+        new = tuple(record for record in found if self._is_new(record.key))
+        keys = tuple(record.key for record in found)
+        self._uncopied.update(keys)
+        logger.bind(
+            event="intake.read", part=part, jobs=len(found), new=len(new)
+        ).info("copying accepted jobs from the intake")
+        if new:
+            self._append(new, lambda: self._delete(part, keys))
+        else:
+            self._delete(part, keys)
+
+    def _is_new(self, key: str) -> bool:
+        return records.job_of(key) not in self._registry.entries
+
+    def _delete(self, part: int, keys: tuple[str, ...]) -> None:
+        removed = tuple(appender.Record(key=key, value=None) for key in keys)
+        self._writers[part].add(
+            removed, lambda: self._uncopied.difference_update(keys)
+        )
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -29,6 +29,7 @@
 from azurewood.leadership import base as leadership
 from azurewood.leadership import records as election_records
 from azurewood.policy import feasibility
+from azurewood.policy import intake as intakes
 from azurewood.scheduling import messages
 
 WAIT_MS: typing.Final = 1000
@@ -40,6 +41,9 @@
 shorter ``LEADER_READ_PAUSE_S``."""
 LEADER_READ_PAUSE_S: typing.Final = 0.005
 MAX_WAIT_S: typing.Final = 0.1
+COPY_S: typing.Final = 2.5
+"""Time in which a leader copies a job from the intake to the jobs, and after
+which a silent leader may have left some there."""
 RETENTION_MARGIN_S: typing.Final = 30.0
 """Added to the time for which a job's state is guaranteed to callers."""
 
@@ -54,10 +58,13 @@
         "_calls",
         "_clock",
         "_inbox",
+        "_incomplete_until",
+        "_intake",
         "_jobs",
         "_leader",
         "_operators",
         "_order_pause_s",
+        "_partitions",
         "_platform",
         "_retention_s",
         "_unix_ms",
@@ -82,7 +89,10 @@
         order_pause_s: float,
         retention_s: float,
         cores: float = 0.0,
+        store_partitions: int = 1,
     ) -> None:
+        self._partitions = min(store_partitions, intakes.MAX_PARTITIONS)
+        self._incomplete_until = 0.0
         self._platform = platform
         self._calls = calls
         self._clock = clock
@@ -111,6 +121,15 @@
             producer=f"{name}-{nonce}",
             epoch=1,
         )
+        self._intake = topics.Writer(
+            platform=platform,
+            calls=self._calls,
+            clock=self._clock,
+            topic=pages.Topic.INTAKE,
+            part=intakes.partition_of(name, self._partitions),
+            producer=f"{name}-{nonce}",
+            epoch=1,
+        )
         self._jobs = _follower(pages.Topic.JOBS, READ_PAUSE_S, nonce)
         self._operators = _follower(pages.Topic.OPERATORS, READ_PAUSE_S, nonce)
         self._leader = follower.Follower(
@@ -134,6 +153,7 @@
         self._read_all()
         self._send_writes(now)
         self._writer.step(now)
+        self._intake.step(now)
         self._lead(now)
 
     def next_at(self, now: float) -> float:
@@ -204,6 +224,8 @@
             job_id = records.job_of(stored.key)
             self.job_service.registry.unreadable.add(job_id)
             return
+        if isinstance(record, records.Accepted):
+            self.job_service.in_intake.discard(record.job.id)
         if self.job_service.registry.apply(record) and self.term is not None:
             self.term.handle_record(record)
 
@@ -242,26 +264,58 @@
         self._wake()
 
     def _send_writes(self, now: float) -> None:
+        use_intake = self._uses_intake(now)
+        if use_intake:
+            for item in self._writer.withdraw(_is_accepted):
+                self._add_write(item.token.request, use_intake=True)
         while self._inbox:
-            request = self._inbox.popleft()
-            item = desks.append_item(request)
-            self._writer.add_item(
-                appender.Item(
-                    records=item.records, token=_ConfirmWrite(request=request)
-                )
-            )
+            self._add_write(self._inbox.popleft(), use_intake=use_intake)
         store_lost = self._jobs.failing
         asked_before = now - (
             desks.SEND_TIMEOUT_STORE_LOST_S
             if store_lost
             else desks.SEND_TIMEOUT_S
         )
-        for item in self._writer.withdraw(
-            lambda item: item.token.request.asked_at < asked_before
-        ):
-            _complete(
-                item.token.request, desks.Refused(reason="store out of touch")
-            )
+        for writer in (self._writer, self._intake):
+            for item in writer.withdraw(
+                lambda item: item.token.request.asked_at < asked_before
+            ):
+                _complete(
+                    item.token.request,
+                    desks.Refused(reason="store out of touch"),
+                )
+
+    def _uses_intake(self, now: float) -> bool:
+        """Return whether accepted jobs go to the intake, and note it.
+
+        For ``COPY_S`` after that, jobs may exist that are only there, and
+        for as long as no leader copies them.
+        """
+        silent_s = self.election.leader_silent_s(now)
+        slow = intakes.use_intake(self.election.leader_append_s, silent_s)
+        if slow or (now < self._incomplete_until and silent_s > COPY_S):
+            self._incomplete_until = now + COPY_S
+        self.job_service.complete = now >= self._incomplete_until
+        return slow
+
+    def _add_write(
+        self, request: desks.WriteRequest, *, use_intake: bool
+    ) -> None:
+        item = desks.append_item(request)
+        job_id = None
+        writer = self._writer
+        if use_intake and isinstance(request.record, records.Accepted):
+            job_id = request.record.job.id
+            writer = self._intake
+        confirm = _ConfirmWrite(
+            request=request, on_stored=lambda: self._note_intake(job_id)
+        )
+        writer.add_item(appender.Item(records=item.records, token=confirm))
+
+    def _note_intake(self, job_id: str | None) -> None:
+        service = self.job_service
+        if job_id is not None and job_id not in service.registry.entries:
+            service.in_intake.add(job_id)
 
     # Leading
 
@@ -311,6 +365,7 @@
                 election=self.election,
                 order_pause_s=self._order_pause_s,
                 retention_s=self._retention_s,
+                partitions=self._partitions,
             ),
             number=number,
         )
@@ -368,15 +423,26 @@
 class _ConfirmWrite:
     """Callback that completes a write request once it is stored."""
 
-    __slots__ = ("request",)
+    __slots__ = ("_on_stored", "request")
 
-    def __init__(self, *, request: desks.WriteRequest) -> None:
+    def __init__(
+        self,
+        *,
+        request: desks.WriteRequest,
+        on_stored: abc.Callable[[], None],
+    ) -> None:
         self.request = request
+        self._on_stored = on_stored
 
     def __call__(self) -> None:
+        self._on_stored()
         _complete(self.request, desks.Taken())
 
 
+def _is_accepted(item: appender.Item) -> bool:
+    return isinstance(item.token.request.record, records.Accepted)
+
+
 def _complete(request: desks.WriteRequest, verdict: desks.Verdict) -> None:
     # The caller's thread may have timed out and cancelled the future.
     with contextlib.suppress(concurrent.futures.InvalidStateError):
--- a/azurewood/daemons/ports.py
+++ b/azurewood/daemons/ports.py
@@ -41,7 +41,12 @@
     """Builds the calls and decodes the answers of a platform."""
 
     def append(
-        self, topic: pages.Topic, request: appender.Request, producer: str
+        self,
+        topic: pages.Topic,
+        request: appender.Request,
+        producer: str,
+        *,
+        part: int = 0,
     ) -> multiplex.Call:
         """Return a call that appends records with a sequence number."""
 
@@ -59,7 +64,7 @@
         """Decode the answer to an append or a new epoch."""
 
     def read(
-        self, topic: pages.Topic, offset: int, wait_ms: int
+        self, topic: pages.Topic, offset: int, wait_ms: int, *, part: int = 0
     ) -> multiplex.Call:
         """Return a call that reads records from an offset on."""
 
@@ -68,7 +73,9 @@
     ) -> pages.ReadResult:
         """Decode the answer to a read."""
 
-    def newest(self, topic: pages.Topic, after: str) -> multiplex.Call:
+    def newest(
+        self, topic: pages.Topic, after: str, *, part: int = 0
+    ) -> multiplex.Call:
         """Return a call that lists newest records of keys above ``after``."""
 
     def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -65,6 +65,7 @@
     election: leadership.Election
     order_pause_s: float
     retention_s: float
+    partitions: int
 
 
 class Takeover:
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from azurewood.daemons import intake as intakes
 from azurewood.daemons import pace
 from azurewood.daemons import takeover as takeovers
 from azurewood.daemons import topics
@@ -21,6 +22,7 @@
 from azurewood.journal import follower
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
+from azurewood.policy import intake as intake_policy
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import reducer
@@ -50,6 +52,7 @@
         "_check_hosts_at",
         "_context",
         "_hosts",
+        "_intake",
         "_jobs",
         "_known_hosts",
         "_loop_monitor",
@@ -87,6 +90,16 @@
         self._progress = self._writer(pages.Topic.PROGRESS)
         self._jobs = self._writer(pages.Topic.JOBS)
         self._reports = self._writer(pages.Topic.REPORTS)
+        self._intake = intakes.IntakeCopier(
+            platform=context.platform,
+            calls=context.calls,
+            clock=context.clock,
+            registry=context.registry,
+            partitions=context.partitions,
+            producer=takeovers.PRODUCER,
+            epoch=number,
+            append=self._jobs.add,
+        )
 
     def _writer(self, topic: pages.Topic) -> topics.Writer:
         """Return this term's writer of a topic, which a later term fences."""
@@ -197,7 +210,11 @@
         match record:
             case records.Accepted(job=job):
                 entry = self._context.registry.entries.get(job.id)
-                if entry is not None and not entry.phase.final:
+                if entry is None:
+                    return
+                if entry.phase.final:
+                    self._schedule_removal(job.id)
+                else:
                     self.handle_event(messages.JobAdded(job=entry.job))
             case records.Cancelled(id=job_id):
                 self._schedule_removal(job_id)
@@ -212,7 +229,12 @@
         self._removals.append((at, job_id))
 
     def _remove_expired(self, now: float) -> None:
-        """Delete the records of jobs whose retention time has passed."""
+        """Delete the records of jobs whose retention time has passed.
+
+        A job that is still in the intake would be copied again.
+        """
+        if not self._intake.complete:
+            return
         while self._removals and self._removals[0][0] <= now:
             _, job_id = self._removals.popleft()
             self._jobs.add(
@@ -261,6 +283,10 @@
             self._tick_at = now + TICK_S
             self._remove_expired(now)
             self._reports.step(now)
+            append_s = election.leader_append_s
+            self._intake.step(
+                now, slow=intake_policy.use_intake(append_s, 0.0)
+            )
             self.handle_event(self._tick(now))
         if now >= self._next_pass_at:
             self._run_scheduling_pass(now)
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -20,7 +20,7 @@
 ) -> None:
     """Make the next read of a follower if one is due."""
     wanted = reader.next_call(clock())
-    topic = reader.topic
+    topic, part = reader.topic, reader.part
 
     def on_result(result: pages.ReadResult | pages.NewestResult) -> None:
         failing = reader.failing
@@ -39,12 +39,12 @@
     match wanted:
         case follower.ReadNewest(after=after):
             calls.submit(
-                platform.newest(topic, after),
+                platform.newest(topic, after, part=part),
                 lambda reply: on_result(platform.newest_result(reply)),
             )
         case follower.ReadFrom(offset=offset, wait_ms=wait_ms):
             calls.submit(
-                platform.read(topic, offset, wait_ms),
+                platform.read(topic, offset, wait_ms, part=part),
                 lambda reply: on_result(
                     platform.read_result(topic, offset, reply)
                 ),
@@ -52,12 +52,13 @@
 
 
 class Writer:
-    """Appends records to a topic as one producer."""
+    """Appends records to a partition of a topic as one producer."""
 
     __slots__ = (
         "_appender",
         "_calls",
         "_clock",
+        "_part",
         "_platform",
         "_producer",
         "_topic",
@@ -72,7 +73,9 @@
         topic: pages.Topic,
         producer: str,
         epoch: int,
+        part: int = 0,
     ) -> None:
+        self._part = part
         self._platform = platform
         self._calls = calls
         self._clock = clock
@@ -109,7 +112,9 @@
         request = self._appender.next_call(now)
         if request is not None:
             self._calls.submit(
-                self._platform.append(self._topic, request, self._producer),
+                self._platform.append(
+                    self._topic, request, self._producer, part=self._part
+                ),
                 self._on_reply,
             )
 
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -90,7 +90,10 @@
 
     ``submit`` and ``cancel`` block the calling thread. ``enqueue`` passes
     each write request to the loop that owns the appender. ``admission``
-    returns a refusal for jobs that must not be accepted.
+    returns a refusal for jobs that must not be accepted. ``in_intake`` has
+    the jobs that this daemon stored in the intake and has not read among the
+    jobs yet. ``complete`` is false while other daemons may have stored jobs
+    there that are not among the jobs yet.
     """
 
     __slots__ = (
@@ -98,7 +101,9 @@
         "_enqueue",
         "admission",
         "catalog",
+        "complete",
         "fresh_at",
+        "in_intake",
         "loaded",
         "registry",
         "stopping",
@@ -118,6 +123,8 @@
         self.catalog: catalog.Catalog | None = None
         self.fresh_at = 0.0
         self.loaded = False
+        self.complete = True
+        self.in_intake: set[str] = set()
         self.stopping = False
 
     def ready(self) -> bool:
@@ -140,11 +147,17 @@
         entry = self.registry.entries.get(job_id)
         if entry is not None:
             return JobStatus(phase=entry.phase)
-        return NotThere() if self._is_fresh() else StatusUnknown()
+        if job_id in self.in_intake:
+            return JobStatus(phase=model.Phase.PENDING)
+        return NotThere() if self._knows_all() else StatusUnknown()
+
+    def _knows_all(self) -> bool:
+        """Return whether a job that is not known here does not exist."""
+        return self.complete and self._is_fresh()
 
     def submit(self, job: model.Job, *, timeout_s: float) -> Verdict:
         """Store a job; wait for at most ``timeout_s`` seconds."""
-        if job.id in self.registry.entries:
+        if job.id in self.registry.entries or job.id in self.in_intake:
             return Taken()
         if job.id in self.registry.unreadable:
             return OutcomeUnknown(reason="the job's record cannot be read")
@@ -168,11 +181,11 @@
     def cancel(self, job_id: str, *, timeout_s: float) -> Verdict:
         """Store a cancellation; wait for at most ``timeout_s`` seconds."""
         entry = self.registry.entries.get(job_id)
-        if entry is None:
-            if self._is_fresh() and job_id not in self.registry.unreadable:
+        if entry is None and job_id not in self.in_intake:
+            if self._knows_all() and job_id not in self.registry.unreadable:
                 return NotThere()
             return Refused(reason="not in touch with the store")
-        if entry.phase.final:
+        if entry is not None and entry.phase.final:
             return Taken()
         return self._store(job_id, records.Cancelled(id=job_id), timeout_s)
 
--- a/azurewood/journal/follower.py
+++ b/azurewood/journal/follower.py
@@ -54,6 +54,8 @@
 class Follower:
     """The position of one daemon in a topic, and the read to make next.
 
+    ``part`` is the number of the topic's partition.
+
     ``pause_s`` is the minimum time from the start of a read to that of the
     next. ``began_at`` is when the latest read started, ``fresh_at`` when
     the latest successful one started.
@@ -71,6 +73,7 @@
         "fresh_at",
         "keyed",
         "offset",
+        "part",
         "pause_s",
         "topic",
         "wait_ms",
@@ -84,8 +87,10 @@
         wait_ms: int,
         pause_s: float,
         seed: int = 0,
+        part: int = 0,
     ) -> None:
         self.topic = topic
+        self.part = part
         self.keyed = keyed
         self.wait_ms = wait_ms
         self.pause_s = pause_s
--- a/azurewood/journal/pages.py
+++ b/azurewood/journal/pages.py
@@ -10,10 +10,12 @@
     """A topic of the store.
 
     The platform writes ``OPERATORS`` and ``HOSTS``, and operators read
-    ``REPORTS``. The other topics are used by azurewood only.
+    ``REPORTS``. The other topics are used by azurewood only. ``INTAKE`` has
+    several partitions, the others have one.
     """
 
     JOBS = "jobs"
+    INTAKE = "intake"
     PROGRESS = "progress"
     LEADER = "leader"
     OPERATORS = "operators"
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -115,7 +115,8 @@
     any daemon that wrote to the log within ``STRONGEST_TTL_S``.
     ``preempted_live_leader`` is whether the newest claim replaced a leader
     that was still alive. ``silence_before_claim_s`` is how long this daemon
-    had read no record when it last claimed.
+    had read no record when it last claimed. ``leader_append_s`` is how long
+    the leader's newest append took by its own report, 0 if unknown.
 
     A leader's term counts as confirmed from the time at which its record was
     sent, which is before any daemon can have read the record. A daemon that
@@ -125,6 +126,7 @@
 
     __slots__ = (
         "_append_at",
+        "_append_s",
         "_append_end",
         "_appending",
         "_beat_at",
@@ -144,6 +146,7 @@
         "end",
         "largest",
         "leader",
+        "leader_append_s",
         "leader_cores",
         "name",
         "nonce",
@@ -164,6 +167,8 @@
         self.end = -1
         self.leader = ""
         self.leader_cores = 0.0
+        self.leader_append_s = 0.0
+        self._append_s = 0.0
         self.strongest = 0.0
         self.largest = model.Resources()
         self.confirmed_at = 0.0
@@ -190,6 +195,10 @@
         """Return whether this daemon leads, confirmed within ``within_s``."""
         return self.term > 0 and now - self.confirmed_at < within_s
 
+    def leader_silent_s(self, now: float) -> float:
+        """Return the time since the newest claim or beat was read."""
+        return now - self._leader_seen_at
+
     def earlier_renewals_end(self) -> float:
         """Return the latest time at which earlier leaders may renew leases."""
         return max(self._renewals.values(), default=0.0)
@@ -228,7 +237,10 @@
             return None
         self._beat_at = now
         entry = records.Beat(
-            nonce=self.nonce, largest=largest, cores=self.cores
+            nonce=self.nonce,
+            largest=largest,
+            cores=self.cores,
+            append_s=round(self._append_s, 3),
         )
         return self._append(entry, now)
 
@@ -281,6 +293,7 @@
 
     def _handle_stored(self, event: Stored, now: float) -> None:
         self._appending = False
+        self._append_s = now - event.began_at
         self._apply_entry(event.offset, event.entry, event.began_at, now)
         self._seen_at = now
         self._yield_until = None
@@ -303,6 +316,7 @@
             case records.Beat(nonce=nonce, largest=largest, cores=cores):
                 self._leader_nonce = nonce
                 self._leader_seen_at = now
+                self.leader_append_s = entry.append_s
                 self.leader_cores = cores
                 self.largest = largest
                 self._record_cores(cores, now)
@@ -341,6 +355,7 @@
         self._leader_seen_at = now
         self._resigned = False
         self.leader = claim.name
+        self.leader_append_s = 0.0
         self.leader_cores = claim.cores
         self._record_cores(claim.cores, now)
         own = claim.nonce == self.nonce and not self.stopping
--- a/azurewood/leadership/records.py
+++ b/azurewood/leadership/records.py
@@ -14,11 +14,15 @@
 
 
 class Beat(msgspec.Struct, frozen=True, kw_only=True, tag="beat"):
-    """A leader's heartbeat. ``largest`` is the largest machine's capacity."""
+    """A leader's heartbeat. ``largest`` is the largest machine's capacity.
+
+    ``append_s`` is how long the leader's newest append took, 0 if unknown.
+    """
 
     nonce: str
     largest: model.Resources = model.Resources()
     cores: float = 0.0
+    append_s: float = 0.0
 
 
 class Resign(msgspec.Struct, frozen=True, kw_only=True, tag="resign"):
--- a/azurewood/platform/base.py
+++ b/azurewood/platform/base.py
@@ -38,10 +38,16 @@
         self._settings = settings
 
     def append(
-        self, topic: pages.Topic, request: appender.Request, producer: str
+        self,
+        topic: pages.Topic,
+        request: appender.Request,
+        producer: str,
+        *,
+        part: int = 0,
     ) -> multiplex.Call:
         """Return the call that appends records with a sequence number."""
-        return store.append(self._settings.store_url, topic, request, producer)
+        url = self._settings.store_url
+        return store.append(url, topic, request, producer, part=part)
 
     def begin_epoch(
         self, topic: pages.Topic, producer: str, epoch: int
@@ -67,10 +73,11 @@
         return store.append_result(reply)
 
     def read(
-        self, topic: pages.Topic, offset: int, wait_ms: int
+        self, topic: pages.Topic, offset: int, wait_ms: int, *, part: int = 0
     ) -> multiplex.Call:
         """Return the call that reads records starting at an offset."""
-        return store.read(self._settings.store_url, topic, offset, wait_ms)
+        url = self._settings.store_url
+        return store.read(url, topic, offset, wait_ms, part=part)
 
     def read_result(
         self, topic: pages.Topic, offset: int, reply: multiplex.Reply
@@ -78,12 +85,14 @@
         """Decode the reply to a read."""
         return store.read_result(topic, offset, reply)
 
-    def newest(self, topic: pages.Topic, after: str) -> multiplex.Call:
+    def newest(
+        self, topic: pages.Topic, after: str, *, part: int = 0
+    ) -> multiplex.Call:
         """Return the call that reads the newest record of each key.
 
         ``after`` is the last key of the previous page, empty for the first.
         """
-        return store.newest(self._settings.store_url, topic, after)
+        return store.newest(self._settings.store_url, topic, after, part=part)
 
     def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
         """Decode a page of newest records."""
--- a/azurewood/platform/jobs.py
+++ b/azurewood/platform/jobs.py
@@ -12,7 +12,10 @@
 ID: typing.Final = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES: typing.Final = 4000
 
-_Natural = typing.Annotated[int, msgspec.Meta(ge=0)]
+MAX_NUMBER: typing.Final = 1 << 53
+"""Largest number in a job, which every JSON and MessagePack codec holds."""
+
+_Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
 class _Step(msgspec.Struct):
@@ -23,7 +26,7 @@
     of the requests that a long-lived task answers.
     """
 
-    count: typing.Annotated[int, msgspec.Meta(ge=1)]
+    count: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
     cpu: _Natural = 0
     mem_mb: _Natural = 0
     gpu: _Natural = 0
--- a/azurewood/platform/settings.py
+++ b/azurewood/platform/settings.py
@@ -28,6 +28,13 @@
     addr: str
 
 
+class _Store(msgspec.Struct):
+    """``parts`` is the largest number of partitions of a topic."""
+
+    addr: str
+    parts: typing.Annotated[int, msgspec.Meta(ge=1)] = 1
+
+
 class _Bounds(msgspec.Struct):
     """``lease_ms`` is the minimum time between orders of two leaders.
 
@@ -57,7 +64,7 @@
     zone: str
     ip: str
     listen: _Listen
-    platform: _Service
+    platform: _Store
     cloud: _Service
     hint: str | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -96,6 +103,7 @@
         stop_within_s=found.bounds.grace_s,
         turn_pause_s=found.bounds.lease_ms / 1000,
         retention_s=found.bounds.status_s,
+        store_partitions=found.platform.parts,
         cores=max(0.0, found.limits.cpu_share * found.limits.vcpus),
         metrics=kinds.Address(host=found.ip, port=METRICS_PORT),
     )
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -2,7 +2,8 @@
 
 The store is a log over HTTP with topics and partitions. A topic whose name
 begins with ``keyed.`` is compacted: it keeps the newest record of each key.
-azurewood uses only partition 0 of each topic.
+azurewood uses only partition 0 of each topic but the intake. A partition
+carries out one append after the other.
 """
 
 import base64
@@ -28,6 +29,7 @@
 
 TOPIC_NAMES: typing.Final = {
     pages.Topic.JOBS: "keyed.jobs",
+    pages.Topic.INTAKE: "keyed.intake",
     pages.Topic.PROGRESS: "keyed.progress",
     pages.Topic.LEADER: "leader",
     pages.Topic.OPERATORS: "keyed.op",
@@ -63,12 +65,17 @@
 
 
 def append(
-    url: str, topic: pages.Topic, request: appender.Request, producer: str
+    url: str,
+    topic: pages.Topic,
+    request: appender.Request,
+    producer: str,
+    *,
+    part: int = 0,
 ) -> multiplex.Call:
     """Return the call that appends records with a sequence number."""
     query = {
         "topic": TOPIC_NAMES[topic],
-        "part": 0,
+        "part": part,
         "producer": producer,
         "epoch": request.epoch,
         "seq": request.sequence,
@@ -155,12 +162,12 @@
 
 
 def read(
-    url: str, topic: pages.Topic, offset: int, wait_ms: int
+    url: str, topic: pages.Topic, offset: int, wait_ms: int, *, part: int = 0
 ) -> multiplex.Call:
     """Return the call that reads records starting at an offset."""
     query = {
         "topic": TOPIC_NAMES[topic],
-        "part": 0,
+        "part": part,
         "from": offset,
         "max_kb": MAX_READ_KB,
     }
@@ -226,12 +233,14 @@
     return appender.Record(key=key, value=data[1 + data[0] :] or None)
 
 
-def newest(url: str, topic: pages.Topic, after: str) -> multiplex.Call:
+def newest(
+    url: str, topic: pages.Topic, after: str, *, part: int = 0
+) -> multiplex.Call:
     """Return the call that reads the newest record of each key.
 
     ``after`` is the last key of the previous page, empty for the first.
     """
-    query = {"topic": TOPIC_NAMES[topic], "part": 0}
+    query = {"topic": TOPIC_NAMES[topic], "part": part}
     if after:
         query["after"] = after
     return multiplex.Call(
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -11,11 +11,13 @@
 from azurewood.daemons import member as members
 from azurewood.http import multiplex
 from azurewood.http import sockets
+from azurewood.journal import appender
 from standins.fleet import platform
 from standins.fleet import processor
 
 LATE_CALL_DELAY_S = (2.0, 12.0)
 ORDER_PAUSE_S = 3.0
+STORE_PARTITIONS = 4
 RETENTION_S = 20.0
 BLOCKED_RETRY_S = 0.05
 """Interval between attempts to deliver a call that a partition blocks."""
@@ -118,7 +120,15 @@
         if call.wait_s and call.ready and not call.ready():
             self._wait(fault)
             return
-        self._carry_out(fault)
+        if call.partition is None:
+            self._carry_out(fault)
+            return
+        after_s = self.world.append_turn_s(call.partition)
+        if after_s is None:
+            busy = appender.NotDone(reason="too many appends wait")
+            self._answer(busy)
+        else:
+            self.world.clock.after(after_s, lambda: self._carry_out(fault))
 
     def _are_bytes_dropped(self) -> bool:
         """Return whether the bytes that a partition blocks are dropped.
@@ -245,6 +255,7 @@
             order_pause_s=ORDER_PAUSE_S,
             retention_s=RETENTION_S,
             cores=self.cores,
+            store_partitions=STORE_PARTITIONS,
         )
         self._loop(self.incarnation)
 
--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -28,7 +28,8 @@
 
     A call with ``wait_s`` is a long poll: ``ready`` returns whether ``act``
     has something to answer, and ``wait`` registers a callback for the time
-    when it has.
+    when it has. ``partition`` is set for appends, of which a partition
+    carries out one at a time.
     """
 
     target: str
@@ -39,6 +40,7 @@
     wait_s: float = 0.0
     ready: abc.Callable[[], bool] | None = None
     wait: abc.Callable[[abc.Callable[[], None]], None] | None = None
+    partition: tuple[pages.Topic, int] | None = None
 
 
 def unwrap(reply: multiplex.Reply, otherwise: typing.Any) -> typing.Any:
@@ -57,7 +59,12 @@
         self._world = world
 
     def append(
-        self, topic: pages.Topic, request: appender.Request, producer: str
+        self,
+        topic: pages.Topic,
+        request: appender.Request,
+        producer: str,
+        *,
+        part: int = 0,
     ) -> SimCall:
         """Append records under a producer's sequence number."""
         store = self._world.store
@@ -69,8 +76,10 @@
                 producer,
                 request.epoch,
                 request.sequence,
+                part,
             ),
             timeout_s=request.timeout_s,
+            partition=(topic, part),
         )
 
     def begin_epoch(
@@ -92,6 +101,7 @@
             target=STORE,
             act=lambda _: store.append_at(topic, record, at),
             timeout_s=STORE_TIMEOUT_S,
+            partition=(topic, 0),
         )
 
     def append_result(self, reply: multiplex.Reply) -> appender.Result:
@@ -100,17 +110,19 @@
             return appender.NotDone(reason=reply.reason)
         return unwrap(reply, appender.Unknown(reason=reply.reason))
 
-    def read(self, topic: pages.Topic, offset: int, wait_ms: int) -> SimCall:
+    def read(
+        self, topic: pages.Topic, offset: int, wait_ms: int, *, part: int = 0
+    ) -> SimCall:
         """Read records, starting at an offset."""
         store = self._world.store
         return SimCall(
             target=STORE,
-            act=lambda at: store.read(topic, offset),
+            act=lambda at: store.read(topic, offset, part),
             timeout_s=STORE_TIMEOUT_S + wait_ms / 1000,
             changes=False,
             wait_s=wait_ms / 1000,
-            ready=lambda: store.end(topic) > offset,
-            wait=lambda what: store.call_at_next_append(topic, what),
+            ready=lambda: store.end(topic, part) > offset,
+            wait=lambda what: store.call_at_next_append(topic, what, part),
         )
 
     def read_result(
@@ -119,12 +131,14 @@
         """Return the result of a read."""
         return unwrap(reply, pages.Failed(reason=reply.reason))
 
-    def newest(self, topic: pages.Topic, after: str) -> SimCall:
+    def newest(
+        self, topic: pages.Topic, after: str, *, part: int = 0
+    ) -> SimCall:
         """Read the newest record of each key greater than ``after``."""
         store = self._world.store
         return SimCall(
             target=STORE,
-            act=lambda at: store.newest(topic, after),
+            act=lambda at: store.newest(topic, after, part),
             timeout_s=STORE_TIMEOUT_S,
             changes=False,
         )
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -1,5 +1,6 @@
 """Simulated store: topics with conditional and idempotent appends."""
 
+import collections
 from collections import abc
 import dataclasses
 
@@ -41,7 +42,9 @@
     __slots__ = ("_topics", "appended")
 
     def __init__(self) -> None:
-        self._topics = {topic: _Topic() for topic in pages.Topic}
+        self._topics: dict[tuple[pages.Topic, int], _Topic] = (
+            collections.defaultdict(_Topic)
+        )
         self.appended = 0
 
     def append(
@@ -51,13 +54,15 @@
         producer: str,
         epoch: int,
         sequence: int,
+        part: int = 0,
     ) -> appender.Result:
         """Append records under a producer's epoch and sequence number.
 
         Without records, the call only begins the epoch. A repeated sequence
         number gets the earlier answer.
         """
-        known = self._topics[topic].producers.setdefault(producer, _Producer())
+        found = self._topics[topic, part]
+        known = found.producers.setdefault(producer, _Producer())
         if epoch < known.epoch:
             return appender.Fenced()
         if epoch > known.epoch:
@@ -66,13 +71,13 @@
             known.answers = {}
         if not records:
             known.sequence = sequence
-            return appender.Appended(offset=self._topics[topic].end)
+            return appender.Appended(offset=found.end)
         if sequence in known.answers:
             return known.answers[sequence]
         if known.sequence is not None and sequence != known.sequence + 1:
             return appender.Conflict(reason="sequence")
         known.sequence = sequence
-        answer = self.add(topic, records)
+        answer = self.add(topic, records, part)
         known.answers[sequence] = answer
         for old in sorted(known.answers)[:-MAX_KEPT_ANSWERS]:
             del known.answers[old]
@@ -82,16 +87,19 @@
         self, topic: pages.Topic, record: appender.Record, at: int
     ) -> appender.Result:
         """Append a record if ``at`` is the end offset of the topic."""
-        end = self._topics[topic].end
+        end = self._topics[topic, 0].end
         if end != at:
             return appender.Conflict(reason="condition", end=end)
         return self.add(topic, (record,))
 
     def add(
-        self, topic: pages.Topic, records: tuple[appender.Record, ...]
+        self,
+        topic: pages.Topic,
+        records: tuple[appender.Record, ...],
+        part: int = 0,
     ) -> appender.Appended:
         """Append records unconditionally."""
-        found = self._topics[topic]
+        found = self._topics[topic, part]
         offset = found.end
         found.records.extend(records)
         self.appended += len(records)
@@ -104,13 +112,15 @@
             waiter()
         return appender.Appended(offset=offset)
 
-    def end(self, topic: pages.Topic) -> int:
+    def end(self, topic: pages.Topic, part: int = 0) -> int:
         """Return the offset of the next record."""
-        return self._topics[topic].end
+        return self._topics[topic, part].end
 
-    def read(self, topic: pages.Topic, offset: int) -> pages.ReadResult:
+    def read(
+        self, topic: pages.Topic, offset: int, part: int = 0
+    ) -> pages.ReadResult:
         """Return the records, starting at an offset."""
-        found = self._topics[topic]
+        found = self._topics[topic, part]
         if offset < found.first:
             return pages.Trimmed(first=found.first)
         records = tuple(found.records[offset - found.first :])
@@ -119,14 +129,16 @@
         )
 
     def call_at_next_append(
-        self, topic: pages.Topic, what: abc.Callable[[], None]
+        self, topic: pages.Topic, what: abc.Callable[[], None], part: int = 0
     ) -> None:
         """Call ``what`` once when the next record of a topic is appended."""
-        self._topics[topic].waiters.append(what)
+        self._topics[topic, part].waiters.append(what)
 
-    def newest(self, topic: pages.Topic, after: str) -> pages.NewestResult:
+    def newest(
+        self, topic: pages.Topic, after: str, part: int = 0
+    ) -> pages.NewestResult:
         """Return a page with the newest record of each key after ``after``."""
-        found = self._topics[topic]
+        found = self._topics[topic, part]
         keys = sorted(key for key in found.newest if key > after)
         page = [found.newest[key] for key in keys[:50]]
         return pages.Newest(
@@ -136,14 +148,14 @@
             end=found.end,
         )
 
-    def values(self, topic: pages.Topic) -> dict[str, bytes]:
+    def values(self, topic: pages.Topic, part: int = 0) -> dict[str, bytes]:
         """Return the newest value of each key."""
-        newest = self._topics[topic].newest
+        newest = self._topics[topic, part].newest
         return {key: record.value for key, (_, record) in newest.items()}
 
     def forget(self, topic: pages.Topic) -> None:
         """Drop the history of a topic, but keep each key's newest record."""
-        found = self._topics[topic]
+        found = self._topics[topic, 0]
         found.first = found.end
         found.records = []
         waiters, found.waiters = found.waiters, []
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -31,6 +31,7 @@
 SILENCE_S = 4.5
 MAINTENANCE_S = 2.0
 MOVE_S = 1.5
+MAX_APPEND_QUEUE_S = 2.0
 LEADER_CHANGE_PAUSE_S = 3.0
 """Minimum time between the orders of two leaders to one machine."""
 
@@ -68,6 +69,8 @@
         self.lost_share = 0.0
         self.late_share = 0.0
         self.slow = 1.0
+        self.append_s = 0.0
+        self._appends_end: dict[object, float] = {}
         self.run_duration_s = lambda task, step: step.estimate_ms / 1000
         self._names = 0
         for service, count in pools.items():
@@ -84,6 +87,19 @@
         for member in self.members:
             member.start()
 
+    def append_turn_s(self, partition: object) -> float | None:
+        """Return in how many seconds an append that arrives is carried out.
+
+        Return None if it is refused, as too many wait for the partition.
+        """
+        now = self.clock.now
+        begin = max(now, self._appends_end.get(partition, 0.0))
+        if begin - now > MAX_APPEND_QUEUE_S:
+            return None
+        end = begin + self.append_s * self.slow
+        self._appends_end[partition] = end
+        return end - now
+
     def _add_machine(self, service: str, number: int) -> None:
         name = f"{service}-{number}"
         host = self.add_host(name, service, (f"rack-{number % 2}",))
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -136,6 +136,7 @@
     def _append(self, req):
         store = self.world.store
         topic = TOPICS[req.args["topic"]]
+        part = int(req.args["part"])
         records = tuple(_records(req.args["topic"], req.get_data()))
         if "at" in req.args:
             result = store.append_at(topic, records[0], int(req.args["at"]))
@@ -146,12 +147,14 @@
                 req.args["producer"],
                 int(req.args["epoch"]),
                 int(req.args["seq"]),
+                part,
             )
         else:
-            result = store.add(topic, records)
+            result = store.add(topic, records, part)
         match result:
             case appender.Appended(offset=offset):
-                return _json(200, {"offset": offset, "end": store.end(topic)})
+                end = store.end(topic, part)
+                return _json(200, {"offset": offset, "end": end})
             case appender.Fenced():
                 return _json(409, {"reason": "fenced"})
             case appender.Conflict(reason="condition", end=end):
@@ -161,12 +164,13 @@
 
     def _read(self, req):
         topic = TOPICS[req.args["topic"]]
+        part = int(req.args["part"])
         offset = int(req.args["from"])
         until = time.monotonic() + int(req.args.get("wait_ms", 0)) / 1000
         while True:
             with self.lock:
                 self.advance()
-                page = self.world.store.read(topic, offset)
+                page = self.world.store.read(topic, offset, part)
             if isinstance(page, pages.Trimmed):
                 return _json(410, {"first_offset": page.first})
             if page.records or time.monotonic() >= until:
@@ -175,7 +179,9 @@
 
     def _newest(self, req):
         topic = TOPICS[req.args["topic"]]
-        page = self.world.store.newest(topic, req.args.get("after", ""))
+        part = int(req.args["part"])
+        after = req.args.get("after", "")
+        page = self.world.store.newest(topic, after, part)
         items = [
             {
                 "key": record.key,
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -4,6 +4,7 @@
 or a value that the rest of the daemon can handle. Nothing else is raised.
 """
 
+import json
 import struct
 
 import hypothesis
@@ -142,8 +143,17 @@
     return all(type(value) is int for value in values)
 
 
+def _job_with(**changes):
+    """Return a job's JSON with numbers that no 64 bits hold."""
+    step = {**STEP, **changes}
+    return json.dumps({**JOB, "steps": [step]}).encode()
+
+
 @many
 @hypothesis.given(malformed.json_bytes(JOB))
+@hypothesis.example(_job_with(cpu=1 << 64))
+@hypothesis.example(_job_with(est_ms=1 << 70))
+@hypothesis.example(_job_with(count=1 << 64))
 def test_callers_jobs(body):
     """What is not rejected can be stored: the daemon's loop encodes it."""
     try:
--- a/tests/scheduling/test_late_orders.py
+++ b/tests/scheduling/test_late_orders.py
@@ -142,8 +142,8 @@
     real = platform.SimPlatform.append
     calls = []
 
-    def marked(self, topic, request, producer):
-        call = real(self, topic, request, producer)
+    def marked(self, topic, request, producer, *, part=0):
+        call = real(self, topic, request, producer, part=part)
         keys = {record.key for record in request.records}
         if progress.ORDERS_KEY in keys or calls:
             calls.append(call)
