--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -20,8 +20,9 @@
 
 MAX_IDLE_CONNECTIONS: typing.Final = 512
 """Connections kept open; more than hosts times concurrent calls to each."""
-MAX_CONNECTIONS_PER_HOST: typing.Final = 8
-"""Connections to one address; well below the 64 that a host accepts."""
+MAX_CONNECTIONS_PER_HOST: typing.Final = 32
+"""Connections to one address; half of the 64 that a host accepts. A leader
+holds up to 20 reads of the store open beside its appends."""
 CONNECT_TIMEOUT_MS: typing.Final = 700
 """A TCP handshake takes two network delays of at most about 25 ms."""
 
