Check the number of partitions in the settings; read through the intake

Cause: a read of the change. An accepted job whose record in the jobs topic cannot be read would have been overwritten by a copy from the intake; a local name hid a module; a settings file could name no partitions.

--- a/azurewood/daemons/intake.py
+++ b/azurewood/daemons/intake.py
@@ -101,11 +101,7 @@
         return not self._uncopied and all(r.listed for r in self._readers)
 
     def step(self, now: float, *, slow: bool) -> None:
-        """Make due reads and appends; ``slow`` is whether daemons may use it.
-
-        A read that is in flight ends by itself, so a daemon's first append
-        after ``slow`` has begun is answered at once in any case.
-        """
+        """Make due calls; ``slow`` is whether daemons use the intake now."""
         if slow:
             self._in_use_until = now + IN_USE_S
         in_use = now < self._in_use_until
@@ -137,7 +133,9 @@
             self._delete(part, keys)
 
     def _is_new(self, key: str) -> bool:
-        return records.job_of(key) not in self._registry.entries
+        job_id = records.job_of(key)
+        known = self._registry
+        return job_id not in known.entries and job_id not in known.unreadable
 
     def _delete(self, part: int, keys: tuple[str, ...]) -> None:
         removed = tuple(appender.Record(key=key, value=None) for key in keys)
--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -207,10 +207,10 @@
         margin_s = max(
             orders.SEND_WITHIN_S, self._context.election.orders_wait_s(now)
         )
-        registry = self._context.registry
+        known = self._context.registry
         unfinished_jobs = [
             entry.job
-            for entry in registry.entries.values()
+            for entry in known.entries.values()
             if not entry.phase.final
         ]
         logger.bind(
@@ -226,7 +226,7 @@
         return reducer.begin(
             term=self._number,
             found=unfinished_jobs,
-            unreadable=registry.unreadable,
+            unreadable=known.unreadable,
             stored=self._progress_values,
             leases_expire_at=max(
                 self._context.election.earlier_renewals_end()
--- a/azurewood/platform/checks.py
+++ b/azurewood/platform/checks.py
@@ -25,6 +25,7 @@
 )
 BOUNDS: typing.Final = ("grace_s", "lease_ms", "status_s")
 LIMITS: typing.Final = ("cpu_share", "vcpus")
+STORE: typing.Final = ("parts",)
 MIN_GRACE_S: typing.Final = 3.0
 """Time that a daemon takes to stop.
 
@@ -72,6 +73,7 @@
     yield from _numbers(found, "bounds", BOUNDS, path)
     yield from _grace(_section(found, "bounds"), path)
     yield from _numbers(found, "limits", LIMITS, path)
+    yield from _numbers(found, "platform", STORE, path)
 
 
 def _numbers(
--- a/tests/platform/test_checks.py
+++ b/tests/platform/test_checks.py
@@ -90,6 +90,15 @@
     assert found.place == f"s: limits.{name}"
 
 
+@pytest.mark.parametrize("value", ["0", "-1", "true", "many"])
+def test_a_number_of_partitions_below_one_is_found(value):
+    old = "platform: {"
+    assert old in SETTINGS
+    text = SETTINGS.replace(old, f"{old}parts: {value}, ")
+    (found,) = checks.settings_findings(text.encode(), "s")
+    assert found.place == "s: platform.parts"
+
+
 def test_a_short_grace_is_a_warning_alone():
     text = SETTINGS.replace("grace_s: 6", "grace_s: 2")
     (found,) = checks.settings_findings(text.encode(), "s")
