Give write requests and calls about machines modules of their own

Change: daemons/job_writes.py holds the write requests and both writers, daemons/machine_calls.py the list of machines and the orders; code moved, nothing decided anew.

--- /dev/null
+++ b/azurewood/daemons/job_writes.py
@@ -0,0 +1,173 @@
+"""Stores the job records that callers' requests ask for.
+
+The servers' threads enqueue write requests; the daemon's thread appends their
+records and completes the requests. While the leader reports slow appends,
+accepted jobs go to the intake, see `azurewood.policy.intake`.
+"""
+
+import collections
+from collections import abc
+import concurrent.futures
+import contextlib
+import typing
+
+from azurewood.daemons import ports
+from azurewood.daemons import topics
+from azurewood.jobs import desk as desks
+from azurewood.jobs import records
+from azurewood.journal import appender
+from azurewood.journal import pages
+from azurewood.leadership import base as leadership
+from azurewood.policy import intake as intakes
+
+COPY_S: typing.Final = 2.5
+"""Time in which a leader copies a job from the intake to the jobs, and after
+which a silent leader may have left some there."""
+
+
+class JobWrites:
+    """A daemon's write requests, and its writers of the jobs and the intake.
+
+    ``partitions`` is the number of the intake's partitions.
+    """
+
+    __slots__ = (
+        "_election",
+        "_inbox",
+        "_incomplete_until",
+        "_intake",
+        "_job_service",
+        "_jobs",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        nonce: str,
+        platform: ports.Platform,
+        calls: ports.Calls,
+        clock: abc.Callable[[], float],
+        job_service: desks.JobService,
+        election: leadership.Election,
+        partitions: int,
+    ) -> None:
+        self._job_service = job_service
+        self._election = election
+        self._inbox: collections.deque[desks.WriteRequest] = (
+            collections.deque()
+        )
+        self._incomplete_until = 0.0
+        self._jobs, self._intake = (
+            topics.Writer(
+                platform=platform,
+                calls=calls,
+                clock=clock,
+                topic=topic,
+                part=part,
+                producer=f"{name}-{nonce}",
+                epoch=1,
+            )
+            for topic, part in (
+                (pages.Topic.JOBS, 0),
+                (
+                    pages.Topic.INTAKE,
+                    intakes.partition_of(name, partitions),
+                ),
+            )
+        )
+
+    def enqueue(self, request: desks.WriteRequest) -> None:
+        """Enqueue a caller's write request; called by any thread."""
+        self._inbox.append(request)
+
+    def step(self, now: float, *, store_lost: bool) -> None:
+        """Make due appends and refuse requests that waited for too long.
+
+        ``store_lost`` is whether reads of the store fail too.
+        """
+        self._send(now)
+        self._refuse_late(now, store_lost=store_lost)
+        self._jobs.step(now)
+        self._intake.step(now)
+
+    def _send(self, now: float) -> None:
+        use_intake = self._uses_intake(now)
+        if use_intake:
+            for item in self._jobs.withdraw(_is_accepted):
+                self._add(item.token.request, use_intake=True)
+        while self._inbox:
+            self._add(self._inbox.popleft(), use_intake=use_intake)
+
+    def _uses_intake(self, now: float) -> bool:
+        """Return whether accepted jobs go to the intake, and note it.
+
+        For ``COPY_S`` after that, jobs may exist that are only there, and
+        for as long as no leader copies them.
+        """
+        silent_s = self._election.leader_silent_s(now)
+        slow = intakes.use_intake(self._election.leader_append_s, silent_s)
+        if slow or (now < self._incomplete_until and silent_s > COPY_S):
+            self._incomplete_until = now + COPY_S
+        self._job_service.complete = now >= self._incomplete_until
+        return slow
+
+    def _add(self, request: desks.WriteRequest, *, use_intake: bool) -> None:
+        item = desks.append_item(request)
+        job_id = None
+        writer = self._jobs
+        if use_intake and isinstance(request.record, records.Accepted):
+            job_id = request.record.job.id
+            writer = self._intake
+        confirm = _ConfirmWrite(
+            request=request, on_stored=lambda: self._note_intake(job_id)
+        )
+        writer.add_item(appender.Item(records=item.records, token=confirm))
+
+    def _note_intake(self, job_id: str | None) -> None:
+        service = self._job_service
+        if job_id is not None and job_id not in service.registry.entries:
+            service.in_intake.add(job_id)
+
+    def _refuse_late(self, now: float, *, store_lost: bool) -> None:
+        """Refuse requests whose records waited too long to be sent."""
+        asked_before = now - (
+            desks.SEND_TIMEOUT_STORE_LOST_S
+            if store_lost
+            else desks.SEND_TIMEOUT_S
+        )
+        refused = desks.Refused(reason="store out of touch")
+        for writer in (self._jobs, self._intake):
+            for item in writer.withdraw(
+                lambda item: item.token.request.asked_at < asked_before
+            ):
+                _complete(item.token.request, refused)
+
+
+class _ConfirmWrite:
+    """Callback that completes a write request once it is stored."""
+
+    __slots__ = ("_on_stored", "request")
+
+    def __init__(
+        self,
+        *,
+        request: desks.WriteRequest,
+        on_stored: abc.Callable[[], None],
+    ) -> None:
+        self.request = request
+        self._on_stored = on_stored
+
+    def __call__(self) -> None:
+        self._on_stored()
+        _complete(self.request, desks.Taken())
+
+
+def _is_accepted(item: appender.Item) -> bool:
+    return isinstance(item.token.request.record, records.Accepted)
+
+
+def _complete(request: desks.WriteRequest, verdict: desks.Verdict) -> None:
+    # The caller's thread may have timed out and cancelled the future.
+    with contextlib.suppress(concurrent.futures.InvalidStateError):
+        request.future.set_result(verdict)
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -5,14 +5,12 @@
 runs the same code as a daemon.
 """
 
-import collections
 from collections import abc
-import concurrent.futures
-import contextlib
 import typing
 
 from loguru import logger
 
+from azurewood.daemons import job_writes
 from azurewood.daemons import ports
 from azurewood.daemons import takeover as takeovers
 from azurewood.daemons import term as terms
@@ -41,9 +39,6 @@
 shorter ``LEADER_READ_PAUSE_S``."""
 LEADER_READ_PAUSE_S: typing.Final = 0.005
 MAX_WAIT_S: typing.Final = 0.1
-COPY_S: typing.Final = 2.5
-"""Time in which a leader copies a job from the intake to the jobs, and after
-which a silent leader may have left some there."""
 RETENTION_MARGIN_S: typing.Final = 30.0
 """Added to the time for which a job's state is guaranteed to callers."""
 
@@ -57,9 +52,6 @@
     __slots__ = (
         "_calls",
         "_clock",
-        "_inbox",
-        "_incomplete_until",
-        "_intake",
         "_jobs",
         "_leader",
         "_operators",
@@ -70,7 +62,7 @@
         "_unix_ms",
         "_wake",
         "_waves",
-        "_writer",
+        "_writes",
         "election",
         "job_service",
         "term",
@@ -92,7 +84,6 @@
         store_partitions: int = 1,
     ) -> None:
         self._partitions = min(store_partitions, intakes.MAX_PARTITIONS)
-        self._incomplete_until = 0.0
         self._platform = platform
         self._calls = calls
         self._clock = clock
@@ -100,9 +91,6 @@
         self._wake = wake
         self._order_pause_s = order_pause_s
         self._retention_s = retention_s + RETENTION_MARGIN_S
-        self._inbox: collections.deque[desks.WriteRequest] = (
-            collections.deque()
-        )
         self._waves: dict[int, messages.WaveRequested] = {}
         self.term: terms.Term | None = None
         self.election = leadership.Election(
@@ -113,22 +101,15 @@
             enqueue=self.enqueue_write,
             admission=self._admit,
         )
-        self._writer = topics.Writer(
+        self._writes = job_writes.JobWrites(
+            name=name,
+            nonce=nonce,
             platform=platform,
-            calls=self._calls,
-            clock=self._clock,
-            topic=pages.Topic.JOBS,
-            producer=f"{name}-{nonce}",
-            epoch=1,
-        )
-        self._intake = topics.Writer(
-            platform=platform,
-            calls=self._calls,
-            clock=self._clock,
-            topic=pages.Topic.INTAKE,
-            part=intakes.partition_of(name, self._partitions),
-            producer=f"{name}-{nonce}",
-            epoch=1,
+            calls=calls,
+            clock=clock,
+            job_service=self.job_service,
+            election=self.election,
+            partitions=self._partitions,
         )
         self._jobs = _follower(pages.Topic.JOBS, READ_PAUSE_S, nonce)
         self._operators = _follower(pages.Topic.OPERATORS, READ_PAUSE_S, nonce)
@@ -151,9 +132,7 @@
     def step(self, now: float) -> None:
         """Run one iteration: read, write, and lead if elected."""
         self._read_all()
-        self._send_writes(now)
-        self._writer.step(now)
-        self._intake.step(now)
+        self._writes.step(now, store_lost=self._jobs.failing)
         self._lead(now)
 
     def next_at(self, now: float) -> float:
@@ -260,63 +239,9 @@
 
     def enqueue_write(self, request: desks.WriteRequest) -> None:
         """Enqueue a caller's write request; called by any thread."""
-        self._inbox.append(request)
+        self._writes.enqueue(request)
         self._wake()
 
-    def _send_writes(self, now: float) -> None:
-        use_intake = self._uses_intake(now)
-        if use_intake:
-            for item in self._writer.withdraw(_is_accepted):
-                self._add_write(item.token.request, use_intake=True)
-        while self._inbox:
-            self._add_write(self._inbox.popleft(), use_intake=use_intake)
-        store_lost = self._jobs.failing
-        asked_before = now - (
-            desks.SEND_TIMEOUT_STORE_LOST_S
-            if store_lost
-            else desks.SEND_TIMEOUT_S
-        )
-        for writer in (self._writer, self._intake):
-            for item in writer.withdraw(
-                lambda item: item.token.request.asked_at < asked_before
-            ):
-                _complete(
-                    item.token.request,
-                    desks.Refused(reason="store out of touch"),
-                )
-
-    def _uses_intake(self, now: float) -> bool:
-        """Return whether accepted jobs go to the intake, and note it.
-
-        For ``COPY_S`` after that, jobs may exist that are only there, and
-        for as long as no leader copies them.
-        """
-        silent_s = self.election.leader_silent_s(now)
-        slow = intakes.use_intake(self.election.leader_append_s, silent_s)
-        if slow or (now < self._incomplete_until and silent_s > COPY_S):
-            self._incomplete_until = now + COPY_S
-        self.job_service.complete = now >= self._incomplete_until
-        return slow
-
-    def _add_write(
-        self, request: desks.WriteRequest, *, use_intake: bool
-    ) -> None:
-        item = desks.append_item(request)
-        job_id = None
-        writer = self._writer
-        if use_intake and isinstance(request.record, records.Accepted):
-            job_id = request.record.job.id
-            writer = self._intake
-        confirm = _ConfirmWrite(
-            request=request, on_stored=lambda: self._note_intake(job_id)
-        )
-        writer.add_item(appender.Item(records=item.records, token=confirm))
-
-    def _note_intake(self, job_id: str | None) -> None:
-        service = self.job_service
-        if job_id is not None and job_id not in service.registry.entries:
-            service.in_intake.add(job_id)
-
     # Leading
 
     def _lead(self, now: float) -> None:
@@ -420,35 +345,6 @@
         self.election.step(event, self._clock())
 
 
-class _ConfirmWrite:
-    """Callback that completes a write request once it is stored."""
-
-    __slots__ = ("_on_stored", "request")
-
-    def __init__(
-        self,
-        *,
-        request: desks.WriteRequest,
-        on_stored: abc.Callable[[], None],
-    ) -> None:
-        self.request = request
-        self._on_stored = on_stored
-
-    def __call__(self) -> None:
-        self._on_stored()
-        _complete(self.request, desks.Taken())
-
-
-def _is_accepted(item: appender.Item) -> bool:
-    return isinstance(item.token.request.record, records.Accepted)
-
-
-def _complete(request: desks.WriteRequest, verdict: desks.Verdict) -> None:
-    # The caller's thread may have timed out and cancelled the future.
-    with contextlib.suppress(concurrent.futures.InvalidStateError):
-        request.future.set_result(verdict)
-
-
 def _follower(
     topic: pages.Topic, pause_s: float, nonce: str
 ) -> follower.Follower:
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -5,17 +5,16 @@
 """
 
 import collections
-import dataclasses
 import math
 import typing
 
 from loguru import logger
 
 from azurewood.daemons import intake as intakes
+from azurewood.daemons import machine_calls
 from azurewood.daemons import pace
 from azurewood.daemons import takeover as takeovers
 from azurewood.daemons import topics
-from azurewood.http import multiplex
 from azurewood.jobs import model
 from azurewood.jobs import records
 from azurewood.journal import appender
@@ -56,6 +55,7 @@
         "_jobs",
         "_known_hosts",
         "_loop_monitor",
+        "_machines",
         "_next_pass_at",
         "_progress",
         "_removals",
@@ -87,6 +87,9 @@
         )
         self._known_hosts: set[str] = set()
         self._loop_monitor: pace.LoopMonitor | None = None
+        self._machines = machine_calls.MachineCalls(
+            context=context, term=number, handle_event=self.handle_event
+        )
         self._progress = self._writer(pages.Topic.PROGRESS)
         self._jobs = self._writer(pages.Topic.JOBS)
         self._reports = self._writer(pages.Topic.REPORTS)
@@ -347,9 +350,9 @@
             case messages.NotifyJobEnded(id=job_id, phase=phase):
                 self._append_job_record(records.Ended(id=job_id, phase=phase))
             case messages.ReadMachines():
-                self._read_machines("", (), self._context.clock())
+                self._machines.read_list()
             case messages.MoveMachine() | messages.MaintainMachine():
-                self._send_order(effect)
+                self._machines.send_order(effect)
             case messages.ReportWave():
                 record = self._context.platform.wave_report(effect)
                 self._reports.add((record,), None)
@@ -382,60 +385,3 @@
     def _append_job_record(self, record: records.Record) -> None:
         stored = appender.Record(key=record.key, value=records.encode(record))
         self._jobs.add((stored,), None)
-
-    def _send_order(
-        self, order: messages.MoveMachine | messages.MaintainMachine
-    ) -> None:
-        """Send an order to a machine immediately or not at all.
-
-        The order must be sent before its own deadline and before the
-        leader's confirmation expires. The call checks this once more when it
-        is sent, as the process may have been suspended in between.
-        """
-        confirmed_at = self._context.election.confirmed_at
-        send_by = min(order.send_by, confirmed_at + leadership.ORDER_VALID_S)
-        now = self._context.clock()
-        if not self._context.election.may_order(now) or now >= send_by:
-            result = messages.OrderResult.NOT_DONE
-            event = messages.OrderAnswered(
-                machine=order.machine, result=result
-            )
-            self.handle_event(event)
-            return
-        order = dataclasses.replace(order, send_by=send_by)
-        self._context.calls.submit(
-            self._context.platform.order_call(order, self.number),
-            lambda reply: self.handle_event(
-                messages.OrderAnswered(
-                    machine=order.machine,
-                    result=self._context.platform.order_result(reply),
-                )
-            ),
-        )
-
-    def _read_machines(
-        self,
-        token: str,
-        found: tuple[messages.MachineEntry, ...],
-        began_at: float,
-    ) -> None:
-        def on_page(reply: multiplex.Reply) -> None:
-            page = self._context.platform.machines_page(reply)
-            if page is None:
-                logger.bind(event="machines.unread").warning(
-                    "list of machines could not be read: {} {}",
-                    reply.status,
-                    reply.reason,
-                )
-                return
-            every = found + page.machines
-            if page.token:
-                self._read_machines(page.token, every, began_at)
-            else:
-                self.handle_event(
-                    messages.MachinesListed(machines=every, began_at=began_at)
-                )
-
-        self._context.calls.submit(
-            self._context.platform.machines_call(token), on_page
-        )
