Give a small leader back the time that the intake and the clock took

Change: the objective's end is kept with the job; the leader's report is looked at 20 times a second, and writers only while they have something.

--- a/azurewood/daemons/intake.py
+++ b/azurewood/daemons/intake.py
@@ -106,6 +106,8 @@
             self._in_use_until = now + IN_USE_S
         in_use = now < self._in_use_until
         for reader in self._readers:
+            if reader.next_at() is None:
+                continue
             reader.wait_ms = IN_USE_WAIT_MS if in_use else IDLE_WAIT_MS
             topics.read(
                 self._platform,
@@ -114,8 +116,9 @@
                 reader,
                 lambda changes, part=reader.part: self._on_read(part, changes),
             )
-        for writer in self._writers:
-            writer.step(now)
+        if self._uncopied:
+            for writer in self._writers:
+                writer.step(now)
 
     def _on_read(self, part: int, changes: follower.Changes) -> None:
         found = tuple(r for r in changes.records if r.value is not None)
--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -20,6 +20,8 @@
 from azurewood.leadership import base as leadership
 from azurewood.policy import intake as intakes
 
+CHECK_INTERVAL_S: typing.Final = 0.05
+"""Interval between two looks at the leader's report."""
 COPY_S: typing.Final = 2.5
 """Time in which a leader copies a job from the intake to the jobs, and after
 which a silent leader may have left some there."""
@@ -32,12 +34,15 @@
     """
 
     __slots__ = (
+        "_active",
+        "_check_at",
         "_election",
         "_inbox",
         "_incomplete_until",
         "_intake",
         "_job_service",
         "_jobs",
+        "_use_intake",
     )
 
     def __init__(
@@ -58,6 +63,9 @@
             collections.deque()
         )
         self._incomplete_until = 0.0
+        self._active: list[topics.Writer] = []
+        self._check_at = 0.0
+        self._use_intake = False
         self._jobs, self._intake = (
             topics.Writer(
                 platform=platform,
@@ -86,20 +94,25 @@
 
         ``store_lost`` is whether reads of the store fail too.
         """
-        self._send(now)
-        self._refuse_late(now, store_lost=store_lost)
-        self._jobs.step(now)
-        self._intake.step(now)
-
-    def _send(self, now: float) -> None:
-        use_intake = self._uses_intake(now)
-        if use_intake:
+        if now >= self._check_at:
+            self._check_at = now + CHECK_INTERVAL_S
+            self._use_intake = self._should_use_intake(now)
+        if self._inbox or self._use_intake:
+            self._send()
+        for writer in self._active:
+            self._refuse_late(writer, now, store_lost=store_lost)
+            writer.step(now)
+        if self._active:
+            self._active = [w for w in self._active if not w.idle]
+
+    def _send(self) -> None:
+        if self._use_intake:
             for item in self._jobs.withdraw(_is_accepted):
-                self._add(item.token.request, use_intake=True)
+                self._add(item.token.request)
         while self._inbox:
-            self._add(self._inbox.popleft(), use_intake=use_intake)
+            self._add(self._inbox.popleft())
 
-    def _uses_intake(self, now: float) -> bool:
+    def _should_use_intake(self, now: float) -> bool:
         """Return whether accepted jobs go to the intake, and note it.
 
         For ``COPY_S`` after that, jobs may exist that are only there, and
@@ -112,24 +125,29 @@
         self._job_service.complete = now >= self._incomplete_until
         return slow
 
-    def _add(self, request: desks.WriteRequest, *, use_intake: bool) -> None:
+    def _add(self, request: desks.WriteRequest) -> None:
         item = desks.append_item(request)
         job_id = None
         writer = self._jobs
-        if use_intake and isinstance(request.record, records.Accepted):
+        accepted = isinstance(request.record, records.Accepted)
+        if self._use_intake and accepted:
             job_id = request.record.job.id
             writer = self._intake
         confirm = _ConfirmWrite(
             request=request, on_stored=lambda: self._note_intake(job_id)
         )
         writer.add_item(appender.Item(records=item.records, token=confirm))
+        if writer not in self._active:
+            self._active.append(writer)
 
     def _note_intake(self, job_id: str | None) -> None:
         service = self._job_service
         if job_id is not None and job_id not in service.registry.entries:
             service.in_intake.add(job_id)
 
-    def _refuse_late(self, now: float, *, store_lost: bool) -> None:
+    def _refuse_late(
+        self, writer: topics.Writer, now: float, *, store_lost: bool
+    ) -> None:
         """Refuse requests whose records waited too long to be sent."""
         asked_before = now - (
             desks.SEND_TIMEOUT_STORE_LOST_S
@@ -137,11 +155,10 @@
             else desks.SEND_TIMEOUT_S
         )
         refused = desks.Refused(reason="store out of touch")
-        for writer in (self._jobs, self._intake):
-            for item in writer.withdraw(
-                lambda item: item.token.request.asked_at < asked_before
-            ):
-                _complete(item.token.request, refused)
+        for item in writer.withdraw(
+            lambda item: item.token.request.asked_at < asked_before
+        ):
+            _complete(item.token.request, refused)
 
 
 class _ConfirmWrite:
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -88,6 +88,11 @@
         """Whether a later epoch of this producer has begun."""
         return self._appender.fenced
 
+    @property
+    def idle(self) -> bool:
+        """Whether no record waits to be stored."""
+        return self._appender.idle
+
     def add(
         self,
         records: tuple[appender.Record, ...],
--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -55,13 +55,13 @@
     updates these counts; values derived from them are cached until the
     counts change. ``failed_gangs`` has the latest failed run of each gang,
     since a gang's failure counts once however many of its members fail.
-    ``accepted_ms`` is by the leader's clock, see ``State.clock_ms``.
+    ``accepted_ms`` and ``objective_at_ms``, by which the job should be done,
+    are by the leader's clock, see ``State.clock_ms``.
     ``first_run_ms`` is when this leader placed the job's first task, in Unix
     ms, or None if no task was placed or an earlier leader placed it.
     """
 
     __slots__ = (
-        "_objective_ms",
         "_open",
         "_remaining_ms",
         "_work",
@@ -74,6 +74,7 @@
         "first_run_ms",
         "job",
         "long_lived",
+        "objective_at_ms",
         "steps",
         "tickets",
         "undone",
@@ -83,7 +84,7 @@
     def __init__(self, *, job: model.Job, now: float) -> None:
         self.job = job
         self.long_lived = job.long_lived
-        self.accepted_ms: float = job.accepted_ms
+        self.set_accepted(job.accepted_ms)
         self.added_at = now
         self.begun = False
         self.first_run_ms: float | None = None
@@ -92,7 +93,6 @@
         self.steps: dict[tuple[int, int], list[Task]] = {}
         self.undone: dict[tuple[int, int], int] = {}
         self.waiting: dict[tuple[int, int], int] = {}
-        self._objective_ms = job.objective_at_ms() - job.accepted_ms
         self._open: list[tuple[int, int]] | None = None
         self._work: int | None = None
         self._remaining_ms: int | None = None
@@ -192,10 +192,11 @@
             self._remaining_ms = max(ends, default=0)
         return self._remaining_ms
 
-    @property
-    def objective_at_ms(self) -> float:
-        """The Unix ms by which the job should be done."""
-        return self.accepted_ms + self._objective_ms
+    def set_accepted(self, accepted_ms: float) -> None:
+        """Set when the job was accepted, and with it the objective's end."""
+        self.accepted_ms = accepted_ms
+        length_ms = self.job.objective_at_ms() - self.job.accepted_ms
+        self.objective_at_ms = accepted_ms + length_ms
 
     @property
     def done(self) -> bool:
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -23,7 +23,7 @@
     added = restore_job(state, job, now)
     if added is not None:
         earliest_ms = state.clock_ms - MAX_APPEND_MS
-        added.accepted_ms = max(added.accepted_ms, earliest_ms)
+        added.set_accepted(max(added.accepted_ms, earliest_ms))
         service = state.service_of(job)
         found = state.arrivals.setdefault(service, arrivals.Arrivals())
         found.record(job, now)
@@ -40,7 +40,7 @@
     if job.id in state.jobs:
         return None
     added = jobstates.JobState(job=job, now=now)
-    added.accepted_ms = min(added.accepted_ms, state.clock_ms)
+    added.set_accepted(min(added.accepted_ms, state.clock_ms))
     state.jobs[job.id] = added
     state.placement_due.add(state.service_of(job))
     return added
