Lend machines of zones in reach first; count no host that was never seen

Their hosts could not register, yet the pool counted them as serving and idle, and idle and parked machines were chosen by name, also from a zone that nobody reaches.

Change: scheduling/unseen.py. A machine whose host is not known 1.5 s after the list shows it up counts neither as serving nor as idle, if host entries were read since; pool.state has the count. Machines of zones of which most hosts are unseen or unresponsive are lent last. The simulated world has zones, cuts of zones, and pools whose machines are off.

Tried and dropped: all simulated standby pools off; tests of takeovers rely on parked hosts.

--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -314,7 +314,9 @@
     def _tick(self, now: float) -> messages.Tick:
         election = self._context.election
         return messages.Tick(
-            unix_ms=self._context.unix_ms(), may_order=election.may_order(now)
+            unix_ms=self._context.unix_ms(),
+            may_order=election.may_order(now),
+            hosts_read_at=self._hosts.fresh_at,
         )
 
     def _on_hosts_read(self, changes: follower.Changes) -> None:
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -261,10 +261,15 @@
 
 @_frozen
 class Tick:
-    """Periodic event; ``unix_ms`` is the wall-clock time."""
+    """Periodic event.
+
+    ``unix_ms`` is the wall-clock time, and ``hosts_read_at`` when the latest
+    successful read of the hosts' entries started.
+    """
 
     unix_ms: float
     may_order: bool
+    hosts_read_at: float = 0.0
 
 
 Event = (
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -238,7 +238,9 @@
     ``clock_ms``, for ages and objectives, advances with the monotonic clock
     from the time of day at the beginning of the term. ``unreadable_jobs`` has
     the jobs whose progress record cannot be read. ``no_order_before`` is
-    the time from which machines may get orders at all.
+    the time from which machines may get orders at all. ``unseen_since``
+    maps the hosts that the machine list names and that are not known to the
+    time since when.
 
     ``values`` and the progress of ``dirty_jobs`` are stored in the next
     batch, for which ``deferred_effects`` wait. ``saving_effects`` wait for
@@ -258,6 +260,7 @@
         "effects",
         "host_machines",
         "hosts",
+        "hosts_read_at",
         "jobs",
         "largest_capacity",
         "leases_expire_at",
@@ -280,6 +283,7 @@
         "unix_ms",
         "unreadable_jobs",
         "unresponsive_changed",
+        "unseen_since",
         "values",
         "waves",
     )
@@ -290,6 +294,8 @@
         self.catalog: catalog.Catalog | None = None
         self.jobs: dict[str, jobstates.JobState] = {}
         self.hosts: dict[str, Host] = {}
+        self.hosts_read_at = 0.0
+        self.unseen_since: dict[str, float] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
         self.largest_capacity = model.Resources()
         self.machines_at = -1.0
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -16,6 +16,7 @@
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
 from azurewood.scheduling import tasks
+from azurewood.scheduling import unseen
 from azurewood.scheduling import waiting
 
 PLAN_INTERVAL_S: typing.Final = 0.2
@@ -50,6 +51,11 @@
         return
     state.pools_log_at = now + LOG_INTERVAL_S
     state.backlogs = backlog.by_pool(state)
+    missing = collections.Counter(
+        machine.pool
+        for machine in state.machines.values()
+        if unseen.is_unseen(state, machine)
+    )
     for pool in _pools(state, now):
         hosts = [
             host
@@ -64,6 +70,7 @@
             hosts=pool.hosts,
             coming=pool.coming,
             idle=len(pool.idle),
+            unseen=missing[pool.name],
             wanted=demand.wanted if demand else 0,
             used_cpu=sum(host.used.cpu for host in hosts if host.present),
             asked_cpu=demand.asked_cpu if demand else 0,
@@ -136,6 +143,7 @@
     hosts = collections.Counter()
     coming = collections.Counter()
     idle = collections.defaultdict(list)
+    away = unseen.unreachable_zones(state)
     for machine in state.machines.values():
         move = state.moving.get(machine.name)
         if move is not None:
@@ -143,7 +151,8 @@
         elif machine.state is messages.MachineState.UP:
             hosts[machine.pool] += _serving_hosts(state, machine)
             if _is_idle(state, machine, now):
-                idle[machine.pool].append(machine.name)
+                last = machine.zone in away
+                idle[machine.pool].append((last, machine.name))
         elif machine.state is not messages.MachineState.DOWN:
             coming[machine.pool] += 1
     return [
@@ -151,7 +160,7 @@
             name=pool.name,
             hosts=hosts[pool.name],
             coming=coming[pool.name],
-            idle=tuple(sorted(idle[pool.name])),
+            idle=tuple(name for _, name in sorted(idle[pool.name])),
             standby=pool.standby,
         )
         for pool in state.catalog.pools.values()
@@ -162,7 +171,7 @@
     """Return 1 if the machine's host can take tasks, else 0."""
     host = state.hosts.get(machine.host)
     if host is None:
-        return 1
+        return int(not unseen.is_unseen(state, machine))
     return int(
         host.present and not host.leaving and host.unresponsive_since is None
     )
@@ -175,7 +184,7 @@
         return False
     host = state.hosts.get(machine.host)
     if host is None:
-        return True
+        return not unseen.is_unseen(state, machine)
     responsive = host.synced and host.unresponsive_since is None
     return (
         responsive
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -19,6 +19,7 @@
 from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
 from azurewood.scheduling import unresponsive
+from azurewood.scheduling import unseen
 
 
 def begin(
@@ -167,6 +168,7 @@
         case messages.MachinesListed():
             maintenance.handle_list(state, event, now)
             pools.handle_list(state, now)
+            unseen.handle_list(state, now)
         case messages.OrderAnswered():
             maintenance.handle_order_answer(state, event, now)
             pools.handle_order_answer(state, event, now)
@@ -183,6 +185,7 @@
 
 def _tick(state: model.State, event: messages.Tick, now: float) -> None:
     state.unix_ms = event.unix_ms
+    state.hosts_read_at = event.hosts_read_at
     state.clock_ms = now * 1000 + state.clock_offset_ms
     hosts.send_due_calls(state, now)
     maintenance.drive_waves(state, now, may_order=event.may_order)
--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -69,6 +69,7 @@
         "runs",
         "service",
         "up",
+        "zone",
     )
 
     def __init__(
@@ -84,8 +85,10 @@
         observe: abc.Callable[..., None],
         on_end_acknowledged: abc.Callable[[messages.EndedRow], None],
         clock_rate: float = 1.0,
+        zone: str = "a",
     ) -> None:
         self.id = id
+        self.zone = zone
         self.machine = machine
         self.service = service
         self.address = f"{id}:80"
@@ -132,7 +135,7 @@
             id=self.id,
             address=self.address,
             service=self.service,
-            zone="a",
+            zone=self.zone,
             state=state.DRAINING if self.draining else state.READY,
             capacity=self.capacity,
             labels=self.labels,
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -54,16 +54,22 @@
         members: int,
         pools: dict[str, int],
         cores: tuple[float, ...] = (),
+        zones: tuple[str, ...] = ("a",),
+        pools_off: frozenset[str] = frozenset(),
     ) -> None:
         self.random = random.Random(seed)
+        self.zones = zones
+        self.pools_off = pools_off
         self.clock = clocks.Clock()
         self.store = stores.Store()
         self.rules = rule_checks.Rules(clock=self.clock)
         self.hosts: dict[str, sim_hosts.SimHost] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
+        self.labels: dict[str, tuple[str, ...]] = {}
         self.upkeep_done: dict[int, set[str]] = {}
         self.ordered: dict[str, LastOrder] = {}
         self.cut_hosts: set[str] = set()
+        self.cut_zones: set[str] = set()
         self.drops_unsent = True
         self.store_down = False
         self.lost_share = 0.0
@@ -102,17 +108,31 @@
 
     def _add_machine(self, service: str, number: int) -> None:
         name = f"{service}-{number}"
-        host = self.add_host(name, service, (f"rack-{number % 2}",))
+        zone = self.zones[number % len(self.zones)]
+        labels = (f"rack-{number % 2}",)
+        self.labels[name] = labels
         self.machines[name] = messages.MachineEntry(
             name=name,
             pool=service,
             state=messages.MachineState.UP,
-            host=host.id,
-            zone="a",
+            host=self._boot(name, service, labels, zone),
+            zone=zone,
         )
 
+    def _boot(
+        self, machine: str, service: str, labels: tuple[str, ...], zone: str
+    ) -> str:
+        """Return the id of a machine's new host, or "" if it is off."""
+        if service in self.pools_off:
+            return ""
+        return self.add_host(machine, service, labels, zone).id
+
     def add_host(
-        self, machine: str, service: str, labels: tuple[str, ...]
+        self,
+        machine: str,
+        service: str,
+        labels: tuple[str, ...],
+        zone: str = "a",
     ) -> sim_hosts.SimHost:
         """Add a host on a machine; the host publishes its entry."""
         self._names += 1
@@ -127,6 +147,7 @@
             observe=self.rules.observe,
             on_end_acknowledged=self.rules.on_end_acknowledged,
             clock_rate=self.random.choice((1.0, 0.98)),
+            zone=zone,
         )
         self.hosts[host.id] = host
         self._publish_periodically(host)
@@ -136,7 +157,8 @@
         """Write a host's entry periodically while the host is up."""
         if self.hosts.get(host.id) is not host:
             return
-        if host.up and not self.store_down:
+        cut = self.store_down or host.zone in self.cut_zones
+        if host.up and not cut:
             self.publish_entry(host)
         self.clock.after(
             ENTRY_INTERVAL_S, lambda: self._publish_periodically(host)
@@ -168,7 +190,10 @@
 
     def reachable(self, member: sim_members.SimMember, target: str) -> bool:
         """Return whether the network connects a daemon and a target."""
-        return target not in member.cut_from and target not in self.cut_hosts
+        if target in member.cut_from or target in self.cut_hosts:
+            return False
+        host = self.hosts.get(target)
+        return host is None or host.zone not in self.cut_zones
 
     def is_up(self, target: str) -> bool:
         """Return whether the target of a call is running."""
@@ -266,17 +291,17 @@
         seconds: float,
     ) -> None:
         """Crash a machine's host; a new host joins the pool later."""
-        host = self.hosts[machine.host]
-        host.crash()
-        gone = appender.Record(key=host.id, value=None)
-        self.store.add(pages.Topic.HOSTS, (gone,))
+        if machine.host:
+            self.hosts[machine.host].crash()
+            gone = appender.Record(key=machine.host, value=None)
+            self.store.add(pages.Topic.HOSTS, (gone,))
         self._set_machine(machine.name, pool, state, "")
-        labels = host.labels[1:]
+        labels = self.labels[machine.name]
 
         def back() -> None:
-            fresh = self.add_host(machine.name, pool, labels)
+            fresh = self._boot(machine.name, pool, labels, machine.zone)
             up = messages.MachineState.UP
-            self._set_machine(machine.name, pool, up, fresh.id)
+            self._set_machine(machine.name, pool, up, fresh)
 
         self.clock.after(seconds, back)
 
@@ -284,7 +309,11 @@
         self, name: str, pool: str, state: messages.MachineState, host: str
     ) -> None:
         self.machines[name] = messages.MachineEntry(
-            name=name, pool=pool, state=state, host=host, zone="a"
+            name=name,
+            pool=pool,
+            state=state,
+            host=host,
+            zone=self.machines[name].zone,
         )
 
     # Operators and callers
--- a/tests/scheduling/deployment.py
+++ b/tests/scheduling/deployment.py
@@ -39,16 +39,24 @@
     seed: int = 1,
     members: int = 3,
     cores: tuple[float, ...] = (),
+    zones: tuple[str, ...] = ("a",),
+    pools_off: frozenset[str] = frozenset(),
     **pools: int,
 ) -> worlds.World:
     """Return a configured world whose members have elected a leader.
 
     ``cores`` has the number of cores of each member. Without it no member
-    knows its number of cores.
+    knows its number of cores. The machines of a pool are in ``zones`` in
+    turn; those of ``pools_off`` are off and have no hosts.
     """
     counts = pools or {"s-one": 3, "s-two": 2}
     made = worlds.World(
-        seed=seed, members=len(cores) or members, pools=counts, cores=cores
+        seed=seed,
+        members=len(cores) or members,
+        pools=counts,
+        cores=cores,
+        zones=zones,
+        pools_off=pools_off,
     )
     made.configure(CATALOG)
     made.run(4.0)
