Let calls to a slow store wait; notice it sooner, keep to the intake longer

Each repetition waits in the partition's line behind the call that it replaces, so the line grows faster than it is served, also for the leader's copies from the intake. The intake was taken into use 1.7 s after the store became slow, as only the latency of beats was reported, and left again in between, as reports came later than 1.5 s.

Change: while the leader reports slow appends, calls wait 2 s; the leader's own do by the latency of its answered appends. The report is the largest of the latencies of beats, progress and jobs, and of how long the calls under way have waited. A daemon that uses the intake keeps to it for 5 s without a report. intake.used and intake.left are logged. A request that waited too long is not refused while its job may be in the intake by way of another daemon: a refusal says that it never runs.

--- a/azurewood/daemons/intake.py
+++ b/azurewood/daemons/intake.py
@@ -104,6 +104,8 @@
         """Make due calls; ``slow`` is whether daemons use the intake now."""
         if slow:
             self._in_use_until = now + IN_USE_S
+        for writer in self._writers:
+            writer.set_slow(slow)
         in_use = now < self._in_use_until
         for reader in self._readers:
             if reader.next_at() is None:
--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -11,6 +11,8 @@
 import contextlib
 import typing
 
+from loguru import logger
+
 from azurewood.daemons import ports
 from azurewood.daemons import topics
 from azurewood.jobs import desk as desks
@@ -119,12 +121,25 @@
         for as long as no leader copies them.
         """
         silent_s = self._election.leader_silent_s(now)
-        slow = intakes.use_intake(self._election.leader_append_s, silent_s)
+        slow = intakes.use_intake(
+            self._election.leader_append_s, silent_s, in_use=self._use_intake
+        )
+        if slow != self._use_intake:
+            self._switch(slow=slow, silent_s=silent_s)
         if slow or (now < self._incomplete_until and silent_s > COPY_S):
             self._incomplete_until = now + COPY_S
         self._job_service.complete = now >= self._incomplete_until
         return slow
 
+    def _switch(self, *, slow: bool, silent_s: float) -> None:
+        logger.bind(
+            event="intake.used" if slow else "intake.left",
+            append_ms=int(self._election.leader_append_s * 1000),
+            reported_ms_ago=int(silent_s * 1000),
+        ).info("accepted jobs go to the intake: {}", slow)
+        self._jobs.set_slow(slow)
+        self._intake.set_slow(slow)
+
     def _add(self, request: desks.WriteRequest) -> None:
         item = desks.append_item(request)
         job_id = None
@@ -148,17 +163,23 @@
     def _refuse_late(
         self, writer: topics.Writer, now: float, *, store_lost: bool
     ) -> None:
-        """Refuse requests whose records waited too long to be sent."""
+        """Answer requests whose records waited too long to be sent.
+
+        They are refused, unless the same job may be in the intake by way of
+        another daemon: a refusal says that it never runs.
+        """
         asked_before = now - (
             desks.SEND_TIMEOUT_STORE_LOST_S
             if store_lost
             else desks.SEND_TIMEOUT_S
         )
-        refused = desks.Refused(reason="store out of touch")
+        verdict = desks.Refused(reason="store out of touch")
+        if not self._job_service.complete:
+            verdict = desks.OutcomeUnknown(reason="the store is slow")
         for item in writer.withdraw(
             lambda item: item.token.request.asked_at < asked_before
         ):
-            _complete(item.token.request, refused)
+            _complete(item.token.request, verdict)
 
 
 class _ConfirmWrite:
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -286,10 +286,7 @@
             self._tick_at = now + TICK_S
             self._remove_expired(now)
             self._reports.step(now)
-            append_s = election.leader_append_s
-            self._intake.step(
-                now, slow=intake_policy.use_intake(append_s, 0.0)
-            )
+            self._step_intake(now)
             self.handle_event(self._tick(now))
         if now >= self._next_pass_at:
             self._run_scheduling_pass(now)
@@ -301,6 +298,18 @@
         if any(writer.fenced for writer in written):
             self.stop("a later term has written")
 
+    def _step_intake(self, now: float) -> None:
+        """Report the delay of appends and copy jobs from the intake."""
+        election = self._context.election
+        writers = (self._progress, self._jobs)
+        latency_s = max(writer.latency_s(now) for writer in writers)
+        waiting_s = max(writer.waiting_s(now) for writer in writers)
+        election.append_delay_s = max(latency_s, waiting_s)
+        slow = intake_policy.is_slow(max(latency_s, election.own_append_s))
+        for writer in writers:
+            writer.set_slow(slow)
+        self._intake.step(now, slow=slow or intake_policy.is_slow(waiting_s))
+
     def _run_scheduling_pass(self, now: float) -> None:
         """Run a scheduling pass and schedule the next by its duration."""
         began_at = self._context.clock()
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -93,6 +93,18 @@
         """Whether no record waits to be stored."""
         return self._appender.idle
 
+    def latency_s(self, now: float) -> float:
+        """Return the latency of the newest append, 0 if it is too old."""
+        return self._appender.latency_s(now)
+
+    def waiting_s(self, now: float) -> float:
+        """Return how long the append under way has waited for its answer."""
+        return self._appender.waiting_s(now)
+
+    def set_slow(self, slow: bool) -> None:
+        """Record whether the store is known to be slow."""
+        self._appender.slow = slow
+
     def add(
         self,
         records: tuple[appender.Record, ...],
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -22,6 +22,11 @@
 """Longest time-out: the slowest store appends in less than half of it."""
 TIMEOUT_FACTOR: typing.Final = 4
 """Ratio of the time-out to the latency of the newest answer."""
+SLOW_TIMEOUT_S: typing.Final = 2.0
+"""Time-out while the store is known to be slow. A call that is given up keeps
+its place in the store's line, and its repetition takes another one."""
+DELAY_VALID_S: typing.Final = 1.0
+"""How long the latency of the newest answer tells the store's delay."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -103,6 +108,7 @@
 
     ``add`` queues items. ``next_call`` returns the call to make now, if any.
     ``handle_result`` processes its result and returns the stored items.
+    ``slow`` is whether the store is known to be slow.
     """
 
     __slots__ = (
@@ -116,9 +122,11 @@
         "_retry_at",
         "_sequence",
         "_sent_at",
+        "_stored_at",
         "_last_latency_s",
         "fenced",
         "last_error",
+        "slow",
     )
 
     def __init__(self, *, epoch: int, seed: int = 0) -> None:
@@ -133,6 +141,8 @@
         self._random = random.Random(seed)
         self._sent_at = 0.0
         self._last_latency_s = 0.0
+        self._stored_at = 0.0
+        self.slow = False
         self.fenced = False
         self.last_error = ""
 
@@ -181,7 +191,21 @@
             timeout_s=self._timeout_s(),
         )
 
+    def latency_s(self, now: float) -> float:
+        """Return the latency of the newest answer, 0 if it is too old."""
+        recent = now < self._stored_at + DELAY_VALID_S
+        return self._last_latency_s if recent or self._batch else 0.0
+
+    def waiting_s(self, now: float) -> float:
+        """Return how long the call under way has waited for its answer.
+
+        The store may be slow, or the answer lost.
+        """
+        return now - self._sent_at if self._in_flight else 0.0
+
     def _timeout_s(self) -> float:
+        if self.slow:
+            return SLOW_TIMEOUT_S
         usual = max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * self._last_latency_s)
         return min(MAX_TIMEOUT_S, usual * 2**self._failures)
 
@@ -199,6 +223,7 @@
         match result:
             case Appended():
                 self._last_latency_s = now - self._sent_at
+                self._stored_at = now
                 return self._stored()
             case Fenced():
                 self.fenced = True
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -116,7 +116,9 @@
     ``preempted_live_leader`` is whether the newest claim replaced a leader
     that was still alive. ``silence_before_claim_s`` is how long this daemon
     had read no record when it last claimed. ``leader_append_s`` is how long
-    the leader's newest append took by its own report, 0 if unknown.
+    the leader's appends take by its own report, 0 if unknown.
+    ``own_append_s`` is how long this daemon's newest election record took,
+    and ``append_delay_s`` how long its other appends take.
 
     A leader's term counts as confirmed from the time at which its record was
     sent, which is before any daemon can have read the record. A daemon that
@@ -126,7 +128,6 @@
 
     __slots__ = (
         "_append_at",
-        "_append_s",
         "_append_end",
         "_appending",
         "_beat_at",
@@ -141,6 +142,7 @@
         "_seen_at",
         "_strongest_at",
         "_yield_until",
+        "append_delay_s",
         "confirmed_at",
         "cores",
         "end",
@@ -150,6 +152,7 @@
         "leader_cores",
         "name",
         "nonce",
+        "own_append_s",
         "preempted_live_leader",
         "silence_before_claim_s",
         "stopping",
@@ -168,7 +171,8 @@
         self.leader = ""
         self.leader_cores = 0.0
         self.leader_append_s = 0.0
-        self._append_s = 0.0
+        self.own_append_s = 0.0
+        self.append_delay_s = 0.0
         self.strongest = 0.0
         self.largest = model.Resources()
         self.confirmed_at = 0.0
@@ -240,7 +244,7 @@
             nonce=self.nonce,
             largest=largest,
             cores=self.cores,
-            append_s=round(self._append_s, 3),
+            append_s=round(max(self.own_append_s, self.append_delay_s), 3),
         )
         return self._append(entry, now)
 
@@ -293,7 +297,7 @@
 
     def _handle_stored(self, event: Stored, now: float) -> None:
         self._appending = False
-        self._append_s = now - event.began_at
+        self.own_append_s = now - event.began_at
         self._apply_entry(event.offset, event.entry, event.began_at, now)
         self._seen_at = now
         self._yield_until = None
--- a/azurewood/policy/intake.py
+++ b/azurewood/policy/intake.py
@@ -8,7 +8,9 @@
 
 While the leader reports slow appends, daemons store accepted jobs in the
 partitions of a second topic, the intake, which take appends side by side.
-The leader copies them to the jobs in batches.
+The leader copies them to the jobs in batches. Calls wait for their answers
+longer then: a call that is given up keeps its place in the partition's line,
+and its repetition takes another one.
 """
 
 import typing
@@ -18,7 +20,11 @@
 """Latency of the leader's appends from which the intake is used: ten times
 the usual one. At this latency a partition stores some 20 appends a second."""
 REPORT_VALID_S: typing.Final = 1.5
-"""How long a leader's report of its latency is considered."""
+"""How long a leader's report is considered by a daemon that stores jobs in
+their own topic."""
+IN_USE_VALID_S: typing.Final = 5.0
+"""How long it is considered by one that uses the intake: a slow store delays
+the next report too."""
 MAX_PARTITIONS: typing.Final = 16
 """Partitions of the intake, each of which the leader reads."""
 
@@ -28,10 +34,19 @@
     return zlib.crc32(daemon.encode()) % partitions
 
 
-def use_intake(append_s: float, reported_ago_s: float) -> bool:
+def is_slow(append_s: float) -> bool:
+    """Return whether the store is slow, by the latency of an append."""
+    return append_s >= SLOW_APPEND_S
+
+
+def use_intake(
+    append_s: float, reported_ago_s: float, *, in_use: bool
+) -> bool:
     """Return whether accepted jobs go to the intake.
 
-    ``append_s`` is the latency of the leader's newest append, 0 if the
-    leader does not report it; such a leader does not read the intake.
+    ``append_s`` is the delay of the leader's appends, 0 if the leader does
+    not report it; such a leader does not read the intake. ``in_use`` is
+    whether the daemon uses the intake already.
     """
-    return append_s >= SLOW_APPEND_S and reported_ago_s < REPORT_VALID_S
+    valid_s = IN_USE_VALID_S if in_use else REPORT_VALID_S
+    return is_slow(append_s) and reported_ago_s < valid_s
--- a/tests/journal/test_appender.py
+++ b/tests/journal/test_appender.py
@@ -1,5 +1,7 @@
 """Appends with sequence numbers, batches and retries."""
 
+import pytest
+
 from azurewood.journal import appender
 
 
@@ -85,6 +87,35 @@
     assert writer.next_call(9.0).timeout_s <= appender.MAX_TIMEOUT_S
 
 
+def test_a_call_waits_longer_while_the_store_is_known_to_be_slow():
+    writer = _writer()
+    writer.slow = True
+    assert writer.next_call(0.0).timeout_s == appender.SLOW_TIMEOUT_S
+    writer.handle_result(appender.Unknown(reason="silence"), 2.0)
+    assert writer.next_call(9.0).timeout_s == appender.SLOW_TIMEOUT_S
+
+
+def test_latency_is_that_of_the_newest_answer_until_it_is_too_old():
+    writer = _writer()
+    assert writer.latency_s(0.0) == writer.waiting_s(0.0) == 0.0
+    writer.next_call(0.0)
+    assert writer.latency_s(0.1) == 0.0
+    assert writer.waiting_s(0.1) == 0.1
+    writer.handle_result(appender.Appended(offset=0), 0.2)
+    assert writer.waiting_s(0.3) == 0.0
+    assert writer.latency_s(0.3) == 0.2
+    assert writer.latency_s(0.2 + appender.DELAY_VALID_S) == 0.0
+
+
+def test_a_call_that_is_repeated_waits_anew():
+    writer = _writer()
+    writer.next_call(0.0)
+    writer.handle_result(appender.Unknown(reason="silence"), 0.25)
+    assert writer.waiting_s(0.26) == 0.0
+    writer.next_call(1.0)
+    assert writer.waiting_s(1.1) == pytest.approx(0.1)
+
+
 def test_fenced_appender_makes_no_more_calls():
     writer = _writer()
     writer.next_call(0.0)
--- a/tests/scheduling/test_intake.py
+++ b/tests/scheduling/test_intake.py
@@ -1,8 +1,11 @@
 """Jobs that daemons store in the intake while the store is slow."""
 
+import collections
+
 import pytest
 
 from azurewood.daemons import intake as copier
+from azurewood.daemons import topics
 from azurewood.jobs import desk
 from azurewood.jobs import model
 from azurewood.jobs import records
@@ -14,6 +17,7 @@
 
 APPEND_S = 0.003
 SLOW = 28.0
+SLOW_SECONDS = 5
 SHORT = model.Step(
     count=1, needs=model.Resources(500, 100, 0), estimate_ms=200
 )
@@ -71,6 +75,81 @@
     assert _share_taken(asked) <= 0.6
 
 
+def _share_quickly_taken(daemons, per_s):
+    """Slow the store for 5 s of a peak; return shares by second.
+
+    A share is that of the jobs whose record was stored within a second.
+    """
+    made = deployment.world(members=daemons, **{"s-one": 30})
+    made.append_s = APPEND_S
+    made.run(2.0)
+    asked = {}
+    quick = set()
+    for second in range(SLOW_SECONDS + 1):
+        for turn in range(per_s):
+            number = second * per_s + turn
+            job = deployment.job(made, number + 1, SHORT)
+            member = made.members[number % daemons]
+            asked[job.id] = (made.submit(member, job), made.clock.now, second)
+            made.run(1 / per_s)
+            quick.update(_taken_within(asked, 1.0, made.clock.now))
+        made.slow = SLOW
+    made.slow = 1.0
+    made.run(12.0)
+    deployment.check(made)
+    for job_id, (answer, _, _) in asked.items():
+        if answer.verdict == desk.Taken():
+            shown = deployment.phase(made, job_id)
+            assert shown is model.Phase.COMPLETED
+    counts = collections.Counter(asked[job_id][2] for job_id in quick)
+    return [counts[second] / per_s for second in range(SLOW_SECONDS + 1)]
+
+
+def _taken_within(asked, seconds, now):
+    """Yield the jobs that are taken and were asked for in ``seconds``."""
+    for job_id, (answer, asked_at, _) in asked.items():
+        if answer.verdict == desk.Taken() and now - asked_at <= seconds:
+            yield job_id
+
+
+def test_a_peak_is_taken_from_the_second_after_the_store_became_slow():
+    before, first, *later = _share_quickly_taken(36, 45)
+    assert before >= 0.95
+    assert first >= 0.4
+    assert all(share >= 0.95 for share in later[:-1])
+
+
+def test_calls_that_are_given_up_and_repeated_fill_the_stores_line(
+    monkeypatch,
+):
+    """Each repetition waits in the line behind the call it replaces."""
+    monkeypatch.setattr(topics.Writer, "set_slow", lambda self, slow: None)
+    _, *later = _share_quickly_taken(36, 45)
+    assert min(later) <= 0.3
+
+
+def test_a_daemon_keeps_to_the_intake_while_reports_are_late():
+    made = _slow_world()
+    member = next(m for m in made.members if not m.leads)
+    made.leaders()[0].frozen = True
+    made.run(1.8)
+    asked = made.submit(member, deployment.job(made, 1, SHORT))
+    made.run(0.5)
+    assert asked.verdict == desk.Taken()
+    assert _stored_in_intake(made) == {f"a/{1:016x}"}
+
+
+def test_a_late_request_is_not_refused_while_the_intake_may_have_its_job():
+    made = _slow_world(daemons=4)
+    member = next(m for m in made.members if not m.leads)
+    made.slow = 10_000.0
+    made.submit(member, deployment.job(made, 1, SHORT))
+    made.run(0.1)
+    asked = made.submit(member, deployment.job(made, 2, SHORT))
+    made.run(desk.SEND_TIMEOUT_S + 0.5)
+    assert isinstance(asked.verdict, desk.OutcomeUnknown)
+
+
 def test_nothing_goes_to_the_intake_while_the_store_is_quick():
     made = deployment.world()
     made.append_s = APPEND_S
