Read stored jobs back instead of repeating their appends

Cause: let a leader's waiting call count as a sign of a slow store. Its tests had no lost answers at a quick store. Also, in the second before a slow store is noticed, each daemon's call was still repeated three times.

Change: a daemon follows the jobs anyway. It takes a job for stored when it reads its record, so calls to the jobs' partition can wait 1.4 s for their answer; a call whose records are all read back is repeated after 50 ms, as its answer may be lost. The store counts as slow by the latencies of answered appends and by how long a read of the hosts takes, which is never held open and whose answer is not lost with those of writes.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -77,6 +77,7 @@
                 part=part,
                 producer=f"{name}-{nonce}",
                 epoch=1,
+                reads_back=topic is pages.Topic.JOBS,
             )
             for topic, part in (
                 (pages.Topic.JOBS, 0),
@@ -91,6 +92,10 @@
         """Enqueue a caller's write request; called by any thread."""
         self._inbox.append(request)
 
+    def note_read(self, key: str) -> None:
+        """Confirm the request whose record was read among the jobs."""
+        self._jobs.note_read(key)
+
     def step(self, now: float, *, store_lost: bool) -> None:
         """Make due appends and refuse requests that waited for too long.
 
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -203,6 +203,7 @@
             job_id = records.job_of(stored.key)
             self.job_service.registry.unreadable.add(job_id)
             return
+        self._writes.note_read(stored.key)
         if isinstance(record, records.Accepted):
             self.job_service.in_intake.discard(record.job.id)
         if self.job_service.registry.apply(record) and self.term is not None:
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -302,13 +302,16 @@
         """Report the delay of appends and copy jobs from the intake."""
         election = self._context.election
         writers = (self._progress, self._jobs)
-        latency_s = max(writer.latency_s(now) for writer in writers)
-        waiting_s = max(writer.waiting_s(now) for writer in writers)
-        election.append_delay_s = max(latency_s, waiting_s)
-        slow = intake_policy.is_slow(max(latency_s, election.own_append_s))
+        election.append_delay_s = intake_policy.reported_append_s(
+            max(writer.latency_s(now) for writer in writers),
+            self._hosts.delay_s(now),
+        )
+        slow = intake_policy.is_slow(
+            max(election.append_delay_s, election.own_append_s)
+        )
         for writer in writers:
             writer.set_slow(slow)
-        self._intake.step(now, slow=slow or intake_policy.is_slow(waiting_s))
+        self._intake.step(now, slow=slow)
 
     def _run_scheduling_pass(self, now: float) -> None:
         """Run a scheduling pass and schedule the next by its duration."""
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -52,7 +52,12 @@
 
 
 class Writer:
-    """Appends records to a partition of a topic as one producer."""
+    """Appends records to a partition of a topic as one producer.
+
+    ``reads_back`` is whether ``note_read`` is called for each record of the
+    topic. An item whose record is read counts as stored, and its token is
+    called once more when the append is answered.
+    """
 
     __slots__ = (
         "_appender",
@@ -74,6 +79,7 @@
         producer: str,
         epoch: int,
         part: int = 0,
+        reads_back: bool = False,
     ) -> None:
         self._part = part
         self._platform = platform
@@ -81,7 +87,9 @@
         self._clock = clock
         self._topic = topic
         self._producer = producer
-        self._appender = appender.Appender(epoch=epoch, seed=epoch)
+        self._appender = appender.Appender(
+            epoch=epoch, seed=epoch, reads_back=reads_back
+        )
 
     @property
     def fenced(self) -> bool:
@@ -97,10 +105,6 @@
         """Return the latency of the newest append, 0 if it is too old."""
         return self._appender.latency_s(now)
 
-    def waiting_s(self, now: float) -> float:
-        """Return how long the append under way has waited for its answer."""
-        return self._appender.waiting_s(now)
-
     def set_slow(self, slow: bool) -> None:
         """Record whether the store is known to be slow."""
         self._appender.slow = slow
@@ -132,13 +136,21 @@
                 self._platform.append(
                     self._topic, request, self._producer, part=self._part
                 ),
-                self._on_reply,
+                lambda reply: self._on_reply(request, reply),
             )
 
-    def _on_reply(self, reply: multiplex.Reply) -> None:
+    def note_read(self, key: str) -> None:
+        """Confirm the item of this writer whose record the topic has."""
+        item = self._appender.note_read(key, self._clock())
+        if item is not None and item.token is not None:
+            item.token()
+
+    def _on_reply(
+        self, request: appender.Request, reply: multiplex.Reply
+    ) -> None:
         result = self._platform.append_result(reply)
         failing = self._appender.failing
-        stored = self._appender.handle_result(result, self._clock())
+        stored = self._appender.handle_result(result, self._clock(), request)
         if self._appender.failing and not failing:
             logger.bind(
                 event="append.failed", topic=self._topic.value
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -22,6 +22,11 @@
 """Longest time-out: the slowest store appends in less than half of it."""
 TIMEOUT_FACTOR: typing.Final = 4
 """Ratio of the time-out to the latency of the newest answer."""
+READ_BACK_TIMEOUT_S: typing.Final = 1.4
+"""Shortest time-out of a call whose records its producer reads back: a lost
+answer shows long before that."""
+READ_BACK_GRACE_S: typing.Final = 0.05
+"""Time after which a call is repeated whose records were read back."""
 SLOW_TIMEOUT_S: typing.Final = 2.0
 """Time-out while the store is known to be slow. A call that is given up keeps
 its place in the store's line, and its repetition takes another one."""
@@ -95,12 +100,16 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Request:
-    """One append call for all of its records, with a time-out."""
+    """One append call for all of its records, with a time-out.
+
+    ``number`` tells the calls of an appender apart.
+    """
 
     records: tuple[Record, ...]
     epoch: int
     sequence: int
     timeout_s: float
+    number: int = 0
 
 
 class Appender:
@@ -108,11 +117,13 @@
 
     ``add`` queues items. ``next_call`` returns the call to make now, if any.
     ``handle_result`` processes its result and returns the stored items.
-    ``slow`` is whether the store is known to be slow.
+    ``slow`` is whether the store is known to be slow. ``reads_back`` is
+    whether ``note_read`` is called for the records that the topic has.
     """
 
     __slots__ = (
         "_batch",
+        "_calls",
         "_unresolved",
         "_epoch",
         "_failures",
@@ -123,14 +134,23 @@
         "_sequence",
         "_sent_at",
         "_stored_at",
+        "_unread",
+        "_read_at",
+        "_reads_back",
         "_last_latency_s",
         "fenced",
         "last_error",
         "slow",
     )
 
-    def __init__(self, *, epoch: int, seed: int = 0) -> None:
+    def __init__(
+        self, *, epoch: int, seed: int = 0, reads_back: bool = False
+    ) -> None:
         self._epoch = epoch
+        self._reads_back = reads_back
+        self._unread: dict[str, Item] = {}
+        self._read_at: float | None = None
+        self._calls = 0
         self._pending: collections.deque[Item] = collections.deque()
         self._batch: tuple[Item, ...] = ()
         self._in_flight = False
@@ -176,36 +196,70 @@
 
     def next_call(self, now: float) -> Request | None:
         """Return the call to make now, or None."""
+        self._give_up_if_read(now)
         if self._in_flight or self.fenced or now < self._retry_at:
             return None
         if not self._batch:
             self._batch = tuple(self._next_batch())
+            self._unread = self._expected()
         if not self._batch:
             return None
         self._in_flight = True
         self._sent_at = now
+        self._read_at = None
+        self._calls += 1
         return Request(
+            number=self._calls,
             records=tuple(r for item in self._batch for r in item.records),
             epoch=self._epoch,
             sequence=self._sequence,
             timeout_s=self._timeout_s(),
         )
 
-    def latency_s(self, now: float) -> float:
-        """Return the latency of the newest answer, 0 if it is too old."""
-        recent = now < self._stored_at + DELAY_VALID_S
-        return self._last_latency_s if recent or self._batch else 0.0
+    def _expected(self) -> dict[str, Item]:
+        """Return the batch's keys that are to be read back."""
+        if not self._reads_back:
+            return {}
+        return {
+            record.key: item
+            for item in self._batch
+            for record in item.records
+            if record.value is not None
+        }
+
+    def note_read(self, key: str, now: float) -> Item | None:
+        """Note that the topic has a record; return its item, if it is ours.
+
+        The call that appends it is repeated soon unless it is answered: its
+        answer may be lost.
+        """
+        item = self._unread.pop(key, None)
+        if item is not None and not self._unread:
+            self._read_at = now
+        return item
+
+    def _give_up_if_read(self, now: float) -> None:
+        """Give up a call whose records are all read and that has no answer."""
+        if self._read_at is None or self.slow or not self._in_flight:
+            return
+        if now >= self._read_at + READ_BACK_GRACE_S:
+            self._in_flight = False
+            self._unresolved = True
 
-    def waiting_s(self, now: float) -> float:
-        """Return how long the call under way has waited for its answer.
+    def latency_s(self, now: float) -> float:
+        """Return the latency of the newest answer, 0 if it is too old.
 
-        The store may be slow, or the answer lost.
+        How long the call under way has waited tells nothing of the store:
+        its answer may be lost.
         """
-        return now - self._sent_at if self._in_flight else 0.0
+        recent = now < self._stored_at + DELAY_VALID_S
+        return self._last_latency_s if recent or self._batch else 0.0
 
     def _timeout_s(self) -> float:
         if self.slow:
             return SLOW_TIMEOUT_S
+        if self._unread:
+            return READ_BACK_TIMEOUT_S
         usual = max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * self._last_latency_s)
         return min(MAX_TIMEOUT_S, usual * 2**self._failures)
 
@@ -217,8 +271,17 @@
                 return
             yield self._pending.popleft()
 
-    def handle_result(self, result: Result, now: float) -> tuple[Item, ...]:
-        """Process the result of the call and return the items now stored."""
+    def handle_result(
+        self, result: Result, now: float, request: Request | None = None
+    ) -> tuple[Item, ...]:
+        """Process the result of a call and return the items now stored.
+
+        Without ``request`` it is that of the newest call. The result of a
+        call that was given up counts only if it says that the records were
+        stored.
+        """
+        if request is not None and not self._counts(request, result):
+            return ()
         self._in_flight = False
         match result:
             case Appended():
@@ -236,9 +299,17 @@
                 self._fail(reason, now)
         return ()
 
+    def _counts(self, request: Request, result: Result) -> bool:
+        if request.number == self._calls and self._in_flight:
+            return True
+        current = request.sequence == self._sequence and bool(self._batch)
+        return current and isinstance(result, Appended)
+
     def _stored(self) -> tuple[Item, ...]:
         batch = self._batch
         self._batch = ()
+        self._unread = {}
+        self._read_at = None
         self._unresolved = False
         self._failures = 0
         self._retry_at = 0.0
--- a/azurewood/journal/follower.py
+++ b/azurewood/journal/follower.py
@@ -65,6 +65,7 @@
         "_after",
         "_failures",
         "_found",
+        "_latency_s",
         "_listed_end",
         "_next_at",
         "_random",
@@ -99,6 +100,7 @@
         self.began_at = 0.0
         self._after = ""
         self._found: list[tuple[int, appender.Record]] = []
+        self._latency_s = 0.0
         self._listed_end = 0
         self._failures = 0
         self._next_at = 0.0
@@ -119,6 +121,15 @@
         """Return when the next read is due, None while one is in flight."""
         return None if self._reading else self._next_at
 
+    def delay_s(self, now: float) -> float:
+        """Return how long a read takes that the store doesn't hold open.
+
+        A read under way tells it before its answer does.
+        """
+        if self._reading:
+            return max(self._latency_s, now - self.began_at)
+        return self._latency_s
+
     def next_call(self, now: float) -> ReadNewest | ReadFrom | None:
         """Return the read to make now, if one is due."""
         if self._reading or now < self._next_at:
@@ -142,6 +153,7 @@
                 self._restart_reading(first)
                 return None
         self._failures = 0
+        self._latency_s = now - self.began_at
         self.fresh_at = self.began_at
         self._next_at = max(now, self.began_at + self.pause_s)
         match result:
--- a/azurewood/policy/intake.py
+++ b/azurewood/policy/intake.py
@@ -19,6 +19,9 @@
 SLOW_APPEND_S: typing.Final = 0.08
 """Latency of the leader's appends from which the intake is used: ten times
 the usual one. At this latency a partition stores some 20 appends a second."""
+SLOW_READ_S: typing.Final = 0.15
+"""Duration of a read from which the store counts as slow: longer than a step
+of a busy leader's loop."""
 REPORT_VALID_S: typing.Final = 1.5
 """How long a leader's report is considered by a daemon that stores jobs in
 their own topic."""
@@ -34,6 +37,16 @@
     return zlib.crc32(daemon.encode()) % partitions
 
 
+def reported_append_s(append_s: float, read_s: float) -> float:
+    """Return the delay of appends that a leader reports.
+
+    ``append_s`` is the largest latency of its newest appends, and ``read_s``
+    how long its newest read takes, which is known sooner: the answers of
+    appends come late also because they were lost and the calls repeated.
+    """
+    return max(append_s, read_s if read_s >= SLOW_READ_S else 0.0)
+
+
 def is_slow(append_s: float) -> bool:
     """Return whether the store is slow, by the latency of an append."""
     return append_s >= SLOW_APPEND_S
--- a/tests/journal/test_follower.py
+++ b/tests/journal/test_follower.py
@@ -1,5 +1,7 @@
 """Following a topic through failed reads and deleted records."""
 
+import pytest
+
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
@@ -101,3 +103,12 @@
     assert list(follower.removed_keys(["a", "b"], changes)) == ["b"]
     part = follower.Changes(records=(_record("a"),))
     assert list(follower.removed_keys(["a", "b"], part)) == []
+
+
+def test_the_delay_of_a_read_is_known_before_its_answer():
+    reader = _listed()
+    assert reader.delay_s(0.05) == 0.01
+    assert reader.next_call(0.2) is not None
+    assert reader.delay_s(0.6) == pytest.approx(0.4)
+    reader.handle_result(pages.Page(offset=5, records=(), end=5, first=0), 0.7)
+    assert reader.delay_s(0.75) == pytest.approx(0.5)
--- a/tests/policy/test_intake.py
+++ b/tests/policy/test_intake.py
@@ -72,3 +72,11 @@
 ):
     used = intake.use_intake(append_s, reported_ago_s, in_use=in_use)
     assert used is expected
+
+
+@pytest.mark.parametrize(
+    ("append_s", "read_s", "expected"),
+    [(0.007, 0.01, 0.007), (0.007, 0.1, 0.007), (0.007, 0.4, 0.4)],
+)
+def test_a_slow_read_tells_of_slow_appends(append_s, read_s, expected):
+    assert intake.reported_append_s(append_s, read_s) == expected
