Park nothing while the store is slow

A pool in its peak seems to need little for longer than the parking delay; its hosts are parked (106 -> 74 in a second) and asked for again a second later.

Change: pool_sizes.plan parks nothing while the leader's appends or reads are slow. Hosts still move to other pools that ask for them.

--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -60,6 +60,7 @@
         "_progress",
         "_removals",
         "_reports",
+        "_store_slow",
         "_takeover",
         "_tick_at",
         "end_reason",
@@ -74,6 +75,7 @@
         self.state: scheduling.State | None = None
         self._takeover = takeovers.Takeover(context=context, number=number)
         self._tick_at = 0.0
+        self._store_slow = False
         self._next_pass_at = 0.0
         self._check_hosts_at = math.inf
         self._removals: collections.deque[tuple[float, str]] = (
@@ -306,12 +308,12 @@
             max(writer.latency_s(now) for writer in writers),
             self._hosts.delay_s(now),
         )
-        slow = intake_policy.is_slow(
+        self._store_slow = intake_policy.is_slow(
             max(election.append_delay_s, election.own_append_s)
         )
         for writer in writers:
-            writer.set_slow(slow)
-        self._intake.step(now, slow=slow)
+            writer.set_slow(self._store_slow)
+        self._intake.step(now, slow=self._store_slow)
 
     def _run_scheduling_pass(self, now: float) -> None:
         """Run a scheduling pass and schedule the next by its duration."""
@@ -329,6 +331,7 @@
             unix_ms=self._context.unix_ms(),
             may_order=election.may_order(now),
             hosts_read_at=self._hosts.fresh_at,
+            store_slow=self._store_slow,
         )
 
     def _on_hosts_read(self, changes: follower.Changes) -> None:
--- a/azurewood/policy/pool_sizes.py
+++ b/azurewood/policy/pool_sizes.py
@@ -7,7 +7,9 @@
 peak thus get to the next peak in one move. Idle hosts are parked in the
 standby pool only after their pool has needed fewer hosts for
 ``PARK_AFTER_S``, because the two moves of a host that is parked and brought
-back cost as much as ``PARK_AFTER_S`` in its pool.
+back cost as much as ``PARK_AFTER_S`` in its pool. While the store is slow,
+jobs are late on their way to the leader and a pool in its peak seems to need
+little, so nothing is parked.
 """
 
 from collections import abc
@@ -95,7 +97,10 @@
 
 
 def plan(
-    pools: abc.Iterable[Pool], demands: abc.Mapping[str, Demand]
+    pools: abc.Iterable[Pool],
+    demands: abc.Mapping[str, Demand],
+    *,
+    store_slow: bool = False,
 ) -> list[Move]:
     """Return the moves to make now, the most urgent first."""
     pools = list(pools)
@@ -111,7 +116,7 @@
     moves.extend(_fill_reserve(serving, demands, parked))
     taken = {move.machine for move in moves}
     standby = next((pool.name for pool in pools if pool.standby), None)
-    if standby is not None:
+    if standby is not None and not store_slow:
         moves.extend(_park(serving, demands, taken, standby))
     return moves
 
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -264,12 +264,14 @@
     """Periodic event.
 
     ``unix_ms`` is the wall-clock time, and ``hosts_read_at`` when the latest
-    successful read of the hosts' entries started.
+    successful read of the hosts' entries started. ``store_slow`` is whether
+    jobs may be late on their way to the leader.
     """
 
     unix_ms: float
     may_order: bool
     hosts_read_at: float = 0.0
+    store_slow: bool = False
 
 
 Event = (
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -277,6 +277,7 @@
         "pools_log_at",
         "recorded_unresponsive",
         "saving_effects",
+        "store_slow",
         "stuck_due",
         "stuck_work",
         "term",
@@ -308,6 +309,7 @@
         self.backlogs: dict[str, waiting.Backlog] = {}
         self.stuck_work: dict[str | model.TaskId, waiting.StuckWork] = {}
         self.stuck_due = 0.0
+        self.store_slow = False
         self.arrivals: dict[str, arrivals.Arrivals] = {}
         self.ordered_at: dict[str, float] = {}
         self.order_after: dict[str, float] = {}
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -40,7 +40,10 @@
     _log_pools(state, now)
     if not may_order or now - state.machines_at > MAX_LIST_AGE_S:
         return
-    for move in pool_sizes.plan(_pools(state, now), state.demands):
+    moves = pool_sizes.plan(
+        _pools(state, now), state.demands, store_slow=state.store_slow
+    )
+    for move in moves:
         if state.may_order(move.machine, now):
             _order(state, move, now)
 
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -70,6 +70,7 @@
         self.ordered: dict[str, LastOrder] = {}
         self.cut_hosts: set[str] = set()
         self.cut_zones: set[str] = set()
+        self.moves: list[str] = []
         self.drops_unsent = True
         self.store_down = False
         self.lost_share = 0.0
@@ -265,6 +266,7 @@
                 self._replace(machine, machine.pool, state, MAINTENANCE_S)
             case messages.MoveMachine(pool=pool):
                 if machine.pool != pool:
+                    self.moves.append(pool)
                     state = messages.MachineState.MOVING
                     self._replace(machine, pool, state, MOVE_S)
         return messages.OrderResult.DONE
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -87,6 +87,64 @@
     assert demand.recent_peak == 2
 
 
+def test_nothing_is_parked_while_the_store_is_slow():
+    found = [
+        _pool("one", 4, "a1", "a2"),
+        _pool("two", 2),
+        _pool("spare", 0, standby=True),
+    ]
+    demands = {"one": _demand(2), "two": _demand(3)}
+    moves = pool_sizes.plan(found, demands, store_slow=True)
+    assert [(m.machine, m.pool) for m in moves] == [("a1", "two")]
+    moves = pool_sizes.plan(found, demands)
+    assert ("a2", "spare") in [(m.machine, m.pool) for m in moves]
+
+
+def _moves_while_the_store_is_slow():
+    """Let a turn's jobs be late for 4 s; return the machines' moves.
+
+    They are those to standby within that time, and all.
+    """
+    made = deployment.world(
+        pools_off=frozenset({"spare"}),
+        **{"s-one": 2, "s-two": 2, "spare": 10},
+    )
+    made.run(3.0)
+    step = model.Step(
+        count=4, needs=model.Resources(1000, 500, 0), estimate_ms=800
+    )
+    made.append_s = 0.003
+    for number in range(64):
+        made.slow = 50.0 if 20 <= number < 44 else 1.0
+        if number in (20, 44):
+            made.run(0.1)
+        if not 22 <= number < 42:
+            job = deployment.job(made, 100 + number, step, queue="one")
+            made.submit(made.members[number % 3], job)
+        made.run(0.2)
+        if number == 20:
+            before = len(made.moves)
+        elif number == 43:
+            late = made.moves[before:]
+    made.run(8.0)
+    deployment.check(made)
+    return late.count("spare"), len(made.moves)
+
+
+def test_a_slow_store_in_a_turn_costs_no_moves_to_standby(monkeypatch):
+    parked, moves = _moves_while_the_store_is_slow()
+    assert parked == 0
+    plan = pool_sizes.plan
+
+    def naive(found, demands, **_):
+        return plan(found, demands)
+
+    monkeypatch.setattr(pool_sizes, "plan", naive)
+    naive_parked, naive_moves = _moves_while_the_store_is_slow()
+    assert naive_parked >= 2
+    assert moves < naive_moves
+
+
 def _share_in_time(made, pauses, queue):
     """Submit jobs to a queue; return the share that is done in time.
 
