Let a leader's next process reclaim its term at once

Change: a beat carries the name and address at which its leader listens, and the number of earlier beats of its term. Two processes never listen on one address, so a daemon that finds its own has followed the leader: that process has ended, renews no lease and sends no order. It claims at its first reading and does not wait for orders of a live leader; machines with recent orders on record still wait. Not after a term of under 25 beats (10 s), so that a leader that fails soon after each start leaves the term to others, and not when listening on any address.

--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import concurrent.futures
+import ipaddress
 import secrets
 import threading
 import time
@@ -82,6 +83,7 @@
             retention_s=settings.retention_s,
             cores=settings.cores,
             store_partitions=settings.store_partitions,
+            address=_own_address(settings),
         )
         job_service = self.member.job_service
         self._servers = [
@@ -136,6 +138,14 @@
         return self._stop_at is not None and now >= self._stop_at
 
 
+def _own_address(settings: typing.Any) -> str:
+    """Return what no other process shares, or "" if any may listen on it."""
+    front = settings.front
+    if ipaddress.ip_address(front.host).is_unspecified:
+        return ""
+    return f"{settings.name} {front}"
+
+
 def _server(
     address: typing.Any, application: ports.Application, threads: int
 ) -> typing.Any:
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -82,6 +82,7 @@
         retention_s: float,
         cores: float = 0.0,
         store_partitions: int = 1,
+        address: str = "",
     ) -> None:
         self._partitions = min(store_partitions, intakes.MAX_PARTITIONS)
         self._platform = platform
@@ -94,7 +95,11 @@
         self._waves: dict[int, messages.WaveRequested] = {}
         self.term: terms.Term | None = None
         self.election = leadership.Election(
-            name=name, nonce=nonce, now=self._clock(), cores=cores
+            name=name,
+            nonce=nonce,
+            now=self._clock(),
+            cores=cores,
+            address=address,
         )
         self.job_service = desks.JobService(
             clock=self._clock,
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -14,6 +14,12 @@
 once per ``CLAIM_COOLDOWN_S``. A daemon that fails repeatedly thus changes
 the leader at most once in that time.
 
+A daemon that finds a beat of its own address was the leader before it was
+started again: two processes never listen on one address, so the earlier one
+has ended. It claims immediately if that term had ``MIN_BEATS_TO_RECLAIM``
+beats, so that a leader that ends soon after each start does not keep the term
+from others.
+
 This module reads no clock and makes no calls: ``Election.step`` receives an
 event and the time, and returns the record to append, if any.
 """
@@ -39,6 +45,8 @@
 MIN_CORES_RATIO: typing.Final = 1.5
 """Ratio of a daemon's cores to the leader's cores from which the daemon
 preempts the leader. Machines of equal or adjacent sizes never compete."""
+MIN_BEATS_TO_RECLAIM: typing.Final = 25
+"""Beats of a term, 10 s, after which the leader's next process reclaims it."""
 MAX_READ_AGE_S: typing.Final = 1.0
 """Age from which a read does not prove the current state: twice the time for
 which the store holds a read open."""
@@ -108,7 +116,8 @@
 class Election:
     """One daemon's view of the current term and its part in the election.
 
-    ``nonce`` is unique to this boot of the daemon. ``term`` is above zero
+    ``nonce`` is unique to this boot of the daemon. ``address`` is where it
+    listens, empty if unknown. ``term`` is above zero
     only while this daemon leads. ``largest`` is the capacity of the largest
     machine according to the newest beat. ``cores`` is this daemon's number
     of cores, 0 if unknown. ``strongest`` is the highest number of cores of
@@ -131,17 +140,20 @@
         "_append_end",
         "_appending",
         "_beat_at",
+        "_beats",
         "_cooldown_s",
         "_cooldown_until",
         "_leader_nonce",
         "_leader_seen_at",
         "_orders_from",
+        "_predecessor_ended",
         "_read_at",
         "_renewals",
         "_resigned",
         "_seen_at",
         "_strongest_at",
         "_yield_until",
+        "address",
         "append_delay_s",
         "confirmed_at",
         "cores",
@@ -161,10 +173,17 @@
     )
 
     def __init__(
-        self, *, name: str, nonce: str, now: float, cores: float = 0.0
+        self,
+        *,
+        name: str,
+        nonce: str,
+        now: float,
+        cores: float = 0.0,
+        address: str = "",
     ) -> None:
         self.name = name
         self.nonce = nonce
+        self.address = address
         self.cores = cores
         self.term = 0
         self.end = -1
@@ -181,6 +200,8 @@
         self._leader_nonce = ""
         self._leader_seen_at = 0.0
         self._resigned = False
+        self._predecessor_ended = False
+        self._beats = 0
         self._appending = False
         self._seen_at = now
         self._read_at = now
@@ -245,7 +266,10 @@
             largest=largest,
             cores=self.cores,
             append_s=round(max(self.own_append_s, self.append_delay_s), 3),
+            address=self.address,
+            beats=self._beats,
         )
+        self._beats += 1
         return self._append(entry, now)
 
     def resign(self, now: float) -> Append | None:
@@ -322,6 +346,7 @@
                 self._leader_seen_at = now
                 self.leader_append_s = entry.append_s
                 self.leader_cores = cores
+                self._predecessor_ended = self._is_predecessors(entry)
                 self.largest = largest
                 self._record_cores(cores, now)
             case records.Resign(nonce=nonce):
@@ -329,6 +354,15 @@
         if self.term and entry is not None and entry.nonce == self.nonce:
             self.confirmed_at = max(self.confirmed_at, sent_at)
 
+    def _is_predecessors(self, beat: records.Beat) -> bool:
+        """Return whether a beat is of this daemon's earlier process."""
+        return (
+            self.address != ""
+            and beat.address == self.address
+            and beat.nonce != self.nonce
+            and beat.beats >= MIN_BEATS_TO_RECLAIM
+        )
+
     def _record_renewals(
         self, entry: records.Entry | None, now: float
     ) -> None:
@@ -351,19 +385,22 @@
     ) -> None:
         if self.term or claim.name == self.name:
             self._start_cooldown(now)
-        if self._leader_nonce and not self._resigned:
+        own = claim.nonce == self.nonce
+        ended = self._resigned or (own and self._predecessor_ended)
+        if self._leader_nonce and not ended:
             until = self._leader_seen_at + ORDER_VALID_S
             self._orders_from = max(self._orders_from, until)
         self.preempted_live_leader = now < self._orders_from
         self._leader_nonce = claim.nonce
         self._leader_seen_at = now
         self._resigned = False
+        self._predecessor_ended = False
+        self._beats = 0
         self.leader = claim.name
         self.leader_append_s = 0.0
         self.leader_cores = claim.cores
         self._record_cores(claim.cores, now)
-        own = claim.nonce == self.nonce and not self.stopping
-        self.term = offset + 1 if own else 0
+        self.term = offset + 1 if own and not self.stopping else 0
 
     def _record_cores(self, cores: float, now: float) -> None:
         known = now - self._strongest_at < STRONGEST_TTL_S
@@ -398,6 +435,7 @@
         silent = event.began_at - self._seen_at >= CLAIM_AFTER_S * 2 / 3
         long_enough = now - self._seen_at >= CLAIM_AFTER_S
         vacant = self._resigned or (self.end == 0 and not self.leader)
+        vacant = vacant or self._predecessor_ended
         return vacant or (silent and long_enough)
 
     def _yields_to_others(self, now: float) -> bool:
--- a/azurewood/leadership/records.py
+++ b/azurewood/leadership/records.py
@@ -17,12 +17,16 @@
     """A leader's heartbeat. ``largest`` is the largest machine's capacity.
 
     ``append_s`` is how long the leader's newest append took, 0 if unknown.
+    ``address`` is where it listens, and ``beats`` the number of earlier beats
+    of its term.
     """
 
     nonce: str
     largest: model.Resources = model.Resources()
     cores: float = 0.0
     append_s: float = 0.0
+    address: str = ""
+    beats: int = 0
 
 
 class Resign(msgspec.Struct, frozen=True, kw_only=True, tag="resign"):
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -256,6 +256,7 @@
             retention_s=RETENTION_S,
             cores=self.cores,
             store_partitions=STORE_PARTITIONS,
+            address=self.name,
         )
         self._loop(self.incarnation)
 
