Do not take a busy leader for a slow store; accept a name to listen on

- A leader's loop that is busy for 150 ms handles answers as late, and would report a slow store and get the work of the intake besides.
The report is less the longest step of the loop in this second and the one before.
- listen.front may be a name, which the leader's own address took for an IP address: the daemon would not have started.
A name gives no address of one's own, as with 0.0.0.0.

--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -139,9 +139,13 @@
 
 
 def _own_address(settings: typing.Any) -> str:
-    """Return what no other process shares, or "" if any may listen on it."""
+    """Return what no other process shares, "" unless it is an IP address."""
     front = settings.front
-    if ipaddress.ip_address(front.host).is_unspecified:
+    try:
+        unspecified = ipaddress.ip_address(front.host).is_unspecified
+    except ValueError:
+        return ""
+    if unspecified:
         return ""
     return f"{settings.name} {front}"
 
--- a/azurewood/daemons/pace.py
+++ b/azurewood/daemons/pace.py
@@ -36,6 +36,7 @@
         "_logged_at",
         "_longest_gap_s",
         "_longest_step_s",
+        "_previous_longest_step_s",
         "_processor",
         "_processor_at",
         "_starts",
@@ -60,8 +61,14 @@
         self._stepped_at = now
         self._ticked_at = now
         self._waited_s = calls.waited_s
+        self._longest_step_s = 0.0
         self._begin(now)
 
+    @property
+    def longest_step_s(self) -> float:
+        """The longest step of this and the previous measuring interval."""
+        return max(self._longest_step_s, self._previous_longest_step_s)
+
     def _begin(self, now: float) -> None:
         """Start a new measuring interval."""
         self._logged_at = now
@@ -69,6 +76,7 @@
         self._steps = 0
         self._starts = 0
         self._busy_s = 0.0
+        self._previous_longest_step_s = self._longest_step_s
         self._longest_step_s = 0.0
         self._longest_gap_s = 0.0
 
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -307,6 +307,7 @@
         election.append_delay_s = intake_policy.reported_append_s(
             max(writer.latency_s(now) for writer in writers),
             self._hosts.delay_s(now),
+            step_s=self._loop_monitor.longest_step_s,
         )
         self._store_slow = intake_policy.is_slow(
             max(election.append_delay_s, election.own_append_s)
--- a/azurewood/policy/intake.py
+++ b/azurewood/policy/intake.py
@@ -20,8 +20,7 @@
 """Latency of the leader's appends from which the intake is used: ten times
 the usual one. At this latency a partition stores some 20 appends a second."""
 SLOW_READ_S: typing.Final = 0.15
-"""Duration of a read from which the store counts as slow: longer than a step
-of a busy leader's loop."""
+"""Duration of a read from which the store counts as slow."""
 REPORT_VALID_S: typing.Final = 1.5
 """How long a leader's report is considered by a daemon that stores jobs in
 their own topic."""
@@ -37,14 +36,20 @@
     return zlib.crc32(daemon.encode()) % partitions
 
 
-def reported_append_s(append_s: float, read_s: float) -> float:
+def reported_append_s(
+    append_s: float, read_s: float, *, step_s: float
+) -> float:
     """Return the delay of appends that a leader reports.
 
     ``append_s`` is the largest latency of its newest appends, and ``read_s``
     how long its newest read takes, which is known sooner: the answers of
     appends come late also because they were lost and the calls repeated.
+    ``step_s`` is the longest recent step of the leader's loop, for which an
+    answer may have waited.
     """
-    return max(append_s, read_s if read_s >= SLOW_READ_S else 0.0)
+    read_s -= step_s
+    known = read_s if read_s >= SLOW_READ_S else 0.0
+    return max(append_s - step_s, known)
 
 
 def is_slow(append_s: float) -> bool:
