--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -116,12 +116,13 @@
 class Election:
     """One daemon's view of the current term and its part in the election.
 
-    ``nonce`` is unique to this boot of the daemon. ``address`` is where it
-    listens, empty if unknown. ``term`` is above zero
-    only while this daemon leads. ``largest`` is the capacity of the largest
-    machine according to the newest beat. ``cores`` is this daemon's number
-    of cores, 0 if unknown. ``strongest`` is the highest number of cores of
-    any daemon that wrote to the log within ``STRONGEST_TTL_S``.
+    ``nonce`` is unique to this boot of the daemon. ``address`` is its name
+    and where it listens, empty if other processes may listen there too.
+    ``term`` is above zero only while this daemon leads. ``largest`` is the
+    capacity of the largest machine according to the newest beat. ``cores`` is
+    this daemon's number of cores, 0 if unknown. ``strongest`` is the highest
+    number of cores of any daemon that wrote to the log within
+    ``STRONGEST_TTL_S``.
     ``preempted_live_leader`` is whether the newest claim replaced a leader
     that was still alive. ``silence_before_claim_s`` is how long this daemon
     had read no record when it last claimed. ``leader_append_s`` is how long
--- a/azurewood/scheduling/unseen.py
+++ b/azurewood/scheduling/unseen.py
@@ -1,9 +1,9 @@
 """Machines that are up and whose hosts are not known, and their zones.
 
-The load: a zone is cut off while hosts are moved. The platform's list shows
-machines in it as up, but their new hosts cannot write their entries to the
-store. Until they do, no task can be placed on them. A pool that counts them
-as hosts asks for too few, and jobs wait beside hosts that nobody can reach.
+The load: a zone is cut off and a turn begins. The platform's list shows the
+zone's machines as up, but their new hosts cannot write their entries to the
+store, so no task can be placed on them. A pool that is lent machines of that
+zone waits beside machines of other zones that could serve it.
 """
 
 import collections
