Log incarnations of hosts and runs, unanswered starts and unheld ends

No line told which incarnation of a host a run was started in, that a host had restarted under its id, that a start had no answer, or that a host listed the end of a run that the leader does not hold.

No decision changes.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -33,13 +33,14 @@
     host = state.host(entry.id)
     known = host.entry
     if known is not None and known.incarnation_ms != entry.incarnation_ms:
-        _begin_incarnation(host)
+        _begin_incarnation(state, host, entry.incarnation_ms, source="entry")
     if known is None or known.state is not entry.state:
         state.log_event(
             "host.seen",
             host=entry.id,
             service=entry.service,
             state=entry.state.value,
+            incarnation=entry.incarnation_ms,
         )
     host.describe(entry)
     host.present = True
@@ -54,12 +55,27 @@
         state.log_event("host.gone", host=host_id, runs=len(host.runs))
 
 
-def _begin_incarnation(host: scheduling.Host) -> None:
+def _begin_incarnation(
+    state: scheduling.State,
+    host: scheduling.Host,
+    incarnation_ms: int,
+    *,
+    source: str,
+) -> None:
     """Reset what was known of a host's previous incarnation.
 
     The runs are kept until the next list shows which of them exist, since
     a start may have reached the new incarnation before it was known.
+    ``source`` is what named the new incarnation, a list or an entry.
     """
+    state.log_event(
+        "host.restarted",
+        host=host.id,
+        incarnation=incarnation_ms,
+        before=host.entry.incarnation_ms,
+        source=source,
+        runs=len(host.runs),
+    )
     host.synced = False
     host.clock_ms = None
     host.last_end = 0
@@ -143,7 +159,12 @@
             runs.address_reused(state, host, now)
     if host.unresponsive_since is None:
         host.unresponsive_since = now
-        state.log_event("host.silent", host=host.id, reason=event.reason.value)
+        state.log_event(
+            "host.silent",
+            host=host.id,
+            reason=event.reason.value,
+            incarnation=host.entry.incarnation_ms if host.entry else 0,
+        )
     host.renew_at = now + (
         RENEWAL_RETRY_S if host.present else REMOVED_HOST_RETRY_S
     )
@@ -161,10 +182,15 @@
         event.incarnation_ms
         and event.incarnation_ms != host.entry.incarnation_ms
     ):
+        _begin_incarnation(state, host, event.incarnation_ms, source="list")
         host.describe(_with_incarnation(host.entry, event.incarnation_ms))
-        _begin_incarnation(host)
     if host.unresponsive_since is not None:
-        state.log_event("host.heard", host=host.id, runs=len(host.runs))
+        state.log_event(
+            "host.heard",
+            host=host.id,
+            runs=len(host.runs),
+            incarnation=host.entry.incarnation_ms,
+        )
     unresponsive.on_answer(state, host, now)
     runs.set_clock(host, event.clock_ms, now)
     host.listed_at = event.sent_at
@@ -182,14 +208,8 @@
 ) -> None:
     """Change the speed limits of a host's background runs."""
     for run, percent in throttling.speed_changes(host, now):
-        state.log_event(
-            "run.paced",
-            job=run.task.job,
-            task=str(tuple(run.task[1:])),
-            run=run.run,
-            host=host.id,
-            percent=percent,
-            before=run.speed,
+        state.log_run(
+            "run.paced", host, run, percent=percent, before=run.speed
         )
         run.speed = percent
         run.speed_changed_at = now
@@ -236,7 +256,9 @@
             continue
         host.last_end = row.number
         run = host.runs.get((row.task, row.run))
-        if run is not None:
+        if run is None:
+            _log_unknown_end(state, host, row)
+        else:
             host_health.record_run_end(host, row, now)
             tasks.handle_end(state, host, run, row, now)
     if host.last_end > host.acknowledged:
@@ -245,6 +267,21 @@
     return keys
 
 
+def _log_unknown_end(
+    state: scheduling.State, host: scheduling.Host, row: messages.EndedRow
+) -> None:
+    """Log an end of a run that this leader does not hold."""
+    state.log_event(
+        "run.ended_unknown",
+        job=row.task.job,
+        task=str(tuple(row.task[1:])),
+        run=row.run,
+        host=host.id,
+        incarnation=host.entry.incarnation_ms,
+        how=row.how.value,
+    )
+
+
 class _EndsStored:
     """Internal effect: the run ends up to ``number`` are stored.
 
@@ -336,6 +373,8 @@
         task=str(tuple(row.task[1:])),
         run=row.run,
         host=host.id,
+        incarnation=host.entry.incarnation_ms,
+        percent=row.percent,
     )
     state.emit(
         messages.StopRun(
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -369,3 +369,17 @@
     def log_event(self, event: str, **fields: typing.Any) -> None:
         """Log a decision."""
         self.effects.append(messages.LogEvent(event=event, fields=fields))
+
+    def log_run(
+        self, event: str, host: Host, run: Run, **fields: typing.Any
+    ) -> None:
+        """Log a decision about a run that may exist on a host."""
+        self.log_event(
+            event,
+            job=run.task.job,
+            task=str(tuple(run.task[1:])),
+            run=run.run,
+            host=host.id,
+            incarnation=run.incarnation_ms,
+            **fields,
+        )
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -129,6 +129,7 @@
             return
         case messages.Refusal.UNKNOWN:
             run.retry_at = now + CALL_RETRY_S
+            state.log_run("start.unanswered", host, run, tries=run.tries)
             return
         case messages.Refusal.FENCE:
             state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
@@ -143,12 +144,10 @@
             host.suspended_until = now + UNHEALTHY_PAUSE_S
         case messages.Refusal.ROOM | messages.Refusal.NOT_SENT:
             host.suspended_until = now + NO_CAPACITY_PAUSE_S
-    state.log_event(
+    state.log_run(
         "start.refused",
-        job=run.task.job,
-        task=str(tuple(run.task[1:])),
-        run=run.run,
-        host=host.id,
+        host,
+        run,
         refusal=event.refusal.value,
         tries=run.tries,
     )
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -118,14 +118,7 @@
             _fail_task(state, host, job, task, now)
         case _:
             _requeue(state, job, task, row.saved or run.saved, now)
-            state.log_event(
-                "task.ended",
-                job=run.task.job,
-                task=str(tuple(run.task[1:])),
-                run=run.run,
-                host=host.id,
-                how=row.how.value,
-            )
+            state.log_run("task.ended", host, run, how=row.how.value)
 
 
 def mark_run_gone(
@@ -138,13 +131,13 @@
     """Remove a run that certainly no longer exists; requeue its task."""
     host.remove(run)
     task = current_task(state, run)
-    state.log_event(
+    state.log_run(
         "run.gone",
-        job=run.task.job,
-        task=str(tuple(run.task[1:])),
-        run=run.run,
-        host=host.id,
+        host,
+        run,
         reason=reason,
+        phase=run.phase.value,
+        age_ms=int((now - run.began_at) * 1000),
     )
     if task is not None:
         state.dirty_jobs.add(run.task.job)
--- a/tests/scheduling/test_leader_lines.py
+++ b/tests/scheduling/test_leader_lines.py
@@ -208,3 +208,34 @@
     assert (over["jobs"], over["starts_unstored"]) == (1, 0)
     assert over["orders_open"] == 0
     assert _of(lines, "term.begun")[-1]["silent_ms"] < 1500
+
+
+def test_lines_tell_the_incarnations_of_a_restarted_host_and_its_runs(lines):
+    made = deployment.world(**{"s-one": 2})
+    job = deployment.job(made, 1, deployment.LONG_LIVED)
+    made.submit(made.members[0], job)
+    made.run(2.0)
+    victim = next(host for host in made.hosts.values() if host.runs)
+    before = victim.incarnation_ms
+    lost = len(victim.runs)
+    victim.crash()
+    made.run(0.3)
+    victim.restart()
+    made.publish_entry(victim)
+    made.run(3.0)
+    (restarted,) = _of(lines, "host.restarted")
+    assert restarted["host"] == victim.id
+    assert restarted["before"] == before
+    assert restarted["incarnation"] == victim.incarnation_ms
+    gone = [line for line in _of(lines, "run.gone") if "age_ms" in line]
+    assert [line["incarnation"] for line in gone] == [before] * lost
+
+
+def test_a_start_without_an_answer_is_logged(lines):
+    made = deployment.world(**{"s-one": 2})
+    made.late_share = 1.0
+    made.submit(made.members[0], deployment.job(made, 1))
+    made.run(1.5)
+    unanswered = _of(lines, "start.unanswered")
+    assert unanswered
+    assert all(line["incarnation"] for line in unanswered)
