Bind what the leader believes of a host to the host's incarnation

What callers would see: a task that must run once runs twice, at the same time or after it was done.

Cause: a host may restart under its id. What the leader knew of the host was tied to the id, so it went over to the next incarnation, or back: - A start without an answer can be carried out seconds later. An accepted stop, an end, the fence and the deadline on the host's clock bar it, but only in the incarnation that was told; the next one has seen no fence, and its clock starts anew, so the deadline lies far ahead. It was carried out there beside a run that was started elsewhere, or after the task was done. - All leases of a silent host were taken for expired when those that were granted had; the lease that a late start takes in an incarnation that began unseen was not counted. - Answers to calls to the earlier incarnation, entries that it wrote and ends that it listed changed what was believed of the next one: runs marked as gone, its clock, its end numbers, acknowledgements of ends not stored yet.

Change: calls to a host carry a fencing token of the host's incarnation, the offset of the leader's newest record in the election's log. It is raised when the host has restarted, so that the incarnation refuses all that was sent before once a call has reached it. Starts without an answer are remembered while they may take effect (12 s); a run of one on a silent host counts as gone only after the lease that it could have taken. Renewals are numbered, and only the answer to the newest one counts; answers to starts and stops name the incarnation and the token that they were sent with; entries of past incarnations are ignored; stored ends are acknowledged to the incarnation that listed them.

--- a/azurewood/daemons/ports.py
+++ b/azurewood/daemons/ports.py
@@ -81,7 +81,7 @@
     def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
         """Decode a page of newest records."""
 
-    def host_call(self, effect: messages.Effect, fence: int) -> multiplex.Call:
+    def host_call(self, effect: messages.Effect) -> multiplex.Call:
         """Return a call that carries out an effect on a host."""
 
     def host_event(
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -333,6 +333,7 @@
             may_order=election.may_order(now),
             hosts_read_at=self._hosts.fresh_at,
             store_slow=self._store_slow,
+            fence=election.fence,
         )
 
     def _on_hosts_read(self, changes: follower.Changes) -> None:
@@ -387,7 +388,7 @@
                 if isinstance(effect, messages.StartRun):
                     self._loop_monitor.started()
                 self._context.calls.submit(
-                    self._context.platform.host_call(effect, self.number),
+                    self._context.platform.host_call(effect),
                     lambda reply: self._handle_if_decoded(
                         self._context.platform.host_event(effect, reply)
                     ),
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -134,6 +134,10 @@
     sent, which is before any daemon can have read the record. A daemon that
     reads the record therefore knows a latest time for the writer's lease
     renewals, however late the writer learns that the record was stored.
+
+    ``fence`` is a fencing token, the offset of this daemon's newest record
+    in its term plus one. A later leader's tokens are higher, since its claim
+    follows that record.
     """
 
     __slots__ = (
@@ -159,6 +163,7 @@
         "confirmed_at",
         "cores",
         "end",
+        "fence",
         "largest",
         "leader",
         "leader_append_s",
@@ -187,6 +192,7 @@
         self.address = address
         self.cores = cores
         self.term = 0
+        self.fence = 0
         self.end = -1
         self.leader = ""
         self.leader_cores = 0.0
@@ -354,6 +360,7 @@
                 self._resigned = nonce == self._leader_nonce
         if self.term and entry is not None and entry.nonce == self.nonce:
             self.confirmed_at = max(self.confirmed_at, sent_at)
+            self.fence = offset + 1
 
     def _is_predecessors(self, beat: records.Beat) -> bool:
         """Return whether a beat is of this daemon's earlier process."""
--- a/azurewood/platform/base.py
+++ b/azurewood/platform/base.py
@@ -98,9 +98,9 @@
         """Decode a page of newest records."""
         return store.newest_result(reply)
 
-    def host_call(self, effect: messages.Effect, fence: int) -> multiplex.Call:
+    def host_call(self, effect: messages.Effect) -> multiplex.Call:
         """Return the call that carries out an effect on a host."""
-        return hosts.call(effect, fence)
+        return hosts.call(effect)
 
     def host_event(
         self, effect: messages.Effect, reply: multiplex.Reply
--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -131,7 +131,7 @@
     return model.TaskId(job, *map(int, numbers))
 
 
-def call(effect: messages.Effect, fence: int) -> multiplex.Call:
+def call(effect: messages.Effect) -> multiplex.Call:
     """Return the call that carries out an effect on a host."""
     match effect:
         case messages.StartRun():
@@ -140,7 +140,7 @@
                 "run": effect.run,
                 "spec": effect.payload,
                 "deadline_ms": effect.lease_until_ms,
-                "fence": fence,
+                "fence": effect.fence,
             }
             if effect.saved:
                 body["last_checkpoint"] = effect.saved
@@ -151,7 +151,7 @@
             body = {
                 "task": task_name(effect.task),
                 "run": effect.run,
-                "fence": fence,
+                "fence": effect.fence,
             }
             return _post(effect, "/api/run-stop", body, CALL_TIMEOUT_MS)
         case messages.SetRunSpeed():
@@ -159,11 +159,11 @@
                 "task": task_name(effect.task),
                 "run": effect.run,
                 "pct": effect.percent,
-                "fence": fence,
+                "fence": effect.fence,
             }
             return _post(effect, "/api/pace", body, CALL_TIMEOUT_MS)
         case messages.RenewLease():
-            body = {"fence": fence, "ack_cursor": effect.acknowledged}
+            body = {"fence": effect.fence, "ack_cursor": effect.acknowledged}
             if effect.lease_until_ms is not None:
                 body["deadline_ms"] = effect.lease_until_ms
             if effect.wait_ms:
@@ -199,6 +199,8 @@
         case messages.StartRun():
             return messages.StartAnswered(
                 host=effect.host,
+                incarnation_ms=effect.incarnation_ms,
+                fence=effect.fence,
                 task=effect.task,
                 run=effect.run,
                 refusal=_refusal(reply),
@@ -207,6 +209,7 @@
         case messages.StopRun():
             return messages.StopAnswered(
                 host=effect.host,
+                incarnation_ms=effect.incarnation_ms,
                 task=effect.task,
                 run=effect.run,
                 refusal=_refusal(reply),
@@ -252,7 +255,7 @@
 ) -> messages.Event:
     refusal = _refusal(reply)
     if refusal is not None:
-        return messages.RenewalFailed(host=effect.host, reason=refusal)
+        return _renewal_failed(effect, refusal)
     try:
         found = msgspec.json.decode(reply.body, type=_Listing)
         running = tuple(_running(row) for row in found.running)
@@ -261,11 +264,10 @@
         logger.bind(event="host.unreadable", host=effect.host).warning(
             "malformed list of runs: {}", exc
         )
-        return messages.RenewalFailed(
-            host=effect.host, reason=messages.Refusal.MALFORMED
-        )
+        return _renewal_failed(effect, messages.Refusal.MALFORMED)
     return messages.LeaseRenewed(
         host=effect.host,
+        number=effect.number,
         incarnation_ms=found.born,
         clock_ms=found.clock_ms,
         sent_at=reply.sent_at,
@@ -274,6 +276,14 @@
     )
 
 
+def _renewal_failed(
+    effect: messages.RenewLease, reason: messages.Refusal
+) -> messages.RenewalFailed:
+    return messages.RenewalFailed(
+        host=effect.host, number=effect.number, reason=reason
+    )
+
+
 def _running(row: _RunningRow) -> messages.RunningRow:
     return messages.RunningRow(
         task=task_id(row.task),
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -11,6 +11,7 @@
 
 from azurewood.policy import host_health
 from azurewood.policy import throttling
+from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import runs
@@ -32,8 +33,11 @@
     """Handle the store entry of a host."""
     host = state.host(entry.id)
     known = host.entry
+    if entry.incarnation_ms in host.past_incarnations:
+        # The host has restarted since it wrote this entry.
+        return
     if known is not None and known.incarnation_ms != entry.incarnation_ms:
-        _begin_incarnation(state, host, entry.incarnation_ms, source="entry")
+        _begin_incarnation(state, host, entry.incarnation_ms, "entry", now)
     if known is None or known.state is not entry.state:
         state.log_event(
             "host.seen",
@@ -59,42 +63,51 @@
     state: scheduling.State,
     host: scheduling.Host,
     incarnation_ms: int,
-    *,
     source: str,
+    now: float,
 ) -> None:
     """Reset what was known of a host's previous incarnation.
 
     The runs are kept until the next list shows which of them exist, since
-    a start may have reached the new incarnation before it was known.
+    a start may have reached the new incarnation before it was known. That
+    list is requested at once; answers to earlier renewals are ignored.
     ``source`` is what named the new incarnation, a list or an entry.
     """
     state.log_event(
         "host.restarted",
         host=host.id,
         incarnation=incarnation_ms,
-        before=host.entry.incarnation_ms,
+        before=host.incarnation_ms,
         source=source,
         runs=len(host.runs),
     )
+    host.past_incarnations.add(host.incarnation_ms)
+    host.renewals += 1
+    host.renewing = False
+    host.renew_at = now
     host.synced = False
     host.clock_ms = None
     host.last_end = 0
     host.acknowledged = 0
     host.unknown_runs = 0
     host.failed_tasks = set()
+    host.fence_due = True
 
 
 def send_due_calls(state: scheduling.State, now: float) -> None:
     """Send the lease renewals, starts and stops that are due."""
     for host in list(state.hosts.values()):
+        if host.late_starts:
+            latestarts.forget_impossible(host, now)
         if host.entry is None:
             _expire_leases(state, host, now)
             continue
         if not host.renewing and now >= host.renew_at:
             _renew_lease(host, state, now)
-        for run in list(host.runs.values()):
-            if not run.call_open and now >= run.retry_at:
-                runs.retry_call(state, host, run, now)
+        if host.fence_due:
+            latestarts.raise_fence(state, host)
+        if not host.fence_due:
+            runs.retry_calls(state, host, now)
         unresponsive.check_host(state, host, now)
         _expire_leases(state, host, now)
 
@@ -115,10 +128,13 @@
             host.leases_expire_at, now + runs.MAX_LEASE_S
         )
     host.renewing = True
+    host.renewals += 1
     state.emit(
         messages.RenewLease(
             host=host.id,
             address=host.entry.address,
+            number=host.renewals,
+            fence=host.fence,
             # An unresponsive host may have begun another incarnation, which
             # numbers its run ends from the start. Acknowledging an old number
             # would drop ends that the leader has not seen.
@@ -136,10 +152,12 @@
     if now <= host.leases_expire_at:
         return
     for run in list(host.runs.values()):
-        tasks.mark_run_gone(
-            state, host, run, "all leases of the host lapsed", now
-        )
-    if not host.present and not host.renewing:
+        if now > latestarts.expires_at(host, run):
+            tasks.mark_run_gone(
+                state, host, run, "all leases of the host lapsed", now
+            )
+    kept = host.present or host.renewing or host.runs or host.late_starts
+    if not kept:
         del state.hosts[host.id]
 
 
@@ -148,7 +166,7 @@
 ) -> None:
     """Handle a lease renewal that failed or reached another incarnation."""
     host = state.hosts.get(event.host)
-    if host is None:
+    if host is None or event.number != host.renewals:
         return
     host.renewing = False
     host.answered = False
@@ -163,7 +181,7 @@
             "host.silent",
             host=host.id,
             reason=event.reason.value,
-            incarnation=host.entry.incarnation_ms if host.entry else 0,
+            incarnation=host.incarnation_ms,
         )
     host.renew_at = now + (
         RENEWAL_RETRY_S if host.present else REMOVED_HOST_RETRY_S
@@ -175,21 +193,18 @@
 ) -> None:
     """Handle a renewed lease with the host's lists of runs and run ends."""
     host = state.hosts.get(event.host)
-    if host is None or host.entry is None:
+    if host is None or host.entry is None or event.number != host.renewals:
         return
     host.renewing = False
-    if (
-        event.incarnation_ms
-        and event.incarnation_ms != host.entry.incarnation_ms
-    ):
-        _begin_incarnation(state, host, event.incarnation_ms, source="list")
+    if event.incarnation_ms not in (0, host.incarnation_ms):
+        _begin_incarnation(state, host, event.incarnation_ms, "list", now)
         host.describe(_with_incarnation(host.entry, event.incarnation_ms))
     if host.unresponsive_since is not None:
         state.log_event(
             "host.heard",
             host=host.id,
             runs=len(host.runs),
-            incarnation=host.entry.incarnation_ms,
+            incarnation=host.incarnation_ms,
         )
     unresponsive.on_answer(state, host, now)
     runs.set_clock(host, event.clock_ms, now)
@@ -217,6 +232,7 @@
             messages.SetRunSpeed(
                 host=host.id,
                 address=host.entry.address,
+                fence=host.fence,
                 task=run.task,
                 run=run.run,
                 percent=percent,
@@ -262,7 +278,13 @@
             host_health.record_run_end(host, row, now)
             tasks.handle_end(state, host, run, row, now)
     if host.last_end > host.acknowledged:
-        state.emit_after_save(_EndsStored(host=host, number=host.last_end))
+        state.emit_after_save(
+            _EndsStored(
+                host=host,
+                incarnation_ms=host.incarnation_ms,
+                number=host.last_end,
+            )
+        )
         host.renewing = True
     return keys
 
@@ -277,21 +299,24 @@
         task=str(tuple(row.task[1:])),
         run=row.run,
         host=host.id,
-        incarnation=host.entry.incarnation_ms,
+        incarnation=host.incarnation_ms,
         how=row.how.value,
     )
 
 
 class _EndsStored:
-    """Internal effect: the run ends up to ``number`` are stored.
+    """Internal effect: an incarnation's ends up to ``number`` are stored.
 
     The next lease renewal of the host acknowledges them.
     """
 
-    __slots__ = ("host", "number")
+    __slots__ = ("host", "incarnation_ms", "number")
 
-    def __init__(self, *, host: scheduling.Host, number: int) -> None:
+    def __init__(
+        self, *, host: scheduling.Host, incarnation_ms: int, number: int
+    ) -> None:
         self.host = host
+        self.incarnation_ms = incarnation_ms
         self.number = number
 
 
@@ -302,15 +327,22 @@
     others = []
     for effect in effects:
         if isinstance(effect, _EndsStored):
-            host = effect.host
-            host.acknowledged = min(effect.number, host.last_end)
-            host.renewing = False
-            host.renew_at = now
+            _acknowledge(effect, now)
         else:
             others.append(effect)
     return others
 
 
+def _acknowledge(stored: _EndsStored, now: float) -> None:
+    """Let the next renewal acknowledge ends of the host's incarnation."""
+    host = stored.host
+    if stored.incarnation_ms != host.incarnation_ms:
+        return
+    host.acknowledged = min(stored.number, host.last_end)
+    host.renewing = False
+    host.renew_at = now
+
+
 def _handle_running(
     state: scheduling.State,
     host: scheduling.Host,
@@ -323,7 +355,7 @@
         row = running.get(run.key)
         if row is not None:
             _update_run(run, row, now)
-        elif run.key not in ends and _list_is_newer(run, event.sent_at):
+        elif run.key not in ends and _is_gone(host, run, event.sent_at):
             tasks.mark_run_gone(
                 state, host, run, "not on the host's list", now
             )
@@ -349,11 +381,15 @@
         run.confirmed_at = now
 
 
-def _list_is_newer(run: scheduling.Run, sent_at: float) -> bool:
-    """Return whether a list requested at ``sent_at`` must show the run.
+def _is_gone(
+    host: scheduling.Host, run: scheduling.Run, sent_at: float
+) -> bool:
+    """Return whether a run no longer exists.
 
-    If such a list lacks the run, the run does not exist.
+    A list that was requested at ``sent_at`` lacks it.
     """
+    if not latestarts.is_barred(host, run):
+        return False
     if run.inherited:
         return True
     if run.call_open or run.confirmed_at is None:
@@ -373,13 +409,15 @@
         task=str(tuple(row.task[1:])),
         run=row.run,
         host=host.id,
-        incarnation=host.entry.incarnation_ms,
+        incarnation=host.incarnation_ms,
         percent=row.percent,
     )
     state.emit(
         messages.StopRun(
             host=host.id,
             address=host.entry.address,
+            fence=host.fence,
+            incarnation_ms=host.incarnation_ms,
             task=row.task,
             run=row.run,
         )
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -169,10 +169,11 @@
 class LeaseRenewed:
     """A host answered a lease renewal with its runs and latest run ends.
 
-    ``sent_at`` is when the call was sent.
+    ``number`` is that of the renewal and ``sent_at`` when it was sent.
     """
 
     host: str
+    number: int
     incarnation_ms: int
     clock_ms: int
     sent_at: float
@@ -200,14 +201,21 @@
     """A lease renewal was refused or not answered."""
 
     host: str
+    number: int
     reason: Refusal
 
 
 @_frozen
 class StartAnswered:
-    """A start call was answered; ``refusal`` is None if the run exists."""
+    """A start call was answered; ``refusal`` is None if the run exists.
+
+    ``incarnation_ms`` is the host's incarnation that the call was meant for
+    and ``fence`` the fencing token that it was sent with.
+    """
 
     host: str
+    incarnation_ms: int
+    fence: int
     task: model.TaskId
     run: int
     refusal: Refusal | None
@@ -216,9 +224,13 @@
 
 @_frozen
 class StopAnswered:
-    """A stop call was answered; ``refusal`` is None if it was accepted."""
+    """A stop call was answered; ``refusal`` is None if it was accepted.
+
+    ``incarnation_ms`` is the host's incarnation that the call was meant for.
+    """
 
     host: str
+    incarnation_ms: int
     task: model.TaskId
     run: int
     refusal: Refusal | None
@@ -265,11 +277,13 @@
 
     ``unix_ms`` is the wall-clock time, and ``hosts_read_at`` when the latest
     successful read of the hosts' entries started. ``store_slow`` is whether
-    jobs may be late on their way to the leader.
+    jobs may be late on their way to the leader. ``fence`` is the leader's
+    newest fencing token.
     """
 
     unix_ms: float
     may_order: bool
+    fence: int
     hosts_read_at: float = 0.0
     store_slow: bool = False
 
@@ -299,10 +313,15 @@
 
 @_frozen
 class StartRun:
-    """Start a run; ``lease_until_ms`` is a time of the host's clock."""
+    """Start a run; ``lease_until_ms`` is a time of the host's clock.
+
+    ``incarnation_ms`` is the incarnation that the host is believed to be in.
+    """
 
     host: str
     address: str
+    fence: int
+    incarnation_ms: int
     task: model.TaskId
     run: int
     payload: str
@@ -313,10 +332,15 @@
 
 @_frozen
 class StopRun:
-    """Stop a run, or bar it if its start hasn't reached the host yet."""
+    """Stop a run, or bar it if its start hasn't reached the host yet.
+
+    ``incarnation_ms`` is the incarnation that the host is believed to be in.
+    """
 
     host: str
     address: str
+    fence: int
+    incarnation_ms: int
     task: model.TaskId
     run: int
 
@@ -327,6 +351,7 @@
 
     host: str
     address: str
+    fence: int
     task: model.TaskId
     run: int
     percent: int
@@ -336,13 +361,15 @@
 class RenewLease:
     """Renew a host's lease, acknowledge run ends and request its runs.
 
-    ``lease_until_ms`` is None if the host's clock is unknown or the host
-    is to get no lease. The host may delay its answer by up to ``wait_ms``
-    to include a run end.
+    ``number`` counts a host's renewals. ``lease_until_ms`` is None if the
+    host's clock is unknown or the host is to get no lease. The host may
+    delay its answer by up to ``wait_ms`` to include a run end.
     """
 
     host: str
     address: str
+    number: int
+    fence: int
     acknowledged: int
     lease_until_ms: int | None
     wait_ms: int
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -76,6 +76,22 @@
         return (self.task, self.run)
 
 
+class LateStart:
+    """A start without an answer, which may take effect until a deadline.
+
+    ``incarnation_ms`` and ``fence`` are those that it was sent with last.
+    """
+
+    __slots__ = ("fence", "incarnation_ms", "possible_until")
+
+    def __init__(
+        self, *, incarnation_ms: int, fence: int, possible_until: float
+    ) -> None:
+        self.incarnation_ms = incarnation_ms
+        self.fence = fence
+        self.possible_until = possible_until
+
+
 class Host:
     """A host: its store entry, its leases and its runs.
 
@@ -87,8 +103,12 @@
     is the latest time at which all leases of the host have expired.
     ``renewing`` is true while a lease renewal is under way or has to wait
     for a record to be stored. ``answered`` is whether the host answered
-    the latest renewal. ``last_end`` is the number of the last run end that
-    the host listed, and ``acknowledged`` that of the last one stored.
+    the latest renewal, and ``renewals`` counts them. ``last_end`` is the
+    number of the last run end that the host listed, and ``acknowledged``
+    that of the last one stored. ``late_starts`` has the starts without an
+    answer and ``past_incarnations`` the incarnations that have ended.
+    ``fence`` is the fencing token of calls to the host. It is raised for
+    each incarnation; ``fence_due`` is true until that is done.
     """
 
     __slots__ = (
@@ -98,15 +118,20 @@
         "clock_ms",
         "entry",
         "failed_tasks",
+        "fence",
+        "fence_due",
         "free",
         "id",
         "last_end",
+        "late_starts",
         "long_lived",
         "leases_expire_at",
         "leaving",
         "listed_at",
+        "past_incarnations",
         "present",
         "renew_at",
+        "renewals",
         "renewing",
         "runs",
         "step_runs",
@@ -117,8 +142,12 @@
         "used",
     )
 
-    def __init__(self, *, id: str, leases_expire_at: float) -> None:
+    def __init__(
+        self, *, id: str, leases_expire_at: float, fence: int
+    ) -> None:
         self.id = id
+        self.fence = fence
+        self.fence_due = False
         self.entry: messages.HostEntry | None = None
         self.present = False
         self.synced = False
@@ -126,6 +155,7 @@
         self.clock_ms: int | None = None
         self.clock_at = 0.0
         self.renewing = False
+        self.renewals = 0
         self.renew_at = 0.0
         self.last_end = 0
         self.acknowledged = 0
@@ -141,6 +171,13 @@
         self.long_lived = 0
         self.unknown_runs = 0
         self.leaving = False
+        self.late_starts: dict[tuple[model.TaskId, int], LateStart] = {}
+        self.past_incarnations: set[int] = set()
+
+    @property
+    def incarnation_ms(self) -> int:
+        """The incarnation that the host is believed to be in, 0 if none."""
+        return self.entry.incarnation_ms if self.entry is not None else 0
 
     def describe(self, entry: messages.HostEntry) -> None:
         """Store the host's entry and update the free resources."""
@@ -235,6 +272,7 @@
     machine has of each resource. ``recorded_unresponsive`` has the hosts
     that a stored record may name as unresponsive. ``unix_ms`` is the time of
     day, which may be set back or forward; only schedules follow it.
+    ``fence`` is the newest fencing token of this leader.
     ``clock_ms``, for ages and objectives, advances with the monotonic clock
     from the time of day at the beginning of the term. ``unreadable_jobs`` has
     the jobs whose progress record cannot be read. ``no_order_before`` is
@@ -258,6 +296,7 @@
         "demands",
         "dirty_jobs",
         "effects",
+        "fence",
         "host_machines",
         "hosts",
         "hosts_read_at",
@@ -291,6 +330,7 @@
 
     def __init__(self, *, term: int, leases_expire_at: float) -> None:
         self.term = term
+        self.fence = term
         self.leases_expire_at = leases_expire_at
         self.catalog: catalog.Catalog | None = None
         self.jobs: dict[str, jobstates.JobState] = {}
@@ -334,7 +374,11 @@
         """Return a host, adding it if it is not known."""
         host = self.hosts.get(id)
         if host is None:
-            host = Host(id=id, leases_expire_at=self.leases_expire_at)
+            host = Host(
+                id=id,
+                leases_expire_at=self.leases_expire_at,
+                fence=self.fence,
+            )
             self.hosts[id] = host
         return host
 
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -187,6 +187,7 @@
     state.unix_ms = event.unix_ms
     state.hosts_read_at = event.hosts_read_at
     state.store_slow = event.store_slow
+    state.fence = event.fence
     state.clock_ms = now * 1000 + state.clock_offset_ms
     hosts.send_due_calls(state, now)
     maintenance.drive_waves(state, now, may_order=event.may_order)
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -18,6 +18,8 @@
 
 A host's clock may be 2% slow.
 """
+MAX_START_DELAY_S: typing.Final = 12.0
+"""Longest time after which a host carries out a start without an answer."""
 CALL_RETRY_S: typing.Final = 0.25
 """Pause before a start or stop with an unknown outcome is sent again."""
 MAX_START_ATTEMPTS: typing.Final = 4
@@ -31,7 +33,16 @@
 """
 
 
-def retry_call(
+def retry_calls(
+    state: scheduling.State, host: scheduling.Host, now: float
+) -> None:
+    """Repeat the starts and stops of a host that are due."""
+    for run in list(host.runs.values()):
+        if not run.call_open and now >= run.retry_at:
+            _retry_call(state, host, run, now)
+
+
+def _retry_call(
     state: scheduling.State,
     host: scheduling.Host,
     run: scheduling.Run,
@@ -72,6 +83,8 @@
     effect = messages.StartRun(
         host=host.id,
         address=host.entry.address,
+        fence=host.fence,
+        incarnation_ms=host.incarnation_ms,
         task=run.task,
         run=run.run,
         payload=job.job.payload,
@@ -101,6 +114,8 @@
         messages.StopRun(
             host=host.id,
             address=host.entry.address,
+            fence=host.fence,
+            incarnation_ms=host.incarnation_ms,
             task=run.task,
             run=run.run,
         )
@@ -112,27 +127,35 @@
 ) -> None:
     """Handle the answer to a start call."""
     host = state.hosts.get(event.host)
-    run = host.runs.get((event.task, event.run)) if host else None
-    if host is None or run is None:
+    if host is None:
+        return
+    if event.refusal is messages.Refusal.UNKNOWN:
+        _record_late_start(state, host, event, now)
+    run = host.runs.get((event.task, event.run))
+    if run is None:
         return
     run.call_open = False
-    if event.clock_ms:
+    current = event.incarnation_ms == host.incarnation_ms
+    if event.clock_ms and current:
         set_clock(host, event.clock_ms, now)
     if run.phase is scheduling.RunPhase.STOPPING:
         run.retry_at = now
         return
     resent = run.tries > 1
     match event.refusal:
-        case None:
-            run.phase = scheduling.RunPhase.RUNNING
-            run.confirmed_at = now
+        case messages.Refusal.FENCE:
+            state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
             return
         case messages.Refusal.UNKNOWN:
             run.retry_at = now + CALL_RETRY_S
-            state.log_run("start.unanswered", host, run, tries=run.tries)
             return
-        case messages.Refusal.FENCE:
-            state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
+        case _ if not current:
+            # The run ended with the incarnation that answered, if it began.
+            run.retry_at = now
+            return
+        case None:
+            run.phase = scheduling.RunPhase.RUNNING
+            run.confirmed_at = now
             return
         case messages.Refusal.OTHER_LIFE:
             address_reused(state, host, now)
@@ -159,6 +182,26 @@
         )
 
 
+def _record_late_start(
+    state: scheduling.State,
+    host: scheduling.Host,
+    event: messages.StartAnswered,
+    now: float,
+) -> None:
+    """Record that a start got no answer, so that it may take effect later."""
+    key = (event.task, event.run)
+    run = host.runs.get(key)
+    if run is None and key not in host.late_starts:
+        return
+    host.late_starts[key] = scheduling.LateStart(
+        incarnation_ms=event.incarnation_ms,
+        fence=event.fence,
+        possible_until=now + MAX_START_DELAY_S,
+    )
+    if run is not None:
+        state.log_run("start.unanswered", host, run, tries=run.tries)
+
+
 def stop_answered(
     state: scheduling.State, event: messages.StopAnswered, now: float
 ) -> None:
@@ -168,7 +211,12 @@
     if host is None or run is None:
         return
     run.call_open = False
+    current = event.incarnation_ms == host.incarnation_ms
     match event.refusal:
+        case messages.Refusal.FENCE:
+            state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
+        case _ if not current:
+            run.retry_at = now
         case None:
             # The first accepted stop bars the run permanently. A repeated
             # stop must not move ``confirmed_at``: an idle host answers a
@@ -178,8 +226,6 @@
                 run.confirmed_at = now
             run.retry_at = now + STOP_LIST_TIMEOUT_S
             host.renew_at = min(host.renew_at, now)
-        case messages.Refusal.FENCE:
-            state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
         case messages.Refusal.OTHER_LIFE:
             address_reused(state, host, now)
         case _:
--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -253,11 +253,15 @@
         """Call ``what`` once when the next run ends."""
         self._end_callbacks.append(what)
 
-    def listing(self, sent_at: float) -> messages.LeaseRenewed:
-        """Return the list of current runs and unacknowledged ends."""
+    def listing(self, number: int, sent_at: float) -> messages.LeaseRenewed:
+        """Return the list of current runs and unacknowledged ends.
+
+        ``number`` and ``sent_at`` are those of the lease renewal.
+        """
         self._check_lease()
         return messages.LeaseRenewed(
             host=self.id,
+            number=number,
             incarnation_ms=self.incarnation_ms,
             clock_ms=self.clock_ms(),
             sent_at=sent_at,
--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -147,7 +147,7 @@
         """Return a page of newest records."""
         return unwrap(reply, pages.Failed(reason=reply.reason))
 
-    def host_call(self, effect: messages.Effect, fence: int) -> SimCall:
+    def host_call(self, effect: messages.Effect) -> SimCall:
         """Carry out an effect on a host."""
         world = self._world
         wait_s = 0.0
@@ -155,7 +155,7 @@
             wait_s = effect.wait_ms / 1000
         return SimCall(
             target=effect.host,
-            act=lambda at: world.on_host(effect, fence, at),
+            act=lambda at: world.on_host(effect, at),
             timeout_s=HOST_TIMEOUT_S + wait_s,
             changes=not isinstance(effect, messages.RenewLease),
             wait_s=wait_s,
@@ -178,6 +178,8 @@
             case messages.StartRun():
                 return messages.StartAnswered(
                     host=effect.host,
+                    incarnation_ms=effect.incarnation_ms,
+                    fence=effect.fence,
                     task=effect.task,
                     run=effect.run,
                     refusal=reason,
@@ -185,12 +187,15 @@
             case messages.StopRun():
                 return messages.StopAnswered(
                     host=effect.host,
+                    incarnation_ms=effect.incarnation_ms,
                     task=effect.task,
                     run=effect.run,
                     refusal=reason,
                 )
             case messages.RenewLease():
-                return messages.RenewalFailed(host=effect.host, reason=reason)
+                return messages.RenewalFailed(
+                    host=effect.host, number=effect.number, reason=reason
+                )
             case _:
                 return None
 
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -215,7 +215,7 @@
     # Effects of calls
 
     def on_host(
-        self, effect: messages.Effect, fence: int, sent_at: float
+        self, effect: messages.Effect, sent_at: float
     ) -> messages.Event | None:
         """Carry out an effect on its host."""
         host = self.hosts[effect.host]
@@ -228,23 +228,28 @@
                 step = job.steps[effect.task.step]
                 return messages.StartAnswered(
                     host=host.id,
+                    incarnation_ms=effect.incarnation_ms,
+                    fence=effect.fence,
                     task=effect.task,
                     run=effect.run,
-                    refusal=host.start(effect, fence, step),
+                    refusal=host.start(effect, effect.fence, step),
                     clock_ms=host.clock_ms(),
                 )
             case messages.StopRun():
                 return messages.StopAnswered(
                     host=host.id,
+                    incarnation_ms=effect.incarnation_ms,
                     task=effect.task,
                     run=effect.run,
-                    refusal=host.stop(effect.task, effect.run, fence),
+                    refusal=host.stop(effect.task, effect.run, effect.fence),
                 )
             case messages.RenewLease():
-                refusal = host.renew_lease(effect, fence)
+                refusal = host.renew_lease(effect, effect.fence)
                 if refusal is not None:
-                    return messages.RenewalFailed(host=host.id, reason=refusal)
-                return host.listing(sent_at)
+                    return messages.RenewalFailed(
+                        host=host.id, number=effect.number, reason=refusal
+                    )
+                return host.listing(effect.number, sent_at)
             case _:
                 return None
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -203,6 +203,8 @@
         if req.path == "/api/run-start":
             effect = messages.StartRun(
                 host=host.id,
+                fence=body["fence"],
+                incarnation_ms=host.incarnation_ms,
                 address="",
                 task=task,
                 run=body["run"],
@@ -224,6 +226,8 @@
         effect = messages.RenewLease(
             host="",
             address="",
+            number=1,
+            fence=body["fence"],
             acknowledged=body["ack_cursor"],
             lease_until_ms=body.get("deadline_ms"),
             wait_ms=0,
@@ -275,7 +279,7 @@
 
 
 def _listing(host):
-    listing = host.listing(0.0)
+    listing = host.listing(1, 0.0)
     return {
         "clock_ms": listing.clock_ms,
         "born": listing.incarnation_ms,
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -121,6 +121,8 @@
 RENEWAL = messages.RenewLease(
     host="h",
     address="10.0.0.1:5",
+    number=1,
+    fence=7,
     lease_until_ms=1,
     acknowledged=0,
     wait_ms=0,
@@ -193,6 +195,8 @@
     start = messages.StartRun(
         host="h",
         address="10.0.0.1:5",
+        fence=7,
+        incarnation_ms=99,
         task=model.TaskId(JOB_ID, 0, 1, 17),
         run=1,
         payload="x",
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -242,6 +242,8 @@
     return messages.StartRun(
         host="i-1",
         address="10.0.0.1:80",
+        fence=7,
+        incarnation_ms=99,
         task=TASK,
         run=2,
         payload="text",
@@ -252,7 +254,7 @@
 
 
 def test_a_start_is_encoded_in_the_platforms_format():
-    call = hosts.call(_start(), 7)
+    call = hosts.call(_start())
     assert call.url == "http://10.0.0.1:80/api/run-start"
     assert "X-Target-Instance: i-1" in call.headers
     assert msgspec.json.decode(call.body) == {
@@ -292,6 +294,8 @@
     return messages.RenewLease(
         host="i-1",
         address="10.0.0.1:80",
+        number=5,
+        fence=7,
         acknowledged=57,
         lease_until_ms=486000,
         wait_ms=1000,
@@ -330,7 +334,7 @@
 def test_malformed_lists(body):
     event = hosts.event(_renewal(), _reply(200, body))
     assert event == messages.RenewalFailed(
-        host="i-1", reason=REFUSAL.MALFORMED
+        host="i-1", number=5, reason=REFUSAL.MALFORMED
     )
 
 
--- a/tests/scheduling/test_clock_steps.py
+++ b/tests/scheduling/test_clock_steps.py
@@ -134,7 +134,7 @@
 
 def test_schedules_follow_the_time_of_day():
     state = _state(50.0)
-    tick = messages.Tick(unix_ms=1_005_000.0, may_order=False)
+    tick = messages.Tick(unix_ms=1_005_000.0, may_order=False, fence=1)
     reducer.handle_event(state, tick, 51.0)
     assert state.unix_ms == 1_005_000.0
     assert state.clock_ms == 1_001_000.0
--- /dev/null
+++ b/tests/scheduling/test_late_starts.py
@@ -0,0 +1,125 @@
+"""Starts without an answer that hosts carry out late, across restarts.
+
+Each scenario runs as it is, and again with the mechanism disabled, which
+must breach a rule.
+"""
+
+from loguru import logger
+import pytest
+
+from azurewood.jobs import model
+from azurewood.scheduling import latestarts
+from azurewood.scheduling import messages
+from standins.fleet import members
+from tests.scheduling import deployment
+
+ONE = model.Step(count=1, needs=model.Resources(1000, 500, 0), estimate_ms=900)
+TWO_S = model.Step(
+    count=1, needs=model.Resources(1000, 500, 0), estimate_ms=2000
+)
+
+
+def _world(monkeypatch, late_s, **pools):
+    """Return a world whose first call that changes a host is late."""
+    monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (late_s, late_s))
+    made = deployment.world(**pools)
+    usual = made.fault_of
+    late = []
+
+    def fault_of(call):
+        if call.target in made.hosts and call.changes and not late:
+            late.append(call.target)
+            return "late"
+        return usual(call)
+
+    made.fault_of = fault_of
+    return made, late
+
+
+def _late_start_after_a_restart(monkeypatch):
+    """Carry a start out late in the host's next incarnation."""
+    made, late = _world(monkeypatch, 5.0, **{"s-one": 2})
+    made.submit(made.members[0], deployment.job(made, 1, ONE))
+    made.run(3.0)
+    host = made.hosts[late[0]]
+    host.crash()
+    made.run(0.2)
+    host.restart()
+    made.publish_entry(host)
+    made.run(8.0)
+    deployment.check(made)
+
+
+def test_no_task_runs_again_by_a_start_of_before_the_hosts_restart(
+    monkeypatch,
+):
+    _late_start_after_a_restart(monkeypatch)
+
+
+def test_runs_again_if_a_restarted_hosts_fence_is_not_raised(monkeypatch):
+    def broken(state, host):
+        host.fence_due = False
+
+    monkeypatch.setattr(latestarts, "raise_fence", broken)
+    with pytest.raises(AssertionError, match="after its end was noted"):
+        _late_start_after_a_restart(monkeypatch)
+
+
+def _late_start_behind_a_cut(monkeypatch):
+    """Let a host restart behind a cut and carry a start out there."""
+    made, late = _world(monkeypatch, 7.0, **{"s-one": 2})
+    made.submit(made.members[0], deployment.job(made, 1, TWO_S))
+    made.run(0.1)
+    host = made.hosts[late[0]]
+    made.cut_hosts.add(host.id)
+    made.run(1.0)
+    host.crash()
+    host.restart()
+    made.run(12.0)
+    made.cut_hosts.clear()
+    made.run(12.0)
+    deployment.check(made)
+
+
+def test_no_second_run_beside_a_late_start_on_a_host_that_restarted_unseen(
+    monkeypatch,
+):
+    _late_start_behind_a_cut(monkeypatch)
+
+
+def test_runs_twice_if_late_starts_do_not_count_for_leases(monkeypatch):
+    monkeypatch.setattr(
+        latestarts, "expires_at", lambda host, run: host.leases_expire_at
+    )
+    with pytest.raises(AssertionError, match="twice"):
+        _late_start_behind_a_cut(monkeypatch)
+
+
+@pytest.fixture
+def restarts(no_logs):
+    """Return a list that receives the fields of all restarts of hosts."""
+    found = []
+
+    def record(message):
+        fields = message.record["extra"]
+        if fields.get("event") == "host.restarted":
+            found.append(fields)
+
+    logger.enable("azurewood")
+    sink = logger.add(record, level="INFO")
+    yield found
+    logger.remove(sink)
+
+
+def test_an_old_entry_does_not_set_a_hosts_incarnation_back(restarts):
+    made = deployment.world(**{"s-one": 2})
+    host = next(iter(made.hosts.values()))
+    old = host.entry()
+    host.crash()
+    host.restart()
+    made.publish_entry(host)
+    made.run(1.0)
+    event = messages.HostSeen(entry=old)
+    made.leaders()[0].member.term.handle_event(event)
+    made.run(1.0)
+    assert [line["incarnation"] for line in restarts] == [host.incarnation_ms]
