Start a task only after a run of it that a host still lists has ended

Cause: a list that lacked a task's run let the task start elsewhere at once, also if the same list showed another run of the task: an earlier start that was carried out late, before the leader had reached the host's new incarnation. That run was stopped, but ran for as long as a stop takes beside the next one.

Change: the run on record is kept until the other one is off the list, and a waiting task is not started for the second that a stop may take.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -351,10 +351,14 @@
     ends: set[tuple],
     now: float,
 ) -> None:
+    listed = {task for task, _ in running}
     for run in list(host.runs.values()):
         row = running.get(run.key)
         if row is not None:
             _update_run(run, row, now)
+        elif run.task in listed:
+            # Another run of the task has to end before the next one begins.
+            continue
         elif run.key not in ends and _is_gone(host, run, event.sent_at):
             tasks.mark_run_gone(
                 state, host, run, "not on the host's list", now
@@ -364,6 +368,7 @@
     for row in unknown:
         if row.task.job not in state.unreadable_jobs:
             _stop_unknown_run(state, host, row)
+            tasks.wait_for_other_run(state, row.task, now)
 
 
 def _key(row: messages.RunningRow) -> tuple:
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -8,6 +8,8 @@
 
 MAX_APPEND_MS = 2000
 """Longest time from a job's acceptance until its record is read."""
+STOP_PAUSE_S = 1.0
+"""Time in which a run that is stopped ends; some hosts need 0.9 s."""
 RETRY_PAUSE_S = 0.02
 """Pause before a failed task's next run, which avoids the same host."""
 
@@ -86,6 +88,16 @@
         run.tries = 0
 
 
+def wait_for_other_run(
+    state: scheduling.State, id: model.TaskId, now: float
+) -> None:
+    """Start a waiting task only after a run that is being stopped."""
+    job = state.jobs.get(id.job)
+    task = job.task(id) if job else None
+    if task is not None:
+        task.waits_until = max(task.waits_until, now + STOP_PAUSE_S)
+
+
 def current_task(
     state: scheduling.State, run: scheduling.Run
 ) -> jobstates.Task | None:
--- a/tests/scheduling/test_late_starts.py
+++ b/tests/scheduling/test_late_starts.py
@@ -123,3 +123,31 @@
     made.leaders()[0].member.term.handle_event(event)
     made.run(1.0)
     assert [line["incarnation"] for line in restarts] == [host.incarnation_ms]
+
+
+def test_no_run_begins_while_a_host_lists_another_run_of_the_task(
+    monkeypatch,
+):
+    made, late = _world(monkeypatch, 6.0, **{"s-one": 2})
+    made.run_duration_s = lambda task, step: 30.0
+    made.submit(made.members[0], deployment.job(made, 1, ONE))
+    made.run(2.0)
+    host = made.hosts[late[0]]
+    other = next(h for h in made.hosts.values() if h is not host)
+    other.draining = True
+    made.publish_entry(other)
+    made.run(0.5)
+    host.crash()
+    host.restart()
+    made.publish_entry(host)
+    made.run(3.0)
+    assert [run.run for run in host.runs.values()] == [2]
+    other.draining = False
+    made.publish_entry(other)
+    host.crash()
+    host.restart()
+    made.run(0.7)
+    assert [run.run for run in host.runs.values()] == [1]
+    made.run(6.0)
+    deployment.check(made)
+    assert len(made.rules.live(f"{1:016x}")) == 1
