--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -106,8 +106,10 @@
             _renew_lease(host, state, now)
         if host.fence_due:
             latestarts.raise_fence(state, host)
-        if not host.fence_due:
-            runs.retry_calls(state, host, now)
+        for run in list(host.runs.values()):
+            due = now >= run.retry_at and not host.fence_due
+            if due and not run.call_open:
+                runs.retry_call(state, host, run, now)
         unresponsive.check_host(state, host, now)
         _expire_leases(state, host, now)
 
@@ -352,15 +354,11 @@
     ends: set[tuple],
     now: float,
 ) -> None:
-    listed = {task for task, _ in running}
     for run in list(host.runs.values()):
         row = running.get(run.key)
         if row is not None:
             _update_run(run, row, now)
-        elif run.task in listed:
-            # Another run of the task has to end before the next one begins.
-            continue
-        elif run.key not in ends and _is_gone(host, run, event.sent_at):
+        elif run.key not in ends and _is_gone(host, run, event):
             tasks.mark_run_gone(
                 state, host, run, "not on the host's list", now
             )
@@ -388,19 +386,21 @@
 
 
 def _is_gone(
-    host: scheduling.Host, run: scheduling.Run, sent_at: float
+    host: scheduling.Host, run: scheduling.Run, event: messages.LeaseRenewed
 ) -> bool:
-    """Return whether a run no longer exists.
+    """Return whether a run that a host's list lacks no longer exists.
 
-    A list that was requested at ``sent_at`` lacks it.
+    It counts as existing while the host lists another run of its task, which
+    has to end before the next one begins.
     """
-    if not latestarts.is_barred(host, run):
-        return False
-    if run.inherited:
-        return True
-    if run.call_open or run.confirmed_at is None:
+    if not run.inherited:
+        if run.call_open or run.confirmed_at is None:
+            return False
+        if run.confirmed_at > event.sent_at:
+            return False
+    if any(row.task == run.task for row in event.running):
         return False
-    return run.confirmed_at <= sent_at
+    return latestarts.is_barred(host, run)
 
 
 def _stop_unknown_run(
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -95,6 +95,7 @@
 class Host:
     """A host: its store entry, its leases and its runs.
 
+    ``incarnation_ms`` is the incarnation that the host is believed to be in.
     ``free`` is what further runs can use and ``used`` what present runs
     use. ``step_runs`` counts the runs of each step, ``long_lived`` the
     long-lived runs and ``unknown_runs`` the listed runs that the leader
@@ -122,6 +123,7 @@
         "fence_due",
         "free",
         "id",
+        "incarnation_ms",
         "last_end",
         "late_starts",
         "long_lived",
@@ -149,6 +151,7 @@
         self.fence = fence
         self.fence_due = False
         self.entry: messages.HostEntry | None = None
+        self.incarnation_ms = 0
         self.present = False
         self.synced = False
         self.leases_expire_at = leases_expire_at
@@ -174,14 +177,10 @@
         self.late_starts: dict[tuple[model.TaskId, int], LateStart] = {}
         self.past_incarnations: set[int] = set()
 
-    @property
-    def incarnation_ms(self) -> int:
-        """The incarnation that the host is believed to be in, 0 if none."""
-        return self.entry.incarnation_ms if self.entry is not None else 0
-
     def describe(self, entry: messages.HostEntry) -> None:
         """Store the host's entry and update the free resources."""
         self.entry = entry
+        self.incarnation_ms = entry.incarnation_ms
         self.free = entry.capacity.minus(self.used)
 
     def add(self, run: Run) -> None:
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -33,16 +33,7 @@
 """
 
 
-def retry_calls(
-    state: scheduling.State, host: scheduling.Host, now: float
-) -> None:
-    """Repeat the starts and stops of a host that are due."""
-    for run in list(host.runs.values()):
-        if not run.call_open and now >= run.retry_at:
-            _retry_call(state, host, run, now)
-
-
-def _retry_call(
+def retry_call(
     state: scheduling.State,
     host: scheduling.Host,
     run: scheduling.Run,
