--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -166,9 +166,7 @@
         case messages.WaveRequested():
             maintenance.handle_request(state, event, now)
         case messages.MachinesListed():
-            maintenance.handle_list(state, event, now)
-            pools.handle_list(state, now)
-            unseen.handle_list(state, now)
+            _on_machines_listed(state, event, now)
         case messages.OrderAnswered():
             maintenance.handle_order_answer(state, event, now)
             pools.handle_order_answer(state, event, now)
@@ -176,6 +174,17 @@
             _on_advice(state, event)
 
 
+def _on_machines_listed(
+    state: model.State, event: messages.MachinesListed, now: float
+) -> None:
+    """Handle a list of machines, unless a newer one was handled before."""
+    if event.began_at <= state.machines_at:
+        return
+    maintenance.handle_list(state, event, now)
+    pools.handle_list(state, now)
+    unseen.handle_list(state, now)
+
+
 def _on_advice(state: model.State, event: messages.Advised) -> None:
     job = state.jobs.get(event.job)
     if job is not None:
--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -19,7 +19,7 @@
 MACHINES = "machines"
 STORE_TIMEOUT_S = 1.0
 HOST_TIMEOUT_S = 0.8
-ORDER_TIMEOUT_S = 2.0
+MACHINES_TIMEOUT_S = 2.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -203,8 +203,8 @@
         """Read the list of machines."""
         return SimCall(
             target=MACHINES,
-            act=lambda at: self._world.machine_page(),
-            timeout_s=STORE_TIMEOUT_S,
+            act=lambda at: self._world.machine_page(token),
+            timeout_s=MACHINES_TIMEOUT_S,
             changes=False,
         )
 
@@ -217,7 +217,7 @@
         return SimCall(
             target=MACHINES,
             act=lambda at: self._world.order(order, fence),
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=MACHINES_TIMEOUT_S,
             send_by=order.send_by,
         )
 
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -253,8 +253,8 @@
             case _:
                 return None
 
-    def machine_page(self) -> "MachinePage":
-        """Return the list of machines."""
+    def machine_page(self, token: str = "") -> "MachinePage":
+        """Return the list of machines, which has a single page."""
         return MachinePage(machines=tuple(self.machines.values()))
 
     def order(
