Log once a second what a takeover waits for

Change: takeover.waiting, once a second from the first second of a takeover on: its term, stage, what has to succeed next, since when, how long the takeover has run, how far the daemon has read the jobs and how far it has to. A takeover that is done within a second has no such line.

Measured: with the answers of each kind of call lost for about 3 s, on the platform in memory, two to four lines name that kind; an undisturbed start has none.

Before, test_leader_lines.py::test_a_takeover_logs_what_it_waits_for failed in all five cases: assert 2 <= 0, len([]).

--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -33,7 +33,9 @@
 
 PRODUCER: typing.Final = "leader"
 RETRY_S: typing.Final = 0.1
-
+LOG_INTERVAL_S: typing.Final = 1.0
+"""Pause between log lines about what a takeover waits for."""
+FENCED_TOPICS: typing.Final = (pages.Topic.PROGRESS, pages.Topic.JOBS)
 
 HOST_REPORT_WAIT_S: typing.Final = 1.5
 """Time in which hosts can report their runs before an expired lease counts. It
@@ -79,10 +81,13 @@
         "_context",
         "_fenced",
         "_jobs_end",
+        "_log_at",
         "_number",
         "_progress_read",
         "_progress_values",
         "_retry_at",
+        "_waited_since",
+        "_waits_for",
         "began_at",
         "failure",
         "stage",
@@ -94,6 +99,9 @@
         self.stage = Stage.FENCING
         self.failure = ""
         self.began_at = context.clock()
+        self._log_at = self.began_at + LOG_INTERVAL_S
+        self._waits_for = ""
+        self._waited_since = self.began_at
         self._retry_at = 0.0
         self._call_pending = False
         self._fenced: set[pages.Topic] = set()
@@ -105,6 +113,7 @@
 
     def step(self, now: float) -> model.State | None:
         """Run one iteration; return the state once it is complete."""
+        self._log_waiting(now)
         match self.stage:
             case Stage.FENCING:
                 self._fence(now)
@@ -114,6 +123,39 @@
                 return self._catch_up(now)
         return None
 
+    def _log_waiting(self, now: float) -> None:
+        """Log once a second what the takeover waits for, and how long."""
+        waits_for = self._next_step()
+        if waits_for != self._waits_for:
+            self._waits_for = waits_for
+            self._waited_since = now
+        if now < self._log_at:
+            return
+        self._log_at = now + LOG_INTERVAL_S
+        logger.bind(
+            event="takeover.waiting",
+            term=self._number,
+            stage=self.stage.name.lower(),
+            waits_for=waits_for,
+            since_ms=int((now - self._waited_since) * 1000),
+            begun_ms=int((now - self.began_at) * 1000),
+            offset=self._context.jobs_offset(),
+            end=self._jobs_end,
+        ).info("the takeover is not complete")
+
+    def _next_step(self) -> str:
+        """Return what has to succeed next."""
+        match self.stage:
+            case Stage.FENCING:
+                for topic in FENCED_TOPICS:
+                    if topic not in self._fenced:
+                        return f"fence {topic.value}"
+            case Stage.READING if self._jobs_end < 0:
+                return f"end of {pages.Topic.JOBS.value}"
+            case Stage.READING:
+                return f"read {pages.Topic.PROGRESS.value}"
+        return f"catch up with {pages.Topic.JOBS.value}"
+
     def _fail(self, reason: str) -> None:
         self.stage = Stage.FAILED
         self.failure = reason
@@ -121,7 +163,7 @@
     def _fence(self, now: float) -> None:
         if self._call_pending or now < self._retry_at:
             return
-        for topic in (pages.Topic.PROGRESS, pages.Topic.JOBS):
+        for topic in FENCED_TOPICS:
             if topic not in self._fenced:
                 self._call_pending = True
                 self._context.calls.submit(
--- a/tests/scheduling/test_leader_lines.py
+++ b/tests/scheduling/test_leader_lines.py
@@ -1,15 +1,19 @@
 """The leader's log lines about its loop, its queue and stuck work."""
 
 import collections
+import itertools
 import time
 
 from loguru import logger
 import pytest
 
+from azurewood.daemons import member as members
 from azurewood.daemons import pace
 from azurewood.http import multiplex
 from azurewood.jobs import model
+from azurewood.journal import pages
 from azurewood.scheduling import stuck
+from standins.fleet import platform
 from tests.scheduling import deployment
 
 SMALL = 75_000
@@ -239,3 +243,97 @@
     unanswered = _of(lines, "start.unanswered")
     assert unanswered
     assert all(line["incarnation"] for line in unanswered)
+
+
+WAITS = {
+    "fence progress": ("begin_epoch", pages.Topic.PROGRESS, None),
+    "fence jobs": ("begin_epoch", pages.Topic.JOBS, None),
+    "end of jobs": ("read", pages.Topic.JOBS, 0),
+    "read progress": ("newest", pages.Topic.PROGRESS, None),
+    "catch up with jobs": ("read", pages.Topic.JOBS, members.WAIT_MS),
+}
+"""What a takeover waits for while the answers to such calls are lost."""
+STAGES = {
+    "fence progress": "fencing",
+    "fence jobs": "fencing",
+    "end of jobs": "reading",
+    "read progress": "reading",
+    "catch up with jobs": "catching_up",
+}
+
+
+def _lose_answers(made, monkeypatch):
+    """Return a set to fill; answers to calls that it describes are lost."""
+    lost = set()
+    known = []
+
+    def describe(name, waits):
+        real = getattr(platform.SimPlatform, name)
+
+        def call(self, topic, *args, **fields):
+            made_call = real(self, topic, *args, **fields)
+            known.append((made_call, (name, topic, waits(*args))))
+            return made_call
+
+        monkeypatch.setattr(platform.SimPlatform, name, call)
+
+    describe("begin_epoch", lambda *args: None)
+    describe("newest", lambda *args: None)
+    describe("read", lambda offset, wait_ms: wait_ms)
+    usual = made.fault_of
+
+    def fault_of(call):
+        found = [what for other, what in known if other is call]
+        known.clear()
+        return "lost" if lost.intersection(found) else usual(call)
+
+    made.fault_of = fault_of
+    return lost
+
+
+def _stall_a_takeover(made, monkeypatch, *waits):
+    """Kill the leader; have its successor wait for each of ``waits``."""
+    lost = _lose_answers(made, monkeypatch)
+    lost.add(WAITS[waits[0]])
+    made.leaders()[0].kill()
+    while not made.leaders():
+        made.run(0.001)
+    asked = next(m for m in made.members if m.up and not m.leads)
+    for number in range(len(waits)):
+        lost.clear()
+        lost.update(WAITS[w] for w in waits[number:])
+        for job in range(4):
+            made.submit(asked, deployment.job(made, 10 * number + job))
+            made.run(0.1)
+        made.run(2.8 / len(waits))
+    lost.clear()
+
+
+@pytest.mark.parametrize("waits_for", WAITS)
+def test_a_takeover_logs_what_it_waits_for(lines, monkeypatch, waits_for):
+    """Found on scale-1 of a grown site: no line said it."""
+    made = deployment.world()
+    assert not _of(lines, "takeover.waiting")
+    del lines[:]
+    waits = [waits_for]
+    if waits_for == "catch up with jobs":
+        waits = ["end of jobs", waits_for]
+    _stall_a_takeover(made, monkeypatch, *waits)
+    made.run(2.0)
+    (begun,) = _of(lines, "term.begun")
+    logged = _of(lines, "takeover.waiting")
+    assert 2 <= len(logged) <= 4
+    assert {line["term"] for line in logged} == {begun["term"]}
+    assert sorted({line["waits_for"] for line in logged}) == sorted(waits)
+    for line in logged:
+        assert line["stage"] == STAGES[line["waits_for"]]
+        assert 0 <= line["since_ms"] <= line["begun_ms"]
+    for line, later in itertools.pairwise(logged):
+        assert 950 <= later["begun_ms"] - line["begun_ms"] <= 1200
+    last = logged[-1]
+    if waits_for == "catch up with jobs":
+        assert 0 < last["offset"] < last["end"]
+        assert last["since_ms"] < last["begun_ms"] - 1000
+    else:
+        assert last["since_ms"] > last["begun_ms"] - 500
+    assert len(_of(lines, "term.leading")) == 1
