Take the answer to an order for the answer to that order only

Cause: the answer to an order was held against everything that was under way about the machine. With two waves that name one machine, the answer to one wave's order confirmed the other's, which was then reported as completed although the machine had not had its maintenance for it. A move that the list had shown as over could be answered late, into a maintenance or another move of the machine, and its host's runs were marked as gone.

Change: an answer carries its order. A wave takes the answers to its own orders, a move those to orders to its pool. A wave begins with a machine only when no other wave's order to it is open, since the machine would otherwise come back and be taken down again without being drained.

Measured: the two waves take all machines down twice, no order ends a run; tests/scheduling passes whole.

--- a/azurewood/daemons/machine_calls.py
+++ b/azurewood/daemons/machine_calls.py
@@ -64,9 +64,7 @@
         order: messages.MoveMachine | messages.MaintainMachine,
         result: messages.OrderResult,
     ) -> None:
-        self._handle_event(
-            messages.OrderAnswered(machine=order.machine, result=result)
-        )
+        self._handle_event(messages.OrderAnswered(order=order, result=result))
 
     def read_list(self) -> None:
         """Read all pages of the list of machines, one read at a time.
--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -149,7 +149,12 @@
     candidates = policy.drain_order(state, todo)
     for machine in candidates[: max(0, free) + policy.DRAIN_AHEAD]:
         _drain(state, machine, now)
-        allowed = free > 0 and state.may_order(machine.name, now)
+        allowed = (
+            free > 0
+            and state.may_order(machine.name, now)
+            # Another wave's order is not finished.
+            and not state.awaiting_maintenance(machine.name)
+        )
         if allowed and _is_drained(state, machine):
             free -= 1
             _take_down(state, wave, machine, now)
@@ -223,25 +228,24 @@
 def handle_order_answer(
     state: model.State, event: messages.OrderAnswered, now: float
 ) -> None:
-    """Handle the answer to an order."""
-    state.orders[event.machine] = now + ORDER_RETRY_S
+    """Handle the answer to an order, which confirms that order only."""
+    name = event.order.machine
     state.log_event(
-        "machine.answered", machine=event.machine, result=event.result.value
+        "machine.answered", machine=name, result=event.result.value
     )
-    for wave in state.waves.values():
-        host = wave.ordered.get(event.machine)
-        if host is None or event.machine in wave.confirmed:
-            continue
-        match event.result:
-            case messages.OrderResult.DONE:
-                wave.confirmed[event.machine] = now
-                _mark_runs_gone(state, host, now, placed_before=now)
-            case messages.OrderResult.REFUSED:
-                wave.confirmed[event.machine] = now
-                wave.returned.add(event.machine)
-            case messages.OrderResult.FENCED:
-                state.emit(
-                    messages.StepDown(reason="fenced by a machine's order")
-                )
-            case _:
-                continue
+    if not isinstance(event.order, messages.MaintainMachine):
+        return
+    state.orders[name] = now + ORDER_RETRY_S
+    wave = state.waves.get(event.order.wave)
+    host = wave.ordered.get(name) if wave else None
+    if host is None or name in wave.confirmed:
+        return
+    match event.result:
+        case messages.OrderResult.DONE:
+            wave.confirmed[name] = now
+            _mark_runs_gone(state, host, now, placed_before=now)
+        case messages.OrderResult.REFUSED:
+            wave.confirmed[name] = now
+            wave.returned.add(name)
+        case messages.OrderResult.FENCED:
+            state.emit(messages.StepDown(reason="fenced by a machine's order"))
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -256,7 +256,7 @@
 class OrderAnswered:
     """An order to move or maintain a machine was answered."""
 
-    machine: str
+    order: "MoveMachine | MaintainMachine"
     result: OrderResult
 
 
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -224,8 +224,11 @@
     state: model.State, event: messages.OrderAnswered, now: float
 ) -> None:
     """Handle the answer to an order to move a machine."""
-    move = state.moving.get(event.machine)
-    if move is None:
+    name = event.order.machine
+    move = state.moving.get(name)
+    if move is None or not isinstance(event.order, messages.MoveMachine):
+        return
+    if event.order.pool != move.pool:
         return
     match event.result:
         case messages.OrderResult.DONE:
@@ -235,7 +238,7 @@
             # The machine list shows the outcome.
             return
         case _:
-            _cancel_move(state, event.machine, move)
+            _cancel_move(state, name, move)
 
 
 def handle_list(state: model.State, now: float) -> None:
