Keep the latest advice on a step when an older answer follows

Cause: advice replaced what was known of a step in the order of the answers. Tickets are valid during one life of a host, so those of an older answer may be refused after a host has restarted.

Change: advice that ends sooner than the tickets known is ignored; the note of a request without an answer, which has no tickets, is replaced as before.

The test failed before, test_older_advice_does_not_replace_newer: assert {'h1': 'old'} == {'h1': 'new'}

--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -186,10 +186,16 @@
 
 
 def _on_advice(state: model.State, event: messages.Advised) -> None:
+    """Handle advice, unless later advice on the step was handled before."""
     job = state.jobs.get(event.job)
-    if job is not None:
-        job.tickets[(event.occurrence, event.step)] = event
-        state.placement_due.add(state.service_of(job.job))
+    if job is None:
+        return
+    key = (event.occurrence, event.step)
+    known = job.tickets.get(key)
+    if known and known.tickets and known.valid_until > event.valid_until:
+        return
+    job.tickets[key] = event
+    state.placement_due.add(state.service_of(job.job))
 
 
 def _tick(state: model.State, event: messages.Tick, now: float) -> None:
--- a/tests/scheduling/test_order_answers.py
+++ b/tests/scheduling/test_order_answers.py
@@ -1,4 +1,4 @@
-"""Answers to orders about machines, which may overtake each other."""
+"""Answers to orders and to requests for advice overtake each other."""
 
 import pytest
 
@@ -101,3 +101,29 @@
     order = messages.MaintainMachine(machine=name, wave=1)
     term.handle_event(messages.OrderAnswered(order=order, result=done))
     assert name in wave.confirmed
+
+
+def test_older_advice_does_not_replace_newer():
+    """Its tickets are those of hosts that may have restarted since."""
+    made = deployment.world()
+    job = deployment.job(made, 1, MANY)
+    made.submit(made.members[0], job)
+    made.run(0.5)
+    term = made.leaders()[0].member.term
+
+    def handle(ticket, valid_until):
+        term.handle_event(
+            messages.Advised(
+                job=job.id,
+                occurrence=0,
+                step=0,
+                tickets={"h1": ticket} if ticket else {},
+                valid_until=valid_until,
+            )
+        )
+        return term.state.jobs[job.id].tickets[(0, 0)].tickets
+
+    assert handle("", 5.0) == {}
+    assert handle("new", 4.0) == {"h1": "new"}
+    assert handle("old", 3.0) == {"h1": "new"}
+    assert handle("newer", 4.5) == {"h1": "newer"}
