Let a call be bound to the connections made by some time

A host that restarts under its id between two calls gets the second one in its new incarnation, and nothing in the platform's format can name the incarnation that it is for. Besides, libcurl repeats a request by itself when a reused connection is reset, and so brings it to the new process.

A connection ends with the process at its other end. A call with ``connected_by`` only goes over a connection that has answered before and was made by then: its new sockets are refused before the handshake, also those of a repetition, and libcurl is stopped before it writes if the connection is newer. The time and not only an earlier answer counts, as a start may have been answered by the new process over a new connection since. Connections are known by addresses and ports; pycurl allows no getinfo in that callback, so CONN_ID is not to be had there.

Such a call is NOT_SENT, or UNKNOWN if it was written to a connection that turned out to be closed; both are marked as disconnected, which a time-out is not.

--- /dev/null
+++ b/azurewood/http/connection_times.py
@@ -0,0 +1,52 @@
+"""When each kept connection of a multiplexer was made.
+
+A connection ends with the process at its other end. A call that goes only
+over a connection made by some time hence reaches the process that had the
+address then, or none.
+"""
+
+import typing
+
+MAX_KNOWN: typing.Final = 2048
+"""Connections remembered; several times those that are kept open."""
+
+Connection = tuple[object, ...]
+"""Both addresses and ports of a connection."""
+
+
+class ConnectionTimes:
+    """The times at which connections that have answered were made.
+
+    A time may be later than the real one and never earlier. A connection
+    that is closed stays until a new one has its ports or others displace it.
+    """
+
+    __slots__ = ("_made_at",)
+
+    def __init__(self) -> None:
+        self._made_at: dict[Connection, float] = {}
+
+    def answered(
+        self, connection: Connection, written_at: float, *, is_new: bool
+    ) -> None:
+        """Record an answer to a call that was written at a time."""
+        made_at = self._made_at.pop(connection, None)
+        if made_at is None or is_new:
+            made_at = written_at
+        self._made_at[connection] = made_at
+        if len(self._made_at) > MAX_KNOWN:
+            del self._made_at[next(iter(self._made_at))]
+
+    def failed(self, connection: Connection, *, is_new: bool) -> None:
+        """Record a call that failed.
+
+        libcurl may keep the connection, and a new one may have the ports of
+        one that was closed.
+        """
+        if is_new:
+            self._made_at.pop(connection, None)
+
+    def made_by(self, connection: Connection, time: float) -> bool:
+        """Return whether a connection is known to be made by ``time``."""
+        made_at = self._made_at.get(connection)
+        return made_at is not None and made_at <= time
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -8,6 +8,7 @@
 from collections import abc
 import dataclasses
 import enum
+import functools
 import io
 import selectors
 import socket
@@ -16,6 +17,7 @@
 
 import pycurl
 
+from azurewood.http import connection_times
 from azurewood.http import sockets
 
 MAX_IDLE_CONNECTIONS: typing.Final = 512
@@ -42,6 +44,10 @@
     A call that has not been sent by ``send_by``, on the multiplexer's clock,
     is not sent at all. Causes of such a delay are busy connections, a slow
     handshake or a process that was stopped.
+
+    With ``connected_by`` it is only sent over a connection that has answered
+    before and was made by then. Nothing else reaches just the process that
+    had the address at that time.
     """
 
     method: str
@@ -50,6 +56,7 @@
     body: bytes | None = None
     timeout_ms: int
     send_by: float | None = None
+    connected_by: float | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -57,7 +64,10 @@
     """The result of a call; ``status`` and ``body`` are set if answered.
 
     ``sent_at`` is when the call was submitted and ``at`` when it ended, both
-    on the multiplexer's clock.
+    on the multiplexer's clock. ``written_at`` is just before the request of
+    an answered call was last written, when its connection had been made.
+    ``disconnected`` is whether a call with ``connected_by`` failed for want
+    of such a connection, or as it was closed, and not for want of time.
     """
 
     outcome: Outcome
@@ -66,6 +76,8 @@
     reason: str = ""
     sent_at: float
     at: float
+    written_at: float = 0.0
+    disconnected: bool = False
 
 
 Callback = abc.Callable[[Reply], None]
@@ -73,9 +85,12 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Transfer:
+    call: Call
     done: Callback
     buffer: io.BytesIO
     sent_at: float
+    written_at: float = 0.0
+    connection: connection_times.Connection = ()
 
 
 class Multiplexer:
@@ -86,6 +101,7 @@
 
     __slots__ = (
         "_clock",
+        "_connections",
         "_idle_handles",
         "_multi",
         "_selector",
@@ -98,6 +114,7 @@
 
     def __init__(self, *, clock: abc.Callable[[], float]) -> None:
         self._clock = clock
+        self._connections = connection_times.ConnectionTimes()
         self._multi = pycurl.CurlMulti()
         self._selector = selectors.DefaultSelector()
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
@@ -126,28 +143,33 @@
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
         buffer = io.BytesIO()
+        transfer = _Transfer(
+            call=call, done=done, buffer=buffer, sent_at=self._clock()
+        )
         _prepare(curl, call, buffer)
-        if call.send_by is not None:
-            curl.setopt(
-                pycurl.PREREQFUNCTION, self._send_deadline_check(call.send_by)
-            )
-        self._transfers[curl] = _Transfer(
-            done=done, buffer=buffer, sent_at=self._clock()
+        curl.setopt(
+            pycurl.PREREQFUNCTION,
+            functools.partial(self._before_writing, transfer),
         )
+        self._transfers[curl] = transfer
         self._multi.add_handle(curl)
 
-    def _send_deadline_check(self, send_by: float) -> abc.Callable[..., int]:
-        """Return a pycurl callback that aborts a call after ``send_by``.
+    def _before_writing(self, transfer: _Transfer, *connection: object) -> int:
+        """Abort a call that is late or would go over another connection.
 
-        libcurl calls it right before it sends the request.
+        libcurl calls this right before it sends a request or repeats one.
         """
-
-        def check(*_: object) -> int:
-            if self._clock() < send_by:
-                return pycurl.PREREQFUNC_OK
+        call = transfer.call
+        now = self._clock()
+        transfer.connection = connection
+        late = call.send_by is not None and now >= call.send_by
+        if late or (
+            call.connected_by is not None
+            and not self._connections.made_by(connection, call.connected_by)
+        ):
             return pycurl.PREREQFUNC_ABORT
-
-        return check
+        transfer.written_at = now
+        return pycurl.PREREQFUNC_OK
 
     def wake(self) -> None:
         """Wake ``run_once`` from another thread."""
@@ -243,21 +265,29 @@
         error: tuple[int, str] | None,
     ) -> Reply:
         now = self._clock()
+        is_new = curl.getinfo(pycurl.NUM_CONNECTS) > 0
         if error is None:
+            self._connections.answered(
+                transfer.connection, transfer.written_at, is_new=is_new
+            )
             return Reply(
                 outcome=Outcome.ANSWERED,
                 status=curl.getinfo(pycurl.RESPONSE_CODE),
                 body=transfer.buffer.getvalue(),
                 sent_at=transfer.sent_at,
                 at=now,
+                written_at=transfer.written_at,
             )
-        _, text = error
+        self._connections.failed(transfer.connection, is_new=is_new)
+        code, text = error
+        bound = transfer.call.connected_by is not None
         unsent = sockets.nothing_sent(curl)
         return Reply(
             outcome=Outcome.NOT_SENT if unsent else Outcome.UNKNOWN,
             reason=text,
             sent_at=transfer.sent_at,
             at=now,
+            disconnected=bound and code != pycurl.E_OPERATION_TIMEDOUT,
         )
 
 
@@ -278,7 +308,10 @@
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.TCP_NODELAY, 1)
-    curl.setopt(pycurl.SOCKOPTFUNCTION, sockets.drop_unsent)
+    if call.connected_by is None:
+        curl.setopt(pycurl.SOCKOPTFUNCTION, sockets.drop_unsent)
+    else:
+        curl.setopt(pycurl.SOCKOPTFUNCTION, sockets.refuse_connection)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     curl.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
     if call.body is not None:
--- a/azurewood/http/sockets.py
+++ b/azurewood/http/sockets.py
@@ -31,6 +31,14 @@
     return pycurl.SOCKOPT_OK
 
 
+def refuse_connection(fd: int, purpose: int) -> int:
+    """Let a call fail that needs a new connection, to repeat it or at all.
+
+    A ``SOCKOPTFUNCTION`` of pycurl, called before the handshake.
+    """
+    return pycurl.SOCKOPT_ERROR
+
+
 def nothing_sent(curl: pycurl.Curl) -> bool:
     """Return whether no byte of a failed call was sent.
 
