Acknowledge run ends only to the incarnation that listed them

A host numbers its run ends anew in each incarnation. If it restarted under its id between two renewals, the second one acknowledged the old numbers to the new incarnation, which forgot ends that nobody had seen, and their tasks were started again (TWICE). Only a host that was silent was sent 0.

A renewal that acknowledges something now goes only over a connection made by the time when the newest list was asked for, and so to the incarnation that sent the list or to none. If it is disconnected, the next tick sends a renewal that acknowledges nothing and doesn't wait; the host is silent only once that one fails. A host that closes all its connections is asked with pauses. The event host.disconnected says so in the log.

The simulated network does the same: a bound call to a host that was born later, or whose connection a test closes, is not carried out, and its sender learns it soon.

--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -5,6 +5,7 @@
 expires; one lease covers all runs on the host.
 """
 
+import dataclasses
 import typing
 
 from loguru import logger
@@ -169,7 +170,10 @@
             if effect.wait_ms:
                 body["wait_ms"] = effect.wait_ms
             timeout = effect.wait_ms + RENEWAL_MARGIN_MS
-            return _post(effect, "/api/hold", body, timeout)
+            made = _post(effect, "/api/hold", body, timeout)
+            if not effect.acknowledged:
+                return made
+            return dataclasses.replace(made, connected_by=effect.connected_by)
         case _:
             raise TypeError(
                 f"effect cannot be carried out on a host: {effect!r}"
@@ -254,6 +258,8 @@
     effect: messages.RenewLease, reply: multiplex.Reply
 ) -> messages.Event:
     refusal = _refusal(reply)
+    if reply.disconnected:
+        refusal = messages.Refusal.DISCONNECTED
     if refusal is not None:
         return _renewal_failed(effect, refusal)
     try:
@@ -273,6 +279,7 @@
         sent_at=reply.sent_at,
         running=running,
         ended=ended,
+        connected_by=reply.written_at,
     )
 
 
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -121,6 +121,7 @@
         return
     clock = host.clock(now)
     responsive = host.synced and host.unresponsive_since is None
+    connected = responsive and host.connected_by is not None
     lease = None
     if responsive and clock is not None:
         # An unresponsive host gets no new lease: its tasks may start on
@@ -137,12 +138,14 @@
             address=host.entry.address,
             number=host.renewals,
             fence=host.fence,
-            # An unresponsive host may have begun another incarnation, which
-            # numbers its run ends from the start. Acknowledging an old number
-            # would drop ends that the leader has not seen.
-            acknowledged=host.acknowledged if responsive else 0,
+            # A host that is unresponsive or was disconnected may have begun
+            # another incarnation, which numbers its run ends from the start.
+            # Acknowledging an old number would drop ends that the leader has
+            # not seen.
+            acknowledged=host.acknowledged if connected else 0,
             lease_until_ms=lease,
-            wait_ms=RENEWAL_WAIT_MS if responsive else FIRST_RENEWAL_WAIT_MS,
+            wait_ms=RENEWAL_WAIT_MS if connected else FIRST_RENEWAL_WAIT_MS,
+            connected_by=host.connected_by or 0.0,
         )
     )
 
@@ -171,6 +174,9 @@
     if host is None or event.number != host.renewals:
         return
     host.renewing = False
+    if event.reason is messages.Refusal.DISCONNECTED:
+        unresponsive.on_disconnected(state, host, now)
+        return
     host.answered = False
     match event.reason:
         case messages.Refusal.FENCE:
@@ -211,6 +217,7 @@
     unresponsive.on_answer(state, host, now)
     runs.set_clock(host, event.clock_ms, now)
     host.listed_at = event.sent_at
+    host.connected_by = event.connected_by
     ends = _handle_ends(state, host, event, now)
     running = {(row.task, row.run): row for row in event.running}
     _handle_running(state, host, event, running, ends, now)
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -169,7 +169,9 @@
 class LeaseRenewed:
     """A host answered a lease renewal with its runs and latest run ends.
 
-    ``number`` is that of the renewal and ``sent_at`` when it was sent.
+    ``number`` is that of the renewal and ``sent_at`` when it was sent. A
+    connection made by ``connected_by`` leads to the incarnation that
+    answered, if to any.
     """
 
     host: str
@@ -179,6 +181,7 @@
     sent_at: float
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    connected_by: float = 0.0
 
 
 class Refusal(enum.Enum):
@@ -194,6 +197,7 @@
     MALFORMED = "malformed"
     UNKNOWN = "unknown"
     NOT_SENT = "not sent"
+    DISCONNECTED = "disconnected"
 
 
 @_frozen
@@ -363,7 +367,10 @@
 
     ``number`` counts a host's renewals. ``lease_until_ms`` is None if the
     host's clock is unknown or the host is to get no lease. The host may
-    delay its answer by up to ``wait_ms`` to include a run end.
+    delay its answer by up to ``wait_ms`` to include a run end. A renewal
+    that acknowledges run ends only goes over a connection made by
+    ``connected_by``, as another incarnation of the host numbers other ends
+    alike.
     """
 
     host: str
@@ -373,6 +380,7 @@
     acknowledged: int
     lease_until_ms: int | None
     wait_ms: int
+    connected_by: float = 0.0
 
 
 @_frozen
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -1,6 +1,7 @@
 """The state of the leader: hosts with their runs, jobs, pools and waves."""
 
 import enum
+import math
 import typing
 
 from azurewood.jobs import catalog
@@ -110,6 +111,9 @@
     answer and ``past_incarnations`` the incarnations that have ended.
     ``fence`` is the fencing token of calls to the host. It is raised for
     each incarnation; ``fence_due`` is true until that is done.
+    Connections made by ``connected_by`` lead to the incarnation that sent
+    the newest list, if to any; it is None once they are closed, until the
+    next list. ``disconnected_at`` is when that was noticed last.
     """
 
     __slots__ = (
@@ -117,6 +121,8 @@
         "answered",
         "clock_at",
         "clock_ms",
+        "connected_by",
+        "disconnected_at",
         "entry",
         "failed_tasks",
         "fence",
@@ -163,6 +169,8 @@
         self.last_end = 0
         self.acknowledged = 0
         self.listed_at = 0.0
+        self.connected_by: float | None = None
+        self.disconnected_at = -math.inf
         self.unresponsive_since: float | None = None
         self.answered = False
         self.suspended_until = 0.0
--- a/azurewood/scheduling/unresponsive.py
+++ b/azurewood/scheduling/unresponsive.py
@@ -22,6 +22,9 @@
 A single lost call does not last as long.
 """
 
+DISCONNECTED_PAUSE_S: typing.Final = 0.2
+"""Pause after a second lost connection before a host is asked again."""
+
 
 def check_host(state: model.State, host: model.Host, now: float) -> None:
     """Request a new record if a host has newly become unresponsive."""
@@ -41,6 +44,22 @@
     return known or now >= host.unresponsive_since + RECORD_AFTER_S
 
 
+def on_disconnected(state: model.State, host: model.Host, now: float) -> None:
+    """Request a list at once, without an acknowledgement.
+
+    Only its failure makes the host unresponsive. A host that closes every
+    connection is asked with pauses.
+    """
+    state.log_event(
+        "host.disconnected",
+        host=host.id,
+        incarnation=host.entry.incarnation_ms if host.entry else 0,
+    )
+    host.connected_by = None
+    host.renew_at = max(now, host.disconnected_at + DISCONNECTED_PAUSE_S)
+    host.disconnected_at = now
+
+
 def on_answer(state: model.State, host: model.Host, now: float) -> None:
     """Handle an answer of a host, which makes it responsive again."""
     host.answered = True
--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -276,6 +276,7 @@
                 for run in self.runs.values()
             ),
             ended=tuple(self._ends[:500]),
+            connected_by=sent_at,
         )
 
     def _extend(self, until_ms: int) -> None:
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -68,6 +68,7 @@
 
     __slots__ = (
         "_answered",
+        "_disconnected",
         "call",
         "done",
         "incarnation",
@@ -91,6 +92,7 @@
         self.incarnation = member.incarnation
         self.sent_at = world.clock.now
         self._answered = False
+        self._disconnected = False
 
     def send(self) -> None:
         """Start the call and its timeout."""
@@ -107,6 +109,9 @@
             )
             return
         delay = self.world.delay(self.call.target)
+        if fault == "closed":
+            self.world.clock.after(delay, self._disconnect)
+            return
         self.world.clock.after(delay, lambda: self._arrive(fault))
 
     def _arrive(self, fault: str) -> None:
@@ -117,6 +122,10 @@
                 )
             return
         call = self.call
+        if self.world.is_disconnected(call):
+            delay = self.world.delay(call.target)
+            self.world.clock.after(delay, self._disconnect)
+            return
         if call.wait_s and call.ready and not call.ready():
             self._wait(fault)
             return
@@ -174,6 +183,11 @@
         if self.world.reachable(self.member, self.call.target):
             self._finish(multiplex.Outcome.ANSWERED, answer)
 
+    def _disconnect(self) -> None:
+        """End a call that has no connection left to go over."""
+        self._disconnected = not self._answered
+        self._finish(multiplex.Outcome.NOT_SENT, b"")
+
     def _time_out(self) -> None:
         self._finish(multiplex.Outcome.UNKNOWN, b"")
 
@@ -194,6 +208,7 @@
                 reason=outcome.value,
                 sent_at=self.sent_at,
                 at=self.world.clock.now,
+                disconnected=self._disconnected,
             )
         )
 
--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -29,7 +29,8 @@
     A call with ``wait_s`` is a long poll: ``ready`` returns whether ``act``
     has something to answer, and ``wait`` registers a callback for the time
     when it has. ``partition`` is set for appends, of which a partition
-    carries out one at a time.
+    carries out one at a time. A host that has begun another incarnation since
+    ``connected_by`` doesn't get the call.
     """
 
     target: str
@@ -41,6 +42,7 @@
     ready: abc.Callable[[], bool] | None = None
     wait: abc.Callable[[abc.Callable[[], None]], None] | None = None
     partition: tuple[pages.Topic, int] | None = None
+    connected_by: float | None = None
 
 
 def unwrap(reply: multiplex.Reply, otherwise: typing.Any) -> typing.Any:
@@ -151,8 +153,11 @@
         """Carry out an effect on a host."""
         world = self._world
         wait_s = 0.0
+        connected_by = None
         if isinstance(effect, messages.RenewLease):
             wait_s = effect.wait_ms / 1000
+            if effect.acknowledged:
+                connected_by = effect.connected_by
         return SimCall(
             target=effect.host,
             act=lambda at: world.on_host(effect, at),
@@ -161,6 +166,7 @@
             wait_s=wait_s,
             ready=lambda: world.hosts[effect.host].has_ends(),
             wait=lambda what: world.hosts[effect.host].call_at_next_end(what),
+            connected_by=connected_by,
         )
 
     def host_event(
@@ -174,6 +180,8 @@
         reason = messages.Refusal.NOT_SENT
         if not unsent:
             reason = messages.Refusal.UNKNOWN
+        if reply.disconnected:
+            reason = messages.Refusal.DISCONNECTED
         match effect:
             case messages.StartRun():
                 return messages.StartAnswered(
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -212,6 +212,15 @@
         host = self.hosts.get(target)
         return host.incarnation_ms if host is not None else 0
 
+    def is_disconnected(self, call: platform.SimCall) -> bool:
+        """Return whether no connection is left that a call may go over.
+
+        A connection ends with the incarnation that it was made to.
+        """
+        if call.connected_by is None:
+            return False
+        return self.hosts[call.target].born_at > call.connected_by
+
     # Effects of calls
 
     def on_host(
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -1,5 +1,7 @@
 """Each message of the platform, valid and malformed."""
 
+import dataclasses
+
 import msgspec
 import pytest
 
@@ -290,18 +292,45 @@
     assert event.refusal == refusal
 
 
-def _renewal():
+def _renewal(acknowledged=57):
     return messages.RenewLease(
         host="i-1",
         address="10.0.0.1:80",
         number=5,
         fence=7,
-        acknowledged=57,
+        acknowledged=acknowledged,
         lease_until_ms=486000,
         wait_ms=1000,
+        connected_by=7.5,
     )
 
 
+def test_only_a_renewal_that_acknowledges_ends_needs_a_known_connection():
+    """Another incarnation of the host has other ends with these numbers."""
+    assert hosts.call(_renewal(), 7).connected_by == 7.5
+    assert hosts.call(_renewal(acknowledged=0), 7).connected_by is None
+    assert hosts.call(_start(), 7).connected_by is None
+
+
+@pytest.mark.parametrize("outcome", ["NOT_SENT", "UNKNOWN"])
+def test_a_renewal_without_its_connection_is_told_from_silence(outcome):
+    reply = _no_reply(multiplex.Outcome[outcome])
+    silent = hosts.event(_renewal(), reply)
+    assert silent.reason is REFUSAL[outcome]
+    closed = hosts.event(
+        _renewal(), dataclasses.replace(reply, disconnected=True)
+    )
+    assert closed == messages.RenewalFailed(
+        host="i-1", reason=REFUSAL.DISCONNECTED
+    )
+
+
+def test_a_list_says_when_its_connection_had_been_made():
+    body = {"clock_ms": 1, "running": [], "ended_runs": []}
+    reply = dataclasses.replace(_reply(200, body), written_at=1.5)
+    assert hosts.event(_renewal(), reply).connected_by == 1.5
+
+
 def test_a_list_is_decoded():
     name = f"{JOB_ID}.0.1.17"
     body = {
