Raise a restarted host's fence before its next renewal

Cause: the token was raised after the renewal of the same tick, so the first call to reach the new incarnation still had the old one.

Change: the order; the tests name the renewal's number and read the token from the effect.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -102,10 +102,10 @@
         if host.entry is None:
             _expire_leases(state, host, now)
             continue
-        if not host.renewing and now >= host.renew_at:
-            _renew_lease(host, state, now)
         if host.fence_due:
             latestarts.raise_fence(state, host)
+        if not host.renewing and now >= host.renew_at:
+            _renew_lease(host, state, now)
         for run in list(host.runs.values()):
             due = now >= run.retry_at and not host.fence_due
             if due and not run.call_open:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -307,9 +307,9 @@
 
 def test_only_a_renewal_that_acknowledges_ends_needs_a_known_connection():
     """Another incarnation of the host has other ends with these numbers."""
-    assert hosts.call(_renewal(), 7).connected_by == 7.5
-    assert hosts.call(_renewal(acknowledged=0), 7).connected_by is None
-    assert hosts.call(_start(), 7).connected_by is None
+    assert hosts.call(_renewal()).connected_by == 7.5
+    assert hosts.call(_renewal(acknowledged=0)).connected_by is None
+    assert hosts.call(_start()).connected_by is None
 
 
 @pytest.mark.parametrize("outcome", ["NOT_SENT", "UNKNOWN"])
@@ -321,7 +321,7 @@
         _renewal(), dataclasses.replace(reply, disconnected=True)
     )
     assert closed == messages.RenewalFailed(
-        host="i-1", reason=REFUSAL.DISCONNECTED
+        host="i-1", number=5, reason=REFUSAL.DISCONNECTED
     )
 
 
