Soak: restart hosts under their id while calls are carried out late

Cause: the soak's hosts crashed and came back under their id, with an empty memory, but the crash also dropped whatever a link held back, and a call was late only together with all others of its link, so no start of before a crash ever reached the host after it. A crash was never hidden by a cut.

Change: two faults, drawn for seeds from 1000 on. Late: a share of the starts and stops gets no answer (the connection stays open and silent) and is carried out 2 to 12 s later by the incarnation that the host has by then. Restart: a crash and a restart under the same id after 0 to 3 s, also behind a cut that lasts to after the restart; the host's entry does not reach the store meanwhile, and what the link held back is dropped, as the connections ended with the process. Seeds from 100,000 on carry out renewals late too: these tell a restarted host to forget ends that nobody has read, so they are kept apart. No check was changed; a breach names the late start of its task beside it, and hosts.trace in the seed's folder holds what happened on the hosts. Callers already use a connection until it fails; nothing changed there.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -63,9 +63,9 @@
     sent instead of the real ones.
     """
 
-    def __init__(self, *, port, pools, ip="127.0.0.1"):
+    def __init__(self, *, port, pools, ip="127.0.0.1", world=HttpWorld):
         self.lock = threading.RLock()
-        self.world = HttpWorld(seed=1, members=0, pools=pools)
+        self.world = world(seed=1, members=0, pools=pools)
         self.started_at = time.monotonic()
         self.canned_responses = {}
         self.calls = []
@@ -199,7 +199,7 @@
     def _run(self, req):
         body = msgspec.json.decode(req.get_data())
         host = self._host(req)
-        task = _task(body["task"])
+        task = task_id(body["task"])
         if req.path == "/api/run-start":
             effect = messages.StartRun(
                 host=host.id,
@@ -223,20 +223,11 @@
 
     def _renew_lease(self, req):
         body = msgspec.json.decode(req.get_data())
-        effect = messages.RenewLease(
-            host="",
-            address="",
-            number=1,
-            fence=body["fence"],
-            acknowledged=body["ack_cursor"],
-            lease_until_ms=body.get("deadline_ms"),
-            wait_ms=0,
-        )
         until = time.monotonic() + body.get("wait_ms", 0) / 1000
         with self.lock:
             self.advance()
             host = self._host(req)
-            if host.renew_lease(effect, body["fence"]) is not None:
+            if self._begin_renewal(host, body) is not None:
                 return _json(409, {"reason": "fence"})
         while True:
             with self.lock:
@@ -245,6 +236,19 @@
                     return _json(200, _listing(host))
             time.sleep(0.005)
 
+    def _begin_renewal(self, host, body):
+        """Renew a lease and return the refusal; the list is sent later."""
+        effect = messages.RenewLease(
+            host="",
+            address="",
+            number=1,
+            fence=body["fence"],
+            acknowledged=body["ack_cursor"],
+            lease_until_ms=body.get("deadline_ms"),
+            wait_ms=0,
+        )
+        return host.renew_lease(effect, body["fence"])
+
     def _machines(self, req):
         nodes = [
             {
@@ -298,7 +302,8 @@
     return ".".join(map(str, task))
 
 
-def _task(name):
+def task_id(name):
+    """Return the task that a name stands for."""
     job, *numbers = name.split(".")
     return messages.model.TaskId(job, *map(int, numbers))
 
--- a/tests/soak/base.py
+++ b/tests/soak/base.py
@@ -67,6 +67,7 @@
     ):
         self.seed = seed
         self.seconds = seconds
+        self._trace_path = pathlib.Path(folder) / "hosts.trace"
         self._findings = []
         self._stopping = set()
         self._timers = []
@@ -133,7 +134,8 @@
         self._settle()
         self._check_lost_requests()
         rules = self._server.world.rules
-        breaches = [str(breach) for breach in rules.breaches]
+        breaches = [self._server.describe(b) for b in rules.breaches]
+        self._trace_path.write_text("\n".join(self._server.trace) + "\n")
         return Result(
             seed=self.seed,
             findings=self._findings + breaches,
@@ -194,6 +196,11 @@
                 self._schedule(fault.for_s, self._restore_store)
             case plan.Machine():
                 self._fault_host(fault)
+            case plan.Restart():
+                self._restart_host(fault)
+            case plan.Late():
+                self._server.late = fault
+                self._schedule(fault.for_s, lambda: self._end_late(fault))
 
     def _signal_daemon(self, fault, daemon):
         match fault.kind:
@@ -280,14 +287,51 @@
             machine = self._server.world.machines[host.machine]
             if not host.up and machine.host == host.id:
                 host.restart()
+                self._server.note(f"{host.id} born {host.incarnation_ms}")
                 self._server.world.publish_entry(host)
 
+    def _restart_host(self, fault):
+        world = self._server.world
+        link = self._proxy.links[f"machine-{fault.number}"]
+        with self._server.lock:
+            self._server.advance()
+            machine = world.machines[self._machines[fault.number]]
+            host = world.hosts.get(machine.host)
+            if host is None or not host.up:
+                return
+            self._server.note(f"{host.id} {fault}")
+            host.crash()
+            if fault.cut_s:
+                world.hidden.add(host.machine)
+                link.to_target = link.to_caller = False
+        if fault.cut_s:
+            over_s = fault.for_s + fault.cut_s
+            self._schedule(over_s, lambda: self._end_host_cut(host, link))
+        else:
+            link.open = False
+            self._proxy.reset(link.name)
+        self._schedule(fault.for_s, lambda: self._restore_host(host, link))
+
+    def _end_host_cut(self, host, link):
+        """Reconnect a host; its connections ended with its crash."""
+        self._proxy.end_cut(link)
+        with self._server.lock:
+            self._server.advance()
+            self._server.world.hidden.discard(host.machine)
+            if host.up:
+                self._server.world.publish_entry(host)
+
+    def _end_late(self, fault):
+        if self._server.late is fault:
+            self._server.late = None
+
     # End of the run
 
     def _end_faults(self):
         for link in self._proxy.links.values():
             link.restore()
         self._restore_store()
+        self._server.late = None
         for daemon in self._daemons:
             daemon.process.resume()
             died = not daemon.process.alive
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -47,6 +47,44 @@
     number: int
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Restart:
+    """A host crashes, and restarts under its id ``for_s`` later.
+
+    With ``cut_s``, nothing passes to or from the host from its crash until
+    ``cut_s`` after its restart.
+    """
+
+    at: float
+    for_s: float
+    number: int
+    cut_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Late:
+    """A ``share`` of the calls to hosts is not answered and done later.
+
+    The ``kind`` is ``orders`` (starts and stops) or ``calls``, which also
+    covers lease renewals.
+    """
+
+    at: float
+    for_s: float
+    kind: str
+    share: float
+
+
+FIRST_RESTART_SEED = 1000
+"""Seeds from here on also draw ``Restart`` and ``Late``.
+
+Earlier seeds keep the plans with which they once failed.
+"""
+FIRST_LATE_RENEWAL_SEED = 100_000
+"""Seeds from here on also draw ``Late`` of all calls.
+
+A late renewal tells a restarted host to forget ends that were not read.
+"""
 SIGNALS = ("kill", "pause", "stop", "reload")
 CUTS = ("delay", "reset", "requests", "answers", "silence", "refuse")
 STORES = ("no-appends", "down", "forget")
@@ -67,9 +105,34 @@
         faults.append(_draw_fault(rng, at, daemons, machines))
         if rng.random() < 0.3:
             faults.append(dataclasses.replace(faults[-1], at=at + 0.7))
+    if seed >= FIRST_RESTART_SEED:
+        kinds = ("orders",)
+        if seed >= FIRST_LATE_RENEWAL_SEED:
+            kinds = ("orders", "calls")
+        faults += _draw_restarts(rng, seconds, machines, kinds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def _draw_restarts(rng, seconds, machines, kinds):
+    """Draw restarts of hosts, and times in which calls are done late."""
+    for _ in range(rng.randint(1, 3)):
+        yield Late(
+            at=round(rng.uniform(1.0, seconds - 1.0), 2),
+            for_s=round(rng.uniform(2.0, 10.0), 2),
+            kind=rng.choice(kinds),
+            share=rng.choice((0.1, 0.3, 0.5)),
+        )
+    for _ in range(rng.randint(3, 8)):
+        down_s = rng.choice((0.0, rng.uniform(0.0, 3.0)))
+        cut_s = rng.choice((0.0, rng.uniform(0.2, 3.0)))
+        yield Restart(
+            at=round(rng.uniform(1.0, seconds - 1.0), 2),
+            for_s=round(down_s, 2),
+            number=rng.randrange(machines),
+            cut_s=round(cut_s, 2),
+        )
+
+
 def _draw_fault(rng, at, daemons, machines):
     kind = rng.choice(("signal", "signal", "cut", "cut", "store", "machine"))
     match kind:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -10,6 +10,8 @@
 import threading
 
 CHUNK_BYTES = 1 << 16
+NO_ANSWER_HEADER = "X-No-Answer"
+"""An answer with this header is dropped, and all later ones with it."""
 POLL_S = 0.01
 
 
@@ -73,6 +75,14 @@
         """Abort a link's connections without sending buffered data."""
         self._loop.call_soon_threadsafe(self._abort, name)
 
+    def end_cut(self, link):
+        """Abort a link's connections, then remove its faults.
+
+        Nothing that the link holds back is delivered.
+        """
+        self.reset(link.name)
+        self._loop.call_soon_threadsafe(link.restore)
+
     def close(self):
         """Abort all connections and stop the thread."""
         for name in self.links:
@@ -106,7 +116,12 @@
     async def _pump(self, link, reader, writer, direction):
         """Forward bytes in one direction until a connection ends."""
         with contextlib.suppress(OSError):
+            answered = True
             while data := await reader.read(CHUNK_BYTES):
+                if direction == "to_caller" and answered:
+                    answered = NO_ANSWER_HEADER.encode() not in data
+                if not answered:
+                    continue
                 if link.delay_s:
                     await asyncio.sleep(link.delay_s)
                 while not getattr(link, direction):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,8 @@
 """A short seeded soak, and the seeds that have found faults before."""
 
+import hashlib
 import pathlib
+import re
 import subprocess
 import sys
 
@@ -20,6 +22,9 @@
     238: "as 202; a lease renewal outlived its host in the stand-in",
     260: "as 202",
 }
+PLANS_OF_REGRESSIONS = (
+    "7b4bcb6d9707790524a208f3f6afe44b2b6e20eb50e11fcd4549d988ca774eef"
+)
 
 
 def test_seeds_that_once_failed(tmp_path):
@@ -50,6 +55,70 @@
     assert drawn[0] != plan.draw(10, seconds=20.0, daemons=4, machines=6)
 
 
+def test_regressions_keep_their_plans():
+    plans = [
+        plan.draw(seed, seconds=20.0, daemons=4, machines=6)
+        for seed in REGRESSIONS
+    ]
+    digest = hashlib.sha256(repr(plans).encode()).hexdigest()
+    assert digest == PLANS_OF_REGRESSIONS
+
+
+def test_later_seeds_restart_hosts_under_late_calls():
+    faults = [
+        fault
+        for seed in range(3000, 3050)
+        for fault in plan.draw(seed, seconds=20.0, daemons=4, machines=6)
+    ]
+    late = [f for f in faults if isinstance(f, plan.Late)]
+    restarts = [f for f in faults if isinstance(f, plan.Restart)]
+    assert {f.kind for f in late} == {"orders"}
+    assert any(not f.for_s and not f.cut_s for f in restarts)
+    assert any(f.for_s and f.cut_s for f in restarts)
+    assert max(f.for_s for f in restarts) <= 3.0
+
+
+def test_late_starts_reach_the_incarnation_that_follows(tmp_path):
+    """What the daemons make of them is not checked here."""
+    late = plan.Late(at=1.0, for_s=2.5, kind="orders", share=0.5)
+    restarts = [
+        plan.Restart(at=3.6, for_s=0.0, number=number) for number in range(4)
+    ]
+    base.play(
+        seed=3,
+        folder=tmp_path,
+        seconds=8.0,
+        daemons=3,
+        faults=[late, *restarts],
+    )
+    trace = (tmp_path / "hosts.trace").read_text(encoding="utf-8")
+    sent = re.findall(
+        r"^([\d.]+) h\d+ /api/run-start .* done"
+        r" LATE, sent ([\d.]+) to (\d+), now (\d+),",
+        trace,
+        re.MULTILINE,
+    )
+    delays = [float(at) - float(began) for at, began, *_ in sent]
+    assert any(before != after for *_, before, after in sent), trace
+    assert all(1.9 < delay < 12.5 for delay in delays), delays
+
+
+def test_a_restart_behind_a_cut_is_not_seen_before_its_end(tmp_path):
+    restart = plan.Restart(at=3.0, for_s=0.0, number=0, cut_s=2.0)
+    result = base.play(
+        seed=3, folder=tmp_path, seconds=7.0, daemons=3, faults=[restart]
+    )
+    trace = (tmp_path / "hosts.trace").read_text(encoding="utf-8")
+    (born,) = re.findall(r"^([\d.]+) (h\d+) born (\d+)", trace, re.MULTILINE)
+    at, host, incarnation = born
+    listed = re.search(
+        rf"^([\d.]+) {host} first list of {incarnation}$", trace, re.MULTILINE
+    )
+    assert listed, trace
+    assert float(listed[1]) >= float(at) + restart.cut_s
+    assert result.findings == []
+
+
 def test_a_daemon_that_cuts_its_callers_is_found(tmp_path):
     faults = [
         plan.Store(at=2.0, for_s=3.0, kind="no-appends"),
