Move the handling of hosts' lists into a module of its own

What a list of runs and ends changes, and the acknowledgement of ends, are in scheduling/listings.py now; hosts.py keeps incarnations, renewals and leases. No change of behaviour.

--- /dev/null
+++ b/azurewood/scheduling/listings.py
@@ -0,0 +1,188 @@
+"""What a host's list of runs and run ends changes, and what is acknowledged.
+
+A run whose host lists neither it nor its end is gone if the list was requested
+after its start or stop was answered, and if its start can't take effect later.
+"""
+
+from azurewood.policy import host_health
+from azurewood.scheduling import latestarts
+from azurewood.scheduling import messages
+from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import tasks
+
+
+def handle_ends(
+    state: scheduling.State,
+    host: scheduling.Host,
+    event: messages.LeaseRenewed,
+    now: float,
+) -> set[tuple]:
+    """Handle new run ends and acknowledge them once they are stored.
+
+    Return the keys of all runs whose ends are listed.
+    """
+    keys = set()
+    for row in event.ended:
+        keys.add((row.task, row.run))
+        if row.number <= host.last_end:
+            continue
+        host.last_end = row.number
+        run = host.runs.get((row.task, row.run))
+        if run is None:
+            _log_unknown_end(state, host, row)
+            tasks.complete_by_unheld_run(state, row, now)
+        else:
+            host_health.record_run_end(host, row, now)
+            tasks.handle_end(state, host, run, row, now)
+    if host.last_end > host.acknowledged:
+        state.emit_after_save(
+            _EndsStored(
+                host=host,
+                incarnation_ms=host.incarnation_ms,
+                number=host.last_end,
+            )
+        )
+        host.renewing = True
+    return keys
+
+
+def _log_unknown_end(
+    state: scheduling.State, host: scheduling.Host, row: messages.EndedRow
+) -> None:
+    """Log an end of a run that this leader does not hold."""
+    state.log_event(
+        "run.ended_unknown",
+        job=row.task.job,
+        task=str(tuple(row.task[1:])),
+        run=row.run,
+        host=host.id,
+        incarnation=host.incarnation_ms,
+        how=row.how.value,
+    )
+
+
+class _EndsStored:
+    """Internal effect: an incarnation's ends up to ``number`` are stored.
+
+    The next lease renewal of the host acknowledges them.
+    """
+
+    __slots__ = ("host", "incarnation_ms", "number")
+
+    def __init__(
+        self, *, host: scheduling.Host, incarnation_ms: int, number: int
+    ) -> None:
+        self.host = host
+        self.incarnation_ms = incarnation_ms
+        self.number = number
+
+
+def apply_acknowledgements(
+    effects: list[messages.Effect], now: float
+) -> list[messages.Effect]:
+    """Apply the acknowledgements among effects and return the others."""
+    others = []
+    for effect in effects:
+        if isinstance(effect, _EndsStored):
+            _acknowledge(effect, now)
+        else:
+            others.append(effect)
+    return others
+
+
+def _acknowledge(stored: _EndsStored, now: float) -> None:
+    """Let the next renewal acknowledge ends of the host's incarnation."""
+    host = stored.host
+    if stored.incarnation_ms != host.incarnation_ms:
+        return
+    host.acknowledged = min(stored.number, host.last_end)
+    host.renewing = False
+    host.renew_at = now
+
+
+def handle_running(
+    state: scheduling.State,
+    host: scheduling.Host,
+    event: messages.LeaseRenewed,
+    running: dict[tuple, messages.RunningRow],
+    ends: set[tuple],
+    now: float,
+) -> None:
+    """Update the runs that a host lists; end or stop the others.
+
+    ``running`` has the listed rows by key, ``ends`` the keys of listed ends.
+    """
+    for run in list(host.runs.values()):
+        row = running.get(run.key)
+        if row is not None:
+            _update_run(run, row, now)
+        elif run.key not in ends and _is_gone(host, run, event):
+            tasks.mark_run_gone(
+                state, host, run, "not on the host's list", now
+            )
+    unknown = [row for row in event.running if _key(row) not in host.runs]
+    host.unknown_runs = len(unknown)
+    for row in unknown:
+        if row.task.job not in state.unreadable_jobs:
+            _stop_unknown_run(state, host, row)
+            tasks.wait_for_other_run(state, row.task, now)
+
+
+def _key(row: messages.RunningRow) -> tuple:
+    return (row.task, row.run)
+
+
+def _update_run(
+    run: scheduling.Run, row: messages.RunningRow, now: float
+) -> None:
+    run.percent = row.percent
+    run.measure = row.measure
+    run.saved = row.saved or run.saved
+    if run.phase is scheduling.RunPhase.STARTING:
+        run.phase = scheduling.RunPhase.RUNNING
+        run.confirmed_at = now
+
+
+def _is_gone(
+    host: scheduling.Host, run: scheduling.Run, event: messages.LeaseRenewed
+) -> bool:
+    """Return whether a run that a host's list lacks no longer exists.
+
+    It counts as existing while the host lists another run of its task, which
+    has to end before the next one begins.
+    """
+    if not run.inherited:
+        if run.call_open or run.confirmed_at is None:
+            return False
+        if run.confirmed_at > event.sent_at:
+            return False
+    if any(row.task == run.task for row in event.running):
+        return False
+    return latestarts.is_barred(host, run)
+
+
+def _stop_unknown_run(
+    state: scheduling.State,
+    host: scheduling.Host,
+    row: messages.RunningRow,
+) -> None:
+    """Stop a run that this leader did not start or no longer wants."""
+    state.log_event(
+        "run.unwanted",
+        job=row.task.job,
+        task=str(tuple(row.task[1:])),
+        run=row.run,
+        host=host.id,
+        incarnation=host.incarnation_ms,
+        percent=row.percent,
+    )
+    state.emit(
+        messages.StopRun(
+            host=host.id,
+            address=host.entry.address,
+            fence=host.fence,
+            incarnation_ms=host.incarnation_ms,
+            task=row.task,
+            run=row.run,
+        )
+    )
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -8,6 +8,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.scheduling import hosts
+from azurewood.scheduling import listings
 from azurewood.scheduling import maintenance
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -107,7 +108,7 @@
         unresponsive.record(state, now)
     progress.flush(state)
     effects, state.effects = state.effects, []
-    effects = hosts.apply_acknowledgements(effects, now)
+    effects = listings.apply_acknowledgements(effects, now)
     effects = unresponsive.apply_removals(state, effects, now)
     return [e for e in effects if not _outdated(state, e, now)]
 
