Search seeds in which hosts restart under their id

Cause: two runs of one task at a time, found by a search over seeds: a host restarts under its id and a start of before is carried out in its new incarnation. No test plays this.

`python -m tests.scheduling.restarted_hosts` plays more.

--- /dev/null
+++ b/tests/scheduling/test_restarted_hosts.py
@@ -0,0 +1,22 @@
+"""Hosts restart under their id while starts of before are under way.
+
+A late start reaches a host that has forgotten what barred it. ``python -m
+tests.scheduling.restarted_hosts`` plays more seeds.
+"""
+
+import pytest
+
+from tests.scheduling import restarted_hosts
+
+SEEDS = 40
+
+
+@pytest.mark.parametrize("name", restarted_hosts.MODES)
+def test_rules_hold(name):
+    mode = restarted_hosts.MODES[name]
+    broken = {}
+    for seed in range(SEEDS):
+        breaches = restarted_hosts.Course(seed=seed, mode=mode).play()
+        if breaches:
+            broken[seed] = str(breaches[0])
+    assert not broken
