Let a restarted host refuse late starts as soon as it is known

Cause: a run counted as barred in a host's new incarnation once the leader had a higher fence in memory. The renewal that was under way by then still had the old one: the tick renewed first and raised the fence after it. So a list with the old fence settled that a late start could not begin, and its task was started beside it. The fence also waited for a tick, up to 50 ms after the first list, and then for the end of a long poll or the next start.

Change: a run is barred by the fence that the list was requested with. The fence is raised before the renewal, and at once when a list names a new incarnation.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -132,6 +132,7 @@
         )
     host.renewing = True
     host.renewals += 1
+    host.renewal_fence = host.fence
     state.emit(
         messages.RenewLease(
             host=host.id,
@@ -224,6 +225,11 @@
     host.synced = True
     _set_speeds(state, host, now)
     host.renew_at = now + RENEWAL_PAUSE_S
+    if host.fence_due:
+        latestarts.raise_fence(state, host)
+        if not host.fence_due:
+            # Until a call has a higher fence, the host accepts late starts.
+            _renew_lease(host, state, now)
     state.placement_due.add(host.entry.service)
 
 
--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -38,11 +38,14 @@
 
 
 def is_barred(host: model.Host, run: model.Run) -> bool:
-    """Return whether a run that the host does not list can't begin late."""
+    """Return whether a run that the host does not list can't begin late.
+
+    The host refuses it if the list was requested with a higher fence.
+    """
     late = host.late_starts.get(run.key)
     if late is None or late.incarnation_ms == host.incarnation_ms:
         return True
-    return late.fence < host.fence and not host.fence_due
+    return late.fence < host.renewal_fence
 
 
 def raise_fence(state: model.State, host: model.Host) -> None:
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -114,6 +114,7 @@
     Connections made by ``connected_by`` lead to the incarnation that sent
     the newest list, if to any; it is None once they are closed, until the
     next list. ``disconnected_at`` is when that was noticed last.
+    ``renewal_fence`` is the token of the latest lease renewal.
     """
 
     __slots__ = (
@@ -139,6 +140,7 @@
         "past_incarnations",
         "present",
         "renew_at",
+        "renewal_fence",
         "renewals",
         "renewing",
         "runs",
@@ -165,6 +167,7 @@
         self.clock_at = 0.0
         self.renewing = False
         self.renewals = 0
+        self.renewal_fence = 0
         self.renew_at = 0.0
         self.last_end = 0
         self.acknowledged = 0
