Search also with late calls only once a restart can be known

Cause: a host carries out a start of before in an incarnation of which the leader has had no list.

Change: five more modes, "-met", in which the simulated late call is put off until 10 ms after the first list of the incarnation, a property of the load. A late call that would exceed 12 s is lost.

--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from azurewood.jobs import model
 from azurewood.scheduling import messages
@@ -39,7 +40,8 @@
     ``observe`` is called for every start and end of a run, and
     ``on_end_acknowledged`` for every end that the leader acknowledged
     before the next expiry of the host's lease. ``clock_rate`` is the speed
-    of the host's clock relative to simulated time.
+    of the host's clock relative to simulated time. ``listed_at`` is the time
+    of the incarnation's first list, which is how the leader learns of it.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "fence",
         "id",
         "labels",
+        "listed_at",
         "machine",
         "observe",
         "on_end_acknowledged",
@@ -109,6 +112,7 @@
         self._incarnation += 1
         self.born_at = self._clock.now
         self.fence = 0
+        self.listed_at = math.inf
         self.runs: dict[Key, SimRun] = {}
         self.acknowledged = 0
         self._ends: list[messages.EndedRow] = []
@@ -259,6 +263,7 @@
         ``number`` and ``sent_at`` are those of the lease renewal.
         """
         self._check_lease()
+        self.listed_at = min(self.listed_at, self._clock.now)
         return messages.LeaseRenewed(
             host=self.id,
             number=number,
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -105,7 +105,7 @@
         if fault == "late":
             self.world.clock.after(
                 self.world.random.uniform(*LATE_CALL_DELAY_S),
-                lambda: self._carry_out("lost"),
+                self._carry_out_late,
             )
             return
         delay = self.world.delay(self.call.target)
@@ -170,6 +170,16 @@
         self.call.wait(go)
         self.world.clock.after(self.call.wait_s, go)
 
+    def _carry_out_late(self) -> None:
+        """Carry the call out, maybe only once the target has been reached."""
+        now = self.world.clock.now
+        if self.world.is_late_call_blocked(self.call.target):
+            # It stays within the longest delay, or is lost.
+            if now + BLOCKED_RETRY_S < self.sent_at + LATE_CALL_DELAY_S[1]:
+                self.world.clock.after(BLOCKED_RETRY_S, self._carry_out_late)
+            return
+        self._carry_out("lost")
+
     def _carry_out(self, fault: str) -> None:
         if not self.world.is_up(self.call.target):
             return
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -5,7 +5,9 @@
 that is down, loses replies or drops its history; calls to hosts that are
 carried out late. What a daemon sends into a partition arrives when the
 partition ends, unless the daemon has dropped those bytes by then; daemons
-do so early if ``drops_unsent`` is set.
+do so early if ``drops_unsent`` is set. With ``late_after_contact``, late
+calls reach a host only once its incarnation has answered the leader with a
+list and the leader has had ``REACTION_S`` to respond.
 """
 
 from collections import abc
@@ -34,6 +36,8 @@
 MAX_APPEND_QUEUE_S = 2.0
 LEADER_CHANGE_PAUSE_S = 3.0
 """Minimum time between the orders of two leaders to one machine."""
+REACTION_S = 0.01
+"""Time for a host's list and the leader's next call on the network."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -75,6 +79,7 @@
         self.store_down = False
         self.lost_share = 0.0
         self.late_share = 0.0
+        self.late_after_contact = False
         self.late_write_share = 0.0
         self.slow = 1.0
         self.append_s = 0.0
@@ -207,6 +212,16 @@
         host = self.hosts.get(target)
         return host is None or host.up
 
+    def is_late_call_blocked(self, target: str) -> bool:
+        """Return whether a late call waits for the target's first list."""
+        host = self.hosts.get(target)
+        return (
+            self.late_after_contact
+            and host is not None
+            and host.up
+            and self.clock.now < host.listed_at + REACTION_S
+        )
+
     def incarnation(self, target: str) -> int:
         """Return the incarnation of a host, 0 for any other target."""
         host = self.hosts.get(target)
