Restart hosts with unanswered starts in a dense state machine

Cause: the state machine of all faults could not find two runs of a task after a restart.

Change: a second machine of three hosts, jobs all the while, three calls in ten late, and a rule that crashes and restarts a host with runs, first one with an unanswered start, after 0 to 3 s. Late calls are put off until the leader can know of the restart.

--- a/tests/scheduling/test_machine.py
+++ b/tests/scheduling/test_machine.py
@@ -10,6 +10,7 @@
 
 from azurewood.jobs import model
 from azurewood.journal import pages
+from azurewood.scheduling import latestarts
 from azurewood.scheduling import model as scheduling
 from tests.scheduling import deployment
 
@@ -145,6 +146,66 @@
         deployment.check(self.made)
 
 
+class RestartMachine(stateful.RuleBasedStateMachine):
+    """Jobs on few hosts that restart while starts are unanswered.
+
+    Late calls reach a restarted host only after the leader has learnt of
+    its incarnation; before, the host has nothing to refuse them by.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.made = deployment.world(**{"s-one": 3})
+        self.made.late_share = 0.3
+        self.made.late_after_contact = True
+        self.number = 0
+
+    def submit(self):
+        """Submit a job; the next is submitted at the next pause."""
+        self.number += 1
+        job = deployment.job(self.made, self.number)
+        self.made.submit(self.made.members[self.number % 3], job)
+
+    def busy_hosts(self):
+        """Return the hosts with runs, those with unanswered starts first."""
+        leaders = self.made.leaders()
+        known = leaders[0].member.term.state.hosts if leaders else {}
+        waiting = {id for id, host in known.items() if host.late_starts}
+        busy = [host for host in self.made.hosts.values() if host.runs]
+        return sorted(busy, key=lambda host: (host.id not in waiting, host.id))
+
+    @stateful.rule(
+        index=strategies.integers(0, 1),
+        down_s=strategies.sampled_from((0.0, 0.05, 0.3, 1.0, 3.0)),
+    )
+    def crash_and_restart(self, index, down_s):
+        """Crash a host that has runs, and restart it after ``down_s``."""
+        busy = self.busy_hosts()
+        if busy:
+            host = busy[index % len(busy)]
+            host.crash()
+            self.made.run(down_s)
+            host.restart()
+        self.made.run(0.5)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.2, 0.5, 1.5)))
+    def work(self, seconds):
+        """Submit jobs and advance the time."""
+        for _ in range(2):
+            self.submit()
+            self.made.run(seconds / 2)
+
+    @stateful.invariant()
+    def rules_hold(self):
+        """Check the rules on everything that hosts and callers observed."""
+        deployment.check(self.made)
+
+    def teardown(self):
+        """Run for 4 s more, in which late calls are carried out."""
+        self.made.run(4.0)
+        deployment.check(self.made)
+
+
 SETTINGS = hypothesis.settings(
     max_examples=80,
     stateful_step_count=30,
@@ -155,14 +216,25 @@
 )
 TestFaults = FaultMachine.TestCase
 TestFaults.settings = SETTINGS
+RESTART_SETTINGS = hypothesis.settings(SETTINGS, max_examples=20)
+TestRestarts = RestartMachine.TestCase
+TestRestarts.settings = RESTART_SETTINGS
 
 
-def _run_broken():
-    with pytest.raises(AssertionError):
-        stateful.run_state_machine_as_test(FaultMachine, settings=SETTINGS)
+def _run_broken(machine, settings, match=None):
+    with pytest.raises(AssertionError, match=match):
+        stateful.run_state_machine_as_test(machine, settings=settings)
 
 
 def test_fails_if_room_is_not_counted(monkeypatch):
     for name in ("reserve", "release"):
         monkeypatch.setattr(scheduling.Host, name, lambda *args: None)
-    _run_broken()
+    _run_broken(FaultMachine, SETTINGS)
+
+
+def test_fails_if_a_restarted_hosts_fence_is_not_raised(monkeypatch):
+    def broken(state, host):
+        host.fence_due = False
+
+    monkeypatch.setattr(latestarts, "raise_fence", broken)
+    _run_broken(RestartMachine, RESTART_SETTINGS, "after its end was noted")
