--- a/tests/policy/test_host_choice.py
+++ b/tests/policy/test_host_choice.py
@@ -49,7 +49,7 @@
 
 
 def _host(id, capacity, labels):
-    host = model.Host(id=id, leases_expire_at=0.0)
+    host = model.Host(id=id, leases_expire_at=0.0, fence=1)
     host.describe(
         messages.HostEntry(
             id=id,
--- a/tests/policy/test_throttling.py
+++ b/tests/policy/test_throttling.py
@@ -9,7 +9,7 @@
 
 
 def _host():
-    host = scheduling.Host(id="h", leases_expire_at=0.0)
+    host = scheduling.Host(id="h", leases_expire_at=0.0, fence=1)
     for number, step in enumerate((SERVING, BACKGROUND)):
         task = model.TaskId("j", 0, number, 0)
         run = scheduling.Run(task=task, run=1, step=step, now=0.0)
