Let a new leader know of its predecessor's starts without an answer

Cause: which starts had no answer was known to the leader that sent them alone. Its successor acknowledged the ends that it had withheld, and began another run where a start had been under way.

Change: starts without an answer are on record, a key for each host, and a start is repeated only once that is stored. A run on record that its host, in the same incarnation, lists neither as running nor as ended is begun again under the same number, in place of a further run: the host takes both starts for one.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -103,7 +103,7 @@
     """Send the lease renewals, starts and stops that are due."""
     for host in list(state.hosts.values()):
         if host.late_starts:
-            latestarts.forget_impossible(host, now)
+            latestarts.forget_impossible(state, host, now)
         if host.entry is None:
             _expire_leases(state, host, now)
             continue
--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -34,13 +34,18 @@
 """Ends that are withheld at once; a host lists at most 500."""
 
 
-def forget_impossible(host: model.Host, now: float) -> None:
+def forget_impossible(
+    state: model.State, host: model.Host, now: float
+) -> None:
     """Forget the starts whose runs can no longer exist."""
+    known = len(host.late_starts)
     host.late_starts = {
         key: late
         for key, late in host.late_starts.items()
         if now <= late.possible_until + runs.MAX_LEASE_S
     }
+    if known and not host.late_starts:
+        state.dirty_late_starts.add(host.id)
 
 
 def expires_at(host: model.Host, run: model.Run) -> float:
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -8,6 +8,7 @@
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import runs
 from azurewood.scheduling import tasks
 
 
@@ -125,6 +126,8 @@
             _update_run(run, row, now)
         elif run.key in ends or not _is_gone(host, run, event):
             continue
+        elif run.inherited and run.incarnation_ms == host.incarnation_ms:
+            runs.repeat_inherited_start(state, host, run, now)
         else:
             tasks.mark_run_gone(
                 state, host, run, "not on the host's list", now
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -280,9 +280,10 @@
     maps the hosts that the machine list names and that are not known to the
     time since when.
 
-    ``values`` and the progress of ``dirty_jobs`` are stored in the next
-    batch, for which ``deferred_effects`` wait. ``saving_effects`` wait for
-    the batch under way; it is None if there is none.
+    ``values``, the progress of ``dirty_jobs`` and the late starts of the
+    hosts in ``dirty_late_starts`` are stored in the next batch, for which
+    ``deferred_effects`` wait. ``saving_effects`` wait for the batch under
+    way; it is None if there is none.
     """
 
     __slots__ = (
@@ -295,6 +296,7 @@
         "deferred_effects",
         "demands",
         "dirty_jobs",
+        "dirty_late_starts",
         "effects",
         "fence",
         "host_machines",
@@ -365,6 +367,7 @@
         self.placement_due: set[str] = set()
         self.begun_job_ids: list[str] = []
         self.dirty_jobs: set[str] = set()
+        self.dirty_late_starts: set[str] = set()
         self.values: dict[str, bytes | None] = {}
         self.deferred_effects: list[messages.Effect] = []
         self.saving_effects: list[messages.Effect] | None = None
@@ -408,8 +411,9 @@
         key: tuple[model.TaskId, int],
         late: jobstates.LateStart,
     ) -> None:
-        """Record a start without an answer."""
+        """Record a start without an answer, also for a later leader."""
         host.late_starts[key] = late
+        self.dirty_late_starts.add(host.id)
         id, _ = key
         task = self.task(id)
         if task is not None:
@@ -427,6 +431,7 @@
         late = host.late_starts.pop(key, None)
         if late is not None:
             late.bar()
+            self.dirty_late_starts.add(host.id)
 
     def service_of(self, job: model.Job) -> str:
         """Return the service whose hosts run a job's tasks."""
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -20,6 +20,7 @@
 WAVE_PREFIX: typing.Final = "w/"
 ORDERS_KEY: typing.Final = "o"
 UNRESPONSIVE_KEY: typing.Final = "s"
+LATE_STARTS_PREFIX: typing.Final = "l/"
 
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
@@ -71,7 +72,34 @@
     version: int = VERSION
 
 
-Progress = JobProgress | WaveProgress | OrdersProgress | SilentProgress
+class LateStartRow(msgspec.Struct, frozen=True, array_like=True):
+    """A start without an answer; ``left_ms`` is how long it may be late."""
+
+    job: str
+    occurrence: int
+    step: int
+    index: int
+    run: int
+    host_born_ms: int
+    left_ms: int
+
+
+class LateStartsProgress(
+    msgspec.Struct, frozen=True, kw_only=True, tag="late"
+):
+    """The starts without an answer that a host may carry out late."""
+
+    starts: tuple[LateStartRow, ...]
+    version: int = VERSION
+
+
+Progress = (
+    JobProgress
+    | WaveProgress
+    | OrdersProgress
+    | SilentProgress
+    | LateStartsProgress
+)
 _decoder = msgspec.msgpack.Decoder(Progress)
 
 
@@ -128,6 +156,44 @@
     return msgspec.msgpack.encode(SilentProgress(left_ms=left_ms))
 
 
+def encode_late_starts(host: scheduling.Host, now: float) -> bytes | None:
+    """Return the encoded record of a host's late starts; None without any."""
+    rows = tuple(
+        LateStartRow(*task, run, late.incarnation_ms, _left_ms(late, now))
+        for (task, run), late in host.late_starts.items()
+    )
+    if not rows:
+        return None
+    return msgspec.msgpack.encode(LateStartsProgress(starts=rows))
+
+
+def _left_ms(late: jobstates.LateStart, now: float) -> int:
+    return max(0, math.ceil((late.possible_until - now) * 1000))
+
+
+def restore_late_starts(
+    state: scheduling.State,
+    host_id: str,
+    record: LateStartsProgress,
+    now: float,
+) -> None:
+    """Restore an earlier leader's starts without an answer.
+
+    The record was written before ``now``, so counting the remaining time
+    from ``now`` gives the latest time.
+    """
+    host = state.host(host_id)
+    for row in record.starts:
+        task = model.TaskId(row.job, row.occurrence, row.step, row.index)
+        late = jobstates.LateStart(
+            host=host_id,
+            incarnation_ms=row.host_born_ms,
+            fence=0,
+            possible_until=now + row.left_ms / 1000,
+        )
+        state.add_late_start(host, (task, row.run), late)
+
+
 def restore_job(
     state: scheduling.State,
     job: jobstates.JobState,
@@ -171,7 +237,7 @@
     wave.ordered.update(record.ordered)
 
 
-def flush(state: scheduling.State) -> None:
+def flush(state: scheduling.State, now: float) -> None:
     """Store changed progress and release the effects that wait for it.
 
     Only one batch of records is under way at a time.
@@ -183,7 +249,13 @@
         job = state.jobs.get(job_id)
         if job is not None:
             values[JOB_PREFIX + job_id] = encode_job(job)
+    for host_id in state.dirty_late_starts:
+        host = state.hosts.get(host_id)
+        values[LATE_STARTS_PREFIX + host_id] = (
+            encode_late_starts(host, now) if host is not None else None
+        )
     state.dirty_jobs = set()
+    state.dirty_late_starts = set()
     state.values = {}
     deferred_effects, state.deferred_effects = state.deferred_effects, []
     if not values:
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -57,6 +57,9 @@
                 orders.restore(state, record, order_pause_s, now)
             case progress.SilentProgress():
                 unresponsive.restore(state, record, now)
+            case progress.LateStartsProgress():
+                host_id = key.removeprefix(progress.LATE_STARTS_PREFIX)
+                progress.restore_late_starts(state, host_id, record, now)
             case None:
                 state.log_event("progress.unreadable", key=key)
     if decoded.get(progress.ORDERS_KEY, True) is None:
@@ -106,7 +109,7 @@
     """Return the effects of the events handled since the last call."""
     if state.saving_effects is None:
         unresponsive.record(state, now)
-    progress.flush(state)
+    progress.flush(state, now)
     effects, state.effects = state.effects, []
     effects = listings.apply_acknowledgements(effects, now)
     effects = unresponsive.apply_removals(state, effects, now)
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -50,11 +50,37 @@
             ):
                 tasks.stop(run, now)
             elif run.tries and host.unresponsive_since is None:
-                send_start(state, host, run, now)
+                # A later leader has to know of the start without an answer.
+                late = run.key in host.late_starts
+                send_start(state, host, run, now, saved_first=late)
         case scheduling.RunPhase.STOPPING:
             _send_stop(state, host, run, now)
 
 
+def repeat_inherited_start(
+    state: scheduling.State,
+    host: scheduling.Host,
+    run: scheduling.Run,
+    now: float,
+) -> None:
+    """Repeat a start that an earlier leader may not have sent.
+
+    The host treats both as one, however late the first is carried out.
+    """
+    run.inherited = False
+    run.phase = scheduling.RunPhase.STARTING
+    run.began_at = now
+    run.tries = 1
+    late = jobstates.LateStart(
+        host=host.id,
+        incarnation_ms=run.incarnation_ms,
+        fence=0,
+        possible_until=now + MAX_START_DELAY_S,
+    )
+    state.add_late_start(host, run.key, late)
+    send_start(state, host, run, now, saved_first=True)
+
+
 def send_start(
     state: scheduling.State,
     host: scheduling.Host,
@@ -144,7 +170,7 @@
             run.retry_at = now
             return
         case messages.Refusal.UNKNOWN:
-            run.retry_at = now + CALL_RETRY_S
+            run.retry_at = max(run.retry_at, now + CALL_RETRY_S)
             return
         case _ if not current:
             # The run ended with the incarnation it was sent to, if it began.
--- a/tests/scheduling/test_starts_before_contact.py
+++ b/tests/scheduling/test_starts_before_contact.py
@@ -8,6 +8,9 @@
 
 from azurewood.jobs import model
 from azurewood.scheduling import latestarts
+from azurewood.scheduling import progress
+from azurewood.scheduling import runs
+from azurewood.scheduling import tasks
 from standins.fleet import members
 from tests.scheduling import deployment
 
@@ -47,12 +50,15 @@
     deployment.check(made)
 
 
-def _done_before_the_restart(monkeypatch, step):
+def _done_before_the_restart(monkeypatch, step, kill_leader=False):
     made, late = _world(monkeypatch)
     sent_at = made.clock.now
     made.submit(made.members[0], deployment.job(made, 1, step))
     made.run(3.0)
     assert deployment.phase(made, f"{1:016x}") is model.Phase.COMPLETED
+    if kill_leader:
+        made.leaders()[0].kill()
+        made.run(2.5)
     _restart_just_before(made, made.hosts[late[0]], sent_at)
 
 
@@ -70,6 +76,18 @@
         _done_before_the_restart(monkeypatch, step)
 
 
+def test_a_new_leader_withholds_the_ends_that_its_predecessor_withheld(
+    monkeypatch,
+):
+    _done_before_the_restart(monkeypatch, ONE, kill_leader=True)
+
+
+def test_acknowledges_them_if_late_starts_are_not_restored(monkeypatch):
+    monkeypatch.setattr(progress, "restore_late_starts", lambda *args: None)
+    with pytest.raises(AssertionError, match="after its end was noted"):
+        _done_before_the_restart(monkeypatch, ONE, kill_leader=True)
+
+
 def _failed_before_the_restart(monkeypatch):
     made, late = _world(monkeypatch)
     made.run_duration_s = lambda task, step: 30.0
@@ -97,3 +115,50 @@
     monkeypatch.setattr(latestarts, "required_host", lambda *args: None)
     with pytest.raises(AssertionError, match="twice"):
         _failed_before_the_restart(monkeypatch)
+
+
+def _leader_killed_before_the_answer(monkeypatch):
+    made, late = _world(monkeypatch)
+    sent_at = made.clock.now
+    made.submit(made.members[0], deployment.job(made, 1, ONE))
+    made.run(0.1)
+    assert late
+    made.leaders()[0].kill()
+    made.run(4.5)
+    assert deployment.phase(made, f"{1:016x}") is model.Phase.COMPLETED
+    _restart_just_before(made, made.hosts[late[0]], sent_at)
+
+
+def test_a_new_leader_repeats_a_start_that_may_still_be_late(monkeypatch):
+    _leader_killed_before_the_answer(monkeypatch)
+
+
+def test_a_task_is_done_twice_if_it_begins_another_run(monkeypatch):
+    def broken(state, host, run, now):
+        tasks.mark_run_gone(state, host, run, "broken", now)
+
+    monkeypatch.setattr(runs, "repeat_inherited_start", broken)
+    with pytest.raises(AssertionError, match="after its end was noted"):
+        _leader_killed_before_the_answer(monkeypatch)
+
+
+def _repeat_beside_a_listed_run(monkeypatch):
+    """List another run of a task just before its start is repeated."""
+    made, late = _world(monkeypatch)
+    job = deployment.job(made, 1, ONE)
+    made.submit(made.members[0], job)
+    made.run(0.95)
+    state = made.leaders()[0].member.term.state
+    task = model.TaskId(job.id, 0, 0, 0)
+    tasks.wait_for_other_run(state, task, made.clock.now)
+    made.run(0.8)
+    return len(made.hosts[late[0]].runs)
+
+
+def test_no_start_is_repeated_while_a_host_lists_another_run(monkeypatch):
+    assert _repeat_beside_a_listed_run(monkeypatch) == 0
+
+
+def test_is_repeated_beside_it_if_only_placing_waits(monkeypatch):
+    monkeypatch.setattr(tasks, "_open_run", lambda *args: None)
+    assert _repeat_beside_a_listed_run(monkeypatch) == 1
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -114,7 +114,7 @@
 
 def _starting():
     state = _opened()
-    progress.flush(state)
+    progress.flush(state, 0.0)
     progress.on_saved(state)
     return state
 
