Drop a ticket that its host refuses

What callers see: on a queue whose hosts are approved by advice, a task that was lost with a host that restarts under its id does not start again while the advice is valid; its start is refused in each pass.

A ticket holds for one incarnation and was kept.

Change: a refused ticket is dropped, and advice is asked for again once the step has none left.

Evidence: test_tickets_of_hosts.py; with the change off the job is still running 5 s after the restart, with it on it is completed.

--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from azurewood.jobs import model as jobs
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
@@ -188,6 +189,8 @@
             return
         case messages.Refusal.UNHEALTHY:
             host.suspended_until = now + UNHEALTHY_PAUSE_S
+        case messages.Refusal.TICKET:
+            _drop_ticket(state, run.task, host.id)
         case messages.Refusal.ROOM | messages.Refusal.NOT_SENT:
             host.suspended_until = now + NO_CAPACITY_PAUSE_S
     state.log_run(
@@ -205,6 +208,23 @@
         )
 
 
+def _drop_ticket(
+    state: scheduling.State, task: jobs.TaskId, host_id: str
+) -> None:
+    """Drop a ticket that a host refused, as it does after a restart.
+
+    Advice is asked for again once the step has no ticket left.
+    """
+    job = state.jobs.get(task.job)
+    key = (task.occurrence, task.step)
+    advised = job.tickets.get(key) if job is not None else None
+    if advised is None:
+        return
+    advised.tickets.pop(host_id, None)
+    if not advised.tickets:
+        del job.tickets[key]
+
+
 def _record_late_start(
     state: scheduling.State,
     host: scheduling.Host,
