Stand-in: hosts whose capacity shrinks and grows while they run

A worker may change its capacity while it runs, and says so in its entry; no start may bring it over. The simulated hosts had one capacity for good, so nothing played this.

SimHost.resize changes it; the next entry shows it. The rule `room exceeded` counts a larger capacity at once, and a smaller one from 3 s after the first entry that shows it (entries are 1.5 s apart; while the store is down none is written, and then no daemon is in touch). The state machine resizes hosts to 0, 1.2 and 4 cores.

--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -15,6 +15,8 @@
 
 MAX_LEASE_MS = 6000
 STOP_DURATION_S = 0.2
+CONTACT_S = 3.0
+"""Time after which a host's entry is known to all that can read it."""
 Key = tuple[model.TaskId, int]
 
 
@@ -42,6 +44,7 @@
     before the next expiry of the host's lease. ``clock_rate`` is the speed
     of the host's clock relative to simulated time. ``listed_at`` is the time
     of the incarnation's first list, which is how the leader learns of it.
+    ``past_capacities`` has earlier capacities and until when they count.
     """
 
     __slots__ = (
@@ -68,6 +71,7 @@
         "observe",
         "on_end_acknowledged",
         "capacity",
+        "past_capacities",
         "run_duration_s",
         "runs",
         "service",
@@ -96,6 +100,7 @@
         self.service = service
         self.address = f"{id}:80"
         self.capacity = capacity
+        self.past_capacities: list[tuple[model.Resources, float]] = []
         self.labels = labels
         self.clock_rate = clock_rate
         self.run_duration_s = run_duration_s
@@ -146,6 +151,30 @@
             incarnation_ms=self.incarnation_ms,
         )
 
+    def resize(self, capacity: model.Resources) -> None:
+        """Change the capacity; the host's next entry shows it."""
+        self.past_capacities.append((self.capacity, math.inf))
+        self.capacity = capacity
+
+    def on_entry_written(self) -> None:
+        """Let the capacities before the one in the entry expire."""
+        expires_at = self._clock.now + CONTACT_S
+        self.past_capacities = [
+            (capacity, min(until, expires_at))
+            for capacity, until in self.past_capacities
+            if until >= self._clock.now
+        ]
+
+    def has_room_for(self, used: model.Resources) -> bool:
+        """Return whether ``used`` fits a capacity that counts now.
+
+        A larger capacity counts at once, a smaller one instead of the larger
+        one only ``CONTACT_S`` after the first entry that shows it.
+        """
+        now = self._clock.now
+        counting = [c for c, until in self.past_capacities if until >= now]
+        return any(used.fits(c) for c in (self.capacity, *counting))
+
     def crash(self) -> None:
         """Stop the host immediately and lose all its runs."""
         self.up = False
--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -124,7 +124,7 @@
         used = model.Resources()
         for run in host.runs.values():
             used = used.plus(run.step.reserved)
-        if not used.fits(host.capacity):
+        if not host.has_room_for(used):
             self.breach("room exceeded", f"{place}: {used} of {host.capacity}")
 
     def _check_order(
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -1,7 +1,8 @@
 """Simulated deployment: daemons, hosts and store under one clock.
 
 Faults: daemons that are killed, frozen or partitioned from the store or
-from hosts; hosts that crash, are partitioned, or fail their runs; a store
+from hosts; hosts that crash, are partitioned, fail their runs, or whose
+capacity shrinks and grows while they run; a store
 that is down, loses replies or drops its history; calls to hosts that are
 carried out late. What a daemon sends into a partition arrives when the
 partition ends, unless the daemon has dropped those bytes by then; daemons
@@ -175,6 +176,7 @@
         """Write a host's entry to the store."""
         record = appender.Record(key=host.id, value=host.entry())
         self.store.add(pages.Topic.HOSTS, (record,))
+        host.on_entry_written()
 
     # The network
 
--- a/tests/scheduling/test_machine.py
+++ b/tests/scheduling/test_machine.py
@@ -104,6 +104,11 @@
         found = self.host(index)
         found.failing = not found.failing
 
+    @stateful.rule(index=HOSTS, cpu=strategies.sampled_from((0, 1200, 4000)))
+    def resize(self, index, cpu):
+        """Shrink a host's capacity, to zero at most, or let it grow."""
+        self.host(index).resize(model.Resources(cpu, 2 * cpu, 0))
+
     @stateful.rule(share=strategies.sampled_from((0.0, 0.3)))
     def lose_answers(self, share):
         """Set the share of answers that the store loses."""
