Stop unanswered starts on a host that has shrunk, repeat none there

A start without an answer is sent again up to four times, and it may also be carried out by itself seconds later. If the host's capacity has shrunk meanwhile, either brings the host over it.

Host.over_capacity tells that what may run uses more than the capacity. An unanswered start on such a host is now stopped instead of repeated. The stop also bars the late start; the task is placed elsewhere, or here when there is room. What runs goes on: to stop it would lose its work for sure.

test_no_start_is_repeated_on_a_host_that_has_shrunk failed before with "1007.306 s: room exceeded: ... cpu=1000 ... of cpu=0", and does so with over_capacity off.

--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -224,6 +224,18 @@
         if self.entry is not None:
             self.free = self.entry.capacity.minus(self.used)
 
+    @property
+    def over_capacity(self) -> bool:
+        """Whether the runs use more than the capacity, which has shrunk.
+
+        Until enough of them have ended, nothing is started on the host. The
+        runs themselves go on: to stop them would lose their work for sure,
+        while a host that is over its capacity goes on with all of them. Only
+        starts are taken back, background or not: those not sent yet and
+        those without an answer, which may still begin.
+        """
+        return not model.Resources().fits(self.free)
+
     def clock(self, now: float) -> int | None:
         """Return the estimated time of the host's clock in ms, if known."""
         if self.clock_ms is None:
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -1,8 +1,9 @@
 """Start and stop calls for runs, and the hosts' answers.
 
 A start is recorded before it is sent. If its outcome is unknown it is sent
-again; hosts treat repeated starts as one. After ``MAX_START_ATTEMPTS`` the
-run is stopped, which also prevents a delayed start from taking effect.
+again; hosts treat repeated starts as one. After ``MAX_START_ATTEMPTS``, or if
+the host is over its capacity, the run is stopped, which also prevents a
+delayed start from taking effect.
 """
 
 import typing
@@ -44,6 +45,7 @@
         case scheduling.RunPhase.STARTING if run.confirmed_at is None:
             if (
                 run.tries >= MAX_START_ATTEMPTS
+                or host.over_capacity
                 or host.entry.state.value != "ready"
             ):
                 tasks.stop(run, now)
--- /dev/null
+++ b/tests/scheduling/test_capacity_changes.py
@@ -0,0 +1,68 @@
+"""Hosts whose capacity shrinks and grows while they run tasks.
+
+No start may bring a host over its capacity. Each mechanism is also turned
+off, which must breach that rule or fail the scenario.
+"""
+
+import pytest
+
+from azurewood.jobs import model
+from azurewood.scheduling import model as scheduling
+from standins.fleet import members
+from tests.scheduling import deployment
+
+NONE = model.Resources()
+FULL = model.Resources(4000, 8000, 0)
+NEEDS = model.Resources(1000, 500, 0)
+ONE = model.Step(count=1, needs=NEEDS, estimate_ms=900)
+
+
+def _resize(made, host, capacity):
+    """Change a host's capacity and publish it at once."""
+    host.resize(capacity)
+    made.publish_entry(host)
+
+
+def _make_late(monkeypatch, made, is_late, late_s):
+    """Let the store and hosts carry out some calls after ``late_s``."""
+    monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (late_s, late_s))
+    made.fault_of = lambda call: "late" if is_late(call) else ""
+
+
+def _starts_late_while_the_host_shrinks(monkeypatch):
+    """Let the first three calls be late; retries are due until 3.2 s."""
+    made = deployment.world(**{"s-one": 1})
+    (host,) = made.hosts.values()
+    late = []
+
+    def is_late(call):
+        if call.target != host.id or not call.changes or len(late) == 3:
+            return False
+        late.append(call)
+        return True
+
+    _make_late(monkeypatch, made, is_late, 9.0)
+    job = deployment.job(made, 1, ONE)
+    made.submit(made.members[0], job)
+    made.run(0.1)
+    assert late
+    _resize(made, host, NONE)
+    made.run(12.0)
+    deployment.check(made)
+    assert not made.rules.starts
+    _resize(made, host, FULL)
+    made.run(3.0)
+    deployment.check(made)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+
+
+def test_no_start_is_repeated_on_a_host_that_has_shrunk(monkeypatch):
+    _starts_late_while_the_host_shrinks(monkeypatch)
+
+
+def test_breaks_if_starts_are_repeated_on_a_host_over_its_capacity(
+    monkeypatch,
+):
+    monkeypatch.setattr(scheduling.Host, "over_capacity", False)
+    with pytest.raises(AssertionError, match="room exceeded"):
+        _starts_late_while_the_host_shrinks(monkeypatch)
