Send no start to a host that has shrunk while its record was stored

A start is sent only once its record is stored. That takes seconds while the store is slow or loses appends, and the host's capacity may shrink meanwhile. The start was sent regardless and brought the host over its capacity.

The last check before a start is sent now also asks whether its host is over its capacity. If so, the run is marked as gone (`run.gone`, "its host has shrunk") and its task waits for room anywhere. Each one that is dropped frees its room, so no more are dropped than necessary.

test_no_start_that_waited_for_its_record_goes_to_a_host_that_has_shrunk failed before with "1009.013 s: room exceeded: ... cpu=1000 ... of cpu=0", and does so with the check off.

--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -116,8 +116,9 @@
 def _outdated(state: model.State, effect: messages.Effect, now: float) -> bool:
     """Return whether an effect is a start that is no longer wanted.
 
-    The run may have been stopped or lost while its record was stored. If
-    no start or stop was sent for it, it is marked as gone.
+    The run may have been stopped or lost while its record was stored, or
+    its host may have shrunk below what it runs. If no start or stop was sent
+    for the run, it is marked as gone.
     """
     if not isinstance(effect, messages.StartRun):
         return False
@@ -130,6 +131,9 @@
             state, host, run, "not wanted before its start", now
         )
         return True
+    if host.over_capacity and run.tries == 1:
+        tasks.mark_run_gone(state, host, run, "its host has shrunk", now)
+        return True
     return False
 
 
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -7,6 +7,7 @@
 import pytest
 
 from azurewood.jobs import model
+from azurewood.journal import pages
 from azurewood.scheduling import model as scheduling
 from standins.fleet import members
 from tests.scheduling import deployment
@@ -66,3 +67,41 @@
     monkeypatch.setattr(scheduling.Host, "over_capacity", False)
     with pytest.raises(AssertionError, match="room exceeded"):
         _starts_late_while_the_host_shrinks(monkeypatch)
+
+
+def _save_while_the_host_shrinks(monkeypatch):
+    """Let the record of a start be stored 4 s after the host has shrunk."""
+    made = deployment.world(**{"s-one": 1})
+    (host,) = made.hosts.values()
+    due_at = made.clock.now + 4.2
+
+    def is_late(call):
+        saving = call.partition and call.partition[0] is pages.Topic.PROGRESS
+        return saving and made.clock.now < due_at
+
+    _make_late(monkeypatch, made, is_late, 9.0)
+    job = deployment.job(made, 1, ONE)
+    made.submit(made.members[0], job)
+    made.run(0.1)
+    state = made.leaders()[0].member.term.state
+    assert state.hosts[host.id].runs
+    _resize(made, host, NONE)
+    made.run(8.0)
+    deployment.check(made)
+    assert not made.rules.starts
+    _resize(made, host, FULL)
+    made.run(3.0)
+    deployment.check(made)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+
+
+def test_no_start_that_waited_for_its_record_goes_to_a_host_that_has_shrunk(
+    monkeypatch,
+):
+    _save_while_the_host_shrinks(monkeypatch)
+
+
+def test_breaks_if_a_start_is_sent_to_a_host_over_its_capacity(monkeypatch):
+    monkeypatch.setattr(scheduling.Host, "over_capacity", False)
+    with pytest.raises(AssertionError, match="room exceeded"):
+        _save_while_the_host_shrinks(monkeypatch)
