Size pools by what hosts are when whole, and count what is left of them

Pool sizes took a host's present capacity for its size. When all hosts of a pool had shrunk to nothing, the pool wanted none: its jobs waited beside idle machines of other pools until the hosts grew again. When they shrank to a tenth, it wanted ten times as many (9 for 3 cores) and would have taken the machines of the others. A pool in which most hosts have shrunk counted as whole and wasn't lent any.

Host.full_capacity is the largest that the incarnation has shown; wanted_hosts goes by it. A host that has shrunk counts by its scarcest resource (pool_sizes.capacity_share), so what is missing is lent as for lost hosts, and the reserve of two is made up.

test_a_pool_whose_hosts_have_shrunk_is_lent_others failed before: PENDING after 6 s, wanted=0 asked_cpu=3000 with four parked machines. Both mechanisms are turned off in test_capacity_changes.py.

--- a/azurewood/policy/pool_sizes.py
+++ b/azurewood/policy/pool_sizes.py
@@ -96,6 +96,25 @@
     return max(min_hosts, math.ceil(max(shares, default=0.0)))
 
 
+def capacity_share(now: model.Resources, full: model.Resources) -> float:
+    """Return the share of its full capacity that a host offers now.
+
+    The load: the hosts of a pool shrink for a while, and its tasks do not
+    fit on them. A host that counted as a whole one would keep the pool from
+    being lent others. The scarcest resource decides.
+    """
+    shares = [
+        have / most
+        for have, most in (
+            (now.cpu, full.cpu),
+            (now.memory_mb, full.memory_mb),
+            (now.gpu, full.gpu),
+        )
+        if most
+    ]
+    return min(shares, default=0.0)
+
+
 def plan(
     pools: abc.Iterable[Pool],
     demands: abc.Mapping[str, Demand],
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -109,6 +109,7 @@
     number of the last run end that the host listed, and ``acknowledged``
     that of the last one stored. ``late_starts`` has the starts without an
     answer and ``past_incarnations`` the incarnations that have ended.
+    ``full_capacity`` is the largest capacity that the incarnation has had.
     ``fence`` is the fencing token of calls to the host. It is raised for
     each incarnation; ``fence_due`` is true until that is done.
     Connections made by ``connected_by`` lead to the incarnation that sent
@@ -129,6 +130,7 @@
         "fence",
         "fence_due",
         "free",
+        "full_capacity",
         "id",
         "incarnation_ms",
         "last_end",
@@ -181,6 +183,7 @@
         self.runs: dict[tuple[model.TaskId, int], Run] = {}
         self.used = model.Resources()
         self.free = model.Resources()
+        self.full_capacity = model.Resources()
         self.step_runs: dict[tuple[str, int, int], int] = {}
         self.long_lived = 0
         self.unknown_runs = 0
@@ -190,6 +193,10 @@
 
     def describe(self, entry: messages.HostEntry) -> None:
         """Store the host's entry and update the free resources."""
+        known = [entry.capacity]
+        if entry.incarnation_ms == self.incarnation_ms:
+            known.append(self.full_capacity)
+        self.full_capacity = model.largest_of_each(known)
         self.entry = entry
         self.incarnation_ms = entry.incarnation_ms
         self.free = entry.capacity.minus(self.used)
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -130,20 +130,25 @@
 
 
 def _host_capacity(state: model.State, service: str) -> jobs.Resources:
-    """Return the largest capacity among a pool's hosts.
+    """Return the largest full capacity among a pool's hosts.
 
-    Without known hosts in the pool, return that of all hosts.
+    Without known hosts in the pool, return that of all hosts. Hosts that
+    have shrunk to nothing before this leader saw them don't tell it.
     """
-    entries = [h.entry for h in state.hosts.values() if h.entry is not None]
-    own = [entry.capacity for entry in entries if entry.service == service]
-    every = own or [entry.capacity for entry in entries]
+    known = [
+        host
+        for host in state.hosts.values()
+        if host.entry is not None and host.full_capacity.cpu
+    ]
+    own = [h.full_capacity for h in known if h.entry.service == service]
+    every = own or [host.full_capacity for host in known]
     return max(
         every, key=lambda capacity: capacity.cpu, default=jobs.Resources()
     )
 
 
 def _pools(state: model.State, now: float) -> list[pool_sizes.Pool]:
-    hosts = collections.Counter()
+    hosts = collections.defaultdict(float)
     coming = collections.Counter()
     idle = collections.defaultdict(list)
     away = unseen.unreachable_zones(state)
@@ -161,7 +166,7 @@
     return [
         pool_sizes.Pool(
             name=pool.name,
-            hosts=hosts[pool.name],
+            hosts=round(hosts[pool.name]),
             coming=coming[pool.name],
             idle=tuple(name for _, name in sorted(idle[pool.name])),
             standby=pool.standby,
@@ -170,14 +175,20 @@
     ]
 
 
-def _serving_hosts(state: model.State, machine: messages.MachineEntry) -> int:
-    """Return 1 if the machine's host can take tasks, else 0."""
+def _serving_hosts(
+    state: model.State, machine: messages.MachineEntry
+) -> float:
+    """Return 1 if the machine's host can take tasks, else 0.
+
+    A host that has shrunk counts by what is left of its capacity.
+    """
     host = state.hosts.get(machine.host)
     if host is None:
-        return int(not unseen.is_unseen(state, machine))
-    return int(
-        host.present and not host.leaving and host.unresponsive_since is None
-    )
+        return float(not unseen.is_unseen(state, machine))
+    serves = host.present and not host.leaving
+    if not serves or host.unresponsive_since is not None:
+        return 0.0
+    return pool_sizes.capacity_share(host.entry.capacity, host.full_capacity)
 
 
 def _is_idle(
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -8,6 +8,7 @@
 
 from azurewood.jobs import model
 from azurewood.journal import pages
+from azurewood.policy import pool_sizes
 from azurewood.scheduling import model as scheduling
 from standins.fleet import members
 from tests.scheduling import deployment
@@ -105,3 +106,65 @@
     monkeypatch.setattr(scheduling.Host, "over_capacity", False)
     with pytest.raises(AssertionError, match="room exceeded"):
         _save_while_the_host_shrinks(monkeypatch)
+
+
+def _work_on_a_pool_that_has_shrunk():
+    """Submit a job to a pool of three hosts that have shrunk to nothing.
+
+    Return the world and the job; machines of other pools could serve it.
+    """
+    made = deployment.world(**{"s-one": 3, "s-two": 2, "spare": 3})
+    for host in made.hosts.values():
+        if host.service == "s-one":
+            _resize(made, host, NONE)
+    made.run(1.0)
+    job = deployment.job(made, 1)
+    made.submit(made.members[0], job)
+    made.run(6.0)
+    deployment.check(made)
+    return made, job
+
+
+def test_a_pool_whose_hosts_have_shrunk_is_lent_others():
+    made, job = _work_on_a_pool_that_has_shrunk()
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+
+
+def test_it_is_lent_none_if_hosts_that_have_shrunk_count_as_whole(monkeypatch):
+    monkeypatch.setattr(pool_sizes, "capacity_share", lambda now, full: 1.0)
+    made, job = _work_on_a_pool_that_has_shrunk()
+    assert deployment.phase(made, job.id) is model.Phase.PENDING
+
+
+def _wanted_by_hosts_that_have_shrunk():
+    """Return how many hosts a pool wants whose hosts shrink to a tenth."""
+    made = deployment.world(**{"s-one": 3, "s-two": 2, "spare": 3})
+    for host in made.hosts.values():
+        _resize(made, host, model.Resources(400, 800, 0))
+    made.run(0.5)
+    made.submit(made.members[0], deployment.job(made, 1))
+    made.run(1.0)
+    return made.leaders()[0].member.term.state.demands["s-one"].wanted
+
+
+def test_hosts_wanted_do_not_grow_as_hosts_shrink(monkeypatch):
+    assert _wanted_by_hosts_that_have_shrunk() == 1
+
+
+def test_they_grow_by_the_present_capacity(monkeypatch):
+    usual = scheduling.Host.describe
+
+    def describe(host, entry):
+        usual(host, entry)
+        host.full_capacity = entry.capacity
+
+    monkeypatch.setattr(scheduling.Host, "describe", describe)
+    assert _wanted_by_hosts_that_have_shrunk() == 9
+
+
+def test_the_scarcest_resource_decides_what_is_left_of_a_host():
+    half = model.Resources(4000, 4000, 0)
+    assert pool_sizes.capacity_share(FULL, FULL) == 1.0
+    assert pool_sizes.capacity_share(half, FULL) == 0.5
+    assert pool_sizes.capacity_share(NONE, FULL) == 0.0
+    assert pool_sizes.capacity_share(NONE, NONE) == 0.0
