Refuse no job as too large because machines have shrunk for a while

Each list of machines set the capacity of the largest one, by which all daemons refuse jobs that fit on no machine (retry after 60 s). While the machines that a job needs were shrunk, callers were told that it can never run, though it would have fitted seconds later.

The leader keeps the largest capacity that each listed machine has had in its term, and forgets machines that leave the list. A leader that takes over while all large machines are shrunk still knows only that: its first list decides.

test_a_job_is_not_refused_because_machines_have_shrunk_for_a_while failed before: the largest was cpu=400 instead of cpu=4000.

--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -52,9 +52,7 @@
     """Handle the list of machines, which shows the machines that are back."""
     state.machines = {entry.name: entry for entry in event.machines}
     state.machines_at = event.began_at
-    state.largest_capacity = jobs.largest_of_each(
-        entry.capacity for entry in event.machines
-    )
+    _record_capacities(state)
     _end_replaced_hosts(state, now)
     for wave in state.waves.values():
         for name, host in wave.ordered.items():
@@ -70,6 +68,24 @@
                 _mark_runs_gone(state, host, now, placed_before=at)
 
 
+def _record_capacities(state: model.State) -> None:
+    """Record the full capacities of the listed machines.
+
+    A machine may have shrunk for a while. Jobs that fit on it otherwise must
+    not be refused as too large for any machine.
+    """
+    known = state.full_capacities
+    state.full_capacities = {
+        name: jobs.largest_of_each(
+            (entry.capacity, known.get(name, jobs.Resources()))
+        )
+        for name, entry in state.machines.items()
+    }
+    state.largest_capacity = jobs.largest_of_each(
+        state.full_capacities.values()
+    )
+
+
 def _end_replaced_hosts(state: model.State, now: float) -> None:
     """Mark the runs of hosts that have ended according to their machines.
 
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -297,17 +297,17 @@
     """The state of a leader during its term.
 
     ``placement_due`` has the services whose waiting tasks the next
-    scheduling pass places. ``largest_capacity`` is the most that any listed
-    machine has of each resource. ``recorded_unresponsive`` has the hosts
-    that a stored record may name as unresponsive. ``unix_ms`` is the time of
-    day, which may be set back or forward; only schedules follow it.
-    ``fence`` is the newest fencing token of this leader.
-    ``clock_ms``, for ages and objectives, advances with the monotonic clock
-    from the time of day at the beginning of the term. ``unreadable_jobs`` has
-    the jobs whose progress record cannot be read. ``no_order_before`` is
-    the time from which machines may get orders at all. ``unseen_since``
-    maps the hosts that the machine list names and that are not known to the
-    time since when.
+    scheduling pass places. ``full_capacities`` has the largest capacity that
+    each listed machine has had in this term, and ``largest_capacity`` the
+    most that any of them has of each resource. ``recorded_unresponsive`` has
+    the hosts that a stored record may name as unresponsive. ``unix_ms`` is the
+    time of day, which may be set back or forward; only schedules follow it.
+    ``fence`` is the newest fencing token of this leader. ``clock_ms``, for
+    ages and objectives, advances with the monotonic clock from the time of day
+    at the beginning of the term. ``unreadable_jobs`` has the jobs whose
+    progress record cannot be read. ``no_order_before`` is the time from which
+    machines may get orders at all. ``unseen_since`` maps the hosts that the
+    machine list names and that are not known to the time since when.
 
     ``values`` and the progress of ``dirty_jobs`` are stored in the next
     batch, for which ``deferred_effects`` wait. ``saving_effects`` wait for
@@ -326,6 +326,7 @@
         "dirty_jobs",
         "effects",
         "fence",
+        "full_capacities",
         "host_machines",
         "hosts",
         "hosts_read_at",
@@ -367,6 +368,7 @@
         self.hosts_read_at = 0.0
         self.unseen_since: dict[str, float] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
+        self.full_capacities: dict[str, model.Resources] = {}
         self.largest_capacity = model.Resources()
         self.machines_at = -1.0
         self.machines_due = 0.0
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -4,11 +4,14 @@
 off, which must breach that rule or fail the scenario.
 """
 
+import dataclasses
+
 import pytest
 
 from azurewood.jobs import model
 from azurewood.journal import pages
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from standins.fleet import members
 from tests.scheduling import deployment
@@ -168,3 +171,25 @@
     assert pool_sizes.capacity_share(half, FULL) == 0.5
     assert pool_sizes.capacity_share(NONE, FULL) == 0.0
     assert pool_sizes.capacity_share(NONE, NONE) == 0.0
+
+
+def test_a_job_is_not_refused_because_machines_have_shrunk_for_a_while():
+    made = deployment.world()
+    term = made.leaders()[0].member.term
+    names = sorted(term.state.machines)
+
+    def list_machines(names, capacity):
+        entries = (term.state.machines[name] for name in names)
+        machines = tuple(
+            dataclasses.replace(entry, capacity=capacity) for entry in entries
+        )
+        began_at = term.state.machines_at + 0.001
+        term.handle_event(
+            messages.MachinesListed(machines=machines, began_at=began_at)
+        )
+        return term.largest_capacity()
+
+    assert list_machines(names, FULL) == FULL
+    small = model.Resources(400, 800, 0)
+    assert list_machines(names, small) == FULL
+    assert list_machines((), FULL) == NONE
