Log changes of a host's capacity

A host that shrinks below what it runs gets no starts, and nothing in the lines told that from a host that is merely full.

test_a_changed_capacity_is_logged_with_what_is_used: no such line before.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -8,6 +8,7 @@
 
 import typing
 
+from azurewood.jobs import model
 from azurewood.policy import throttling
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import listings
@@ -48,10 +49,33 @@
             incarnation=entry.incarnation_ms,
         )
     host.describe(entry)
+    if known is not None and known.capacity != entry.capacity:
+        _log_resized(state, host, known.capacity)
     host.present = True
     state.placement_due.add(entry.service)
 
 
+def _log_resized(
+    state: scheduling.State, host: scheduling.Host, before: model.Resources
+) -> None:
+    """Log that a host's capacity has changed, and how much of it is used."""
+    state.log_event(
+        "host.resized",
+        host=host.id,
+        service=host.entry.service,
+        before=_amounts(before),
+        after=_amounts(host.entry.capacity),
+        used=_amounts(host.used),
+        runs=len(host.runs),
+        over=host.over_capacity,
+        incarnation=host.incarnation_ms,
+    )
+
+
+def _amounts(resources: model.Resources) -> str:
+    return f"{resources.cpu}/{resources.memory_mb}/{resources.gpu}"
+
+
 def on_removed(state: scheduling.State, host_id: str) -> None:
     """Handle the removal of a host's store entry."""
     host = state.hosts.get(host_id)
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from loguru import logger
 import pytest
 
 from azurewood.jobs import model
@@ -193,3 +194,22 @@
     small = model.Resources(400, 800, 0)
     assert list_machines(names, small) == FULL
     assert list_machines((), FULL) == NONE
+
+
+def test_a_changed_capacity_is_logged_with_what_is_used(no_logs):
+    lines = []
+    logger.enable("azurewood")
+    sink = logger.add(lambda m: lines.append(m.record["extra"]), level="INFO")
+    made = deployment.world(**{"s-one": 1})
+    (host,) = made.hosts.values()
+    long = model.Step(count=3, needs=NEEDS, estimate_ms=2500)
+    made.submit(made.members[0], deployment.job(made, 1, long))
+    made.run(0.2)
+    _resize(made, host, model.Resources(2000, 8000, 0))
+    made.run(0.5)
+    logger.remove(sink)
+    (line,) = (f for f in lines if f.get("event") == "host.resized")
+    assert (line["host"], line["runs"], line["over"]) == (host.id, 3, True)
+    assert line["before"] == "4000/8000/0"
+    assert line["after"] == "2000/8000/0"
+    assert line["used"] == "3000/1500/0"
