Raise the fencing token of a host that has shrunk with unanswered starts

An unanswered start on a host that has shrunk is stopped, but the stop may be late as well, and the start then begins before it.

A host refuses calls with a lower token than it has seen. When a host has shrunk below what it may run and a start there has no answer, its token is now raised, as for a host that has restarted: the first call of any kind that arrives bars all starts sent before, lease renewals included. Starts refused by it are stopped as before.

test_no_late_start_begins_on_a_host_that_has_shrunk breaks `room exceeded` with _bar_late_starts off.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -51,6 +51,7 @@
     host.describe(entry)
     if known is not None and known.capacity != entry.capacity:
         _log_resized(state, host, known.capacity)
+        _bar_late_starts(host)
     host.present = True
     state.placement_due.add(entry.service)
 
@@ -72,6 +73,22 @@
     )
 
 
+def _bar_late_starts(host: scheduling.Host) -> None:
+    """Let the next calls bar the starts that have no answer yet.
+
+    On a host over its capacity none of them may begin any more. The stops of
+    these runs may be late as well, while the first call of any kind that
+    arrives with a higher fencing token bars all starts sent before.
+    """
+    starting = scheduling.RunPhase.STARTING
+    unanswered = any(
+        run.phase is starting or run.key in host.late_starts
+        for run in host.runs.values()
+    )
+    if host.over_capacity and unanswered:
+        host.fence_due = True
+
+
 def _amounts(resources: model.Resources) -> str:
     return f"{resources.cpu}/{resources.memory_mb}/{resources.gpu}"
 
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -12,6 +12,7 @@
 from azurewood.jobs import model
 from azurewood.journal import pages
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import hosts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from standins.fleet import members
@@ -74,6 +75,40 @@
         _starts_late_while_the_host_shrinks(monkeypatch)
 
 
+def _starts_and_stops_late_while_the_host_shrinks(monkeypatch):
+    """Let a start be late by 4.5 s, and so all stops before it."""
+    made = deployment.world(**{"s-one": 1})
+    (host,) = made.hosts.values()
+    due_at = made.clock.now + 4.5
+
+    def is_late(call):
+        sent_late = call.changes and made.clock.now < due_at
+        return call.target == host.id and sent_late
+
+    _make_late(monkeypatch, made, is_late, 4.5)
+    job = deployment.job(made, 1, ONE)
+    made.submit(made.members[0], job)
+    made.run(0.1)
+    _resize(made, host, NONE)
+    made.run(9.0)
+    deployment.check(made)
+    assert not made.rules.starts
+    _resize(made, host, FULL)
+    made.run(3.0)
+    deployment.check(made)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+
+
+def test_no_late_start_begins_on_a_host_that_has_shrunk(monkeypatch):
+    _starts_and_stops_late_while_the_host_shrinks(monkeypatch)
+
+
+def test_breaks_if_a_shrunk_hosts_fence_is_not_raised(monkeypatch):
+    monkeypatch.setattr(hosts, "_bar_late_starts", lambda host: None)
+    with pytest.raises(AssertionError, match="room exceeded"):
+        _starts_and_stops_late_while_the_host_shrinks(monkeypatch)
+
+
 def _save_while_the_host_shrinks(monkeypatch):
     """Let the record of a start be stored 4 s after the host has shrunk."""
     made = deployment.world(**{"s-one": 1})
