Tests: capacities change under jobs of all shapes, late calls and a new leader

Short, long, gang, lasting and background steps run while hosts shrink to 0, 1.2 or 2.5 cores and grow to 4 or 6, jobs are cancelled, up to 30% of the calls are late and the leader is killed halfway. No rule is broken, and every job that isn't cancelled ends once the hosts have grown: seeds 1 to 5, with and without late calls.

--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import random
 
 from loguru import logger
 import pytest
@@ -15,6 +16,7 @@
 from azurewood.scheduling import hosts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import tasks
 from standins.fleet import members
 from tests.scheduling import deployment
 
@@ -22,6 +24,20 @@
 FULL = model.Resources(4000, 8000, 0)
 NEEDS = model.Resources(1000, 500, 0)
 ONE = model.Step(count=1, needs=NEEDS, estimate_ms=900)
+SHAPES = (
+    (deployment.STEP,),
+    (model.Step(count=4, needs=NEEDS, estimate_ms=2500),),
+    (model.Step(count=3, needs=NEEDS, estimate_ms=800, gang=True),),
+    (deployment.LONG_LIVED,),
+    (
+        model.Step(
+            count=3,
+            needs=model.Resources(500, 1500, 0),
+            estimate_ms=1500,
+            background=True,
+        ),
+    ),
+)
 
 
 def _resize(made, host, capacity):
@@ -248,3 +264,105 @@
     assert line["before"] == "4000/8000/0"
     assert line["after"] == "2000/8000/0"
     assert line["used"] == "3000/1500/0"
+
+
+def _change_capacities(seed, late_share=0.0):
+    """Shrink and grow hosts at random under jobs of all shapes.
+
+    The leader is killed halfway and starts again. Return the world.
+    """
+    made = deployment.world(seed=seed)
+    made.late_share = late_share
+    draw = random.Random(seed)
+    for number in range(40):
+        job = deployment.job(made, number, *draw.choice(SHAPES))
+        made.submit(made.members[number % 3], job)
+        if draw.random() < 0.2:
+            made.cancel(made.members[number % 3], f"{number // 2:016x}")
+        host = made.hosts[draw.choice(sorted(made.hosts))]
+        cpu = draw.choice((0, 1200, 2500, 4000, 6000))
+        host.resize(model.Resources(cpu, 2 * cpu, 0))
+        if number == 20:
+            leader = made.leaders()[0]
+            leader.kill()
+        made.run(draw.choice((0.1, 0.5, 1.5)))
+        if number == 24:
+            leader.start()
+        deployment.check(made)
+    made.late_share = 0.0
+    for job in made.rules.asked.values():
+        if job.long_lived:
+            made.cancel(made.members[0], job.id)
+    for host in made.hosts.values():
+        host.resize(FULL)
+    made.run(20.0)
+    deployment.check(made)
+    return made
+
+
+def _unfinished(made):
+    """Return the jobs that should have ended and have not."""
+    return [
+        job.id
+        for job in made.rules.asked.values()
+        if not job.long_lived
+        and job.id not in made.rules.cancelled_at
+        and deployment.phase(made, job.id) is not model.Phase.COMPLETED
+    ]
+
+
+@pytest.mark.parametrize("late_share", (0.0, 0.3))
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_capacities_hold_and_all_jobs_end(seed, late_share):
+    assert not _unfinished(_change_capacities(seed, late_share))
+
+
+def test_breaks_if_unanswered_starts_go_on_over_the_capacity(monkeypatch):
+    monkeypatch.setattr(scheduling.Host, "over_capacity", False)
+    with pytest.raises(AssertionError, match="room exceeded"):
+        _change_capacities(5, late_share=0.3)
+
+
+def test_breaks_if_entries_do_not_change_what_is_free(monkeypatch):
+    usual = scheduling.Host.describe
+
+    def describe(host, entry):
+        if host.entry is not None:
+            entry = dataclasses.replace(entry, capacity=host.entry.capacity)
+        usual(host, entry)
+
+    monkeypatch.setattr(scheduling.Host, "describe", describe)
+    with pytest.raises(AssertionError, match="room exceeded"):
+        _change_capacities(1)
+
+
+def _cancel_on_a_host_that_shrinks():
+    """Cancel the jobs of a full host that shrinks; another job waits."""
+    made = deployment.world(**{"s-one": 1})
+    (host,) = made.hosts.values()
+    for number in (1, 2):
+        step = model.Step(count=4, needs=NEEDS, estimate_ms=9000)
+        made.submit(made.members[0], deployment.job(made, number, step))
+        made.run(0.3)
+    _resize(made, host, model.Resources(2000, 8000, 0))
+    made.run(4.0)
+    made.cancel(made.members[0], f"{1:016x}")
+    made.run(3.0)
+    deployment.check(made)
+    assert len(host.runs) == 2
+
+
+def test_what_is_being_stopped_still_counts():
+    _cancel_on_a_host_that_shrinks()
+
+
+def test_breaks_if_what_is_being_stopped_does_not_count(monkeypatch):
+    def forget_all(state, job_id, now):
+        for host in state.hosts.values():
+            for run in list(host.runs.values()):
+                host.remove(run)
+        return 0
+
+    monkeypatch.setattr(tasks, "_stop_all", forget_all)
+    with pytest.raises(AssertionError, match="room exceeded"):
+        _cancel_on_a_host_that_shrinks()
