--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -8,6 +8,7 @@
 
 import typing
 
+from azurewood.jobs import model
 from azurewood.policy import throttling
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import listings
@@ -50,10 +51,50 @@
             incarnation=entry.incarnation_ms,
         )
     host.describe(entry)
+    if known is not None and known.capacity != entry.capacity:
+        _log_resized(state, host, known.capacity)
+        _bar_late_starts(host)
     host.present = True
     state.placement_due.add(entry.service)
 
 
+def _log_resized(
+    state: scheduling.State, host: scheduling.Host, before: model.Resources
+) -> None:
+    """Log that a host's capacity has changed, and how much of it is used."""
+    state.log_event(
+        "host.resized",
+        host=host.id,
+        service=host.entry.service,
+        before=_amounts(before),
+        after=_amounts(host.entry.capacity),
+        used=_amounts(host.used),
+        runs=len(host.runs),
+        over=host.over_capacity,
+        incarnation=host.incarnation_ms,
+    )
+
+
+def _bar_late_starts(host: scheduling.Host) -> None:
+    """Let the next calls bar the starts that have no answer yet.
+
+    On a host over its capacity none of them may begin any more. The stops of
+    these runs may be late as well, while the first call of any kind that
+    arrives with a higher fencing token bars all starts sent before.
+    """
+    starting = scheduling.RunPhase.STARTING
+    unanswered = any(
+        run.phase is starting or run.key in host.late_starts
+        for run in host.runs.values()
+    )
+    if host.over_capacity and unanswered:
+        host.fence_due = True
+
+
+def _amounts(resources: model.Resources) -> str:
+    return f"{resources.cpu}/{resources.memory_mb}/{resources.gpu}"
+
+
 def on_removed(state: scheduling.State, host_id: str) -> None:
     """Handle the removal of a host's store entry."""
     host = state.hosts.get(host_id)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -97,6 +97,7 @@
     ``withheld_ends`` maps the numbers of the ends that are not acknowledged
     yet to the starts of their tasks that may still take effect, and
     ``counted_ends`` is up to which number they count as withheld.
+    ``full_capacity`` is the largest capacity that the incarnation has had.
     ``fence`` is the fencing token of calls to the host. It is raised for
     each incarnation; ``fence_due`` is true until that is done.
     Connections made by ``connected_by`` lead to the incarnation that sent
@@ -118,6 +119,7 @@
         "fence",
         "fence_due",
         "free",
+        "full_capacity",
         "id",
         "incarnation_ms",
         "last_end",
@@ -171,6 +173,7 @@
         self.runs: dict[tuple[model.TaskId, int], Run] = {}
         self.used = model.Resources()
         self.free = model.Resources()
+        self.full_capacity = model.Resources()
         self.step_runs: dict[tuple[str, int, int], int] = {}
         self.long_lived = 0
         self.unknown_runs = 0
@@ -184,6 +187,11 @@
 
     def describe(self, entry: messages.HostEntry) -> None:
         """Store the host's entry and update the free resources."""
+        if entry.incarnation_ms != self.incarnation_ms:
+            self.full_capacity = entry.capacity
+        elif entry.capacity != self.full_capacity:
+            known = (self.full_capacity, entry.capacity)
+            self.full_capacity = model.largest_of_each(known)
         self.entry = entry
         self.incarnation_ms = entry.incarnation_ms
         self.free = entry.capacity.minus(self.used)
@@ -218,6 +226,19 @@
         if self.entry is not None:
             self.free = self.entry.capacity.minus(self.used)
 
+    @property
+    def over_capacity(self) -> bool:
+        """Whether the runs use more than the capacity, which has shrunk.
+
+        Until enough of them have ended, nothing is started on the host. The
+        runs themselves go on: to stop them would lose their work for sure,
+        while a host that is over its capacity goes on with all of them. Only
+        starts are taken back, background or not: those not sent yet and
+        those without an answer, which may still begin.
+        """
+        free = self.free
+        return free.cpu < 0 or free.memory_mb < 0 or free.gpu < 0
+
     def clock(self, now: float) -> int | None:
         """Return the estimated time of the host's clock in ms, if known."""
         if self.clock_ms is None:
@@ -286,17 +307,17 @@
     """The state of a leader during its term.
 
     ``placement_due`` has the services whose waiting tasks the next
-    scheduling pass places. ``largest_capacity`` is the most that any listed
-    machine has of each resource. ``recorded_unresponsive`` has the hosts
-    that a stored record may name as unresponsive. ``unix_ms`` is the time of
-    day, which may be set back or forward; only schedules follow it.
-    ``fence`` is the newest fencing token of this leader.
-    ``clock_ms``, for ages and objectives, advances with the monotonic clock
-    from the time of day at the beginning of the term. ``unreadable_jobs`` has
-    the jobs whose progress record cannot be read. ``no_order_before`` is
-    the time from which machines may get orders at all. ``unseen_since``
-    maps the hosts that the machine list names and that are not known to the
-    time since when.
+    scheduling pass places. ``full_capacities`` has the largest capacity that
+    each listed machine has had in this term, and ``largest_capacity`` the
+    most that any of them has of each resource. ``recorded_unresponsive`` has
+    the hosts that a stored record may name as unresponsive. ``unix_ms`` is the
+    time of day, which may be set back or forward; only schedules follow it.
+    ``fence`` is the newest fencing token of this leader. ``clock_ms``, for
+    ages and objectives, advances with the monotonic clock from the time of day
+    at the beginning of the term. ``unreadable_jobs`` has the jobs whose
+    progress record cannot be read. ``no_order_before`` is the time from which
+    machines may get orders at all. ``unseen_since`` maps the hosts that the
+    machine list names and that are not known to the time since when.
 
     ``values``, the progress of ``dirty_jobs`` and the late starts of the
     hosts in ``dirty_late_starts`` are stored in the next batch, for which
@@ -317,6 +338,7 @@
         "dirty_late_starts",
         "effects",
         "fence",
+        "full_capacities",
         "host_machines",
         "hosts",
         "hosts_read_at",
@@ -359,6 +381,7 @@
         self.hosts_read_at = 0.0
         self.unseen_since: dict[str, float] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
+        self.full_capacities: dict[str, model.Resources] = {}
         self.largest_capacity = model.Resources()
         self.machines_at = -1.0
         self.machines_due = 0.0
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -119,8 +119,9 @@
 def _outdated(state: model.State, effect: messages.Effect, now: float) -> bool:
     """Return whether an effect is a start that is no longer wanted.
 
-    The run may have been stopped or lost while a record was stored. If no
-    start or stop was sent for it, it is marked as gone.
+    The run may have been stopped or lost while a record was stored, or
+    its host may have shrunk below what it runs. If no start or stop was sent
+    for the run, it is marked as gone.
     """
     if not isinstance(effect, messages.StartRun):
         return False
@@ -137,6 +138,10 @@
         # It has to wait for another run, listed while its record was stored.
         run.call_open = False
         return True
+    shrunk = host.entry.capacity != host.full_capacity
+    if shrunk and run.tries == 1 and host.over_capacity:
+        tasks.mark_run_gone(state, host, run, "its host has shrunk", now)
+        return True
     return False
 
 
