A call that cannot be made is answered as not sent

Cause: Multiplexer.submit passes URL and headers to libcurl's binding, which raises ValueError for a NUL byte, UnicodeEncodeError for text that is not ASCII and OverflowError for a time-out above 64 bits. submit runs in the daemon's loop, among the leader's effects: the error ended the term, and those of the next leaders while the odd entry of a host was there. Change: such a call gets the reply NOT_SENT from the next run_once, without a wait. It isn't answered inside submit, whose callers are amid their own work. What libcurl itself refuses (ports out of range, no host, spaces, other protocols) was a reply already; the test holds it to NOT_SENT.

--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -107,6 +107,7 @@
         "_selector",
         "_timer_at",
         "_transfers",
+        "_unusable",
         "_wake_receiver",
         "_wake_sender",
         "waited_s",
@@ -119,6 +120,7 @@
         self._selector = selectors.DefaultSelector()
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
         self._idle_handles: list[pycurl.Curl] = []
+        self._unusable: list[tuple[Callback, Reply]] = []
         self._timer_at: float | None = None
         self.waited_s = 0.0
         self._wake_receiver, self._wake_sender = socket.socketpair()
@@ -135,10 +137,14 @@
     @property
     def under_way(self) -> int:
         """Return how many calls have no reply yet."""
-        return len(self._transfers)
+        return len(self._transfers) + len(self._unusable)
 
     def submit(self, call: Call, done: Callback) -> None:
-        """Start a call; ``done`` is always called with its reply."""
+        """Start a call; ``run_once`` calls ``done`` with its reply.
+
+        A call that cannot be made, such as one whose URL is no text in
+        ASCII, is answered as not sent.
+        """
         curl = (
             self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         )
@@ -146,7 +152,13 @@
         transfer = _Transfer(
             call=call, done=done, buffer=buffer, sent_at=self._clock()
         )
-        _prepare(curl, call, buffer)
+        try:
+            _prepare(curl, call, buffer)
+        except _UNUSABLE as exc:
+            curl.reset()
+            self._idle_handles.append(curl)
+            self._unusable.append((done, _not_sent(transfer.sent_at, exc)))
+            return
         curl.setopt(
             pycurl.PREREQFUNCTION,
             functools.partial(self._before_writing, transfer),
@@ -193,8 +205,16 @@
             self._timer_at = None
             self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
         self._finish_all()
+        self._answer_unusable()
+
+    def _answer_unusable(self) -> None:
+        unusable, self._unusable = self._unusable, []
+        for done, reply in unusable:
+            done(reply)
 
     def _select_timeout(self, timeout_s: float) -> float:
+        if self._unusable:
+            return 0.0
         if self._timer_at is None:
             return max(0.0, timeout_s)
         return max(0.0, min(timeout_s, self._timer_at - time.monotonic()))
@@ -291,6 +311,14 @@
         )
 
 
+_UNUSABLE: typing.Final = (ValueError, OverflowError, pycurl.error)
+"""What libcurl's binding raises for an option's value."""
+
+
+def _not_sent(at: float, exc: Exception) -> Reply:
+    return Reply(outcome=Outcome.NOT_SENT, reason=str(exc), sent_at=at, at=at)
+
+
 def _curl_mask(mask: int) -> int:
     curl_mask = 0
     if mask & selectors.EVENT_READ:
