A host's entry needs an address and an id that calls can use

Cause: any text was taken for an entry's address. A port out of range, no host or a space gave a host to place on that no call reaches; it also counted among the hosts that have to answer a new leader. The id goes into a header of each call, where a line break would begin another header. Change: decode_entry holds the address to HOST:PORT, with an IPv4 address or a plain name and a port from 1 to 65535, and the id to printable ASCII without spaces; anything else is InvalidMessage, so the entry names no host. Names stay allowed though the platform looks none up: libcurl resolves them beside the loop, and one that is unknown is a call that wasn't sent. Other addresses: the store's, the machines' service's and the advice service's come from the daemon's own settings, whose checks stay; the machine list names no addresses; those of peers come in authenticated frames.

--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import re
 import typing
 
 from loguru import logger
@@ -14,6 +15,7 @@
 from azurewood.conf import decoding
 from azurewood.http import multiplex
 from azurewood.jobs import model
+from azurewood.platform import addresses
 from azurewood.platform import exceptions
 from azurewood.scheduling import messages
 
@@ -24,7 +26,8 @@
 """Added to a lease renewal's wait at the host to get its time-out."""
 TARGET_HEADER: typing.Final = "X-Target-Instance"
 JSON_HEADER: typing.Final = "Content-Type: application/json"
-
+_ID: typing.Final = re.compile(r"[!-~]+")
+"""What a header can hold as the id of a call's host."""
 
 MAX_FIGURE: typing.Final = 1 << 53
 """Bound of the figures in a host's list, which are not always integers."""
@@ -103,8 +106,14 @@
         entry = decoding.decode_json(data, _Entry)
     except decoding.MalformedData as exc:
         raise exceptions.InvalidMessage(
-            f"malformed entry of host {key}: {exc}"
+            f"malformed entry of host {key!r}: {exc}"
         ) from exc
+    if not _ID.fullmatch(key):
+        raise exceptions.InvalidMessage(f"{key!r} is not the id of a host")
+    if not addresses.is_address(entry.addr):
+        raise exceptions.InvalidMessage(
+            f"entry of host {key!r} has the address {entry.addr[:80]!r}"
+        )
     return messages.HostEntry(
         id=key,
         address=entry.addr,
--- a/tests/platform/malformed.py
+++ b/tests/platform/malformed.py
@@ -39,6 +39,21 @@
     return _changed(valid, path, value)
 
 
+def addresses():
+    """Return a strategy for texts that look like addresses."""
+    host = st.one_of(
+        st.text(max_size=8),
+        st.sampled_from(("10.0.0.1", "", "10.0.0.1.5", "a b", "a\x00")),
+    )
+    port = st.one_of(
+        st.integers(-9, 99999).map(str),
+        st.text(max_size=3),
+        st.sampled_from(("8 0", "80\n", "80\x00", "\u0668")),
+    )
+    colon = st.sampled_from((":", "", "::", " :"))
+    return st.builds("{}{}{}".format, host, colon, port)
+
+
 _MISSING = object()
 
 
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -209,13 +209,23 @@
 
 
 @many
-@hypothesis.given(malformed.json_bytes(ENTRY))
+@hypothesis.given(
+    st.one_of(
+        malformed.json_bytes(ENTRY),
+        malformed.addresses().map(
+            lambda text: json.dumps({**ENTRY, "addr": text}).encode()
+        ),
+    )
+)
 def test_hosts_entries(data):
     try:
         entry = hosts.decode_entry("h", data)
     except exceptions.InvalidMessage:
         return
     assert _is_int(entry.incarnation_ms, *msgspec.to_builtins(entry.capacity))
+    assert entry.address.isascii()
+    assert entry.address.isprintable()
+    assert 0 < int(entry.address.rpartition(":")[2]) < 1 << 16
 
 
 @many
