Hosts' entries and lists have bounded numbers

Cause: any whole number was taken as born, capacity, clock, run or the number of an end. Records hold 64 bits: a run on a host with a born of 2**70 can't be recorded, so the leader's step ends with OverflowError, and that of the next leader. A negative capacity turned a host's free room against others in sums. Change: born, clocks, runs and numbers of ends are from 0 to 2**53, as numbers in jobs, capacities (of hosts and in the list of machines) from 0 to 2**40, so that sums over a million hosts have 60 bits. An entry out of these bounds names no host; a host's list is malformed; a list of machines can't be read, as any that has a malformed row: a machine that is missing there counts as gone. born isn't compared with the daemon's clock: that clock may step, and then the entries of all good hosts would be refused. A wrong one within the bounds does no lasting harm, as incarnations are compared for equality, and the host's own list names the right one.

--- a/azurewood/conf/decoding.py
+++ b/azurewood/conf/decoding.py
@@ -12,6 +12,14 @@
 
 from azurewood import exceptions
 
+MAX_NUMBER: typing.Final = 1 << 53
+"""Largest whole number taken, which every JSON and MessagePack codec holds."""
+
+Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""A whole number from 0 to ``MAX_NUMBER``."""
+Finite = typing.Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""A figure that need not be whole and can be rounded to a whole one."""
+
 T = typing.TypeVar("T")
 
 
--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -29,17 +29,17 @@
 _ID: typing.Final = re.compile(r"[!-~]+")
 """What a header can hold as the id of a call's host."""
 
-MAX_FIGURE: typing.Final = 1 << 53
-"""Bound of the figures in a host's list, which are not always integers."""
-_Finite = typing.Annotated[float, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+MAX_AMOUNT: typing.Final = 1 << 40
+"""Bound of a capacity's figures: the sum of a million hosts has 60 bits."""
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 
 
 class Capacity(msgspec.Struct):
     """Resources that a host offers; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
     def resources(self) -> model.Resources:
         """Return the capacity as ``Resources``."""
@@ -47,7 +47,11 @@
 
 
 class _Entry(msgspec.Struct):
-    """``born`` is the start of the host's incarnation, in Unix ms."""
+    """``born`` is the start of the host's incarnation, in Unix ms.
+
+    It is not compared with the daemon's clock, which may step, as then the
+    entries of good hosts would be refused.
+    """
 
     service: str
     addr: str
@@ -55,11 +59,11 @@
     capacity: Capacity
     zone: str = ""
     labels: list[str] = []
-    born: int = 0
+    born: decoding.Natural = 0
 
 
 class _Answer(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: decoding.Natural = 0
     reason: str = ""
 
 
@@ -67,25 +71,25 @@
     """``measure`` is missing on hosts that do not measure their load."""
 
     task: str
-    run: int
+    run: decoding.Natural
     saved: str | None
-    percent: _Finite
-    measure: _Finite | None = None
+    percent: decoding.Finite
+    measure: decoding.Finite | None = None
 
 
 class _EndedRow(msgspec.Struct, array_like=True):
-    number: int
+    number: decoding.Natural
     task: str
-    run: int
+    run: decoding.Natural
     how: messages.End
     saved: str | None
 
 
 class _Listing(msgspec.Struct):
-    clock_ms: int
+    clock_ms: decoding.Natural
     running: list[_RunningRow]
     ended_runs: list[_EndedRow]
-    born: int = 0
+    born: decoding.Natural = 0
 
 
 _REFUSALS: typing.Final = {
--- a/azurewood/platform/jobs.py
+++ b/azurewood/platform/jobs.py
@@ -13,10 +13,8 @@
 ID: typing.Final = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES: typing.Final = 4000
 
-MAX_NUMBER: typing.Final = 1 << 53
-"""Largest number in a job, which every JSON and MessagePack codec holds."""
-
-_Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+MAX_NUMBER: typing.Final = decoding.MAX_NUMBER
+_Natural = decoding.Natural
 
 
 class _Step(msgspec.Struct):
