A task's name has numbers of at most 18 digits

Cause: the numbers in a task's name, in a host's list of runs, were converted whatever their length. With more than 4,300 digits int raises ValueError, which is no InvalidMessage: it left the reply's callback and the daemon's loop. With 20 to 4,300 digits, or digits that aren't ASCII, the name was taken. Change: the numbers are held to kinds.NUMBER, 1 to 18 ASCII digits; a list with another name is malformed, as with any name that is none. Measured: of the 6 names of the new test 3 fail on the code before (19 and 5,000 digits, and a digit that isn't ASCII); with the change all pass.

--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from azurewood.conf import decoding
+from azurewood.conf import kinds
 from azurewood.http import multiplex
 from azurewood.jobs import model
 from azurewood.platform import addresses
@@ -141,7 +142,7 @@
     Raise ``InvalidMessage`` if the name is malformed.
     """
     job, *numbers = name.split(".")
-    if len(numbers) != 3 or not all(n.isdecimal() for n in numbers):
+    if len(numbers) != 3 or not all(map(kinds.NUMBER.fullmatch, numbers)):
         raise exceptions.InvalidMessage(f"{name!r} is not a task name")
     return model.TaskId(job, *map(int, numbers))
 
--- a/tests/platform/test_numbers.py
+++ b/tests/platform/test_numbers.py
@@ -89,6 +89,18 @@
     assert event.reason is messages.Refusal.MALFORMED
 
 
+@pytest.mark.parametrize(
+    "number", ["9" * 19, "9" * 5000, "-1", "", "\u0663", "1e3"]
+)
+def test_a_task_name_with_another_number_is_malformed(number):
+    name = f"{valid.JOB_ID}.0.1.{number}"
+    with pytest.raises(exceptions.InvalidMessage):
+        hosts.task_id(name)
+    body = _encode(valid.LISTING, ("running", 0, 0), name)
+    event = hosts.event(valid.RENEWAL, _reply(body))
+    assert isinstance(event, messages.RenewalFailed)
+
+
 @pytest.mark.parametrize("value", OUT_OF_RANGE)
 def test_a_list_of_machines_cannot_be_read(value):
     place = ("nodes", 0, "capacity", "cpu")
