Operators' records, advice and the store's answers have bounded numbers

A priority of 2**70 in the manifest can't be stored with a job: msgspec raises OverflowError for each job that is then accepted. A validity of advice beyond a float's range ends in OverflowError where it is divided. Change: the manifest's and the waves' numbers and the validity are held to 2**53, positions in the store too; what is out of range is malformed, as other wrong fields are: the last good manifest stays in force, a wave isn't begun, the advice isn't used. The fuzzing's check of integers now asks for 64 bits.

--- a/azurewood/conf/decoding.py
+++ b/azurewood/conf/decoding.py
@@ -17,6 +17,8 @@
 
 Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 """A whole number from 0 to ``MAX_NUMBER``."""
+Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""A whole number of either sign, bounded alike."""
 Finite = typing.Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 """A figure that need not be whole and can be rounded to a whole one."""
 
--- a/azurewood/platform/catalogs.py
+++ b/azurewood/platform/catalogs.py
@@ -8,9 +8,9 @@
 
 
 class _Hint(msgspec.Struct):
-    decision_ms: int = 0
-    per_item_ms: int = 0
-    validity_ms: int = 0
+    decision_ms: decoding.Integer = 0
+    per_item_ms: decoding.Integer = 0
+    validity_ms: decoding.Integer = 0
 
 
 class _Route(msgspec.Struct):
@@ -20,10 +20,10 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    attempts: int = 1
-    slo_factor: float = 1.0
-    slo_ms: int = 0
+    priority: decoding.Integer = 0
+    attempts: decoding.Integer = 1
+    slo_factor: decoding.Finite = 1.0
+    slo_ms: decoding.Integer = 0
     hint: _Hint | None = None
 
 
@@ -34,11 +34,11 @@
 
 
 class _Limits(msgspec.Struct):
-    body_bytes: int = catalog.DEFAULT_BODY_BYTES
+    body_bytes: decoding.Integer = catalog.DEFAULT_BODY_BYTES
 
 
 class _Manifest(msgspec.Struct):
-    version: int
+    version: decoding.Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/azurewood/platform/machines.py
+++ b/azurewood/platform/machines.py
@@ -43,15 +43,15 @@
     At most ``max_count`` machines are down at once.
     """
 
-    tranche: int
+    tranche: decoding.Natural
     nodes: list[str]
-    max_count: int = 1
-    finish_by_s: float = 0.0
+    max_count: decoding.Natural = 1
+    finish_by_s: decoding.Finite = 0.0
 
 
 class _Advice(msgspec.Struct):
     approved: list[tuple[str, str]]
-    validity_ms: int = 0
+    validity_ms: decoding.Natural = 0
 
 
 class _Refused(msgspec.Struct):
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -41,28 +41,32 @@
 KEYED_TOPICS: typing.Final = frozenset(TOPIC_NAMES) - {pages.Topic.LEADER}
 
 
+_Position = typing.Annotated[int, msgspec.Meta(ge=-1, le=decoding.MAX_NUMBER)]
+"""An offset, -1 if there is none."""
+
+
 class _AppendAnswer(msgspec.Struct):
     """``end`` is the partition's end; the field ``seq`` is not read."""
 
-    offset: int = -1
-    end: int = -1
+    offset: _Position = -1
+    end: _Position = -1
     reason: str = ""
 
 
 class _Item(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: _Position
 
 
 class _Newest(msgspec.Struct):
     items: list[_Item]
     has_more: bool
-    end: int
+    end: _Position
 
 
 class _Trimmed(msgspec.Struct):
-    first_offset: typing.Annotated[int, msgspec.Meta(ge=0)]
+    first_offset: decoding.Natural
 
 
 def append(
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -142,7 +142,11 @@
 
 
 def _is_int(*values):
-    return all(type(value) is int for value in values)
+    """Return whether all values are integers that records can hold."""
+    return all(
+        type(value) is int and -(1 << 63) <= value < 1 << 63
+        for value in values
+    )
 
 
 def _job_with(**changes):
--- a/tests/platform/test_numbers.py
+++ b/tests/platform/test_numbers.py
@@ -5,6 +5,7 @@
 
 from azurewood.http import multiplex
 from azurewood.jobs import model
+from azurewood.platform import catalogs
 from azurewood.platform import exceptions
 from azurewood.platform import hosts
 from azurewood.platform import machines
@@ -13,7 +14,8 @@
 from tests.platform import test_malformed as valid
 
 MOST_HOSTS = 1 << 20
-OUT_OF_RANGE = [-1, -(1 << 70), 1 << 64, 1 << 70, 10**300]
+HUGE = [1 << 64, 1 << 70, 10**300]
+OUT_OF_RANGE = [-1, -(1 << 70), *HUGE]
 
 
 def _changed(message, place, value):
@@ -106,3 +108,45 @@
     place = ("nodes", 0, "capacity", "cpu")
     body = _encode(valid.MACHINES, place, value)
     assert machines.list_page(_reply(body)) is None
+
+
+@pytest.mark.parametrize("value", OUT_OF_RANGE)
+@pytest.mark.parametrize("name", ["tranche", "max_count"])
+def test_a_wave_is_malformed(name, value):
+    with pytest.raises(exceptions.InvalidMessage):
+        machines.decode_wave("wave/1", _encode(valid.WAVE, (name,), value))
+
+
+@pytest.mark.parametrize("value", HUGE)
+def test_a_wave_is_to_finish_in_time_that_can_be_added(value):
+    with pytest.raises(exceptions.InvalidMessage):
+        machines.decode_wave(
+            "wave/1", _encode(valid.WAVE, ("finish_by_s",), value)
+        )
+
+
+@pytest.mark.parametrize("value", HUGE)
+@pytest.mark.parametrize(
+    "place",
+    [
+        ("version",),
+        ("routes", 0, "priority"),
+        ("routes", 0, "attempts"),
+        ("routes", 0, "slo_ms"),
+        ("routes", 0, "slo_factor"),
+        ("routes", 0, "hint", "validity_ms"),
+        ("limits", "body_bytes"),
+    ],
+)
+def test_a_manifest_is_malformed(place, value):
+    with pytest.raises(exceptions.InvalidMessage):
+        catalogs.decode(_encode(valid.MANIFEST, place, value))
+
+
+@pytest.mark.parametrize("value", OUT_OF_RANGE)
+def test_advice_is_not_used(value):
+    ask = messages.AskAdvice(
+        job=valid.JOB_ID, occurrence=0, step=0, hosts=("h",)
+    )
+    body = _encode(valid.ADVICE, ("validity_ms",), value)
+    assert machines.advice_event(ask, _reply(body)) is None
