An unreadable record is logged once for each change of it

Cause: a line record.unreadable came with each read of a record. A listing is read again by each term and after each gap of the store, so an odd entry that stays gave a line each time. Change: the adapter remembers a digest of each unreadable record's value, by its key, and logs it again only when the value has changed, or when the record was good or deleted in between.

--- a/azurewood/platform/base.py
+++ b/azurewood/platform/base.py
@@ -2,8 +2,6 @@
 
 import typing
 
-from loguru import logger
-
 from azurewood.conf import fleet
 from azurewood.daemons import ports
 from azurewood.http import multiplex
@@ -17,6 +15,7 @@
 from azurewood.platform import hosts
 from azurewood.platform import machines
 from azurewood.platform import store
+from azurewood.platform import unreadable
 from azurewood.scheduling import messages
 
 CONFIG_KEY: typing.Final = "config"
@@ -32,10 +31,12 @@
     the call and passes the reply to the method that decodes it.
     """
 
-    __slots__ = ("_settings",)
+    __slots__ = ("_settings", "_unreadable_hosts", "_unreadable_operators")
 
     def __init__(self, *, settings: fleet.FleetSettings) -> None:
         self._settings = settings
+        self._unreadable_hosts = unreadable.UnreadableRecords()
+        self._unreadable_operators = unreadable.UnreadableRecords()
 
     def append(
         self,
@@ -151,32 +152,30 @@
         Return None for a deleted key, for a key that azurewood does not
         use, and for a malformed record, which is logged.
         """
-        if record.value is None:
-            return None
         try:
-            if record.key == CONFIG_KEY:
-                return catalogs.decode(record.value)
-            if record.key.startswith(WAVE_PREFIX):
-                return machines.decode_wave(record.key, record.value)
+            found = _operators_value(record)
         except exceptions.InvalidMessage as exc:
-            _log_unreadable(record.key, exc)
-        return None
+            self._unreadable_operators.add(record, exc)
+            return None
+        self._unreadable_operators.remove(record.key)
+        return found
 
     def host_record(
         self, record: appender.Record
     ) -> messages.HostSeen | messages.HostGone | None:
         """Decode a host's entry; a deleted key means that the host is gone.
 
-        Return None for a malformed entry, which is logged.
+        Return None for a malformed entry, which is logged. It says nothing
+        of a host that had a good one: that host's answers to its renewals
+        tell whether it can be used.
         """
-        if record.value is None:
-            return messages.HostGone(id=record.key)
         try:
-            entry = hosts.decode_entry(record.key, record.value)
+            found = _host_event(record)
         except exceptions.InvalidMessage as exc:
-            _log_unreadable(record.key, exc)
+            self._unreadable_hosts.add(record, exc)
             return None
-        return messages.HostSeen(entry=entry)
+        self._unreadable_hosts.remove(record.key)
+        return found
 
     def wave_report(self, report: messages.ReportWave) -> appender.Record:
         """Encode a report of a maintenance wave's progress."""
@@ -192,7 +191,22 @@
         return frontdoor.Readiness(desk=desk)
 
 
-def _log_unreadable(key: str, exc: exceptions.InvalidMessage) -> None:
-    logger.bind(event="record.unreadable", key=key).warning(
-        "ignoring a record: {}", exc
-    )
+def _operators_value(
+    record: appender.Record,
+) -> catalog.Catalog | messages.WaveRequested | None:
+    if record.value is None:
+        return None
+    if record.key == CONFIG_KEY:
+        return catalogs.decode(record.value)
+    if record.key.startswith(WAVE_PREFIX):
+        return machines.decode_wave(record.key, record.value)
+    return None
+
+
+def _host_event(
+    record: appender.Record,
+) -> messages.HostSeen | messages.HostGone:
+    if record.value is None:
+        return messages.HostGone(id=record.key)
+    entry = hosts.decode_entry(record.key, record.value)
+    return messages.HostSeen(entry=entry)
