--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -265,9 +265,14 @@
     def host_record(
         self, record: appender.Record
     ) -> messages.HostSeen | messages.HostGone | None:
-        """Return the event for a record of a host's entry."""
+        """Return the event for a record of a host's entry.
+
+        Return None for an entry in bytes, which stands for an odd one.
+        """
         if record.value is None:
             return messages.HostGone(id=record.key)
+        if isinstance(record.value, bytes):
+            return None
         return messages.HostSeen(entry=record.value)
 
     def wave_report(self, report: messages.ReportWave) -> appender.Record:
