--- a/azurewood/platform/catalogs.py
+++ b/azurewood/platform/catalogs.py
@@ -2,14 +2,15 @@
 
 import msgspec
 
+from azurewood.conf import decoding
 from azurewood.jobs import catalog
 from azurewood.platform import exceptions
 
 
 class _Hint(msgspec.Struct):
-    decision_ms: int = 0
-    per_item_ms: int = 0
-    validity_ms: int = 0
+    decision_ms: decoding.Integer = 0
+    per_item_ms: decoding.Integer = 0
+    validity_ms: decoding.Integer = 0
 
 
 class _Route(msgspec.Struct):
@@ -19,10 +20,10 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    attempts: int = 1
-    slo_factor: float = 1.0
-    slo_ms: int = 0
+    priority: decoding.Integer = 0
+    attempts: decoding.Integer = 1
+    slo_factor: decoding.Finite = 1.0
+    slo_ms: decoding.Integer = 0
     hint: _Hint | None = None
 
 
@@ -33,11 +34,11 @@
 
 
 class _Limits(msgspec.Struct):
-    body_bytes: int = catalog.DEFAULT_BODY_BYTES
+    body_bytes: decoding.Integer = catalog.DEFAULT_BODY_BYTES
 
 
 class _Manifest(msgspec.Struct):
-    version: int
+    version: decoding.Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -49,8 +50,8 @@
     Raise ``InvalidMessage`` if the manifest is malformed.
     """
     try:
-        found = msgspec.json.decode(data, type=_Manifest)
-    except msgspec.DecodeError as exc:
+        found = decoding.decode_json(data, _Manifest)
+    except decoding.MalformedData as exc:
         raise exceptions.InvalidMessage(f"malformed manifest: {exc}") from exc
     return catalog.Catalog(
         version=found.version,
--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -6,13 +6,17 @@
 """
 
 import dataclasses
+import re
 import typing
 
 from loguru import logger
 import msgspec
 
+from azurewood.conf import decoding
+from azurewood.conf import kinds
 from azurewood.http import multiplex
 from azurewood.jobs import model
+from azurewood.platform import addresses
 from azurewood.platform import exceptions
 from azurewood.scheduling import messages
 
@@ -23,19 +27,20 @@
 """Added to a lease renewal's wait at the host to get its time-out."""
 TARGET_HEADER: typing.Final = "X-Target-Instance"
 JSON_HEADER: typing.Final = "Content-Type: application/json"
+_ID: typing.Final = re.compile(r"[!-~]+")
+"""What a header can hold as the id of a call's host."""
 
-
-MAX_FIGURE: typing.Final = 1 << 53
-"""Bound of the figures in a host's list, which are not always integers."""
-_Finite = typing.Annotated[float, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+MAX_AMOUNT: typing.Final = 1 << 40
+"""Bound of a capacity's figures: the sum of a million hosts has 60 bits."""
+_Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 
 
 class Capacity(msgspec.Struct):
     """Resources that a host offers; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
     def resources(self) -> model.Resources:
         """Return the capacity as ``Resources``."""
@@ -43,7 +48,11 @@
 
 
 class _Entry(msgspec.Struct):
-    """``born`` is the start of the host's incarnation, in Unix ms."""
+    """``born`` is the start of the host's incarnation, in Unix ms.
+
+    It is not compared with the daemon's clock, which may step, as then the
+    entries of good hosts would be refused.
+    """
 
     service: str
     addr: str
@@ -51,11 +60,11 @@
     capacity: Capacity
     zone: str = ""
     labels: list[str] = []
-    born: int = 0
+    born: decoding.Natural = 0
 
 
 class _Answer(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: decoding.Natural = 0
     reason: str = ""
 
 
@@ -63,25 +72,25 @@
     """``measure`` is missing on hosts that do not measure their load."""
 
     task: str
-    run: int
+    run: decoding.Natural
     saved: str | None
-    percent: _Finite
-    measure: _Finite | None = None
+    percent: decoding.Finite
+    measure: decoding.Finite | None = None
 
 
 class _EndedRow(msgspec.Struct, array_like=True):
-    number: int
+    number: decoding.Natural
     task: str
-    run: int
+    run: decoding.Natural
     how: messages.End
     saved: str | None
 
 
 class _Listing(msgspec.Struct):
-    clock_ms: int
+    clock_ms: decoding.Natural
     running: list[_RunningRow]
     ended_runs: list[_EndedRow]
-    born: int = 0
+    born: decoding.Natural = 0
 
 
 _REFUSALS: typing.Final = {
@@ -99,11 +108,17 @@
     Raise ``InvalidMessage`` if the entry is malformed.
     """
     try:
-        entry = msgspec.json.decode(data, type=_Entry)
-    except msgspec.DecodeError as exc:
+        entry = decoding.decode_json(data, _Entry)
+    except decoding.MalformedData as exc:
         raise exceptions.InvalidMessage(
-            f"malformed entry of host {key}: {exc}"
+            f"malformed entry of host {key!r}: {exc}"
         ) from exc
+    if not _ID.fullmatch(key):
+        raise exceptions.InvalidMessage(f"{key!r} is not the id of a host")
+    if not addresses.is_address(entry.addr):
+        raise exceptions.InvalidMessage(
+            f"entry of host {key!r} has the address {entry.addr[:80]!r}"
+        )
     return messages.HostEntry(
         id=key,
         address=entry.addr,
@@ -127,7 +142,7 @@
     Raise ``InvalidMessage`` if the name is malformed.
     """
     job, *numbers = name.split(".")
-    if len(numbers) != 3 or not all(n.isdecimal() for n in numbers):
+    if len(numbers) != 3 or not all(map(kinds.NUMBER.fullmatch, numbers)):
         raise exceptions.InvalidMessage(f"{name!r} is not a task name")
     return model.TaskId(job, *map(int, numbers))
 
@@ -250,8 +265,8 @@
 def _answer(reply: multiplex.Reply) -> _Answer:
     """Decode a reply's body; a malformed one counts as empty."""
     try:
-        return msgspec.json.decode(reply.body or b"{}", type=_Answer)
-    except msgspec.DecodeError:
+        return decoding.decode_json(reply.body or b"{}", _Answer)
+    except decoding.MalformedData:
         return _Answer()
 
 
@@ -264,10 +279,10 @@
     if refusal is not None:
         return _renewal_failed(effect, refusal)
     try:
-        found = msgspec.json.decode(reply.body, type=_Listing)
+        found = decoding.decode_json(reply.body, _Listing)
         running = tuple(_running(row) for row in found.running)
         ended = tuple(_ended(row) for row in found.ended_runs)
-    except (msgspec.DecodeError, exceptions.InvalidMessage) as exc:
+    except (decoding.MalformedData, exceptions.InvalidMessage) as exc:
         logger.bind(event="host.unreadable", host=effect.host).warning(
             "malformed list of runs: {}", exc
         )
--- a/azurewood/platform/jobs.py
+++ b/azurewood/platform/jobs.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from azurewood.conf import decoding
 from azurewood.jobs import catalog
 from azurewood.jobs import exceptions
 from azurewood.jobs import model
@@ -12,10 +13,8 @@
 ID: typing.Final = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES: typing.Final = 4000
 
-MAX_NUMBER: typing.Final = 1 << 53
-"""Largest number in a job, which every JSON and MessagePack codec holds."""
-
-_Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+MAX_NUMBER: typing.Final = decoding.MAX_NUMBER
+_Natural = decoding.Natural
 
 
 class _Step(msgspec.Struct):
@@ -63,8 +62,8 @@
     if not ID.fullmatch(job_id):
         raise exceptions.InvalidJob("an id has 16 hexadecimal digits")
     try:
-        found = msgspec.json.decode(body, type=_Job)
-    except msgspec.DecodeError as exc:
+        found = decoding.decode_json(body, _Job)
+    except decoding.MalformedData as exc:
         raise exceptions.InvalidJob(str(exc)) from exc
     if len(found.spec.encode()) > MAX_SPEC_BYTES:
         raise exceptions.InvalidJob(f"more than {MAX_SPEC_BYTES} bytes")
