Stand-in: tasks that crash each host that starts them

Cause: no test had a host that crashes under a task, so nothing checked how often such a task is started.

Change: the jobs in World.deadly_jobs crash a host 10 ms after it starts one of their tasks; the machine is back after 1.2 s with a new host or, by an option, with the same id.

--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -11,6 +11,11 @@
 from standins.fleet import clock as clocks
 from standins.fleet import hosts
 
+MAX_STARTS_AFTER_CRASHES = 2
+"""Starts allowed to a deadly task once three hosts crashed under it."""
+CRASHES_BEFORE_COUNT = 3
+MIN_CRASHES_TO_FAIL = 2
+"""Crashes under a deadly task from which its job may be given up."""
 MAX_CANCEL_S = 3.5
 """Time allowed for task starts after a job's cancellation is stored."""
 
@@ -37,10 +42,12 @@
     __slots__ = (
         "_acknowledged",
         "_clock",
+        "_crashes",
         "_done",
         "_failed",
         "_live",
         "_repeated_starts",
+        "_starts_after_crashes",
         "asked",
         "breaches",
         "cancelled_at",
@@ -63,6 +70,8 @@
             collections.defaultdict(list)
         )
         self._done: set[model.TaskId] = set()
+        self._crashes: collections.Counter = collections.Counter()
+        self._starts_after_crashes: collections.Counter = collections.Counter()
         self._acknowledged: set[model.TaskId] = set()
         self._repeated_starts: dict[model.TaskId, tuple[int, str]] = {}
         self._failed: dict[model.TaskId, set[int]] = collections.defaultdict(
@@ -109,6 +118,7 @@
         self._live[task].append((host.id, run.run))
         if host.service != job.service:
             self.breach("wrong service", place)
+        self._check_budget(task, place)
         self._check_room(host, place)
         self._check_order(job, task, place)
         if len(self._failed[task]) >= job.attempts and not run.step.long_lived:
@@ -120,6 +130,22 @@
         ):
             self.breach("started after its cancellation", place)
 
+    def record_crash(self, task: model.TaskId) -> None:
+        """Record that a deadly task has crashed a host."""
+        self._crashes[task] += 1
+
+    def crashes(self) -> dict[model.TaskId, int]:
+        """Return the number of hosts that each deadly task has crashed."""
+        return dict(self._crashes)
+
+    def _check_budget(self, task: model.TaskId, place: str) -> None:
+        """Check the starts of a task under which hosts have crashed."""
+        if self._crashes[task] < CRASHES_BEFORE_COUNT:
+            return
+        self._starts_after_crashes[task] += 1
+        if self._starts_after_crashes[task] > MAX_STARTS_AFTER_CRASHES:
+            self.breach("started again after three crashes", place)
+
     def _check_room(self, host: hosts.SimHost, place: str) -> None:
         used = model.Resources()
         for run in host.runs.values():
@@ -200,7 +226,11 @@
 
     def _has_failed(self, job: model.Job) -> bool:
         tasks = self._tasks(job)
-        return any(len(self._failed[t]) >= job.attempts for t in tasks)
+        return any(
+            len(self._failed[t]) >= job.attempts
+            or self._crashes[t] >= MIN_CRASHES_TO_FAIL
+            for t in tasks
+        )
 
     def live(self, job_id: str) -> list[model.TaskId]:
         """Return the tasks of a job that are running."""
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -7,7 +7,9 @@
 partition ends, unless the daemon has dropped those bytes by then; daemons
 do so early if ``drops_unsent`` is set. With ``late_after_contact``, late
 calls reach a host only once its incarnation has answered the leader with a
-list and the leader has had ``REACTION_S`` to respond.
+list and the leader has had ``REACTION_S`` to respond. Tasks of ``deadly_jobs``
+crash each host that starts them; it is back after ``deadly_down_s``, under its
+id if ``deadly_keeps_id`` is set.
 """
 
 from collections import abc
@@ -36,6 +38,8 @@
 MAX_APPEND_QUEUE_S = 2.0
 LEADER_CHANGE_PAUSE_S = 3.0
 """Minimum time between the orders of two leaders to one machine."""
+DEADLY_AFTER_S = 0.01
+"""Time from the start of a deadly task to the crash of its host."""
 REACTION_S = 0.01
 """Time for a host's list and the leader's next call on the network."""
 
@@ -81,6 +85,9 @@
         self.late_share = 0.0
         self.late_after_contact = False
         self.late_write_share = 0.0
+        self.deadly_jobs: set[str] = set()
+        self.deadly_down_s = 1.2
+        self.deadly_keeps_id = False
         self.slow = 1.0
         self.append_s = 0.0
         self._appends_end: dict[object, float] = {}
@@ -151,7 +158,7 @@
             labels=("kind", *labels),
             clock=self.clock,
             run_duration_s=lambda task, step: self.run_duration_s(task, step),
-            observe=self.rules.observe,
+            observe=self._observe,
             on_end_acknowledged=self.rules.on_end_acknowledged,
             clock_rate=self.random.choice((1.0, 0.98)),
             zone=zone,
@@ -160,6 +167,54 @@
         self._publish_periodically(host)
         return host
 
+    def _observe(
+        self,
+        what: str,
+        host: sim_hosts.SimHost,
+        run: sim_hosts.SimRun,
+        how: messages.End | None = None,
+    ) -> None:
+        self.rules.observe(what, host, run, how)
+        if what == "start" and run.task.job in self.deadly_jobs:
+            key = (run.task, run.run)
+            self.clock.after(
+                DEADLY_AFTER_S, lambda: self._crash_under(host, key)
+            )
+
+    def _crash_under(
+        self, host: sim_hosts.SimHost, key: sim_hosts.Key
+    ) -> None:
+        """Crash a host under a deadly run, if the run still exists."""
+        if key not in host.runs:
+            return
+        self.rules.record_crash(key[0])
+        host.crash()
+        machine = self.machines[host.machine]
+        if self.deadly_keeps_id:
+            self.clock.after(self.deadly_down_s, lambda: self._reborn(host))
+            return
+        down = messages.MachineState.DOWN
+        self._set_machine(machine.name, machine.pool, down, "")
+        self.clock.after(SILENCE_S, lambda: self._remove_entry(host))
+        self.clock.after(self.deadly_down_s, lambda: self._back(machine))
+
+    def _reborn(self, host: sim_hosts.SimHost) -> None:
+        if self.machines[host.machine].host == host.id and not host.up:
+            host.restart()
+            self.publish_entry(host)
+
+    def _remove_entry(self, host: sim_hosts.SimHost) -> None:
+        gone = appender.Record(key=host.id, value=None)
+        self.store.add(pages.Topic.HOSTS, (gone,))
+
+    def _back(self, machine: messages.MachineEntry) -> None:
+        """Start a new host on a machine."""
+        name = machine.name
+        labels = self.labels[name]
+        fresh = self._boot(name, machine.pool, labels, machine.zone)
+        up = messages.MachineState.UP
+        self._set_machine(name, machine.pool, up, fresh)
+
     def _publish_periodically(self, host: sim_hosts.SimHost) -> None:
         """Write a host's entry periodically while the host is up."""
         if self.hosts.get(host.id) is not host:
