A task that crashes its hosts is given up after four crashes

Cause: nothing counted the crashes under a task; only ends listed as failed counted against it, and a host that crashes lists none.

Change: a crash of a host counts for each task that had started there lately. The count is stored with the job before the next start. With one crash a task starts where the fewest runs are, with two where all other runs have settled and nothing else starts beside it, with four it is given up and its job fails.

--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -5,7 +5,8 @@
 therefore go to the fullest host that fits them, so that other hosts become
 completely free. The long-lived tasks of a step are spread over two hosts:
 the loss of one leaves half of them running, and the other hosts of the pool
-remain free to be moved.
+remain free to be moved. A task that may crash its host goes where it endangers
+the fewest others, see `azurewood.policy.host_crashes`.
 
 The cost of a start must not grow with the size of the pool. The hosts are
 therefore kept sorted by their free processor time: the best fit is the first
@@ -15,11 +16,17 @@
 
 import bisect
 from collections import abc
+import itertools
+import typing
 
 from azurewood.jobs import model as jobs
+from azurewood.policy import host_crashes
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import model
 
+MAX_HOSTS_FOR_SUSPECT: typing.Final = 20
+"""Limit on hosts that are compared for a task that may crash its host."""
+
 
 class HostIndex:
     """The usable hosts of a pool, sorted by their free resources.
@@ -28,10 +35,16 @@
     have free, as the sort order would otherwise be wrong.
     """
 
-    __slots__ = ("_by_cpu", "_gpus", "_memory", "hosts")
+    __slots__ = ("_by_cpu", "_gpus", "_memory", "_separation", "hosts")
 
-    def __init__(self, *, hosts: list[model.Host]) -> None:
+    def __init__(
+        self,
+        *,
+        hosts: list[model.Host],
+        separation: host_crashes.Separation | None = None,
+    ) -> None:
         self.hosts = hosts
+        self._separation = separation
         self._by_cpu = sorted((host.free.cpu, host.id, host) for host in hosts)
         self._memory = sorted(host.free.memory_mb for host in hosts)
         self._gpus = sorted(host.free.gpu for host in hosts)
@@ -65,6 +78,8 @@
                 key=lambda host: _long_lived_rank(host, step, task),
                 default=None,
             )
+        if task.crashes:
+            return self._best_for_suspect(step, task, among)
         best = None
         best_rank = (True, True)
         for host in fitting:
@@ -75,17 +90,40 @@
                 best, best_rank = host, rank
         return best
 
+    def _best_for_suspect(
+        self,
+        step: jobs.Step,
+        task: jobstates.Task,
+        among: abc.Container[str] | None,
+    ) -> model.Host | None:
+        """Return the best host for a task that may crash it, or None."""
+        emptiest = self._fitting(step, task, among, emptiest_first=True)
+        return min(
+            itertools.islice(emptiest, MAX_HOSTS_FOR_SUSPECT),
+            key=lambda host: (
+                *_rank(host, step, task),
+                *host_crashes.danger(host),
+            ),
+            default=None,
+        )
+
     def _fitting(
         self,
         step: jobs.Step,
         task: jobstates.Task,
         among: abc.Container[str] | None,
+        *,
+        emptiest_first: bool = False,
     ) -> abc.Iterator[model.Host]:
-        """Yield the hosts that can run a task, the fullest first."""
+        """Yield the hosts that can run a task, usually the fullest first."""
+        separation = self._separation
         start = bisect.bisect_left(self._by_cpu, (step.reserved.cpu,))
-        for index in range(start, len(self._by_cpu)):
+        indices = range(start, len(self._by_cpu))
+        for index in reversed(indices) if emptiest_first else indices:
             host = self._by_cpu[index][2]
             allowed = among is None or host.id in among
+            if allowed and separation is not None:
+                allowed = separation.allows(host, step, task.crashes)
             if allowed and suits(host, step, task):
                 yield host
 
@@ -110,6 +148,8 @@
         self._remove(host)
         host.add(run)
         self._insert(host)
+        if self._separation is not None:
+            self._separation.add(host, run)
 
     def _remove(self, host: model.Host) -> None:
         free = host.free
--- /dev/null
+++ b/azurewood/policy/host_crashes.py
@@ -0,0 +1,135 @@
+"""Finds the tasks that crash the hosts that start them.
+
+The load: one task in tens crashes each host that starts it, soon after it
+began, and tens of others run on that host. Hosts also crash by chance. After
+three crashes under such a task it may be started twice more. A job that is
+given up without cause is lost.
+
+Every task that may have crashed a host gets a crash counted, so that the
+count of a deadly task is never too low. Runs that a list has shown at work
+for ``SETTLED_S`` are above suspicion as long as a newer run was there. The
+others may have been there by chance. So a suspect, which has one crash, starts
+next where the fewest runs are beside it, apart from other suspects. With two
+crashes it starts alone, that is, beside settled runs only, and nothing else
+starts there until it has settled. With four crashes, of which two were then
+its own, it is given up. Three would do if hosts never crashed by chance; but a
+task that was beside a deadly one twice may meet a chance crash alone.
+"""
+
+import typing
+
+from azurewood.jobs import model as jobs
+from azurewood.scheduling import model
+
+SETTLED_S: typing.Final = 1.5
+"""Time at work from which a run is not expected to crash its host."""
+PROVEN_S: typing.Final = 60.0
+"""Time at work that clears a task of the crashes before."""
+MIN_CRASHES_ALONE: typing.Final = 2
+"""Crashes from which a task is started alone."""
+MAX_CRASHES: typing.Final = 4
+"""Crashes after which a task is given up; one more start would be allowed."""
+MAX_HELD_SHARE: typing.Final = 0.25
+"""Share of a pool's hosts that is kept free for tasks to start alone."""
+
+
+def at_work_s(run: model.Run, at: float) -> float:
+    """Return for how long a run had certainly been at work at a time."""
+    if run.phase is not model.RunPhase.RUNNING or run.confirmed_at is None:
+        return 0.0
+    return max(0.0, at - run.confirmed_at)
+
+
+def is_settled(run: model.Run, at: float) -> bool:
+    """Return whether a run is no longer expected to crash its host."""
+    return at_work_s(run, at) >= SETTLED_S
+
+
+def suspects(host: model.Host, runs: list[model.Run]) -> list[model.Run]:
+    """Return which of these runs may have crashed their host."""
+    new = [run for run in runs if not is_settled(run, host.listed_at)]
+    return new or runs
+
+
+def next_count(run: model.Run, crashes: int, alive_at: float) -> int:
+    """Return the crashes of a task that now is a suspect once more."""
+    proven = at_work_s(run, alive_at) >= PROVEN_S
+    return 1 if proven else crashes + 1
+
+
+def is_given_up(crashes: int) -> bool:
+    """Return whether a task is started no more."""
+    return crashes >= MAX_CRASHES
+
+
+def starts_alone(step: jobs.Step, crashes: int) -> bool:
+    """Return whether a task starts where no other unsettled run is.
+
+    The members of a gang start at the same time, together with others.
+    """
+    return crashes >= MIN_CRASHES_ALONE and not step.gang
+
+
+class Separation:
+    """Which of a pool's hosts are for tasks that start alone.
+
+    ``held`` hosts start nothing else; tasks that start alone do so on
+    ``quiet`` hosts, where all runs have settled.
+    """
+
+    __slots__ = ("held", "quiet")
+
+    def __init__(self) -> None:
+        self.held: set[str] = set()
+        self.quiet: set[str] = set()
+
+    def hold(self, hosts: list[model.Host], waiting: list[jobs.Step]) -> None:
+        """Choose the hosts for a pool's tasks that wait to start alone.
+
+        ``waiting`` has a step for each of them, ``held`` the hosts on which
+        such tasks have started lately.
+        """
+        unsettled = {host.id: _unsettled(host) for host in hosts}
+        self.quiet = {id for id, count in unsettled.items() if not count}
+        most = max(1, int(len(hosts) * MAX_HELD_SHARE))
+        for step in waiting[: max(0, most - len(self.held))]:
+            fitting = (
+                host
+                for host in hosts
+                if host.id not in self.held
+                and step.reserved.fits(host.entry.capacity)
+            )
+            best = min(
+                fitting,
+                key=lambda host: (
+                    not step.reserved.fits(host.free),
+                    unsettled[host.id],
+                    host.id,
+                ),
+                default=None,
+            )
+            if best is not None:
+                self.held.add(best.id)
+
+    def allows(self, host: model.Host, step: jobs.Step, crashes: int) -> bool:
+        """Return whether a task of a step may start on a host."""
+        if starts_alone(step, crashes):
+            return host.id in self.quiet
+        return host.id not in self.held
+
+    def add(self, host: model.Host, run: model.Run) -> None:
+        """Record that a run was placed on a host."""
+        self.quiet.discard(host.id)
+        if starts_alone(run.step, run.crashes):
+            self.held.add(host.id)
+
+
+def _unsettled(host: model.Host) -> int:
+    runs = host.runs.values()
+    return sum(not is_settled(run, host.listed_at) for run in runs)
+
+
+def danger(host: model.Host) -> tuple[int, int]:
+    """Return what a suspect endangers on a host: suspects, and all runs."""
+    others = sum(run.crashes > 0 for run in host.runs.values())
+    return (others, len(host.runs))
--- /dev/null
+++ b/azurewood/scheduling/crashes.py
@@ -0,0 +1,179 @@
+"""Crashes of hosts, and the tasks that may have caused them.
+
+A host has crashed when it has begun another incarnation, when its machine is
+down or has another host, or when its address answers for another host, unless
+it was draining or the leader had ordered its machine away. A cut or an expired
+lease is no crash. Many hosts that crash at the same time count like single
+ones: what ran there becomes suspect, and only further crashes tell more.
+
+The crashes counted for a task are stored with its job before it starts again,
+so they outlast the leader. They count for each task, whether it belongs to a
+job with a schedule, to a lasting step or to a gang. Giving a task up ends its
+whole job as failed.
+"""
+
+from collections import abc
+import typing
+
+from azurewood.policy import host_crashes
+from azurewood.scheduling import jobstates
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+from azurewood.scheduling import tasks
+
+MAX_LIST_AGE_S: typing.Final = 1.5
+"""Age of the machine list from which it tells nothing of hosts."""
+
+
+def record(
+    state: model.State, host: model.Host, reason: str, now: float
+) -> None:
+    """Record that a host's present incarnation has crashed, once.
+
+    It has to be called while the runs of that incarnation are still held.
+    """
+    if host.crashed_incarnation_ms != host.incarnation_ms:
+        host.crashed_incarnation_ms = host.incarnation_ms
+        _suspect_runs(state, host, list(host.runs.values()), reason, now)
+
+
+def record_earlier(
+    state: model.State, host: model.Host, listed: abc.Container, now: float
+) -> None:
+    """Record that a host has crashed before this leader's term.
+
+    Inherited runs tell it that the host doesn't list and that were started
+    in another incarnation.
+    """
+    runs = [
+        run
+        for run in host.runs.values()
+        if run.inherited
+        and run.key not in listed
+        and run.incarnation_ms not in (0, host.incarnation_ms)
+    ]
+    _suspect_runs(state, host, runs, "it had restarted", now)
+
+
+def _suspect_runs(
+    state: model.State,
+    host: model.Host,
+    runs: list[model.Run],
+    reason: str,
+    now: float,
+) -> None:
+    if not runs or _is_expected(state, host):
+        return
+    suspects = host_crashes.suspects(host, runs)
+    state.log_event(
+        "host.crashed",
+        host=host.id,
+        incarnation=host.incarnation_ms,
+        reason=reason,
+        runs=len(runs),
+        suspects=len(suspects),
+    )
+    for run in suspects:
+        _suspect(state, host, run, now)
+
+
+def _is_expected(state: model.State, host: model.Host) -> bool:
+    """Return whether a host has left in another way than by a crash."""
+    entry = host.entry
+    if entry is not None and entry.state is not messages.HostState.READY:
+        return True
+    moved = any(move.host == host.id for move in state.moving.values())
+    return moved or any(
+        host.id in wave.ordered.values() for wave in state.waves.values()
+    )
+
+
+def _suspect(
+    state: model.State,
+    host: model.Host,
+    run: model.Run,
+    now: float,
+) -> None:
+    """Count a crash for a run's task, and give the task up if it must be."""
+    task = tasks.current_task(state, run)
+    if task is None:
+        return
+    job = state.jobs[run.task.job]
+    task.crashes = host_crashes.next_count(run, task.crashes, host.listed_at)
+    task.crashed_hosts.append(host.id)
+    task.avoid.add(host.id)
+    _keep_apart(state, task)
+    state.dirty_jobs.add(run.task.job)
+    state.log_run("task.suspected", host, run, crashes=task.crashes)
+    if host_crashes.is_given_up(task.crashes):
+        task.given_up = True
+        tasks.give_up(state, job, task, now)
+
+
+def record_if_gone(state: model.State, host: model.Host, now: float) -> None:
+    """Record a crash if a host with expired leases has left the platform.
+
+    It may have ended before this leader's term, or before any list of
+    machines named it.
+    """
+    fresh = now - state.machines_at <= MAX_LIST_AGE_S
+    listed = any(entry.host == host.id for entry in state.machines.values())
+    if fresh and not listed:
+        record(state, host, "no machine has it", now)
+
+
+def restore(
+    state: model.State, task: jobstates.Task, count: int, *, given_up: bool
+) -> None:
+    """Restore what an earlier leader recorded of a task."""
+    task.crashes = count
+    task.given_up = given_up
+    _keep_apart(state, task)
+
+
+def _keep_apart(state: model.State, task: jobstates.Task) -> None:
+    """Have a task start alone, if it must."""
+    if task.crashes >= host_crashes.MIN_CRASHES_ALONE:
+        state.suspects.add(task.id)
+
+
+def separate(
+    state: model.State, service: str, hosts: list[model.Host]
+) -> host_crashes.Separation | None:
+    """Return which hosts of a service are for tasks that start alone.
+
+    Return None if no task has to.
+    """
+    if not state.suspects:
+        return None
+    found = host_crashes.Separation()
+    waiting = []
+    for job, task in _suspects(state, service):
+        step = job.step_of(task.id)
+        if not host_crashes.starts_alone(step, task.crashes):
+            continue
+        if task.phase is jobstates.TaskPhase.WAITING:
+            waiting.append(step)
+            continue
+        host = state.hosts.get(task.host)
+        run = host.runs.get((task.id, task.run)) if host else None
+        if run is not None and not host_crashes.is_settled(
+            run, host.listed_at
+        ):
+            found.held.add(host.id)
+    if waiting:
+        found.hold(hosts, waiting)
+    return found
+
+
+def _suspects(
+    state: model.State, service: str
+) -> abc.Iterator[tuple[jobstates.JobState, jobstates.Task]]:
+    """Yield the suspects of a service that may still be started."""
+    for id in list(state.suspects):
+        job = state.jobs.get(id.job)
+        task = job.task(id) if job is not None and not job.closing else None
+        if task is None or task.phase is jobstates.TaskPhase.DONE:
+            state.suspects.discard(id)
+        elif state.service_of(job.job) == service:
+            yield job, task
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -9,6 +9,7 @@
 import typing
 
 from azurewood.policy import throttling
+from azurewood.scheduling import crashes
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import listings
 from azurewood.scheduling import messages
@@ -82,6 +83,7 @@
         source=source,
         runs=len(host.runs),
     )
+    crashes.record(state, host, "it has restarted", now)
     host.past_incarnations.add(host.incarnation_ms)
     host.past_incarnations.discard(incarnation_ms)
     host.renewals += 1
@@ -159,6 +161,8 @@
     """Mark all runs of a host as gone once all its leases have expired."""
     if now <= host.leases_expire_at:
         return
+    if host.runs:
+        crashes.record_if_gone(state, host, now)
     for run in list(host.runs.values()):
         if now > latestarts.expires_at(host, run):
             tasks.mark_run_gone(
--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -16,11 +16,19 @@
 
 
 class Task:
-    """A task: its latest run, its failures and the hosts to avoid."""
+    """A task: its latest run, its failures and the hosts to avoid.
+
+    ``crashes`` counts the crashes of hosts for which the task is suspected
+    and ``crashed_hosts`` names those hosts. A ``given_up`` task is not
+    started again, and its job fails.
+    """
 
     __slots__ = (
         "avoid",
+        "crashed_hosts",
+        "crashes",
         "failures",
+        "given_up",
         "host",
         "host_incarnation_ms",
         "id",
@@ -35,6 +43,9 @@
         self.phase = TaskPhase.WAITING
         self.run = 0
         self.failures = 0
+        self.crashes = 0
+        self.crashed_hosts: list[str] = []
+        self.given_up = False
         self.host = ""
         self.host_incarnation_ms = 0
         self.saved = ""
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -5,6 +5,7 @@
 """
 
 from azurewood.policy import host_health
+from azurewood.scheduling import crashes
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
@@ -112,6 +113,8 @@
 
     ``running`` has the listed rows by key, ``ends`` the keys of listed ends.
     """
+    if not host.synced:
+        crashes.record_earlier(state, host, running.keys() | ends, now)
     for run in list(host.runs.values()):
         row = running.get(run.key)
         if row is not None:
--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -9,6 +9,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import machine_maintenance as policy
+from azurewood.scheduling import crashes
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
@@ -90,8 +91,10 @@
         if entry is None or host.unresponsive_since is None:
             continue
         if entry.host and entry.host != host_id:
+            crashes.record(state, host, "its machine has another host", now)
             _mark_runs_gone(state, host_id, now, placed_before=at)
         elif entry.state is messages.MachineState.DOWN:
+            crashes.record(state, host, "its machine is down", now)
             _mark_runs_gone(
                 state, host_id, now, placed_before=at, may_restart=True
             )
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -29,13 +29,15 @@
     identifies the incarnation of the host in which the run was started.
     ``call_open`` is true while a start or stop call is unanswered.
     ``confirmed_at`` is when the latest start or stop was confirmed, None
-    while its outcome is unknown.
+    while its outcome is unknown. ``crashes`` is how many crashes of hosts
+    its task was suspected of when it was placed.
     """
 
     __slots__ = (
         "began_at",
         "call_open",
         "confirmed_at",
+        "crashes",
         "incarnation_ms",
         "inherited",
         "measure",
@@ -59,6 +61,7 @@
         self.step = step
         self.phase = RunPhase.STARTING
         self.inherited = False
+        self.crashes = 0
         self.began_at = now
         self.incarnation_ms = 0
         self.call_open = False
@@ -115,6 +118,7 @@
     the newest list, if to any; it is None once they are closed, until the
     next list. ``disconnected_at`` is when that was noticed last.
     ``renewal_fence`` is the token of the latest lease renewal.
+    ``crashed_incarnation_ms`` is the latest incarnation found crashed.
     """
 
     __slots__ = (
@@ -123,6 +127,7 @@
         "clock_at",
         "clock_ms",
         "connected_by",
+        "crashed_incarnation_ms",
         "disconnected_at",
         "entry",
         "failed_tasks",
@@ -160,6 +165,7 @@
         self.fence_due = False
         self.entry: messages.HostEntry | None = None
         self.incarnation_ms = 0
+        self.crashed_incarnation_ms: int | None = None
         self.present = False
         self.synced = False
         self.leases_expire_at = leases_expire_at
@@ -288,7 +294,8 @@
     the jobs whose progress record cannot be read. ``no_order_before`` is
     the time from which machines may get orders at all. ``unseen_since``
     maps the hosts that the machine list names and that are not known to the
-    time since when.
+    time since when. ``suspects`` has the tasks that may have to start
+    alone, as hosts have crashed under them.
 
     ``values`` and the progress of ``dirty_jobs`` are stored in the next
     batch, for which ``deferred_effects`` wait. ``saving_effects`` wait for
@@ -329,6 +336,7 @@
         "store_slow",
         "stuck_due",
         "stuck_work",
+        "suspects",
         "term",
         "unix_ms",
         "unreadable_jobs",
@@ -370,6 +378,7 @@
         self.clock_ms = 0.0
         self.clock_offset_ms = 0.0
         self.unreadable_jobs: set[str] = set()
+        self.suspects: set[model.TaskId] = set()
         self.unresponsive_changed = False
         self.recorded_unresponsive: set[str] = set()
         self.placement_due: set[str] = set()
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -8,8 +8,10 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_choice
+from azurewood.policy import host_crashes
 from azurewood.policy import host_health
 from azurewood.policy import job_order
+from azurewood.scheduling import crashes
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -54,7 +56,8 @@
     usable = [host for host in pool if host_health.usable(host, now)]
     if not usable:
         return
-    host_index = host_choice.HostIndex(hosts=usable)
+    separation = crashes.separate(state, service, usable)
+    host_index = host_choice.HostIndex(hosts=usable, separation=separation)
     largest_free = host_index.largest_free()
     if not any(_could_start(state, job, largest_free) for job in found):
         return
@@ -117,6 +120,8 @@
     placed = []
     for task in ready:
         host = host_index.choose(step, task, allowed)
+        if host is None and host_crashes.starts_alone(step, task.crashes):
+            continue
         if host is None:
             break
         open_run(state, host_index, host, job, task, now)
@@ -286,6 +291,7 @@
     run = model.Run(task=task.id, run=task.run, step=step, now=now)
     run.incarnation_ms = host.entry.incarnation_ms
     run.saved = task.saved
+    run.crashes = task.crashes
     host_index.add(host, run)
     state.dirty_jobs.add(job.job.id)
     if not job.begun:
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurewood.jobs import model
+from azurewood.scheduling import crashes
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
@@ -34,6 +35,8 @@
     host: str
     host_born_ms: int
     saved: str
+    crashes: int = 0
+    given_up: bool = False
 
 
 class JobProgress(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
@@ -97,6 +100,8 @@
             task.host,
             task.host_incarnation_ms,
             task.saved,
+            task.crashes,
+            task.given_up,
         )
         for tasks in job.steps.values()
         for task in tasks
@@ -153,6 +158,7 @@
     job.set_phase(task, row.phase)
     task.run = row.run
     task.failures = row.failures
+    crashes.restore(state, task, row.crashes, given_up=row.given_up)
     task.host = row.host
     task.host_incarnation_ms = row.host_born_ms
     task.saved = row.saved
@@ -161,6 +167,7 @@
     step = job.step_of(task.id)
     run = scheduling.Run(task=task.id, run=row.run, step=step, now=now)
     run.inherited = True
+    run.crashes = row.crashes
     run.incarnation_ms = row.host_born_ms
     run.phase = scheduling.RunPhase.RUNNING
     state.host(row.host).add(run)
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from azurewood.scheduling import crashes
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import tasks
@@ -233,6 +234,7 @@
     state: scheduling.State, host: scheduling.Host, now: float
 ) -> None:
     """Mark a host as ended, since another host has its address now."""
+    crashes.record(state, host, "another host has its address", now)
     for run in list(host.runs.values()):
         tasks.mark_run_gone(
             state, host, run, "another host has its address", now
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -176,6 +176,7 @@
 ) -> None:
     step = job.step_of(task.id)
     if step.long_lived:
+        task.crashes = 0
         job.set_phase(task, jobstates.TaskPhase.WAITING)
         state.placement_due.add(state.service_of(job.job))
         return
@@ -233,11 +234,32 @@
     for tasks in job.steps.values():
         for task in tasks:
             long_lived = job.step_of(task.id).long_lived
+            if task.given_up:
+                _announce(state, job, model.Phase.FAILED)
+                return
             if task.failures >= job.job.attempts and not long_lived:
                 _announce(state, job, model.Phase.FAILED)
                 return
 
 
+def give_up(
+    state: scheduling.State,
+    job: jobstates.JobState,
+    task: jobstates.Task,
+    now: float,
+) -> None:
+    """Fail the job of a task that crashes the hosts that start it."""
+    state.log_event(
+        "task.given_up",
+        job=job.job.id,
+        task=str(tuple(task.id[1:])),
+        crashes=task.crashes,
+        hosts=" ".join(task.crashed_hosts),
+    )
+    _announce(state, job, model.Phase.FAILED)
+    _stop_all(state, job.job.id, now)
+
+
 def _fail_task(
     state: scheduling.State,
     host: scheduling.Host,
