--- /dev/null
+++ b/tests/policy/test_host_crashes.py
@@ -0,0 +1,100 @@
+"""Which tasks are suspected of a crash, and where they start next."""
+
+from azurewood.jobs import model as jobs
+from azurewood.policy import host_crashes
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+
+STEP = jobs.Step(count=9, needs=jobs.Resources(500, 100, 0), estimate_ms=900)
+GANG = jobs.Step(
+    count=2, needs=jobs.Resources(500, 100, 0), estimate_ms=900, gang=True
+)
+
+
+def _host(id, *ages_s, crashes=0):
+    """Return a host whose newest list shows runs of these ages."""
+    host = model.Host(id=id, leases_expire_at=0.0, fence=1)
+    host.describe(
+        messages.HostEntry(
+            id=id,
+            address=f"{id}:80",
+            service="s",
+            zone="a",
+            state=messages.HostState.READY,
+            capacity=jobs.Resources(4000, 8000, 0),
+            labels=(),
+            incarnation_ms=1,
+        )
+    )
+    host.listed_at = 100.0
+    for index, age_s in enumerate(ages_s):
+        task = jobs.TaskId(f"job-{id}", 0, 0, index)
+        run = model.Run(task=task, run=1, step=STEP, now=0.0)
+        run.phase = model.RunPhase.RUNNING
+        run.confirmed_at = host.listed_at - age_s
+        run.crashes = crashes
+        host.add(run)
+    return host
+
+
+def _suspected(host):
+    found = host_crashes.suspects(host, list(host.runs.values()))
+    return [run.task.index for run in found]
+
+
+def test_new_runs_are_suspected_before_settled_ones():
+    assert _suspected(_host("h", 9.0, 0.1, 1.0)) == [1, 2]
+
+
+def test_settled_runs_are_suspected_if_no_new_one_was_there():
+    assert _suspected(_host("h", 9.0, 5.0)) == [0, 1]
+
+
+def test_a_run_whose_start_was_not_confirmed_is_suspected():
+    host = _host("h", 9.0)
+    next(iter(host.runs.values())).confirmed_at = None
+    assert not host_crashes.is_settled(next(iter(host.runs.values())), 100.0)
+
+
+def test_long_work_clears_a_task_of_earlier_crashes():
+    (old,) = _host("h", 90.0).runs.values()
+    (new,) = _host("h", 9.0).runs.values()
+    assert host_crashes.next_count(old, 3, 100.0) == 1
+    assert host_crashes.next_count(new, 3, 100.0) == 4
+
+
+def test_a_task_with_two_crashes_starts_alone():
+    hosts = [_host("a", 0.1), _host("b", 9.0), _host("c")]
+    found = host_crashes.Separation()
+    found.hold(hosts, [STEP])
+    allowed = [h.id for h in hosts if found.allows(h, STEP, 2)]
+    assert allowed == ["b", "c"]
+    others = [h.id for h in hosts if found.allows(h, STEP, 0)]
+    assert others == ["a", "c"]
+    assert found.allows(hosts[0], GANG, 2)
+
+
+def test_no_two_tasks_start_alone_on_one_host():
+    host = _host("a")
+    found = host_crashes.Separation()
+    found.hold([host], [STEP])
+    run = model.Run(
+        task=jobs.TaskId("job", 0, 0, 0), run=3, step=STEP, now=0.0
+    )
+    run.crashes = 2
+    host.add(run)
+    found.add(host, run)
+    assert not found.allows(host, STEP, 2)
+    assert not found.allows(host, STEP, 0)
+
+
+def test_only_a_share_of_the_hosts_is_held():
+    hosts = [_host(f"h{number}") for number in range(8)]
+    found = host_crashes.Separation()
+    found.hold(hosts, [STEP] * 8)
+    assert len(found.held) == 2
+
+
+def test_a_suspect_endangers_least_where_no_other_suspect_is():
+    crowded, suspect = _host("a", 0.1, 0.1), _host("b", 0.1, crashes=1)
+    assert host_crashes.danger(crowded) < host_crashes.danger(suspect)
