Stand-in: any task under which two hosts crashed may be given up

Cause: test_machine.py's RestartMachine, which crashes whichever host is busy, reported 'shown as failed' for a job under one of whose tasks four hosts had crashed.

That no innocent job fails is checked by test_deadly_tasks.py, which stays as it is. FaultMachine submits deadly tasks beside its other faults.

--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -146,11 +146,14 @@
             incarnation_ms=self.incarnation_ms,
         )
 
-    def crash(self) -> None:
-        """Stop the host immediately and lose all its runs."""
+    def crash(self, *, ordered: bool = False) -> None:
+        """Stop the host immediately and lose all its runs.
+
+        It is no crash if the leader ``ordered`` its machine away.
+        """
         self.up = False
         for run in list(self.runs.values()):
-            self.observe("gone", self, run)
+            self.observe("gone" if ordered else "crashed", self, run)
         self.runs = {}
 
     def restart(self) -> None:
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -187,7 +187,7 @@
         """Crash a host under a deadly run, if the run still exists."""
         if key not in host.runs:
             return
-        self.rules.record_crash(key[0])
+        self.rules.deadly.add(key[0])
         host.crash()
         machine = self.machines[host.machine]
         if self.deadly_keeps_id:
@@ -383,7 +383,7 @@
     ) -> None:
         """Crash a machine's host; a new host joins the pool later."""
         if machine.host:
-            self.hosts[machine.host].crash()
+            self.hosts[machine.host].crash(ordered=True)
             gone = appender.Record(key=machine.host, value=None)
             self.store.add(pages.Topic.HOSTS, (gone,))
         self._set_machine(machine.name, pool, state, "")
--- a/tests/scheduling/test_machine.py
+++ b/tests/scheduling/test_machine.py
@@ -31,6 +31,9 @@
         gang=True,
     ),
     "lasting": deployment.LONG_LIVED,
+    "single": model.Step(
+        count=1, needs=model.Resources(500, 500, 0), estimate_ms=500
+    ),
 }
 
 
@@ -58,6 +61,13 @@
         self.jobs.append(job.id)
         self.made.submit(self.made.members[member], job)
 
+    @stateful.rule(member=MEMBERS, keeps_id=strategies.booleans())
+    def submit_deadly(self, member, keeps_id):
+        """Submit a job with a task that crashes its hosts."""
+        self.made.deadly_keeps_id = keeps_id
+        self.made.deadly_jobs.add(f"{self.number + 1:016x}")
+        self.submit(member, "single")
+
     @stateful.precondition(lambda self: self.jobs)
     @stateful.rule(member=MEMBERS, index=strategies.integers(0, 99))
     def cancel(self, member, index):
