A crash counts once for a task, whichever leader counts it

Cause: a leader counted a crash while the run was still held, and its successor counted the same crash again for the run that it inherited.

Change: the host and incarnation of a task's latest counted crash are stored beside the count; the same crash isn't counted again.

--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -34,7 +34,8 @@
     """
     if host.crashed_incarnation_ms != host.incarnation_ms:
         host.crashed_incarnation_ms = host.incarnation_ms
-        _suspect_runs(state, host, list(host.runs.values()), reason, now)
+        runs = list(host.runs.values())
+        _suspect_runs(state, host, runs, host.incarnation_ms, reason, now)
 
 
 def record_earlier(
@@ -52,13 +53,16 @@
         and run.key not in listed
         and run.incarnation_ms not in (0, host.incarnation_ms)
     ]
-    _suspect_runs(state, host, runs, "it had restarted", now)
+    if runs:
+        before = max(run.incarnation_ms for run in runs)
+        _suspect_runs(state, host, runs, before, "it had restarted", now)
 
 
 def _suspect_runs(
     state: model.State,
     host: model.Host,
     runs: list[model.Run],
+    incarnation_ms: int,
     reason: str,
     now: float,
 ) -> None:
@@ -68,13 +72,13 @@
     state.log_event(
         "host.crashed",
         host=host.id,
-        incarnation=host.incarnation_ms,
+        incarnation=incarnation_ms,
         reason=reason,
         runs=len(runs),
         suspects=len(suspects),
     )
     for run in suspects:
-        _suspect(state, host, run, now)
+        _suspect(state, host, run, incarnation_ms, now)
 
 
 def _is_expected(state: model.State, host: model.Host) -> bool:
@@ -92,12 +96,16 @@
     state: model.State,
     host: model.Host,
     run: model.Run,
+    incarnation_ms: int,
     now: float,
 ) -> None:
     """Count a crash for a run's task, and give the task up if it must be."""
     task = tasks.current_task(state, run)
-    if task is None:
+    crash = f"{host.id}@{incarnation_ms}"
+    if task is None or task.crash == crash:
+        # An earlier leader may have counted this crash.
         return
+    task.crash = crash
     job = state.jobs[run.task.job]
     task.crashes = host_crashes.next_count(run, task.crashes, host.listed_at)
     task.crashed_hosts.append(host.id)
@@ -123,10 +131,16 @@
 
 
 def restore(
-    state: model.State, task: jobstates.Task, count: int, *, given_up: bool
+    state: model.State,
+    task: jobstates.Task,
+    count: int,
+    crash: str,
+    *,
+    given_up: bool,
 ) -> None:
     """Restore what an earlier leader recorded of a task."""
     task.crashes = count
+    task.crash = crash
     task.given_up = given_up
     _keep_apart(state, task)
 
--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -19,12 +19,14 @@
     """A task: its latest run, its failures and the hosts to avoid.
 
     ``crashes`` counts the crashes of hosts for which the task is suspected
-    and ``crashed_hosts`` names those hosts. A ``given_up`` task is not
+    and ``crashed_hosts`` names those hosts; ``crash`` names the incarnation
+    of the latest. A ``given_up`` task is not
     started again, and its job fails.
     """
 
     __slots__ = (
         "avoid",
+        "crash",
         "crashed_hosts",
         "crashes",
         "failures",
@@ -44,6 +46,7 @@
         self.run = 0
         self.failures = 0
         self.crashes = 0
+        self.crash = ""
         self.crashed_hosts: list[str] = []
         self.given_up = False
         self.host = ""
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -37,6 +37,7 @@
     saved: str
     crashes: int = 0
     given_up: bool = False
+    crash: str = ""
 
 
 class JobProgress(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
@@ -102,6 +103,7 @@
             task.saved,
             task.crashes,
             task.given_up,
+            task.crash,
         )
         for tasks in job.steps.values()
         for task in tasks
@@ -158,7 +160,7 @@
     job.set_phase(task, row.phase)
     task.run = row.run
     task.failures = row.failures
-    crashes.restore(state, task, row.crashes, given_up=row.given_up)
+    crashes.restore(state, task, row.crashes, row.crash, given_up=row.given_up)
     task.host = row.host
     task.host_incarnation_ms = row.host_born_ms
     task.saved = row.saved
