A new leader counts a host's crash once for the runs it inherits

Cause: a host's first list in a new incarnation counted the crash for all its runs, and the same list counted it again for the inherited ones.

Change: inherited runs are only counted on their own if this leader has found no crash of their host before.

--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -44,8 +44,11 @@
     """Record that a host has crashed before this leader's term.
 
     Inherited runs tell it that the host doesn't list and that were started
-    in another incarnation.
+    in another incarnation. Crashes that this leader has found before were
+    counted for them then.
     """
+    if host.crashed_incarnation_ms is not None:
+        return
     runs = [
         run
         for run in host.runs.values()
