An earlier crash of a host isn't counted again by a later leader

Cause: a run keeps the incarnation that it was started in. A leader counted the crash of a later one for it; its successor then counted the first one again.

Change: crashes of one host are counted for a task in rising incarnations only.

--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -104,11 +104,9 @@
 ) -> None:
     """Count a crash for a run's task, and give the task up if it must be."""
     task = tasks.current_task(state, run)
-    crash = f"{host.id}@{incarnation_ms}"
-    if task is None or task.crash == crash:
-        # An earlier leader may have counted this crash.
+    if task is None or _is_counted(task, host.id, incarnation_ms):
         return
-    task.crash = crash
+    task.crash = f"{host.id}@{incarnation_ms}"
     job = state.jobs[run.task.job]
     task.crashes = host_crashes.next_count(run, task.crashes, host.listed_at)
     task.crashed_hosts.append(host.id)
@@ -121,6 +119,14 @@
         tasks.give_up(state, job, task, now)
 
 
+def _is_counted(
+    task: jobstates.Task, host_id: str, incarnation_ms: int
+) -> bool:
+    """Return whether a crash was counted, by an earlier leader perhaps."""
+    id, _, counted_ms = task.crash.rpartition("@")
+    return id == host_id and int(counted_ms) >= incarnation_ms
+
+
 def record_if_gone(state: model.State, host: model.Host, now: float) -> None:
     """Record a crash if a host with expired leases has left the platform.
 
