--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -53,11 +53,19 @@
     """A task: its latest run, its failures and the hosts to avoid.
 
     ``late_start`` is its latest start without an answer, if any.
+    ``crashes`` counts the crashes of hosts for which the task is suspected
+    and ``crashed_hosts`` names those hosts; ``crash`` names the incarnation
+    of the latest. A ``given_up`` task is not
+    started again, and its job fails.
     """
 
     __slots__ = (
         "avoid",
+        "crash",
+        "crashed_hosts",
+        "crashes",
         "failures",
+        "given_up",
         "host",
         "host_incarnation_ms",
         "id",
@@ -73,6 +81,10 @@
         self.phase = TaskPhase.WAITING
         self.run = 0
         self.failures = 0
+        self.crashes = 0
+        self.crash = ""
+        self.crashed_hosts: list[str] = []
+        self.given_up = False
         self.host = ""
         self.host_incarnation_ms = 0
         self.saved = ""
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -8,8 +8,10 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_choice
+from azurewood.policy import host_crashes
 from azurewood.policy import host_health
 from azurewood.policy import job_order
+from azurewood.scheduling import crashes
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
@@ -55,7 +57,8 @@
     usable = [host for host in pool if host_health.usable(host, now)]
     if not usable:
         return
-    host_index = host_choice.HostIndex(hosts=usable)
+    separation = crashes.separate(state, service, usable)
+    host_index = host_choice.HostIndex(hosts=usable, separation=separation)
     largest_free = host_index.largest_free()
     if not any(_could_start(state, job, largest_free) for job in found):
         return
@@ -119,7 +122,8 @@
     for task in ready:
         among = _among(state, task, allowed, now)
         host = host_index.choose(step, task, among)
-        if host is None and among is not allowed:
+        alone = host_crashes.starts_alone(step, task.crashes)
+        if host is None and (alone or among is not allowed):
             continue
         if host is None:
             break
@@ -311,6 +315,7 @@
     run = model.Run(task=task.id, run=task.run, step=step, now=now)
     run.incarnation_ms = host.entry.incarnation_ms
     run.saved = task.saved
+    run.crashes = task.crashes
     host_index.add(host, run)
     state.dirty_jobs.add(job.job.id)
     if not job.begun:
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -9,6 +9,7 @@
 import typing
 
 from azurewood.jobs import model as jobs
+from azurewood.scheduling import crashes
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
@@ -306,6 +307,7 @@
     state: scheduling.State, host: scheduling.Host, now: float
 ) -> None:
     """Mark a host as ended, since another host has its address now."""
+    crashes.record(state, host, "another host has its address", now)
     state.bar_late_starts(host)
     for run in list(host.runs.values()):
         tasks.mark_run_gone(
--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -175,11 +175,14 @@
         counting = [c for c, until in self.past_capacities if until >= now]
         return any(used.fits(c) for c in (self.capacity, *counting))
 
-    def crash(self) -> None:
-        """Stop the host immediately and lose all its runs."""
+    def crash(self, *, ordered: bool = False) -> None:
+        """Stop the host immediately and lose all its runs.
+
+        It is no crash if the leader ``ordered`` its machine away.
+        """
         self.up = False
         for run in list(self.runs.values()):
-            self.observe("gone", self, run)
+            self.observe("gone" if ordered else "crashed", self, run)
         self.runs = {}
 
     def restart(self) -> None:
