Blame a start without an answer for one crash only

Cause: a start without an answer is repeated while its host restarts, and its task was blamed for each of these crashes, though it had never begun.

Change: an unanswered start counts for one crash of its host, whichever of them it was. A task whose answers are always lost with its host may so crash a host that keeps its id more often before it is given up.

--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -106,6 +106,9 @@
     task = tasks.current_task(state, run)
     if task is None or _is_counted(task, host.id, incarnation_ms):
         return
+    if _may_not_have_begun(task, run):
+        return
+    task.suspected_run = run.run
     task.crash = f"{host.id}@{incarnation_ms}"
     job = state.jobs[run.task.job]
     task.crashes = host_crashes.next_count(run, task.crashes, host.listed_at)
@@ -119,6 +122,15 @@
         tasks.give_up(state, job, task, now)
 
 
+def _may_not_have_begun(task: jobstates.Task, run: model.Run) -> bool:
+    """Return whether a start without an answer was counted before.
+
+    The run may have begun in one of the incarnations, and not in each.
+    """
+    starting = run.phase is model.RunPhase.STARTING
+    return starting and task.suspected_run == run.run
+
+
 def _is_counted(
     task: jobstates.Task, host_id: str, incarnation_ms: int
 ) -> bool:
--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -55,8 +55,8 @@
     ``late_start`` is its latest start without an answer, if any.
     ``crashes`` counts the crashes of hosts for which the task is suspected
     and ``crashed_hosts`` names those hosts; ``crash`` names the incarnation
-    of the latest. A ``given_up`` task is not
-    started again, and its job fails.
+    of the latest, and ``suspected_run`` is the run that was there. A
+    ``given_up`` task is not started again, and its job fails.
     """
 
     __slots__ = (
@@ -73,6 +73,7 @@
         "phase",
         "run",
         "saved",
+        "suspected_run",
         "waits_until",
     )
 
@@ -83,6 +84,7 @@
         self.failures = 0
         self.crashes = 0
         self.crash = ""
+        self.suspected_run = 0
         self.crashed_hosts: list[str] = []
         self.given_up = False
         self.host = ""
--- a/tests/scheduling/test_deadly_tasks.py
+++ b/tests/scheduling/test_deadly_tasks.py
@@ -137,3 +137,32 @@
     made.run(15.0)
     deployment.check(made)
     assert not counted
+
+
+def _crash_before_the_start(monkeypatch):
+    """Restart a host again and again while a start gets no answer."""
+    made = deployment.world(**{"s-one": 1})
+    made.late_share = 1.0
+    job = deployment.job(made, 1, ONE)
+    made.submit(made.members[0], job)
+    (host,) = made.hosts.values()
+    for _ in range(5):
+        made.run(1.2)
+        host.crash()
+        host.restart()
+        made.publish_entry(host)
+    made.late_share = 0.0
+    made.run(30.0)
+    deployment.check(made)
+    return deployment.phase(made, job.id)
+
+
+def test_a_start_without_an_answer_is_not_blamed_for_each_crash(monkeypatch):
+    phase = _crash_before_the_start(monkeypatch)
+    assert phase is model.Phase.COMPLETED
+
+
+def test_its_job_fails_without_cause_if_it_is(monkeypatch):
+    monkeypatch.setattr(crashes, "_may_not_have_begun", lambda *args: False)
+    with pytest.raises(AssertionError, match="shown as failed"):
+        _crash_before_the_start(monkeypatch)
