Name the bound on withheld ends, and spell a condition out

Two constants of one name stood for 250 and 500 ends; a condition of a move's incarnation hid its cases in and/or.

--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -32,8 +32,8 @@
 from azurewood.scheduling import model
 from azurewood.scheduling import runs
 
-MAX_LISTED_ENDS: typing.Final = 250
-"""Ends listed at once beyond which none is withheld; a host lists 500."""
+MAX_ENDS_TO_WITHHOLD: typing.Final = 250
+"""Ends on a list beyond which none is withheld, as a list has 500 at most."""
 
 
 def forget_impossible(
@@ -163,7 +163,7 @@
         counted = max(host.counted_ends, min(host.withheld_ends) - 1)
         share.withheld += host.last_end - counted
         host.counted_ends = host.last_end
-    if len(event.ended) > MAX_LISTED_ENDS or not share.within_limit:
+    if len(event.ended) > MAX_ENDS_TO_WITHHOLD or not share.within_limit:
         host.withheld_ends = {}
         state.log_event("ends.released", host=host.id, number=host.last_end)
 
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -215,13 +215,15 @@
 def _order(state: model.State, move: pool_sizes.Move, now: float) -> None:
     machine = state.machines[move.machine]
     host = state.hosts.get(machine.host)
+    incarnation_ms = math.inf
     if host is not None:
         host.leaving = True
+        incarnation_ms = host.incarnation_ms or math.inf
     state.moving[move.machine] = model.MachineMove(
         pool=move.pool,
         host=machine.host,
         until=now + MOVE_TIMEOUT_S,
-        incarnation_ms=host and host.incarnation_ms or math.inf,
+        incarnation_ms=incarnation_ms,
     )
     orders.issue(
         state, messages.MoveMachine(machine=move.machine, pool=move.pool), now
