--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -58,6 +58,8 @@
 
     async def open(self):
         """Listen, at the earlier port if there was one."""
+        if self._server is not None:
+            return
         self._server = await asyncio.start_server(
             self._serve, self.ip, self.port, limit=1 << 22
         )
@@ -68,6 +70,10 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+        self.reset()
+
+    def reset(self):
+        """Reset all connections."""
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -270,7 +276,9 @@
 
     A spec is JSON; its ``ms`` is how long a work item runs, 0 for one that
     lasts until it is stopped. While ``fails_starts``, it does nothing of what
-    it is told to start and answers 503.
+    it is told to start and answers 503. While ``is_cut``, nothing reaches it
+    and its entry isn't written. Each figure in ``late_after_s`` is for one
+    start, which gets no answer and is carried out so much later.
     """
 
     def __init__(self, *, ip, id, machine, service, rack, store, note):
@@ -282,12 +290,16 @@
         self.up = False
         self.fails_starts = False
         self.tickets = None
+        self.is_cut = False
+        self.late_after_s = []
         self.on_start = lambda worker, task, run: None
         self.on_end = lambda worker, task, run, how: None
+        self.on_noted = lambda worker, task, run, how: None
         self.server = HttpServer(ip, self._handle)
         self._store = store
         self._note = note
         self._tasks = set()
+        self._late = []
         self._reset()
 
     def _reset(self):
@@ -310,14 +322,16 @@
         self._reset()
         await self.server.open()
         self.up = True
-        self._publish()
+        if not self.is_cut:
+            self._publish()
         for loop in (self._heartbeat, self._watch_lease):
             self._spawn(loop())
 
     def crash(self):
-        """End at once, without a word."""
+        """End at once, without a word; behind a cut nobody sees it."""
         self.up = False
-        self.server.close()
+        if not self.is_cut:
+            self.server.close()
         lost = list(self.runs)
         self.runs = {}
         for task in list(self._tasks):
@@ -354,7 +368,21 @@
     async def _heartbeat(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            self._publish()
+            if not self.is_cut:
+                self._publish()
+
+    def reconnect(self):
+        """End a cut; connections of before are reset."""
+        self.is_cut = False
+        self.server.reset()
+        self._publish()
+
+    async def _carry_out_late(self, body, seconds):
+        await asyncio.sleep(seconds)
+        if self.up and body["fence"] >= self.fence:
+            self.fence = body["fence"]
+            status, answer = self._start_run(body)
+            self._note(f"{self.id}: late start of {body['task']}: {answer}")
 
     async def _watch_lease(self):
         while True:
@@ -385,9 +413,17 @@
         self._end(key, how)
 
     async def _handle(self, method, target, headers, body):
+        if self.is_cut:
+            return NO_ANSWER
         if headers.get("x-target-instance") != self.id:
             return 421, {}
         body = json.loads(body)
+        if target == "/api/run-start" and self.late_after_s:
+            late = self._carry_out_late(body, self.late_after_s.pop(0))
+            # It goes on when this lifetime ends.
+            self._late.append(asyncio.ensure_future(late))
+            self._note(f"{self.id} leaves the start of {body['task']} open")
+            return NO_ANSWER
         if body.get("fence", 0) < self.fence:
             return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
         self.fence = body.get("fence", 0)
@@ -431,7 +467,11 @@
         return 200, {"clock_ms": self.clock_ms()}
 
     async def _hold(self, body):
+        born = self.born
         self._extend(body)
+        for row in self._ends:
+            if row[0] <= body["ack_cursor"]:
+                self.on_noted(self, row[1], row[2], row[3])
         self._ends = [e for e in self._ends if e[0] > body["ack_cursor"]]
         if not self._ends and body.get("wait_ms"):
             try:
@@ -439,6 +479,8 @@
                 await asyncio.wait_for(self._ended.wait(), wait_s)
             except TimeoutError:
                 pass
+        if self.is_cut or not self.up or self.born != born:
+            return NO_ANSWER
         now = time.monotonic()
         running = [
             [task, run, "", 100 if now - at >= STARTUP_S else 0, 0]
