--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,76 +1,76 @@
-"""Case 4: a cancelled job runs on, as a daemon didn't know it yet."""
+"""Case 4: a wave is reported as completed and has hardly begun.
+
+The leader's process is restarted while the operator's records can't be read.
+"""
 
 import asyncio
 import pathlib
-import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import deployment  # noqa: E402
 
-JOBS = 120
-INTERVAL_S = 0.1
-"""Ten jobs a second, about as many as the site's page has."""
-CANCELLED_SHARE = 0.4
-CANCEL_S = 3.0
-"""``cancel_ms`` of the site's page."""
-LATER_S = 1.0
-"""Without trouble, a job is cancelled this long after its acceptance."""
-STEPS = 4
-STEP_MS = 1500
-
+JOB = "5c0e7a21d94b36f8"
+MACHINES = ["m-0", "m-1", "m-2", "m-3"]
+OUTAGE_S = 6.4
+"""The site's longest outage of a part of the store's partitions."""
+KILL_AFTER_S = 1.5
+"""Time from the beginning of the first upkeep to the leader's end."""
+RECLAIM_S = 8.0
+"""Time of leading before the wave, so that the term is ten seconds old."""
+WAIT_S = 40.0
 
-class _Case:
-    def __init__(self, run, trouble):
-        self._run = run
-        self._trouble = trouble
-        self._random = random.Random(7)
-        self.acknowledged = {}
 
-    async def client(self, number):
-        """Hand a job in at one daemon and cancel it at another."""
-        await asyncio.sleep(number * INTERVAL_S)
-        job = f"{self._random.getrandbits(64):016x}"
-        cancels = self._random.random() < CANCELLED_SHARE
-        step = {"count": 1, "cpu": 500, "mem_mb": 100, "est_ms": STEP_MS}
-        steps = [
-            step | ({"after": [index - 1]} if index else {})
-            for index in range(STEPS)
-        ]
-        body = {"spec": f'{{"ms": {STEP_MS}}}', "steps": steps}
-        first = number % 3
-        status, _ = await self._run.ask(first, "POST", f"/q/{job}", body)
-        if status != 200 or not cancels:
-            return
-        if not self._trouble:
-            await asyncio.sleep(LATER_S)
-        second = (first + 1) % 3
-        status, _ = await self._run.ask(second, "DELETE", f"/q/{job}")
-        if status in (200, 410):
-            self.acknowledged[job] = (self._run.now(), status)
+async def _accept(run):
+    """Hand in work that lets the wave go on slowly."""
+    step = {
+        "count": 8,
+        "cpu": 30000,
+        "mem_mb": 256,
+        "est_ms": 2500,
+    }
+    after = [step | {"after": [index]} for index in range(5)]
+    body = {"spec": '{"ms": 2500}', "steps": [step, *after]}
+    status, _ = await run.ask(1, "POST", f"/q/{JOB}", body)
+    if status != 200:
+        raise deployment.CouldNotRun("the job was not accepted")
 
 
 async def case(run, trouble):
-    """Cancel some jobs right after their acceptance."""
-    played = _Case(run, trouble)
-    await asyncio.gather(*(played.client(n) for n in range(JOBS)))
-    await asyncio.sleep(STEPS * STEP_MS / 1000 + 4)
-    late = []
-    for at, worker, task, _ in run.starts:
-        known = played.acknowledged.get(task.split(".")[0])
-        if known is not None and at > known[0] + CANCEL_S:
-            late.append((worker, task, round(at - known[0], 3), known[1]))
-    answers = [status for _, status in played.acknowledged.values()]
-    run.note(
-        f"{len(answers)} cancels acknowledged, {answers.count(410)} by 410"
-    )
-    for worker, task, after_s, status in late:
-        run.note(
-            f"{task} starts on {worker} {after_s} s after the {status}"
-            " to its job's DELETE"
-        )
-    return bool(answers) and not late
+    """Ask for a wave, and restart the leader during an outage."""
+    begun = []
+    run.cloud.on_upkeep = lambda worker: begun.append(worker.machine)
+    await asyncio.sleep(RECLAIM_S)
+    await _accept(run)
+    wave = {"tranche": 1, "nodes": MACHINES, "finish_by_s": 60, "max_count": 1}
+    run.note("the operator writes op/wave/1")
+    run.store.put("keyed.op", "wave/1", wave)
+    end = run.now() + 20
+    while not begun and run.now() < end:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(KILL_AFTER_S)
+    if trouble:
+        leader = run.leader()
+        run.note(f"reads of op/ are answered with 503 for {OUTAGE_S} s")
+        run.store.down.add("keyed.op")
+        run.kill(leader)
+        run.start_daemon(leader)
+        await asyncio.sleep(OUTAGE_S)
+        run.store.down.clear()
+        run.note("the store serves all again")
+    end = run.now() + WAIT_S
+    while run.now() < end:
+        report = run.store.value("keyed.status", "wave/1")
+        if report and report["state"] == "completed":
+            break
+        await asyncio.sleep(0.02)
+    left = [name for name in MACHINES if name not in begun]
+    run.note(f"status/wave/1 is {report}; no upkeep has begun of {left}")
+    await asyncio.sleep(10.0)
+    later = [name for name in MACHINES if name not in begun]
+    run.note(f"10 s later, no upkeep has begun of {later}")
+    return not (report and report["state"] == "completed" and left)
 
 
 if __name__ == "__main__":
