Review case 2: after a short burst the jobs of a queue start no more

Each waiting step of a queue with a hint asks for advice again and again, whether its earlier call still waits or not. At fault are _approved_hosts and _request_advice in scheduling/placement.

--- a/review/deployment.py
+++ b/review/deployment.py
@@ -104,8 +104,8 @@
         }
         if self.with_advice:
             route["hint"] = {
-                "decision_ms": 20,
-                "per_item_ms": 1,
+                "decision_ms": self.advice.decision_ms,
+                "per_item_ms": self.advice.per_item_ms,
                 "validity_ms": self.advice.VALIDITY_MS,
             }
         services = [{"name": "svc", "enforce_capacity": False}]
@@ -281,9 +281,12 @@
 
 
 async def _play(folder, case, trouble, options):
-    with_advice = options.pop("with_advice", False)
+    advice_ms = options.pop("advice_ms", None)
     deployment = Deployment(folder=folder, **options)
-    deployment.with_advice = with_advice
+    if advice_ms is not None:
+        deployment.with_advice = True
+        advice = deployment.advice
+        advice.decision_ms, advice.per_item_ms = advice_ms
     try:
         await deployment.open()
         async with asyncio.timeout(100):
