--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Case 2: after a short burst the jobs of a queue start no more."""
+"""Case 2: after one large job no job of any caller starts any more."""
 
 import asyncio
 import pathlib
@@ -8,82 +8,50 @@
 
 import deployment  # noqa: E402
 
-ADVICE_MS = (100, 10)
-"""Time of an answer to advice, and for each worker named."""
-JOBS_PER_S = 4.0
-BURST_FACTOR = 2.6
-BURST_S = 4.0
-"""The site's largest burst."""
-CALM_S = 10.0
-AFTER_S = 50.0
-OLD_S = 20.0
-"""Age from which a job without a start counts as stuck."""
+LARGE = "5c0e7a21d94b36f8"
+LARGE_COUNT = 10000
+USUAL_COUNT = 24
+"""Work items of the widest job on the site's page."""
+SMALL_JOBS = 6
+SMALL_INTERVAL_S = 8.0
+WAIT_S = 25.0
 
 
-def _job():
-    step = {"count": 1, "cpu": 500, "mem_mb": 100, "est_ms": 300}
-    return {"spec": '{"ms": 300}', "steps": [step]}
+def _job(count, length_ms):
+    step = {"count": count, "cpu": 10, "mem_mb": 10, "est_ms": length_ms}
+    return {"spec": f'{{"ms": {length_ms}}}', "steps": [step]}
 
 
-class _Callers:
-    def __init__(self, run):
-        self._run = run
-        self._number = 0
-        self.accepted_at = {}
-        self._tasks = set()
-
-    async def hand_in(self, seconds, per_s):
-        """Hand jobs in at a steady rate."""
-        end = self._run.now() + seconds
-        while self._run.now() < end:
-            task = asyncio.ensure_future(self._submit(self._number))
-            self._tasks.add(task)
-            self._number += 1
-            await asyncio.sleep(1 / per_s)
-
-    async def _submit(self, number):
+async def case(run, trouble):
+    """Hand in a job, then small ones, and wait for the small ones."""
+    run.quiet = True
+    count = LARGE_COUNT if trouble else USUAL_COUNT
+    status, _ = await run.ask(0, "POST", f"/q/{LARGE}", _job(count, 60000))
+    if status != 200:
+        raise deployment.CouldNotRun("the large job was not accepted")
+    run.note(f"it has {count} work items of 0.01 cores each")
+    accepted = []
+    for number in range(SMALL_JOBS):
+        await asyncio.sleep(SMALL_INTERVAL_S)
         job = f"{number:016x}"
-        status, _ = await self._run.ask(
-            number % 3, "POST", f"/q/{job}", _job(), quiet=True
-        )
+        status, _ = await run.ask(1, "POST", f"/q/{job}", _job(2, 500))
         if status == 200:
-            self.accepted_at[job] = self._run.now()
-
-
-def _stuck(run, callers):
+            accepted.append(job)
+        _note_load(run)
+    await asyncio.sleep(WAIT_S)
+    _note_load(run)
+    states = {job: await run.state_of(job, number=2) for job in accepted}
     started = {task.split(".")[0] for _, _, task, _ in run.starts}
-    return [
-        job
-        for job, at in callers.accepted_at.items()
-        if job not in started and run.now() - at > OLD_S
-    ]
+    lost = [job for job in accepted if job not in started]
+    run.note(f"small jobs: {states}")
+    run.note(f"accepted and no work item of it was ever started: {lost}")
+    return bool(accepted) and not lost
 
 
-async def case(run, trouble):
-    """Play a steady load with one burst."""
-    run.quiet = True
-    run.advice.quiet = True
-    run.advice.approved = list(run.workers)
-    callers = _Callers(run)
-    await callers.hand_in(CALM_S, JOBS_PER_S)
-    run.note(f"the burst begins, {len(run.starts)} starts so far")
-    factor = BURST_FACTOR if trouble else 1.0
-    await callers.hand_in(BURST_S, JOBS_PER_S * factor)
-    run.note("the burst is over")
-    for _ in range(int(AFTER_S / 5)):
-        await callers.hand_in(5.0, JOBS_PER_S)
-        used = [500 * len(worker.runs) for worker in run.workers]
-        run.note(
-            f"{len(callers.accepted_at)} accepted, {len(run.starts)} starts,"
-            f" {len(_stuck(run, callers))} jobs over {OLD_S} s without one;"
-            f" advice: {run.advice.handled} answers, {run.advice.refused} x"
-            f" 429, {run.advice.skipped} given up; used of 64000 on each"
-            f" worker: {used}"
-        )
-    stuck = _stuck(run, callers)
-    run.note(f"jobs over {OLD_S} s old of which nothing has started: {stuck}")
-    return not stuck
+def _note_load(run):
+    used = [10 * len(worker.runs) for worker in run.workers]
+    run.note(f"used of 64000 thousandths of a core on each worker: {used}")
 
 
 if __name__ == "__main__":
-    sys.exit(deployment.play(__file__, case, workers=7, advice_ms=ADVICE_MS))
+    sys.exit(deployment.play(__file__, case, workers=7))
