--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Case 1: after a short burst the jobs of a queue start no more."""
+"""Case 1: after a short burst the jobs of a queue hardly start any more."""
 
 import asyncio
 import pathlib
