Ask about each host of a step's pool, and about none twice for nothing

Cause: each call for advice named the 30 hosts with the most free processor time; hosts that are alike keep their order, so an idle pool gave the same 30 each time. What the service had said of hosts that are not approved was forgotten after 3 s.

Change: the advice on each host is kept with the step, for the host's incarnation; the next call names hosts that could run a waiting task and of which nothing is known, 30 at first and then up to 100, which is the service's limit; expired tickets are renewed first.

Why it works: each answer shrinks the set of unknown hosts, so every host has its turn and the calls for a step are bounded by its pool.

Tests replaced: test_older_advice_does_not_replace_newer asks by the open call now, which is what advice belongs to, and holds refusals, repeated and unasked answers as well; the control of test_tickets_of_hosts switches off both mechanisms that renew the ticket of a restarted host.

--- a/azurewood/scheduling/advice.py
+++ b/azurewood/scheduling/advice.py
@@ -2,7 +2,8 @@
 
 A scheduling pass notes the steps that wait for advice, in the order in which
 their jobs are placed. Calls are sent from these notes, and only while few are
-open: see `azurewood.policy.advice`.
+open: see `azurewood.policy.advice`. What the service says of a host is kept
+with the job, so that a step's next call names hosts that nothing is known of.
 """
 
 from collections import abc
@@ -10,6 +11,7 @@
 
 from azurewood.jobs import catalog
 from azurewood.policy import advice as policy
+from azurewood.scheduling import advice_queue
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -22,7 +24,6 @@
     state: model.State,
     job: jobstates.JobState,
     key: jobstates.StepKey,
-    pool: list[model.Host],
     now: float,
 ) -> abc.Container[str] | None:
     """Return the ids of the hosts that are approved for a step.
@@ -31,11 +32,56 @@
     """
     if _service_of(state, job) is None:
         return None
-    advised = job.tickets.get(key[1:])
-    if advised is not None and now < advised.valid_until:
-        return advised.tickets
-    _note_step(state, job, key, pool)
-    return ()
+    return {
+        id
+        for id, found in job.advice.get(key[1:], {}).items()
+        if found.ticket
+        and id in state.hosts
+        and found.is_known(state.hosts[id].incarnation_ms, now)
+    }
+
+
+def all_known(
+    job: jobstates.JobState,
+    key: jobstates.StepKey,
+    hosts: abc.Iterable[model.Host],
+    now: float,
+) -> bool:
+    """Return whether there is advice on all hosts, so none is asked for."""
+    return not any(_unknown(job, key, hosts, now))
+
+
+def _unknown(
+    job: jobstates.JobState,
+    key: jobstates.StepKey,
+    hosts: abc.Iterable[model.Host],
+    now: float,
+) -> abc.Iterator[model.Host]:
+    """Yield the hosts on which the advice is missing or has expired."""
+    advised = job.advice.get(key[1:], {})
+    for host in hosts:
+        found = advised.get(host.id)
+        if found is None or not found.is_known(host.incarnation_ms, now):
+            yield host
+
+
+def ticket(
+    job: jobstates.JobState, key: jobstates.StepKey, host: model.Host
+) -> str:
+    """Return the latest ticket of a host for a step, empty without any."""
+    found = job.advice.get(key[1:], {}).get(host.id)
+    if found is None or found.incarnation_ms != host.incarnation_ms:
+        return ""
+    return found.ticket
+
+
+def drop_ticket(
+    state: model.State, key: jobstates.StepKey, host_id: str
+) -> None:
+    """Drop a ticket that a host refused, so that it is asked about again."""
+    job = state.jobs.get(key[0])
+    if job is not None:
+        job.advice.get(key[1:], {}).pop(host_id, None)
 
 
 def _service_of(
@@ -52,18 +98,35 @@
         state.advice.waiting.pop(pool, None)
 
 
-def _note_step(
+def note_step(
     state: model.State,
     job: jobstates.JobState,
     key: jobstates.StepKey,
-    pool: list[model.Host],
+    hosts: abc.Iterable[model.Host],
+    now: float,
 ) -> None:
-    """Note that a step waits for advice on some hosts of its pool."""
+    """Note that a step waits for advice on some of the ``hosts``.
+
+    These are hosts that could run a task of it. It waits only if the advice
+    on any of them is missing or has expired.
+    """
     waiting = state.advice.waiting.setdefault(state.service_of(job.job), {})
-    if len(waiting) < MAX_STEPS_NOTED and key not in state.advice.open_calls:
-        hosts = sorted(pool, key=lambda host: -host.free.cpu)
-        named = hosts[: policy.MAX_ADVISED_HOSTS]
-        waiting[key] = tuple(host.id for host in named)
+    if len(waiting) >= MAX_STEPS_NOTED or key in state.advice.open_calls:
+        return
+    unknown = list(_unknown(job, key, hosts, now))
+    expired = [host for host in unknown if ticket(job, key, host)]
+    if unknown:
+        first = key[1:] not in job.advice
+        limit = policy.max_hosts(_service_of(state, job), first=first)
+        waiting[key] = _emptiest(expired or unknown, limit)
+
+
+def _emptiest(
+    hosts: list[model.Host], limit: int
+) -> advice_queue.Incarnations:
+    """Return the hosts with the most free processor time."""
+    hosts = sorted(hosts, key=lambda host: -host.free.cpu)
+    return {host.id: host.incarnation_ms for host in hosts[:limit]}
 
 
 def send_calls(state: model.State, now: float) -> None:
@@ -79,10 +142,10 @@
         pool = policy.next_pool(pools, queue.asked_at)
         steps = queue.waiting[pool]
         key = next(iter(steps))
-        hosts = steps.pop(key)
+        incarnations = steps.pop(key)
         if _still_waits(state, key):
             queue.asked_at[pool] = now
-            _ask(state, key, hosts)
+            _ask(state, key, incarnations)
 
 
 def _still_waits(state: model.State, key: jobstates.StepKey) -> bool:
@@ -93,19 +156,24 @@
 
 
 def _ask(
-    state: model.State, key: jobstates.StepKey, hosts: tuple[str, ...]
+    state: model.State,
+    key: jobstates.StepKey,
+    incarnations: advice_queue.Incarnations,
 ) -> None:
     job_id, occurrence, step = key
     service = _service_of(state, state.jobs[job_id])
-    ahead_ms = sum(state.advice.open_calls.values())
-    own_ms = policy.answer_ms(service, len(hosts))
-    state.advice.open_calls[key] = own_ms
+    open_calls = state.advice.open_calls
+    ahead_ms = sum(call.answer_ms for call in open_calls.values())
+    own_ms = policy.answer_ms(service, len(incarnations))
+    open_calls[key] = advice_queue.OpenCall(
+        answer_ms=own_ms, incarnations=incarnations
+    )
     state.emit(
         messages.AskAdvice(
             job=job_id,
             occurrence=occurrence,
             step=step,
-            hosts=hosts,
+            hosts=tuple(incarnations),
             wait_ms=ahead_ms + own_ms,
         )
     )
@@ -114,24 +182,30 @@
 def on_advised(
     state: model.State, event: messages.Advised, now: float
 ) -> None:
-    """Handle advice, unless later advice on the step was handled before."""
+    """Handle advice on the hosts that a step's open call names."""
     key = (event.job, event.occurrence, event.step)
-    state.advice.open_calls.pop(key, None)
+    call = state.advice.open_calls.pop(key, None)
+    if call is None:
+        return
     state.advice.failures = 0
     job = state.jobs.get(event.job)
     if job is not None:
-        _keep_newest(job, key, event)
+        job.advice.setdefault(key[1:], {}).update(_advice_on(call, event))
         state.placement_due.add(state.service_of(job.job))
     send_calls(state, now)
 
 
-def _keep_newest(
-    job: jobstates.JobState, key: jobstates.StepKey, event: messages.Advised
-) -> None:
-    known = job.tickets.get(key[1:])
-    if known and known.tickets and known.valid_until > event.valid_until:
-        return
-    job.tickets[key[1:]] = event
+def _advice_on(
+    call: advice_queue.OpenCall, event: messages.Advised
+) -> dict[str, jobstates.HostAdvice]:
+    return {
+        id: jobstates.HostAdvice(
+            ticket=event.tickets.get(id, ""),
+            incarnation_ms=incarnation_ms,
+            valid_until=event.valid_until,
+        )
+        for id, incarnation_ms in call.incarnations.items()
+    }
 
 
 def on_failed(
--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -5,7 +5,6 @@
 import math
 
 from azurewood.jobs import model
-from azurewood.scheduling import messages
 
 
 class TaskPhase(enum.IntEnum):
@@ -49,6 +48,30 @@
         self.possible_until = -math.inf
 
 
+class HostAdvice:
+    """What the advice service said of a host for a step.
+
+    ``ticket`` is empty if the host is not approved, which holds for good. It
+    is about the incarnation ``incarnation_ms`` of the host; a ticket is valid
+    until ``valid_until``.
+    """
+
+    __slots__ = ("incarnation_ms", "ticket", "valid_until")
+
+    def __init__(
+        self, *, ticket: str, incarnation_ms: int, valid_until: float
+    ) -> None:
+        self.ticket = ticket
+        self.incarnation_ms = incarnation_ms
+        self.valid_until = valid_until
+
+    def is_known(self, incarnation_ms: int, now: float) -> bool:
+        """Return whether it still tells if the host is approved."""
+        if self.incarnation_ms != incarnation_ms:
+            return False
+        return not self.ticket or now < self.valid_until
+
+
 class Task:
     """A task: its latest run, its failures and the hosts to avoid.
 
@@ -116,6 +139,7 @@
     are by the leader's clock, see ``State.clock_ms``.
     ``first_run_ms`` is when this leader placed the job's first task, in Unix
     ms, or None if no task was placed or an earlier leader placed it.
+    ``advice`` has what is known of the hosts for each step, by their ids.
     """
 
     __slots__ = (
@@ -124,6 +148,7 @@
         "_work",
         "accepted_ms",
         "added_at",
+        "advice",
         "begun",
         "cancelled",
         "closing",
@@ -133,7 +158,6 @@
         "long_lived",
         "objective_at_ms",
         "steps",
-        "tickets",
         "undone",
         "waiting",
     )
@@ -153,7 +177,7 @@
         self._open: list[tuple[int, int]] | None = None
         self._work: int | None = None
         self._remaining_ms: int | None = None
-        self.tickets: dict[tuple[int, int], messages.Advised] = {}
+        self.advice: dict[tuple[int, int], dict[str, HostAdvice]] = {}
         self.failed_gangs: dict[tuple[int, int], int] = {}
         for occurrence in range(job.occurrences):
             for number, step in enumerate(job.steps):
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -115,9 +115,27 @@
         return 0
     step = job.step_of(ready[0].id)
     key = jobstates.step_key(ready[0].id)
-    allowed = advice.approved_hosts(state, job, key, host_index.hosts, now)
+    allowed = advice.approved_hosts(state, job, key, now)
     if step.gang:
-        return _place_gang(state, host_index, job, tasks, allowed, now)
+        placed = _place_gang(state, host_index, job, tasks, allowed, now)
+    else:
+        placed = _place_tasks(state, host_index, job, ready, allowed, now)
+    if allowed is not None and placed < len(ready):
+        hosts = _hosts_for(state, host_index.hosts, job, ready, now)
+        advice.note_step(state, job, key, hosts, now)
+    return placed
+
+
+def _place_tasks(
+    state: model.State,
+    host_index: host_choice.HostIndex,
+    job: jobstates.JobState,
+    ready: list[jobstates.Task],
+    allowed: abc.Container[str] | None,
+    now: float,
+) -> int:
+    """Place waiting tasks of a step one by one; return how many."""
+    step = job.step_of(ready[0].id)
     placed = []
     for task in ready:
         among = _among(state, task, allowed, now)
@@ -133,6 +151,27 @@
     return len(placed)
 
 
+def _hosts_for(
+    state: model.State,
+    hosts: list[model.Host],
+    job: jobstates.JobState,
+    ready: list[jobstates.Task],
+    now: float,
+) -> abc.Iterator[model.Host]:
+    """Yield the hosts that could run one of a step's waiting tasks.
+
+    The tasks of a step differ by their late starts only. One without is
+    chosen, if there is any.
+    """
+    task = min(_waiting(ready), key=lambda task: task.late_start is not None)
+    step = job.step_of(task.id)
+    among = _among(state, task, None, now)
+    for host in hosts:
+        allowed = among is None or host.id in among
+        if allowed and host_choice.suits(host, step, task):
+            yield host
+
+
 def _among(
     state: model.State,
     task: jobstates.Task,
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -8,7 +8,7 @@
 
 import typing
 
-from azurewood.jobs import model as jobs
+from azurewood.scheduling import advice
 from azurewood.scheduling import crashes
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
@@ -122,7 +122,6 @@
     if job is None or clock is None:
         tasks.stop(run, now)
         return
-    advised = job.tickets.get((run.task.occurrence, run.task.step))
     effect = messages.StartRun(
         host=host.id,
         address=host.entry.address,
@@ -133,7 +132,7 @@
         payload=job.job.payload,
         saved=run.saved,
         lease_until_ms=clock + LEASE_MS,
-        ticket=advised.tickets.get(host.id, "") if advised else "",
+        ticket=advice.ticket(job, jobstates.step_key(run.task), host),
     )
     run.call_open = True
     run.tries += 1
@@ -213,7 +212,8 @@
         case messages.Refusal.UNHEALTHY:
             host.suspended_until = now + UNHEALTHY_PAUSE_S
         case messages.Refusal.TICKET:
-            _drop_ticket(state, run.task, host.id)
+            key = jobstates.step_key(run.task)
+            advice.drop_ticket(state, key, host.id)
         case messages.Refusal.ROOM | messages.Refusal.NOT_SENT:
             host.suspended_until = now + NO_CAPACITY_PAUSE_S
     state.log_run(
@@ -231,23 +231,6 @@
         )
 
 
-def _drop_ticket(
-    state: scheduling.State, task: jobs.TaskId, host_id: str
-) -> None:
-    """Drop a ticket that a host refused, as it does after a restart.
-
-    Advice is asked for again once the step has no ticket left.
-    """
-    job = state.jobs.get(task.job)
-    key = (task.occurrence, task.step)
-    advised = job.tickets.get(key) if job is not None else None
-    if advised is None:
-        return
-    advised.tickets.pop(host_id, None)
-    if not advised.tickets:
-        del job.tickets[key]
-
-
 def _record_late_start(
     state: scheduling.State,
     host: scheduling.Host,
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -12,6 +12,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_health
+from azurewood.scheduling import advice
 from azurewood.scheduling import backlog
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
@@ -34,6 +35,7 @@
     UNSYNCED = "no host of the pool has answered this leader"
     UNUSABLE = "hosts of the pool are silent, leaving or suspended"
     ADVICE = "waiting for advice"
+    NOT_APPROVED = "no approved host has room"
     ROOM = "waiting for room"
     NOT_PLACED = "a host has room, but not by order, spread or gang"
     NO_RUN = "its run is on no host's record"
@@ -49,21 +51,16 @@
 
     __slots__ = ("hosts", "why")
 
-    def __init__(
-        self,
-        *,
-        hosts: list[tuple[jobs.Resources, tuple[str, ...]]],
-        why: Why | None,
-    ) -> None:
+    def __init__(self, *, hosts: list[model.Host], why: Why | None) -> None:
         self.hosts = hosts
         self.why = why
 
     def fits(self, step: jobs.Step) -> bool:
         """Return whether any host has the resources and label for a task."""
         return any(
-            step.reserved.fits(free)
-            for free, labels in self.hosts
-            if not step.label or step.label in labels
+            step.reserved.fits(host.free)
+            for host in self.hosts
+            if not step.label or step.label in host.entry.labels
         )
 
 
@@ -240,7 +237,9 @@
         return Why.ROOM
     queue = state.catalog.queues.get(job.job.queue)
     if queue is not None and queue.advice is not None:
-        return Why.ADVICE
+        key = jobstates.step_key(task.id)
+        known = advice.all_known(job, key, pool.hosts, now)
+        return Why.NOT_APPROVED if known else Why.ADVICE
     return Why.NOT_PLACED
 
 
@@ -258,5 +257,4 @@
         why = Why.UNSYNCED
     elif not usable:
         why = Why.UNUSABLE
-    free = [(host.free, host.entry.labels) for host in usable]
-    return _PoolCapacity(hosts=free, why=why)
+    return _PoolCapacity(hosts=usable, why=why)
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/test_advice.py
@@ -178,3 +178,81 @@
     made.submit(made.members[0], late)
     made.run(2.0)
     assert _is_completed(made, late.id)
+
+
+def _approve(made, *ids):
+    """Have the service approve these hosts only."""
+    made.advice.approved = set(ids)
+
+
+def _ids(made):
+    return sorted(made.hosts, key=lambda id: int(id[1:]))
+
+
+def test_every_host_of_a_large_pool_is_asked_about():
+    """Guards against LOST: a step whose host is never asked about."""
+    made = _world(300, 0.02, 0.001)
+    _approve(made, _ids(made)[-3])
+    job = deployment.job(made, 1, ONE)
+    made.submit(made.members[0], job)
+    made.run(2.0)
+    assert _is_completed(made, job.id)
+    named = [host for hosts in made.advice.asked for host in hosts]
+    assert len(named) == len(set(named))
+    assert len(made.advice.asked) <= 4
+
+
+def test_no_host_is_asked_about_twice_if_none_is_approved():
+    made = _world(40, 0.02, 0.001)
+    _approve(made)
+    made.submit(made.members[0], deployment.job(made, 1, ONE))
+    made.run(20.0)
+    assert sorted(map(len, made.advice.asked)) == [10, 30]
+
+
+def test_further_hosts_are_asked_about_if_the_approved_ones_are_full():
+    """Guards against LOST: tasks that wait for the first approved hosts."""
+    made = _world(40, 0.02, 0.001)
+    first, last = _ids(made)[0], _ids(made)[-1]
+    _approve(made, first, last)
+    large = model.Step(
+        count=2, needs=made.hosts[first].capacity, estimate_ms=4000
+    )
+    job = deployment.job(made, 1, large)
+    made.submit(made.members[0], job)
+    made.run(2.0)
+    assert deployment.running_tasks(made, job.id) == 2
+
+
+def test_a_host_that_restarts_is_asked_about_again():
+    made = _world(1, 0.02, 0.001)
+    (host,) = made.hosts.values()
+    _approve(made)
+    job = deployment.job(made, 1, ONE)
+    made.submit(made.members[0], job)
+    made.run(2.0)
+    _approve(made, host.id)
+    host.crash()
+    host.restart()
+    made.publish_entry(host)
+    made.run(6.0)
+    assert _is_completed(made, job.id)
+
+
+def test_expired_tickets_are_renewed_before_other_hosts_are_asked_about():
+    """Guards against LOST: tasks that are ready after their tickets ended."""
+    made = _world(100, 0.02, 0.001)
+    made.advice.validity_s = 1.0
+    approved = _ids(made)[:2]
+    _approve(made, *approved)
+    wide = model.Step(
+        count=8,
+        needs=made.hosts[approved[0]].capacity,
+        estimate_ms=1500,
+    )
+    job = deployment.job(made, 1, wide)
+    made.submit(made.members[0], job)
+    made.run(12.0)
+    assert _is_completed(made, job.id)
+    renewed = [hosts for hosts in made.advice.asked if len(hosts) <= 2]
+    assert renewed and set(renewed[0]) <= set(approved)
--- a/tests/scheduling/test_order_answers.py
+++ b/tests/scheduling/test_order_answers.py
@@ -4,6 +4,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.journal import pages
+from azurewood.scheduling import advice_queue
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from tests.scheduling import deployment
@@ -104,12 +105,22 @@
 
 
 def test_older_advice_does_not_replace_newer():
-    """Its tickets are those of hosts that may have restarted since."""
+    """Its tickets are those of hosts that may have restarted since.
+
+    Advice is used once, for the call of its step that is open.
+    """
     made = deployment.world()
     job = deployment.job(made, 1, MANY)
     made.submit(made.members[0], job)
     made.run(0.5)
     term = made.leaders()[0].member.term
+    state = term.state
+    key = (job.id, 0, 0)
+
+    def ask(*ids):
+        state.advice.open_calls[key] = advice_queue.OpenCall(
+            answer_ms=1, incarnations=dict.fromkeys(ids, 7)
+        )
 
     def handle(ticket, valid_until):
         term.handle_event(
@@ -121,9 +132,15 @@
                 valid_until=valid_until,
             )
         )
-        return term.state.jobs[job.id].tickets[(0, 0)].tickets
+        known = state.jobs[job.id].advice.get((0, 0), {})
+        return {id: found.ticket for id, found in known.items()}
 
-    assert handle("", 5.0) == {}
+    ask("h1")
+    assert handle("", 5.0) == {"h1": ""}
+    assert handle("old", 6.0) == {"h1": ""}
+    ask("h1")
     assert handle("new", 4.0) == {"h1": "new"}
+    assert handle("", 9.0) == {"h1": "new"}
     assert handle("old", 3.0) == {"h1": "new"}
-    assert handle("newer", 4.5) == {"h1": "newer"}
+    ask("h2")
+    assert handle("not asked", 4.5) == {"h1": "new", "h2": ""}
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -8,6 +8,7 @@
 from azurewood.jobs import catalog
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_choice
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import placement
@@ -112,6 +113,17 @@
     )
 
 
+def _not_approved():
+    state = _advice()
+    state.jobs["j"].advice[(0, 0)] = {
+        id: jobstates.HostAdvice(
+            ticket="", incarnation_ms=host.incarnation_ms, valid_until=0.0
+        )
+        for id, host in state.hosts.items()
+    }
+    return state
+
+
 def _starting():
     state = _opened()
     progress.flush(state, 0.0)
@@ -171,6 +183,7 @@
         (_full, stuck.Why.ROOM),
         (_retry, stuck.Why.RETRY),
         (_advice, stuck.Why.ADVICE),
+        (_not_approved, stuck.Why.NOT_APPROVED),
         (_state, stuck.Why.NOT_PLACED),
         (_opened, stuck.Why.STORE),
         (_starting, stuck.Why.STARTING),
--- a/tests/scheduling/test_tickets_of_hosts.py
+++ b/tests/scheduling/test_tickets_of_hosts.py
@@ -6,8 +6,9 @@
 
 from azurewood.jobs import catalog
 from azurewood.jobs import model
+from azurewood.scheduling import advice
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
-from azurewood.scheduling import runs
 from standins.fleet import hosts
 from standins.fleet import platform
 from tests.scheduling import deployment
@@ -80,8 +81,20 @@
     assert _restart_between_steps(made) is model.Phase.COMPLETED
 
 
+def _is_valid(self, incarnation_ms, now):
+    return now < self.valid_until
+
+
+def _kept_ticket(job, key, host):
+    """Return a ticket whichever incarnation of the host it is for."""
+    found = job.advice.get(key[1:], {}).get(host.id)
+    return found.ticket if found else ""
+
+
 def test_it_waits_for_the_end_of_the_advice_if_tickets_are_kept(
     made, monkeypatch
 ):
-    monkeypatch.setattr(runs, "_drop_ticket", lambda *args: None)
+    monkeypatch.setattr(advice, "drop_ticket", lambda *args: None)
+    monkeypatch.setattr(jobstates.HostAdvice, "is_known", _is_valid)
+    monkeypatch.setattr(advice, "ticket", _kept_ticket)
     assert _restart_between_steps(made) is model.Phase.RUNNING
