Conclude nothing about a wave before its request is read

Cause: a new leader restored a wave from its progress record, which names the ordered machines only, and took these for the operators' request. The flag that it was completed stayed when the request was read.

Change: a restored wave has no request until it is read; what was decided is carried out, nothing else is chosen and nothing reported. A completed wave that gets further machines goes on.

Why it works: the report needs the whole list of machines, which only the request holds, and no flag outlasts a longer list.

--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -33,18 +33,25 @@
 def handle_request(
     state: model.State, event: messages.WaveRequested, now: float
 ) -> None:
-    """Handle a maintenance wave that operators requested."""
+    """Handle a maintenance wave that operators requested.
+
+    A completed wave that gets further machines goes on.
+    """
     wave = state.waves.get(event.number)
     if wave is None:
-        wave = model.Wave(request=event, now=now)
+        wave = model.Wave(number=event.number, now=now)
         state.waves[event.number] = wave
+    if wave.request is None:
         state.log_event(
             "wave.requested",
             wave=event.number,
             machines=len(event.machines),
             max_down=event.max_down,
             finish_by_s=event.finish_by_s,
+            ordered=len(wave.ordered),
         )
+    elif not set(event.machines) <= set(wave.request.machines):
+        wave.completed = False
     wave.request = event
     state.machines_due = now
 
@@ -187,11 +194,13 @@
 ) -> None:
     if state.machines_at < 0:
         return
-    names = set(wave.request.machines)
     open_orders = [n for n in wave.ordered if n not in wave.returned]
     if may_order:
         for name in open_orders:
             _order(state, wave, name, now)
+    if wave.request is None:
+        return
+    names = set(wave.request.machines)
     todo = [n for n in names if n not in wave.ordered and n in state.machines]
     _report(state, wave, done=not todo and not open_orders)
     if wave.completed or not may_order:
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -260,7 +260,9 @@
     that its host had then, and ``incarnations`` to its incarnation, if that
     was known. ``confirmed`` maps a machine to the time when
     its order was answered. ``returned`` has the machines that are back in
-    service, have left the list or refused the order.
+    service, have left the list or refused the order. ``request`` is None
+    while a new leader knows the wave from its progress record only, which
+    names the ordered machines and not those that are left.
     """
 
     __slots__ = (
@@ -275,9 +277,9 @@
         "returned",
     )
 
-    def __init__(self, *, request: messages.WaveRequested, now: float) -> None:
-        self.number = request.number
-        self.request = request
+    def __init__(self, *, number: int, now: float) -> None:
+        self.number = number
+        self.request: messages.WaveRequested | None = None
         self.began_at = now
         self.ordered: dict[str, str] = {}
         self.incarnations: dict[str, int] = {}
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -95,13 +95,7 @@
     state: model.State, key: str, record: progress.WaveProgress, now: float
 ) -> None:
     number = int(key.removeprefix(progress.WAVE_PREFIX))
-    request = messages.WaveRequested(
-        number=number,
-        machines=tuple(record.ordered),
-        max_down=1,
-        finish_by_s=0.0,
-    )
-    wave = model.Wave(request=request, now=now)
+    wave = model.Wave(number=number, now=now)
     progress.restore_wave(wave, record)
     state.waves[number] = wave
 
--- a/tests/scheduling/test_machine_lists.py
+++ b/tests/scheduling/test_machine_lists.py
@@ -198,7 +198,8 @@
     made.run_duration_s = lambda task, step: 30.0
     state = made.leaders()[0].member.term.state
     request = deployment.wave(1, *made.machines)
-    state.waves[1] = scheduling.Wave(request=request, now=made.clock.now)
+    state.waves[1] = scheduling.Wave(number=1, now=made.clock.now)
+    state.waves[1].request = request
     for name, machine in made.machines.items():
         state.waves[1].ordered[name] = machine.host
         state.waves[1].confirmed[name] = made.clock.now
--- a/tests/scheduling/test_order_answers.py
+++ b/tests/scheduling/test_order_answers.py
@@ -90,7 +90,8 @@
     """Guards against MIXED and against two runs of one task."""
     name, _, host = _moving(term, "s-two")
     request = deployment.wave(1, name)
-    wave = model.Wave(request=request, now=0.0)
+    wave = model.Wave(number=1, now=0.0)
+    wave.request = request
     wave.ordered[name] = host.id
     term.state.waves[1] = wave
     term.state.orders[name] = float("inf")
