Let a host that has left for good hold no tasks for its late starts

Cause: a task whose start got no answer starts again once its host can't carry that out any more. A host that the leader had moved to the standby pool, idle between its late starts, was silent for good and barred the task for 12 s and a lease. Its machine, which is off there, is listed without a host; only another host on the machine counted as proof.

Change: a host that is silent or gone has left if its machine is gone, has another host, or is up in another pool or the standby pool. The machine is on record with the late starts, for a leader that never lists the host on it. A stuck task says that it waits for a late start.

Why it works: a worker is one life of a machine, so no life under the old id follows on a machine that is elsewhere.

--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -113,11 +113,14 @@
         if host is None:
             del state.host_machines[host_id]
             continue
-        if entry is None or host.unresponsive_since is None:
+        silent = host.entry is None or host.unresponsive_since is not None
+        absent = silent or not host.present
+        if absent and _has_left(state, host, entry):
+            state.bar_late_starts(host, at + runs.MAX_START_DELAY_S)
+        if entry is None or not silent:
             continue
         if entry.host and entry.host != host_id:
             crashes.record(state, host, "its machine has another host", now)
-            state.bar_late_starts(host, at + runs.MAX_START_DELAY_S)
             _mark_runs_gone(state, host_id, now, placed_before=at)
         elif entry.state is messages.MachineState.DOWN:
             crashes.record(state, host, "its machine is down", now)
@@ -126,6 +129,26 @@
             )
 
 
+def _has_left(
+    state: model.State,
+    host: model.Host,
+    machine: messages.MachineEntry | None,
+) -> bool:
+    """Return whether a host that is silent or gone won't return under its id.
+
+    ``machine`` is the list's entry of its machine, None if that is gone. It
+    has another host then, or is in another pool, where it may be off.
+    """
+    if machine is None:
+        return True
+    if machine.host:
+        return machine.host != host.id
+    up = machine.state is messages.MachineState.UP
+    pool = state.catalog and state.catalog.pools.get(machine.pool)
+    moved = host.entry is not None and machine.pool != host.entry.service
+    return up and (moved or (pool is not None and pool.standby))
+
+
 def _end_runs_before_order(
     state: model.State,
     wave: model.Wave,
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -120,9 +120,13 @@
 class LateStartsProgress(
     msgspec.Struct, frozen=True, kw_only=True, tag="late"
 ):
-    """The starts without an answer that a host may carry out late."""
+    """The starts without an answer that a host may carry out late.
+
+    ``machine`` is the machine that the host runs on, empty if unknown.
+    """
 
     starts: tuple[LateStartRow, ...]
+    machine: str = ""
     stamp: Stamp = Stamp()
     version: int = VERSION
 
@@ -236,7 +240,11 @@
     if not rows:
         return None
     return msgspec.msgpack.encode(
-        LateStartsProgress(starts=rows, stamp=stamp(state, now))
+        LateStartsProgress(
+            starts=rows,
+            machine=state.host_machines.get(host.id, ""),
+            stamp=stamp(state, now),
+        )
     )
 
 
@@ -256,6 +264,8 @@
     from then gives the latest time.
     """
     host = state.host(host_id)
+    if record.machine:
+        state.host_machines.setdefault(host_id, record.machine)
     for row in record.starts:
         task = model.TaskId(row.job, row.occurrence, row.step, row.index)
         late = jobstates.LateStart(
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -15,6 +15,7 @@
 from azurewood.scheduling import advice
 from azurewood.scheduling import backlog
 from azurewood.scheduling import jobstates
+from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import waiting
@@ -34,6 +35,7 @@
     NO_HOST = "no host in the pool"
     UNSYNCED = "no host of the pool has answered this leader"
     UNUSABLE = "hosts of the pool are silent, leaving or suspended"
+    LATE_START = "a start of an earlier run may still be carried out"
     ADVICE = "waiting for advice"
     NOT_APPROVED = "no approved host has room"
     ROOM = "waiting for room"
@@ -235,6 +237,10 @@
         return pool.why
     if not pool.fits(job.step_of(task.id)):
         return Why.ROOM
+    if task.late_start is not None:
+        required = latestarts.required_host(state, task, now)
+        if required is not None:
+            return Why.LATE_START
     queue = state.catalog.queues.get(job.job.queue)
     if queue is not None and queue.advice is not None:
         key = jobstates.step_key(task.id)
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -113,6 +113,16 @@
     )
 
 
+def _late_start():
+    state = _state()
+    host = _host(state)
+    late = jobstates.LateStart(
+        host=host.id, incarnation_ms=0, fence=0, possible_until=NOW + 60.0
+    )
+    state.add_late_start(host, (_task(state).id, 1), late)
+    return state
+
+
 def _not_approved():
     state = _advice()
     state.jobs["j"].advice[(0, 0)] = {
@@ -182,6 +192,7 @@
         (_suspended, stuck.Why.UNUSABLE),
         (_full, stuck.Why.ROOM),
         (_retry, stuck.Why.RETRY),
+        (_late_start, stuck.Why.LATE_START),
         (_advice, stuck.Why.ADVICE),
         (_not_approved, stuck.Why.NOT_APPROVED),
         (_state, stuck.Why.NOT_PLACED),
