Hold no host without the label for a suspected task

A task that needs a label could have a host held for it, each time the same, that can't run it, and wait for one with the label to become quiet by itself, while the held host started nothing else.

Change: only hosts with the label are held for it. Its test fails without it.

--- a/azurewood/policy/host_crashes.py
+++ b/azurewood/policy/host_crashes.py
@@ -98,6 +98,7 @@
                 for host in hosts
                 if host.id not in self.held
                 and step.reserved.fits(host.entry.capacity)
+                and (not step.label or step.label in host.entry.labels)
             )
             best = min(
                 fitting,
--- a/tests/policy/test_host_crashes.py
+++ b/tests/policy/test_host_crashes.py
@@ -1,5 +1,9 @@
 """Which tasks are suspected of a crash, and where they start next."""
 
+import dataclasses
+
+import msgspec
+
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_crashes
 from azurewood.scheduling import messages
@@ -95,6 +99,16 @@
     assert len(found.held) == 2
 
 
+def test_a_host_without_the_label_is_not_held():
+    """Guards against LOST: a suspect whose held host can't run it."""
+    hosts = [_host("a"), _host("b", 0.1), _host("c", 0.1), _host("d", 0.1)]
+    with_label = hosts[1]
+    with_label.describe(dataclasses.replace(with_label.entry, labels=("ssd",)))
+    found = host_crashes.Separation()
+    found.hold(hosts, [msgspec.structs.replace(STEP, label="ssd")])
+    assert found.held == {"b"}
+
+
 def test_a_suspect_endangers_least_where_no_other_suspect_is():
     crowded, suspect = _host("a", 0.1, 0.1), _host("b", 0.1, crashes=1)
     assert host_crashes.danger(crowded) < host_crashes.danger(suspect)
