--- /dev/null
+++ b/azurewood/scheduling/machine_orders.py
@@ -0,0 +1,64 @@
+"""Moves of machines between pools, and waves of their maintenance."""
+
+import math
+
+from azurewood.scheduling import messages
+
+
+class Wave:
+    """A maintenance wave and the progress of its machines.
+
+    ``ordered`` maps each machine whose maintenance was decided to the id
+    that its host had then, and ``incarnations`` to its incarnation, if that
+    was known. ``confirmed`` maps a machine to the time when
+    its order was answered. ``returned`` has the machines that are back in
+    service, have left the list or refused the order. ``request`` is None
+    while a new leader knows the wave from its progress record only, which
+    names the ordered machines and not those that are left.
+    """
+
+    __slots__ = (
+        "began_at",
+        "completed",
+        "confirmed",
+        "incarnations",
+        "number",
+        "ordered",
+        "reported",
+        "request",
+        "returned",
+    )
+
+    def __init__(self, *, number: int, now: float) -> None:
+        self.number = number
+        self.request: messages.WaveRequested | None = None
+        self.began_at = now
+        self.ordered: dict[str, str] = {}
+        self.incarnations: dict[str, int] = {}
+        self.confirmed: dict[str, float] = {}
+        self.returned: set[str] = set()
+        self.completed = False
+        self.reported = ""
+
+
+class MachineMove:
+    """A move of a machine to another pool, and its host before the move.
+
+    ``incarnation_ms`` is that of the host, if it is known.
+    """
+
+    __slots__ = ("confirmed_at", "host", "incarnation_ms", "pool", "until")
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        host: str,
+        until: float,
+        incarnation_ms: float = math.inf,
+    ) -> None:
+        self.pool = pool
+        self.host = host
+        self.incarnation_ms = incarnation_ms
+        self.until = until
+        self.confirmed_at: float | None = None
--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -11,6 +11,7 @@
 from azurewood.jobs import model as jobs
 from azurewood.policy import machine_maintenance as policy
 from azurewood.scheduling import crashes
+from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
@@ -39,7 +40,7 @@
     """
     wave = state.waves.get(event.number)
     if wave is None:
-        wave = model.Wave(number=event.number, now=now)
+        wave = machine_orders.Wave(number=event.number, now=now)
         state.waves[event.number] = wave
     if wave.request is None:
         state.log_event(
@@ -151,7 +152,7 @@
 
 def _end_runs_before_order(
     state: model.State,
-    wave: model.Wave,
+    wave: machine_orders.Wave,
     machine: str,
     now: float,
     placed_before: float,
@@ -213,7 +214,11 @@
 
 
 def _step_wave(
-    state: model.State, wave: model.Wave, now: float, *, may_order: bool
+    state: model.State,
+    wave: machine_orders.Wave,
+    now: float,
+    *,
+    may_order: bool,
 ) -> None:
     if state.machines_at < 0:
         return
@@ -243,7 +248,9 @@
             _take_down(state, wave, machine, now)
 
 
-def _report(state: model.State, wave: model.Wave, *, done: bool) -> None:
+def _report(
+    state: model.State, wave: machine_orders.Wave, *, done: bool
+) -> None:
     wanted = "completed" if done else "running"
     if wave.reported != wanted:
         wave.reported = wanted
@@ -281,7 +288,7 @@
 
 def _take_down(
     state: model.State,
-    wave: model.Wave,
+    wave: machine_orders.Wave,
     machine: messages.MachineEntry,
     now: float,
 ) -> None:
@@ -299,7 +306,7 @@
 
 
 def _order(
-    state: model.State, wave: model.Wave, name: str, now: float
+    state: model.State, wave: machine_orders.Wave, name: str, now: float
 ) -> None:
     """Order the maintenance of a machine until an outcome is known."""
     if name in wave.confirmed or now < state.orders.get(name, 0.0):
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -1,4 +1,4 @@
-"""The state of the leader: hosts with their runs, jobs, pools and waves."""
+"""The state of the leader: its hosts with their runs, and all else."""
 
 import enum
 import math
@@ -11,6 +11,7 @@
 from azurewood.policy import withheld_ends
 from azurewood.scheduling import advice_queue
 from azurewood.scheduling import jobstates
+from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
 from azurewood.scheduling import waiting
 
@@ -253,65 +254,6 @@
         return self.clock_ms + int((now - self.clock_at) * 1000)
 
 
-class Wave:
-    """A maintenance wave and the progress of its machines.
-
-    ``ordered`` maps each machine whose maintenance was decided to the id
-    that its host had then, and ``incarnations`` to its incarnation, if that
-    was known. ``confirmed`` maps a machine to the time when
-    its order was answered. ``returned`` has the machines that are back in
-    service, have left the list or refused the order. ``request`` is None
-    while a new leader knows the wave from its progress record only, which
-    names the ordered machines and not those that are left.
-    """
-
-    __slots__ = (
-        "began_at",
-        "completed",
-        "confirmed",
-        "incarnations",
-        "number",
-        "ordered",
-        "reported",
-        "request",
-        "returned",
-    )
-
-    def __init__(self, *, number: int, now: float) -> None:
-        self.number = number
-        self.request: messages.WaveRequested | None = None
-        self.began_at = now
-        self.ordered: dict[str, str] = {}
-        self.incarnations: dict[str, int] = {}
-        self.confirmed: dict[str, float] = {}
-        self.returned: set[str] = set()
-        self.completed = False
-        self.reported = ""
-
-
-class MachineMove:
-    """A move of a machine to another pool, and its host before the move.
-
-    ``incarnation_ms`` is that of the host, if it is known.
-    """
-
-    __slots__ = ("confirmed_at", "host", "incarnation_ms", "pool", "until")
-
-    def __init__(
-        self,
-        *,
-        pool: str,
-        host: str,
-        until: float,
-        incarnation_ms: float = math.inf,
-    ) -> None:
-        self.pool = pool
-        self.host = host
-        self.incarnation_ms = incarnation_ms
-        self.until = until
-        self.confirmed_at: float | None = None
-
-
 class State:
     """The state of a leader during its term.
 
@@ -403,7 +345,7 @@
         self.machines_at = -1.0
         self.machines_due = 0.0
         self.orders: dict[str, float] = {}
-        self.moving: dict[str, MachineMove] = {}
+        self.moving: dict[str, machine_orders.MachineMove] = {}
         self.demands: dict[str, pool_sizes.Demand] = {}
         self.pools_due = 0.0
         self.pools_log_at = 0.0
@@ -416,7 +358,7 @@
         self.order_after: dict[str, float] = {}
         self.no_order_before = 0.0
         self.host_machines: dict[str, str] = {}
-        self.waves: dict[int, Wave] = {}
+        self.waves: dict[int, machine_orders.Wave] = {}
         self.withheld_share = withheld_ends.WithheldShare()
         self.unix_ms = 0.0
         self.clock_ms = 0.0
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -12,6 +12,7 @@
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import backlog
 from azurewood.scheduling import jobstates
+from azurewood.scheduling import machine_orders
 from azurewood.scheduling import maintenance
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -219,7 +220,7 @@
     if host is not None:
         host.leaving = True
         incarnation_ms = host.incarnation_ms or math.inf
-    state.moving[move.machine] = model.MachineMove(
+    state.moving[move.machine] = machine_orders.MachineMove(
         pool=move.pool,
         host=machine.host,
         until=now + MOVE_TIMEOUT_S,
@@ -281,7 +282,9 @@
 
 
 def _move_completed(
-    state: model.State, entry: messages.MachineEntry, move: model.MachineMove
+    state: model.State,
+    entry: messages.MachineEntry,
+    move: machine_orders.MachineMove,
 ) -> bool:
     """Return whether a machine that is up has completed its move.
 
@@ -297,7 +300,7 @@
 
 
 def _host_ended(
-    state: model.State, move: model.MachineMove, now: float
+    state: model.State, move: machine_orders.MachineMove, now: float
 ) -> None:
     host = state.hosts.get(move.host)
     if host is None:
@@ -312,7 +315,7 @@
 
 
 def _cancel_move(
-    state: model.State, name: str, move: model.MachineMove
+    state: model.State, name: str, move: machine_orders.MachineMove
 ) -> None:
     del state.moving[name]
     host = state.hosts.get(move.host)
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -21,6 +21,7 @@
 from azurewood.jobs import model
 from azurewood.scheduling import crashes
 from azurewood.scheduling import jobstates
+from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 
@@ -194,7 +195,7 @@
     return msgspec.msgpack.encode(JobProgress(tasks=rows))
 
 
-def encode_wave(wave: scheduling.Wave) -> bytes:
+def encode_wave(wave: machine_orders.Wave) -> bytes:
     """Return the encoded progress record of a wave."""
     return msgspec.msgpack.encode(
         WaveProgress(
@@ -318,7 +319,7 @@
     state.host(row.host).add(run)
 
 
-def restore_wave(wave: scheduling.Wave, record: WaveProgress) -> None:
+def restore_wave(wave: machine_orders.Wave, record: WaveProgress) -> None:
     """Restore a wave's progress from an earlier leader's record."""
     wave.ordered.update(record.ordered)
     wave.incarnations.update(record.born_ms)
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -10,6 +10,7 @@
 from azurewood.scheduling import advice
 from azurewood.scheduling import hosts
 from azurewood.scheduling import listings
+from azurewood.scheduling import machine_orders
 from azurewood.scheduling import maintenance
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -100,7 +101,7 @@
     state: model.State, key: str, record: progress.WaveProgress, now: float
 ) -> None:
     number = int(key.removeprefix(progress.WAVE_PREFIX))
-    wave = model.Wave(number=number, now=now)
+    wave = machine_orders.Wave(number=number, now=now)
     progress.restore_wave(wave, record)
     state.waves[number] = wave
 
--- a/tests/scheduling/test_machine_lists.py
+++ b/tests/scheduling/test_machine_lists.py
@@ -5,8 +5,8 @@
 
 from azurewood.daemons import machine_calls
 from azurewood.jobs import model
+from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
-from azurewood.scheduling import model as scheduling
 from standins.fleet import platform
 from standins.fleet import world as worlds
 from tests.scheduling import deployment
@@ -198,7 +198,7 @@
     made.run_duration_s = lambda task, step: 30.0
     state = made.leaders()[0].member.term.state
     request = deployment.wave(1, *made.machines)
-    state.waves[1] = scheduling.Wave(number=1, now=made.clock.now)
+    state.waves[1] = machine_orders.Wave(number=1, now=made.clock.now)
     state.waves[1].request = request
     for name, machine in made.machines.items():
         state.waves[1].ordered[name] = machine.host
--- a/tests/scheduling/test_order_answers.py
+++ b/tests/scheduling/test_order_answers.py
@@ -5,8 +5,8 @@
 from azurewood.jobs import model as jobs
 from azurewood.journal import pages
 from azurewood.scheduling import advice_queue
+from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
-from azurewood.scheduling import model
 from tests.scheduling import deployment
 
 MANY = jobs.Step(
@@ -68,7 +68,7 @@
     """Record that an idle machine is moved; return the move and its host."""
     state = term.state
     machine = next(iter(state.machines.values()))
-    move = model.MachineMove(pool=pool, host=machine.host, until=1e9)
+    move = machine_orders.MachineMove(pool=pool, host=machine.host, until=1e9)
     state.moving[machine.name] = move
     return machine.name, move, state.hosts[machine.host]
 
@@ -90,7 +90,7 @@
     """Guards against MIXED and against two runs of one task."""
     name, _, host = _moving(term, "s-two")
     request = deployment.wave(1, name)
-    wave = model.Wave(number=1, now=0.0)
+    wave = machine_orders.Wave(number=1, now=0.0)
     wave.request = request
     wave.ordered[name] = host.id
     term.state.waves[1] = wave
--- a/tests/scheduling/test_orders_keep_ids.py
+++ b/tests/scheduling/test_orders_keep_ids.py
@@ -6,8 +6,8 @@
 
 from azurewood.jobs import model
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import machine_orders
 from azurewood.scheduling import maintenance
-from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import pools
 from standins.fleet import world as worlds
 from tests.scheduling import deployment
@@ -96,11 +96,11 @@
 
 
 def test_runs_twice_if_a_move_ends_every_incarnation(monkeypatch):
-    usual = scheduling.MachineMove
+    usual = machine_orders.MachineMove
 
     def broken(*, incarnation_ms, **options):
         return usual(**options)
 
-    monkeypatch.setattr(scheduling, "MachineMove", broken)
+    monkeypatch.setattr(machine_orders, "MachineMove", broken)
     with pytest.raises(AssertionError, match="twice"):
         _move()
