Let lasting tasks wait for a silent host that may return under its id

Cause: the next run of a lasting task began on any host if the host of its late start took no tasks, and a host whose entry the platform had removed counted among those. No entry means that the host isn't heard: it may be up again under its id behind a cut, and carry the start out.

Change: while the host is known to go on, the next run begins there, or on any host if it is draining or about to be ordered away. A silent host holds the task, like all others, until its late starts and a lease are over or the list of machines shows that it has left.

--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -16,9 +16,9 @@
 in an incarnation that the leader has not reached yet is only found on its
 list. So that its run is neither beside another one nor after the task's end:
 
-* The task's next run begins once the start can no longer take effect. That
-  of a long-lived task begins on the same host, as its users wait for it, or
-  on any if that one takes no tasks.
+* The task's next run begins once the start can no longer take effect. While
+  the host is known to go on, that of a long-lived task begins on it, as its
+  users wait for it, or on any host if that one is about to leave.
 * The end of the run is not acknowledged before that, so the platform doesn't
   count it yet. The leader does.
 """
@@ -113,13 +113,19 @@
         return None
     if not state.jobs[task.id.job].step_of(task.id).long_lived:
         return ""
-    return host.id if _takes_tasks(host) else None
+    if not _is_alive(host):
+        return ""
+    return None if _is_about_to_leave(host) else host.id
+
+
+def _is_alive(host: model.Host) -> bool:
+    """Return whether a host is known to go on in its incarnation."""
+    return host.present and host.synced and host.unresponsive_since is None
 
 
-def _takes_tasks(host: model.Host) -> bool:
-    if host.entry is None or not host.present or host.leaving:
-        return False
-    return host.entry.state is messages.HostState.READY
+def _is_about_to_leave(host: model.Host) -> bool:
+    """Return whether a host takes no tasks and won't return under its id."""
+    return host.leaving or host.entry.state is not messages.HostState.READY
 
 
 def withhold_end(
