--- a/tests/scheduling/deployment.py
+++ b/tests/scheduling/deployment.py
@@ -94,6 +94,23 @@
     )
 
 
+def lose_starts(made: worlds.World, count: int = 1) -> list[str]:
+    """Have the first starts carried out late; return their hosts' ids.
+
+    The list grows as starts are sent.
+    """
+    late: list[str] = []
+
+    def fault_of(call):
+        if call.target in made.hosts and call.changes and len(late) < count:
+            late.append(call.target)
+            return "late"
+        return ""
+
+    made.fault_of = fault_of
+    return late
+
+
 def phase(made: worlds.World, job_id: str) -> model.Phase | None:
     """Return a job's phase as shown by a live member, or None."""
     for member in made.members:
--- a/tests/scheduling/test_deadlines_over_leaders.py
+++ b/tests/scheduling/test_deadlines_over_leaders.py
@@ -23,15 +23,7 @@
     """
     monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (6.0, 6.0))
     made = deployment.world(members=5, **{"s-one": 2})
-    late = []
-
-    def fault_of(call):
-        if call.target in made.hosts and call.changes and not late:
-            late.append(call.target)
-            return "late"
-        return ""
-
-    made.fault_of = fault_of
+    late = deployment.lose_starts(made)
     for host in made.hosts.values():
         host.failing = True
     sent_at = made.clock.now
--- a/tests/scheduling/test_hosts_that_left.py
+++ b/tests/scheduling/test_hosts_that_left.py
@@ -26,15 +26,7 @@
     made = deployment.world(
         members=3, pools_off=frozenset({"spare"}), **{"s-one": 3, "spare": 1}
     )
-    late = []
-
-    def fault_of(call):
-        if call.target in made.hosts and call.changes and not late:
-            late.append(call.target)
-            return "late"
-        return ""
-
-    made.fault_of = fault_of
+    late = deployment.lose_starts(made)
     for host in made.hosts.values():
         host.failing = True
     made.submit(made.members[0], deployment.job(made, 1, ONE))
--- a/tests/scheduling/test_silent_hosts.py
+++ b/tests/scheduling/test_silent_hosts.py
@@ -28,15 +28,7 @@
     """
     monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (LATE_S, LATE_S))
     made = deployment.world(**{"s-one": 2})
-    late = []
-
-    def fault_of(call):
-        if call.target in made.hosts and call.changes and not late:
-            late.append(call.target)
-            return "late"
-        return ""
-
-    made.fault_of = fault_of
+    late = deployment.lose_starts(made)
     began_at = made.clock.now
 
     def run_until(seconds):
--- a/tests/scheduling/test_starts_before_contact.py
+++ b/tests/scheduling/test_starts_before_contact.py
@@ -37,15 +37,7 @@
     """Return a world whose first ``lost`` starts are carried out late."""
     monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (LATE_S, LATE_S))
     made = deployment.world(**{"s-one": 2})
-    late = []
-
-    def fault_of(call):
-        if call.target in made.hosts and call.changes and len(late) < lost:
-            late.append(call.target)
-            return "late"
-        return ""
-
-    made.fault_of = fault_of
+    late = deployment.lose_starts(made, lost)
     return made, late
 
 
