Let the test's server process read nothing after it has closed

Cause: the stand-in process, not the product. A thread that is inside `recv` holds the socket after `close` has returned; the reset goes out only once the thread has run. Until then a call that arrives is still read, and the client can't know of the end.

The checks are unchanged; the process now waits until each thread has ended before its connections count as closed.

--- a/tests/http/test_bound_calls.py
+++ b/tests/http/test_bound_calls.py
@@ -45,10 +45,11 @@
             except OSError:
                 return
             self.made += 1
-            self._conns.append(conn)
-            threading.Thread(
+            thread = threading.Thread(
                 target=self._serve, args=(conn,), daemon=True
-            ).start()
+            )
+            self._conns.append((conn, thread))
+            thread.start()
 
     def _serve(self, conn):
         data = b""
@@ -65,15 +66,20 @@
             return
 
     def close_connections(self, *, reset=False):
-        """Close all connections and go on listening."""
-        for conn in self._conns:
+        """Close all connections and go on listening.
+
+        A thread in ``recv`` keeps its socket open, and reads from it, until
+        it has returned.
+        """
+        for conn, thread in self._conns:
             if reset:
                 conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            # ``recv`` in a thread keeps a socket open that is only closed.
             # The client may have closed the connection already.
             with contextlib.suppress(OSError):
                 conn.shutdown(socket.SHUT_RD if reset else socket.SHUT_RDWR)
             conn.close()
+            thread.join(DEADLINE_S)
+            assert not thread.is_alive()
         self._conns.clear()
 
     def end(self, *, reset=False):
