--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -19,6 +19,7 @@
 from azurewood.daemons import ports
 from azurewood.daemons import topics
 from azurewood.http import multiplex
+from azurewood.incarnations import limits
 from azurewood.jobs import catalog
 from azurewood.jobs import registry
 from azurewood.journal import appender
@@ -29,7 +30,6 @@
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
 from azurewood.scheduling import reducer
-from azurewood.scheduling import runs
 
 PRODUCER: typing.Final = "leader"
 RETRY_S: typing.Final = 0.1
@@ -272,7 +272,7 @@
             stored=self._progress_values,
             leases_expire_at=max(
                 self._context.election.earlier_renewals_end()
-                + runs.MAX_LEASE_S,
+                + limits.MAX_LEASE_S,
                 now + HOST_REPORT_WAIT_S,
             ),
             order_pause_s=self._context.order_pause_s + margin_s,
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -260,7 +260,7 @@
             return False
         self._check_hosts_at = math.inf
         asked = [host for host in self.state.hosts.values() if host.present]
-        return 2 * sum(host.synced for host in asked) < len(asked)
+        return 2 * sum(host.incarnation.synced for host in asked) < len(asked)
 
     def largest_capacity(self) -> model.Resources:
         """Return the largest machine's capacity, which beats publish."""
--- /dev/null
+++ b/azurewood/incarnations/late_starts.py
@@ -0,0 +1,135 @@
+"""Starts of a host that got no answer and may be carried out later."""
+
+from collections import abc
+import math
+
+from azurewood.incarnations import limits
+from azurewood.jobs import model
+
+RunKey = tuple[model.TaskId, int]
+"""A run among those of a host: its task and number."""
+
+
+class LateStart:
+    """A start without an answer, which may take effect until a deadline.
+
+    ``host`` is the id of the host that it was sent to. ``incarnation_ms``
+    and ``fence`` are those that it was sent with last.
+    """
+
+    __slots__ = ("fence", "host", "incarnation_ms", "possible_until")
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        incarnation_ms: int,
+        fence: int,
+        possible_until: float,
+    ) -> None:
+        self.host = host
+        self.incarnation_ms = incarnation_ms
+        self.fence = fence
+        self.possible_until = possible_until
+
+    def renew(self, later: "LateStart") -> None:
+        """Take over the state of a later start of the same run."""
+        self.incarnation_ms = later.incarnation_ms
+        self.fence = later.fence
+        self.possible_until = later.possible_until
+
+    def bar(self) -> None:
+        """Record that the start can no longer take effect."""
+        self.possible_until = -math.inf
+
+
+class LateStarts(dict[RunKey, LateStart]):
+    """The late starts that were sent to one host, by run.
+
+    It is a dictionary as the leader looks at those of all hosts all the time.
+    """
+
+    __slots__ = ()
+
+    def of_task(self, id: model.TaskId) -> abc.Iterator[LateStart]:
+        """Yield the starts of a task's runs."""
+        for (task, _), late in self.items():
+            if task == id:
+                yield late
+
+    def add(self, key: RunKey, late: LateStart) -> LateStart:
+        """Add a start and return it, or the one known of its run, renewed.
+
+        Others refer to the one that is known.
+        """
+        known = self.setdefault(key, late)
+        if known is not late:
+            known.renew(late)
+        return known
+
+    def bar(self, key: RunKey) -> bool:
+        """Record that a start is impossible; return whether it was known."""
+        late = self.pop(key, None)
+        if late is not None:
+            late.bar()
+        return late is not None
+
+    def bar_all(self, *, possible_until: float = math.inf) -> bool:
+        """Record that no start is possible; return whether any was.
+
+        Starts that are possible after ``possible_until`` are left.
+        """
+        keys = [
+            key
+            for key, late in self.items()
+            if late.possible_until <= possible_until
+        ]
+        for key in keys:
+            self.bar(key)
+        return bool(keys)
+
+    def forget_impossible(self, *, listed_at: float, now: float) -> bool:
+        """Forget the starts whose runs can no longer exist unseen.
+
+        A run of a late start is on the host's first list after it, or ends
+        with its lease. Return whether the last one has been forgotten.
+        """
+        known = bool(self)
+        over = now > self.leases_expire_at
+        for key, late in list(self.items()):
+            if over or listed_at > late.possible_until:
+                del self[key]
+        return known and not self
+
+    def is_barred(
+        self, key: RunKey, *, incarnation_ms: int, fence: int
+    ) -> bool:
+        """Return whether a run that a host doesn't list can't begin late.
+
+        The list is of the incarnation ``incarnation_ms``, which refuses the
+        start if the list was requested with a higher fence.
+        """
+        late = self.get(key)
+        if late is None or late.incarnation_ms == incarnation_ms:
+            return True
+        return late.fence < fence
+
+    @property
+    def leases_expire_at(self) -> float:
+        """When all leases have expired that these starts may obtain."""
+        latest = max(
+            (late.possible_until for late in self.values()),
+            default=-math.inf,
+        )
+        return latest + limits.MAX_LEASE_S
+
+    def run_expires_at(self, key: RunKey, leases_expire_at: float) -> float:
+        """Return when all leases under which a run may exist have expired.
+
+        ``leases_expire_at`` is for the leases that the host is known to have.
+        A run of a late start may be in an incarnation that no call has
+        reached, where each further late start extends the lease of all runs.
+        """
+        if key not in self:
+            return leases_expire_at
+        return max(leases_expire_at, self.leases_expire_at)
--- a/azurewood/log/event_metrics.py
+++ b/azurewood/log/event_metrics.py
@@ -34,6 +34,7 @@
     "refusal",
     "how",
     "reason",
+    "why",
 )
 """Fields that give an event's outcome; the first one present is used."""
 JOB_ENDED: typing.Final = "job.ended"
--- a/azurewood/policy/host_health.py
+++ b/azurewood/policy/host_health.py
@@ -23,11 +23,11 @@
     """Record how a run ended and suspend its host if it fails too much."""
     match row.how:
         case messages.End.DONE:
-            host.failed_tasks = set()
+            host.incarnation.failed_tasks = set()
         case messages.End.FAILED:
-            host.failed_tasks.add(row.task)
+            host.incarnation.failed_tasks.add(row.task)
             if (
-                len({task.job for task in host.failed_tasks})
+                len({task.job for task in host.incarnation.failed_tasks})
                 >= MIN_FAILING_JOBS
             ):
                 host.suspended_until = now + SUSPENSION_S
@@ -39,10 +39,10 @@
     """Return whether new tasks may be placed on a host."""
     return (
         host.present
-        and host.synced
+        and host.incarnation.synced
         and host.unresponsive_since is None
         and not host.leaving
-        and not host.unknown_runs
+        and not host.incarnation.unknown_runs
         and now >= host.suspended_until
         and host.entry is not None
         and host.entry.state is messages.HostState.READY
--- a/azurewood/scheduling/advice.py
+++ b/azurewood/scheduling/advice.py
@@ -37,7 +37,7 @@
         for id, found in job.advice.get(key[1:], {}).items()
         if found.ticket
         and id in state.hosts
-        and found.is_known(state.hosts[id].incarnation_ms, now)
+        and found.is_known(state.hosts[id].incarnation.began_ms, now)
     }
 
 
@@ -61,7 +61,7 @@
     advised = job.advice.get(key[1:], {})
     for host in hosts:
         found = advised.get(host.id)
-        if found is None or not found.is_known(host.incarnation_ms, now):
+        if found is None or not found.is_known(host.incarnation.began_ms, now):
             yield host
 
 
@@ -70,7 +70,7 @@
 ) -> str:
     """Return the latest ticket of a host for a step, empty without any."""
     found = job.advice.get(key[1:], {}).get(host.id)
-    if found is None or found.incarnation_ms != host.incarnation_ms:
+    if found is None or found.incarnation_ms != host.incarnation.began_ms:
         return ""
     return found.ticket
 
@@ -126,7 +126,7 @@
 ) -> advice_queue.Incarnations:
     """Return the hosts with the most free processor time."""
     hosts = sorted(hosts, key=lambda host: -host.free.cpu)
-    return {host.id: host.incarnation_ms for host in hosts[:limit]}
+    return {host.id: host.incarnation.began_ms for host in hosts[:limit]}
 
 
 def send_calls(state: model.State, now: float) -> None:
--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -32,10 +32,12 @@
 
     It has to be called while the runs of that incarnation are still held.
     """
-    if host.crashed_incarnation_ms != host.incarnation_ms:
-        host.crashed_incarnation_ms = host.incarnation_ms
+    if host.crashed_incarnation_ms != host.incarnation.began_ms:
+        host.crashed_incarnation_ms = host.incarnation.began_ms
         runs = list(host.runs.values())
-        _suspect_runs(state, host, runs, host.incarnation_ms, reason, now)
+        _suspect_runs(
+            state, host, runs, host.incarnation.began_ms, reason, now
+        )
 
 
 def record_earlier(
@@ -54,7 +56,7 @@
         for run in host.runs.values()
         if run.inherited
         and run.key not in listed
-        and run.incarnation_ms not in (0, host.incarnation_ms)
+        and run.incarnation_ms not in (0, host.incarnation.began_ms)
     ]
     if runs:
         before = max(run.incarnation_ms for run in runs)
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -8,6 +8,8 @@
 
 import typing
 
+from azurewood.incarnations import incarnation as incarnations
+from azurewood.incarnations import limits
 from azurewood.jobs import model
 from azurewood.policy import throttling
 from azurewood.scheduling import crashes
@@ -40,8 +42,8 @@
         # The host has restarted since it wrote this entry.
         return
     if not entry.incarnation_ms:
-        entry = _with_incarnation(entry, host.incarnation_ms)
-    if known is not None and entry.incarnation_ms != host.incarnation_ms:
+        entry = _with_incarnation(entry, host.incarnation.began_ms)
+    if known is not None and entry.incarnation_ms != host.incarnation.began_ms:
         _begin_incarnation(state, host, entry.incarnation_ms, "entry", now)
     if known is None or known.state is not entry.state:
         state.log_event(
@@ -72,7 +74,7 @@
         used=_amounts(host.used),
         runs=len(host.runs),
         over=host.over_capacity,
-        incarnation=host.incarnation_ms,
+        incarnation=host.incarnation.began_ms,
     )
 
 
@@ -122,24 +124,17 @@
         "host.restarted",
         host=host.id,
         incarnation=incarnation_ms,
-        before=host.incarnation_ms,
+        before=host.incarnation.began_ms,
         source=source,
         runs=len(host.runs),
     )
     crashes.record(state, host, "it has restarted", now)
-    host.past_incarnations.add(host.incarnation_ms)
+    host.past_incarnations.add(host.incarnation.began_ms)
     host.past_incarnations.discard(incarnation_ms)
+    host.incarnation = incarnations.Incarnation(began_ms=incarnation_ms)
     host.renewals += 1
     host.renewing = False
     host.renew_at = now
-    host.synced = False
-    host.clock_ms = None
-    host.last_end = 0
-    host.acknowledged = 0
-    host.withheld_ends = {}
-    host.counted_ends = 0
-    host.unknown_runs = 0
-    host.failed_tasks = set()
     host.fence_due = True
     host.leaving = state.has_open_order(host.id)
 
@@ -147,8 +142,10 @@
 def send_due_calls(state: scheduling.State, now: float) -> None:
     """Send the lease renewals, starts and stops that are due."""
     for host in list(state.hosts.values()):
-        if host.late_starts:
-            latestarts.forget_impossible(state, host, now)
+        if host.late_starts and host.late_starts.forget_impossible(
+            listed_at=host.listed_at, now=now
+        ):
+            state.dirty_late_starts.add(host.id)
         if host.entry is None:
             _expire_leases(state, host, now)
             continue
@@ -171,19 +168,18 @@
 ) -> None:
     if not host.present and not host.runs and now > host.leases_expire_at:
         return
-    clock = host.clock(now)
-    responsive = host.synced and host.unresponsive_since is None
+    clock = host.incarnation.clock(now)
+    responsive = host.is_responsive
     connected = responsive and host.connected_by is not None
-    acknowledged = host.acknowledged
-    if host.withheld_ends:
-        acknowledged = latestarts.acknowledgeable(host, now)
+    ends = host.incarnation.ends
+    acknowledged = ends.acknowledgeable(now) if ends.withheld else ends.stored
     lease = None
     if responsive and clock is not None:
         # An unresponsive host gets no new lease: its tasks may start on
         # another host only after its last lease has expired.
-        lease = clock + runs.LEASE_MS
+        lease = clock + limits.LEASE_MS
         host.leases_expire_at = max(
-            host.leases_expire_at, now + runs.MAX_LEASE_S
+            host.leases_expire_at, now + limits.MAX_LEASE_S
         )
     host.renewing = True
     host.renewals += 1
@@ -215,7 +211,10 @@
     if host.runs:
         crashes.record_if_gone(state, host, now)
     for run in list(host.runs.values()):
-        if now > latestarts.expires_at(host, run):
+        expires_at = host.late_starts.run_expires_at(
+            run.key, host.leases_expire_at
+        )
+        if now > expires_at:
             tasks.mark_run_gone(
                 state, host, run, "all leases of the host lapsed", now
             )
@@ -247,7 +246,7 @@
             "host.silent",
             host=host.id,
             reason=event.reason.value,
-            incarnation=host.incarnation_ms,
+            incarnation=host.incarnation.began_ms,
         )
     host.renew_at = now + (
         RENEWAL_RETRY_S if host.present else REMOVED_HOST_RETRY_S
@@ -262,7 +261,7 @@
     if host is None or host.entry is None or event.number != host.renewals:
         return
     host.renewing = False
-    if event.incarnation_ms not in (0, host.incarnation_ms):
+    if event.incarnation_ms not in (0, host.incarnation.began_ms):
         _begin_incarnation(state, host, event.incarnation_ms, "list", now)
         host.describe(_with_incarnation(host.entry, event.incarnation_ms))
     if host.unresponsive_since is not None:
@@ -270,20 +269,19 @@
             "host.heard",
             host=host.id,
             runs=len(host.runs),
-            incarnation=host.incarnation_ms,
+            incarnation=host.incarnation.began_ms,
         )
     unresponsive.on_answer(state, host, now)
-    runs.set_clock(host, event.clock_ms, now)
+    host.incarnation.set_clock(event.clock_ms, now)
     host.listed_at = event.sent_at
     host.connected_by = event.connected_by
     ends = listings.handle_ends(state, host, event, now)
     running = {(row.task, row.run): row for row in event.running}
     listings.handle_running(state, host, event, running, ends, now)
-    host.synced = True
+    host.incarnation.synced = True
     _set_speeds(state, host, now)
-    host.renew_at = now + (
-        WITHHELD_PAUSE_S if host.withheld_ends else RENEWAL_PAUSE_S
-    )
+    withheld = host.incarnation.ends.withheld
+    host.renew_at = now + (WITHHELD_PAUSE_S if withheld else RENEWAL_PAUSE_S)
     if host.fence_due:
         latestarts.raise_fence(state, host)
         if not host.fence_due:
--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -2,8 +2,8 @@
 
 from collections import abc
 import enum
-import math
 
+from azurewood.incarnations import late_starts
 from azurewood.jobs import model
 
 
@@ -15,39 +15,6 @@
     DONE = 2
 
 
-class LateStart:
-    """A start without an answer, which may take effect until a deadline.
-
-    ``host`` is the id of the host that it was sent to. ``incarnation_ms``
-    and ``fence`` are those that it was sent with last.
-    """
-
-    __slots__ = ("fence", "host", "incarnation_ms", "possible_until")
-
-    def __init__(
-        self,
-        *,
-        host: str,
-        incarnation_ms: int,
-        fence: int,
-        possible_until: float,
-    ) -> None:
-        self.host = host
-        self.incarnation_ms = incarnation_ms
-        self.fence = fence
-        self.possible_until = possible_until
-
-    def renew(self, later: "LateStart") -> None:
-        """Take over the state of a later start of the same run."""
-        self.incarnation_ms = later.incarnation_ms
-        self.fence = later.fence
-        self.possible_until = later.possible_until
-
-    def bar(self) -> None:
-        """Record that the start can no longer take effect."""
-        self.possible_until = -math.inf
-
-
 class HostAdvice:
     """What the advice service said of a host for a step.
 
@@ -113,7 +80,7 @@
         self.host = ""
         self.host_incarnation_ms = 0
         self.saved = ""
-        self.late_start: LateStart | None = None
+        self.late_start: late_starts.LateStart | None = None
         self.avoid: set[str] = set()
         self.waits_until = 0.0
 
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -29,12 +29,13 @@
     Return the keys of all runs whose ends are listed.
     """
     keys = set()
-    known = host.last_end
+    listed = host.incarnation.ends
+    known = listed.last
     for row in event.ended:
         keys.add((row.task, row.run))
-        if row.number <= host.last_end:
+        if row.number <= listed.last:
             continue
-        host.last_end = row.number
+        listed.last = row.number
         run = host.runs.get((row.task, row.run))
         if host.late_starts and run is not None:
             latestarts.on_listed(state, host, run)
@@ -46,15 +47,15 @@
         else:
             host_health.record_run_end(host, row, now)
             tasks.handle_end(state, host, run, row, now)
-    state.withheld_share.listed += host.last_end - known
-    if host.withheld_ends:
+    state.withheld_share.listed += listed.last - known
+    if listed.withheld:
         latestarts.limit_withheld_ends(state, host, event, now)
-    if host.last_end > host.acknowledged:
+    if listed.last > listed.stored:
         state.emit_after_save(
             _EndsStored(
                 host=host,
-                incarnation_ms=host.incarnation_ms,
-                number=host.last_end,
+                incarnation_ms=host.incarnation.began_ms,
+                number=listed.last,
             )
         )
         host.renewing = True
@@ -71,7 +72,7 @@
         task=str(tuple(row.task[1:])),
         run=row.run,
         host=host.id,
-        incarnation=host.incarnation_ms,
+        incarnation=host.incarnation.began_ms,
         how=row.how.value,
     )
 
@@ -108,11 +109,12 @@
 def _acknowledge(stored: _EndsStored, now: float) -> None:
     """Let the next renewal acknowledge ends of the host's incarnation."""
     host = stored.host
-    if stored.incarnation_ms != host.incarnation_ms:
+    if stored.incarnation_ms != host.incarnation.began_ms:
         return
-    host.acknowledged = min(stored.number, host.last_end)
+    listed = host.incarnation.ends
+    listed.stored = min(stored.number, listed.last)
     host.renewing = False
-    if not host.withheld_ends:
+    if not listed.withheld:
         host.renew_at = now
 
 
@@ -128,7 +130,7 @@
 
     ``running`` has the listed rows by key, ``ends`` the keys of listed ends.
     """
-    if not host.synced:
+    if not host.incarnation.synced:
         crashes.record_earlier(state, host, running.keys() | ends, now)
     for run in list(host.runs.values()):
         row = running.get(run.key)
@@ -148,7 +150,7 @@
                 state, host, run, "not on the host's list", now
             )
     unknown = [row for row in event.running if _key(row) not in host.runs]
-    host.unknown_runs = len(unknown)
+    host.incarnation.unknown_runs = len(unknown)
     for row in unknown:
         if row.task.job not in state.unreadable_jobs:
             _stop_unknown_run(state, host, row)
@@ -185,7 +187,11 @@
             return False
     if any(row.task == run.task for row in event.running):
         return False
-    return latestarts.is_barred(host, run)
+    return host.late_starts.is_barred(
+        run.key,
+        incarnation_ms=host.incarnation.began_ms,
+        fence=host.renewal_fence,
+    )
 
 
 def _stop_unknown_run(
@@ -200,7 +206,7 @@
         task=str(tuple(row.task[1:])),
         run=row.run,
         host=host.id,
-        incarnation=host.incarnation_ms,
+        incarnation=host.incarnation.began_ms,
         percent=row.percent,
     )
     state.emit(
@@ -208,7 +214,7 @@
             host=host.id,
             address=host.entry.address,
             fence=host.fence,
-            incarnation_ms=host.incarnation_ms,
+            incarnation_ms=host.incarnation.began_ms,
             task=row.task,
             run=row.run,
         )
--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -8,15 +8,15 @@
 import math
 import typing
 
+from azurewood.incarnations import limits
 from azurewood.jobs import model as jobs
 from azurewood.policy import machine_maintenance as policy
-from azurewood.scheduling import crashes
+from azurewood.scheduling import host_ends
 from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
 from azurewood.scheduling import progress
-from azurewood.scheduling import runs
 from azurewood.scheduling import tasks
 
 LIST_INTERVAL_S: typing.Final = 0.4
@@ -117,17 +117,14 @@
         silent = host.entry is None or host.unresponsive_since is not None
         absent = silent or not host.present
         if absent and _has_left(state, host, entry):
-            state.bar_late_starts(host, at + runs.MAX_START_DELAY_S)
+            state.bar_late_starts(host, at + limits.MAX_START_DELAY_S)
         if entry is None or not silent:
             continue
         if entry.host and entry.host != host_id:
-            crashes.record(state, host, "its machine has another host", now)
-            _mark_runs_gone(state, host_id, now, placed_before=at)
+            proof = host_ends.Replaced(placed_before=at)
+            host_ends.end(state, host, proof, now)
         elif entry.state is messages.MachineState.DOWN:
-            crashes.record(state, host, "its machine is down", now)
-            _mark_runs_gone(
-                state, host_id, now, placed_before=at, may_restart=True
-            )
+            host_ends.end(state, host, host_ends.Down(placed_before=at), now)
 
 
 def _has_left(
@@ -162,47 +159,18 @@
     An order may be answered as done that was done long before, and a host
     may be back under its id.
     """
+    host = state.hosts.get(wave.ordered[machine])
+    if host is None:
+        return
     last_ms = wave.incarnations.get(machine, math.inf)
-    _mark_runs_gone(
-        state,
-        wave.ordered[machine],
-        now,
-        placed_before=placed_before,
-        until_incarnation_ms=last_ms,
+    proof = host_ends.Maintained(
+        placed_before=placed_before, last_incarnation_ms=last_ms
     )
-    host = state.hosts.get(wave.ordered[machine])
-    if host is not None and host.incarnation_ms > last_ms:
+    host_ends.end(state, host, proof, now)
+    if host.incarnation.began_ms > last_ms:
         host.leaving = False
 
 
-def _mark_runs_gone(
-    state: model.State,
-    host_id: str,
-    now: float,
-    *,
-    placed_before: float,
-    may_restart: bool = False,
-    until_incarnation_ms: float = math.inf,
-) -> None:
-    """Mark the runs as gone that were on a host when it ended.
-
-    If the host ``may_restart`` under its id, a start that wasn't confirmed
-    by then may still reach its next incarnation. Runs of incarnations after
-    ``until_incarnation_ms`` go on.
-    """
-    host = state.hosts.get(host_id)
-    for run in list(host.runs.values()) if host else ():
-        if run.incarnation_ms > until_incarnation_ms:
-            continue
-        at = run.began_at
-        if may_restart and not run.inherited:
-            at = run.confirmed_at
-        if at is not None and at <= placed_before:
-            tasks.mark_run_gone(
-                state, host, run, "its machine has another host", now
-            )
-
-
 def drive_waves(state: model.State, now: float, *, may_order: bool) -> None:
     """Advance all waves and request the machine list when it is due."""
     if now >= state.machines_due:
@@ -295,8 +263,8 @@
     """Record the maintenance of a machine and order it after that."""
     wave.ordered[machine.name] = machine.host
     host = state.hosts.get(machine.host)
-    if host is not None and host.incarnation_ms:
-        wave.incarnations[machine.name] = host.incarnation_ms
+    if host is not None and host.incarnation.began_ms:
+        wave.incarnations[machine.name] = host.incarnation.began_ms
     key = f"{progress.WAVE_PREFIX}{wave.number}"
     state.values[key] = progress.encode_wave(wave)
     state.orders[machine.name] = float("inf")
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -4,6 +4,8 @@
 import math
 import typing
 
+from azurewood.incarnations import incarnation as incarnations
+from azurewood.incarnations import late_starts
 from azurewood.jobs import catalog
 from azurewood.jobs import model
 from azurewood.policy import arrivals
@@ -86,23 +88,16 @@
 class Host:
     """A host: its store entry, its leases and its runs.
 
-    ``incarnation_ms`` is the incarnation that the host is believed to be in.
+    ``incarnation`` is the one that the host is believed to be in, and
+    ``past_incarnations`` has those that have ended.
     ``free`` is what further runs can use and ``used`` what present runs
-    use. ``step_runs`` counts the runs of each step, ``long_lived`` the
-    long-lived runs and ``unknown_runs`` the listed runs that the leader
-    doesn't want. ``synced`` is whether the host has answered this leader
-    and so no longer accepts calls of an earlier one. ``leases_expire_at``
-    is the latest time at which all leases of the host have expired.
+    use. ``step_runs`` counts the runs of each step and ``long_lived`` the
+    long-lived runs. ``leases_expire_at`` is the latest time at which all
+    leases of the host have expired.
     ``renewing`` is true while a lease renewal is under way or has to wait
     for a record to be stored. ``answered`` is whether the host answered
-    the latest renewal, and ``renewals`` counts them. ``last_end`` is the
-    number of the last run end that the host listed, and ``acknowledged``
-    that of the last one stored. ``late_starts`` has the starts without an
-    answer and ``past_incarnations`` the incarnations that have ended.
-    ``withheld_ends`` maps the numbers of the ends that are not acknowledged
-    yet to the starts of their tasks that may still take effect, and
-    ``counted_ends`` is up to which number they count as withheld.
-    ``full_capacity`` is the largest capacity that the incarnation has had.
+    the latest renewal, and ``renewals`` counts them. ``late_starts`` has
+    the starts without an answer.
     ``fence`` is the fencing token of calls to the host. It is raised for
     each incarnation; ``fence_due`` is true until that is done.
     Connections made by ``connected_by`` lead to the incarnation that sent
@@ -113,23 +108,16 @@
     """
 
     __slots__ = (
-        "acknowledged",
         "answered",
-        "clock_at",
-        "clock_ms",
         "connected_by",
-        "counted_ends",
         "crashed_incarnation_ms",
         "disconnected_at",
         "entry",
-        "failed_tasks",
         "fence",
         "fence_due",
         "free",
-        "full_capacity",
         "id",
-        "incarnation_ms",
-        "last_end",
+        "incarnation",
         "late_starts",
         "long_lived",
         "leases_expire_at",
@@ -144,11 +132,8 @@
         "runs",
         "step_runs",
         "suspended_until",
-        "synced",
-        "unknown_runs",
         "unresponsive_since",
         "used",
-        "withheld_ends",
     )
 
     def __init__(
@@ -158,50 +143,39 @@
         self.fence = fence
         self.fence_due = False
         self.entry: messages.HostEntry | None = None
-        self.incarnation_ms = 0
+        self.incarnation = incarnations.Incarnation(began_ms=0)
         self.crashed_incarnation_ms: int | None = None
         self.present = False
-        self.synced = False
         self.leases_expire_at = leases_expire_at
-        self.clock_ms: int | None = None
-        self.clock_at = 0.0
         self.renewing = False
         self.renewals = 0
         self.renewal_fence = 0
         self.renew_at = 0.0
-        self.last_end = 0
-        self.acknowledged = 0
         self.listed_at = 0.0
         self.connected_by: float | None = None
         self.disconnected_at = -math.inf
         self.unresponsive_since: float | None = None
         self.answered = False
         self.suspended_until = 0.0
-        self.failed_tasks: set[model.TaskId] = set()
         self.runs: dict[tuple[model.TaskId, int], Run] = {}
         self.used = model.Resources()
         self.free = model.Resources()
-        self.full_capacity = model.Resources()
         self.step_runs: dict[tuple[str, int, int], int] = {}
         self.long_lived = 0
-        self.unknown_runs = 0
         self.leaving = False
-        self.late_starts: dict[
-            tuple[model.TaskId, int], jobstates.LateStart
-        ] = {}
+        self.late_starts = late_starts.LateStarts()
         self.past_incarnations: set[int] = set()
-        self.counted_ends = 0
-        self.withheld_ends: dict[int, tuple[jobstates.LateStart, ...]] = {}
+
+    @property
+    def is_responsive(self) -> bool:
+        """Whether the host is known to go on in its incarnation."""
+        return self.incarnation.synced and self.unresponsive_since is None
 
     def describe(self, entry: messages.HostEntry) -> None:
-        """Store the host's entry and update the free resources."""
-        if entry.incarnation_ms != self.incarnation_ms:
-            self.full_capacity = entry.capacity
-        elif entry.capacity != self.full_capacity:
-            known = (self.full_capacity, entry.capacity)
-            self.full_capacity = model.largest_of_each(known)
+        """Store the incarnation's entry and update the free resources."""
         self.entry = entry
-        self.incarnation_ms = entry.incarnation_ms
+        self.incarnation.began_ms = entry.incarnation_ms
+        self.incarnation.observe_capacity(entry.capacity)
         self.free = entry.capacity.minus(self.used)
 
     def add(self, run: Run) -> None:
@@ -247,12 +221,6 @@
         free = self.free
         return free.cpu < 0 or free.memory_mb < 0 or free.gpu < 0
 
-    def clock(self, now: float) -> int | None:
-        """Return the estimated time of the host's clock in ms, if known."""
-        if self.clock_ms is None:
-            return None
-        return self.clock_ms + int((now - self.clock_at) * 1000)
-
 
 class State:
     """The state of a leader during its term.
@@ -423,14 +391,11 @@
         self,
         host: Host,
         key: tuple[model.TaskId, int],
-        late: jobstates.LateStart,
+        late: late_starts.LateStart,
     ) -> None:
         """Record a start without an answer, also for a later leader."""
         self.dirty_late_starts.add(host.id)
-        known = host.late_starts.setdefault(key, late)
-        if known is not late:
-            # Withheld ends refer to it.
-            known.renew(late)
+        known = host.late_starts.add(key, late)
         id, _ = key
         task = self.task(id)
         if task is None:
@@ -446,17 +411,14 @@
 
         Starts that may be late after ``possible_until`` are left.
         """
-        for key, late in list(host.late_starts.items()):
-            if late.possible_until <= possible_until:
-                self.bar_late_start(host, key)
+        if host.late_starts.bar_all(possible_until=possible_until):
+            self.dirty_late_starts.add(host.id)
 
     def bar_late_start(
         self, host: Host, key: tuple[model.TaskId, int]
     ) -> None:
         """Record that a start can no longer take effect."""
-        late = host.late_starts.pop(key, None)
-        if late is not None:
-            late.bar()
+        if host.late_starts.bar(key):
             self.dirty_late_starts.add(host.id)
 
     def service_of(self, job: model.Job) -> str:
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -11,6 +11,7 @@
 from azurewood.policy import host_crashes
 from azurewood.policy import host_health
 from azurewood.policy import job_order
+from azurewood.policy import restarts
 from azurewood.scheduling import advice
 from azurewood.scheduling import crashes
 from azurewood.scheduling import jobstates
@@ -184,10 +185,13 @@
     """
     if task.late_start is None:
         return allowed
-    required = latestarts.required_host(state, task, now)
-    if required is None:
-        return allowed
-    return (required,) if allowed is None or required in allowed else ()
+    match latestarts.where_to_start(state, task, now):
+        case restarts.Anywhere():
+            return allowed
+        case restarts.Only(host=host) if allowed is None or host in allowed:
+            return (host,)
+        case _:
+            return ()
 
 
 def _log_placed(
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -11,13 +11,13 @@
 from azurewood.jobs import model as jobs
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import backlog
+from azurewood.scheduling import host_ends
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import machine_orders
 from azurewood.scheduling import maintenance
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
-from azurewood.scheduling import tasks
 from azurewood.scheduling import unseen
 from azurewood.scheduling import waiting
 
@@ -140,10 +140,14 @@
     known = [
         host
         for host in state.hosts.values()
-        if host.entry is not None and host.full_capacity.cpu
+        if host.entry is not None and host.incarnation.full_capacity.cpu
     ]
-    own = [h.full_capacity for h in known if h.entry.service == service]
-    every = own or [host.full_capacity for host in known]
+    own = [
+        h.incarnation.full_capacity
+        for h in known
+        if h.entry.service == service
+    ]
+    every = own or [host.incarnation.full_capacity for host in known]
     return max(
         every, key=lambda capacity: capacity.cpu, default=jobs.Resources()
     )
@@ -191,9 +195,9 @@
     if not serves or host.unresponsive_since is not None:
         return 0.0
     capacity = host.entry.capacity
-    if capacity == host.full_capacity and capacity.cpu:
+    if capacity == host.incarnation.full_capacity and capacity.cpu:
         return 1.0
-    return pool_sizes.capacity_share(capacity, host.full_capacity)
+    return pool_sizes.capacity_share(capacity, host.incarnation.full_capacity)
 
 
 def _is_idle(
@@ -204,12 +208,11 @@
     host = state.hosts.get(machine.host)
     if host is None:
         return not unseen.is_unseen(state, machine)
-    responsive = host.synced and host.unresponsive_since is None
     return (
-        responsive
+        host.is_responsive
         and not host.runs
         and not host.leaving
-        and not host.unknown_runs
+        and not host.incarnation.unknown_runs
     )
 
 
@@ -219,7 +222,7 @@
     incarnation_ms = math.inf
     if host is not None:
         host.leaving = True
-        incarnation_ms = host.incarnation_ms or math.inf
+        incarnation_ms = host.incarnation.began_ms or math.inf
     state.moving[move.machine] = machine_orders.MachineMove(
         pool=move.pool,
         host=machine.host,
@@ -305,13 +308,12 @@
     host = state.hosts.get(move.host)
     if host is None:
         return
-    if host.incarnation_ms <= move.incarnation_ms:
+    if host.incarnation.began_ms <= move.incarnation_ms:
         host.present = False
     else:
         host.leaving = False
-    for run in list(host.runs.values()):
-        if run.incarnation_ms <= move.incarnation_ms:
-            tasks.mark_run_gone(state, host, run, "its machine was moved", now)
+    proof = host_ends.Moved(last_incarnation_ms=move.incarnation_ms)
+    host_ends.end(state, host, proof, now)
 
 
 def _cancel_move(
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from azurewood.conf import decoding
+from azurewood.incarnations import late_starts
 from azurewood.jobs import model
 from azurewood.scheduling import crashes
 from azurewood.scheduling import jobstates
@@ -249,7 +250,7 @@
     )
 
 
-def _left_ms(late: jobstates.LateStart, now: float) -> int:
+def _left_ms(late: late_starts.LateStart, now: float) -> int:
     return max(0, math.ceil((late.possible_until - now) * 1000))
 
 
@@ -269,7 +270,7 @@
         state.host_machines.setdefault(host_id, record.machine)
     for row in record.starts:
         task = model.TaskId(row.job, row.occurrence, row.step, row.index)
-        late = jobstates.LateStart(
+        late = late_starts.LateStart(
             host=host_id,
             incarnation_ms=row.host_born_ms,
             fence=0,
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -139,7 +139,7 @@
         # It has to wait for another run, listed while its record was stored.
         run.call_open = False
         return True
-    shrunk = host.entry.capacity != host.full_capacity
+    shrunk = host.entry.capacity != host.incarnation.full_capacity
     if shrunk and run.tries == 1 and host.over_capacity:
         tasks.mark_run_gone(state, host, run, "its host has shrunk", now)
         return True
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -8,27 +8,20 @@
 
 import typing
 
+from azurewood.incarnations import late_starts
+from azurewood.incarnations import limits
 from azurewood.scheduling import advice
-from azurewood.scheduling import crashes
+from azurewood.scheduling import host_ends
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import tasks
 
-LEASE_MS: typing.Final = 5900
-"""Length of a lease, just under the longest that hosts accept (6 s)."""
-MAX_LEASE_S: typing.Final = 6.4
-"""Longest duration of a lease by the leader's clock.
-
-A host's clock may be 2% slow.
-"""
-MAX_START_DELAY_S: typing.Final = 12.0
-"""Longest time after which a host carries out a start without an answer."""
 CALL_RETRY_S: typing.Final = 0.25
 """Pause before a start or stop with an unknown outcome is sent again."""
 MAX_START_ATTEMPTS: typing.Final = 8
 """Starts sent for a run before the leader stops it instead. Its task then
-waits for ``MAX_START_DELAY_S``, which is longer than most faults."""
+waits for ``limits.MAX_START_DELAY_S``, which is longer than most faults."""
 UNHEALTHY_PAUSE_S: typing.Final = 1.0
 NO_CAPACITY_PAUSE_S: typing.Final = 0.3
 STOP_LIST_TIMEOUT_S: typing.Final = 1.0
@@ -67,7 +60,7 @@
     It may have reached the host's present incarnation. A step that needs
     advice has no ticket yet.
     """
-    if not run.inherited or run.incarnation_ms != host.incarnation_ms:
+    if not run.inherited or run.incarnation_ms != host.incarnation.began_ms:
         return False
     job = state.jobs.get(run.task.job)
     if job is None or host.leaving:
@@ -95,11 +88,11 @@
     run.phase = scheduling.RunPhase.STARTING
     run.began_at = now
     run.tries = 1
-    late = jobstates.LateStart(
+    late = late_starts.LateStart(
         host=host.id,
         incarnation_ms=run.incarnation_ms,
         fence=0,
-        possible_until=now + MAX_START_DELAY_S,
+        possible_until=now + limits.MAX_START_DELAY_S,
     )
     state.add_late_start(host, run.key, late)
     send_start(state, host, run, now)
@@ -118,7 +111,7 @@
     With ``saved_first`` it is sent once the current progress is stored.
     """
     job = state.jobs.get(run.task.job)
-    clock = host.clock(now)
+    clock = host.incarnation.clock(now)
     if job is None or clock is None:
         tasks.stop(run, now)
         return
@@ -126,17 +119,19 @@
         host=host.id,
         address=host.entry.address,
         fence=host.fence,
-        incarnation_ms=host.incarnation_ms,
+        incarnation_ms=host.incarnation.began_ms,
         task=run.task,
         run=run.run,
         payload=job.job.payload,
         saved=run.saved,
-        lease_until_ms=clock + LEASE_MS,
+        lease_until_ms=clock + limits.LEASE_MS,
         ticket=advice.ticket(job, jobstates.step_key(run.task), host),
     )
     run.call_open = True
     run.tries += 1
-    host.leases_expire_at = max(host.leases_expire_at, now + MAX_LEASE_S)
+    host.leases_expire_at = max(
+        host.leases_expire_at, now + limits.MAX_LEASE_S
+    )
     if saved_first:
         state.emit_after_save(effect)
     else:
@@ -157,7 +152,7 @@
             host=host.id,
             address=host.entry.address,
             fence=host.fence,
-            incarnation_ms=host.incarnation_ms,
+            incarnation_ms=host.incarnation.began_ms,
             task=run.task,
             run=run.run,
         )
@@ -177,9 +172,9 @@
     if run is None:
         return
     run.call_open = False
-    current = event.incarnation_ms == host.incarnation_ms
+    current = event.incarnation_ms == host.incarnation.began_ms
     if event.clock_ms and current:
-        set_clock(host, event.clock_ms, now)
+        host.incarnation.set_clock(event.clock_ms, now)
     if run.phase is scheduling.RunPhase.STOPPING:
         run.retry_at = now
         return
@@ -243,11 +238,11 @@
     if run is None and key not in host.late_starts:
         return
     state.withheld_share.unanswered_at = now
-    late = jobstates.LateStart(
+    late = late_starts.LateStart(
         host=host.id,
         incarnation_ms=event.incarnation_ms,
         fence=event.fence,
-        possible_until=now + MAX_START_DELAY_S,
+        possible_until=now + limits.MAX_START_DELAY_S,
     )
     state.add_late_start(host, key, late)
     if run is not None:
@@ -263,7 +258,7 @@
     if host is None or run is None:
         return
     run.call_open = False
-    current = event.incarnation_ms == host.incarnation_ms
+    current = event.incarnation_ms == host.incarnation.began_ms
     match event.refusal:
         case messages.Refusal.FENCE if event.fence >= host.fence:
             state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
@@ -290,17 +285,6 @@
     state: scheduling.State, host: scheduling.Host, now: float
 ) -> None:
     """Mark a host as ended, since another host has its address now."""
-    crashes.record(state, host, "another host has its address", now)
-    state.bar_late_starts(host)
-    for run in list(host.runs.values()):
-        tasks.mark_run_gone(
-            state, host, run, "another host has its address", now
-        )
-    host.synced = False
+    host_ends.end(state, host, host_ends.AddressReused(), now)
+    host.incarnation.synced = False
     host.present = False
-
-
-def set_clock(host: scheduling.Host, clock_ms: int, now: float) -> None:
-    """Record a host's clock, as read at ``now``."""
-    host.clock_ms = clock_ms
-    host.clock_at = now
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -12,6 +12,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_health
+from azurewood.policy import restarts
 from azurewood.scheduling import advice
 from azurewood.scheduling import backlog
 from azurewood.scheduling import jobstates
@@ -161,7 +162,7 @@
     if run is None or run.phase is not model.RunPhase.RUNNING:
         return False
     host = state.hosts[task.host]
-    return host.synced and host.unresponsive_since is None
+    return host.is_responsive
 
 
 def _log_stuck(
@@ -172,6 +173,7 @@
     now: float,
 ) -> None:
     run = _open_run(state, task)
+    why = _why(state, task, pools, now)
     state.log_event(
         "task.stuck",
         job=task.id.job,
@@ -180,11 +182,31 @@
         run=task.run,
         run_phase=run.phase.value if run else "",
         host=task.host,
-        why=_why(state, task, pools, now).value,
+        why=why.value,
         stuck_ms=int((now - found.since) * 1000),
+        **_late_start_fields(state, task, why, now),
     )
 
 
+def _late_start_fields(
+    state: model.State, task: jobstates.Task, why: Why, now: float
+) -> dict[str, object]:
+    """Return the log fields about the late start that a task waits for."""
+    if why is not Why.LATE_START:
+        return {}
+    match latestarts.where_to_start(state, task, now):
+        case (
+            restarts.Only(host=host, until=until)
+            | restarts.Nowhere(host=host, until=until)
+        ):
+            return {
+                "late_host": host,
+                "late_for_ms": int((until - now) * 1000),
+            }
+        case _:
+            return {}
+
+
 def _why(
     state: model.State,
     task: jobstates.Task,
@@ -238,8 +260,8 @@
     if not pool.fits(job.step_of(task.id)):
         return Why.ROOM
     if task.late_start is not None:
-        required = latestarts.required_host(state, task, now)
-        if required is not None:
+        where = latestarts.where_to_start(state, task, now)
+        if not isinstance(where, restarts.Anywhere):
             return Why.LATE_START
     queue = state.catalog.queues.get(job.job.queue)
     if queue is not None and queue.advice is not None:
@@ -259,7 +281,7 @@
     why = None
     if not hosts:
         why = Why.NO_HOST
-    elif not any(host.synced for host in hosts):
+    elif not any(host.incarnation.synced for host in hosts):
         why = Why.UNSYNCED
     elif not usable:
         why = Why.UNUSABLE
--- a/azurewood/scheduling/unresponsive.py
+++ b/azurewood/scheduling/unresponsive.py
@@ -53,7 +53,7 @@
     state.log_event(
         "host.disconnected",
         host=host.id,
-        incarnation=host.incarnation_ms,
+        incarnation=host.incarnation.began_ms,
     )
     host.connected_by = None
     host.renew_at = max(now, host.disconnected_at + DISCONNECTED_PAUSE_S)
--- /dev/null
+++ b/tests/policy/test_restarts.py
@@ -0,0 +1,196 @@
+"""Where tasks start again after starts without an answer, by policy.
+
+Each case draws what becomes of one start and of its host. No network is
+played: the host's state at any time follows from the draw.
+"""
+
+import dataclasses
+import math
+import random
+import statistics
+
+import pytest
+
+from azurewood.incarnations import limits
+from azurewood.policy import restarts
+
+CASES = 4000
+POLL_S = 0.1
+LIMIT_S = 30.0
+"""When a task that has not started again counts as left waiting."""
+STOP_S = 0.3
+"""Time until the leader stops a run that it finds on a host's list."""
+SHARES = (0.0, 0.05, 0.25, 0.5)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Case:
+    """A start sent at 0 s that got no answer.
+
+    It is carried out at ``late_at``. Its host is silent between two times,
+    in which it may restart; a ``leaving`` host takes no tasks.
+    """
+
+    late_at: float
+    silent_from: float = math.inf
+    silent_until: float = math.inf
+    leaving: bool = False
+
+    def sent(self, now):
+        """Return what the leader knows of the start and its host."""
+        silent = self.silent_from <= now < self.silent_until
+        condition = restarts.HostCondition.PRESENT
+        if silent:
+            condition = restarts.HostCondition.SILENT
+        elif self.leaving:
+            condition = restarts.HostCondition.LEAVING
+        return restarts.SentStart(
+            host="h1",
+            condition=condition,
+            possible_until=limits.MAX_START_DELAY_S,
+            expires_at=limits.MAX_START_DELAY_S + limits.MAX_LEASE_S,
+            listed_at=self.silent_from if silent else now,
+        )
+
+    def late_run(self):
+        """Return from when until when a run exists that begins late.
+
+        In touch, the host has been told to bar it, in each incarnation.
+        """
+        if not self.silent_from <= self.late_at < self.silent_until:
+            return None
+        end = self.late_at + limits.MAX_LEASE_S
+        return self.late_at, min(end, self.silent_until + STOP_S)
+
+    def is_listed(self, now):
+        """Return whether the host's list has the late run."""
+        late = self.late_run()
+        silent = self.silent_from <= now < self.silent_until
+        return late is not None and not silent and late[0] <= now < late[1]
+
+    def runs_twice(self, began_at):
+        """Return whether the late run is beside or after the next one."""
+        late = self.late_run()
+        return late is not None and began_at < late[1]
+
+
+def _case(rng):
+    late_at = rng.uniform(0.5, limits.MAX_START_DELAY_S)
+    silent_from = rng.uniform(0.0, 6.0)
+    silent_until = silent_from + rng.uniform(0.3, 8.0)
+    match rng.randrange(4):
+        case 0:
+            return Case(late_at=late_at)
+        case 1:
+            return Case(late_at=late_at, leaving=True)
+        case 2:
+            return Case(
+                late_at=late_at,
+                silent_from=silent_from,
+                silent_until=silent_until,
+            )
+        case _:
+            return Case(late_at=late_at, silent_from=silent_from)
+
+
+def never_wait(sent, now, *, long_lived):
+    """Start anywhere at once."""
+    return restarts.Anywhere()
+
+
+def wait_until_over(sent, now, *, long_lived):
+    """Start once nothing can come late any more."""
+    if now > sent.expires_at:
+        return restarts.Anywhere()
+    return restarts.Nowhere(host=sent.host, until=sent.expires_at)
+
+
+def same_host(sent, now, *, long_lived):
+    """Start on the host of the late start only, however long it is away."""
+    return restarts.Only(host=sent.host, until=math.inf)
+
+
+def _begin(case, policy, *, long_lived):
+    """Return when a task begins again, and whether it runs twice then.
+
+    It waits from 1 s on, by any policy also for a run that is on a list. On
+    the host of the late start it doesn't run twice: that refuses a run older
+    than the one it has, and loses the newer one when it restarts.
+    """
+    now = 1.0
+    while now < LIMIT_S:
+        now += POLL_S
+        if case.is_listed(now):
+            continue
+        sent = case.sent(now)
+        match policy(sent, now, long_lived=long_lived):
+            case restarts.Anywhere():
+                return now, case.runs_twice(now)
+            case restarts.Only():
+                if sent.condition is restarts.HostCondition.PRESENT:
+                    return now, False
+    return LIMIT_S, False
+
+
+def _play(policy, *, long_lived, share=1.0):
+    """Return the number of tasks run twice and all times until the next run.
+
+    ``share`` of the starts got no answer.
+    """
+    rng = random.Random(1)
+    twice = 0
+    waits = []
+    for _ in range(CASES):
+        case = _case(rng)
+        if rng.random() >= share:
+            waits.append(0.0)
+            continue
+        began_at, ran_twice = _begin(case, policy, long_lived=long_lived)
+        twice += ran_twice
+        waits.append(began_at - 1.0 - POLL_S)
+    return twice, sorted(waits)
+
+
+@pytest.mark.parametrize("share", SHARES)
+@pytest.mark.parametrize("long_lived", [False, True])
+def test_no_task_runs_twice_and_none_is_left_waiting(share, long_lived):
+    twice, waits = _play(
+        restarts.where_to_start, long_lived=long_lived, share=share
+    )
+    assert twice == 0
+    assert waits[-1] < limits.MAX_START_DELAY_S + limits.MAX_LEASE_S
+
+
+@pytest.mark.parametrize("share", SHARES[1:])
+@pytest.mark.parametrize("long_lived", [False, True])
+def test_tasks_run_twice_if_none_waits(share, long_lived):
+    twice, _ = _play(never_wait, long_lived=long_lived, share=share)
+    assert twice > 0
+
+
+@pytest.mark.parametrize("long_lived", [False, True])
+def test_all_wait_longer_until_nothing_can_come_late(long_lived):
+    twice, waits = _play(wait_until_over, long_lived=long_lived)
+    _, usual = _play(restarts.where_to_start, long_lived=long_lived)
+    assert twice == 0
+    assert statistics.median(waits) > 1.5 * statistics.median(usual)
+
+
+def test_long_lived_tasks_are_left_waiting_on_the_same_host():
+    _, waits = _play(same_host, long_lived=True)
+    assert waits[-1] == LIMIT_S - 1.0 - POLL_S
+
+
+def test_a_long_lived_task_starts_at_once_if_its_host_goes_on():
+    _, waits = _play(restarts.where_to_start, long_lived=True)
+    assert statistics.median(waits) < POLL_S
+
+
+def test_a_timed_task_waits_for_a_list_of_its_host():
+    """Its end would be acknowledged, and a late start would then count."""
+    found = Case(late_at=5.0)
+    kind = restarts.where_to_start
+    before = kind(found.sent(12.0), 12.0, long_lived=False)
+    assert before == restarts.Nowhere(host="h1", until=18.4)
+    after = kind(found.sent(12.1), 12.1, long_lived=False)
+    assert after == restarts.Anywhere()
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -10,13 +10,13 @@
 from loguru import logger
 import pytest
 
+from azurewood.incarnations import limits
 from azurewood.jobs import model
 from azurewood.journal import pages
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import hosts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
-from azurewood.scheduling import runs
 from azurewood.scheduling import tasks
 from standins.fleet import members
 from tests.scheduling import deployment
@@ -71,7 +71,7 @@
     made.run(0.1)
     assert late
     _resize(made, host, NONE)
-    made.run(runs.MAX_START_DELAY_S + 2.0)
+    made.run(limits.MAX_START_DELAY_S + 2.0)
     deployment.check(made)
     assert not made.rules.starts
     _resize(made, host, FULL)
@@ -107,7 +107,7 @@
     made.submit(made.members[0], job)
     made.run(0.1)
     _resize(made, host, NONE)
-    made.run(runs.MAX_START_DELAY_S + 2.0)
+    made.run(limits.MAX_START_DELAY_S + 2.0)
     deployment.check(made)
     assert not made.rules.starts
     _resize(made, host, FULL)
@@ -212,7 +212,7 @@
 
     def describe(host, entry):
         usual(host, entry)
-        host.full_capacity = entry.capacity
+        host.incarnation.full_capacity = entry.capacity
 
     monkeypatch.setattr(scheduling.Host, "describe", describe)
     assert _wanted_by_hosts_that_have_shrunk() == 9
--- a/tests/scheduling/test_deadlines_over_leaders.py
+++ b/tests/scheduling/test_deadlines_over_leaders.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from azurewood.incarnations import limits
 from azurewood.jobs import model
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import progress
 from azurewood.scheduling import reducer
-from azurewood.scheduling import runs
 from standins.fleet import members
 from tests.scheduling import deployment
 
@@ -53,9 +53,9 @@
     monkeypatch, kills
 ):
     """Guards against LOST: each change of leader began the wait anew."""
-    limit_s = CALL_TIMEOUT_S + runs.MAX_START_DELAY_S + SLACK_S
+    limit_s = CALL_TIMEOUT_S + limits.MAX_START_DELAY_S + SLACK_S
     took_s = _start_after_leaders(monkeypatch, kills)
-    assert runs.MAX_START_DELAY_S < took_s < limit_s + bool(kills) * SLACK_S
+    assert limits.MAX_START_DELAY_S < took_s < limit_s + bool(kills) * SLACK_S
 
 
 def test_begins_anew_if_records_are_not_stamped(monkeypatch):
--- a/tests/scheduling/test_late_starts.py
+++ b/tests/scheduling/test_late_starts.py
@@ -9,9 +9,11 @@
 from loguru import logger
 import pytest
 
+from azurewood.incarnations import late_starts
 from azurewood.jobs import model
 from azurewood.journal import appender
 from azurewood.journal import pages
+from azurewood.policy import restarts as policy
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import tasks
@@ -100,9 +102,13 @@
 
 def test_runs_twice_if_late_starts_do_not_count_for_leases(monkeypatch):
     monkeypatch.setattr(
-        latestarts, "expires_at", lambda host, run: host.leases_expire_at
+        late_starts.LateStarts,
+        "run_expires_at",
+        lambda starts, key, leases_expire_at: leases_expire_at,
+    )
+    monkeypatch.setattr(
+        latestarts, "where_to_start", lambda *args: policy.Anywhere()
     )
-    monkeypatch.setattr(latestarts, "required_host", lambda *args: None)
     with pytest.raises(AssertionError, match="twice"):
         _late_start_behind_a_cut(monkeypatch)
 
@@ -199,7 +205,7 @@
     made.run(1.0)
     known = made.leaders()[0].member.term.state.hosts[host.id]
     assert known.entry.state is messages.HostState.DRAINING
-    assert known.incarnation_ms == host.incarnation_ms
+    assert known.incarnation.began_ms == host.incarnation_ms
 
 
 def test_a_host_can_return_to_an_incarnation_that_was_taken_for_past():
--- a/tests/scheduling/test_operators_reports.py
+++ b/tests/scheduling/test_operators_reports.py
@@ -9,6 +9,7 @@
 import pytest
 
 from azurewood.daemons import topics
+from azurewood.incarnations import limits
 from azurewood.jobs import desk
 from azurewood.jobs import model
 from azurewood.journal import appender
@@ -17,7 +18,6 @@
 from azurewood.policy import host_health
 from azurewood.policy import intake
 from azurewood.scheduling import pools
-from azurewood.scheduling import runs
 from tests.scheduling import deployment
 
 LONG = model.Step(
@@ -65,7 +65,7 @@
 
 
 def test_breaks_if_a_silent_host_is_given_up_before_its_lease(monkeypatch):
-    monkeypatch.setattr(runs, "MAX_LEASE_S", 0.5)
+    monkeypatch.setattr(limits, "MAX_LEASE_S", 0.5)
     monkeypatch.setattr(leadership, "RENEWAL_VALID_S", 0.5)
     made = deployment.world()
     _start_long_job(made)
--- a/tests/scheduling/test_orders_keep_ids.py
+++ b/tests/scheduling/test_orders_keep_ids.py
@@ -1,13 +1,14 @@
 """Machines whose hosts are back under their id after an order."""
 
+import dataclasses
 import math
 
 import pytest
 
 from azurewood.jobs import model
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import host_ends
 from azurewood.scheduling import machine_orders
-from azurewood.scheduling import maintenance
 from azurewood.scheduling import pools
 from standins.fleet import world as worlds
 from tests.scheduling import deployment
@@ -67,12 +68,14 @@
 
 
 def test_runs_twice_if_its_incarnation_is_not_on_record(monkeypatch):
-    usual = maintenance._mark_runs_gone
+    usual = host_ends.end
 
-    def broken(*args, until_incarnation_ms=math.inf, **options):
-        usual(*args, **options)
+    def broken(state, host, proof, now):
+        if isinstance(proof, host_ends.Maintained):
+            proof = dataclasses.replace(proof, last_incarnation_ms=math.inf)
+        usual(state, host, proof, now)
 
-    monkeypatch.setattr(maintenance, "_mark_runs_gone", broken)
+    monkeypatch.setattr(host_ends, "end", broken)
     with pytest.raises(AssertionError, match="twice"):
         _maintain_under_two_leaders(monkeypatch)
 
--- a/tests/scheduling/test_silent_hosts.py
+++ b/tests/scheduling/test_silent_hosts.py
@@ -5,6 +5,7 @@
 from azurewood.jobs import model
 from azurewood.journal import appender
 from azurewood.journal import pages
+from azurewood.policy import restarts
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from standins.fleet import members
@@ -63,14 +64,14 @@
 
 
 def test_runs_twice_if_a_host_without_an_entry_counts_as_left(monkeypatch):
-    usual = latestarts.required_host
+    usual = latestarts.where_to_start
 
-    def required_host(state, task, now):
+    def where_to_start(state, task, now):
         host = state.hosts.get(task.late_start.host)
         if host is None or not host.present:
-            return None
+            return restarts.Anywhere()
         return usual(state, task, now)
 
-    monkeypatch.setattr(latestarts, "required_host", required_host)
+    monkeypatch.setattr(latestarts, "where_to_start", where_to_start)
     with pytest.raises(AssertionError, match="twice"):
         _restart_behind_a_cut(monkeypatch)
--- a/tests/scheduling/test_starts_before_contact.py
+++ b/tests/scheduling/test_starts_before_contact.py
@@ -9,8 +9,11 @@
 import msgspec
 import pytest
 
+from azurewood.incarnations import late_starts
+from azurewood.incarnations import limits
 from azurewood.jobs import model
 from azurewood.journal import pages
+from azurewood.policy import restarts
 from azurewood.policy import withheld_ends
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import progress
@@ -112,7 +115,9 @@
 
 
 def test_runs_twice_if_the_next_run_does_not_wait(monkeypatch):
-    monkeypatch.setattr(latestarts, "required_host", lambda *args: None)
+    monkeypatch.setattr(
+        latestarts, "where_to_start", lambda *args: restarts.Anywhere()
+    )
     with pytest.raises(AssertionError, match="twice"):
         _failed_before_the_restart(monkeypatch)
 
@@ -268,14 +273,16 @@
 
 
 def test_runs_twice_if_only_its_own_late_start_counts(monkeypatch):
-    def broken(host, run):
-        late = host.late_starts.get(run.key)
-        if late is None:
-            return host.leases_expire_at
-        return late.possible_until + runs.MAX_LEASE_S
-
-    monkeypatch.setattr(latestarts, "expires_at", broken)
-    monkeypatch.setattr(latestarts, "required_host", lambda *args: None)
+    def broken(starts, key, leases_expire_at):
+        for known, late in starts.items():
+            if known == key:
+                return late.possible_until + limits.MAX_LEASE_S
+        return leases_expire_at
+
+    monkeypatch.setattr(late_starts.LateStarts, "run_expires_at", broken)
+    monkeypatch.setattr(
+        latestarts, "where_to_start", lambda *args: restarts.Anywhere()
+    )
     with pytest.raises(AssertionError, match="twice"):
         _further_late_start(monkeypatch)
 
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -5,6 +5,8 @@
 import msgspec
 import pytest
 
+from azurewood.incarnations import late_starts
+from azurewood.incarnations import limits
 from azurewood.jobs import catalog
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_choice
@@ -13,7 +15,6 @@
 from azurewood.scheduling import model
 from azurewood.scheduling import placement
 from azurewood.scheduling import progress
-from azurewood.scheduling import runs
 from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
 from tests.scheduling import deployment
@@ -49,9 +50,9 @@
     tasks.restore_job(state, job, NOW)
     host = state.host("h1")
     host.describe(_entry())
-    host.present = host.synced = True
+    host.present = host.incarnation.synced = True
     # A start needs the host's clock.
-    runs.set_clock(host, 1, NOW)
+    host.incarnation.set_clock(1, NOW)
     return state
 
 
@@ -84,7 +85,7 @@
 
 def _unsynced_pool():
     state = _state()
-    _host(state).synced = False
+    _host(state).incarnation.synced = False
     return state
 
 
@@ -116,7 +117,7 @@
 def _late_start():
     state = _state()
     host = _host(state)
-    late = jobstates.LateStart(
+    late = late_starts.LateStart(
         host=host.id, incarnation_ms=0, fence=0, possible_until=NOW + 60.0
     )
     state.add_late_start(host, (_task(state).id, 1), late)
@@ -127,7 +128,9 @@
     state = _advice()
     state.jobs["j"].advice[(0, 0)] = {
         id: jobstates.HostAdvice(
-            ticket="", incarnation_ms=host.incarnation_ms, valid_until=0.0
+            ticket="",
+            incarnation_ms=host.incarnation.began_ms,
+            valid_until=0.0,
         )
         for id, host in state.hosts.items()
     }
@@ -157,7 +160,7 @@
 def _unsynced():
     state = _starting()
     _run(state).phase = model.RunPhase.RUNNING
-    _host(state).synced = False
+    _host(state).incarnation.synced = False
     return state
 
 
@@ -210,6 +213,13 @@
     assert (line["job"], line["task"]) == ("j", "(0, 0, 0)")
 
 
+def test_the_host_that_may_carry_out_an_earlier_start_is_named():
+    (line,) = _log_lines(_late_start())
+    assert line["late_host"] == "h1"
+    lease_ms = limits.MAX_LEASE_S * 1000
+    assert line["late_for_ms"] == int(60_000 + lease_ms) - line["stuck_ms"]
+
+
 def test_every_reason_has_its_case():
     (mark,) = test_the_reason_is_logged.pytestmark
     assert {why for _, why in mark.args[1]} == set(stuck.Why)
@@ -237,7 +247,7 @@
     _host(state).reserve(jobs.TaskId("other", 0, 0, 0), big)
     other = state.host("h2")
     other.describe(_entry())
-    other.present = other.synced = True
+    other.present = other.incarnation.synced = True
     light = msgspec.structs.replace(STEP, needs=jobs.Resources(0, 7800, 0))
     other.reserve(jobs.TaskId("other", 0, 0, 1), light)
     (line,) = _log_lines(state)
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from azurewood.incarnations import limits
 from azurewood.jobs import model
 from azurewood.jobs import records
 from azurewood.journal import appender
@@ -60,7 +61,7 @@
 
 
 def test_breaks_if_unresponsive_hosts_count_as_dead_immediately(monkeypatch):
-    monkeypatch.setattr(runs, "MAX_LEASE_S", 0.5)
+    monkeypatch.setattr(limits, "MAX_LEASE_S", 0.5)
     monkeypatch.setattr(leadership, "RENEWAL_VALID_S", 0.5)
     made = deployment.world()
     _start_then_lose_host_and_leader(made)
--- a/tests/soak/naive.py
+++ b/tests/soak/naive.py
@@ -9,7 +9,7 @@
 import sys
 
 from azurewood.commands import fleet
-from azurewood.scheduling import runs
+from azurewood.incarnations import limits
 
 
 def _exit_on_sigterm():
@@ -29,7 +29,7 @@
 
     The runs may in fact continue on the host.
     """
-    runs.MAX_LEASE_S = 0.0
+    limits.MAX_LEASE_S = 0.0
 
 
 MECHANISMS = {"graceful-stop": _exit_on_sigterm, "leases": _skip_lease_wait}
