Hold no host for a suspect that it can't run beside its own step

What callers would see: a task that was on crashing hosts twice, of a step with a limit of tasks per host, waits beside free hosts.

Cause: hosts are held for tasks that start alone by their capacity, label and fewest unsettled runs. A host with another task of the same spread step was held too, though it can't take the suspect while that task runs.

Change: the spread is asked as well. test_a_host_with_another_task_of_a_spread_step_is_not_held failed before ({'a'} held, {'b'} expected) and passes now.

--- a/azurewood/policy/host_crashes.py
+++ b/azurewood/policy/host_crashes.py
@@ -16,9 +16,11 @@
 task that was beside a deadly one twice may meet a chance crash alone.
 """
 
+import dataclasses
 import typing
 
 from azurewood.jobs import model as jobs
+from azurewood.scheduling import jobstates
 from azurewood.scheduling import model
 
 SETTLED_S: typing.Final = 1.5
@@ -70,6 +72,14 @@
     return crashes >= MIN_CRASHES_ALONE and not step.gang
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class WaitingSuspect:
+    """A task that waits to start alone."""
+
+    task: jobs.TaskId
+    step: jobs.Step
+
+
 class Separation:
     """Which of a pool's hosts are for tasks that start alone.
 
@@ -83,22 +93,22 @@
         self.held: set[str] = set()
         self.quiet: set[str] = set()
 
-    def hold(self, hosts: list[model.Host], waiting: list[jobs.Step]) -> None:
+    def hold(
+        self, hosts: list[model.Host], waiting: list[WaitingSuspect]
+    ) -> None:
         """Choose the hosts for a pool's tasks that wait to start alone.
 
-        ``waiting`` has a step for each of them, ``held`` the hosts on which
-        such tasks have started lately.
+        ``held`` has the hosts on which such tasks have started lately.
         """
         unsettled = {host.id: _unsettled(host) for host in hosts}
         self.quiet = {id for id, count in unsettled.items() if not count}
         most = max(1, int(len(hosts) * MAX_HELD_SHARE))
-        for step in waiting[: max(0, most - len(self.held))]:
+        for suspect in waiting[: max(0, most - len(self.held))]:
+            step = suspect.step
             fitting = (
                 host
                 for host in hosts
-                if host.id not in self.held
-                and step.reserved.fits(host.entry.capacity)
-                and (not step.label or step.label in host.entry.labels)
+                if host.id not in self.held and _may_run(host, suspect)
             )
             best = min(
                 fitting,
@@ -125,6 +135,20 @@
             self.held.add(host.id)
 
 
+def _may_run(host: model.Host, suspect: WaitingSuspect) -> bool:
+    """Return whether a host can run a task once its other runs have ended.
+
+    Those of the task's own step don't end for it.
+    """
+    step = suspect.step
+    if not step.reserved.fits(host.entry.capacity):
+        return False
+    if step.label and step.label not in host.entry.labels:
+        return False
+    beside = host.step_runs.get(jobstates.step_key(suspect.task), 0)
+    return not step.per_host or beside < step.per_host
+
+
 def _unsettled(host: model.Host) -> int:
     runs = host.runs.values()
     return sum(not is_settled(run, host.listed_at) for run in runs)
--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -190,7 +190,9 @@
         if not host_crashes.starts_alone(step, task.crashes):
             continue
         if task.phase is jobstates.TaskPhase.WAITING:
-            waiting.append(step)
+            waiting.append(
+                host_crashes.WaitingSuspect(task=task.id, step=step)
+            )
             continue
         host = state.hosts.get(task.host)
         run = host.runs.get((task.id, task.run)) if host else None
--- a/tests/policy/test_host_crashes.py
+++ b/tests/policy/test_host_crashes.py
@@ -41,6 +41,12 @@
     return host
 
 
+def _suspect(step):
+    return host_crashes.WaitingSuspect(
+        task=jobs.TaskId("job", 0, 0, 0), step=step
+    )
+
+
 def _suspected(host):
     found = host_crashes.suspects(host, list(host.runs.values()))
     return [run.task.index for run in found]
@@ -70,7 +76,7 @@
 def test_a_task_with_two_crashes_starts_alone():
     hosts = [_host("a", 0.1), _host("b", 9.0), _host("c")]
     found = host_crashes.Separation()
-    found.hold(hosts, [STEP])
+    found.hold(hosts, [_suspect(STEP)])
     allowed = [h.id for h in hosts if found.allows(h, STEP, 2)]
     assert allowed == ["b", "c"]
     others = [h.id for h in hosts if found.allows(h, STEP, 0)]
@@ -81,7 +87,7 @@
 def test_no_two_tasks_start_alone_on_one_host():
     host = _host("a")
     found = host_crashes.Separation()
-    found.hold([host], [STEP])
+    found.hold([host], [_suspect(STEP)])
     run = model.Run(
         task=jobs.TaskId("job", 0, 0, 0), run=3, step=STEP, now=0.0
     )
@@ -95,7 +101,7 @@
 def test_only_a_share_of_the_hosts_is_held():
     hosts = [_host(f"h{number}") for number in range(8)]
     found = host_crashes.Separation()
-    found.hold(hosts, [STEP] * 8)
+    found.hold(hosts, [_suspect(STEP)] * 8)
     assert len(found.held) == 2
 
 
@@ -105,7 +111,18 @@
     with_label = hosts[1]
     with_label.describe(dataclasses.replace(with_label.entry, labels=("ssd",)))
     found = host_crashes.Separation()
-    found.hold(hosts, [msgspec.structs.replace(STEP, label="ssd")])
+    step = msgspec.structs.replace(STEP, label="ssd")
+    found.hold(hosts, [_suspect(step)])
+    assert found.held == {"b"}
+
+
+def test_a_host_with_another_task_of_a_spread_step_is_not_held():
+    """Guards against LOST: a suspect whose held host can't run it."""
+    hosts = [_host("a", 9.0), _host("b", 0.1), _host("c", 0.1)]
+    step = msgspec.structs.replace(STEP, per_host=1)
+    hosts[0].reserve(jobs.TaskId("job", 0, 0, 1), step)
+    found = host_crashes.Separation()
+    found.hold(hosts, [_suspect(step)])
     assert found.held == {"b"}
 
 
