Let the runs of an earlier leader settle

What callers would see (LOST): after hosts had crashed and the leader had changed, work waits as long as lasting tasks go on, beside free hosts.

Cause: the time at work of a run counts from when its start was confirmed, and of an inherited run nothing was. So it never settled: a suspect among them held its host for good, and no host with one was quiet for a suspect.

Change: a list of the new leader that has the run confirms it.

tests/scheduling/test_inherited_suspects.py failed before (1 of 3 tasks ran 10 s later, none settled) and passes now.

--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -170,6 +170,9 @@
     if run.phase is scheduling.RunPhase.STARTING:
         run.phase = scheduling.RunPhase.RUNNING
         run.confirmed_at = now
+    elif run.phase is scheduling.RunPhase.RUNNING and run.confirmed_at is None:
+        # An earlier leader started it, and it has been at work since.
+        run.confirmed_at = now
 
 
 def _is_gone(
