Check in memory that work which could run does run

standins/fleet/progress.py looks at every world every 0.25 s: a long-lived task must not be idle for 3 s from 6 s after its last run, while its service has room for it twice over, under half of it is in use and nothing has disturbed the fleet for 4 s; a timed job must not have nothing running that long from 14 s after the last disturbance. The courses of restarted_hosts and the hypothesis machine heal all faults at their end and go on for 18 s. Jobs that need advice and tasks that crash their hosts are left out.

Shown failing: tests/scheduling/test_progress.py with placement off, and with 60 s as the longest delay of a late start.

rules.py: its list of a job's tasks and of missing earlier tasks is used by both checks.

--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -102,6 +102,8 @@
             return
         self.world.clock.after(self.call.timeout_s, self._time_out)
         fault = self.world.fault_of(self.call)
+        if fault:
+            self.world.progress.disturb()
         if fault == "late":
             self.world.clock.after(
                 self.world.random.uniform(*LATE_CALL_DELAY_S),
--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+from collections import abc
 import dataclasses
 
 from azurewood.jobs import model
@@ -161,12 +162,31 @@
     def _check_order(
         self, job: model.Job, task: model.TaskId, place: str
     ) -> None:
+        for earlier in self.missing_before(job, task):
+            self.breach("order", f"{place} before {earlier}")
+            return
+
+    def missing_before(
+        self, job: model.Job, task: model.TaskId
+    ) -> abc.Iterator[model.TaskId]:
+        """Yield the tasks that must be done before a task and aren't."""
         for before in job.steps[task.step].after:
             for index in range(job.steps[before].count):
                 earlier = model.TaskId(job.id, task.occurrence, before, index)
                 if earlier not in self._done:
-                    self.breach("order", f"{place} before {earlier}")
-                    return
+                    yield earlier
+
+    def is_done(self, task: model.TaskId) -> bool:
+        """Return whether a run of a task has ended as done."""
+        return task in self._done
+
+    def is_over(self, job: model.Job) -> bool:
+        """Return whether nothing of a job has to run any more."""
+        return (
+            job.id in self.cancelled_at
+            or self._all_done(job)
+            or self._has_failed(job)
+        )
 
     def _ended(
         self,
@@ -178,10 +198,10 @@
         if (host.id, run.run) in live:
             live.remove((host.id, run.run))
         if how is messages.End.DONE and not run.step.long_lived:
-            self._done.update(_represented(run.task, run.step))
+            self._done.update(represented(run.task, run.step))
             self._record_job_end(run.task.job)
         if how is messages.End.FAILED:
-            for task in _represented(run.task, run.step):
+            for task in represented(run.task, run.step):
                 self._failed[task].add(run.run)
 
     def _record_job_end(self, job_id: str) -> None:
@@ -198,7 +218,7 @@
         step = job.steps[row.task.step]
         if step.long_lived:
             return
-        self._acknowledged.update(_represented(row.task, step))
+        self._acknowledged.update(represented(row.task, step))
         run, place = self._repeated_starts.get(row.task, (0, ""))
         if row.run < run:
             self.breach("noted after another start", place)
@@ -220,19 +240,11 @@
             case model.Phase.FAILED if not self._has_failed(job):
                 self.breach("shown as failed", job_id)
 
-    def _tasks(self, job: model.Job) -> list[model.TaskId]:
-        return [
-            model.TaskId(job.id, occurrence, number, index)
-            for occurrence in range(job.occurrences)
-            for number, step in enumerate(job.steps)
-            for index in range(step.count)
-        ]
-
     def _all_done(self, job: model.Job) -> bool:
-        return all(task in self._done for task in self._tasks(job))
+        return all(task in self._done for task in tasks_of(job))
 
     def _has_failed(self, job: model.Job) -> bool:
-        tasks = self._tasks(job)
+        tasks = tasks_of(job)
         return any(
             len(self._failed[t]) >= job.attempts
             or self._crashes[t] >= MIN_CRASHES_TO_FAIL
@@ -248,7 +260,17 @@
         ]
 
 
-def _represented(task: model.TaskId, step: model.Step) -> list[model.TaskId]:
+def tasks_of(job: model.Job) -> list[model.TaskId]:
+    """Return the tasks of all occurrences of a job."""
+    return [
+        model.TaskId(job.id, occurrence, number, index)
+        for occurrence in range(job.occurrences)
+        for number, step in enumerate(job.steps)
+        for index in range(step.count)
+    ]
+
+
+def represented(task: model.TaskId, step: model.Step) -> list[model.TaskId]:
     """Return the tasks that a task's end covers: all tasks of a gang."""
     if not step.gang:
         return [task]
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -28,6 +28,7 @@
 from standins.fleet import hosts as sim_hosts
 from standins.fleet import members as sim_members
 from standins.fleet import platform
+from standins.fleet import progress
 from standins.fleet import rules as rule_checks
 from standins.fleet import store as stores
 
@@ -83,6 +84,7 @@
         self.cut_zones: set[str] = set()
         self.moves: list[str] = []
         self.keep_ids = False
+        self.catalog: catalog.Catalog | None = None
         self.drops_unsent = True
         self.store_down = False
         self.lost_share = 0.0
@@ -108,6 +110,8 @@
             )
             for number in range(members)
         ]
+        self.progress = progress.Progress(world=self)
+        self.progress.start()
         for member in self.members:
             member.start()
 
@@ -426,6 +430,7 @@
 
     def configure(self, found: catalog.Catalog) -> None:
         """Publish a configuration."""
+        self.catalog = found
         record = appender.Record(key="config", value=found)
         self.store.add(pages.Topic.OPERATORS, (record,))
 
@@ -452,7 +457,10 @@
         def refused() -> None:
             self.rules.refused.add(job.id)
 
-        asked.begin(member, record, self.clock.now, refused=refused)
+        def stored() -> None:
+            self.progress.accept(job)
+
+        asked.begin(member, record, self.clock.now, stored, refused)
         return asked
 
     def cancel(
--- a/tests/scheduling/restarted_hosts.py
+++ b/tests/scheduling/restarted_hosts.py
@@ -11,7 +11,9 @@
 from loguru import logger
 
 from azurewood.jobs import model
+from standins.fleet import disturbances
 from standins.fleet import hosts
+from standins.fleet import progress
 from standins.fleet import rules
 from standins.fleet import world as worlds
 from tests.scheduling import deployment
@@ -25,7 +27,7 @@
 SHORT_DOWN_S = (0.0, 0.05, 0.3)
 LONG_DOWN_S = (1.0, 2.0, 3.0)
 MAX_CUT_S = 6.0
-SETTLE_S = 2.0
+SETTLE_S = progress.FINISH_S + progress.MAX_IDLE_S + 1.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -83,6 +85,7 @@
             self._step()
             if self.made.rules.breaches:
                 return self.made.rules.breaches
+        disturbances.heal(self.made)
         self.made.run(SETTLE_S)
         self.made.check_shown_phases()
         return self.made.rules.breaches
--- a/tests/scheduling/test_machine.py
+++ b/tests/scheduling/test_machine.py
@@ -12,10 +12,13 @@
 from azurewood.journal import pages
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import model as scheduling
+from standins.fleet import disturbances
+from standins.fleet import progress
 from tests.scheduling import deployment
 
 MEMBERS = strategies.integers(0, 2)
 HOSTS = strategies.integers(0, 4)
+SETTLE_S = progress.FINISH_S + progress.MAX_IDLE_S + 1.0
 PAUSES = strategies.sampled_from((0.01, 0.1, 0.5, 1.5))
 SHAPES = strategies.sampled_from(("short", "long", "gang", "lasting"))
 
@@ -156,8 +159,10 @@
         deployment.check(self.made)
 
     def teardown(self):
-        """Run for 2 s more and check the rules."""
+        """Run for 2 s more, then until all work must have gone on."""
         self.made.run(2.0)
+        disturbances.heal(self.made)
+        self.made.run(SETTLE_S)
         deployment.check(self.made)
 
 
