Repeat an inherited start as one that is not confirmed

Read in the diff: since a list confirms an inherited run, repeating its start would have left that in place, so a list without the run would have shown it gone while the repeated start may still be carried out. The host would have to drop a listed run without an end for that; no run showed it.

test_a_repeated_start_of_a_run_that_was_listed_is_not_confirmed fails without the line.

--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -85,6 +85,7 @@
     The host treats both as one, however late the first is carried out.
     """
     run.inherited = False
+    run.confirmed_at = None
     run.phase = scheduling.RunPhase.STARTING
     run.began_at = now
     run.tries = 1
--- a/tests/scheduling/test_inherited_suspects.py
+++ b/tests/scheduling/test_inherited_suspects.py
@@ -2,6 +2,7 @@
 
 from azurewood.jobs import model
 from azurewood.policy import host_crashes
+from azurewood.scheduling import runs
 from tests.scheduling import deployment
 
 FIRST = model.Step(
@@ -48,3 +49,14 @@
             assert run.inherited
             assert run.crashes >= host_crashes.MIN_CRASHES_ALONE
             assert host_crashes.is_settled(run, host.listed_at)
+
+
+def test_a_repeated_start_of_a_run_that_was_listed_is_not_confirmed():
+    """A list without the run would show it gone while it may still begin."""
+    made = _inherited_suspects()
+    state = made.leaders()[0].member.term.state
+    host = next(host for host in state.hosts.values() if host.runs)
+    run = next(iter(host.runs.values()))
+    assert run.confirmed_at is not None
+    runs.repeat_inherited_start(state, host, run, made.clock.now)
+    assert run.confirmed_at is None
