Tell from the lines whether an append may have been carried out

append.failed has the epoch, the sequence number, the calls made with it, the records, whether they may be stored, and how often the failed call was written. append.resolved says at which offset an append that had failed is stored. append.replayed says that an answer counts other records than the call's or begins before the append before it. job.withdrawn names the job and where its writer stood; accepted has the offset or the reason.

No decision changes.

--- a/azurewood/commands/explain.py
+++ b/azurewood/commands/explain.py
@@ -18,6 +18,8 @@
         "store.lost",
         "store.back",
         "append.failed",
+        "append.resolved",
+        "append.replayed",
         "catalog.changed",
         "leader.late",
         "leader.saturated",
--- a/azurewood/daemons/intake.py
+++ b/azurewood/daemons/intake.py
@@ -29,9 +29,7 @@
 """How long the intake counts as in use after the newest slow append: longer
 than the store takes to carry out a late append."""
 
-Append = abc.Callable[
-    [tuple[appender.Record, ...], abc.Callable[[], None]], None
-]
+Append = abc.Callable[[tuple[appender.Record, ...], topics.OnStored], None]
 
 
 class IntakeCopier:
@@ -133,7 +131,7 @@
             event="intake.read", part=part, jobs=len(found), new=len(new)
         ).info("copying accepted jobs from the intake")
         if new:
-            self._append(new, lambda: self._delete(part, keys))
+            self._append(new, lambda offset: self._delete(part, keys))
         else:
             self._delete(part, keys)
 
@@ -145,5 +143,5 @@
     def _delete(self, part: int, keys: tuple[str, ...]) -> None:
         removed = tuple(appender.Record(key=key, value=None) for key in keys)
         self._writers[part].add(
-            removed, lambda: self._uncopied.difference_update(keys)
+            removed, lambda offset: self._uncopied.difference_update(keys)
         )
--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -181,9 +181,11 @@
         verdict = desks.Refused(reason="store out of touch")
         if not self._job_service.complete:
             verdict = desks.OutcomeUnknown(reason="the store is slow")
+        position = writer.position()
         for item in writer.withdraw(
             lambda item: item.token.request.asked_at < asked_before
         ):
+            _log_withdrawn(item, position)
             _complete(item.token.request, verdict)
 
 
@@ -201,9 +203,22 @@
         self.request = request
         self._on_stored = on_stored
 
-    def __call__(self) -> None:
+    def __call__(self, offset: int) -> None:
         self._on_stored()
-        _complete(self.request, desks.Taken())
+        _complete(self.request, desks.Taken(offset=offset))
+
+
+def _log_withdrawn(item: appender.Item, position: appender.Position) -> None:
+    """Log that a record is not stored: it or its batch was turned away."""
+    (record,) = item.records
+    logger.bind(
+        event="job.withdrawn",
+        job=records.job_of(record.key),
+        epoch=position.epoch,
+        sequence=position.sequence,
+        attempts=position.attempts,
+        batch=position.records,
+    ).info("a record that waited for too long is withdrawn")
 
 
 def _is_accepted(item: appender.Item) -> bool:
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -399,7 +399,7 @@
         if event is not None:
             self.handle_event(event)
 
-    def _on_progress_saved(self) -> None:
+    def _on_progress_saved(self, offset: int) -> None:
         self.handle_event(messages.ProgressSaved())
 
     def _append_job_record(self, record: records.Record) -> None:
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -1,6 +1,7 @@
 """Connects followers and appenders of the store's topics to their calls."""
 
 from collections import abc
+import typing
 
 from loguru import logger
 
@@ -10,6 +11,10 @@
 from azurewood.journal import follower
 from azurewood.journal import pages
 
+OnStored = abc.Callable[[int], None]
+"""Receives the offset of the append, ``UNKNOWN_OFFSET`` if it is not known."""
+UNKNOWN_OFFSET: typing.Final = -1
+
 
 def read(
     platform: ports.Platform,
@@ -63,6 +68,7 @@
         "_appender",
         "_calls",
         "_clock",
+        "_end",
         "_part",
         "_platform",
         "_producer",
@@ -82,6 +88,7 @@
         reads_back: bool = False,
     ) -> None:
         self._part = part
+        self._end = 0
         self._platform = platform
         self._calls = calls
         self._clock = clock
@@ -112,12 +119,16 @@
     def add(
         self,
         records: tuple[appender.Record, ...],
-        stored: abc.Callable[[], None] | None,
+        stored: OnStored | None,
     ) -> None:
         """Append records; call ``stored`` once they are stored."""
         self._appender.add(appender.Item(records=records, token=stored))
         self.step(self._clock())
 
+    def position(self) -> appender.Position:
+        """Return where the appender stands, for log lines."""
+        return self._appender.position()
+
     def withdraw(
         self, wanted: abc.Callable[[appender.Item], bool]
     ) -> list[appender.Item]:
@@ -143,19 +154,58 @@
         """Confirm the item of this writer whose record the topic has."""
         item = self._appender.note_read(key, self._clock())
         if item is not None and item.token is not None:
-            item.token()
+            item.token(UNKNOWN_OFFSET)
 
     def _on_reply(
         self, request: appender.Request, reply: multiplex.Reply
     ) -> None:
         result = self._platform.append_result(reply)
         failing = self._appender.failing
+        position = self._appender.position()
         stored = self._appender.handle_result(result, self._clock(), request)
         if self._appender.failing and not failing:
-            logger.bind(
-                event="append.failed", topic=self._topic.value
-            ).warning("append failed; trying again: {}", result)
+            self._log("append.failed", position, writes=reply.writes).warning(
+                "append failed; trying again: {}", result
+            )
+        elif stored:
+            self._log_stored(position, result)
         for item in stored:
             if item.token is not None:
-                item.token()
+                item.token(result.offset)
         self.step(self._clock())
+
+    def _log_stored(
+        self, position: appender.Position, stored: appender.Appended
+    ) -> None:
+        """Log an append that took several calls, or whose answer is odd.
+
+        An answer that counts other records than this call's, or begins before
+        the end of the append before, is that of another call.
+        """
+        fields = {"offset": stored.offset, "end": stored.end}
+        count = stored.end - stored.offset
+        odd = stored.end >= 0 and count != position.records
+        if odd or stored.offset < self._end:
+            self._log(
+                "append.replayed", position, after=self._end, **fields
+            ).error("the store gave the answer of another append")
+        elif position.attempts > 1:
+            self._log("append.resolved", position, **fields).info(
+                "an append that had failed is stored"
+            )
+        self._end = max(self._end, stored.offset + position.records)
+
+    def _log(
+        self, event: str, position: appender.Position, **fields: typing.Any
+    ) -> typing.Any:
+        """Return a logger with the fields of a call."""
+        return logger.bind(
+            event=event,
+            topic=self._topic.value,
+            epoch=position.epoch,
+            sequence=position.sequence,
+            attempts=position.attempts,
+            records=position.records,
+            unresolved=position.unresolved,
+            **fields,
+        )
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -66,6 +66,8 @@
     ``sent_at`` is when the call was submitted and ``at`` when it ended, both
     on the multiplexer's clock. ``written_at`` is just before the request of
     an answered call was last written, when its connection had been made.
+    ``writes`` is how often the request was written: libcurl repeats one whose
+    reused connection is reset.
     ``disconnected`` is whether a call with ``connected_by`` failed for want
     of such a connection, or as it was closed, and not for want of time.
     """
@@ -77,6 +79,7 @@
     sent_at: float
     at: float
     written_at: float = 0.0
+    writes: int = 0
     disconnected: bool = False
 
 
@@ -90,6 +93,7 @@
     buffer: io.BytesIO
     sent_at: float
     written_at: float = 0.0
+    writes: int = 0
     connection: connection_times.Connection = ()
 
 
@@ -181,6 +185,7 @@
         ):
             return pycurl.PREREQFUNC_ABORT
         transfer.written_at = now
+        transfer.writes += 1
         return pycurl.PREREQFUNC_OK
 
     def wake(self) -> None:
@@ -297,6 +302,7 @@
                 sent_at=transfer.sent_at,
                 at=now,
                 written_at=transfer.written_at,
+                writes=transfer.writes,
             )
         self._connections.failed(transfer.connection, is_new=is_new)
         code, text = error
@@ -307,6 +313,7 @@
             reason=text,
             sent_at=transfer.sent_at,
             at=now,
+            writes=transfer.writes,
             disconnected=bound and code != pycurl.E_OPERATION_TIMEDOUT,
         )
 
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -32,7 +32,13 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Taken:
-    """The request is stored."""
+    """The request is stored.
+
+    ``offset`` is that of the append that stored it, -1 if it was known from
+    reading.
+    """
+
+    offset: int = dataclasses.field(default=-1, compare=False)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -205,6 +211,7 @@
             event=type(record).__name__.lower(),
             job=job_id,
             verdict=type(verdict).__name__,
+            **_details(verdict),
             took_ms=int((self._clock() - began_at) * 1000),
         ).info(
             "job record stored"
@@ -214,6 +221,16 @@
         return verdict
 
 
+def _details(verdict: Verdict) -> dict[str, typing.Any]:
+    """Return the fields that a verdict adds to a job's line."""
+    match verdict:
+        case Taken(offset=offset):
+            return {"offset": offset}
+        case Refused(reason=reason) | OutcomeUnknown(reason=reason):
+            return {"reason": reason}
+    return {}
+
+
 def append_item(request: WriteRequest) -> appender.Item:
     """Return the item that the appender stores for a write request."""
     record = appender.Record(
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -60,9 +60,13 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Appended:
-    """The records were stored from ``offset`` on."""
+    """The records were stored from ``offset`` on.
+
+    ``end`` is the offset after them, -1 if the store does not tell it.
+    """
 
     offset: int
+    end: int = -1
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -109,6 +113,21 @@
     number: int = 0
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Position:
+    """Where an appender stands, for its log lines.
+
+    ``attempts`` counts the calls with this sequence number, ``records`` those
+    of the current call. ``unresolved`` is whether they may be stored.
+    """
+
+    epoch: int
+    sequence: int
+    attempts: int
+    records: int
+    unresolved: bool
+
+
 class Appender:
     """The appends of one producer to one topic, without any input/output.
 
@@ -119,6 +138,7 @@
     """
 
     __slots__ = (
+        "_attempts",
         "_batch",
         "_calls",
         "_unresolved",
@@ -148,6 +168,7 @@
         self._unread: dict[str, Item] = {}
         self._read_at: float | None = None
         self._calls = 0
+        self._attempts = 0
         self._pending: collections.deque[Item] = collections.deque()
         self._batch: tuple[Item, ...] = ()
         self._in_flight = False
@@ -173,6 +194,16 @@
         """Whether the latest call failed."""
         return self._failures > 0
 
+    def position(self) -> Position:
+        """Return where the appender stands with its current call."""
+        return Position(
+            epoch=self._epoch,
+            sequence=self._sequence,
+            attempts=self._attempts,
+            records=sum(len(item.records) for item in self._batch),
+            unresolved=self._unresolved,
+        )
+
     def add(self, item: Item) -> None:
         """Queue an item after all earlier ones."""
         self._pending.append(item)
@@ -205,6 +236,7 @@
         self._sent_at = now
         self._read_at = None
         self._calls += 1
+        self._attempts += 1
         return Request(
             number=self._calls,
             records=tuple(r for item in self._batch for r in item.records),
@@ -306,6 +338,7 @@
         self._unread = {}
         self._read_at = None
         self._unresolved = False
+        self._attempts = 0
         self._failures = 0
         self._retry_at = 0.0
         self._sequence += 1
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -153,7 +153,7 @@
         return appender.Unknown(reason=f"store's answer is malformed: {exc}")
     match reply.status:
         case 200:
-            return appender.Appended(offset=answer.offset)
+            return appender.Appended(offset=answer.offset, end=answer.end)
         case 409 if answer.reason == FENCED:
             return appender.Fenced()
         case 409 | 412:
