Give each call one copy, so that its reply is that copy's

Cause: libcurl by itself repeats a request whose reused connection is reset before the answer. The reply described the second copy, what followed was decided for both: a store that had carried out an append, reset it and refused the repetition with 503 or 429 was taken for one that had done nothing. The records were withdrawn and their callers refused, and the next records went out under the same sequence number and got the answer of the first.

Change: the multiplexer aborts a call other than a GET that libcurl is about to write again; its outcome is unknown, and the retries above, which know sequence numbers, run numbers and fencing tokens, go on from there. A refused repetition makes no new connection. As a call on a connection that its other end has closed would now have an unknown outcome, an idle connection is looked at before it is written to; one that has ended is closed and the call goes to another one, as nothing was sent. The client of the project's platform sends changes once, too.

--- a/azurewood/http/connection_times.py
+++ b/azurewood/http/connection_times.py
@@ -5,6 +5,7 @@
 address then, or none.
 """
 
+import select
 import typing
 
 MAX_KNOWN: typing.Final = 2048
@@ -21,21 +22,33 @@
     that is closed stays until a new one has its ports or others displace it.
     """
 
-    __slots__ = ("_made_at",)
+    __slots__ = ("_descriptors", "_made_at")
 
     def __init__(self) -> None:
         self._made_at: dict[Connection, float] = {}
+        self._descriptors: dict[Connection, int] = {}
 
     def answered(
-        self, connection: Connection, written_at: float, *, is_new: bool
+        self,
+        connection: Connection,
+        written_at: float,
+        *,
+        is_new: bool,
+        descriptor: int = -1,
     ) -> None:
-        """Record an answer to a call that was written at a time."""
+        """Record an answer to a call that was written at a time.
+
+        ``descriptor`` is that of the connection's socket, -1 if it is closed.
+        """
         made_at = self._made_at.pop(connection, None)
         if made_at is None or is_new:
             made_at = written_at
         self._made_at[connection] = made_at
+        self._descriptors[connection] = descriptor
         if len(self._made_at) > MAX_KNOWN:
-            del self._made_at[next(iter(self._made_at))]
+            oldest = next(iter(self._made_at))
+            del self._made_at[oldest]
+            del self._descriptors[oldest]
 
     def failed(self, connection: Connection, *, is_new: bool) -> None:
         """Record a call that failed.
@@ -45,6 +58,20 @@
         """
         if is_new:
             self._made_at.pop(connection, None)
+            self._descriptors.pop(connection, None)
+
+    def is_ended(self, connection: Connection) -> bool:
+        """Return whether the other end has closed a connection that is idle.
+
+        It has if there is something to read: its end, or bytes that answer
+        no call.
+        """
+        descriptor = self._descriptors.get(connection, -1)
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return any(not e & select.POLLNVAL for _, e in poll.poll(0))
 
     def made_by(self, connection: Connection, time: float) -> bool:
         """Return whether a connection is known to be made by ``time``."""
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -1,6 +1,8 @@
 """Concurrent HTTP calls from one thread, with pycurl's multi interface.
 
 A ``Multiplexer`` is used by one thread only; ``wake`` may be called by any.
+A call other than a GET is sent once, so that its reply is that of its only
+copy. libcurl by itself repeats a request whose reused connection is reset.
 Connections are kept and reused. A connection on which a call timed out is
 closed by libcurl, which resets it: see `azurewood.http.sockets`.
 """
@@ -27,6 +29,7 @@
 holds up to 20 reads of the store open beside its appends."""
 CONNECT_TIMEOUT_MS: typing.Final = 700
 """A TCP handshake takes two network delays of at most about 25 ms."""
+RESET_REASON: typing.Final = "connection reset before the answer"
 
 
 class Outcome(enum.Enum):
@@ -66,8 +69,8 @@
     ``sent_at`` is when the call was submitted and ``at`` when it ended, both
     on the multiplexer's clock. ``written_at`` is just before the request of
     an answered call was last written, when its connection had been made.
-    ``writes`` is how often the request was written: libcurl repeats one whose
-    reused connection is reset.
+    ``writes`` is how often the request was written: more than once only a
+    GET whose reused connection was reset.
     ``disconnected`` is whether a call with ``connected_by`` failed for want
     of such a connection, or as it was closed, and not for want of time.
     """
@@ -95,6 +98,18 @@
     written_at: float = 0.0
     writes: int = 0
     connection: connection_times.Connection = ()
+    is_connecting: bool = False
+    is_reset: bool = False
+    begins_again: bool = False
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the request was written and must not be written again.
+
+        The first copy may be processed, now or later, whatever the answer to
+        a second one is. A GET may be repeated.
+        """
+        return self.writes > 0 and self.call.method != "GET"
 
 
 class Multiplexer:
@@ -163,6 +178,10 @@
             self._idle_handles.append(curl)
             self._unusable.append((done, _not_sent(transfer.sent_at, exc)))
             return
+        curl.setopt(
+            pycurl.SOCKOPTFUNCTION,
+            functools.partial(_on_new_socket, transfer),
+        )
         curl.setopt(
             pycurl.PREREQFUNCTION,
             functools.partial(self._before_writing, transfer),
@@ -171,10 +190,18 @@
         self._multi.add_handle(curl)
 
     def _before_writing(self, transfer: _Transfer, *connection: object) -> int:
-        """Abort a call that is late or would go over another connection.
+        """Abort a call that is late, sent already or on another connection.
 
         libcurl calls this right before it sends a request or repeats one.
         """
+        if transfer.is_sent:
+            transfer.is_reset = True
+            return pycurl.PREREQFUNC_ABORT
+        if not transfer.is_connecting and self._connections.is_ended(
+            connection
+        ):
+            transfer.begins_again = True
+            return pycurl.PREREQFUNC_ABORT
         call = transfer.call
         now = self._clock()
         transfer.connection = connection
@@ -276,13 +303,23 @@
     def _finish(
         self, curl: pycurl.Curl, error: tuple[int, str] | None
     ) -> None:
-        transfer = self._transfers.pop(curl)
+        transfer = self._transfers[curl]
+        if transfer.begins_again:
+            self._begin_again(curl, transfer)
+            return
+        del self._transfers[curl]
         reply = self._reply(curl, transfer, error)
         self._multi.remove_handle(curl)
         curl.reset()
         self._idle_handles.append(curl)
         transfer.done(reply)
 
+    def _begin_again(self, curl: pycurl.Curl, transfer: _Transfer) -> None:
+        """Begin a call again whose connection had ended; nothing was sent."""
+        transfer.begins_again = False
+        self._multi.remove_handle(curl)
+        self._multi.add_handle(curl)
+
     def _reply(
         self,
         curl: pycurl.Curl,
@@ -293,7 +330,10 @@
         is_new = curl.getinfo(pycurl.NUM_CONNECTS) > 0
         if error is None:
             self._connections.answered(
-                transfer.connection, transfer.written_at, is_new=is_new
+                transfer.connection,
+                transfer.written_at,
+                is_new=is_new,
+                descriptor=curl.getinfo(pycurl.LASTSOCKET),
             )
             return Reply(
                 outcome=Outcome.ANSWERED,
@@ -306,6 +346,8 @@
             )
         self._connections.failed(transfer.connection, is_new=is_new)
         code, text = error
+        if transfer.is_reset:
+            text = RESET_REASON
         bound = transfer.call.connected_by is not None
         unsent = sockets.nothing_sent(curl)
         return Reply(
@@ -335,6 +377,17 @@
     return curl_mask
 
 
+def _on_new_socket(transfer: _Transfer, fd: int, purpose: int) -> int:
+    """Set a new connection's options, or refuse it to the call."""
+    transfer.is_connecting = True
+    if transfer.is_sent:
+        transfer.is_reset = True
+        return sockets.refuse_connection(fd, purpose)
+    if transfer.call.connected_by is not None:
+        return sockets.refuse_connection(fd, purpose)
+    return sockets.drop_unsent(fd, purpose)
+
+
 def _prepare(curl: pycurl.Curl, call: Call, buffer: io.BytesIO) -> None:
     curl.setopt(pycurl.URL, call.url)
     curl.setopt(pycurl.HTTPHEADER, ["Expect:", *call.headers])
@@ -343,10 +396,6 @@
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.TCP_NODELAY, 1)
-    if call.connected_by is None:
-        curl.setopt(pycurl.SOCKOPTFUNCTION, sockets.drop_unsent)
-    else:
-        curl.setopt(pycurl.SOCKOPTFUNCTION, sockets.refuse_connection)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     curl.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
     if call.body is not None:
--- a/azurewood/provider/base.py
+++ b/azurewood/provider/base.py
@@ -26,6 +26,24 @@
     body: bytes
 
 
+class _SendOnce:
+    """Aborts a request that libcurl is about to repeat by itself.
+
+    The first copy may be processed, whatever the answer to the second one is.
+    """
+
+    __slots__ = ("_is_sent",)
+
+    def __init__(self) -> None:
+        self._is_sent = False
+
+    def __call__(self, *connection: object) -> int:
+        if self._is_sent:
+            return pycurl.PREREQFUNC_ABORT
+        self._is_sent = True
+        return pycurl.PREREQFUNC_OK
+
+
 class Connection:
     """A connection to the platform that is kept open between calls."""
 
@@ -72,6 +90,8 @@
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         curl.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
         curl.setopt(pycurl.PROXY, "")
+        if method != "GET":
+            curl.setopt(pycurl.PREREQFUNCTION, _SendOnce())
         if body is not None:
             curl.setopt(pycurl.POST, 1)
             curl.setopt(pycurl.CUSTOMREQUEST, method)
