Never send other records under a number that was sent

Change: a batch that is taken apart ends the producer's epoch; the next call begins a higher one, with which the store carries out no call of before and gives no answer of before. Only job writers, each a producer of its own, withdraw records; a leader's epoch is its term and stays.

Evidence: test_records_get_no_answer_that_others_got_under_their_number fails without it (test_they_would_without_a_new_epoch holds that version: b is told stored and absent), test_a_late_call_of_a_withdrawn_record_is_not_carried_out too.

--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -3,7 +3,7 @@
 A call without an answer is repeated with the same sequence number, and the
 store gives the same answer as to the first call. The outcome of every append
 thus becomes known once the store answers again, and nothing is appended
-twice.
+twice. An epoch and a sequence number never stand for two sets of records.
 """
 
 import collections
@@ -117,8 +117,8 @@
 class Position:
     """Where an appender stands, for its log lines.
 
-    ``attempts`` counts the calls with this sequence number, ``records`` those
-    of the current call. ``unresolved`` is whether they may be stored.
+    ``attempts`` counts the calls since the newest stored append, ``records``
+    those of the current call. ``unresolved`` is whether they may be stored.
     """
 
     epoch: int
@@ -211,17 +211,28 @@
     def withdraw(self, wanted: typing.Callable[[Item], bool]) -> list[Item]:
         """Remove and return the wanted items that are certainly not stored.
 
-        Items of a call that may have taken effect stay in the queue.
+        Items of a call that may have taken effect stay in the queue. No other
+        appender may have this one's producer, as a new epoch may begin.
         """
         if self._batch and not self._in_flight and not self._unresolved:
-            self._pending.extendleft(reversed(self._batch))
-            self._batch = ()
+            self._put_back()
         taken = [item for item in self._pending if wanted(item)]
         if taken:
             kept = [item for item in self._pending if not wanted(item)]
             self._pending = collections.deque(kept)
         return taken
 
+    def _put_back(self) -> None:
+        """Return the batch to the queue, so that another one may be formed.
+
+        The next call begins a new epoch: the store gives no answer to its
+        records that it gave to others under the same sequence number, and
+        carries out no call of before any more.
+        """
+        self._pending.extendleft(reversed(self._batch))
+        self._batch = ()
+        self._epoch += 1
+
     def next_call(self, now: float) -> Request | None:
         """Return the call to make now, or None."""
         self._give_up_if_read(now)
--- a/tests/journal/test_appender.py
+++ b/tests/journal/test_appender.py
@@ -3,6 +3,8 @@
 import pytest
 
 from azurewood.journal import appender
+from azurewood.journal import pages
+from standins.fleet import store as stores
 
 
 def _item(name):
@@ -62,6 +64,72 @@
     assert writer.idle
 
 
+def _append(store, request):
+    return store.append(
+        pages.Topic.JOBS,
+        request.records,
+        "p",
+        request.epoch,
+        request.sequence,
+    )
+
+
+class _OneEpoch(appender.Appender):
+    """Sends other records under the number of withdrawn ones."""
+
+    def _put_back(self):
+        self._pending.extendleft(reversed(self._batch))
+        self._batch = ()
+
+
+def _withdraw_stored_record(writer):
+    """Return what is said to be stored and what is.
+
+    A record is stored, taken for refused, withdrawn, and followed by another.
+    """
+    store = stores.Store()
+    writer.add(_item("a"))
+    _append(store, writer.next_call(0.0))
+    writer.handle_result(appender.NotDone(reason="busy"), 0.1)
+    writer.withdraw(lambda item: True)
+    writer.add(_item("b"))
+    result = _append(store, writer.next_call(1.0))
+    told = {item.token for item in writer.handle_result(result, 1.1)}
+    page = store.read(pages.Topic.JOBS, 0)
+    return told, {record.key for record in page.records}
+
+
+def test_records_get_no_answer_that_others_got_under_their_number():
+    told, stored = _withdraw_stored_record(appender.Appender(epoch=1))
+    assert told == {"b"} <= stored
+
+
+def test_they_would_without_a_new_epoch():
+    told, stored = _withdraw_stored_record(_OneEpoch(epoch=1))
+    assert told == {"b"}
+    assert "b" not in stored
+
+
+def test_a_late_call_of_a_withdrawn_record_is_not_carried_out():
+    store = stores.Store()
+    writer = _writer()
+    withdrawn = writer.next_call(0.0)
+    writer.handle_result(appender.NotDone(reason="busy"), 0.1)
+    writer.withdraw(lambda item: True)
+    writer.add(_item("b"))
+    _append(store, writer.next_call(1.0))
+    assert isinstance(_append(store, withdrawn), appender.Fenced)
+
+
+def test_a_call_that_may_be_carried_out_keeps_its_epoch():
+    writer = _writer()
+    first = writer.next_call(0.0)
+    writer.handle_result(appender.Unknown(reason="silence"), 0.1)
+    writer.withdraw(lambda item: True)
+    second = writer.next_call(5.0)
+    assert (second.epoch, second.sequence) == (first.epoch, first.sequence)
+
+
 def test_pauses_between_retries_grow_up_to_a_limit():
     writer = _writer()
     pauses = []
