--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -18,6 +18,7 @@
 from azurewood.scheduling import placement
 from azurewood.scheduling import pools
 from azurewood.scheduling import progress
+from azurewood.scheduling import restoration
 from azurewood.scheduling import runs
 from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
@@ -67,14 +68,14 @@
             case progress.LateStartsProgress():
                 at = progress.written_by(record, read_by, now)
                 host_id = key.removeprefix(progress.LATE_STARTS_PREFIX)
-                progress.restore_late_starts(state, host_id, record, at)
+                restoration.restore_late_starts(state, host_id, record, at)
             case None:
                 state.log_event("progress.unreadable", key=key)
     for job_id, job in state.jobs.items():
         record = decoded.get(progress.JOB_PREFIX + job_id)
         if isinstance(record, progress.JobProgress):
             at = progress.written_by(record, read_by, now)
-            progress.restore_unanswered(state, job, record, at, now)
+            restoration.restore_unanswered(state, job, record, at, now)
     if decoded.get(progress.ORDERS_KEY, True) is None:
         state.no_order_before = now + order_pause_s
     return state
@@ -99,7 +100,7 @@
         return
     added = tasks.restore_job(state, job, now)
     if added and record is not None:
-        progress.restore_job(state, added, record, now)
+        restoration.restore_job(state, added, record, now)
         tasks.announce_inherited_end(state, added)
 
 
@@ -108,7 +109,7 @@
 ) -> None:
     number = int(key.removeprefix(progress.WAVE_PREFIX))
     wave = machine_orders.Wave(number=number, now=now)
-    progress.restore_wave(wave, record)
+    restoration.restore_wave(wave, record)
     state.waves[number] = wave
 
 
--- /dev/null
+++ b/azurewood/scheduling/restoration.py
@@ -0,0 +1,130 @@
+"""Restores a leader's state from the progress records of an earlier one."""
+
+from azurewood.incarnations import late_starts
+from azurewood.incarnations import limits
+from azurewood.jobs import model
+from azurewood.policy import restarts
+from azurewood.scheduling import crashes
+from azurewood.scheduling import jobstates
+from azurewood.scheduling import machine_orders
+from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import progress
+
+
+def restore_late_starts(
+    state: scheduling.State,
+    host_id: str,
+    record: progress.LateStartsProgress,
+    written_at: float,
+) -> None:
+    """Restore an earlier leader's starts without an answer.
+
+    The record was written by ``written_at``, so counting the remaining time
+    from then gives the latest time.
+    """
+    host = state.host(host_id)
+    if record.machine:
+        state.host_machines.setdefault(host_id, record.machine)
+    if record.renewal_left_ms:
+        left_s = record.renewal_left_ms / 1000
+        host.late_starts.renewed_until = written_at + left_s
+    for row in record.starts:
+        task = model.TaskId(row.job, row.occurrence, row.step, row.index)
+        late = late_starts.LateStart(
+            host=host_id,
+            run=row.run,
+            incarnation_ms=row.host_born_ms,
+            fence=0,
+            possible_until=written_at + row.left_ms / 1000,
+        )
+        if row.ended:
+            late.next_run_at = written_at + restarts.NEXT_RUN_PAUSE_S
+        state.add_late_start(host, (task, row.run), late)
+
+
+def restore_job(
+    state: scheduling.State,
+    job: jobstates.JobState,
+    record: progress.JobProgress,
+    now: float,
+) -> None:
+    """Restore a job's tasks and runs from an earlier leader's record."""
+    for row in record.tasks:
+        id = model.TaskId(job.job.id, row.occurrence, row.step, row.index)
+        task = job.task(id)
+        if task is not None:
+            _restore_task(state, job, task, row, now)
+
+
+def _restore_task(
+    state: scheduling.State,
+    job: jobstates.JobState,
+    task: jobstates.Task,
+    row: progress.TaskRow,
+    now: float,
+) -> None:
+    job.begun = True
+    job.set_phase(task, row.phase)
+    task.run = row.run
+    task.failures = row.failures
+    crashes.restore(state, task, row.crashes, row.crash, given_up=row.given_up)
+    task.host = row.host
+    task.host_incarnation_ms = row.host_born_ms
+    # A start without an answer is on the record of its host from now on.
+    task.confirmed = True
+    task.saved = row.saved
+    if task.phase is not jobstates.TaskPhase.OPEN:
+        return
+    step = job.step_of(task.id)
+    run = scheduling.Run(task=task.id, run=row.run, step=step, now=now)
+    run.inherited = True
+    run.crashes = row.crashes
+    run.incarnation_ms = row.host_born_ms
+    run.phase = scheduling.RunPhase.RUNNING
+    run.saved = row.saved
+    state.host(row.host).add(run)
+
+
+def restore_unanswered(
+    state: scheduling.State,
+    job: jobstates.JobState,
+    record: progress.JobProgress,
+    written_at: float,
+    now: float,
+) -> None:
+    """Restore the starts that were under way when the leader changed.
+
+    No one saw whether they got an answer. Those that got none in time are on
+    the record of their host, which has to be restored before.
+    """
+    sent_by = min(now, written_at + progress.MAX_SAVE_S)
+    possible_until = sent_by + limits.MAX_START_DELAY_S
+    if possible_until < now:
+        return
+    for row in record.tasks:
+        id = model.TaskId(job.job.id, row.occurrence, row.step, row.index)
+        host = state.hosts.get(row.host)
+        run = host.runs.get((id, row.run)) if host is not None else None
+        if row.confirmed or run is None:
+            continue
+        known = host.late_starts.get(run.key)
+        if known is not None:
+            known.possible_until = max(known.possible_until, possible_until)
+            continue
+        run.tries = 1
+        late = late_starts.LateStart(
+            host=row.host,
+            run=row.run,
+            incarnation_ms=row.host_born_ms,
+            fence=0,
+            possible_until=possible_until,
+        )
+        state.add_late_start(host, run.key, late)
+
+
+def restore_wave(
+    wave: machine_orders.Wave, record: progress.WaveProgress
+) -> None:
+    """Restore a wave's progress from an earlier leader's record."""
+    wave.ordered.update(record.ordered)
+    wave.incarnations.update(record.born_ms)
--- a/tests/scheduling/test_starts_before_contact.py
+++ b/tests/scheduling/test_starts_before_contact.py
@@ -19,6 +19,7 @@
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import progress
 from azurewood.scheduling import reducer
+from azurewood.scheduling import restoration
 from azurewood.scheduling import runs
 from azurewood.scheduling import tasks
 from azurewood.scheduling import withheld_ends
@@ -88,7 +89,7 @@
 
 
 def test_acknowledges_them_if_late_starts_are_not_restored(monkeypatch):
-    monkeypatch.setattr(progress, "restore_late_starts", lambda *args: None)
+    monkeypatch.setattr(restoration, "restore_late_starts", lambda *args: None)
     with pytest.raises(AssertionError, match="after its end was noted"):
         _done_before_the_restart(monkeypatch, ONE, kill_leader=True)
 
@@ -145,7 +146,7 @@
         tasks.mark_run_gone(state, host, run, "broken", now)
 
     monkeypatch.setattr(runs, "repeat_inherited_start", broken)
-    monkeypatch.setattr(progress, "restore_unanswered", lambda *args: None)
+    monkeypatch.setattr(restoration, "restore_unanswered", lambda *args: None)
     with pytest.raises(AssertionError, match="after its end was noted"):
         _leader_killed_before_the_answer(monkeypatch)
 
--- a/tests/scheduling/test_starts_over_leaders.py
+++ b/tests/scheduling/test_starts_over_leaders.py
@@ -13,6 +13,7 @@
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import progress
 from azurewood.scheduling import reducer
+from azurewood.scheduling import restoration
 from standins.fleet import members
 from tests.scheduling import deployment
 from tests.scheduling import late_calls
@@ -70,7 +71,7 @@
     ("step", "rule"), [(ONE, "after its end was noted"), (LASTING, "twice")]
 )
 def test_breaks_if_starts_under_way_are_not_restored(monkeypatch, step, rule):
-    monkeypatch.setattr(progress, "restore_unanswered", lambda *args: None)
+    monkeypatch.setattr(restoration, "restore_unanswered", lambda *args: None)
     with pytest.raises(AssertionError, match=rule):
         _killed_before_the_answer(monkeypatch, step)
 
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -17,6 +17,7 @@
 from azurewood.leadership import base as leadership
 from azurewood.scheduling import orders
 from azurewood.scheduling import progress
+from azurewood.scheduling import restoration
 from azurewood.scheduling import runs
 from standins.fleet import members
 from standins.fleet import platform
@@ -53,7 +54,7 @@
 
 
 def test_breaks_if_progress_is_not_read(monkeypatch):
-    monkeypatch.setattr(progress, "restore_job", lambda *args: None)
+    monkeypatch.setattr(restoration, "restore_job", lambda *args: None)
     made = deployment.world()
     _start_then_lose_host_and_leader(made)
     with pytest.raises(AssertionError, match="twice"):
