Look at a connection before any call is written to it

What callers would have seen: with one copy a call, each call that is written to a connection which its other end has closed has an unknown outcome.

The client of the project's platform did not look at all: every second change after a closed connection. The descriptor is now noted when the connection is made, and the client looks too. A call that begins again keeps its deadline; its time-out counted anew.

Multiplexer and client share the rule in sending.py, and links.py the look.

--- a/azurewood/http/connection_times.py
+++ b/azurewood/http/connection_times.py
@@ -5,7 +5,6 @@
 address then, or none.
 """
 
-import select
 import typing
 
 MAX_KNOWN: typing.Final = 2048
@@ -28,27 +27,27 @@
         self._made_at: dict[Connection, float] = {}
         self._descriptors: dict[Connection, int] = {}
 
+    def opened(self, connection: Connection, descriptor: int) -> None:
+        """Record the descriptor of a connection that was made."""
+        self._descriptors.pop(connection, None)
+        self._descriptors[connection] = descriptor
+        if len(self._descriptors) > MAX_KNOWN:
+            del self._descriptors[next(iter(self._descriptors))]
+
+    def descriptor(self, connection: Connection) -> int:
+        """Return the descriptor of a connection, -1 if it is not known."""
+        return self._descriptors.get(connection, -1)
+
     def answered(
-        self,
-        connection: Connection,
-        written_at: float,
-        *,
-        is_new: bool,
-        descriptor: int = -1,
+        self, connection: Connection, written_at: float, *, is_new: bool
     ) -> None:
-        """Record an answer to a call that was written at a time.
-
-        ``descriptor`` is that of the connection's socket, -1 if it is closed.
-        """
+        """Record an answer to a call that was written at a time."""
         made_at = self._made_at.pop(connection, None)
         if made_at is None or is_new:
             made_at = written_at
         self._made_at[connection] = made_at
-        self._descriptors[connection] = descriptor
         if len(self._made_at) > MAX_KNOWN:
-            oldest = next(iter(self._made_at))
-            del self._made_at[oldest]
-            del self._descriptors[oldest]
+            del self._made_at[next(iter(self._made_at))]
 
     def failed(self, connection: Connection, *, is_new: bool) -> None:
         """Record a call that failed.
@@ -58,20 +57,6 @@
         """
         if is_new:
             self._made_at.pop(connection, None)
-            self._descriptors.pop(connection, None)
-
-    def is_ended(self, connection: Connection) -> bool:
-        """Return whether the other end has closed a connection that is idle.
-
-        It has if there is something to read: its end, or bytes that answer
-        no call.
-        """
-        descriptor = self._descriptors.get(connection, -1)
-        if descriptor < 0:
-            return False
-        poll = select.poll()
-        poll.register(descriptor, select.POLLIN)
-        return any(not e & select.POLLNVAL for _, e in poll.poll(0))
 
     def made_by(self, connection: Connection, time: float) -> bool:
         """Return whether a connection is known to be made by ``time``."""
--- a/azurewood/http/links.py
+++ b/azurewood/http/links.py
@@ -1,11 +1,12 @@
 """A pycurl handle that keeps one connection to an endpoint."""
 
-import select
 import socket
 import time
 
 import pycurl
 
+from azurewood.http import sockets
+
 CONNECT_TIMEOUT_MS = 1000
 IDLE_CONNECTION_S = 30
 CHECKED_AFTER_S = 1.0
@@ -61,9 +62,7 @@
         """
         if self.sock is None or self.idle_since + CHECKED_AFTER_S > now:
             return False
-        poll = select.poll()
-        poll.register(self.sock, select.POLLIN)
-        return bool(poll.poll(0))
+        return sockets.has_ended(self.sock.fileno())
 
     def close(self) -> None:
         """Close the connection."""
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -20,6 +20,7 @@
 import pycurl
 
 from azurewood.http import connection_times
+from azurewood.http import sending
 from azurewood.http import sockets
 
 MAX_IDLE_CONNECTIONS: typing.Final = 512
@@ -29,7 +30,6 @@
 holds up to 20 reads of the store open beside its appends."""
 CONNECT_TIMEOUT_MS: typing.Final = 700
 """A TCP handshake takes two network delays of at most about 25 ms."""
-RESET_REASON: typing.Final = "connection reset before the answer"
 
 
 class Outcome(enum.Enum):
@@ -95,21 +95,9 @@
     done: Callback
     buffer: io.BytesIO
     sent_at: float
+    sending: sending.Sending
     written_at: float = 0.0
-    writes: int = 0
     connection: connection_times.Connection = ()
-    is_connecting: bool = False
-    is_reset: bool = False
-    begins_again: bool = False
-
-    @property
-    def is_sent(self) -> bool:
-        """Whether the request was written and must not be written again.
-
-        The first copy may be processed, now or later, whatever the answer to
-        a second one is. A GET may be repeated.
-        """
-        return self.writes > 0 and self.call.method != "GET"
 
 
 class Multiplexer:
@@ -169,7 +157,11 @@
         )
         buffer = io.BytesIO()
         transfer = _Transfer(
-            call=call, done=done, buffer=buffer, sent_at=self._clock()
+            call=call,
+            done=done,
+            buffer=buffer,
+            sent_at=self._clock(),
+            sending=sending.Sending(may_repeat=call.method == "GET"),
         )
         try:
             _prepare(curl, call, buffer)
@@ -190,31 +182,36 @@
         self._multi.add_handle(curl)
 
     def _before_writing(self, transfer: _Transfer, *connection: object) -> int:
-        """Abort a call that is late, sent already or on another connection.
+        """Abort a call that must not be written to a connection.
 
         libcurl calls this right before it sends a request or repeats one.
         """
-        if transfer.is_sent:
-            transfer.is_reset = True
-            return pycurl.PREREQFUNC_ABORT
-        if not transfer.is_connecting and self._connections.is_ended(
-            connection
-        ):
-            transfer.begins_again = True
-            return pycurl.PREREQFUNC_ABORT
-        call = transfer.call
         now = self._clock()
-        transfer.connection = connection
-        late = call.send_by is not None and now >= call.send_by
-        if late or (
-            call.connected_by is not None
-            and not self._connections.made_by(connection, call.connected_by)
-        ):
+        if not self._may_write(transfer, connection, now):
             return pycurl.PREREQFUNC_ABORT
+        transfer.connection = connection
         transfer.written_at = now
-        transfer.writes += 1
+        transfer.sending.writes += 1
         return pycurl.PREREQFUNC_OK
 
+    def _may_write(
+        self,
+        transfer: _Transfer,
+        connection: connection_times.Connection,
+        now: float,
+    ) -> bool:
+        """Return whether a call is in time and goes over this connection."""
+        call = transfer.call
+        known = self._connections
+        if transfer.sending.descriptor >= 0:
+            known.opened(connection, transfer.sending.descriptor)
+        if not transfer.sending.may_use(known.descriptor(connection)):
+            return False
+        if call.send_by is not None and now >= call.send_by:
+            return False
+        bound_to = call.connected_by
+        return bound_to is None or known.made_by(connection, bound_to)
+
     def wake(self) -> None:
         """Wake ``run_once`` from another thread."""
         try:
@@ -304,7 +301,7 @@
         self, curl: pycurl.Curl, error: tuple[int, str] | None
     ) -> None:
         transfer = self._transfers[curl]
-        if transfer.begins_again:
+        if transfer.sending.trouble is sending.Trouble.ENDED:
             self._begin_again(curl, transfer)
             return
         del self._transfers[curl]
@@ -316,8 +313,11 @@
 
     def _begin_again(self, curl: pycurl.Curl, transfer: _Transfer) -> None:
         """Begin a call again whose connection had ended; nothing was sent."""
-        transfer.begins_again = False
+        transfer.sending.trouble = None
         self._multi.remove_handle(curl)
+        deadline = transfer.sent_at + transfer.call.timeout_ms / 1000
+        left_ms = int((deadline - self._clock()) * 1000)
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, left_ms))
         self._multi.add_handle(curl)
 
     def _reply(
@@ -330,10 +330,7 @@
         is_new = curl.getinfo(pycurl.NUM_CONNECTS) > 0
         if error is None:
             self._connections.answered(
-                transfer.connection,
-                transfer.written_at,
-                is_new=is_new,
-                descriptor=curl.getinfo(pycurl.LASTSOCKET),
+                transfer.connection, transfer.written_at, is_new=is_new
             )
             return Reply(
                 outcome=Outcome.ANSWERED,
@@ -342,12 +339,12 @@
                 sent_at=transfer.sent_at,
                 at=now,
                 written_at=transfer.written_at,
-                writes=transfer.writes,
+                writes=transfer.sending.writes,
             )
         self._connections.failed(transfer.connection, is_new=is_new)
         code, text = error
-        if transfer.is_reset:
-            text = RESET_REASON
+        if transfer.sending.trouble is not None:
+            text = transfer.sending.trouble.value
         bound = transfer.call.connected_by is not None
         unsent = sockets.nothing_sent(curl)
         return Reply(
@@ -355,7 +352,7 @@
             reason=text,
             sent_at=transfer.sent_at,
             at=now,
-            writes=transfer.writes,
+            writes=transfer.sending.writes,
             disconnected=bound and code != pycurl.E_OPERATION_TIMEDOUT,
         )
 
@@ -379,11 +376,8 @@
 
 def _on_new_socket(transfer: _Transfer, fd: int, purpose: int) -> int:
     """Set a new connection's options, or refuse it to the call."""
-    transfer.is_connecting = True
-    if transfer.is_sent:
-        transfer.is_reset = True
-        return sockets.refuse_connection(fd, purpose)
-    if transfer.call.connected_by is not None:
+    allowed = transfer.sending.may_connect(fd)
+    if not allowed or transfer.call.connected_by is not None:
         return sockets.refuse_connection(fd, purpose)
     return sockets.drop_unsent(fd, purpose)
 
--- a/azurewood/http/sockets.py
+++ b/azurewood/http/sockets.py
@@ -6,6 +6,7 @@
 connection and discards the queue, also when the process is killed.
 """
 
+import select
 import socket
 import struct
 import typing
@@ -39,6 +40,19 @@
     return pycurl.SOCKOPT_ERROR
 
 
+def has_ended(fd: int) -> bool:
+    """Return whether the other end has closed an idle connection.
+
+    It has if there is something to read: its end, or bytes that answer no
+    call. The result is False for a negative descriptor.
+    """
+    if fd < 0:
+        return False
+    poll = select.poll()
+    poll.register(fd, select.POLLIN)
+    return any(not event & select.POLLNVAL for _, event in poll.poll(0))
+
+
 def nothing_sent(curl: pycurl.Curl) -> bool:
     """Return whether no byte of a failed call was sent.
 
--- a/azurewood/provider/base.py
+++ b/azurewood/provider/base.py
@@ -5,11 +5,13 @@
 
 import dataclasses
 import io
+import time
 
 import msgspec
 import pycurl
 
 from azurewood.conf import decoding
+from azurewood.http import sending
 from azurewood.http import sockets
 from azurewood.provider import exceptions
 
@@ -26,33 +28,16 @@
     body: bytes
 
 
-class _SendOnce:
-    """Aborts a request that libcurl is about to repeat by itself.
-
-    The first copy may be processed, whatever the answer to the second one is.
-    """
-
-    __slots__ = ("_is_sent",)
-
-    def __init__(self) -> None:
-        self._is_sent = False
-
-    def __call__(self, *connection: object) -> int:
-        if self._is_sent:
-            return pycurl.PREREQFUNC_ABORT
-        self._is_sent = True
-        return pycurl.PREREQFUNC_OK
-
-
 class Connection:
     """A connection to the platform that is kept open between calls."""
 
-    __slots__ = ("_curl", "_headers", "_url")
+    __slots__ = ("_curl", "_descriptor", "_headers", "_url")
 
     def __init__(self, *, url: str, zone: str) -> None:
         self._url = url.rstrip("/")
         self._headers = [f"{ZONE_HEADER}: {zone}", "Expect:"]
         self._curl = pycurl.Curl()
+        self._descriptor = -1
 
     def call(
         self,
@@ -67,15 +52,40 @@
         Raise ``NotDone`` if no byte was sent, ``OutcomeUnknown`` if some
         were sent and no complete answer arrived.
         """
-        buffer = io.BytesIO()
-        self._prepare(method, path, body, timeout_s)
-        self._curl.setopt(pycurl.WRITEDATA, buffer)
-        try:
-            self._curl.perform()
-        except pycurl.error as exc:
-            raise self._error_from(exc) from exc
-        status = self._curl.getinfo(pycurl.RESPONSE_CODE)
-        return Answer(status=status, body=buffer.getvalue())
+        deadline = time.monotonic() + timeout_s
+        while True:
+            left_s = deadline - time.monotonic()
+            self._prepare(method, path, body, left_s)
+            current = self._send_once(method)
+            buffer = io.BytesIO()
+            self._curl.setopt(pycurl.WRITEDATA, buffer)
+            try:
+                self._curl.perform()
+            except pycurl.error as exc:
+                if current.trouble is sending.Trouble.ENDED:
+                    continue
+                raise self._error_from(exc) from exc
+            status = self._curl.getinfo(pycurl.RESPONSE_CODE)
+            return Answer(status=status, body=buffer.getvalue())
+
+    def _send_once(self, method: str) -> sending.Sending:
+        """Let a change be written once, to a connection that has not ended."""
+        current = sending.Sending(may_repeat=method == "GET")
+
+        def on_new_socket(fd: int, purpose: int) -> int:
+            self._descriptor = fd
+            allowed = current.may_connect(fd)
+            return pycurl.SOCKOPT_OK if allowed else pycurl.SOCKOPT_ERROR
+
+        def before_writing(*connection: object) -> int:
+            if not current.may_use(self._descriptor):
+                return pycurl.PREREQFUNC_ABORT
+            current.writes += 1
+            return pycurl.PREREQFUNC_OK
+
+        self._curl.setopt(pycurl.SOCKOPTFUNCTION, on_new_socket)
+        self._curl.setopt(pycurl.PREREQFUNCTION, before_writing)
+        return current
 
     def _prepare(
         self, method: str, path: str, body: bytes | None, timeout_s: float
@@ -90,8 +100,6 @@
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         curl.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
         curl.setopt(pycurl.PROXY, "")
-        if method != "GET":
-            curl.setopt(pycurl.PREREQFUNCTION, _SendOnce())
         if body is not None:
             curl.setopt(pycurl.POST, 1)
             curl.setopt(pycurl.CUSTOMREQUEST, method)
--- a/tests/http/test_bound_calls.py
+++ b/tests/http/test_bound_calls.py
@@ -14,6 +14,7 @@
 
 from azurewood.http import connection_times
 from azurewood.http import multiplex
+from azurewood.http import sending
 from azurewood.http import sockets
 
 DEADLINE_S = 5.0
@@ -210,13 +211,13 @@
     reply, process = _restart_during_call(calls, bound=False)
     assert not reply.disconnected
     assert reply.outcome is multiplex.Outcome.UNKNOWN
-    assert reply.reason == multiplex.RESET_REASON
+    assert reply.reason == sending.Trouble.RESET.value
     assert (process.requests, process.made) == (b"", 0)
     process.end()
 
 
 def test_it_would_if_a_call_could_be_written_twice(calls, monkeypatch):
-    monkeypatch.setattr(multiplex._Transfer, "is_sent", False)
+    monkeypatch.setattr(sending.Sending, "is_over", False)
     reply, process = _restart_during_call(calls, bound=False)
     assert _is_answered(reply)
     assert process.requests == b"b"
--- a/tests/http/test_reset_calls.py
+++ b/tests/http/test_reset_calls.py
@@ -140,3 +140,65 @@
         with pytest.raises(exceptions.OutcomeUnknown):
             provider.check_status(conn.call("POST", "/", body=b"x"), 201)
     assert carried_out
+
+
+def _answer_and_close(listener, bodies):
+    """Answer one request on each connection, then close it."""
+    while True:
+        try:
+            conn, _ = listener.accept()
+        except OSError:
+            return
+        with conn:
+            _read_request(conn)
+            bodies.append(b"x")
+            conn.sendall(ANSWER)
+
+
+@contextlib.contextmanager
+def _closing_server(bodies):
+    listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+    listener.settimeout(DEADLINE_S)
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    thread = threading.Thread(
+        target=_answer_and_close, args=(listener, bodies), daemon=True
+    )
+    thread.start()
+    try:
+        yield url
+    finally:
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        thread.join(DEADLINE_S)
+
+
+def test_a_waiting_call_is_not_written_to_a_connection_that_ended():
+    """Calls that wait for a connection get it before its reply is handled."""
+    calls = multiplex.Multiplexer(clock=time.monotonic)
+    count = multiplex.MAX_CONNECTIONS_PER_HOST + 8
+    bodies = []
+    found = []
+    with _closing_server(bodies) as url:
+        for _ in range(count):
+            call = multiplex.Call(
+                method="POST", url=url, body=b"x", timeout_ms=3000
+            )
+            calls.submit(call, found.append)
+        end = time.monotonic() + DEADLINE_S
+        while len(found) < count and time.monotonic() < end:
+            calls.run_once(0.02)
+            # The answers and the ends of their connections arrive meanwhile.
+            time.sleep(0.05)
+    assert {reply.outcome for reply in found} == {multiplex.Outcome.ANSWERED}
+    assert len(bodies) == count
+
+
+def test_a_change_is_not_written_to_a_platform_connection_that_ended():
+    """The same failure, in the client of the project's platform."""
+    bodies = []
+    with _closing_server(bodies) as url:
+        conn = provider.Connection(url=url, zone="a")
+        for _ in range(3):
+            assert conn.call("POST", "/", body=b"x").status == 200
+            time.sleep(0.1)
+    assert len(bodies) == 3
