Keep the number of a call of which nothing is withdrawn

What callers would have seen: nothing, or a job that is stored twice. The daemon asks for withdrawals at each step, so each retry after a refusal began a new epoch, also when no record had waited for too long. A refusal that was none (a 503 given between daemon and store) would have been stored again under the new epoch, where the old number got its first answer.

Change: a batch is taken apart only if one of its records is wanted. An older call's answer counts only for its own epoch.

job.withdrawn now tells how many calls held that record and why the newest one failed, also for records that move to the intake; append.failed is logged for each failure of a series.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -115,6 +115,7 @@
     def _send(self) -> None:
         if self._use_intake:
             for item in self._jobs.withdraw(_is_accepted):
+                _log_withdrawn(item, "moved to the intake")
                 self._add(item.token.request)
         while self._inbox:
             self._add(self._inbox.popleft())
@@ -181,11 +182,10 @@
         verdict = desks.Refused(reason="store out of touch")
         if not self._job_service.complete:
             verdict = desks.OutcomeUnknown(reason="the store is slow")
-        position = writer.position()
         for item in writer.withdraw(
             lambda item: item.token.request.asked_at < asked_before
         ):
-            _log_withdrawn(item, position)
+            _log_withdrawn(item, writer.last_error or "waited for its turn")
             _complete(item.token.request, verdict)
 
 
@@ -208,17 +208,15 @@
         _complete(self.request, desks.Taken(offset=offset))
 
 
-def _log_withdrawn(item: appender.Item, position: appender.Position) -> None:
-    """Log that a record is not stored: it or its batch was turned away."""
+def _log_withdrawn(item: appender.Item, reason: str) -> None:
+    """Log that a record is certainly not stored, and how often it was sent."""
     (record,) = item.records
     logger.bind(
         event="job.withdrawn",
         job=records.job_of(record.key),
-        epoch=position.epoch,
-        sequence=position.sequence,
-        attempts=position.attempts,
-        batch=position.records,
-    ).info("a record that waited for too long is withdrawn")
+        sends=item.sends,
+        reason=reason,
+    ).info("a record that is not stored is withdrawn")
 
 
 def _is_accepted(item: appender.Item) -> bool:
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -125,9 +125,10 @@
         self._appender.add(appender.Item(records=records, token=stored))
         self.step(self._clock())
 
-    def position(self) -> appender.Position:
-        """Return where the appender stands, for log lines."""
-        return self._appender.position()
+    @property
+    def last_error(self) -> str:
+        """Why the newest append that failed did so, empty if none has."""
+        return self._appender.last_error
 
     def withdraw(
         self, wanted: abc.Callable[[appender.Item], bool]
@@ -160,10 +161,9 @@
         self, request: appender.Request, reply: multiplex.Reply
     ) -> None:
         result = self._platform.append_result(reply)
-        failing = self._appender.failing
         position = self._appender.position()
         stored = self._appender.handle_result(result, self._clock(), request)
-        if self._appender.failing and not failing:
+        if self._appender.failing:
             self._log("append.failed", position, writes=reply.writes).warning(
                 "append failed; trying again: {}", result
             )
@@ -180,7 +180,8 @@
         """Log an append that took several calls, or whose answer is odd.
 
         An answer that counts other records than this call's, or begins before
-        the end of the append before, is that of another call.
+        the end of the append before, is that of another call. One that counts
+        as many and begins later cannot be told from this call's.
         """
         fields = {"offset": stored.offset, "end": stored.end}
         count = stored.end - stored.offset
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -39,15 +39,17 @@
     value: bytes | None
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class Item:
     """Records that are appended together.
 
-    ``token`` lets the caller recognize the item; it is not stored.
+    ``token`` lets the caller recognize the item; it is not stored. ``sends``
+    counts the calls that held it.
     """
 
     records: tuple[Record, ...]
     token: typing.Any = None
+    sends: int = 0
 
     @property
     def size(self) -> int:
@@ -214,7 +216,8 @@
         Items of a call that may have taken effect stay in the queue. No other
         appender may have this one's producer, as a new epoch may begin.
         """
-        if self._batch and not self._in_flight and not self._unresolved:
+        may_be_stored = self._in_flight or self._unresolved
+        if not may_be_stored and any(map(wanted, self._batch)):
             self._put_back()
         taken = [item for item in self._pending if wanted(item)]
         if taken:
@@ -227,7 +230,7 @@
 
         The next call begins a new epoch: the store gives no answer to its
         records that it gave to others under the same sequence number, and
-        carries out no call of before any more.
+        from then on carries out no call of before.
         """
         self._pending.extendleft(reversed(self._batch))
         self._batch = ()
@@ -248,6 +251,8 @@
         self._read_at = None
         self._calls += 1
         self._attempts += 1
+        for item in self._batch:
+            item.sends += 1
         return Request(
             number=self._calls,
             records=tuple(r for item in self._batch for r in item.records),
@@ -274,8 +279,9 @@
         answer may be lost.
         """
         item = self._unread.pop(key, None)
-        if item is not None and not self._unread:
-            self._read_at = now
+        if item is not None:
+            if not self._unread:
+                self._read_at = now
         return item
 
     def _give_up_if_read(self, now: float) -> None:
@@ -340,8 +346,11 @@
     def _counts(self, request: Request, result: Result) -> bool:
         if request.number == self._calls and self._in_flight:
             return True
-        current = request.sequence == self._sequence and bool(self._batch)
-        return current and isinstance(result, Appended)
+        current = (request.epoch, request.sequence) == (
+            self._epoch,
+            self._sequence,
+        )
+        return current and bool(self._batch) and isinstance(result, Appended)
 
     def _stored(self) -> tuple[Item, ...]:
         batch = self._batch
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -46,7 +46,10 @@
 
 
 class _AppendAnswer(msgspec.Struct):
-    """``end`` is the partition's end; the field ``seq`` is not read."""
+    """``end`` is the partition's end, after the records if there are any.
+
+    The field ``seq`` is not read.
+    """
 
     offset: _Position = -1
     end: _Position = -1
--- a/tests/journal/test_appender.py
+++ b/tests/journal/test_appender.py
@@ -246,3 +246,22 @@
     for _ in range(3):
         writer.add(appender.Item(records=(big,)))
     assert len(writer.next_call(0.0).records) == 1
+
+
+def _reject_stored_call(writer, *names):
+    """Return a store that has a call's records, unknown to the writer."""
+    for name in names:
+        writer.add(_item(name))
+    store = stores.Store()
+    _append(store, writer.next_call(0.0))
+    writer.handle_result(appender.NotDone(reason="busy"), 0.1)
+    return store
+
+
+def test_a_call_of_which_nothing_is_withdrawn_keeps_its_number():
+    """The daemon asks at each step; a new number would store it twice."""
+    writer = appender.Appender(epoch=1)
+    store = _reject_stored_call(writer, "a")
+    assert not writer.withdraw(lambda item: False)
+    _append(store, writer.next_call(1.0))
+    assert store.end(pages.Topic.JOBS) == 1
