Refuse no record whose call was read back

What callers saw: of several jobs that are stored with one call, those that were not read back yet could be refused and run (REFUSED).

Cause: a call is stored as a whole. When one of its records was read back only that one counted as stored; if the call itself was refused, the others were withdrawn as certainly not stored.

Change: a call of which a record was read back may be stored; it is repeated under its number until its outcome is known.

--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -280,6 +280,8 @@
         """
         item = self._unread.pop(key, None)
         if item is not None:
+            # A batch is stored as a whole.
+            self._unresolved = True
             if not self._unread:
                 self._read_at = now
         return item
--- a/tests/journal/test_appender.py
+++ b/tests/journal/test_appender.py
@@ -265,3 +265,10 @@
     assert not writer.withdraw(lambda item: False)
     _append(store, writer.next_call(1.0))
     assert store.end(pages.Topic.JOBS) == 1
+
+
+def test_records_of_a_call_that_was_read_back_are_not_withdrawn():
+    writer = appender.Appender(epoch=1, reads_back=True)
+    _reject_stored_call(writer, "a", "b")
+    assert writer.note_read("a", 0.2).token == "a"
+    assert not writer.withdraw(lambda item: item.token == "b")
