Send a speed limit again that may not be in force

What callers see: a background task stays slow, or stopped, for as long as it runs beside calm neighbours; or it goes on at full speed beside tasks whose users wait. The leader took each limit that it had sent for one in force and did not read the answer. A limit that was lost, refused with 503 or carried out late behind a newer one was never sent again, as only a change is sent.

Change: the answer is read. A limit that was not carried out, or may not have been, is sent again with the host's next list.

--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -234,6 +234,13 @@
                 run=effect.run,
                 refusal=_refusal(reply),
             )
+        case messages.SetRunSpeed():
+            return messages.SpeedAnswered(
+                host=effect.host,
+                task=effect.task,
+                run=effect.run,
+                refusal=_refusal(reply),
+            )
         case messages.RenewLease():
             return _listing(effect, reply)
         case _:
--- a/azurewood/policy/throttling.py
+++ b/azurewood/policy/throttling.py
@@ -26,7 +26,10 @@
 
 
 def speed_changes(host: model.Host, now: float) -> abc.Iterator[tuple]:
-    """Yield the background runs whose speed changes, with the new speed."""
+    """Yield the background runs whose speed is to be sent, with the speed.
+
+    It changes, or is due to be sent again.
+    """
     serving = [run for run in host.runs.values() if _has_latency_target(run)]
     background = [run for run in host.runs.values() if _is_background(run)]
     if not background:
@@ -37,7 +40,7 @@
     )
     for run in background:
         wanted = _next_speed(run, latency_ratio, now)
-        if wanted != run.speed:
+        if wanted != run.speed or now >= run.speed_due_at:
             yield run, wanted
 
 
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -11,13 +11,13 @@
 from azurewood.incarnations import incarnation as incarnations
 from azurewood.incarnations import limits
 from azurewood.jobs import model
-from azurewood.policy import throttling
 from azurewood.scheduling import crashes
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import listings
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import runs
+from azurewood.scheduling import speeds
 from azurewood.scheduling import tasks
 from azurewood.scheduling import unresponsive
 
@@ -295,7 +295,7 @@
     running = {(row.task, row.run): row for row in event.running}
     listings.handle_running(state, host, event, running, ends, now)
     host.incarnation.synced = True
-    _set_speeds(state, host, now)
+    speeds.send_changes(state, host, now)
     withheld = host.incarnation.ends.withheld
     host.renew_at = now + (WITHHELD_PAUSE_S if withheld else RENEWAL_PAUSE_S)
     if host.fence_due:
@@ -306,28 +306,6 @@
     state.placement_due.add(host.entry.service)
 
 
-def _set_speeds(
-    state: scheduling.State, host: scheduling.Host, now: float
-) -> None:
-    """Change the speed limits of a host's background runs."""
-    for run, percent in throttling.speed_changes(host, now):
-        state.log_run(
-            "run.paced", host, run, percent=percent, before=run.speed
-        )
-        run.speed = percent
-        run.speed_changed_at = now
-        state.emit(
-            messages.SetRunSpeed(
-                host=host.id,
-                address=host.entry.address,
-                fence=host.fence,
-                task=run.task,
-                run=run.run,
-                percent=percent,
-            )
-        )
-
-
 def _with_incarnation(
     entry: messages.HostEntry, incarnation_ms: int
 ) -> messages.HostEntry:
--- a/azurewood/scheduling/messages.py
+++ b/azurewood/scheduling/messages.py
@@ -241,6 +241,16 @@
     refusal: Refusal | None
 
 
+@_frozen
+class SpeedAnswered:
+    """A speed limit was answered; ``refusal`` is None if it is in force."""
+
+    host: str
+    task: model.TaskId
+    run: int
+    refusal: Refusal | None
+
+
 @_frozen
 class ProgressSaved:
     """The progress records that were sent last are stored."""
@@ -321,6 +331,7 @@
     | RenewalFailed
     | StartAnswered
     | StopAnswered
+    | SpeedAnswered
     | ProgressSaved
     | OrderAnswered
     | Advised
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -39,6 +39,9 @@
     ``confirmed_at`` is when the latest start or stop was confirmed, None
     while its outcome is unknown. ``crashes`` is how many crashes of hosts
     its task was suspected of when it was placed.
+    ``speed`` is the newest speed limit in percent. It is sent again at
+    ``speed_due_at``, as it may not be in force. Until ``late_speed_until``
+    one that got no answer may still take effect.
     """
 
     __slots__ = (
@@ -48,6 +51,7 @@
         "crashes",
         "incarnation_ms",
         "inherited",
+        "late_speed_until",
         "measure",
         "percent",
         "phase",
@@ -56,6 +60,7 @@
         "saved",
         "speed",
         "speed_changed_at",
+        "speed_due_at",
         "step",
         "task",
         "tries",
@@ -81,6 +86,8 @@
         self.saved = ""
         self.speed = 100
         self.speed_changed_at = now
+        self.speed_due_at = math.inf
+        self.late_speed_until = 0.0
 
     @property
     def key(self) -> tuple[model.TaskId, int]:
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -19,6 +19,7 @@
 from azurewood.scheduling import pools
 from azurewood.scheduling import progress
 from azurewood.scheduling import runs
+from azurewood.scheduling import speeds
 from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
 from azurewood.scheduling import unresponsive
@@ -165,6 +166,8 @@
             runs.start_answered(state, event, now)
         case messages.StopAnswered():
             runs.stop_answered(state, event, now)
+        case messages.SpeedAnswered():
+            speeds.on_answered(state, event, now)
         case messages.RenewalFailed():
             hosts.renewal_failed(state, event, now)
         case messages.ProgressSaved():
--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -204,6 +204,13 @@
                     run=effect.run,
                     refusal=reason,
                 )
+            case messages.SetRunSpeed():
+                return messages.SpeedAnswered(
+                    host=effect.host,
+                    task=effect.task,
+                    run=effect.run,
+                    refusal=reason,
+                )
             case messages.RenewLease():
                 return messages.RenewalFailed(
                     host=effect.host, number=effect.number, reason=reason
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -337,6 +337,13 @@
                     run=effect.run,
                     refusal=host.stop(effect.task, effect.run, effect.fence),
                 )
+            case messages.SetRunSpeed():
+                return messages.SpeedAnswered(
+                    host=host.id,
+                    task=effect.task,
+                    run=effect.run,
+                    refusal=None,
+                )
             case messages.RenewLease():
                 refusal = host.renew_lease(effect, effect.fence)
                 if refusal is not None:
--- a/tests/platform/test_reset_orders.py
+++ b/tests/platform/test_reset_orders.py
@@ -110,6 +110,12 @@
     )
 
 
+def _speed(address):
+    return messages.SetRunSpeed(
+        host="h", address=address, fence=1, task=TASK, run=1, percent=50
+    )
+
+
 def _renewal(address):
     return messages.RenewLease(
         host="h",
@@ -130,10 +136,8 @@
 
 
 @pytest.mark.parametrize("refusal", HOST_REFUSALS)
-@pytest.mark.parametrize("effect_of", (_start, _stop))
-def test_a_start_or_stop_that_was_carried_out_is_not_refused(
-    effect_of, refusal
-):
+@pytest.mark.parametrize("effect_of", (_start, _stop, _speed))
+def test_a_call_that_a_host_carried_out_is_not_refused(effect_of, refusal):
     event = _host_event(effect_of, refusal)
     assert event.refusal is messages.Refusal.UNKNOWN
 
