Repeat a resignation whose connection is reset

What callers see: when a leader stops and the call with its resignation is reset or refused, no task is placed for the 1.5 s after which its successor takes it for silent.

Change: a daemon that stops sends its resignation again, 0.1 s after a call with no answer or a refusal, unless its resignation is in the log as it reads it. The append is bound to its offset, so that it is not stored twice, nor behind a successor's claim; a daemon that stops claims nothing any more. One that goes on does not repeat it: its own next claim may be under way.

Evidence: test_lost_resignation.py, the case of a call that was not carried out fails without the change (no successor within 0.8 s); the case of one that was carried out fails without the look at the log (two resignations).

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -39,6 +39,8 @@
 shorter ``LEADER_READ_PAUSE_S``."""
 LEADER_READ_PAUSE_S: typing.Final = 0.005
 MAX_WAIT_S: typing.Final = 0.1
+RESIGN_RETRY_S: typing.Final = 0.1
+"""Time to read a resignation that got no answer but was stored."""
 RETENTION_MARGIN_S: typing.Final = 30.0
 """Added to the time for which a job's state is guaranteed to callers."""
 
@@ -58,8 +60,10 @@
         "_order_pause_s",
         "_partitions",
         "_platform",
+        "_resign_at",
         "_retention_s",
         "_unix_ms",
+        "_unstored_resignation",
         "_wake",
         "_waves",
         "_writes",
@@ -125,6 +129,8 @@
             pause_s=READ_PAUSE_S,
             seed=int(nonce, 16),
         )
+        self._unstored_resignation: leadership.Append | None = None
+        self._resign_at = 0.0
 
     def leave(self) -> None:
         """Stop accepting callers and end the term, if any, by resigning."""
@@ -137,6 +143,7 @@
     def step(self, now: float) -> None:
         """Run one iteration: read, write, and lead if elected."""
         self._read_all()
+        self._resign_if_due(now)
         self._writes.step(now, store_lost=self._jobs.failing)
         self._lead(now)
 
@@ -323,14 +330,34 @@
     def _resign_again(
         self, wanted: leadership.Append, result: appender.Result
     ) -> None:
-        """Repeat a resignation whose offset a late beat had taken."""
-        if self.election.term:
-            # This daemon leads again: a resignation would end the new term.
+        """Repeat a resignation that is not stored.
+
+        A late beat may have taken its offset, or its call may be lost.
+        """
+        if self.election.term or self.election.released_term:
+            # A resignation would end a new term of this daemon, or is read.
+            return
+        if not isinstance(wanted.entry, election_records.Resign):
+            return
+        match result:
+            case appender.Conflict(end=end):
+                again = leadership.Append(entry=wanted.entry, at=end)
+                self._append_leader(again)
+            case appender.NotDone() | appender.Unknown():
+                self._unstored_resignation = wanted
+                self._resign_at = self._clock() + RESIGN_RETRY_S
+
+    def _resign_if_due(self, now: float) -> None:
+        """Send a resignation again that may not be stored.
+
+        Only a daemon that stops does so, as it claims no term any more.
+        """
+        wanted = self._unstored_resignation
+        if wanted is None or now < self._resign_at:
             return
-        resigning = isinstance(wanted.entry, election_records.Resign)
-        if resigning and isinstance(result, appender.Conflict):
-            again = leadership.Append(entry=wanted.entry, at=result.end)
-            self._append_leader(again)
+        self._unstored_resignation = None
+        if self.election.stopping and not self.election.released_term:
+            self._append_leader(wanted)
 
     def _on_leader_append(
         self, wanted: leadership.Append, reply: multiplex.Reply
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -470,10 +470,10 @@
         """Return whether this daemon waits for others to claim first."""
         known = now - self._strongest_at < STRONGEST_TTL_S
         outdone = known and _is_stronger(self.strongest, self.cores)
-        return self._released_term or outdone
+        return self.released_term or outdone
 
     @property
-    def _released_term(self) -> bool:
+    def released_term(self) -> bool:
         """Whether this daemon held the newest term and released it."""
         return self._resigned and self._leader_nonce == self.nonce
 
@@ -485,7 +485,7 @@
         """
         gap = event.began_at - self._read_at >= MAX_READ_AGE_S
         if self._yield_until is None or gap:
-            pause_s = RELEASE_YIELD_S if self._released_term else YIELD_S
+            pause_s = RELEASE_YIELD_S if self.released_term else YIELD_S
             self._yield_until = now + pause_s
         return now >= self._yield_until
 
--- /dev/null
+++ b/tests/leadership/test_lost_resignation.py
@@ -0,0 +1,50 @@
+"""Resignations whose connection is reset, carried out or not."""
+
+import pytest
+
+from azurewood.http import multiplex
+from azurewood.journal import pages
+from azurewood.leadership import records
+from tests.scheduling import deployment
+
+RESET_S = 0.01
+SUCCEEDED_WITHIN_S = 0.8
+"""A successor that reads no resignation claims after 1.5 s."""
+
+
+class _Resetting:
+    """Calls that get no answer; they are carried out or not."""
+
+    def __init__(self, made, calls, *, carried_out):
+        self._made = made
+        self._calls = calls
+        self._carried_out = carried_out
+
+    def submit(self, call, done):
+        at = self._made.clock.now
+        reply = multiplex.Reply(
+            outcome=multiplex.Outcome.UNKNOWN, sent_at=at, at=at + RESET_S
+        )
+        self._made.clock.after(RESET_S, lambda: done(reply))
+        if self._carried_out:
+            self._calls.submit(call, lambda reply: None)
+
+
+def _resignations(made):
+    page = made.store.read(pages.Topic.LEADER, 0)
+    entries = [records.decode(record.value) for record in page.records]
+    return sum(isinstance(entry, records.Resign) for entry in entries)
+
+
+@pytest.mark.parametrize("carried_out", (False, True))
+def test_no_successor_waits_for_a_resignation_that_was_reset(carried_out):
+    made = deployment.world(members=3)
+    old = made.leaders()[0]
+    member = old.member
+    calls = member._calls
+    member._calls = _Resetting(made, calls, carried_out=carried_out)
+    member.leave()
+    member._calls = calls
+    made.run(SUCCEEDED_WITHIN_S)
+    assert [leader for leader in made.leaders() if leader is not old]
+    assert _resignations(made) == 1
