Don't say "not run" if a request's hedge was sent

What callers see: the answer 503 "not-run" to a repeatable request that an endpoint may have processed. A request on a kept connection that had ended connected anew, which took longer than the hedge's wait and failed, so no byte of it was sent. Its hedge had been sent and got no answer; the reply of the first copy, refused, stood for both.

Change: without an answer, the request counts as refused only if no byte of the hedge left either, else as broken: it is retried as before, or its caller is told that the outcome is unknown.

Evidence: test_not_refused_if_a_hedge_was_sent fails without the change (refused, while the endpoint read two requests), over real sockets. Two more tests pass with and without it: a request whose hedge could not connect is refused, and one that was processed, reset and repeated by libcurl is answered with the endpoint's 429 or 503 and is not refused.

--- a/azurewood/http/endpoints.py
+++ b/azurewood/http/endpoints.py
@@ -127,6 +127,7 @@
         """Send on a reused connection; hedge if it receives nothing."""
         until = time.monotonic() + timeout_s
         sink = _Sink()
+        hedged: list[Reply] = []
 
         def resend(attempt: watch.Attempt) -> Reply | None:
             attempt.hedge_link = links.new_link()
@@ -134,6 +135,7 @@
             reply = self._perform(
                 attempt.hedge_link, endpoint, outgoing, _Sink(), left_s
             )
+            hedged.append(reply)
             return reply if reply.status else None
 
         attempt = watch.Attempt(
@@ -149,8 +151,10 @@
                 [attempt.hedge], timeout=max(0.0, until - time.monotonic())
             )
         self._monitor.remove(attempt)
-        if reply.status or attempt.winning_reply is None:
+        if reply.status:
             return reply
+        if attempt.winning_reply is None:
+            return _without_answer(reply, attempt, hedged)
         self._close_idle(endpoint)
         return attempt.winning_reply
 
@@ -268,6 +272,20 @@
     curl.setopt(pycurl.NOBODY, 1 if outgoing.method == "HEAD" else 0)
 
 
+def _without_answer(
+    reply: Reply, attempt: watch.Attempt, hedged: list[Reply]
+) -> Reply:
+    """Return the reply of a failed attempt whose hedge got no answer either.
+
+    It is only refused if no byte of the hedge was sent.
+    """
+    if reply.result != Result.REFUSED or not attempt.has_hedge_begun:
+        return reply
+    if hedged and hedged[0].result == Result.REFUSED:
+        return reply
+    return dataclasses.replace(reply, result=Result.BROKEN)
+
+
 def _failure_reply(
     curl: pycurl.Curl, exc: pycurl.error, elapsed: float
 ) -> Reply:
--- a/azurewood/http/watch.py
+++ b/azurewood/http/watch.py
@@ -30,7 +30,8 @@
 
     ``has_answer_begun`` returns whether a header line of the answer has
     arrived. ``resend`` sends the request over a new connection and returns
-    its reply, or None if it was not answered.
+    its reply, or None if it was not answered. ``has_hedge_begun`` is whether
+    it may have been called; it is final once the attempt is removed.
     """
 
     hedge_at: float
@@ -39,6 +40,7 @@
     resend: collections.abc.Callable[["Attempt"], object]
     hedge: concurrent.futures.Future | None = None
     hedge_link: links.Link | None = None
+    has_hedge_begun: bool = False
     winning_reply: object = None
     is_over: bool = False
 
@@ -96,6 +98,8 @@
 
     def _send_hedge(self, attempt: Attempt) -> object:
         """Send the hedge; if it is answered first, abort the first attempt."""
+        # Set before the check, as ``remove`` sets ``is_over`` before a read.
+        attempt.has_hedge_begun = True
         if attempt.is_over:
             return None
         reply = attempt.resend(attempt)
--- a/tests/requests/test_endpoints.py
+++ b/tests/requests/test_endpoints.py
@@ -4,10 +4,12 @@
 import threading
 import time
 
+import pycurl
 import pytest
 
 from azurewood.http import endpoints
 from azurewood.state import events
+from tests.http import resetting
 
 Result = events.RequestResult
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -132,3 +134,49 @@
     ((link,),) = client._idle.values()
     link.idle_since -= endpoints.links.IDLE_CONNECTION_S
     assert client._acquire_link(("127.0.0.1", server.port)) is not link
+
+
+@pytest.mark.parametrize("status", (429, 503))
+def test_not_refused_if_a_repetition_of_a_reset_request_is(client, status):
+    processed = []
+
+    def answer(path, body, reused):
+        if reused and not processed:
+            processed.append(path)
+            return None
+        return (status if processed else 200), b"{}"
+
+    with resetting.serving(answer) as url:
+        port = int(url.rpartition(":")[2])
+        assert send(client, port).result == Result.ANSWERED
+        reply = send(client, port)
+    assert processed
+    assert reply.status == status
+    assert reply.result in (Result.ANSWERED, Result.FAILED)
+
+
+def _refuse_late(purpose, address):
+    time.sleep(0.3)
+    return pycurl.SOCKET_BAD
+
+
+def _send_hedged(client, server):
+    """Send over a connection that has ended and cannot be made again."""
+    assert send(client, server.port).result == Result.ANSWERED
+    ((link,),) = client._idle.values()
+    link.sock.shutdown(socket.SHUT_RDWR)
+    link.curl.setopt(pycurl.OPENSOCKETFUNCTION, _refuse_late)
+    return send(client, server.port, hedge_at=time.monotonic())
+
+
+def test_not_refused_if_a_hedge_was_sent(client):
+    """The endpoint may have processed it, so "not run" would be false."""
+    server = Server(WHOLE, None)
+    assert _send_hedged(client, server).result == Result.BROKEN
+    assert server.requests == 2
+
+
+def test_refused_if_no_byte_of_a_hedge_left(client):
+    server = Server(WHOLE, None, stays=False)
+    assert _send_hedged(client, server).result == Result.REFUSED
+    assert server.requests == 1
