--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -143,7 +143,8 @@
     def step(self, now: float) -> None:
         """Run one iteration: read, write, and lead if elected."""
         self._read_all()
-        self._resign_if_due(now)
+        if self._unstored_resignation is not None:
+            self._resign_if_due(self._unstored_resignation, now)
         self._writes.step(now, store_lost=self._jobs.failing)
         self._lead(now)
 
@@ -347,13 +348,12 @@
                 self._unstored_resignation = wanted
                 self._resign_at = self._clock() + RESIGN_RETRY_S
 
-    def _resign_if_due(self, now: float) -> None:
+    def _resign_if_due(self, wanted: leadership.Append, now: float) -> None:
         """Send a resignation again that may not be stored.
 
         Only a daemon that stops does so, as it claims no term any more.
         """
-        wanted = self._unstored_resignation
-        if wanted is None or now < self._resign_at:
+        if now < self._resign_at:
             return
         self._unstored_resignation = None
         if self.election.stopping and not self.election.released_term:
