Send the speed of a background run again after a change of leader

What callers see: a background task that was slowed or stopped stays so after its leader is replaced. The new leader takes each run for one at full speed and sends only changes, so the task is not sped up while it runs beside calm neighbours.

Change: the full speed, which the new leader counts on, is sent with the first list of the run's host; the run is slowed from there if its neighbours need it.

Evidence: test_no_background_run_stays_slow_after_its_leader fails without the change (no limit is sent) and passes with it.

--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -349,6 +349,8 @@
     run.incarnation_ms = row.host_born_ms
     run.phase = scheduling.RunPhase.RUNNING
     run.saved = row.saved
+    # The earlier leader may have limited its speed.
+    run.speed_due_at = now
     state.host(row.host).add(run)
 
 
--- a/tests/scheduling/test_lost_speeds.py
+++ b/tests/scheduling/test_lost_speeds.py
@@ -6,6 +6,7 @@
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import reducer
+from tests.scheduling import deployment
 
 BACKGROUND = jobs.Step(count=1, background=True)
 TASK = jobs.TaskId("j", 0, 0, 0)
@@ -97,3 +98,36 @@
     host = _Host(refusal, late=late)
     host.play()
     assert host.speed == 100
+
+
+def _speeds_sent(made, monkeypatch):
+    """Return a list that grows as speed limits reach their hosts."""
+    sent = []
+    on_host = made.on_host
+
+    def noting(effect, sent_at):
+        if isinstance(effect, messages.SetRunSpeed):
+            sent.append((effect.task.job, effect.percent))
+        return on_host(effect, sent_at)
+
+    monkeypatch.setattr(made, "on_host", noting, raising=False)
+    return sent
+
+
+def test_no_background_run_stays_slow_after_its_leader(monkeypatch):
+    """A new leader doesn't know the limits that are in force."""
+    made = deployment.world(**{"s-one": 1})
+    step = jobs.Step(
+        count=1,
+        needs=jobs.Resources(500, 500, 0),
+        estimate_ms=20_000,
+        background=True,
+    )
+    job = deployment.job(made, 1, step)
+    made.submit(made.members[0], job)
+    made.run(2.0)
+    assert deployment.running_tasks(made, job.id) == 1
+    sent = _speeds_sent(made, monkeypatch)
+    made.leaders()[0].member.leave()
+    made.run(4.0)
+    assert sent == [(job.id, 100)]
