Count an append's records once, when its call is made

Each answer counted the records of its batch for the log lines, an item at a time, also when no line was written. The count is now kept from the call.

--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -146,6 +146,7 @@
         "_failures",
         "_in_flight",
         "_pending",
+        "_records",
         "_random",
         "_retry_at",
         "_sequence",
@@ -171,6 +172,7 @@
         self._attempts = 0
         self._pending: collections.deque[Item] = collections.deque()
         self._batch: tuple[Item, ...] = ()
+        self._records = 0
         self._in_flight = False
         self._unresolved = False
         self._failures = 0
@@ -200,7 +202,7 @@
             epoch=self._epoch,
             sequence=self._sequence,
             attempts=self._attempts,
-            records=sum(len(item.records) for item in self._batch),
+            records=self._records,
             unresolved=self._unresolved,
         )
 
@@ -231,6 +233,7 @@
         """
         self._pending.extendleft(reversed(self._batch))
         self._batch = ()
+        self._records = 0
         self._epoch += 1
 
     def next_call(self, now: float) -> Request | None:
@@ -248,9 +251,11 @@
         self._read_at = None
         self._calls += 1
         self._attempts += 1
+        records = tuple(r for item in self._batch for r in item.records)
+        self._records = len(records)
         return Request(
             number=self._calls,
-            records=tuple(r for item in self._batch for r in item.records),
+            records=records,
             epoch=self._epoch,
             sequence=self._sequence,
             timeout_s=self._timeout_s(),
@@ -346,6 +351,7 @@
     def _stored(self) -> tuple[Item, ...]:
         batch = self._batch
         self._batch = ()
+        self._records = 0
         self._unread = {}
         self._read_at = None
         self._unresolved = False
