--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -161,21 +161,28 @@
         self, request: appender.Request, reply: multiplex.Reply
     ) -> None:
         result = self._platform.append_result(reply)
-        position = self._appender.position()
+        attempts = self._appender.attempts
         stored = self._appender.handle_result(result, self._clock(), request)
         if self._appender.failing:
-            self._log("append.failed", position, writes=reply.writes).warning(
-                "append failed; trying again: {}", result
-            )
+            self._log(
+                "append.failed",
+                request,
+                attempts=attempts,
+                unresolved=self._appender.unresolved,
+                writes=reply.writes,
+            ).warning("append failed; trying again: {}", result)
         elif stored:
-            self._log_stored(position, result)
+            self._log_stored(request, result, attempts)
         for item in stored:
             if item.token is not None:
                 item.token(result.offset)
         self.step(self._clock())
 
     def _log_stored(
-        self, position: appender.Position, stored: appender.Appended
+        self,
+        request: appender.Request,
+        stored: appender.Appended,
+        attempts: int,
     ) -> None:
         """Log an append that took several calls, or whose answer is odd.
 
@@ -183,30 +190,33 @@
         the end of the append before, is that of another call. One that counts
         as many and begins later cannot be told from this call's.
         """
-        fields = {"offset": stored.offset, "end": stored.end}
-        count = stored.end - stored.offset
-        odd = stored.end >= 0 and count != position.records
-        if odd or stored.offset < self._end:
+        end = stored.offset + len(request.records)
+        fields = {
+            "attempts": attempts,
+            "offset": stored.offset,
+            "end": stored.end,
+        }
+        if stored.end not in (UNKNOWN_OFFSET, end) or (
+            stored.offset < self._end
+        ):
             self._log(
-                "append.replayed", position, after=self._end, **fields
+                "append.replayed", request, after=self._end, **fields
             ).error("the store gave the answer of another append")
-        elif position.attempts > 1:
-            self._log("append.resolved", position, **fields).info(
+        elif attempts > 1:
+            self._log("append.resolved", request, **fields).info(
                 "an append that had failed is stored"
             )
-        self._end = max(self._end, stored.offset + position.records)
+        self._end = max(self._end, end)
 
     def _log(
-        self, event: str, position: appender.Position, **fields: typing.Any
+        self, event: str, request: appender.Request, **fields: typing.Any
     ) -> typing.Any:
         """Return a logger with the fields of a call."""
         return logger.bind(
             event=event,
             topic=self._topic.value,
-            epoch=position.epoch,
-            sequence=position.sequence,
-            attempts=position.attempts,
-            records=position.records,
-            unresolved=position.unresolved,
+            epoch=request.epoch,
+            sequence=request.sequence,
+            records=len(request.records),
             **fields,
         )
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -115,21 +115,6 @@
     number: int = 0
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Position:
-    """Where an appender stands, for its log lines.
-
-    ``attempts`` counts the calls since the newest stored append, ``records``
-    those of the current call. ``unresolved`` is whether they may be stored.
-    """
-
-    epoch: int
-    sequence: int
-    attempts: int
-    records: int
-    unresolved: bool
-
-
 class Appender:
     """The appends of one producer to one topic, without any input/output.
 
@@ -137,13 +122,13 @@
     ``handle_result`` processes its result and returns the stored items.
     ``slow`` is whether the store is known to be slow. ``reads_back`` is
     whether ``note_read`` is called for the records that the topic has.
+    ``attempts`` counts the calls since the newest stored append,
+    ``unresolved`` is whether the records of the current one may be stored.
     """
 
     __slots__ = (
-        "_attempts",
         "_batch",
         "_calls",
-        "_unresolved",
         "_epoch",
         "_failures",
         "_in_flight",
@@ -157,9 +142,11 @@
         "_read_at",
         "_reads_back",
         "_last_latency_s",
+        "attempts",
         "fenced",
         "last_error",
         "slow",
+        "unresolved",
     )
 
     def __init__(
@@ -170,11 +157,11 @@
         self._unread: dict[str, Item] = {}
         self._read_at: float | None = None
         self._calls = 0
-        self._attempts = 0
+        self.attempts = 0
         self._pending: collections.deque[Item] = collections.deque()
         self._batch: tuple[Item, ...] = ()
         self._in_flight = False
-        self._unresolved = False
+        self.unresolved = False
         self._failures = 0
         self._retry_at = 0.0
         self._sequence = 1
@@ -196,16 +183,6 @@
         """Whether the latest call failed."""
         return self._failures > 0
 
-    def position(self) -> Position:
-        """Return where the appender stands with its current call."""
-        return Position(
-            epoch=self._epoch,
-            sequence=self._sequence,
-            attempts=self._attempts,
-            records=sum(len(item.records) for item in self._batch),
-            unresolved=self._unresolved,
-        )
-
     def add(self, item: Item) -> None:
         """Queue an item after all earlier ones."""
         self._pending.append(item)
@@ -216,7 +193,7 @@
         Items of a call that may have taken effect stay in the queue. No other
         appender may have this one's producer, as a new epoch may begin.
         """
-        may_be_stored = self._in_flight or self._unresolved
+        may_be_stored = self._in_flight or self.unresolved
         if not may_be_stored and any(map(wanted, self._batch)):
             self._put_back()
         taken = [item for item in self._pending if wanted(item)]
@@ -250,7 +227,7 @@
         self._sent_at = now
         self._read_at = None
         self._calls += 1
-        self._attempts += 1
+        self.attempts += 1
         for item in self._batch:
             item.sends += 1
         return Request(
@@ -281,7 +258,7 @@
         item = self._unread.pop(key, None)
         if item is not None:
             # A batch is stored as a whole.
-            self._unresolved = True
+            self.unresolved = True
             if not self._unread:
                 self._read_at = now
         return item
@@ -292,7 +269,7 @@
             return
         if now >= self._read_at + READ_BACK_GRACE_S:
             self._in_flight = False
-            self._unresolved = True
+            self.unresolved = True
 
     def latency_s(self, now: float) -> float:
         """Return the latency of the newest answer, 0 if it is too old.
@@ -341,7 +318,7 @@
             case NotDone(reason=reason) | Conflict(reason=reason):
                 self._fail(reason, now)
             case Unknown(reason=reason):
-                self._unresolved = True
+                self.unresolved = True
                 self._fail(reason, now)
         return ()
 
@@ -359,8 +336,8 @@
         self._batch = ()
         self._unread = {}
         self._read_at = None
-        self._unresolved = False
-        self._attempts = 0
+        self.unresolved = False
+        self.attempts = 0
         self._failures = 0
         self._retry_at = 0.0
         self._sequence += 1
