Reset calls that were carried out in the soak

Change: the fault Reset carries calls to the store, hosts or machines out (or, some, not) on a connection that was used before and resets it before any byte of the answer; for 0.1 to 1.5 s after that the target answers 503 or 429, refuses connections or is silent. New findings: an acknowledged job or cancellation that the store never got, a refused job that is stored or ran. The stand-in's store repeats the end of its first answer, too, which was the end of the topic by then and made the daemons log append.replayed.

--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -71,7 +71,7 @@
             known.answers = {}
         if not records:
             known.sequence = sequence
-            return appender.Appended(offset=found.end)
+            return appender.Appended(offset=found.end, end=found.end)
         if sequence in known.answers:
             return known.answers[sequence]
         if known.sequence is not None and sequence != known.sequence + 1:
@@ -110,7 +110,7 @@
         waiters, found.waiters = found.waiters, []
         for waiter in waiters:
             waiter()
-        return appender.Appended(offset=offset)
+        return appender.Appended(offset=offset, end=found.end)
 
     def end(self, topic: pages.Topic, part: int = 0) -> int:
         """Return the offset of the next record."""
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -153,8 +153,7 @@
         else:
             result = store.add(topic, records, part)
         match result:
-            case appender.Appended(offset=offset):
-                end = store.end(topic, part)
+            case appender.Appended(offset=offset, end=end):
                 return _json(200, {"offset": offset, "end": end})
             case appender.Fenced():
                 return _json(409, {"reason": "fenced"})
--- a/tests/soak/base.py
+++ b/tests/soak/base.py
@@ -133,6 +133,7 @@
         self._end_faults()
         self._settle()
         self._check_lost_requests()
+        self._check_answers()
         rules = self._server.world.rules
         breaches = [self._server.describe(b) for b in rules.breaches]
         self._trace_path.write_text("\n".join(self._server.trace) + "\n")
@@ -201,6 +202,10 @@
             case plan.Late():
                 self._server.late = fault
                 self._schedule(fault.for_s, lambda: self._end_late(fault))
+            case plan.Reset():
+                begun = self._server.resets.faults
+                begun.append(fault)
+                self._schedule(fault.for_s, lambda: begun.remove(fault))
 
     def _signal_daemon(self, fault, daemon):
         match fault.kind:
@@ -332,6 +337,7 @@
             link.restore()
         self._restore_store()
         self._server.late = None
+        self._server.resets.faults.clear()
         for daemon in self._daemons:
             daemon.process.resume()
             died = not daemon.process.alive
@@ -395,6 +401,19 @@
                     f" {lost.at - lost.sent_at:.2f} s after it was sent"
                 )
 
+    def _check_answers(self):
+        """Record a finding for each answer that the store belies."""
+        self._findings += self._observations.not_stored
+        with self._server.lock:
+            world = self._server.world
+            for job_id in sorted(world.rules.refused):
+                if f"a/{job_id}" in world.store.job_keys:
+                    self._findings.append(
+                        f"job {job_id} was refused and is stored"
+                    )
+                if job_id in world.rules.started_jobs:
+                    self._findings.append(f"job {job_id} was refused and ran")
+
     def _ready(self, daemon):
         caller = self._new_caller(daemon, port=member.READY_PORT)
         return caller.ask("GET", "/api/readyz")[0] == 200
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -30,11 +30,12 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Observations:
-    """What the callers observed: accepted jobs and lost requests."""
+    """What callers observed: accepted jobs, lost requests, false answers."""
 
     accepted: dict[str, float] = dataclasses.field(default_factory=dict)
     cancelling: set[str] = dataclasses.field(default_factory=set)
     lost: list[LostRequest] = dataclasses.field(default_factory=list)
+    not_stored: list[str] = dataclasses.field(default_factory=list)
     tries: int = 0
     asked: int = 0
 
@@ -92,6 +93,7 @@
             status, _ = self.ask("POST", self._path + job_id, body)
             if status == 200:
                 self._observations.accepted[job_id] = time.monotonic()
+                self._check_stored("accepted", job_id, "a")
                 return True
             if status in (429, 503):
                 break
@@ -118,6 +120,16 @@
         if status == 200:
             with self._server.lock:
                 world.rules.cancelled_at[job_id] = world.clock.now
+            self._check_stored("cancelled", job_id, "ce")
+
+    def _check_stored(self, told, job_id, kinds):
+        """Note an acknowledgement without a record of one of the kinds."""
+        with self._server.lock:
+            stored = self._server.world.store.job_keys
+            if not any(f"{kind}/{job_id}" in stored for kind in kinds):
+                self._observations.not_stored.append(
+                    f"job {job_id} was told {told} and is not stored"
+                )
 
     def ask(self, method, path, body=None):
         """Send a request; return status and body, or (0, b"") on failure."""
--- a/tests/soak/naive.py
+++ b/tests/soak/naive.py
@@ -9,7 +9,9 @@
 import sys
 
 from azurewood.commands import fleet
+from azurewood.http import multiplex
 from azurewood.incarnations import limits
+from azurewood.journal import appender
 
 
 def _exit_on_sigterm():
@@ -32,7 +34,22 @@
     limits.MAX_LEASE_S = 0.0
 
 
-MECHANISMS = {"graceful-stop": _exit_on_sigterm, "leases": _skip_lease_wait}
+def _repeat_calls():
+    """Let libcurl repeat calls, and send other records under one number."""
+
+    def put_back(self):
+        self._pending.extendleft(reversed(self._batch))
+        self._batch = ()
+
+    multiplex._Transfer.is_sent = False
+    appender.Appender._put_back = put_back
+
+
+MECHANISMS = {
+    "graceful-stop": _exit_on_sigterm,
+    "leases": _skip_lease_wait,
+    "one-copy": _repeat_calls,
+}
 
 if __name__ == "__main__":
     MECHANISMS[sys.argv.pop(1)]()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -75,6 +75,21 @@
     share: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Reset:
+    """A ``share`` of the calls to a target is carried out and reset.
+
+    The ``target`` is ``store``, ``hosts`` or ``machines``, the ``kind`` how
+    it turns calls away for a while after that.
+    """
+
+    at: float
+    for_s: float
+    kind: str
+    target: str
+    share: float
+
+
 FIRST_RESTART_SEED = 1000
 """Seeds from here on also draw ``Restart`` and ``Late``.
 
@@ -85,10 +100,22 @@
 
 A late renewal tells a restarted host to forget ends that were not read.
 """
+FIRST_RESET_SEED = 500_000
+"""Seeds from here on also draw ``Reset``; even ones draw no ``Late``.
+
+What late calls break is not mixed with what resets break.
+"""
 SIGNALS = ("kill", "pause", "stop", "reload")
 CUTS = ("delay", "reset", "requests", "answers", "silence", "refuse")
 STORES = ("no-appends", "down", "forget")
 MACHINES = ("crash", "fail")
+RESETS = ("busy", "many", "refuse", "silence")
+RESET_SHARES = {
+    "store": (0.05, 0.1, 0.3),
+    "hosts": (0.05, 0.1, 0.3),
+    "machines": (0.5, 1.0),
+}
+"""Shares by target; the pools order machines a few times in a run."""
 MAX_DURATION_S = {"pause": 6.0, "delay": 4.0, "fail": 2.0}
 """Maximum duration by kind of fault; other kinds last up to 5 s.
 
@@ -110,9 +137,26 @@
         if seed >= FIRST_LATE_RENEWAL_SEED:
             kinds = ("orders", "calls")
         faults += _draw_restarts(rng, seconds, machines, kinds)
+    if seed >= FIRST_RESET_SEED:
+        if seed % 2 == 0:
+            faults = [f for f in faults if not isinstance(f, Late)]
+        faults += _draw_resets(rng, seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def _draw_resets(rng, seconds):
+    """Draw times in which calls are reset."""
+    for _ in range(rng.randint(3, 6)):
+        target = rng.choice(("store", "store", "hosts", "machines"))
+        yield Reset(
+            at=round(rng.uniform(1.0, seconds - 1.0), 2),
+            for_s=round(rng.uniform(1.0, 6.0), 2),
+            kind=rng.choice(RESETS),
+            target=target,
+            share=rng.choice(RESET_SHARES[target]),
+        )
+
+
 def _draw_restarts(rng, seconds, machines, kinds):
     """Draw restarts of hosts, and times in which calls are done late."""
     for _ in range(rng.randint(1, 3)):
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -6,8 +6,11 @@
 
 from werkzeug import wrappers
 
+from azurewood.journal import pages
+from standins.fleet import store as stores
 from tests.platform import standin
 from tests.soak import proxy
+from tests.soak import resets
 
 APPEND_DELAY_S = 0.004
 LATE_CALL_DELAY_S = (2.0, 12.0)
@@ -16,12 +19,29 @@
 HOST_CALLS = ORDERS | {RENEWAL}
 
 
+class SoakStore(stores.Store):
+    """A store that knows the keys of all job records it was ever given."""
+
+    __slots__ = ("job_keys",)
+
+    def __init__(self):
+        super().__init__()
+        self.job_keys = set()
+
+    def add(self, topic, records, part=0):
+        """Append records unconditionally."""
+        if topic in (pages.Topic.JOBS, pages.Topic.INTAKE):
+            self.job_keys |= {r.key for r in records if r.value is not None}
+        return super().add(topic, records, part)
+
+
 class SoakWorld(standin.HttpWorld):
     """Machines in ``hidden`` do not reach the store with their entries."""
 
     def __init__(self, **options):
         self.hidden = set()
         super().__init__(**options)
+        self.store = SoakStore()
 
     def publish_entry(self, host):
         """Write a host's entry, unless its machine is cut off."""
@@ -45,6 +65,7 @@
         self.links = {}
         self.late = None
         self.trace = []
+        self.resets = resets.Resets(note=self.note)
         self.late_starts = {}
         self._random = random.Random(0)
         self._first_listed = {}
@@ -91,6 +112,9 @@
             self.note(f"BREACH {breach}")
 
     def _answer(self, req):
+        return self.resets.answer(req, self._carry_out)
+
+    def _carry_out(self, req):
         if req.path not in HOST_CALLS:
             if req.path == "/api/log-append":
                 time.sleep(APPEND_DELAY_S)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """A short seeded soak, and the seeds that have found faults before."""
 
 import hashlib
+import itertools
 import pathlib
 import re
 import subprocess
@@ -150,3 +151,50 @@
         task_s=6.0,
     )
     assert any("twice" in finding for finding in result.findings)
+
+
+def test_later_seeds_reset_calls_and_every_second_has_no_late_ones():
+    plans = {
+        seed: plan.draw(seed, seconds=20.0, daemons=4, machines=6)
+        for seed in range(plan.FIRST_RESET_SEED, plan.FIRST_RESET_SEED + 50)
+    }
+    resets = [
+        [fault for fault in faults if isinstance(fault, plan.Reset)]
+        for faults in plans.values()
+    ]
+    late = {
+        seed
+        for seed, faults in plans.items()
+        if any(isinstance(fault, plan.Late) for fault in faults)
+    }
+    assert all(resets)
+    drawn = {(f.kind, f.target) for faults in resets for f in faults}
+    assert drawn == set(itertools.product(plan.RESETS, plan.RESET_SHARES))
+    assert late == set(range(plan.FIRST_RESET_SEED + 1, max(plans) + 1, 2))
+
+
+def test_short_run_with_resets(tmp_path):
+    result = base.play(seed=500_000, folder=tmp_path, seconds=8.0, daemons=3)
+    trace = (tmp_path / "hosts.trace").read_text(encoding="utf-8")
+    assert result.findings == []
+    assert result.accepted
+    assert "reset, carried out: True" in trace
+
+
+def test_false_answers_are_found(tmp_path):
+    resets = [
+        plan.Reset(at=1.0, for_s=8.0, kind=kind, target="store", share=0.3)
+        for kind in ("busy", "many")
+    ]
+    result = base.play(
+        seed=3,
+        folder=tmp_path,
+        seconds=10.0,
+        daemons=3,
+        module=("tests.soak.naive", "one-copy"),
+        faults=resets,
+    )
+    findings = "\n".join(result.findings)
+    assert "was told accepted and is not stored" in findings
+    assert "was refused and is stored" in findings
+    assert "was refused and ran" in findings
