End a soak's connections with the incarnation that they led to

The call was on its way in the stand-in when the host restarted; the proxy ends the connections of a crashed host, but what the server had read by then was carried out by the new incarnation. A new process cannot get what an old one's connection holds.

Change: a call over a connection that led to an earlier incarnation is not answered. No check changes. Calls that are carried out late by intention (Late) still reach the incarnation that follows.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -69,6 +69,7 @@
         self.late_starts = {}
         self._random = random.Random(0)
         self._first_listed = {}
+        self._connected_to = {}
         self._renewed_first = set()
         super().__init__(ip=ip, port=port, pools=pools, world=SoakWorld)
         began = datetime.datetime.now(datetime.UTC).isoformat()
@@ -125,6 +126,8 @@
             if host is None or not host.up:
                 return wrappers.Response(status=421)
             incarnation = host.incarnation_ms
+            if self._has_connection_ended(req, host):
+                return _no_answer()
             if self._is_late(req.path):
                 self._postpone(req, host)
                 return _no_answer()
@@ -139,6 +142,16 @@
         response = super()._answer(req)
         return self._renewed(host, incarnation, response)
 
+    def _has_connection_ended(self, req, host):
+        """Return whether a call's connection led to an earlier incarnation.
+
+        A call that was on its way when its host restarted is not answered by
+        the new process.
+        """
+        conn = (req.remote_addr, req.environ["REMOTE_PORT"], host.id)
+        now = host.incarnation_ms
+        return self._connected_to.setdefault(conn, now) != now
+
     def _renewed(self, host, incarnation, response):
         """Return the answer of a renewal, if its incarnation still runs."""
         with self.lock:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,14 +1,18 @@
 """A short seeded soak, and the seeds that have found faults before."""
 
 import hashlib
+import http.client
 import itertools
 import pathlib
 import re
 import subprocess
 import sys
 
+from tests.platform import test_daemons
 from tests.soak import base
 from tests.soak import plan
+from tests.soak import platform
+from tests.soak import proxy
 
 ROOT = pathlib.Path(__file__).parents[2]
 REGRESSIONS_TIMEOUT_S = 600
@@ -198,3 +202,32 @@
     assert "was told accepted and is not stored" in findings
     assert "was refused and is stored" in findings
     assert "was refused and ran" in findings
+
+
+def _renew(conn, host):
+    headers = {"X-Target-Instance": host.id}
+    body = b'{"fence":1,"ack_cursor":0}'
+    conn.request("POST", "/api/hold", body=body, headers=headers)
+    response = conn.getresponse()
+    response.read()
+    return response.headers.get(proxy.NO_ANSWER_HEADER) is None
+
+
+def test_a_connection_ends_with_the_incarnation_that_it_led_to():
+    server = platform.SoakServer(
+        ip="127.0.0.1", port=test_daemons.free_port(), pools={"one": 1}
+    )
+    (host,) = server.world.hosts.values()
+    conns = [http.client.HTTPConnection(server.address) for _ in range(2)]
+    try:
+        assert _renew(conns[0], host)
+        with server.lock:
+            server.advance()
+            host.crash()
+            host.restart()
+        assert not _renew(conns[0], host)
+        assert _renew(conns[1], host)
+    finally:
+        for conn in conns:
+            conn.close()
+        server.stop()
