--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,13 +1,18 @@
 """A short seeded soak, and the seeds that have found faults before."""
 
 import hashlib
+import http.client
+import itertools
 import pathlib
 import re
 import subprocess
 import sys
 
+from tests.platform import test_daemons
 from tests.soak import base
 from tests.soak import plan
+from tests.soak import platform
+from tests.soak import proxy
 
 ROOT = pathlib.Path(__file__).parents[2]
 REGRESSIONS_TIMEOUT_S = 600
@@ -150,3 +155,79 @@
         task_s=6.0,
     )
     assert any("twice" in finding for finding in result.findings)
+
+
+def test_later_seeds_reset_calls_and_every_second_has_no_late_ones():
+    plans = {
+        seed: plan.draw(seed, seconds=20.0, daemons=4, machines=6)
+        for seed in range(plan.FIRST_RESET_SEED, plan.FIRST_RESET_SEED + 50)
+    }
+    resets = [
+        [fault for fault in faults if isinstance(fault, plan.Reset)]
+        for faults in plans.values()
+    ]
+    late = {
+        seed
+        for seed, faults in plans.items()
+        if any(isinstance(fault, plan.Late) for fault in faults)
+    }
+    assert all(resets)
+    drawn = {(f.kind, f.target) for faults in resets for f in faults}
+    assert drawn == set(itertools.product(plan.RESETS, plan.RESET_SHARES))
+    assert late == set(range(plan.FIRST_RESET_SEED + 1, max(plans) + 1, 2))
+
+
+def test_short_run_with_resets(tmp_path):
+    result = base.play(seed=500_000, folder=tmp_path, seconds=8.0, daemons=3)
+    trace = (tmp_path / "hosts.trace").read_text(encoding="utf-8")
+    assert result.findings == []
+    assert result.accepted
+    assert "reset, carried out: True" in trace
+
+
+def test_false_answers_are_found(tmp_path):
+    resets = [
+        plan.Reset(at=1.0, for_s=8.0, kind=kind, target="store", share=0.3)
+        for kind in ("busy", "many")
+    ]
+    result = base.play(
+        seed=3,
+        folder=tmp_path,
+        seconds=10.0,
+        daemons=3,
+        module=("tests.soak.naive", "one-copy"),
+        faults=resets,
+    )
+    findings = "\n".join(result.findings)
+    assert "was told accepted and is not stored" in findings
+    assert "was refused and is stored" in findings
+    assert "was refused and ran" in findings
+
+
+def _renew(conn, host):
+    headers = {"X-Target-Instance": host.id}
+    body = b'{"fence":1,"ack_cursor":0}'
+    conn.request("POST", "/api/hold", body=body, headers=headers)
+    response = conn.getresponse()
+    response.read()
+    return response.headers.get(proxy.NO_ANSWER_HEADER) is None
+
+
+def test_a_connection_ends_with_the_incarnation_that_it_led_to():
+    server = platform.SoakServer(
+        ip="127.0.0.1", port=test_daemons.free_port(), pools={"one": 1}
+    )
+    (host,) = server.world.hosts.values()
+    conns = [http.client.HTTPConnection(server.address) for _ in range(2)]
+    try:
+        assert _renew(conns[0], host)
+        with server.lock:
+            server.advance()
+            host.crash()
+            host.restart()
+        assert not _renew(conns[0], host)
+        assert _renew(conns[1], host)
+    finally:
+        for conn in conns:
+            conn.close()
+        server.stop()
