Check what callers are told of jobs while the store resets appends

This one has, with two real daemons over real sockets: jobs that were refused at all tries are neither stored nor started, jobs that were taken are stored and not 410, cancelled ones are stored as such and start nothing later.

The bound is 2.5 s now, and the second step, which a lost cancellation would let start, comes 3 s after the first.

--- /dev/null
+++ b/tests/platform/test_accepted_jobs.py
@@ -0,0 +1,251 @@
+"""What daemons tell callers while the store resets and refuses their calls.
+
+Issue 45. The store carries out an append of job records, resets its
+connection and then refuses all calls for a while. A daemon that takes the
+refusal of a repeated append for the fate of the first one refuses jobs that
+run, and tells callers of others that they are stored.
+"""
+
+import contextlib
+import errno
+import itertools
+import os
+import socket
+import threading
+import time
+
+import msgspec
+import pytest
+from werkzeug import wrappers
+
+from azurewood.daemons import fleet
+from azurewood.http import connections
+from azurewood.jobs import catalog
+from azurewood.jobs import records
+from azurewood.journal import pages
+from azurewood.platform import jobs
+from tests.http import resetting
+from tests.platform import standin
+from tests.platform import test_daemons
+
+MIN_RESETS = 3
+REFUSING_S = 0.9
+"""Longer than a record waits to be sent while the store cannot be read."""
+CALM_S = 0.4
+CALLERS = 12
+FIRST_STEP_MS = 3000
+CANCEL_S = 2.5
+"""Time after a cancellation from which nothing of the job may start, of which
+the store may refuse calls for ``REFUSING_S``. The second step comes later."""
+DEADLINE_S = 15.0
+QUEUE = catalog.Queue(
+    name="r-1", host="", path_prefix="", service="one", attempts=2
+)
+SHORT = {"spec": "", "steps": [{"count": 1, "cpu": 1, "est_ms": 50}]}
+LONG = {
+    "spec": "",
+    "steps": [
+        {"count": 1, "cpu": 1, "est_ms": FIRST_STEP_MS},
+        {"count": 1, "cpu": 1, "est_ms": 50, "after": [0]},
+    ],
+}
+
+
+class _ResettingServer(standin.Server):
+    """Resets appends that it carries out, and refuses all calls after that."""
+
+    def __init__(self, *, status):
+        self.status = status
+        self.resets = 0
+        self.started = []
+        self._used = set()
+        self._refusing_until = 0.0
+        self._calm_until = float("inf")
+        super().__init__(port=test_daemons.free_port(), pools={"one": 3})
+
+    def begin(self):
+        """Begin to reset appends."""
+        self._calm_until = 0.0
+
+    def end(self):
+        """Reset no more appends."""
+        self._calm_until = float("inf")
+
+    @property
+    def refusing(self):
+        """Whether the store refuses all calls now."""
+        return time.monotonic() < self._refusing_until
+
+    def __call__(self, environ, start_response):
+        client = environ["REMOTE_PORT"]
+        reused = client in self._used
+        self._used.add(client)
+        req = wrappers.Request(environ)
+        response = self._refusal(req)
+        if response is None and reused and self._is_due(req):
+            self._answer(req)
+            _reset(environ[connections.SOCKET_KEY])
+            raise ConnectionResetError(errno.ECONNRESET, "reset")
+        response = response or self._answer(req)
+        # A read that was held open is refused, too.
+        response = self._refusal(req) or response
+        return response(environ, start_response)
+
+    def _refusal(self, req):
+        if self.refusing and req.path.startswith("/api/log-"):
+            return wrappers.Response(b"{}", status=self.status)
+        return None
+
+    def _is_due(self, req):
+        """Return whether to reset this append, and begin to refuse calls."""
+        if req.path != "/api/log-append" or req.args["topic"] != "keyed.jobs":
+            return False
+        if req.args.get("producer") == "leader":
+            return False
+        with self.lock:
+            now = time.monotonic()
+            if now < self._calm_until:
+                return False
+            self.resets += 1
+            self._refusing_until = now + REFUSING_S
+            self._calm_until = self._refusing_until + CALM_S
+            return True
+
+    def _run(self, req):
+        response = super()._run(req)
+        if req.path == "/api/run-start" and response.status_code == 200:
+            task = standin.task_id(msgspec.json.decode(req.get_data())["task"])
+            self.started.append((task.job, time.monotonic()))
+        return response
+
+
+def _reset(sock):
+    """Reset a connection; the server's own close would send an end first."""
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, resetting.RESET_ON_CLOSE
+    )
+    with socket.socket() as unconnected:
+        os.dup2(unconnected.fileno(), sock.fileno())
+
+
+class _Caller:
+    """Hands jobs in, cancels some of them, and keeps what it is told."""
+
+    def __init__(self, server, daemons, number):
+        self.accepted, self.refused, self.cancelled = set(), set(), {}
+        self._server = server
+        self._daemons = daemons[number % 2 :] + daemons[: number % 2]
+        self._tries = 1 + number // 2 % 2
+        self._number = number
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def stop(self):
+        self._stopping.set()
+        self._thread.join(DEADLINE_S)
+
+    def _run(self):
+        for number in itertools.count():
+            if self._stopping.wait(0.02):
+                return
+            job_id = f"{self._number:08x}{number:08x}"
+            body = LONG if number % 2 else SHORT
+            self._hand_in(job_id, body)
+            if body is LONG and job_id in self.accepted:
+                self._cancel(job_id)
+
+    def _hand_in(self, job_id, body):
+        self._server.world.rules.asked[job_id] = jobs.decode(
+            job_id, QUEUE, msgspec.json.encode(body), 0
+        )
+        statuses = [
+            daemon.call("POST", f"/one/{job_id}", body)[0]
+            for daemon in self._daemons[: self._tries]
+        ]
+        if 200 in statuses:
+            self.accepted.add(job_id)
+        elif set(statuses) <= {429, 503}:
+            self.refused.add(job_id)
+
+    def _cancel(self, job_id):
+        if self._daemons[0].call("DELETE", f"/one/{job_id}")[0] == 200:
+            self.cancelled[job_id] = time.monotonic()
+
+
+@contextlib.contextmanager
+def _serving(status):
+    """Yield a server and two daemons that are ready."""
+    server = _ResettingServer(status=status)
+    server.write_operator_record(
+        pages.Topic.OPERATORS, "config", test_daemons.MANIFEST
+    )
+    daemons = [test_daemons.Daemon(name, server) for name in ("m1", "m2")]
+    try:
+        for daemon in daemons:
+            test_daemons.wait_for(
+                lambda d=daemon: d.call("GET", "/api/readyz", port=1)[0] == 200
+            )
+        yield server, daemons
+    finally:
+        for daemon in daemons:
+            daemon.stop()
+        server.stop()
+
+
+def _call_until_reset(server, daemons):
+    """Return callers of which some were refused, after some resets."""
+    callers = [_Caller(server, daemons, n) for n in range(CALLERS)]
+    try:
+        test_daemons.wait_for(lambda: all(c.cancelled for c in callers))
+        server.begin()
+        test_daemons.wait_for(
+            lambda: (
+                server.resets >= MIN_RESETS and any(c.refused for c in callers)
+            )
+        )
+        server.end()
+        test_daemons.wait_for(lambda: not server.refusing)
+    finally:
+        for caller in callers:
+            caller.stop()
+    return callers
+
+
+def _stored(server, topic, kind):
+    """Return the jobs that have a record of a kind in the store."""
+    with server.lock:
+        found = map(records.decode, server.world.store.values(topic).values())
+        return {r.key.partition("/")[2] for r in found if isinstance(r, kind)}
+
+
+@pytest.mark.parametrize("status", (429, 503))
+def test_callers_are_told_the_fate_of_their_jobs(status, monkeypatch):
+    monkeypatch.setattr(fleet, "BALANCER_NOTICE_S", 0.0)
+    with _serving(status) as (server, daemons):
+        callers = _call_until_reset(server, daemons)
+        accepted = set().union(*(c.accepted for c in callers))
+        refused = set().union(*(c.refused for c in callers))
+        cancelled = {k: at for c in callers for k, at in c.cancelled.items()}
+        stored = _stored(server, pages.Topic.JOBS, records.Accepted)
+        ended = _stored(server, pages.Topic.JOBS, records.Cancelled)
+        ended |= _stored(server, pages.Topic.JOBS, records.Ended)
+        found = {
+            "refused and stored": refused & stored,
+            "accepted and absent": accepted - stored,
+            "cancelled and absent": set(cancelled) - ended,
+            "accepted and 410": {
+                job_id
+                for job_id in accepted
+                if daemons[0].call("GET", f"/one/{job_id}")[0] == 410
+            },
+        }
+        last = max(cancelled.values()) + FIRST_STEP_MS / 1000 + CANCEL_S
+        test_daemons.wait_for(lambda: time.monotonic() > last)
+        found["refused and started"] = refused & {k for k, _ in server.started}
+        found["cancelled and started"] = {
+            (job_id, round(at - cancelled[job_id], 2))
+            for job_id, at in server.started
+            if at > cancelled.get(job_id, at) + CANCEL_S
+        }
+    assert {name: jobs for name, jobs in found.items() if jobs} == {}
