End a term whose sequence number the store refuses

A leader whose appends the store answers with 409 seq repeated them for ever: it kept its beats, so that no other daemon took over, and stored no progress and no ends, so that nothing started.

Cause: an appender took a refused sequence number for a failure that passes. One way into it: the call that fences earlier leaders gets no answer and is repeated, and its first copy is carried out after the leader's first appends. A store that takes it for the epoch's newest number, as the stand-in does, refuses the next number. Whether the platform's store does is not known.

Change: the leader ends its term; the next one has a higher epoch, which may begin at any number. A job writer has no such call, and goes on repeating.

--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -299,6 +299,9 @@
         written = (self._progress, self._jobs, self._reports)
         if any(writer.fenced for writer in written):
             self.stop("a later term has written")
+        elif any(writer.out_of_sequence for writer in written):
+            # A later term's epoch may begin at any sequence number.
+            self.stop("the store refuses a sequence number")
 
     def _step_intake(self, now: float) -> None:
         """Report the delay of appends and copy jobs from the intake."""
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -103,6 +103,11 @@
         """Whether a later epoch of this producer has begun."""
         return self._appender.fenced
 
+    @property
+    def out_of_sequence(self) -> bool:
+        """Whether no append succeeds any more in this epoch."""
+        return self._appender.out_of_sequence
+
     @property
     def idle(self) -> bool:
         """Whether no record waits to be stored."""
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -133,7 +133,9 @@
 
     ``add`` queues items. ``next_call`` returns the call to make now, if any.
     ``handle_result`` processes its result and returns the stored items.
-    ``slow`` is whether the store is known to be slow. ``reads_back`` is
+    ``slow`` is whether the store is known to be slow. ``out_of_sequence`` is
+    whether it refused a sequence number, with which no call succeeds any more
+    until a new epoch begins. ``reads_back`` is
     whether ``note_read`` is called for the records that the topic has.
     """
 
@@ -157,6 +159,7 @@
         "_last_latency_s",
         "fenced",
         "last_error",
+        "out_of_sequence",
         "slow",
     )
 
@@ -182,6 +185,7 @@
         self._stored_at = 0.0
         self.slow = False
         self.fenced = False
+        self.out_of_sequence = False
         self.last_error = ""
 
     @property
@@ -330,7 +334,10 @@
                 self.fenced = True
                 self.last_error = "a later epoch has appended"
                 return ()
-            case NotDone(reason=reason) | Conflict(reason=reason):
+            case NotDone(reason=reason):
+                self._fail(reason, now)
+            case Conflict(reason=reason):
+                self.out_of_sequence = True
                 self._fail(reason, now)
             case Unknown(reason=reason):
                 self._unresolved = True
