Deny no job while reads of the store fail

Cause: an id that a daemon has not read counted as a job that does not exist for 2.5 s after the newest read began, also when later reads had failed. Jobs are accepted meanwhile, here and at other daemons.

Change: while the newest read failed, an unknown id gets 503, at once.

Evidence: the store answers reads with 503 and carries appends out; two real daemons, POST, GET and DELETE at each in turn. Without the change assert 410 not in [200, 410, 410, 200, 410, 410] With it the test passes. A read that is held without an answer for up to 2.5 s is not noticed: other daemons may deny a new job meanwhile.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -137,6 +137,7 @@
     def step(self, now: float) -> None:
         """Run one iteration: read, write, and lead if elected."""
         self._read_all()
+        self.job_service.reads_fail = self._jobs.failing
         self._writes.step(now, store_lost=self._jobs.failing)
         self._lead(now)
 
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -99,7 +99,8 @@
     returns a refusal for jobs that must not be accepted. ``in_intake`` has
     the jobs that this daemon stored in the intake and has not read among the
     jobs yet. ``complete`` is false while other daemons may have stored jobs
-    there that are not among the jobs yet.
+    there that are not among the jobs yet. ``reads_fail`` is whether the
+    newest read of the jobs failed.
     """
 
     __slots__ = (
@@ -111,6 +112,7 @@
         "fresh_at",
         "in_intake",
         "loaded",
+        "reads_fail",
         "registry",
         "stopping",
     )
@@ -129,6 +131,7 @@
         self.catalog: catalog.Catalog | None = None
         self.fresh_at = 0.0
         self.loaded = False
+        self.reads_fail = False
         self.complete = True
         self.in_intake: set[str] = set()
         self.stopping = False
@@ -158,8 +161,11 @@
         return NotThere() if self._knows_all() else StatusUnknown()
 
     def _knows_all(self) -> bool:
-        """Return whether a job that is not known here does not exist."""
-        return self.complete and self._is_fresh()
+        """Return whether a job that is not known here does not exist.
+
+        While reads fail, jobs may be accepted that were not read.
+        """
+        return self.complete and not self.reads_fail and self._is_fresh()
 
     def submit(self, job: model.Job, *, timeout_s: float) -> Verdict:
         """Store a job; wait for at most ``timeout_s`` seconds."""
--- a/tests/platform/test_accepted_jobs.py
+++ b/tests/platform/test_accepted_jobs.py
@@ -86,6 +86,7 @@
             self._answer(req)
             _reset(environ[connections.SOCKET_KEY])
             raise ConnectionResetError(errno.ECONNRESET, "reset")
+        response = response or self.canned_responses.get(req.path)
         response = response or self._answer(req)
         # A read that was held open is refused, too.
         response = self._refusal(req) or response
@@ -128,6 +129,13 @@
         os.dup2(unconnected.fileno(), sock.fileno())
 
 
+def _register(server, job_id, body):
+    """Register a job with the stand-in, which checks starts against it."""
+    server.world.rules.asked[job_id] = jobs.decode(
+        job_id, QUEUE, msgspec.json.encode(body), 0
+    )
+
+
 class _Caller:
     """Hands jobs in, cancels some of them, and keeps what it is told."""
 
@@ -156,9 +164,7 @@
                 self._cancel(job_id)
 
     def _hand_in(self, job_id, body):
-        self._server.world.rules.asked[job_id] = jobs.decode(
-            job_id, QUEUE, msgspec.json.encode(body), 0
-        )
+        _register(self._server, job_id, body)
         statuses = [
             daemon.call("POST", f"/one/{job_id}", body)[0]
             for daemon in self._daemons[: self._tries]
@@ -249,3 +255,30 @@
             if at > cancelled.get(job_id, at) + CANCEL_S
         }
     assert {name: jobs for name, jobs in found.items() if jobs} == {}
+
+
+def test_an_accepted_job_is_not_denied_while_reads_are_refused(monkeypatch):
+    """A cancellation that is answered with 410 would not be stored."""
+    monkeypatch.setattr(fleet, "BALANCER_NOTICE_S", 0.0)
+    job_id = "00000000000000ae"
+    with _serving(503) as (server, daemons):
+        _register(server, job_id, SHORT)
+        server.canned_responses["/api/log-read"] = wrappers.Response(
+            status=503
+        )
+        test_daemons.wait_for(
+            lambda: all(
+                d.daemon.member.job_service.reads_fail for d in daemons
+            )
+        )
+        asked = [
+            daemon.call(method, f"/one/{job_id}", body)[0]
+            for daemon in daemons
+            for method, body in (
+                ("POST", SHORT),
+                ("GET", None),
+                ("DELETE", None),
+            )
+        ]
+    assert asked[0] == 200
+    assert 410 not in asked
