Know a job from its acceptance, not from its reading

Cause: a daemon knew its own accepted jobs only once they were read back; only those that it stored in the intake were kept until then.

Change: the same set keeps all that it stored, until they are read.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -147,23 +147,22 @@
 
     def _add(self, request: desks.WriteRequest) -> None:
         item = desks.append_item(request)
-        job_id = None
         writer = self._jobs
         accepted = isinstance(request.record, records.Accepted)
         if self._use_intake and accepted:
-            job_id = request.record.job.id
             writer = self._intake
+        job_id = request.record.job.id if accepted else None
         confirm = _ConfirmWrite(
-            request=request, on_stored=lambda: self._note_intake(job_id)
+            request=request, on_stored=lambda: self._note_unread(job_id)
         )
         writer.add_item(appender.Item(records=item.records, token=confirm))
         if writer not in self._active:
             self._active.append(writer)
 
-    def _note_intake(self, job_id: str | None) -> None:
+    def _note_unread(self, job_id: str | None) -> None:
         service = self._job_service
         if job_id is not None and job_id not in service.registry.entries:
-            service.in_intake.add(job_id)
+            service.unread.add(job_id)
 
     def _refuse_late(
         self, writer: topics.Writer, now: float, *, store_lost: bool
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -211,7 +211,7 @@
             return
         self._writes.note_read(stored.key)
         if isinstance(record, records.Accepted):
-            self.job_service.in_intake.discard(record.job.id)
+            self.job_service.unread.discard(record.job.id)
         if self.job_service.registry.apply(record) and self.term is not None:
             self.term.handle_record(record)
 
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -96,11 +96,11 @@
 
     ``submit`` and ``cancel`` block the calling thread. ``enqueue`` passes
     each write request to the loop that owns the appender. ``admission``
-    returns a refusal for jobs that must not be accepted. ``in_intake`` has
-    the jobs that this daemon stored in the intake and has not read among the
-    jobs yet. ``complete`` is false while other daemons may have stored jobs
-    there that are not among the jobs yet. ``reads_fail`` is whether the
-    newest read of the jobs failed.
+    returns a refusal for jobs that must not be accepted. ``unread`` has
+    the jobs that this daemon stored, perhaps in the intake, and has not read
+    among the jobs yet. ``complete`` is false while other daemons may have
+    stored jobs in the intake that are not among the jobs yet. ``reads_fail``
+    is whether the newest read of the jobs failed.
     """
 
     __slots__ = (
@@ -110,11 +110,11 @@
         "catalog",
         "complete",
         "fresh_at",
-        "in_intake",
         "loaded",
         "reads_fail",
         "registry",
         "stopping",
+        "unread",
     )
 
     def __init__(
@@ -133,7 +133,7 @@
         self.loaded = False
         self.reads_fail = False
         self.complete = True
-        self.in_intake: set[str] = set()
+        self.unread: set[str] = set()
         self.stopping = False
 
     def ready(self) -> bool:
@@ -156,7 +156,7 @@
         entry = self.registry.entries.get(job_id)
         if entry is not None:
             return JobStatus(phase=entry.phase)
-        if job_id in self.in_intake:
+        if job_id in self.unread:
             return JobStatus(phase=model.Phase.PENDING)
         return NotThere() if self._knows_all() else StatusUnknown()
 
@@ -169,7 +169,7 @@
 
     def submit(self, job: model.Job, *, timeout_s: float) -> Verdict:
         """Store a job; wait for at most ``timeout_s`` seconds."""
-        if job.id in self.registry.entries or job.id in self.in_intake:
+        if job.id in self.registry.entries or job.id in self.unread:
             return Taken()
         if job.id in self.registry.unreadable:
             return OutcomeUnknown(reason="the job's record cannot be read")
@@ -193,7 +193,7 @@
     def cancel(self, job_id: str, *, timeout_s: float) -> Verdict:
         """Store a cancellation; wait for at most ``timeout_s`` seconds."""
         entry = self.registry.entries.get(job_id)
-        if entry is None and job_id not in self.in_intake:
+        if entry is None and job_id not in self.unread:
             if self._knows_all() and job_id not in self.registry.unreadable:
                 return NotThere()
             return Refused(reason="not in touch with the store")
--- a/tests/platform/test_accepted_jobs.py
+++ b/tests/platform/test_accepted_jobs.py
@@ -57,6 +57,7 @@
     def __init__(self, *, status):
         self.status = status
         self.resets = 0
+        self.holds_reads = False
         self.started = []
         self._used = set()
         self._refusing_until = 0.0
@@ -88,6 +89,8 @@
             raise ConnectionResetError(errno.ECONNRESET, "reset")
         response = response or self.canned_responses.get(req.path)
         response = response or self._answer(req)
+        while self.holds_reads and req.path == "/api/log-read":
+            time.sleep(0.01)
         # A read that was held open is refused, too.
         response = self._refusal(req) or response
         return response(environ, start_response)
@@ -282,3 +285,21 @@
         ]
     assert asked[0] == 200
     assert 410 not in asked
+
+
+def test_the_entry_that_took_a_job_knows_it_before_it_is_read(monkeypatch):
+    monkeypatch.setattr(fleet, "BALANCER_NOTICE_S", 0.0)
+    job_id = "00000000000000af"
+    with _serving(503) as (server, daemons):
+        _register(server, job_id, SHORT)
+        server.holds_reads = True
+        asked = [
+            daemons[0].call(method, f"/one/{job_id}", body)[0]
+            for method, body in (
+                ("POST", SHORT),
+                ("GET", None),
+                ("DELETE", None),
+            )
+        ]
+        server.holds_reads = False
+    assert asked == [200, 200, 200]
