--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -145,6 +145,7 @@
         self._read_all()
         if self._unstored_resignation is not None:
             self._resign_if_due(self._unstored_resignation, now)
+        self.job_service.reads_fail = self._jobs.failing
         self._writes.step(now, store_lost=self._jobs.failing)
         self._lead(now)
 
@@ -218,7 +219,7 @@
             return
         self._writes.note_read(stored.key)
         if isinstance(record, records.Accepted):
-            self.job_service.in_intake.discard(record.job.id)
+            self.job_service.unread.discard(record.job.id)
         if self.job_service.registry.apply(record) and self.term is not None:
             self.term.handle_record(record)
 
--- a/tests/soak/naive.py
+++ b/tests/soak/naive.py
@@ -9,7 +9,7 @@
 import sys
 
 from azurewood.commands import fleet
-from azurewood.http import multiplex
+from azurewood.http import sending
 from azurewood.incarnations import limits
 from azurewood.journal import appender
 
@@ -41,7 +41,7 @@
         self._pending.extendleft(reversed(self._batch))
         self._batch = ()
 
-    multiplex._Transfer.is_sent = False
+    sending.Sending.is_over = False
     appender.Appender._put_back = put_back
 
 
