--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -168,7 +168,8 @@
         result = self._platform.append_result(reply)
         attempts = self._appender.attempts
         stored = self._appender.handle_result(result, self._clock(), request)
-        if self._appender.failing:
+        is_answered = isinstance(result, appender.Appended)
+        if self._appender.failing and not is_answered:
             self._log(
                 "append.failed",
                 request,
--- a/azurewood/http/connection_times.py
+++ b/azurewood/http/connection_times.py
@@ -1,4 +1,4 @@
-"""When each kept connection of a multiplexer was made.
+"""When each kept connection of a multiplexer was made, and its socket.
 
 A connection ends with the process at its other end. A call that goes only
 over a connection made by some time hence reaches the process that had the
@@ -19,6 +19,8 @@
 
     A time may be later than the real one and never earlier. A connection
     that is closed stays until a new one has its ports or others displace it.
+    The descriptors are those of all connections: by them a connection that
+    its other end has closed is told before it is used again.
     """
 
     __slots__ = ("_descriptors", "_made_at")
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -120,10 +120,10 @@
 
     ``add`` queues items. ``next_call`` returns the call to make now, if any.
     ``handle_result`` processes its result and returns the stored items.
-    ``slow`` is whether the store is known to be slow. ``out_of_sequence`` is
-    whether it refused a sequence number, with which no call succeeds any more
-    until a new epoch begins. ``reads_back`` is
-    whether ``note_read`` is called for the records that the topic has.
+    ``reads_back`` is whether ``note_read`` is called for the records that the
+    topic has. ``slow`` is whether the store is known to be slow.
+    ``out_of_sequence`` is whether it refused a sequence number, with which no
+    call succeeds any more until a new epoch begins.
     ``attempts`` counts the calls since the newest stored append,
     ``unresolved`` is whether the records of the current one may be stored.
     """
