Let no test join a thread that has not started

Its server told of a connection and listed its thread before it started it, so that the end of the test could join it then. The three steps are one under a lock now.

--- a/tests/http/test_bound_calls.py
+++ b/tests/http/test_bound_calls.py
@@ -34,6 +34,7 @@
         self.silent_at = silent_at
         self.requests = b""
         self.made = 0
+        self._lock = threading.Lock()
         self._conns = []
         self._listener = socket.create_server(("127.0.0.1", port))
         self.port = self._listener.getsockname()[1]
@@ -45,12 +46,13 @@
                 conn, _ = self._listener.accept()
             except OSError:
                 return
-            self.made += 1
             thread = threading.Thread(
                 target=self._serve, args=(conn,), daemon=True
             )
-            self._conns.append((conn, thread))
-            thread.start()
+            with self._lock:
+                self.made += 1
+                thread.start()
+                self._conns.append((conn, thread))
 
     def _serve(self, conn):
         data = b""
@@ -72,7 +74,9 @@
         A thread in ``recv`` keeps its socket open, and reads from it, until
         it has returned.
         """
-        for conn, thread in self._conns:
+        with self._lock:
+            conns, self._conns = self._conns, []
+        for conn, thread in conns:
             if reset:
                 conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             # The client may have closed the connection already.
@@ -81,7 +85,6 @@
             conn.close()
             thread.join(DEADLINE_S)
             assert not thread.is_alive()
-        self._conns.clear()
 
     def end(self, *, reset=False):
         """Stop listening and close all connections."""
