Give no port to two listeners of a test's daemon

The daemon's output was not kept.

Cause: free_port asks the kernel for a free port and gives it back at once, so the same one can be drawn again before the daemon listens. The daemon then ends with azurewood.E203 (two listeners at one address) and the test waits on.

Ruled out as far as played: that the daemon itself is late. 61 runs of this test and the one after it, ten at a time on 8 cores: no failure.

Change: free_port does not return one of the last 1,000 ports that the process drew. The two tests with TLS look at the process while they wait, and show its output if it ended; the condition that they wait for is the same.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,5 +1,6 @@
 """Start stand-ins and daemons as processes, for tests and the demo."""
 
+import collections
 import contextlib
 import dataclasses
 import os
@@ -18,6 +19,10 @@
 POLL_S = 0.02
 STOP_TIMEOUT_S = 10.0
 LOOPBACK = "127.0.0.1"
+RECENT_PORTS = 1_000
+"""Ports that are not returned again until as many others have been."""
+
+_recent_ports: collections.deque[int] = collections.deque(maxlen=RECENT_PORTS)
 
 
 class NotReadyError(exceptions.StandinError):
@@ -25,10 +30,14 @@
 
 
 def free_port(address: str = LOOPBACK) -> int:
-    """Return a TCP port that is currently free on an address."""
-    with socket.socket() as sock:
-        sock.bind((address, 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that is free on an address and not in recent use."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((address, 0))
+            port = sock.getsockname()[1]
+        if port not in _recent_ports:
+            _recent_ports.append(port)
+            return port
 
 
 def wait_for(
--- a/tests/input/test_daemons.py
+++ b/tests/input/test_daemons.py
@@ -53,6 +53,14 @@
     return process, found
 
 
+def wait_until_listening(process, port):
+    processes.wait_for(
+        lambda: not process.alive or processes.is_listening("127.0.0.1", port),
+        what=f"{process.name} listens on {port}",
+    )
+    assert process.alive, process.output()
+
+
 @pytest.mark.parametrize("name", ["listen", "operators", "peers"])
 def test_a_port_in_use_makes_the_daemon_exit_with_1(running, name):
     with socket.socket() as holder:
@@ -169,17 +177,14 @@
 def test_both_interfaces_serve_tls(running, certificate):
     _, platform = running.start_platform()
     cert, key = map(str, certificate)
-    _, found = start(
+    process, found = start(
         running,
         platform=platform,
         env={"AZUREWOOD_TLS_CERTIFICATE": cert, "AZUREWOOD_TLS_KEY": key},
     )
     trusting = ssl.create_default_context(cafile=cert)
     for name, path in (("operators", "/healthz"), ("listen", "/desk/")):
-        processes.wait_for(
-            lambda name=name: processes.is_listening("127.0.0.1", found[name]),
-            what=f"{name} listens",
-        )
+        wait_until_listening(process, found[name])
         conn = http.client.HTTPSConnection(
             "127.0.0.1", found[name], context=trusting, timeout=5.0
         )
@@ -200,15 +205,13 @@
 def test_a_stalled_handshake_blocks_no_other_client(running, certificate):
     _, platform = running.start_platform()
     cert, key = map(str, certificate)
-    _, found = start(
+    process, found = start(
         running,
         platform=platform,
         env={"AZUREWOOD_TLS_CERTIFICATE": cert, "AZUREWOOD_TLS_KEY": key},
     )
     address = ("127.0.0.1", found["operators"])
-    processes.wait_for(
-        lambda: processes.is_listening(*address), what="it listens"
-    )
+    wait_until_listening(process, found["operators"])
     stalled = [socket.create_connection(address, 5.0) for _ in range(3)]
     try:
         conn = http.client.HTTPSConnection(
