Split the election's events and the earlier leaders' limits from its module

Change: leadership/events.py has the types, leadership/predecessors.py the question with its two times.

Measured: tests/leadership and tests/scheduling/test_strong_leader.py pass (100 tests), formatter and linter clean.

--- a/azurewood/daemons/machine_calls.py
+++ b/azurewood/daemons/machine_calls.py
@@ -8,7 +8,7 @@
 
 from azurewood.daemons import takeover as takeovers
 from azurewood.http import multiplex
-from azurewood.leadership import base as leadership
+from azurewood.leadership import predecessors
 from azurewood.scheduling import messages
 
 PAGE_TIMEOUT_S: typing.Final = 3.0
@@ -46,7 +46,7 @@
         is sent, as the process may have been suspended in between.
         """
         election = self._context.election
-        valid_until = election.confirmed_at + leadership.ORDER_VALID_S
+        valid_until = election.confirmed_at + predecessors.ORDER_VALID_S
         send_by = min(order.send_by, valid_until)
         now = self._context.clock()
         if not election.may_order(now) or now >= send_by:
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -25,6 +25,7 @@
 from azurewood.journal import follower
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
+from azurewood.leadership import events
 from azurewood.leadership import records as election_records
 from azurewood.policy import feasibility
 from azurewood.policy import intake as intakes
@@ -129,7 +130,7 @@
             pause_s=READ_PAUSE_S,
             seed=int(nonce, 16),
         )
-        self._unstored_resignation: leadership.Append | None = None
+        self._unstored_resignation: events.Append | None = None
         self._resign_at = 0.0
 
     def leave(self) -> None:
@@ -229,7 +230,7 @@
             election_records.decode(record.value or b"")
             for record in changes.records
         )
-        event = leadership.Read(
+        event = events.Read(
             offset=read.offset - len(entries),
             entries=entries,
             end=read.offset,
@@ -320,7 +321,7 @@
             strongest=election.strongest,
         ).info("claiming the term")
 
-    def _append_leader(self, wanted: leadership.Append | None) -> None:
+    def _append_leader(self, wanted: events.Append | None) -> None:
         if wanted is None:
             return
         data = election_records.encode(wanted.entry)
@@ -330,7 +331,7 @@
         )
 
     def _resign_again(
-        self, wanted: leadership.Append, result: appender.Result
+        self, wanted: events.Append, result: appender.Result
     ) -> None:
         """Repeat a resignation that is not stored.
 
@@ -343,13 +344,13 @@
             return
         match result:
             case appender.Conflict(end=end):
-                again = leadership.Append(entry=wanted.entry, at=end)
+                again = events.Append(entry=wanted.entry, at=end)
                 self._append_leader(again)
             case appender.NotDone() | appender.Unknown():
                 self._unstored_resignation = wanted
                 self._resign_at = self._clock() + RESIGN_RETRY_S
 
-    def _resign_if_due(self, wanted: leadership.Append, now: float) -> None:
+    def _resign_if_due(self, wanted: events.Append, now: float) -> None:
         """Send a resignation again that may not be stored.
 
         Only a daemon that stops does so, as it claims no term any more.
@@ -361,11 +362,11 @@
             self._append_leader(wanted)
 
     def _on_leader_append(
-        self, wanted: leadership.Append, reply: multiplex.Reply
+        self, wanted: events.Append, reply: multiplex.Reply
     ) -> None:
         match self._platform.append_result(reply):
             case appender.Appended(offset=offset):
-                event = leadership.Stored(
+                event = events.Stored(
                     offset=offset, entry=wanted.entry, began_at=reply.sent_at
                 )
             case result:
@@ -374,7 +375,7 @@
                     entry=type(wanted.entry).__name__.lower(),
                     at=wanted.at,
                 ).info("election record not appended: {}", result)
-                event = leadership.AppendFailed(entry=wanted.entry)
+                event = events.AppendFailed(entry=wanted.entry)
                 self._resign_again(wanted, result)
         self.election.step(event, self._clock())
 
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -20,7 +20,7 @@
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
-from azurewood.leadership import base as leadership
+from azurewood.leadership import predecessors
 from azurewood.policy import intake as intake_policy
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
@@ -269,7 +269,7 @@
     def _lead(self, now: float) -> None:
         self._loop_monitor.step(self.state, now)
         election = self._context.election
-        if not election.leads(now, within_s=leadership.RENEWAL_VALID_S):
+        if not election.leads(now, within_s=predecessors.RENEWAL_VALID_S):
             self._tick_at = now + TICK_S
             return
         moving = bool(self.state.moving)
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -26,10 +26,11 @@
 
 import bisect
 import collections
-import dataclasses
 import typing
 
 from azurewood.jobs import model
+from azurewood.leadership import events
+from azurewood.leadership import predecessors
 from azurewood.leadership import records
 
 BEAT_INTERVAL_S: typing.Final = 0.4
@@ -38,12 +39,6 @@
 CLAIM_AFTER_S: typing.Final = 1.5
 """Time without a new record after which other daemons claim the term. It is
 well below a host's lease of 6 s."""
-RENEWAL_VALID_S: typing.Final = 4.0
-"""How long after its newest stored beat a leader may renew host leases."""
-ORDER_VALID_S: typing.Final = 1.5
-"""How long after its newest stored beat a leader may send orders to machines,
-which no lease limits. A daemon that preempts a live leader sends no orders
-until that leader's newest beat is this old."""
 MIN_CORES_RATIO: typing.Final = 1.5
 """Ratio of a daemon's cores to the leader's cores from which the daemon
 preempts the leader. Machines of equal or adjacent sizes never compete."""
@@ -71,52 +66,6 @@
 ends by itself."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Read:
-    """Records read from ``offset`` on; the call began at ``began_at``.
-
-    ``ready`` is whether this daemon could start to schedule immediately.
-    """
-
-    offset: int
-    entries: tuple[records.Entry | None, ...]
-    end: int
-    began_at: float
-    ready: bool = False
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Stored:
-    """An append was stored. Its call began at ``began_at``."""
-
-    offset: int
-    entry: records.Entry
-    began_at: float
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class AppendFailed:
-    """An append failed or was refused, or its outcome is unknown."""
-
-    entry: records.Entry
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Tick:
-    """Time has passed."""
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Append:
-    """A request to append an entry if the log ends at offset ``at``."""
-
-    entry: records.Entry
-    at: int
-
-
-Event = Read | Stored | AppendFailed | Tick
-
-
 class Election:
     """One daemon's view of the current term and its part in the election.
 
@@ -154,11 +103,10 @@
         "_cooldown_until",
         "_leader_nonce",
         "_leader_seen_at",
-        "_orders_from",
         "_predecessor_ended",
+        "_predecessors",
         "_read_at",
         "_read_times",
-        "_renewals",
         "_resigned",
         "_seen_at",
         "_strongest_at",
@@ -213,6 +161,7 @@
         self._leader_seen_at = 0.0
         self._resigned = False
         self._predecessor_ended = False
+        self._predecessors = predecessors.Predecessors(nonce=nonce)
         self._beats = 0
         self._appending = False
         self._seen_at = now
@@ -223,9 +172,7 @@
         self._beat_at = 0.0
         self._append_end = -1
         self._append_at = 0.0
-        self._renewals: dict[str, float] = {}
         self._strongest_at = now
-        self._orders_from = 0.0
         self._cooldown_until = 0.0
         self._cooldown_s = CLAIM_COOLDOWN_S
         self._yield_until: float | None = None
@@ -241,7 +188,7 @@
 
     def earlier_renewals_end(self) -> float:
         """Return the latest time at which earlier leaders may renew leases."""
-        return max(self._renewals.values(), default=0.0)
+        return self._predecessors.renewals_end()
 
     def read_by(self, end: int) -> float | None:
         """Return a time by which the log had been read up to an offset.
@@ -258,30 +205,32 @@
         """Return whether an order to a machine may be sent.
 
         An earlier leader that is still alive may send orders until its
-        newest beat is ``ORDER_VALID_S`` old.
+        newest beat is ``predecessors.ORDER_VALID_S`` old.
         """
-        recent = self.leads(now, within_s=ORDER_VALID_S)
-        return recent and now >= self._orders_from
+        recent = self.leads(now, within_s=predecessors.ORDER_VALID_S)
+        return recent and now >= self._predecessors.orders_end
 
     def orders_wait_s(self, now: float) -> float:
         """Return how long an earlier leader may still send orders."""
-        return max(0.0, self._orders_from - now)
+        return max(0.0, self._predecessors.orders_end - now)
 
-    def step(self, event: Event, now: float) -> Append | None:
+    def step(self, event: events.Event, now: float) -> events.Append | None:
         """Handle an event; return the append to make, if any."""
         match event:
-            case Read():
+            case events.Read():
                 self._handle_read(event, now)
                 wanted = self._claim(event, now)
                 self._read_at = now
                 return wanted
-            case Stored():
+            case events.Stored():
                 self._handle_stored(event, now)
-            case AppendFailed():
+            case events.AppendFailed():
                 self._appending = False
         return None
 
-    def beat(self, largest: model.Resources, now: float) -> Append | None:
+    def beat(
+        self, largest: model.Resources, now: float
+    ) -> events.Append | None:
         """Return the leader's next beat if it is due."""
         due = now >= self._beat_at + BEAT_INTERVAL_S
         if not self.term or self._appending or not due:
@@ -298,17 +247,19 @@
         self._beats += 1
         return self._append(entry, now)
 
-    def resign(self, now: float) -> Append | None:
+    def resign(self, now: float) -> events.Append | None:
         """Stop claiming; return the resignation if this daemon leads."""
         self.stopping = True
         return self.release_term(now)
 
-    def release_term(self, now: float) -> Append | None:
+    def release_term(self, now: float) -> events.Append | None:
         """End this daemon's term; return the resignation if it leads."""
         if not self.term:
             return None
         self.step_down(now)
-        return Append(entry=records.Resign(nonce=self.nonce), at=self.end)
+        return events.Append(
+            entry=records.Resign(nonce=self.nonce), at=self.end
+        )
 
     def step_down(self, now: float) -> None:
         """Stop leading without a record in the log and start the cooldown."""
@@ -322,18 +273,18 @@
             self._cooldown_until, now + self._cooldown_s
         )
 
-    def _append(self, entry: records.Entry, now: float) -> Append:
+    def _append(self, entry: records.Entry, now: float) -> events.Append:
         """Return an append of an entry at the known end of the log."""
         self._appending = True
         if self._append_end != self.end:
             self._append_end = self.end
             self._append_at = now
-        return Append(entry=entry, at=self.end)
+        return events.Append(entry=entry, at=self.end)
 
-    def _handle_read(self, event: Read, now: float) -> None:
+    def _handle_read(self, event: events.Read, now: float) -> None:
         if event.offset > self.end:
             # The writers of the missed records wrote them before now.
-            self._renewals[""] = now + RENEWAL_VALID_S
+            self._predecessors.missed(now)
         for index, entry in enumerate(event.entries):
             # This is the earliest time at which this daemon can have sent a
             # record of its own.
@@ -345,7 +296,7 @@
             self._yield_until = None
         self.end = max(self.end, event.end)
 
-    def _handle_stored(self, event: Stored, now: float) -> None:
+    def _handle_stored(self, event: events.Stored, now: float) -> None:
         self._appending = False
         self.own_append_s = now - event.began_at
         self._apply_entry(event.offset, event.entry, event.began_at, now)
@@ -364,7 +315,9 @@
             return
         self.end = offset + 1
         self._read_times.append((self.end, now))
-        self._record_renewals(entry, now)
+        self._predecessors.apply_entry(
+            entry, confirmed_at=self.confirmed_at, now=now
+        )
         match entry:
             case records.Claim():
                 self._apply_claim(entry, offset, now)
@@ -391,23 +344,6 @@
             and beat.beats >= MIN_BEATS_TO_RECLAIM
         )
 
-    def _record_renewals(
-        self, entry: records.Entry | None, now: float
-    ) -> None:
-        """Record until when the writer of an entry may renew leases."""
-        match entry:
-            case records.Claim(nonce=nonce) if nonce == self.nonce:
-                # Renewals of an earlier term of this daemon, if any.
-                self._renewals[self.nonce] = (
-                    self.confirmed_at + RENEWAL_VALID_S
-                )
-            case records.Claim(nonce=nonce) | records.Beat(nonce=nonce):
-                if nonce != self.nonce:
-                    self._renewals[nonce] = now + RENEWAL_VALID_S
-            case records.Resign(nonce=nonce) if nonce in self._renewals:
-                # The writer stopped renewing before it wrote this entry.
-                self._renewals[nonce] = now
-
     def _apply_claim(
         self, claim: records.Claim, offset: int, now: float
     ) -> None:
@@ -416,9 +352,8 @@
         own = claim.nonce == self.nonce
         ended = self._resigned or (own and self._predecessor_ended)
         if self._leader_nonce and not ended:
-            until = self._leader_seen_at + ORDER_VALID_S
-            self._orders_from = max(self._orders_from, until)
-        self.preempted_live_leader = now < self._orders_from
+            self._predecessors.replaced(self._leader_seen_at)
+        self.preempted_live_leader = now < self._predecessors.orders_end
         self._leader_nonce = claim.nonce
         self._leader_seen_at = now
         self._resigned = False
@@ -436,7 +371,7 @@
             self.strongest = cores
             self._strongest_at = now
 
-    def _claim(self, event: Read, now: float) -> Append | None:
+    def _claim(self, event: events.Read, now: float) -> events.Append | None:
         """Return a claim if no daemon leads or this one may preempt."""
         if self.stopping or self.term or self._appending:
             return None
@@ -454,7 +389,7 @@
         )
         return self._append(claim, now)
 
-    def _is_vacant(self, event: Read, now: float) -> bool:
+    def _is_vacant(self, event: events.Read, now: float) -> bool:
         """Return whether no daemon leads or the leader is unresponsive.
 
         The read must have begun after most of the silence, so that a read
@@ -477,7 +412,7 @@
         """Whether this daemon held the newest term and released it."""
         return self._resigned and self._leader_nonce == self.nonce
 
-    def _has_yielded(self, event: Read, now: float) -> bool:
+    def _has_yielded(self, event: events.Read, now: float) -> bool:
         """Return whether other daemons have had time to claim.
 
         Reads must have arrived throughout that time. While the store was
@@ -489,7 +424,7 @@
             self._yield_until = now + pause_s
         return now >= self._yield_until
 
-    def _may_preempt(self, event: Read, now: float) -> bool:
+    def _may_preempt(self, event: events.Read, now: float) -> bool:
         """Return whether this daemon may preempt the leader."""
         can_schedule = event.ready and now - event.began_at < MAX_READ_AGE_S
         cooled_down = now >= self._cooldown_until
--- a/tests/leadership/test_election.py
+++ b/tests/leadership/test_election.py
@@ -7,6 +7,8 @@
 
 from azurewood.jobs import model
 from azurewood.leadership import base
+from azurewood.leadership import events
+from azurewood.leadership import predecessors
 from azurewood.leadership import records
 
 
@@ -30,7 +32,7 @@
 
 def _read(log, election, now, began_at=None, ready=True):
     offset = max(0, election.end)
-    event = base.Read(
+    event = events.Read(
         offset=offset,
         entries=tuple(log.entries[offset:]),
         end=len(log.entries),
@@ -43,9 +45,9 @@
 def _store(log, election, wanted, now):
     offset = log.append(wanted)
     if offset is None:
-        election.step(base.AppendFailed(entry=wanted.entry), now)
+        election.step(events.AppendFailed(entry=wanted.entry), now)
         return False
-    stored = base.Stored(offset=offset, entry=wanted.entry, began_at=now)
+    stored = events.Stored(offset=offset, entry=wanted.entry, began_at=now)
     election.step(stored, now)
     return True
 
@@ -88,7 +90,7 @@
         now += base.BEAT_INTERVAL_S
         _store(log, first, first.beat(model.Resources(), now), now)
         assert _read(log, second, now) is None
-    assert first.leads(now, within_s=base.ORDER_VALID_S)
+    assert first.leads(now, within_s=predecessors.ORDER_VALID_S)
 
 
 def test_a_read_that_began_before_the_silence_claims_nothing():
@@ -127,7 +129,7 @@
     election = _election("a")
     wanted = _read(log, election, 0.0)
     log.append(wanted)
-    election.step(base.AppendFailed(entry=wanted.entry), 1.0)
+    election.step(events.AppendFailed(entry=wanted.entry), 1.0)
     assert election.term == 0
     _read(log, election, 1.1)
     assert election.term == 1
@@ -279,7 +281,7 @@
     log = Log()
     strong = _preempt(log, 0.1)
     assert not strong.may_order(0.2)
-    now = 0.1 + base.ORDER_VALID_S
+    now = 0.1 + predecessors.ORDER_VALID_S
     _store(log, strong, strong.beat(model.Resources(), now), now)
     assert strong.may_order(now)
 
@@ -351,7 +353,7 @@
 
 def _lose_answer(log, election, wanted, now):
     log.append(wanted)
-    election.step(base.AppendFailed(entry=wanted.entry), now)
+    election.step(events.AppendFailed(entry=wanted.entry), now)
 
 
 def _renewals_past(elections, bounds):
@@ -359,7 +361,11 @@
     for election in elections:
         for term, bound in bounds.items():
             if 0 < election.term < term:
-                yield election.confirmed_at + base.RENEWAL_VALID_S - bound
+                yield (
+                    election.confirmed_at
+                    + predecessors.RENEWAL_VALID_S
+                    - bound
+                )
 
 
 RENEWAL_STEPS = strategies.lists(
@@ -411,9 +417,9 @@
     assert _store(log, second, wanted, 2.0)
     end = second.earlier_renewals_end()
     assert (
-        first.confirmed_at + base.RENEWAL_VALID_S
+        first.confirmed_at + predecessors.RENEWAL_VALID_S
         <= end
-        < 0.5 + base.RENEWAL_VALID_S + 0.1
+        < 0.5 + predecessors.RENEWAL_VALID_S + 0.1
     )
 
 
@@ -425,7 +431,7 @@
     wanted = _read(log, second, 6.1)
     assert _store(log, second, wanted, 6.1)
     # Records before its first read may have been another leader's.
-    assert second.earlier_renewals_end() == 5.0 + base.RENEWAL_VALID_S
+    assert second.earlier_renewals_end() == 5.0 + predecessors.RENEWAL_VALID_S
 
 
 def test_missed_records_count_as_those_of_another_leader():
@@ -433,9 +439,9 @@
     _leader(log)
     second = _election("b")
     _read(log, second, 0.1)
-    event = base.Read(offset=40, entries=(), end=40, began_at=9.0)
+    event = events.Read(offset=40, entries=(), end=40, began_at=9.0)
     second.step(event, 9.0)
-    assert second.earlier_renewals_end() == 9.0 + base.RENEWAL_VALID_S
+    assert second.earlier_renewals_end() == 9.0 + predecessors.RENEWAL_VALID_S
 
 
 def test_a_record_was_written_by_when_it_was_read():
--- a/tests/leadership/test_late_resignation.py
+++ b/tests/leadership/test_late_resignation.py
@@ -2,7 +2,7 @@
 
 from azurewood.journal import appender
 from azurewood.journal import pages
-from azurewood.leadership import base as leadership
+from azurewood.leadership import events
 from azurewood.leadership import records
 from tests.scheduling import deployment
 
@@ -19,7 +19,7 @@
     assert election.term
     resign = records.Resign(nonce=election.nonce)
     member._resign_again(
-        leadership.Append(entry=resign, at=election.end - 1),
+        events.Append(entry=resign, at=election.end - 1),
         appender.Conflict(reason="", end=election.end),
     )
     made.run(0.2)
--- a/tests/leadership/test_restarted_leader.py
+++ b/tests/leadership/test_restarted_leader.py
@@ -8,6 +8,7 @@
 from azurewood.daemons import fleet
 from azurewood.jobs import model
 from azurewood.leadership import base
+from azurewood.leadership import events
 from azurewood.leadership import records
 from tests.scheduling import deployment
 
@@ -24,7 +25,7 @@
 def _claim_after(*entries, address="a 10.0.0.1:80"):
     """Return a restarted daemon, and its claim at its first reading."""
     daemon = base.Election(name="a", nonce="new", now=0.0, address=address)
-    read = base.Read(
+    read = events.Read(
         offset=90, entries=entries, end=90 + len(entries), began_at=0.0
     )
     return daemon, daemon.step(read, 0.01)
@@ -33,7 +34,7 @@
 def test_the_next_process_of_the_leader_claims_and_orders_at_once():
     daemon, claim = _claim_after(_beat())
     assert isinstance(claim.entry, records.Claim)
-    stored = base.Stored(offset=91, entry=claim.entry, began_at=0.01)
+    stored = events.Stored(offset=91, entry=claim.entry, began_at=0.01)
     daemon.step(stored, 0.02)
     assert daemon.term == 92
     assert daemon.may_order(0.03)
@@ -87,7 +88,7 @@
 
 def test_beats_are_counted_by_term():
     daemon, claim = _claim_after(_beat())
-    stored = base.Stored(offset=91, entry=claim.entry, began_at=0.0)
+    stored = events.Stored(offset=91, entry=claim.entry, began_at=0.0)
     daemon.step(stored, 0.0)
     for number in range(3):
         now = base.BEAT_INTERVAL_S * (number + 1)
@@ -96,7 +97,7 @@
             number,
             "a 10.0.0.1:80",
         )
-        stored = base.Stored(
+        stored = events.Stored(
             offset=92 + number, entry=wanted.entry, began_at=now
         )
         daemon.step(stored, now)
--- a/tests/scheduling/test_strong_leader.py
+++ b/tests/scheduling/test_strong_leader.py
@@ -7,6 +7,7 @@
 from azurewood.jobs import model
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
+from azurewood.leadership import predecessors
 from azurewood.leadership import records
 from tests.scheduling import deployment
 
@@ -203,7 +204,7 @@
         now = made.clock.now
         elections = weak.member.election, strong.member.election
         if elections[0].may_order(now):
-            old = elections[0].confirmed_at + leadership.ORDER_VALID_S
+            old = elections[0].confirmed_at + predecessors.ORDER_VALID_S
         if elections[1].may_order(now):
             new = now
     return old, new
@@ -219,7 +220,7 @@
     monkeypatch.setattr(
         leadership.Election,
         "may_order",
-        lambda self, now: self.leads(now, within_s=leadership.ORDER_VALID_S),
+        lambda self, now: self.leads(now, within_s=predecessors.ORDER_VALID_S),
     )
     old, new = _order_times_around_a_claim()
     assert new < old
