Name the table of connections by what it holds

Cause: ConnectionTimes has held the descriptors of connections too since a call other than GET looks at its connection before it is written.

Change: known_connections.KnownConnections; its docstrings say what the two tables are for. Names only, the tests follow.

--- a/azurewood/http/connection_times.py
+++ b/azurewood/http/known_connections.py
@@ -1,4 +1,4 @@
-"""When each kept connection of a multiplexer was made, and its socket.
+"""The kept connections of a multiplexer: when each was made, its descriptor.
 
 A connection ends with the process at its other end. A call that goes only
 over a connection made by some time hence reaches the process that had the
@@ -14,13 +14,11 @@
 """Both addresses and ports of a connection."""
 
 
-class ConnectionTimes:
-    """The times at which connections that have answered were made.
+class KnownConnections:
+    """The descriptors of connections, and when those that answered were made.
 
     A time may be later than the real one and never earlier. A connection
     that is closed stays until a new one has its ports or others displace it.
-    The descriptors are those of all connections: by them a connection that
-    its other end has closed is told before it is used again.
     """
 
     __slots__ = ("_descriptors", "_made_at")
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -19,7 +19,7 @@
 
 import pycurl
 
-from azurewood.http import connection_times
+from azurewood.http import known_connections
 from azurewood.http import sending
 from azurewood.http import sockets
 
@@ -97,7 +97,7 @@
     sent_at: float
     sending: sending.Sending
     written_at: float = 0.0
-    connection: connection_times.Connection = ()
+    connection: known_connections.Connection = ()
 
 
 class Multiplexer:
@@ -122,7 +122,7 @@
 
     def __init__(self, *, clock: abc.Callable[[], float]) -> None:
         self._clock = clock
-        self._connections = connection_times.ConnectionTimes()
+        self._connections = known_connections.KnownConnections()
         self._multi = pycurl.CurlMulti()
         self._selector = selectors.DefaultSelector()
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
@@ -197,7 +197,7 @@
     def _may_write(
         self,
         transfer: _Transfer,
-        connection: connection_times.Connection,
+        connection: known_connections.Connection,
         now: float,
     ) -> bool:
         """Return whether a call is in time and goes over this connection."""
--- a/tests/http/test_bound_calls.py
+++ b/tests/http/test_bound_calls.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from azurewood.http import connection_times
+from azurewood.http import known_connections
 from azurewood.http import multiplex
 from azurewood.http import sending
 from azurewood.http import sockets
@@ -175,7 +175,7 @@
     calls, monkeypatch
 ):
     monkeypatch.setattr(
-        connection_times.ConnectionTimes, "made_by", lambda *_: True
+        known_connections.KnownConnections, "made_by", lambda *_: True
     )
     process, at = _started_anew(calls)
     assert _is_answered(_reply(calls, process, b"b"))
@@ -288,7 +288,7 @@
 
 
 def test_a_new_connection_with_the_ports_of_a_closed_one_is_new():
-    times = connection_times.ConnectionTimes()
+    times = known_connections.KnownConnections()
     times.answered(("ports",), 1.0, is_new=True)
     times.answered(("ports",), 2.0, is_new=False)
     assert times.made_by(("ports",), 1.0)
@@ -301,8 +301,8 @@
 
 
 def test_connections_that_are_remembered_are_bounded():
-    times = connection_times.ConnectionTimes()
-    for number in range(connection_times.MAX_KNOWN + 1):
+    times = known_connections.KnownConnections()
+    for number in range(known_connections.MAX_KNOWN + 1):
         times.answered((number,), 1.0, is_new=True)
         times.answered((0,), 2.0, is_new=False)
     assert times.made_by((0,), 1.0)
