Keep a machine's move until its outcome is known

A move whose order got no answer, or was answered busy, was dropped by a later answer or 6 s after it was decided, also while the list said that the machine was moving. Its host then counted as staying and could get tasks, which end with it. An order whose record took long to store was given up while it could still be sent, and its answer counted for the next move.

Each order gets one answer, so a move whose call is open stays. From the answer on, a list tells: it has to begin late enough to show the order's effect, and a machine that is moving is no proof that it stays. Busy may be the effect of an earlier leader's order, so a list tells then, too.

--- a/azurewood/scheduling/machine_orders.py
+++ b/azurewood/scheduling/machine_orders.py
@@ -44,21 +44,32 @@
 class MachineMove:
     """A move of a machine to another pool, and its host before the move.
 
-    ``incarnation_ms`` is that of the host, if it is known.
+    ``incarnation_ms`` is that of the host, if it is known. ``answered_at`` is
+    when the order's call ended in a way after which the move may be done, and
+    ``confirmed_at`` when it was answered as done. Lists of machines that began
+    before ``refutable_at`` don't show that the move is not done.
     """
 
-    __slots__ = ("confirmed_at", "host", "incarnation_ms", "pool", "until")
+    __slots__ = (
+        "answered_at",
+        "confirmed_at",
+        "host",
+        "incarnation_ms",
+        "pool",
+        "refutable_at",
+    )
 
     def __init__(
         self,
         *,
         pool: str,
         host: str,
-        until: float,
+        refutable_at: float,
         incarnation_ms: float = math.inf,
     ) -> None:
         self.pool = pool
         self.host = host
         self.incarnation_ms = incarnation_ms
-        self.until = until
+        self.refutable_at = refutable_at
+        self.answered_at: float | None = None
         self.confirmed_at: float | None = None
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -28,7 +28,8 @@
 MAX_LIST_AGE_S: typing.Final = 1.2
 """Age of the machine list from which no moves are planned any more."""
 MOVE_TIMEOUT_S: typing.Final = 6.0
-"""Time after which a move that the list doesn't show has failed."""
+"""Time from an order after which a move that the list doesn't show has failed,
+unless its call is still open."""
 
 
 def plan_moves(state: model.State, now: float, *, may_order: bool) -> None:
@@ -227,7 +228,7 @@
     state.moving[move.machine] = machine_orders.MachineMove(
         pool=move.pool,
         host=machine.host,
-        until=now + MOVE_TIMEOUT_S,
+        refutable_at=now + MOVE_TIMEOUT_S,
         incarnation_ms=incarnation_ms,
     )
     orders.issue(
@@ -257,12 +258,15 @@
         return
     match event.result:
         case messages.OrderResult.DONE:
-            move.confirmed_at = now
+            move.answered_at = move.confirmed_at = now
             _host_ended(state, move, now)
         case messages.OrderResult.UNKNOWN:
-            # The machine list shows the outcome.
-            return
-        case _:
+            move.answered_at = now
+        case messages.OrderResult.BUSY:
+            # An earlier leader's order may have moved the machine.
+            move.answered_at = now
+            move.refutable_at = now
+        case _ if move.answered_at is None:
             _cancel_move(state, name, move)
 
 
@@ -272,16 +276,10 @@
         entry = state.machines.get(name)
         if entry is None:
             del state.moving[name]
-            continue
-        up = entry.state is messages.MachineState.UP
-        if (
-            up
-            and entry.pool == move.pool
-            and _move_completed(state, entry, move)
-        ):
+        elif _move_completed(state, entry, move):
             _host_ended(state, move, now)
             del state.moving[name]
-        elif now > move.until:
+        elif _move_refuted(state, entry, move):
             _cancel_move(state, name, move)
 
 
@@ -290,17 +288,38 @@
     entry: messages.MachineEntry,
     move: machine_orders.MachineMove,
 ) -> bool:
-    """Return whether a machine that is up has completed its move.
+    """Return whether a list shows that a machine has completed its move.
 
-    It has if it has a new host, or if the list was read late enough after
-    the order was confirmed to show its effect.
+    It is up in the new pool. If its host has the id of before, the list must
+    have been read late enough after the order's answer to show its effect.
     """
-    if entry.host != move.host:
-        return True
-    confirmed_at = move.confirmed_at
-    if confirmed_at is None:
+    up = entry.state is messages.MachineState.UP
+    if not up or entry.pool != move.pool:
+        return False
+    return entry.host != move.host or _shows_effect(state, move)
+
+
+def _move_refuted(
+    state: model.State,
+    entry: messages.MachineEntry,
+    move: machine_orders.MachineMove,
+) -> bool:
+    """Return whether a list shows that a machine doesn't move.
+
+    No list does while the order's call is open, or the machine is moving.
+    """
+    moving = entry.state is messages.MachineState.MOVING
+    refutable = state.machines_at > move.refutable_at
+    return refutable and not moving and _shows_effect(state, move)
+
+
+def _shows_effect(
+    state: model.State, move: machine_orders.MachineMove
+) -> bool:
+    """Return whether the list would show the effect of a move's order."""
+    if move.answered_at is None:
         return False
-    return state.machines_at > confirmed_at + maintenance.LIST_LAG_S
+    return state.machines_at > move.answered_at + maintenance.LIST_LAG_S
 
 
 def _host_ended(
--- a/tests/scheduling/test_order_answers.py
+++ b/tests/scheduling/test_order_answers.py
@@ -68,7 +68,9 @@
     """Record that an idle machine is moved; return the move and its host."""
     state = term.state
     machine = next(iter(state.machines.values()))
-    move = machine_orders.MachineMove(pool=pool, host=machine.host, until=1e9)
+    move = machine_orders.MachineMove(
+        pool=pool, host=machine.host, refutable_at=1e9
+    )
     state.moving[machine.name] = move
     return machine.name, move, state.hosts[machine.host]
 
