Repeat a lost resignation of a leader that goes on

A leader that released its term, as it reached few hosts, did not repeat a resignation that was lost; its successor waited 1.5 s. Only a leader that stopped did, as it claims nothing any more: a resignation behind a claim of the same daemon would end its new term while it still renews leases.

The election now knows whether a resignation is still to be appended: until it is read, another daemon claims, or this daemon tries to claim itself. What was sent before that claim can't be stored behind it, as both are appended on condition of the log's end.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -337,8 +337,7 @@
 
         A late beat may have taken its offset, or its call may be lost.
         """
-        if self.election.term or self.election.released_term:
-            # A resignation would end a new term of this daemon, or is read.
+        if not self.election.resigning:
             return
         if not isinstance(wanted.entry, election_records.Resign):
             return
@@ -351,14 +350,11 @@
                 self._resign_at = self._clock() + RESIGN_RETRY_S
 
     def _resign_if_due(self, wanted: events.Append, now: float) -> None:
-        """Send a resignation again that may not be stored.
-
-        Only a daemon that stops does so, as it claims no term any more.
-        """
+        """Send a resignation again that may not be stored."""
         if now < self._resign_at:
             return
         self._unstored_resignation = None
-        if self.election.stopping and not self.election.released_term:
+        if self.election.resigning:
             self._append_leader(wanted)
 
     def _on_leader_append(
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -76,6 +76,9 @@
     this daemon's number of cores, 0 if unknown. ``strongest`` is the highest
     number of cores of any daemon that wrote to the log within
     ``STRONGEST_TTL_S``.
+    ``resigning`` is whether this daemon released its term and may still have
+    to append its resignation: it has not read it, nor a later claim, and has
+    not tried to claim itself since.
     ``preempted_live_leader`` is whether the newest claim replaced a leader
     that was still alive. ``silence_before_claim_s`` is how long this daemon
     had read no record when it last claimed. ``leader_append_s`` is how long
@@ -125,6 +128,7 @@
         "nonce",
         "own_append_s",
         "preempted_live_leader",
+        "resigning",
         "silence_before_claim_s",
         "stopping",
         "strongest",
@@ -156,6 +160,7 @@
         self.largest = model.Resources()
         self.confirmed_at = 0.0
         self.stopping = False
+        self.resigning = False
         self.preempted_live_leader = False
         self._leader_nonce = ""
         self._leader_seen_at = 0.0
@@ -257,6 +262,7 @@
         if not self.term:
             return None
         self.step_down(now)
+        self.resigning = True
         return events.Append(
             entry=records.Resign(nonce=self.nonce), at=self.end
         )
@@ -331,6 +337,8 @@
                 self._record_cores(cores, now)
             case records.Resign(nonce=nonce):
                 self._resigned = nonce == self._leader_nonce
+                if nonce == self.nonce:
+                    self.resigning = False
         if self.term and entry is not None and entry.nonce == self.nonce:
             self.confirmed_at = max(self.confirmed_at, sent_at)
             self.fence = offset + 1
@@ -357,6 +365,7 @@
         self._leader_nonce = claim.nonce
         self._leader_seen_at = now
         self._resigned = False
+        self.resigning = False
         self._predecessor_ended = False
         self._beats = 0
         self.leader = claim.name
@@ -384,6 +393,8 @@
         elif not self._may_preempt(event, now):
             return None
         self.silence_before_claim_s = now - self._seen_at
+        # A resignation behind this claim would end its term.
+        self.resigning = False
         claim = records.Claim(
             name=self.name, nonce=self.nonce, cores=self.cores
         )
--- a/tests/leadership/test_lost_resignation.py
+++ b/tests/leadership/test_lost_resignation.py
@@ -36,14 +36,26 @@
     return sum(isinstance(entry, records.Resign) for entry in entries)
 
 
+def _leave(made, member):
+    member.leave()
+
+
+def _release(made, member):
+    """Release the term, as for a daemon that may reach more hosts."""
+    member._release_term(made.clock.now)
+
+
+@pytest.mark.parametrize("resign", (_leave, _release))
 @pytest.mark.parametrize("carried_out", (False, True))
-def test_no_successor_waits_for_a_resignation_that_was_reset(carried_out):
+def test_no_successor_waits_for_a_resignation_that_was_reset(
+    carried_out, resign
+):
     made = deployment.world(members=3)
     old = made.leaders()[0]
     member = old.member
     calls = member._calls
     member._calls = _Resetting(made, calls, carried_out=carried_out)
-    member.leave()
+    resign(made, member)
     member._calls = calls
     made.run(SUCCEEDED_WITHIN_S)
     assert [leader for leader in made.leaders() if leader is not old]
