Let a daemon's writers go on after a refused sequence number

A daemon's writer whose sequence number the store refused went on only by a withdrawal. If the outcome of an earlier call was unknown, nothing could be withdrawn: the writer stood still until the daemon ended, its first caller never got a verdict, and all later ones were refused.

The writer begins a new epoch and appends the same records in it. The store carries out no call of the earlier epoch after that. If a record of the call was read back, all of them are stored and nothing is appended again. Otherwise a record may be stored twice, which readers ignore.

No store has been seen to refuse a daemon's number.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -78,6 +78,7 @@
                 producer=f"{name}-{nonce}",
                 epoch=1,
                 reads_back=topic is pages.Topic.JOBS,
+                renews_epoch=True,
             )
             for topic, part in (
                 (pages.Topic.JOBS, 0),
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -72,6 +72,7 @@
         "_part",
         "_platform",
         "_producer",
+        "_renews_epoch",
         "_topic",
     )
 
@@ -86,7 +87,9 @@
         epoch: int,
         part: int = 0,
         reads_back: bool = False,
+        renews_epoch: bool = False,
     ) -> None:
+        self._renews_epoch = renews_epoch
         self._part = part
         self._end = 0
         self._platform = platform
@@ -182,8 +185,15 @@
         for item in stored:
             if item.token is not None:
                 item.token(result.offset)
+        if self._renews_epoch and self._appender.out_of_sequence:
+            self._renew_epoch()
         self.step(self._clock())
 
+    def _renew_epoch(self) -> None:
+        for item in self._appender.renew_epoch():
+            if item.token is not None:
+                item.token(UNKNOWN_OFFSET)
+
     def _log_stored(
         self,
         request: appender.Request,
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -215,7 +215,26 @@
         """
         self._pending.extendleft(reversed(self._batch))
         self._batch = ()
+        self._begin_epoch()
+
+    def _begin_epoch(self) -> None:
         self._epoch += 1
+        self.out_of_sequence = False
+
+    def renew_epoch(self) -> tuple[Item, ...]:
+        """Begin an epoch if the store refused this one's sequence number.
+
+        Return the items that are stored by what was read. The others are
+        appended again: nothing of them was stored, or it is not known. No
+        call of the earlier epoch is carried out after the next one. No other
+        appender may have this one's producer.
+        """
+        if not self.out_of_sequence or self._in_flight:
+            return ()
+        self._begin_epoch()
+        # A batch is stored as a whole.
+        is_stored = len(self._unread) < len(self._expected())
+        return self._stored() if is_stored else ()
 
     def next_call(self, now: float) -> Request | None:
         """Return the call to make now, or None."""
