End the term if the intake's sequence number is refused

A leader whose deletions from the intake were refused for their sequence number repeated them for ever. The intake kept its jobs, and no record of an ended job was removed in that term. The other writers of a leader end its term then; those of the intake do so, too.

Evidence: test_the_intake_is_emptied_although_the_store_refuses_a_number fails without the change.

--- a/azurewood/daemons/intake.py
+++ b/azurewood/daemons/intake.py
@@ -36,7 +36,8 @@
     """Copies the intake's jobs during one term.
 
     ``append`` stores records in the jobs topic and calls back once they are
-    stored.
+    stored. ``out_of_sequence`` is whether no copied job can be deleted any
+    more in this term, as the store refused a sequence number.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "_registry",
         "_uncopied",
         "_writers",
+        "out_of_sequence",
     )
 
     def __init__(
@@ -70,6 +72,7 @@
         self._append = append
         self._in_use_until = clock() + IN_USE_S
         self._uncopied: set[str] = set()
+        self.out_of_sequence = False
         self._readers = [
             follower.Follower(
                 topic=pages.Topic.INTAKE,
@@ -119,6 +122,9 @@
         if self._uncopied:
             for writer in self._writers:
                 writer.step(now)
+            self.out_of_sequence = any(
+                writer.out_of_sequence for writer in self._writers
+            )
 
     def _on_read(self, part: int, changes: follower.Changes) -> None:
         found = tuple(r for r in changes.records if r.value is not None)
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -299,7 +299,9 @@
         written = (self._progress, self._jobs, self._reports)
         if any(writer.fenced for writer in written):
             self.stop("a later term has written")
-        elif any(writer.out_of_sequence for writer in written):
+        elif self._intake.out_of_sequence or any(
+            writer.out_of_sequence for writer in written
+        ):
             # A later term's epoch may begin at any sequence number.
             self.stop("the store refuses a sequence number")
 
--- a/tests/scheduling/test_refused_numbers.py
+++ b/tests/scheduling/test_refused_numbers.py
@@ -4,7 +4,9 @@
 
 from azurewood.daemons import takeover
 from azurewood.jobs import model
+from azurewood.jobs import records
 from azurewood.journal import appender
+from azurewood.journal import pages
 from tests.scheduling import deployment
 
 SHORT = model.Step(
@@ -45,3 +47,19 @@
     writer.next_call(0.0)
     writer.handle_result(appender.Conflict(reason="seq"), 0.1)
     assert writer.out_of_sequence
+
+
+def test_the_intake_is_emptied_although_the_store_refuses_a_number():
+    made = deployment.world()
+    made.run(1.0)
+    term = made.leaders()[0].member.term.number
+    part = 0
+    made.store.append(pages.Topic.INTAKE, (), takeover.PRODUCER, term, 5, part)
+    job = deployment.job(made, 1, SHORT)
+    made.rules.asked[job.id] = job
+    record = records.Accepted(job=job)
+    stored = appender.Record(key=record.key, value=records.encode(record))
+    made.store.add(pages.Topic.INTAKE, (stored,), part)
+    made.run(20.0)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+    assert not made.store.values(pages.Topic.INTAKE, part)
