Refuse no job that an earlier request may have stored

A job handed in twice at one daemon had two records. The second one could be withdrawn, and its caller told that the job never runs, while the call with the first one had an unknown outcome. The same caller could be refused for stale reads of the store.

A record now has one open request at a daemon. Whoever asks for it meanwhile waits for the same verdict.

--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -91,6 +91,10 @@
     asked_at: float
 
 
+_RequestKey = tuple[type[records.Record], str]
+"""What tells requests apart: the kind of their record, and their job."""
+
+
 class JobService:
     """Answers callers from the job registry and stores their requests.
 
@@ -101,11 +105,16 @@
     among the jobs yet. ``complete`` is false while other daemons may have
     stored jobs in the intake that are not among the jobs yet. ``reads_fail``
     is whether the newest read of the jobs failed.
+
+    Each record is stored by one request at a time, whose verdict all callers
+    get that ask for it meanwhile. None is refused whose record may be stored
+    by an earlier request.
     """
 
     __slots__ = (
         "_clock",
         "_enqueue",
+        "_open",
         "admission",
         "catalog",
         "complete",
@@ -126,6 +135,7 @@
     ) -> None:
         self._clock = clock
         self._enqueue = enqueue
+        self._open: dict[_RequestKey, concurrent.futures.Future] = {}
         self.admission = admission
         self.registry = registry.JobRegistry()
         self.catalog: catalog.Catalog | None = None
@@ -173,13 +183,22 @@
             return Taken()
         if job.id in self.registry.unreadable:
             return OutcomeUnknown(reason="the job's record cannot be read")
-        if not self._is_fresh():
-            return self._refuse(job.id, Refused(reason="store out of touch"))
-        refused = self.admission(job)
-        if refused is not None:
-            return self._refuse(job.id, refused)
+        if not self._is_accepting(job.id):
+            refused = self._refusal(job)
+            if refused is not None:
+                return self._refuse(job.id, refused)
         return self._store(job.id, records.Accepted(job=job), timeout_s)
 
+    def _is_accepting(self, job_id: str) -> bool:
+        """Return whether a request to store a job has no verdict yet."""
+        return (records.Accepted, job_id) in self._open
+
+    def _refusal(self, job: model.Job) -> Refused | None:
+        """Return why a job is not to be stored, None if it is."""
+        if not self._is_fresh():
+            return Refused(reason="store out of touch")
+        return self.admission(job)
+
     def _refuse(self, job_id: str, refused: Refused) -> Refused:
         logger.bind(
             event="job.refused",
@@ -205,10 +224,7 @@
         self, job_id: str, record: records.Record, timeout_s: float
     ) -> Verdict:
         began_at = self._clock()
-        fut: concurrent.futures.Future = concurrent.futures.Future()
-        self._enqueue(
-            WriteRequest(record=record, future=fut, asked_at=began_at)
-        )
+        fut = self._request(job_id, record, began_at)
         try:
             verdict = fut.result(timeout=timeout_s)
         except concurrent.futures.TimeoutError:
@@ -226,6 +242,20 @@
         )
         return verdict
 
+    def _request(
+        self, job_id: str, record: records.Record, now: float
+    ) -> concurrent.futures.Future:
+        """Return the open request's future for a record, or enqueue one."""
+        key = (type(record), job_id)
+        fut: concurrent.futures.Future = concurrent.futures.Future()
+        found = self._open.setdefault(key, fut)
+        if found is fut:
+            fut.add_done_callback(lambda _: self._open.pop(key))
+            self._enqueue(
+                WriteRequest(record=record, future=fut, asked_at=now)
+            )
+        return found
+
 
 def _details(verdict: Verdict) -> dict[str, typing.Any]:
     """Return the fields that a verdict adds to a job's line."""
