Deny no job whose own request is open

A daemon answered 410 to a GET or a cancellation of a job whose record it was still trying to store. Callers may take that for the end of the job, which was stored and ran. It answers 503 now, until the request has its verdict.

Evidence: test_a_job_that_may_be_stored_yet_is_not_denied fails without the change.

--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -168,14 +168,16 @@
             return JobStatus(phase=entry.phase)
         if job_id in self.unread:
             return JobStatus(phase=model.Phase.PENDING)
-        return NotThere() if self._knows_all() else StatusUnknown()
+        return NotThere() if self._is_absent(job_id) else StatusUnknown()
 
-    def _knows_all(self) -> bool:
+    def _is_absent(self, job_id: str) -> bool:
         """Return whether a job that is not known here does not exist.
 
-        While reads fail, jobs may be accepted that were not read.
+        While reads fail, jobs may be accepted that were not read. One whose
+        own request is open may be stored, or may still be.
         """
-        return self.complete and not self.reads_fail and self._is_fresh()
+        knows_all = self.complete and not self.reads_fail and self._is_fresh()
+        return knows_all and not self._is_accepting(job_id)
 
     def submit(self, job: model.Job, *, timeout_s: float) -> Verdict:
         """Store a job; wait for at most ``timeout_s`` seconds."""
@@ -213,7 +215,8 @@
         """Store a cancellation; wait for at most ``timeout_s`` seconds."""
         entry = self.registry.entries.get(job_id)
         if entry is None and job_id not in self.unread:
-            if self._knows_all() and job_id not in self.registry.unreadable:
+            unreadable = job_id in self.registry.unreadable
+            if not unreadable and self._is_absent(job_id):
                 return NotThere()
             return Refused(reason="not in touch with the store")
         if entry is not None and entry.phase.final:
--- a/tests/jobs/test_repeated_requests.py
+++ b/tests/jobs/test_repeated_requests.py
@@ -78,3 +78,20 @@
     requests[0].future.set_result(desk.Refused(reason="test"))
     entry.service.submit(job, timeout_s=0.0)
     assert [r.record for r in requests] == [records.Accepted(job=job)] * 2
+
+
+def test_a_job_that_may_be_stored_yet_is_not_denied(entry):
+    """A cancellation that is answered with 410 would not be stored."""
+    job = deployment.job(entry.made, 1)
+    entry.made.rules.asked[job.id] = job
+    entry.answers = False
+    entry.service.submit(job, timeout_s=0.0)
+    entry.made.run(0.5)
+    assert isinstance(entry.service.show(job.id), desk.StatusUnknown)
+    cancelled = entry.service.cancel(job.id, timeout_s=0.0)
+    assert isinstance(cancelled, desk.Refused)
+    entry.answers = True
+    entry.made.run(RECOVERED_S)
+    assert isinstance(entry.service.show(job.id), desk.JobStatus)
+    other = deployment.job(entry.made, 2)
+    assert isinstance(entry.service.show(other.id), desk.NotThere)
