--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -91,6 +91,10 @@
     asked_at: float
 
 
+_RequestKey = tuple[type[records.Record], str]
+"""What tells requests apart: the kind of their record, and their job."""
+
+
 class JobService:
     """Answers callers from the job registry and stores their requests.
 
@@ -101,11 +105,16 @@
     among the jobs yet. ``complete`` is false while other daemons may have
     stored jobs in the intake that are not among the jobs yet. ``reads_fail``
     is whether the newest read of the jobs failed.
+
+    Each record is stored by one request at a time, whose verdict all callers
+    get that ask for it meanwhile. None is refused whose record may be stored
+    by an earlier request.
     """
 
     __slots__ = (
         "_clock",
         "_enqueue",
+        "_open",
         "admission",
         "catalog",
         "complete",
@@ -126,6 +135,7 @@
     ) -> None:
         self._clock = clock
         self._enqueue = enqueue
+        self._open: dict[_RequestKey, concurrent.futures.Future] = {}
         self.admission = admission
         self.registry = registry.JobRegistry()
         self.catalog: catalog.Catalog | None = None
@@ -158,14 +168,16 @@
             return JobStatus(phase=entry.phase)
         if job_id in self.unread:
             return JobStatus(phase=model.Phase.PENDING)
-        return NotThere() if self._knows_all() else StatusUnknown()
+        return NotThere() if self._is_absent(job_id) else StatusUnknown()
 
-    def _knows_all(self) -> bool:
+    def _is_absent(self, job_id: str) -> bool:
         """Return whether a job that is not known here does not exist.
 
-        While reads fail, jobs may be accepted that were not read.
+        While reads fail, jobs may be accepted that were not read. One whose
+        own request is open may be stored, or may still be.
         """
-        return self.complete and not self.reads_fail and self._is_fresh()
+        knows_all = self.complete and not self.reads_fail and self._is_fresh()
+        return knows_all and not self._is_accepting(job_id)
 
     def submit(self, job: model.Job, *, timeout_s: float) -> Verdict:
         """Store a job; wait for at most ``timeout_s`` seconds."""
@@ -173,13 +185,22 @@
             return Taken()
         if job.id in self.registry.unreadable:
             return OutcomeUnknown(reason="the job's record cannot be read")
-        if not self._is_fresh():
-            return self._refuse(job.id, Refused(reason="store out of touch"))
-        refused = self.admission(job)
-        if refused is not None:
-            return self._refuse(job.id, refused)
+        if not self._is_accepting(job.id):
+            refused = self._refusal(job)
+            if refused is not None:
+                return self._refuse(job.id, refused)
         return self._store(job.id, records.Accepted(job=job), timeout_s)
 
+    def _is_accepting(self, job_id: str) -> bool:
+        """Return whether a request to store a job has no verdict yet."""
+        return (records.Accepted, job_id) in self._open
+
+    def _refusal(self, job: model.Job) -> Refused | None:
+        """Return why a job is not to be stored, None if it is."""
+        if not self._is_fresh():
+            return Refused(reason="store out of touch")
+        return self.admission(job)
+
     def _refuse(self, job_id: str, refused: Refused) -> Refused:
         logger.bind(
             event="job.refused",
@@ -194,7 +215,8 @@
         """Store a cancellation; wait for at most ``timeout_s`` seconds."""
         entry = self.registry.entries.get(job_id)
         if entry is None and job_id not in self.unread:
-            if self._knows_all() and job_id not in self.registry.unreadable:
+            unreadable = job_id in self.registry.unreadable
+            if not unreadable and self._is_absent(job_id):
                 return NotThere()
             return Refused(reason="not in touch with the store")
         if entry is not None and entry.phase.final:
@@ -205,10 +227,7 @@
         self, job_id: str, record: records.Record, timeout_s: float
     ) -> Verdict:
         began_at = self._clock()
-        fut: concurrent.futures.Future = concurrent.futures.Future()
-        self._enqueue(
-            WriteRequest(record=record, future=fut, asked_at=began_at)
-        )
+        fut = self._request(job_id, record, began_at)
         try:
             verdict = fut.result(timeout=timeout_s)
         except concurrent.futures.TimeoutError:
@@ -226,6 +245,20 @@
         )
         return verdict
 
+    def _request(
+        self, job_id: str, record: records.Record, now: float
+    ) -> concurrent.futures.Future:
+        """Return the open request's future for a record, or enqueue one."""
+        key = (type(record), job_id)
+        fut: concurrent.futures.Future = concurrent.futures.Future()
+        found = self._open.setdefault(key, fut)
+        if found is fut:
+            fut.add_done_callback(lambda _: self._open.pop(key))
+            self._enqueue(
+                WriteRequest(record=record, future=fut, asked_at=now)
+            )
+        return found
+
 
 def _details(verdict: Verdict) -> dict[str, typing.Any]:
     """Return the fields that a verdict adds to a job's line."""
