Show that a daemon denies, and repeats, jobs whose append has no outcome

A job whose append by this daemon may be stored is 410 at this very daemon, for a GET and for a DELETE (JobService knows stored jobs only). A daemon that is cut off repeats its append whenever it is back. If the job was handed in elsewhere, is done and was removed after its retention time, it is accepted anew and runs again ("started after its end was noted").

--- /dev/null
+++ b/tests/scheduling/test_unresolved_jobs.py
@@ -0,0 +1,75 @@
+"""Jobs whose append has no outcome yet, at the daemon that appends them."""
+
+from azurewood.jobs import desk
+from azurewood.jobs import model
+from azurewood.journal import pages
+from standins.fleet import members
+from standins.fleet import platform
+from tests.scheduling import deployment
+
+SHORT = model.Step(
+    count=1, needs=model.Resources(1000, 500, 0), estimate_ms=200
+)
+CALLER_WAITS_S = 3.0
+LATE_S = members.LATE_CALL_DELAY_S[1]
+
+
+def _entry(made):
+    """Return a daemon that doesn't lead."""
+    return next(m for m in made.members if not m.leads)
+
+
+def _hand_in(made, member, job):
+    made.rules.asked[job.id] = job
+    return member.member.job_service.submit(job, timeout_s=0.0)
+
+
+def _carry_out_late(made):
+    """Give no answer to appends of jobs and carry them out late."""
+
+    def fault_of(call):
+        jobs = call.partition == (pages.Topic.JOBS, 0)
+        return "late" if jobs else ""
+
+    made.fault_of = fault_of
+
+
+def test_a_job_that_may_be_stored_is_not_said_to_be_absent():
+    """A caller whose cancellation gets NotThere has no job that may run."""
+    made = deployment.world()
+    member = _entry(made)
+    job = deployment.job(made, 1, SHORT)
+    _carry_out_late(made)
+    handed_in = _hand_in(made, member, job)
+    assert isinstance(handed_in, desk.OutcomeUnknown)
+    made.run(CALLER_WAITS_S)
+    cancelled = member.member.job_service.cancel(job.id, timeout_s=0.0)
+    shown = member.member.job_service.show(job.id)
+    del made.fault_of
+    made.run(LATE_S)
+    phase = deployment.phase(made, job.id)
+    assert (cancelled, shown, phase) != (
+        desk.NotThere(),
+        desk.NotThere(),
+        model.Phase.COMPLETED,
+    )
+
+
+def test_a_job_is_not_run_again_by_an_append_of_before_its_removal():
+    """A daemon that was cut off repeats an append that nobody waits for."""
+    made = deployment.world()
+    member = _entry(made)
+    job = deployment.job(made, 1, SHORT)
+    member.cut_from.add(platform.STORE)
+    _hand_in(made, member, job)
+    made.run(CALLER_WAITS_S)
+    made.submit(made.leaders()[0], job)
+    made.run(2.0)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+    leader = made.leaders()[0].member
+    made.run(leader._retention_s + 5.0)
+    assert job.id not in leader.job_service.registry.entries
+    member.cut_from.clear()
+    made.run(5.0)
+    deployment.check(made)
+    assert job.id not in leader.job_service.registry.entries
