Show that reading a withdrawn record keeps later ones from their refusal

A batch that is taken apart stays among the records to be read back until the next batch is formed. If another daemon stores one of them meanwhile, the next batch counts as one that may be stored: its callers get 504 instead of a refusal.

--- a/tests/journal/test_appender.py
+++ b/tests/journal/test_appender.py
@@ -272,3 +272,17 @@
     _reject_stored_call(writer, "a", "b")
     assert writer.note_read("a", 0.2).token == "a"
     assert not writer.withdraw(lambda item: item.token == "b")
+
+
+def test_a_withdrawn_record_that_is_read_leaves_later_ones_resolved():
+    """Another daemon may store the same record; its reader reports it here."""
+    writer = appender.Appender(epoch=1, reads_back=True)
+    writer.add(_item("a"))
+    writer.next_call(0.0)
+    writer.handle_result(appender.NotDone(reason="503"), 0.1)
+    assert [i.token for i in writer.withdraw(lambda item: True)] == ["a"]
+    writer.note_read("a", 0.2)
+    writer.add(_item("b"))
+    writer.next_call(5.0)
+    writer.handle_result(appender.NotDone(reason="503"), 5.1)
+    assert [i.token for i in writer.withdraw(lambda item: True)] == ["b"]
