Show that a platform call that timed out is delivered later

The client of the project's platform lets the kernel deliver what a call that timed out has queued; the multiplexer drops it (test_given_up.py). By reading only: a reboot that timed out into a cut would reach its host after the cut, and the daemon repeats it, as TaskCallEnded does not tell unknown from not done.

--- a/tests/platform/test_given_up.py
+++ b/tests/platform/test_given_up.py
@@ -15,6 +15,8 @@
 
 from azurewood.http import multiplex
 from azurewood.http import sockets
+from azurewood.provider import base as provider
+from azurewood.provider import exceptions
 
 BODY = b"x" * 50_000 + b"the end"
 """Larger than the server's receive window, smaller than the send buffer."""
@@ -116,6 +118,14 @@
     assert not receive_all(server.accept()).endswith(BODY)
 
 
+def test_platform_call_that_timed_out_is_not_delivered_later(server):
+    """The same failure, in the client of the project's platform."""
+    conn = provider.Connection(url=server.url, zone="a")
+    with pytest.raises(exceptions.OutcomeUnknown):
+        conn.call("POST", "/", body=BODY, timeout_s=0.2)
+    assert not receive_all(server.accept()).endswith(BODY)
+
+
 def test_timed_out_call_on_a_reused_connection_is_not_delivered_later(
     server, calls
 ):
