--- a/tests/operators/test_client.py
+++ b/tests/operators/test_client.py
@@ -105,6 +105,14 @@
     assert found.id == f"{seen[0]['ticket']}.0"
 
 
+def test_a_lost_answer_stays_unknown_after_a_malformed_one(daemon):
+    lost, seen = daemon(LOST)
+    malformed, _ = daemon((200, b"{"))
+    found = propose(lost, malformed)
+    assert found.resolution == Resolution.UNKNOWN
+    assert found.id == f"{seen[0]['ticket']}.0"
+
+
 def test_status_504_gives_unknown(daemon):
     url, _ = daemon((504, b'{"error": "late", "ids": ["x"]}'))
     assert propose(url).resolution == Resolution.UNKNOWN
