Show over sockets that an entry denies a job that it may have stored

With appends carried out 4 s late the entry answers 504 to the job, 410 to its GET and 410 to its cancellation, and the job starts after that.

--- a/tests/platform/test_accepted_jobs.py
+++ b/tests/platform/test_accepted_jobs.py
@@ -35,6 +35,8 @@
 CALM_S = 0.4
 CALLERS = 12
 FIRST_STEP_MS = 3000
+LATE_S = 4.0
+"""Longer than a caller waits, shorter than a late call may take."""
 CANCEL_S = 2.5
 """Time after a cancellation from which nothing of the job may start, of which
 the store may refuse calls for ``REFUSING_S``. The second step comes later."""
@@ -184,9 +186,9 @@
 
 
 @contextlib.contextmanager
-def _serving(status):
+def _serving(status, kind=_ResettingServer):
     """Yield a server and two daemons that are ready."""
-    server = _ResettingServer(status=status)
+    server = kind(status=status)
     server.write_operator_record(
         pages.Topic.OPERATORS, "config", test_daemons.MANIFEST
     )
@@ -317,3 +319,46 @@
         ]
         server.holds_reads = False
     assert asked == [200, 200, 200]
+
+
+class _LateServer(_ResettingServer):
+    """While ``is_late``, carries daemons' appends of jobs out 4 s late."""
+
+    is_late = False
+
+    def __call__(self, environ, start_response):
+        req = wrappers.Request(environ)
+        appends = req.path == "/api/log-append"
+        if (
+            appends
+            and self.is_late
+            and req.args["topic"] == "keyed.jobs"
+            and req.args.get("producer") != "leader"
+        ):
+            time.sleep(LATE_S)
+        return super().__call__(environ, start_response)
+
+
+def test_a_job_that_may_be_stored_is_not_denied_by_its_entry(monkeypatch):
+    """Its cancellation would be answered, and the job would run."""
+    monkeypatch.setattr(fleet, "BALANCER_NOTICE_S", 0.0)
+    job_id = "00000000000000b0"
+    with _serving(503, _LateServer) as (server, daemons):
+        _register(server, job_id, SHORT)
+        server.is_late = True
+        asked = [
+            daemons[0].call(method, f"/one/{job_id}", body)[0]
+            for method, body in (
+                ("POST", SHORT),
+                ("GET", None),
+                ("DELETE", None),
+            )
+        ]
+        asked_at = time.monotonic()
+        server.is_late = False
+        test_daemons.wait_for(
+            lambda: any(job == job_id for job, _ in server.started)
+        )
+    assert server.started[0][1] > asked_at
+    assert asked[0] == 504
+    assert 410 not in asked
