Show a refusal of a job that the same daemon may have stored

The second hand-in is refused ("never runs") while the append of the first is carried out late, and runs.

--- a/tests/scheduling/test_unresolved_jobs.py
+++ b/tests/scheduling/test_unresolved_jobs.py
@@ -57,6 +57,21 @@
     assert desk.NotThere() not in (cancelled, shown)
 
 
+def test_a_job_that_may_be_stored_is_not_refused_when_it_is_handed_in_again():
+    """A refusal says that the job never runs."""
+    made = deployment.world()
+    member = _entry(made)
+    job = deployment.job(made, 1, SHORT)
+    _carry_out_late(made)
+    _hand_in(made, member, job)
+    again = made.submit(member, job)
+    made.run(CALLER_WAITS_S)
+    del made.fault_of
+    made.run(LATE_S)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+    assert not isinstance(again.verdict, desk.Refused)
+
+
 def test_a_job_is_not_run_again_by_an_append_of_before_its_removal():
     """A daemon that was cut off repeats an append that nobody waits for."""
     made = deployment.world()
