Let the simulated callers ask for jobs as real ones do

Cause: the simulation put write requests into a daemon's queue by itself, past the job service, and so did not see that a daemon joins a second request for a job to the first one. test_a_job_that_may_be_stored_is_not_refused_when_it_is_ handed_in_again (a review's) failed for that reason in memory.

Change: JobService.request is public and returns the future of the verdict; the simulation calls it.

Measured: that test passes; the other tests of tests/scheduling/ test_unresolved_jobs.py are as before.

--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -227,7 +227,7 @@
         self, job_id: str, record: records.Record, timeout_s: float
     ) -> Verdict:
         began_at = self._clock()
-        fut = self._request(job_id, record, began_at)
+        fut = self.request(job_id, record, began_at)
         try:
             verdict = fut.result(timeout=timeout_s)
         except concurrent.futures.TimeoutError:
@@ -245,10 +245,13 @@
         )
         return verdict
 
-    def _request(
+    def request(
         self, job_id: str, record: records.Record, now: float
     ) -> concurrent.futures.Future:
-        """Return the open request's future for a record, or enqueue one."""
+        """Return the future of the verdict on a record that is to be stored.
+
+        It is that of the open request for the record, or of a new one.
+        """
         key = (type(record), job_id)
         fut: concurrent.futures.Future = concurrent.futures.Future()
         found = self._open.setdefault(key, fut)
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -472,7 +472,7 @@
         def stored() -> None:
             self.progress.accept(job)
 
-        asked.begin(member, record, self.clock.now, stored, refused)
+        asked.begin(member, job.id, record, self.clock.now, stored, refused)
         return asked
 
     def cancel(
@@ -487,7 +487,7 @@
             def stored() -> None:
                 self.rules.cancelled_at[job_id] = self.clock.now
 
-            asked.begin(member, record, self.clock.now, stored)
+            asked.begin(member, job_id, record, self.clock.now, stored)
         return asked
 
     def run(self, seconds: float) -> None:
@@ -531,13 +531,13 @@
     def begin(
         self,
         member: sim_members.SimMember,
+        job_id: str,
         record: desk.records.Record,
         now: float,
         stored: abc.Callable[[], None] | None = None,
         refused: abc.Callable[[], None] | None = None,
     ) -> None:
         """Submit a record and call back when its verdict is known."""
-        fut = desk.concurrent.futures.Future()
 
         def done(answered: desk.concurrent.futures.Future) -> None:
             self.verdict = answered.result()
@@ -547,7 +547,5 @@
                 case desk.Refused() if refused is not None:
                     refused()
 
-        fut.add_done_callback(done)
-        member.member.enqueue_write(
-            desk.WriteRequest(record=record, future=fut, asked_at=now)
-        )
+        service = member.member.job_service
+        service.request(job_id, record, now).add_done_callback(done)
