Give up an append whose outcome stays unknown for long

Then the cut heals, the daemon repeats its append, and the job is accepted again and runs a second time: "started after its end was noted".

Cause: an append that may have been carried out is repeated until the store answers, for however long that takes.

Change: half of the retention time after it was asked for, such a record is sent no longer. The batch is given up whole (its records were asked for within 1.5 s of each other) and a new epoch begins, so that no call of before is carried out behind a later one. The caller's request stays open for 12 s more, the longest time after which the store carries out a call: until then the daemon doesn't say that the job doesn't exist. Line: job.given_up.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -32,18 +32,21 @@
 class JobWrites:
     """A daemon's write requests, and its writers of the jobs and the intake.
 
-    ``partitions`` is the number of the intake's partitions.
+    ``partitions`` is the number of the intake's partitions. Jobs are removed
+    ``retention_s`` after their end.
     """
 
     __slots__ = (
         "_active",
         "_check_at",
         "_election",
+        "_given_up",
         "_inbox",
         "_incomplete_until",
         "_intake",
         "_job_service",
         "_jobs",
+        "_send_for_s",
         "_use_intake",
     )
 
@@ -58,8 +61,14 @@
         job_service: desks.JobService,
         election: leadership.Election,
         partitions: int,
+        retention_s: float,
     ) -> None:
         self._job_service = job_service
+        # A job that ended meanwhile is not removed until long after.
+        self._send_for_s = retention_s / 2
+        self._given_up: collections.deque[tuple[float, desks.WriteRequest]] = (
+            collections.deque()
+        )
         self._election = election
         self._inbox: collections.deque[desks.WriteRequest] = (
             collections.deque()
@@ -109,7 +118,9 @@
             self._send()
         for writer in self._active:
             self._refuse_late(writer, now, store_lost=store_lost)
+            self._give_up(writer, now)
             writer.step(now)
+        self._close_given_up(now)
         if self._active:
             self._active = [w for w in self._active if not w.idle]
 
@@ -188,6 +199,25 @@
             _log_withdrawn(item, writer.last_error or "waited for its turn")
             _complete(item.token.request, verdict)
 
+    def _give_up(self, writer: topics.Writer, now: float) -> None:
+        """Send records no longer whose outcome has not become known.
+
+        Their jobs may have been handed in elsewhere, ended and been removed.
+        """
+        asked_before = now - self._send_for_s
+        for item in writer.give_up(
+            lambda item: item.token.request.asked_at < asked_before
+        ):
+            _log_given_up(item, writer.last_error)
+            close_at = now + appender.MAX_DELAY_S
+            self._given_up.append((close_at, item.token.request))
+
+    def _close_given_up(self, now: float) -> None:
+        """Complete the requests that can't be carried out late any more."""
+        while self._given_up and self._given_up[0][0] <= now:
+            _, request = self._given_up.popleft()
+            _complete(request, desks.OutcomeUnknown(reason="given up"))
+
 
 class _ConfirmWrite:
     """Callback that completes a write request once it is stored."""
@@ -210,13 +240,27 @@
 
 def _log_withdrawn(item: appender.Item, reason: str) -> None:
     """Log that a record is certainly not stored, and how often it was sent."""
+    _bind("job.withdrawn", item, reason).info(
+        "a record that is not stored is withdrawn"
+    )
+
+
+def _log_given_up(item: appender.Item, reason: str) -> None:
+    """Log that a record whose outcome is not known is sent no longer."""
+    _bind("job.given_up", item, reason).warning(
+        "a record that may be stored is not sent again"
+    )
+
+
+def _bind(event: str, item: appender.Item, reason: str) -> typing.Any:
+    """Return a logger with the fields of a record that leaves its queue."""
     (record,) = item.records
-    logger.bind(
-        event="job.withdrawn",
+    return logger.bind(
+        event=event,
         job=records.job_of(record.key),
         sends=item.sends,
         reason=reason,
-    ).info("a record that is not stored is withdrawn")
+    )
 
 
 def _is_accepted(item: appender.Item) -> bool:
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -120,6 +120,7 @@
             job_service=self.job_service,
             election=self.election,
             partitions=self._partitions,
+            retention_s=self._retention_s,
         )
         self._jobs = _follower(pages.Topic.JOBS, READ_PAUSE_S, nonce)
         self._operators = _follower(pages.Topic.OPERATORS, READ_PAUSE_S, nonce)
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -144,6 +144,12 @@
         """Remove and return wanted items that are certainly not stored."""
         return self._appender.withdraw(wanted)
 
+    def give_up(
+        self, wanted: abc.Callable[[appender.Item], bool]
+    ) -> tuple[appender.Item, ...]:
+        """Remove the batch of a wanted item whose outcome is not known."""
+        return self._appender.give_up(wanted)
+
     def add_item(self, item: appender.Item) -> None:
         """Queue an item whose token is called once it is stored."""
         self._appender.add(item)
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -27,6 +27,8 @@
 SLOW_TIMEOUT_S: typing.Final = 2.0
 """Time-out while the store is known to be slow. A call that is given up keeps
 its place in the store's line, and its repetition takes another one."""
+MAX_DELAY_S: typing.Final = 12.0
+"""Longest time after which the store carries out a call without an answer."""
 DELAY_VALID_S: typing.Final = 1.0
 """How long the latency of the newest answer tells the store's delay."""
 
@@ -221,6 +223,22 @@
         self._epoch += 1
         self.out_of_sequence = False
 
+    def give_up(
+        self, wanted: typing.Callable[[Item], bool]
+    ) -> tuple[Item, ...]:
+        """Remove a batch whose outcome is not known, if it has a wanted item.
+
+        Return its items: they may be stored, or may still be by a call that
+        was sent before. No other appender may have this one's producer.
+        """
+        is_unknown = self.unresolved and not self._in_flight
+        if not is_unknown or not any(map(wanted, self._batch)):
+            return ()
+        batch = self._batch
+        self._clear_batch()
+        self._begin_epoch()
+        return batch
+
     def renew_epoch(self) -> tuple[Item, ...]:
         """Begin an epoch if the store refused this one's sequence number.
 
@@ -359,15 +377,18 @@
 
     def _stored(self) -> tuple[Item, ...]:
         batch = self._batch
+        self._clear_batch()
+        self._failures = 0
+        self._retry_at = 0.0
+        self._sequence += 1
+        return batch
+
+    def _clear_batch(self) -> None:
         self._batch = ()
         self._unread = {}
         self._read_at = None
         self.unresolved = False
         self.attempts = 0
-        self._failures = 0
-        self._retry_at = 0.0
-        self._sequence += 1
-        return batch
 
     def _fail(self, reason: str, now: float) -> None:
         self.last_error = reason
--- a/tests/journal/test_appender.py
+++ b/tests/journal/test_appender.py
@@ -286,3 +286,15 @@
     writer.next_call(5.0)
     writer.handle_result(appender.NotDone(reason="503"), 5.1)
     assert [i.token for i in writer.withdraw(lambda item: True)] == ["b"]
+
+
+def test_an_append_that_was_given_up_is_not_carried_out_behind_a_later_one():
+    writer = appender.Appender(epoch=1)
+    writer.add(_item("a"))
+    first = writer.next_call(0.0)
+    assert not writer.give_up(lambda item: True)
+    writer.handle_result(appender.Unknown(reason="reset"), 0.1)
+    assert [i.token for i in writer.give_up(lambda item: True)] == ["a"]
+    assert writer.idle
+    writer.add(_item("b"))
+    assert writer.next_call(5.0).epoch > first.epoch
--- a/tests/scheduling/test_unresolved_jobs.py
+++ b/tests/scheduling/test_unresolved_jobs.py
@@ -18,6 +18,9 @@
 REFUSED_S = 1.9
 """Longer than a record waits to be sent."""
 LATE_S = members.LATE_CALL_DELAY_S[1]
+CALL_S = 2.0
+"""Longer than an append waits for its answer."""
+STEP_S = 0.1
 
 
 def _entry(made):
@@ -92,6 +95,24 @@
     assert job.id not in leader.job_service.registry.entries
 
 
+def test_a_job_whose_append_is_given_up_is_not_denied_while_it_may_come():
+    made = deployment.world()
+    member = _entry(made)
+    job = deployment.job(made, 1, SHORT)
+    member.cut_from.add(platform.STORE)
+    _hand_in(made, member, job)
+    made.run(member.member._retention_s / 2 - CALL_S)
+    _carry_out_late(made)
+    made.run(CALL_S)
+    member.cut_from.clear()
+    shown = []
+    for _ in range(int(LATE_S / STEP_S)):
+        made.run(STEP_S)
+        shown.append(member.member.job_service.show(job.id))
+    assert isinstance(shown[-1], desk.JobStatus)
+    assert desk.NotThere() not in shown
+
+
 def test_no_append_counts_the_failures_of_withdrawn_records(
     monkeypatch, no_logs
 ):
