--- a/tests/scheduling/test_operators_reports.py
+++ b/tests/scheduling/test_operators_reports.py
@@ -14,7 +14,7 @@
 from azurewood.jobs import model
 from azurewood.journal import appender
 from azurewood.journal import follower
-from azurewood.leadership import base as leadership
+from azurewood.leadership import predecessors
 from azurewood.policy import host_health
 from azurewood.policy import intake
 from azurewood.scheduling import pools
@@ -66,7 +66,7 @@
 
 def test_breaks_if_a_silent_host_is_given_up_before_its_lease(monkeypatch):
     monkeypatch.setattr(limits, "MAX_LEASE_S", 0.5)
-    monkeypatch.setattr(leadership, "RENEWAL_VALID_S", 0.5)
+    monkeypatch.setattr(predecessors, "RENEWAL_VALID_S", 0.5)
     made = deployment.world()
     _start_long_job(made)
     made.leaders()[0].kill()
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -14,7 +14,7 @@
 from azurewood.jobs import records
 from azurewood.journal import appender
 from azurewood.journal import pages
-from azurewood.leadership import base as leadership
+from azurewood.leadership import predecessors
 from azurewood.scheduling import orders
 from azurewood.scheduling import progress
 from azurewood.scheduling import restoration
@@ -63,7 +63,7 @@
 
 def test_breaks_if_unresponsive_hosts_count_as_dead_immediately(monkeypatch):
     monkeypatch.setattr(limits, "MAX_LEASE_S", 0.5)
-    monkeypatch.setattr(leadership, "RENEWAL_VALID_S", 0.5)
+    monkeypatch.setattr(predecessors, "RENEWAL_VALID_S", 0.5)
     made = deployment.world()
     _start_then_lose_host_and_leader(made)
     with pytest.raises(AssertionError, match="twice"):
