Drop what a timed-out call to the platform has unsent

A call to the project's platform that had timed out with bytes unsent was still delivered: the kernel goes on sending what a closed connection has queued. An order whose caller had gone on could take effect later.

Cause: provider/base.py set no options on its sockets, as the multiplexer does. The callback for new sockets stood twice; both use Sending.on_new_socket now, which resets the connection when it is closed, refuses a second writing, and refuses a new connection to a call that needs a kept one.

--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -161,7 +161,10 @@
             done=done,
             buffer=buffer,
             sent_at=self._clock(),
-            sending=sending.Sending(may_repeat=call.method == "GET"),
+            sending=sending.Sending(
+                may_repeat=call.method == "GET",
+                needs_kept=call.connected_by is not None,
+            ),
         )
         try:
             _prepare(curl, call, buffer)
@@ -170,10 +173,7 @@
             self._idle_handles.append(curl)
             self._unusable.append((done, _not_sent(transfer.sent_at, exc)))
             return
-        curl.setopt(
-            pycurl.SOCKOPTFUNCTION,
-            functools.partial(_on_new_socket, transfer),
-        )
+        curl.setopt(pycurl.SOCKOPTFUNCTION, transfer.sending.on_new_socket)
         curl.setopt(
             pycurl.PREREQFUNCTION,
             functools.partial(self._before_writing, transfer),
@@ -374,14 +374,6 @@
     return curl_mask
 
 
-def _on_new_socket(transfer: _Transfer, fd: int, purpose: int) -> int:
-    """Set a new connection's options, or refuse it to the call."""
-    allowed = transfer.sending.may_connect(fd)
-    if not allowed or transfer.call.connected_by is not None:
-        return sockets.refuse_connection(fd, purpose)
-    return sockets.drop_unsent(fd, purpose)
-
-
 def _prepare(curl: pycurl.Curl, call: Call, buffer: io.BytesIO) -> None:
     curl.setopt(pycurl.URL, call.url)
     curl.setopt(pycurl.HTTPHEADER, ["Expect:", *call.headers])
--- a/azurewood/provider/base.py
+++ b/azurewood/provider/base.py
@@ -74,8 +74,7 @@
 
         def on_new_socket(fd: int, purpose: int) -> int:
             self._descriptor = fd
-            allowed = current.may_connect(fd)
-            return pycurl.SOCKOPT_OK if allowed else pycurl.SOCKOPT_ERROR
+            return current.on_new_socket(fd, purpose)
 
         def before_writing(*connection: object) -> int:
             if not current.may_use(self._descriptor):
