Keep a lost proposal unknown after a malformed answer

An operator whose proposal was lost at one daemon and answered in malformed form by the next saw an error instead of "unknown" with the id to ask by.

Cause: only an error status was looked at for a proposal of unknown outcome. Now any answer that cannot be used leaves it unknown, and the next daemon is asked. Without a lost answer before, it is an error as it was.

test_client.py::test_a_lost_answer_stays_unknown_after_a_malformed_one fails before and passes after, unchanged.

--- a/azurewood/operators/client.py
+++ b/azurewood/operators/client.py
@@ -175,10 +175,14 @@
         if answer.status >= 500:
             attempts.record_unknown_outcome(f"{url}: status {answer.status}")
             return None
-        if attempts.is_outcome_unknown and answer.status >= 400:
-            attempts.record_unknown_outcome(f"{url}: status {answer.status}")
+        try:
+            found = _decode(_check(answer), messages.ProposalAnswer)
+        except exceptions.OperatorsError as exc:
+            if not attempts.is_outcome_unknown:
+                raise
+            attempts.record_unknown_outcome(f"{url}: {exc}")
             return None
-        (result,) = _decode(_check(answer), messages.ProposalAnswer).resolved
+        (result,) = found.resolved
         return attempts.record_result(result)
 
     def _read(self, path: str, kind: type[T]) -> T:
