Expect nothing back of a batch that is taken apart

After a withdrawal, reading a withdrawn record, which another daemon had stored as well, marked the next batch as one that may be stored. A record that was certainly not stored got an unknown outcome instead of a refusal.

Cause: the keys that a batch expects to read outlived it. They are dropped with it now; the next batch sets its own.

test_appender.py::test_a_withdrawn_record_that_is_read_leaves_later_ones_resolved fails before and passes after, unchanged.

--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -215,6 +215,7 @@
         """
         self._pending.extendleft(reversed(self._batch))
         self._batch = ()
+        self._unread = {}
         self._begin_epoch()
 
     def _begin_epoch(self) -> None:
