Count the calls of an append by its records

A line append.resolved said of an append which never failed that it had: the calls of records that had been withdrawn before it were counted as its own.

Cause: the count went on until an append was stored. It is now the most calls that have held an item of the batch, by the items' own counts. An item that was kept when its batch was taken apart brings its calls along: it has failed.

test_unresolved_jobs.py::test_no_append_counts_the_failures_of_withdrawn_records fails before and passes after, unchanged. Two other tests of that file fail before and after: ..._is_not_refused_when_it_is_handed_in_again and ..._by_an_append_of_before_its_removal.

--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -124,8 +124,7 @@
     topic has. ``slow`` is whether the store is known to be slow.
     ``out_of_sequence`` is whether it refused a sequence number, with which no
     call succeeds any more until a new epoch begins.
-    ``attempts`` counts the calls since the newest stored append,
-    ``unresolved`` is whether the records of the current one may be stored.
+    ``unresolved`` is whether the records of the current call may be stored.
     """
 
     __slots__ = (
@@ -144,7 +143,6 @@
         "_read_at",
         "_reads_back",
         "_last_latency_s",
-        "attempts",
         "fenced",
         "last_error",
         "out_of_sequence",
@@ -160,7 +158,6 @@
         self._unread: dict[str, Item] = {}
         self._read_at: float | None = None
         self._calls = 0
-        self.attempts = 0
         self._pending: collections.deque[Item] = collections.deque()
         self._batch: tuple[Item, ...] = ()
         self._in_flight = False
@@ -182,6 +179,11 @@
         """Whether no item waits and no call is in flight."""
         return not self._batch and not self._pending
 
+    @property
+    def attempts(self) -> int:
+        """How many calls at most have held an item of the current batch."""
+        return max((item.sends for item in self._batch), default=0)
+
     @property
     def failing(self) -> bool:
         """Whether the latest call failed."""
@@ -251,7 +253,6 @@
         self._sent_at = now
         self._read_at = None
         self._calls += 1
-        self.attempts += 1
         for item in self._batch:
             item.sends += 1
         return Request(
@@ -364,7 +365,6 @@
         self._unread = {}
         self._read_at = None
         self.unresolved = False
-        self.attempts = 0
         self._failures = 0
         self._retry_at = 0.0
         self._sequence += 1
