Resign a term whose claim is stored while its daemon stops

Callers saw: nobody led for 1.5 s and no job of theirs began. A daemon began to stop while its claim was under way. It took the claim for not made, but the claim was stored, and no resignation followed it; every other daemon waited for a leader that had never led.

Cause: `resign` asked only for a term that had already begun, and a claim of its own that was stored or read afterwards counted as none.

Evidence: test_no_successor_waits_for_a_daemon_that_stopped_while_it_claimed fails before and passes after.

Why it works: a stored claim begins the term of its writer in any case, whether its answer or a read tells of it. If the daemon is stopping, the same step ends that term with a resignation, before anything is scheduled in it. The resignation is repeated as any other until it is read.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -238,7 +238,7 @@
             ready=self.job_service.ready(),
         )
         wanted = self.election.step(event, self._clock())
-        if wanted is not None:
+        if wanted and isinstance(wanted.entry, election_records.Claim):
             self._log_claim()
         self._append_leader(wanted)
 
@@ -373,7 +373,7 @@
                 ).info("election record not appended: {}", result)
                 event = events.AppendFailed(entry=wanted.entry)
                 self._resign_again(wanted, result)
-        self.election.step(event, self._clock())
+        self._append_leader(self.election.step(event, self._clock()))
 
 
 def _follower(
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -224,11 +224,12 @@
         match event:
             case events.Read():
                 self._handle_read(event, now)
-                wanted = self._claim(event, now)
+                wanted = self._claim(event, now) or self._leave(now)
                 self._read_at = now
                 return wanted
             case events.Stored():
                 self._handle_stored(event, now)
+                return self._leave(now)
             case events.AppendFailed():
                 self._appending = False
         return None
@@ -257,6 +258,13 @@
         self.stopping = True
         return self.release_term(now)
 
+    def _leave(self, now: float) -> events.Append | None:
+        """Return the resignation of a term that began while stopping.
+
+        Its claim was under way when the daemon began to stop.
+        """
+        return self.release_term(now) if self.stopping else None
+
     def release_term(self, now: float) -> events.Append | None:
         """End this daemon's term; return the resignation if it leads."""
         if not self.term:
@@ -372,7 +380,7 @@
         self.leader_append_s = 0.0
         self.leader_cores = claim.cores
         self._record_cores(claim.cores, now)
-        self.term = offset + 1 if own and not self.stopping else 0
+        self.term = offset + 1 if own else 0
 
     def _record_cores(self, cores: float, now: float) -> None:
         known = now - self._strongest_at < STRONGEST_TTL_S
