Store no resignation twice after reads have failed

Callers saw: nothing yet. A resignation that was stored, without an answer, was sent again after 0.1 s. If the daemon had not read it by then, the repetition met a conflict and was then stored at the new end: two resignations in the log, the second one possibly behind another daemon's claim.

Cause: a conflict was taken for proof that the resignation is not stored. It only tells that something is, at the offset of the earlier call.

Why it works: after a conflict the resignation is sent again once the records up to the end that the conflict told have been read, at the end of what has been read. A copy that was stored is among those records and ends the repetition; a copy still under way has an offset that is taken, or the same one, and at most one of the two is stored.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -335,7 +335,9 @@
     ) -> None:
         """Repeat a resignation that is not stored.
 
-        A late beat may have taken its offset, or its call may be lost.
+        A late beat may have taken its offset, or its call may be lost. An
+        earlier call may also have stored it before ``at``, so that it is sent
+        only once the records before that offset have been read.
         """
         if not self.election.resigning:
             return
@@ -343,19 +345,22 @@
             return
         match result:
             case appender.Conflict(end=end):
-                again = events.Append(entry=wanted.entry, at=end)
-                self._append_leader(again)
+                self._unstored_resignation = events.Append(
+                    entry=wanted.entry, at=end
+                )
+                self._resign_at = self._clock()
             case appender.NotDone() | appender.Unknown():
                 self._unstored_resignation = wanted
                 self._resign_at = self._clock() + RESIGN_RETRY_S
 
     def _resign_if_due(self, wanted: events.Append, now: float) -> None:
         """Send a resignation again that may not be stored."""
-        if now < self._resign_at:
+        if now < self._resign_at or self.election.end < wanted.at:
             return
         self._unstored_resignation = None
         if self.election.resigning:
-            self._append_leader(wanted)
+            again = events.Append(entry=wanted.entry, at=self.election.end)
+            self._append_leader(again)
 
     def _on_leader_append(
         self, wanted: events.Append, reply: multiplex.Reply
