Send the newest speed limit again after limits that overlapped

Callers saw: a background run kept an older speed limit, so that it slowed the tasks that serve users, or stayed slow itself, until the next change.

Cause: a new limit may be sent before the earlier one has its answer. Calls on different connections can be carried out in either order, and both are answered with 200, so that neither counted as late.

Evidence: test_a_limit_carried_out_behind_a_newer_one_does_not_stay fails before and passes after.

Why it works: a limit that was sent while another was under way is noted. Once all of them have their answers, none can be carried out any more, and the newest is sent once more with the host's next list. One without an answer counts as late for 12 s, as before. Waiting with the newer limit was not taken: a host's slow answer would keep the tasks that serve users waiting for it.

--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -41,7 +41,9 @@
     its task was suspected of when it was placed.
     ``speed`` is the newest speed limit in percent. It is sent again at
     ``speed_due_at``, as it may not be in force. Until ``late_speed_until``
-    one that got no answer may still take effect.
+    one that got no answer may still take effect. ``speed_calls`` is how many
+    are under way, and ``speeds_overlap`` whether one was sent before another
+    was answered.
     """
 
     __slots__ = (
@@ -59,8 +61,10 @@
         "run",
         "saved",
         "speed",
+        "speed_calls",
         "speed_changed_at",
         "speed_due_at",
+        "speeds_overlap",
         "step",
         "task",
         "tries",
@@ -88,6 +92,8 @@
         self.speed_changed_at = now
         self.speed_due_at = math.inf
         self.late_speed_until = 0.0
+        self.speed_calls = 0
+        self.speeds_overlap = False
 
     @property
     def key(self) -> tuple[model.TaskId, int]:
--- a/azurewood/scheduling/speeds.py
+++ b/azurewood/scheduling/speeds.py
@@ -2,7 +2,9 @@
 
 A limit that may not be in force is sent again with the host's next list. One
 without an answer may take effect late, in place of a newer one: the newest is
-sent once more when that is over.
+sent once more when that is over. Two that are under way at once may be
+carried out in either order: the newest is sent once more when all have their
+answers.
 """
 
 import math
@@ -29,6 +31,8 @@
             run.speed = percent
             run.speed_changed_at = now
         run.speed_due_at = math.inf
+        run.speeds_overlap = run.speeds_overlap or run.speed_calls > 0
+        run.speed_calls += 1
         state.emit(
             messages.SetRunSpeed(
                 host=host.id,
@@ -57,3 +61,12 @@
             run.speed_due_at = now + SPEED_RETRY_S
         case messages.Refusal.NOT_SENT | messages.Refusal.UNHEALTHY:
             run.speed_due_at = now + SPEED_RETRY_S
+    _close_call(run, now)
+
+
+def _close_call(run: scheduling.Run, now: float) -> None:
+    """Note an answer; after overlapping calls the newest limit is due."""
+    run.speed_calls = max(0, run.speed_calls - 1)
+    if run.speeds_overlap and not run.speed_calls:
+        run.speeds_overlap = False
+        run.speed_due_at = min(run.speed_due_at, now)
