Have hosts of the stand-in forget only ends that there are

Cause: the stand-in's. A host kept the cursor of a renewal that came late, in its next incarnation, and dropped ends that came afterwards before any list had them. The protocol names the fence as what a host keeps. Ends up to a cursor "are forgotten", "the others are returned again".

Change: a renewal drops the ends that there are when it is carried out. What hosts did before is kept as the hand modes kept-cursors and all-kept-cursors.

The first of the two new tests fails on the stand-in before.

--- a/standins/fleet/hosts.py
+++ b/standins/fleet/hosts.py
@@ -260,9 +260,17 @@
         return None
 
     def renew_lease(
-        self, effect: messages.RenewLease, fence: int
+        self,
+        effect: messages.RenewLease,
+        fence: int,
+        *,
+        keep_cursor: bool = False,
     ) -> messages.Refusal | None:
-        """Renew the lease and drop the ends that the leader acknowledged."""
+        """Renew the lease and drop the ends that the leader acknowledged.
+
+        These are among the ends that there are at that time. With
+        ``keep_cursor`` so are those that come later.
+        """
         if fence < self.fence:
             return messages.Refusal.FENCE
         self.fence = fence
@@ -270,10 +278,13 @@
         if effect.lease_until_ms is not None:
             self._extend(effect.lease_until_ms)
         self.acknowledged = max(self.acknowledged, effect.acknowledged)
+        cursor = effect.acknowledged
+        if keep_cursor:
+            cursor = self.acknowledged
         for row in self._ends:
-            if row.number <= self.acknowledged:
+            if row.number <= cursor:
                 self._report_acknowledged(row)
-        self._ends = [e for e in self._ends if e.number > self.acknowledged]
+        self._ends = [e for e in self._ends if e.number > cursor]
         return None
 
     def _report_acknowledged(self, row: messages.EndedRow) -> None:
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -180,6 +180,11 @@
             if now + BLOCKED_RETRY_S < self.sent_at + LATE_CALL_DELAY_S[1]:
                 self.world.clock.after(BLOCKED_RETRY_S, self._carry_out_late)
             return
+        call = self.call
+        waits = call.renews and call.wait_s and not call.ready()
+        if waits and self.world.is_up(call.target):
+            self._wait("lost")
+            return
         self._carry_out("lost")
 
     def _carry_out(self, fault: str) -> None:
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -4,7 +4,9 @@
 from hosts; hosts that crash, are partitioned, fail their runs, or whose
 capacity shrinks and grows while they run; a store
 that is down, loses replies or drops its history; calls to hosts that are
-carried out late, and lease renewals too if ``late_renewal_share`` is set.
+carried out late, and lease renewals too if ``late_renewal_share`` is set;
+a renewal that acknowledges run ends drops those that there are when it is
+carried out, and later ones too with ``hosts_keep_cursors``.
 What a daemon sends into a partition arrives when the
 partition ends, unless the daemon has dropped those bytes by then; daemons
 do so early if ``drops_unsent`` is set. With ``late_after_contact``, late
@@ -92,6 +94,7 @@
         self.late_share = 0.0
         self.late_renewal_share = 0.0
         self.late_after_contact = False
+        self.hosts_keep_cursors = False
         self.late_write_share = 0.0
         self.deadly_jobs: set[str] = set()
         self.deadly_down_s = 1.2
@@ -345,7 +348,9 @@
                     refusal=None,
                 )
             case messages.RenewLease():
-                refusal = host.renew_lease(effect, effect.fence)
+                refusal = host.renew_lease(
+                    effect, effect.fence, keep_cursor=self.hosts_keep_cursors
+                )
                 if refusal is not None:
                     return messages.RenewalFailed(
                         host=host.id, number=effect.number, reason=refusal
--- a/tests/scheduling/restarted_hosts.py
+++ b/tests/scheduling/restarted_hosts.py
@@ -40,7 +40,8 @@
     are cut off. With ``met``, late calls reach a restarted host only
     after the leader has learnt of its incarnation; before, the host has
     nothing to refuse them by. With ``late_renewals``, a part of the lease
-    renewals is late as well.
+    renewals is late as well. With ``kept_cursors``, hosts also forget ends
+    that come after the renewal that acknowledges their numbers.
     """
 
     late: bool = True
@@ -49,6 +50,7 @@
     disturbed: bool = False
     met: bool = False
     late_renewals: bool = False
+    kept_cursors: bool = False
 
 
 MODES = {
@@ -67,6 +69,10 @@
 HAND_MODES = {
     "late-renewals": Mode(late=False, late_renewals=True),
     "all-late-renewals": Mode(disturbed=True, late_renewals=True),
+    "kept-cursors": Mode(late=False, late_renewals=True, kept_cursors=True),
+    "all-kept-cursors": Mode(
+        disturbed=True, late_renewals=True, kept_cursors=True
+    ),
 }
 """Modes that are known to break rules, and are played by hand only."""
 
@@ -88,6 +94,7 @@
         if mode.late_renewals:
             self.made.late_renewal_share = LATE_RENEWAL_SHARE
         self.made.late_after_contact = mode.met
+        self.made.hosts_keep_cursors = mode.kept_cursors
 
     def play(self) -> list[rules.Breach]:
         """Play the course up to its first breach; return all breaches."""
--- a/tests/scheduling/test_late_renewals.py
+++ b/tests/scheduling/test_late_renewals.py
@@ -79,3 +79,48 @@
     starts = late_starts.LateStarts()
     starts.renewed_until = 50.0
     assert starts.run_expires_at((model.TaskId("j", 0, 0, 0), 1), 7.0) == 7.0
+
+
+def _acknowledge_late(monkeypatch, *, keeps_cursors):
+    """Play tasks whose ends are acknowledged late, and others after them.
+
+    Their host restarts behind a cut, where the late renewal is carried out
+    before the leader's first call.
+    """
+    made = deployment.world(**{"s-one": 1})
+    (host,) = made.hosts.values()
+    made.hosts_keep_cursors = keeps_cursors
+    lost = []
+
+    def choose(effect, now):
+        acknowledges = isinstance(effect, messages.RenewLease) and bool(
+            effect.acknowledged
+        )
+        if lost or not acknowledges:
+            return None
+        lost.append(effect)
+        return LATE_S
+
+    late_calls.LateCalls(made=made, monkeypatch=monkeypatch, choose=choose)
+    made.submit(made.members[0], deployment.job(made, 1, deployment.STEP))
+    while not lost:
+        made.run(0.05)
+    late_calls.restart(made, host, cut=True)
+    made.run(LATE_S + 0.1)
+    assert host.acknowledged == lost[0].acknowledged
+    made.cut_hosts.clear()
+    job = deployment.job(made, 2, deployment.STEP)
+    made.submit(made.members[0], job)
+    made.run(5.0)
+    deployment.check(made)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+
+
+def test_a_late_cursor_does_not_drop_ends_that_come_after_it(monkeypatch):
+    """Guards against a stand-in that loses ends which no call has dropped."""
+    _acknowledge_late(monkeypatch, keeps_cursors=False)
+
+
+def test_ends_are_lost_on_hosts_that_keep_a_late_cursor(monkeypatch):
+    with pytest.raises(AssertionError, match="after its end was noted"):
+        _acknowledge_late(monkeypatch, keeps_cursors=True)
