Raise a host's fencing token after a lost acknowledgement

Cause: a renewal that acknowledged ends got no answer. The host answered later ones and restarted, and the leader did not know of it yet. Its starts reached the new incarnation with the token of that renewal, which was carried out late there, waited for an end, and dropped the first one of a run that had begun after it, as its number was within the cursor.

Fix: a renewal without an answer that acknowledges something makes a higher token due, as a restart does. Calls after it have that token, so the first one that reaches a later incarnation bars the renewal. Tokens grow with the election's records, so this writes nothing.

Evidence: test_late_renewals.py::test_a_lost_acknowledgement_is_refused_once_a_ start_has_arrived fails without it ("started after its end was noted").

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -244,6 +244,9 @@
         return
     if event.reason in UNANSWERED:
         latestarts.on_renewal_lost(state, host, now)
+        # An acknowledgement that is carried out late is refused in a later
+        # incarnation from the first call that reaches it.
+        host.fence_due |= host.incarnation.ends.sent > 0
     host.renewing = False
     if event.reason is messages.Refusal.DISCONNECTED:
         unresponsive.on_disconnected(state, host, now)
--- a/tests/scheduling/test_late_renewals.py
+++ b/tests/scheduling/test_late_renewals.py
@@ -6,6 +6,7 @@
 from azurewood.jobs import model
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
+from standins.fleet import world as worlds
 from tests.scheduling import deployment
 from tests.scheduling import late_calls
 
@@ -124,3 +125,36 @@
 def test_ends_are_lost_on_hosts_that_keep_a_late_cursor(monkeypatch):
     with pytest.raises(AssertionError, match="after its end was noted"):
         _acknowledge_late(monkeypatch, keeps_cursors=True)
+
+
+def test_a_lost_acknowledgement_is_refused_once_a_start_has_arrived(
+    monkeypatch,
+):
+    """Guards against TWICE: it waits beside runs that start after it."""
+    made = deployment.world(**{"s-one": 1})
+    (host,) = made.hosts.values()
+    carried_out_at = []
+
+    def choose(effect, now):
+        acknowledges = isinstance(effect, messages.RenewLease) and bool(
+            effect.acknowledged
+        )
+        if carried_out_at or not acknowledges:
+            return None
+        since_entry = (made.clock.now - host.born_at) % worlds.ENTRY_INTERVAL_S
+        delay = 4 * worlds.ENTRY_INTERVAL_S - since_entry + 0.2
+        carried_out_at.append(made.clock.now + delay)
+        return delay
+
+    late_calls.LateCalls(made=made, monkeypatch=monkeypatch, choose=choose)
+    made.submit(made.members[0], deployment.job(made, 1, deployment.STEP))
+    while not carried_out_at:
+        made.run(0.05)
+    made.run(carried_out_at[0] - 0.1 - made.clock.now)
+    host.crash()
+    host.restart()
+    job = deployment.job(made, 2, deployment.STEP)
+    made.submit(made.members[0], job)
+    made.run(5.0)
+    deployment.check(made)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
