Order no second reboot while the first may be carried out

A host whose reboot was ordered with a lost answer was ordered to reboot again 0.4 to 5 s later; the second order may end what runs there by then.

Cause: TaskCallEnded knew done and not done, and an unknown outcome counted as not done. It tells now whether a call is certainly not done (not_done: not sent, too late, refused with 429 or 503, rejected). A reboot without a known outcome is ordered again only if the host list has shown the host as live for 60 s, after which a reboot that is done is assumed complete. The host stays down until then, so that nothing runs on it. Starts and stops are repeated as before: a task's id makes them take effect once.

Open: a daemon that takes the host over knows nothing of the order.

--- a/azurewood/daemons/workers.py
+++ b/azurewood/daemons/workers.py
@@ -210,13 +210,16 @@
     An effect whose deadline has passed, for example because this process was
     paused, is not started.
     """
-    state, done = "", False
+    state, done, not_done = "", False, _is_late(effect)
     try:
-        if not _is_late(effect):
+        if not not_done:
             state = client.carry_out(effect)
             done = True
-    except exceptions.PlatformError as exc:
+    except (exceptions.NotDone, exceptions.Rejected) as exc:
+        not_done = True
         loguru.logger.warning("task call failed: {}", exc)
+    except exceptions.PlatformError as exc:
+        loguru.logger.warning("task call has no known outcome: {}", exc)
     match effect:
         case effects.StartTask(id=subject):
             action = events.TaskAction.START
@@ -227,7 +230,11 @@
         case _:
             return
     yield events.TaskCallEnded(
-        action=action, subject=subject, done=done, state=state
+        action=action,
+        subject=subject,
+        done=done,
+        not_done=not_done,
+        state=state,
     )
 
 
--- a/azurewood/state/events.py
+++ b/azurewood/state/events.py
@@ -129,12 +129,15 @@
 class TaskCallEnded(Event, frozen=True, kw_only=True):
     """A call to start or stop a task, or to reboot a host, ended.
 
+    ``done`` is whether the call was carried out, ``not_done`` whether it
+    certainly never is. If neither is set, it may be carried out at any time.
     ``state`` is the task's state according to the answer, empty if unknown.
     """
 
     action: TaskAction
     subject: str
     done: bool
+    not_done: bool = False
     state: str = ""
 
 
--- a/azurewood/state/jobs.py
+++ b/azurewood/state/jobs.py
@@ -79,21 +79,35 @@
 def on_call_ended(
     state: model.State, event: events.TaskCallEnded, now: float
 ) -> None:
-    """Record how a call ended; a failed one is repeated with back-off."""
+    """Record how a call ended and from when it may be repeated."""
     action = state.steward.acted.get(f"{event.action} {event.subject}")
     calls = state.steward.calls
     calls[event.action] = max(0, calls.get(event.action, 0) - 1)
     if action is not None:
         action.in_call = False
         action.done = event.done
-        action.until = now + CALL_CONFIRM_S
-        if not event.done:
-            cap = min(RETRY_CAP_S, RETRY_BASE_S * 2 ** min(action.attempts, 8))
-            action.until = now + cap * state.rng.uniform(0.5, 1.0)
+        action.until = now + _pause_s(state, event, action.attempts)
     if event.state and not state.tasks.get(event.subject):
         state.tasks[event.subject] = event.state
 
 
+def _pause_s(
+    state: model.State, event: events.TaskCallEnded, attempts: int
+) -> float:
+    """Return how long to wait before a call is repeated.
+
+    One that failed is repeated with back-off. A start or stop without a known
+    outcome is too, as it takes effect once for its task's id. A reboot is
+    not: it waits until the host list would have shown it.
+    """
+    if event.done:
+        return CALL_CONFIRM_S
+    if event.action == TaskAction.REBOOT and not event.not_done:
+        return REBOOT_ASSUMED_S
+    cap = min(RETRY_CAP_S, RETRY_BASE_S * 2 ** min(attempts, 8))
+    return cap * state.rng.uniform(0.5, 1.0)
+
+
 def _try_begin_call(
     state: model.State, action: TaskAction, subject: str, now: float
 ) -> bool:
@@ -344,7 +358,8 @@
 
     The reboot is complete when the host list has shown the host as not live
     and then as live again. If it shows the host as live all along, the
-    reboot is assumed complete ``REBOOT_ASSUMED_S`` after the call.
+    reboot is assumed complete ``REBOOT_ASSUMED_S`` after the call. One whose
+    outcome is unknown is ordered again then.
     """
     if not host.reboot:
         return
