--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -86,21 +86,16 @@
         step: jobs.Step,
         task: jobstates.Task,
         among: abc.Container[str] | None = None,
-        spared: abc.Container[str] = (),
     ) -> model.Host | None:
         """Return the best host that can run a task, or None.
 
         ``among`` contains the ids of the allowed hosts, None allows all.
-        A long-lived task takes a ``spared`` host only if no other can run it.
         """
         fitting = self._fitting(step, task, among)
         if step.long_lived:
             return min(
                 fitting,
-                key=lambda host: (
-                    host.id in spared,
-                    *_long_lived_rank(host, step, task),
-                ),
+                key=lambda host: _long_lived_rank(host, step, task),
                 default=None,
             )
         if task.crashes:
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -201,14 +201,13 @@
 ) -> int:
     """Place waiting tasks of a step one by one; return how many."""
     step = job.step_of(ready[0].id)
-    spared = _spared_hosts(state, job, ready[0].id, now)
     placed = []
     for task in ready:
         among = _among(state, task, allowed, now)
         if among is not allowed and among:
             host = host_index.only_host(step, task, among[0])
         else:
-            host = host_index.choose(step, task, among, spared)
+            host = host_index.choose(step, task, among)
         alone = host_crashes.starts_alone(step, task.crashes)
         if host is None and (alone or among is not allowed):
             continue
@@ -220,32 +219,6 @@
     return len(placed)
 
 
-def _spared_hosts(
-    state: model.State,
-    job: jobstates.JobState,
-    id: jobs.TaskId,
-    now: float,
-) -> set[str]:
-    """Return the hosts to leave to waiting tasks of a task's spread step.
-
-    The next run of a long-lived task may begin on the host of a late start
-    before it may begin on others, if no other task of the step is there.
-    """
-    step = job.step_of(id)
-    if not (step.long_lived and step.per_host):
-        return set()
-    places = (
-        latestarts.where_to_start(state, task, now)
-        for task in _waiting(job.steps[(id.occurrence, id.step)])
-        if task.late_starts
-    )
-    return {
-        where.host
-        for where in places
-        if not isinstance(where, restarts.Anywhere)
-    }
-
-
 def _hosts_for(
     state: model.State,
     hosts: list[model.Host],
