Revert "Forget a late start that was sent once when its run is listed, over leaders"

A start that is forgotten once its run is listed takes no room any more while others of that host may still be carried out late.

--- a/azurewood/incarnations/late_starts.py
+++ b/azurewood/incarnations/late_starts.py
@@ -17,8 +17,7 @@
     number of its run. ``incarnation_ms`` and ``fence`` are those that it was
     sent with last. ``next_run_at`` is None while the same run may be started
     again. Once the host has listed its end, it is when the next run of a
-    long-lived task may begin there. It was ``sent_once`` if a record that it
-    is sent again would have been stored before.
+    long-lived task may begin there.
     """
 
     __slots__ = (
@@ -28,7 +27,6 @@
         "next_run_at",
         "possible_until",
         "run",
-        "sent_once",
     )
 
     def __init__(
@@ -39,21 +37,18 @@
         incarnation_ms: int,
         fence: int,
         possible_until: float,
-        sent_once: bool = False,
     ) -> None:
         self.host = host
         self.run = run
         self.incarnation_ms = incarnation_ms
         self.fence = fence
         self.possible_until = possible_until
-        self.sent_once = sent_once
         self.next_run_at: float | None = None
 
     def renew(self, later: "LateStart") -> None:
         """Take over the state of a later start of the same run."""
         self.incarnation_ms = later.incarnation_ms
         self.fence = later.fence
-        self.sent_once = False
         self.possible_until = later.possible_until
 
     def bar(self) -> None:
--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -36,27 +36,13 @@
     return run.key in host.late_starts
 
 
-def on_sent_again(
-    state: model.State, host: model.Host, run: model.Run
-) -> None:
-    """Record that a run's late start is not its only one, before it is."""
-    late = host.late_starts.get(run.key)
-    if late is not None and late.sent_once:
-        late.sent_once = False
-        state.dirty_late_starts.add(host.id)
-
+def on_listed(state: model.State, host: model.Host, run: model.Run) -> None:
+    """Forget the start of a run that exists or has ended, if it is the only.
 
-def on_listed(
-    state: model.State, host: model.Host, run: model.Run, now: float
-) -> None:
-    """Forget the start of a run that exists, if it is the only one.
-
-    One of several starts may still be under way. The run's lease counts from
-    now at the latest.
+    One of several starts may still be under way.
     """
-    if _is_only(host, run.key):
-        latest = now + limits.MAX_LEASE_S
-        host.leases_expire_at = max(host.leases_expire_at, latest)
+    sent_once = run.tries == 1 and run.phase is not model.RunPhase.STOPPING
+    if sent_once and not run.call_open:
         state.bar_late_start(host, run.key)
 
 
@@ -68,16 +54,10 @@
     """
     same = run.incarnation_ms == host.incarnation.began_ms
     draining = host.entry.state is not messages.HostState.READY
-    if run.inherited and same and draining and _is_only(host, run.key):
+    if run.inherited and run.tries == 1 and same and draining:
         state.bar_late_start(host, run.key)
 
 
-def _is_only(host: model.Host, key: late_starts.RunKey) -> bool:
-    """Return whether a run has a late start and no other one."""
-    late = host.late_starts.get(key)
-    return late is not None and late.sent_once
-
-
 def where_to_start(
     state: model.State, task: jobstates.Task, now: float
 ) -> restarts.Where:
@@ -132,23 +112,11 @@
 
 
 def on_ended(
-    state: model.State,
-    host: model.Host,
-    key: late_starts.RunKey,
-    now: float,
-    *,
-    began: bool = False,
+    state: model.State, host: model.Host, key: late_starts.RunKey, now: float
 ) -> None:
-    """Note that a host refuses further starts of a run, which has ended.
-
-    If the run ``began``, its start is forgotten if it is the only one.
-    """
+    """Note that a host refuses further starts of a run, which has ended."""
     late = host.late_starts.get(key)
-    if late is None:
-        return
-    if began and late.sent_once:
-        state.bar_late_start(host, key)
-    elif late.next_run_at is None:
+    if late is not None and late.next_run_at is None:
         late.next_run_at = now + restarts.NEXT_RUN_PAUSE_S
         state.dirty_late_starts.add(host.id)
 
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -38,11 +38,10 @@
             continue
         listed.last = row.number
         if host.late_starts:
-            # A stop may be listed of a run that it has kept from beginning.
-            began = row.how is not messages.End.STOPPED
-            key = (row.task, row.run)
-            latestarts.on_ended(state, host, key, now, began=began)
+            latestarts.on_ended(state, host, (row.task, row.run), now)
         run = host.runs.get((row.task, row.run))
+        if host.late_starts and run is not None:
+            latestarts.on_listed(state, host, run)
         if host.late_starts or run is None or run.step.gang:
             withheld_ends.withhold(state, host, row, now)
         if run is None:
@@ -140,7 +139,7 @@
         row = running.get(run.key)
         if row is not None:
             if host.late_starts:
-                latestarts.on_listed(state, host, run, now)
+                latestarts.on_listed(state, host, run)
             _update_run(run, row, now)
         elif run.key in ends or not _is_gone(host, run, event):
             continue
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -115,8 +115,7 @@
 class LateStartRow(msgspec.Struct, frozen=True, array_like=True):
     """A start without an answer; ``left_ms`` is how long it may be late.
 
-    ``ended`` is whether the host has listed the end of its run. Unless it
-    was ``sent_once``, a further start of the run may be under way.
+    ``ended`` is whether the host has listed the end of its run.
     """
 
     job: str
@@ -127,7 +126,6 @@
     host_born_ms: int
     left_ms: int
     ended: bool = False
-    sent_once: bool = False
 
 
 class LateStartsProgress(
@@ -256,7 +254,6 @@
             late.incarnation_ms,
             _left_ms(late.possible_until, now),
             late.next_run_at is not None,
-            late.sent_once,
         )
         for (task, run), late in host.late_starts.items()
     )
--- a/azurewood/scheduling/restoration.py
+++ b/azurewood/scheduling/restoration.py
@@ -36,7 +36,6 @@
             incarnation_ms=row.host_born_ms,
             fence=0,
             possible_until=written_at + row.left_ms / 1000,
-            sent_once=row.sent_once,
         )
         if row.ended:
             late.next_run_at = written_at + restarts.NEXT_RUN_PAUSE_S
@@ -98,32 +97,29 @@
     """Restore the starts that were under way when the leader changed.
 
     No one saw whether they got an answer. Those that got none in time are on
-    the record of their host, which has to be restored before. If that says
-    that one was sent once, no other of its run can be under way.
+    the record of their host, which has to be restored before.
     """
     sent_by = min(now, written_at + progress.MAX_SAVE_S)
     possible_until = sent_by + limits.MAX_START_DELAY_S
+    if possible_until < now:
+        return
     for row in record.tasks:
         id = model.TaskId(job.job.id, row.occurrence, row.step, row.index)
         host = state.hosts.get(row.host)
         run = host.runs.get((id, row.run)) if host is not None else None
-        if run is None:
+        if row.confirmed or run is None:
             continue
         known = host.late_starts.get(run.key)
-        if known is not None and known.sent_once:
-            continue
-        if row.confirmed or possible_until < now:
-            continue
         if known is not None:
             known.possible_until = max(known.possible_until, possible_until)
             continue
+        run.tries = 1
         late = late_starts.LateStart(
             host=row.host,
             run=row.run,
             incarnation_ms=row.host_born_ms,
             fence=0,
             possible_until=possible_until,
-            sent_once=True,
         )
         state.add_late_start(host, run.key, late)
 
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -137,7 +137,6 @@
     )
     run.call_open = True
     run.tries += 1
-    latestarts.on_sent_again(state, host, run)
     host.leases_expire_at = max(
         host.leases_expire_at, now + limits.MAX_LEASE_S
     )
@@ -265,7 +264,6 @@
         incarnation_ms=event.incarnation_ms,
         fence=event.fence,
         possible_until=now + limits.MAX_START_DELAY_S,
-        sent_once=run is not None and run.tries == 1,
     )
     _log_other_late_run(state, late, event, now)
     state.add_late_start(host, key, late)
