--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -81,6 +81,8 @@
 
     def begin():
         made.extend(deployment.Daemon(n, server) for n in ("m1", "m2"))
+        for daemon in made:
+            deployment.wait_for(lambda d=daemon: deployment._ready(d))
         return made
 
     yield begin
