--- a/azurewood/policy/host_crashes.py
+++ b/azurewood/policy/host_crashes.py
@@ -57,21 +57,6 @@
     return at_work_s(run, at) >= SETTLED_S
 
 
-def settles_at(host: model.Host) -> float | None:
-    """Return when all runs at work on a host will have settled.
-
-    Return None if its newest list has shown that they have.
-    """
-    times = (
-        run.confirmed_at + SETTLED_S
-        for run in host.runs.values()
-        if run.phase is model.RunPhase.RUNNING
-        and run.confirmed_at is not None
-        and not is_settled(run, host.listed_at)
-    )
-    return max(times, default=None)
-
-
 def suspects(host: model.Host, runs: list[model.Run]) -> list[model.Run]:
     """Return which of these runs may have crashed their host."""
     new = [run for run in runs if not is_settled(run, host.listed_at)]
--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -215,12 +215,6 @@
     return found
 
 
-def is_suspect_waiting(state: model.State, service: str) -> bool:
-    """Return whether a task of a service waits to start alone."""
-    waiting = jobstates.TaskPhase.WAITING
-    return any(task.phase is waiting for _, task in _suspects(state, service))
-
-
 def _waiting_suspect(
     state: model.State, task: jobstates.Task, step: jobs.Step, now: float
 ) -> abc.Iterator[host_crashes.WaitingSuspect]:
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -6,13 +6,11 @@
 all leases of the host have expired, that of a late start included.
 """
 
-import math
 import typing
 
 from azurewood.incarnations import incarnation as incarnations
 from azurewood.incarnations import limits
 from azurewood.jobs import model
-from azurewood.policy import host_crashes
 from azurewood.scheduling import crashes
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import listings
@@ -208,9 +206,7 @@
             # not seen.
             acknowledged=ends.sent,
             lease_until_ms=lease,
-            wait_ms=_wait_ms(state, host, now)
-            if connected
-            else FIRST_RENEWAL_WAIT_MS,
+            wait_ms=RENEWAL_WAIT_MS if connected else FIRST_RENEWAL_WAIT_MS,
             connected_by=host.connected_by
             if connected and ends.stored
             else 0.0,
@@ -218,23 +214,6 @@
     )
 
 
-def _wait_ms(
-    state: scheduling.State, host: scheduling.Host, now: float
-) -> int:
-    """Return how long a host may wait for a run end before it answers.
-
-    A task that has to start alone waits for a list that shows that the runs
-    of a host have settled.
-    """
-    settles_at = host_crashes.settles_at(host) if state.suspects else None
-    if settles_at is None:
-        return RENEWAL_WAIT_MS
-    if not crashes.is_suspect_waiting(state, host.entry.service):
-        return RENEWAL_WAIT_MS
-    left_ms = math.ceil((settles_at - now) * 1000)
-    return min(RENEWAL_WAIT_MS, max(FIRST_RENEWAL_WAIT_MS, left_ms))
-
-
 def _expire_leases(
     state: scheduling.State, host: scheduling.Host, now: float
 ) -> None:
