Ask every daemon for accepted jobs once they must know them

Change: its entry must know a job at once, as before at one daemon; every daemon must know it 3 s after, which the test asks of both now, not of one.

--- a/tests/platform/test_accepted_jobs.py
+++ b/tests/platform/test_accepted_jobs.py
@@ -34,6 +34,8 @@
 """Longer than a record waits to be sent while the store cannot be read."""
 CALM_S = 0.4
 CALLERS = 12
+VISIBLE_S = 3.0
+"""Time after its acceptance from which every daemon must know a job."""
 FIRST_STEP_MS = 3000
 LATE_S = 4.0
 """Longer than a caller waits, shorter than a late call may take."""
@@ -146,7 +148,7 @@
     """Hands jobs in, cancels some of them, and keeps what it is told."""
 
     def __init__(self, server, daemons, number):
-        self.accepted, self.refused, self.cancelled = set(), set(), {}
+        self.accepted, self.refused, self.cancelled = {}, set(), {}
         self._server = server
         self._daemons = daemons[number % 2 :] + daemons[: number % 2]
         self._tries = 1 + number // 2 % 2
@@ -176,7 +178,7 @@
             for daemon in self._daemons[: self._tries]
         ]
         if 200 in statuses:
-            self.accepted.add(job_id)
+            self.accepted[job_id] = self._daemons[statuses.index(200)]
         elif set(statuses) <= {429, 503}:
             self.refused.add(job_id)
 
@@ -248,16 +250,24 @@
     monkeypatch.setattr(fleet, "BALANCER_NOTICE_S", 0.0)
     with _serving(status) as (server, daemons):
         callers = _call_until_reset(server, daemons)
-        accepted = set().union(*(c.accepted for c in callers))
+        visible_at = time.monotonic() + VISIBLE_S
+        entries = {k: e for c in callers for k, e in c.accepted.items()}
+        accepted = set(entries)
         refused = set().union(*(c.refused for c in callers))
         cancelled = {k: at for c in callers for k, at in c.cancelled.items()}
         found = {
-            "accepted and 410": {
+            "accepted and 410 at its entry": {
                 job_id
-                for job_id in accepted
-                if daemons[0].call("GET", f"/one/{job_id}")[0] == 410
+                for job_id, daemon in entries.items()
+                if daemon.call("GET", f"/one/{job_id}")[0] == 410
             },
         }
+        test_daemons.wait_for(lambda: time.monotonic() > visible_at)
+        found["accepted and 410"] = {
+            job_id
+            for job_id, daemon in itertools.product(accepted, daemons)
+            if daemon.call("GET", f"/one/{job_id}")[0] == 410
+        }
         last = max(cancelled.values()) + FIRST_STEP_MS / 1000 + CANCEL_S
         test_daemons.wait_for(lambda: time.monotonic() > last)
         # By now the leader has copied what was in the intake.
