--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -39,6 +39,8 @@
     ``confirmed_at`` is when the latest start or stop was confirmed, None
     while its outcome is unknown. ``crashes`` is how many crashes of hosts
     its task was suspected of when it was placed.
+    ``starts_sent`` is how many starts of it have left; an inherited run has
+    had more.
     ``speed`` is the newest speed limit in percent. It is sent again at
     ``speed_due_at``, as it may not be in force. Until ``late_speed_until``
     one that got no answer may still take effect. ``speed_calls`` is how many
@@ -65,6 +67,7 @@
         "speed_changed_at",
         "speed_due_at",
         "speeds_overlap",
+        "starts_sent",
         "step",
         "task",
         "tries",
@@ -83,6 +86,7 @@
         self.incarnation_ms = 0
         self.call_open = False
         self.tries = 0
+        self.starts_sent = 0
         self.retry_at = 0.0
         self.confirmed_at: float | None = None
         self.percent = 0
--- /dev/null
+++ b/azurewood/scheduling/outgoing.py
@@ -0,0 +1,49 @@
+"""The last look at starts before they leave, which may have waited.
+
+A start waits while a record is stored. Meanwhile its run may have been
+stopped or lost, or its host may have shrunk below what it runs.
+"""
+
+from collections import abc
+
+from azurewood.scheduling import messages
+from azurewood.scheduling import model
+from azurewood.scheduling import tasks
+
+
+def wanted(
+    state: model.State, effects: abc.Iterable[messages.Effect], now: float
+) -> abc.Iterator[messages.Effect]:
+    """Yield the effects that are still wanted, and count starts that leave."""
+    for effect in effects:
+        if not isinstance(effect, messages.StartRun):
+            yield effect
+            continue
+        host = state.hosts.get(effect.host)
+        run = host.runs.get((effect.task, effect.run)) if host else None
+        if run is not None and not _outdated(state, host, run, now):
+            run.starts_sent += 1
+            yield effect
+
+
+def _outdated(
+    state: model.State, host: model.Host, run: model.Run, now: float
+) -> bool:
+    """Return whether a start is no longer wanted.
+
+    If no start or stop was sent for the run, it is marked as gone.
+    """
+    if run.phase is model.RunPhase.STOPPING and run.tries == 0:
+        tasks.mark_run_gone(
+            state, host, run, "not wanted before its start", now
+        )
+        return True
+    if run.tries == 1 and now < run.retry_at:
+        # It has to wait for another run, listed while its record was stored.
+        run.call_open = False
+        return True
+    shrunk = host.entry.capacity != host.incarnation.full_capacity
+    if shrunk and run.tries == 1 and host.over_capacity:
+        tasks.mark_run_gone(state, host, run, "its host has shrunk", now)
+        return True
+    return False
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -15,6 +15,7 @@
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import orders
+from azurewood.scheduling import outgoing
 from azurewood.scheduling import placement
 from azurewood.scheduling import pools
 from azurewood.scheduling import progress
@@ -122,36 +123,7 @@
     effects, state.effects = state.effects, []
     effects = listings.apply_acknowledgements(effects, now)
     effects = unresponsive.apply_removals(state, effects, now)
-    return [e for e in effects if not _outdated(state, e, now)]
-
-
-def _outdated(state: model.State, effect: messages.Effect, now: float) -> bool:
-    """Return whether an effect is a start that is no longer wanted.
-
-    The run may have been stopped or lost while a record was stored, or
-    its host may have shrunk below what it runs. If no start or stop was sent
-    for the run, it is marked as gone.
-    """
-    if not isinstance(effect, messages.StartRun):
-        return False
-    host = state.hosts.get(effect.host)
-    run = host.runs.get((effect.task, effect.run)) if host else None
-    if run is None:
-        return True
-    if run.phase is model.RunPhase.STOPPING and run.tries == 0:
-        tasks.mark_run_gone(
-            state, host, run, "not wanted before its start", now
-        )
-        return True
-    if run.tries == 1 and now < run.retry_at:
-        # It has to wait for another run, listed while its record was stored.
-        run.call_open = False
-        return True
-    shrunk = host.entry.capacity != host.incarnation.full_capacity
-    if shrunk and run.tries == 1 and host.over_capacity:
-        tasks.mark_run_gone(state, host, run, "its host has shrunk", now)
-        return True
-    return False
+    return list(outgoing.wanted(state, effects, now))
 
 
 def handle_event(
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -332,6 +332,13 @@
             address_reused(state, host, now)
         case _:
             run.retry_at = now + CALL_RETRY_S
+            state.log_run(
+                "stop.unanswered",
+                host,
+                run,
+                refusal=event.refusal.value,
+                late=run.key in host.late_starts,
+            )
 
 
 def address_reused(
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -156,6 +156,8 @@
         reason=reason,
         phase=run.phase.value,
         inherited=run.inherited,
+        starts=run.starts_sent,
+        late=run.key in host.late_starts,
         age_ms=int((now - run.began_at) * 1000),
     )
     if task is not None:
--- a/tests/scheduling/test_leader_lines.py
+++ b/tests/scheduling/test_leader_lines.py
@@ -362,3 +362,31 @@
     else:
         assert last["since_ms"] > last["begun_ms"] - 500
     assert len(_of(lines, "term.leading")) == 1
+
+
+def test_a_run_that_is_gone_is_logged_with_its_starts(lines):
+    made = deployment.world(**{"s-one": 2})
+    made.submit(made.members[0], deployment.job(made, 1))
+    made.run(0.1)
+    victim = next(host for host in made.hosts.values() if host.runs)
+    victim.crash()
+    made.run(0.3)
+    victim.restart()
+    made.publish_entry(victim)
+    made.run(3.0)
+    gone = _of(lines, "run.gone")
+    assert gone
+    assert {(line["starts"], line["late"]) for line in gone} == {(1, False)}
+
+
+def test_a_stop_without_an_answer_is_logged(lines):
+    made = deployment.world(**{"s-one": 2})
+    job = deployment.job(made, 1, deployment.LONG_LIVED)
+    made.submit(made.members[0], job)
+    made.run(1.0)
+    made.late_share = 1.0
+    made.cancel(made.members[0], job.id)
+    made.run(1.5)
+    unanswered = _of(lines, "stop.unanswered")
+    assert unanswered
+    assert not any(line["late"] for line in unanswered)
