--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -41,8 +41,7 @@
 
     One of several starts may still be under way.
     """
-    sent_once = run.tries == 1 and run.phase is not model.RunPhase.STOPPING
-    if sent_once and not run.call_open:
+    if run.starts_sent == 1 and not run.call_open:
         state.bar_late_start(host, run.key)
 
 
@@ -54,7 +53,7 @@
     """
     same = run.incarnation_ms == host.incarnation.began_ms
     draining = host.entry.state is not messages.HostState.READY
-    if run.inherited and run.tries == 1 and same and draining:
+    if run.inherited and run.starts_sent == 1 and same and draining:
         state.bar_late_start(host, run.key)
 
 
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -21,6 +21,10 @@
 """Time in which answers to starts are collected for a common record."""
 
 
+SEVERAL_STARTS: typing.Final = 2
+"""Starts that count for a run of which more than one may have left before."""
+
+
 class RunPhase(enum.Enum):
     """State of a run on a host, as far as the leader knows."""
 
@@ -39,8 +43,8 @@
     ``confirmed_at`` is when the latest start or stop was confirmed, None
     while its outcome is unknown. ``crashes`` is how many crashes of hosts
     its task was suspected of when it was placed.
-    ``starts_sent`` is how many starts of it have left; an inherited run has
-    had more.
+    ``starts_sent`` is how many starts of it have left, as far as known. It
+    only grows, as what was sent may still act.
     ``speed`` is the newest speed limit in percent. It is sent again at
     ``speed_due_at``, as it may not be in force. Until ``late_speed_until``
     one that got no answer may still take effect. ``speed_calls`` is how many
@@ -70,7 +74,6 @@
         "starts_sent",
         "step",
         "task",
-        "tries",
     )
 
     def __init__(
@@ -85,7 +88,6 @@
         self.began_at = now
         self.incarnation_ms = 0
         self.call_open = False
-        self.tries = 0
         self.starts_sent = 0
         self.retry_at = 0.0
         self.confirmed_at: float | None = None
@@ -104,6 +106,11 @@
         """The key of the run among the runs of a host."""
         return (self.task, self.run)
 
+    @property
+    def never_started(self) -> bool:
+        """Whether no start of the run has left, under any leader."""
+        return not self.inherited and self.starts_sent == 0
+
 
 class Host:
     """A host: its store entry, its leases and its runs.
--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -29,21 +29,31 @@
 def _outdated(
     state: model.State, host: model.Host, run: model.Run, now: float
 ) -> bool:
-    """Return whether a start is no longer wanted.
-
-    If no start or stop was sent for the run, it is marked as gone.
-    """
-    if run.phase is model.RunPhase.STOPPING and run.tries == 0:
-        tasks.mark_run_gone(
-            state, host, run, "not wanted before its start", now
-        )
+    """Return whether a start must not leave."""
+    if run.phase is model.RunPhase.STOPPING:
+        _take_back(state, host, run, "not wanted before its start", now)
         return True
-    if run.tries == 1 and now < run.retry_at:
+    if now < run.retry_at:
         # It has to wait for another run, listed while its record was stored.
         run.call_open = False
         return True
     shrunk = host.entry.capacity != host.incarnation.full_capacity
-    if shrunk and run.tries == 1 and host.over_capacity:
-        tasks.mark_run_gone(state, host, run, "its host has shrunk", now)
+    if shrunk and host.over_capacity:
+        _take_back(state, host, run, "its host has shrunk", now)
         return True
     return False
+
+
+def _take_back(
+    state: model.State,
+    host: model.Host,
+    run: model.Run,
+    reason: str,
+    now: float,
+) -> None:
+    """Drop a run that never started, or stop it, as it may still begin."""
+    run.call_open = False
+    if run.never_started:
+        tasks.mark_run_gone(state, host, run, reason, now)
+    else:
+        tasks.stop(run, now)
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -381,8 +381,8 @@
     run.saved = task.saved
     run.crashes = task.crashes
     if repeated:
-        # The start before may still be carried out.
-        run.tries = 1
+        # The starts before may still be carried out.
+        run.starts_sent = model.SEVERAL_STARTS
     host_index.add(host, run)
     state.dirty_jobs.add(job.job.id)
     if not job.begun:
--- a/azurewood/scheduling/restoration.py
+++ b/azurewood/scheduling/restoration.py
@@ -113,7 +113,7 @@
         if known is not None:
             known.possible_until = max(known.possible_until, possible_until)
             continue
-        run.tries = 1
+        run.starts_sent = 1
         late = late_starts.LateStart(
             host=row.host,
             run=row.run,
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -42,12 +42,12 @@
     match run.phase:
         case scheduling.RunPhase.STARTING if run.confirmed_at is None:
             if (
-                run.tries >= MAX_START_ATTEMPTS
+                run.starts_sent >= MAX_START_ATTEMPTS
                 or host.over_capacity
                 or host.entry.state.value != "ready"
             ):
                 tasks.stop(run, now)
-            elif run.tries and host.unresponsive_since is None:
+            elif host.unresponsive_since is None:
                 # That there is more than one start is recorded first.
                 send_start(state, host, run, now, saved_first=True)
         case scheduling.RunPhase.STOPPING:
@@ -90,7 +90,7 @@
     run.confirmed_at = None
     run.phase = scheduling.RunPhase.STARTING
     run.began_at = now
-    run.tries = 1
+    run.starts_sent = scheduling.SEVERAL_STARTS
     late = late_starts.LateStart(
         host=host.id,
         run=run.run,
@@ -136,7 +136,6 @@
         ticket=advice.ticket(job, jobstates.step_key(run.task), host),
     )
     run.call_open = True
-    run.tries += 1
     host.leases_expire_at = max(
         host.leases_expire_at, now + limits.MAX_LEASE_S
     )
@@ -153,7 +152,6 @@
     now: float,
 ) -> None:
     run.call_open = True
-    run.tries += 1
     run.retry_at = now + CALL_RETRY_S
     state.emit(
         messages.StopRun(
@@ -186,7 +184,7 @@
     if run.phase is scheduling.RunPhase.STOPPING:
         run.retry_at = now
         return
-    resent = run.tries > 1
+    resent = run.starts_sent > 1
     match event.refusal:
         case messages.Refusal.FENCE if event.fence >= host.fence:
             state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
@@ -236,7 +234,7 @@
         host,
         run,
         refusal=event.refusal.value,
-        tries=run.tries,
+        tries=run.starts_sent,
     )
     if resent:
         tasks.stop(run, now)
@@ -268,7 +266,7 @@
     _log_other_late_run(state, late, event, now)
     state.add_late_start(host, key, late)
     if run is not None:
-        state.log_run("start.unanswered", host, run, tries=run.tries)
+        state.log_run("start.unanswered", host, run, tries=run.starts_sent)
 
 
 def _log_other_late_run(
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -85,7 +85,6 @@
         run.phase = scheduling.RunPhase.STOPPING
         run.confirmed_at = None
         run.retry_at = now
-        run.tries = 0
 
 
 def wait_for_other_run(
--- /dev/null
+++ b/tests/scheduling/test_forgotten_starts.py
@@ -0,0 +1,71 @@
+"""Runs that are stopped while a start of them may still be carried out."""
+
+import pytest
+
+from azurewood.jobs import model
+from azurewood.scheduling import messages
+from azurewood.scheduling import model as scheduling
+from standins.fleet import members
+from tests.scheduling import deployment
+
+WIDE = model.Step(
+    count=1, needs=model.Resources(3000, 500, 0), estimate_ms=2000
+)
+SLOW_STORE = 60.0
+LATE_S = 4.0
+
+
+def _world(monkeypatch):
+    """Return a world of one host whose first start is late."""
+    monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (LATE_S, LATE_S))
+    made = deployment.world(**{"s-one": 1})
+    made.slow = SLOW_STORE
+    deployment.lose_starts(made)
+    return made
+
+
+def _wait_for_repetition(made):
+    """Run until the repetition of a start waits for its record."""
+    state = made.leaders()[0].member.term.state
+    for _ in range(300):
+        made.run(0.01)
+        waiting = [*(state.saving_effects or ()), *state.deferred_effects]
+        for effect in waiting:
+            if not isinstance(effect, messages.StartRun):
+                continue
+            run = state.hosts[effect.host].runs[(effect.task, effect.run)]
+            if run.starts_sent:
+                return state
+    raise AssertionError("no start was repeated")
+
+
+def _cancel_while_a_repetition_waits(monkeypatch):
+    """Cancel a job whose start is late, then submit one of the same size."""
+    made = _world(monkeypatch)
+    job = deployment.job(made, 1, WIDE)
+    made.submit(made.members[0], job)
+    _wait_for_repetition(made)
+    made.cancel(made.members[0], job.id)
+    cancelled = messages.JobCancelled(id=job.id)
+    made.leaders()[0].member.term.handle_event(cancelled)
+    made.submit(made.members[0], deployment.job(made, 2, WIDE))
+    made.run(LATE_S + 4.0)
+    deployment.check(made)
+    return made
+
+
+def test_a_cancelled_run_with_a_late_start_keeps_its_room(monkeypatch):
+    _cancel_while_a_repetition_waits(monkeypatch)
+
+
+def test_room_is_exceeded_if_a_stopped_run_counts_as_never_started(
+    monkeypatch,
+):
+    stopping = scheduling.RunPhase.STOPPING
+    monkeypatch.setattr(
+        scheduling.Run,
+        "never_started",
+        property(lambda run: run.phase is stopping),
+    )
+    with pytest.raises(AssertionError, match="room exceeded"):
+        _cancel_while_a_repetition_waits(monkeypatch)
