--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -120,6 +120,15 @@
         state.dirty_late_starts.add(host.id)
 
 
+def on_stop_unanswered(host: model.Host, run: model.Run) -> None:
+    """Let the next calls bar a start that may be as late as its run's stop.
+
+    The first call of any kind that arrives with a higher fencing token does.
+    """
+    if may_be_late(host, run):
+        host.fence_due = True
+
+
 def _is_draining(host: model.Host) -> bool:
     """Return whether a host that answers has announced its end."""
     if not (host.present and host.is_responsive):
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -330,6 +330,7 @@
             address_reused(state, host, now)
         case _:
             run.retry_at = now + CALL_RETRY_S
+            latestarts.on_stop_unanswered(host, run)
             state.log_run(
                 "stop.unanswered",
                 host,
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -15,6 +15,7 @@
 from azurewood.journal import pages
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import hosts
+from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import tasks
@@ -53,6 +54,10 @@
     made.fault_of = lambda call: "late" if is_late(call) else ""
 
 
+def _raise_no_token_for_stops(monkeypatch):
+    monkeypatch.setattr(latestarts, "on_stop_unanswered", lambda *args: None)
+
+
 def _starts_late_while_the_host_shrinks(monkeypatch):
     """Let the first three calls be late; retries are due until 3.2 s."""
     made = deployment.world(**{"s-one": 1})
@@ -122,6 +127,7 @@
 
 def test_breaks_if_a_shrunk_hosts_fence_is_not_raised(monkeypatch):
     monkeypatch.setattr(hosts, "_bar_late_starts", lambda host: None)
+    _raise_no_token_for_stops(monkeypatch)
     with pytest.raises(AssertionError, match="room exceeded"):
         _starts_and_stops_late_while_the_host_shrinks(monkeypatch)
 
@@ -323,6 +329,7 @@
     monkeypatch, seed
 ):
     monkeypatch.setattr(scheduling.Host, "over_capacity", False)
+    _raise_no_token_for_stops(monkeypatch)
     with pytest.raises(AssertionError, match="room exceeded"):
         _change_capacities(seed, late_share=0.3)
 
--- a/tests/scheduling/test_forgotten_starts.py
+++ b/tests/scheduling/test_forgotten_starts.py
@@ -3,6 +3,7 @@
 import pytest
 
 from azurewood.jobs import model
+from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from standins.fleet import members
@@ -15,6 +16,10 @@
 LATE_S = 4.0
 
 
+def _do_nothing(*args):
+    pass
+
+
 def _world(monkeypatch):
     """Return a world of one host whose first start is late."""
     monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (LATE_S, LATE_S))
@@ -69,3 +74,33 @@
     )
     with pytest.raises(AssertionError, match="room exceeded"):
         _cancel_while_a_repetition_waits(monkeypatch)
+
+
+def _cancel_beside_late_stops(monkeypatch):
+    """Cancel a job whose start is late by 5 s, as are all its stops."""
+    monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (5.0, 5.0))
+    made = deployment.world(**{"s-one": 1})
+    due_at = made.clock.now + 5.0
+    made.fault_of = lambda call: (
+        "late"
+        if call.target in made.hosts
+        and call.changes
+        and made.clock.now < due_at
+        else ""
+    )
+    job = deployment.job(made, 1, WIDE)
+    made.submit(made.members[0], job)
+    made.run(0.2)
+    made.cancel(made.members[0], job.id)
+    made.run(10.0)
+    deployment.check(made)
+
+
+def test_no_cancelled_run_begins_while_its_stops_are_late(monkeypatch):
+    _cancel_beside_late_stops(monkeypatch)
+
+
+def test_it_begins_if_an_unanswered_stop_raises_no_token(monkeypatch):
+    monkeypatch.setattr(latestarts, "on_stop_unanswered", _do_nothing)
+    with pytest.raises(AssertionError, match="after its cancellation"):
+        _cancel_beside_late_stops(monkeypatch)
