--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -37,8 +37,8 @@
         # It has to wait for another run, listed while its record was stored.
         run.call_open = False
         return True
-    shrunk = host.entry.capacity != host.incarnation.full_capacity
-    if shrunk and host.over_capacity:
+    if host.over_capacity:
+        # It has shrunk, maybe under an earlier leader.
         _take_back(state, host, run, "its host has shrunk", now)
         return True
     return False
--- a/tests/scheduling/test_forgotten_starts.py
+++ b/tests/scheduling/test_forgotten_starts.py
@@ -6,6 +6,7 @@
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
+from standins.fleet import hosts
 from standins.fleet import members
 from tests.scheduling import deployment
 
@@ -104,3 +105,34 @@
     monkeypatch.setattr(latestarts, "on_stop_unanswered", _do_nothing)
     with pytest.raises(AssertionError, match="after its cancellation"):
         _cancel_beside_late_stops(monkeypatch)
+
+
+def _inherit_a_start_on_a_host_that_has_shrunk(monkeypatch):
+    """Kill all daemons once a start is late, and shrink its host."""
+    monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (20.0, 20.0))
+    made = deployment.world(**{"s-one": 1})
+    (host,) = made.hosts.values()
+    late = deployment.lose_starts(made)
+    made.submit(made.members[0], deployment.job(made, 1, WIDE))
+    while not late:
+        made.run(0.01)
+    for member in made.members:
+        member.kill()
+    host.resize(model.Resources(1000, 500, 0))
+    made.publish_entry(host)
+    made.run(hosts.CONTACT_S + 0.5)
+    for member in made.members:
+        member.start()
+    made.run(6.0)
+    deployment.check(made)
+    assert len(made.leaders()) == 1
+
+
+def test_no_inherited_start_is_repeated_on_a_host_that_has_shrunk(monkeypatch):
+    _inherit_a_start_on_a_host_that_has_shrunk(monkeypatch)
+
+
+def test_it_exceeds_the_room_if_a_new_leader_does_not_see_it(monkeypatch):
+    monkeypatch.setattr(scheduling.Host, "over_capacity", False)
+    with pytest.raises(AssertionError, match="room exceeded"):
+        _inherit_a_start_on_a_host_that_has_shrunk(monkeypatch)
