--- a/tests/scheduling/test_forgotten_starts.py
+++ b/tests/scheduling/test_forgotten_starts.py
@@ -6,6 +6,7 @@
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
+from azurewood.scheduling import tasks
 from standins.fleet import hosts
 from standins.fleet import members
 from tests.scheduling import deployment
@@ -136,3 +137,15 @@
     monkeypatch.setattr(scheduling.Host, "over_capacity", False)
     with pytest.raises(AssertionError, match="room exceeded"):
         _inherit_a_start_on_a_host_that_has_shrunk(monkeypatch)
+
+
+def test_a_repeated_start_waits_for_another_run_of_its_task(monkeypatch):
+    made = _world(monkeypatch)
+    made.submit(made.members[0], deployment.job(made, 1, WIDE))
+    state = _wait_for_repetition(made)
+    (run,) = next(iter(state.hosts.values())).runs.values()
+    tasks.wait_for_other_run(state, run.task, made.clock.now)
+    made.run(tasks.STOP_PAUSE_S - 0.1)
+    assert run.starts_sent == 1
+    made.run(0.5)
+    assert run.starts_sent == 2
