--- a/azurewood/state/claims.py
+++ b/azurewood/state/claims.py
@@ -8,6 +8,7 @@
 import collections.abc
 
 from azurewood.policy import claims as policy
+from azurewood.state import claim_tracking
 from azurewood.state import effects
 from azurewood.state import events
 from azurewood.state import model
@@ -87,7 +88,8 @@
             yield from _answer_unknown(state, request, "ran-unseen")
         case ClaimPhase.HELD:
             state.claims.following.setdefault(
-                request.id, model.FollowedClaim(key=request.claim, since=now)
+                request.id,
+                claim_tracking.FollowedClaim(key=request.claim, since=now),
             )
 
 
@@ -189,7 +191,7 @@
 
 def _mark_unresolved(state: model.State, request: model.RequestView) -> None:
     """Remember a claim that was given up and may still be accepted."""
-    state.claims.doubtful[request.id] = model.UnresolvedClaim(
+    state.claims.doubtful[request.id] = claim_tracking.UnresolvedClaim(
         key=request.claim, sequence=state.outbox.sequence
     )
 
@@ -283,7 +285,7 @@
 def _is_holder_dead(
     state: model.State,
     holder: str,
-    following: dict[str, model.FollowedClaim],
+    following: dict[str, claim_tracking.FollowedClaim],
     request: model.RequestView,
     now: float,
 ) -> bool:
--- a/azurewood/state/lending.py
+++ b/azurewood/state/lending.py
@@ -12,6 +12,7 @@
 from azurewood.peers import messages
 from azurewood.policy import slots as policy
 from azurewood.state import effects
+from azurewood.state import lent_slots
 from azurewood.state import model
 from azurewood.state import slots
 from azurewood.state import zones
@@ -51,7 +52,7 @@
 ) -> effects.SendPeer:
     """Request a number of slots of a service from a peer."""
     request = state.rng.getrandbits(REQUEST_ID_BITS)
-    state.lending.asks[request] = model.SlotRequest(
+    state.lending.asks[request] = lent_slots.SlotRequest(
         peer=peer, service=view.name, at=now, count=count
     )
     pending = state.lending.pending.setdefault(view.name, {})
@@ -119,7 +120,7 @@
     until = now + state.lending.settle_s
     for slot in chosen:
         host = state.hosts[slot.host]
-        host.lent[slot.number] = model.LentSlot(
+        host.lent[slot.number] = lent_slots.LentSlot(
             peer=sender, until=until, request=message.request
         )
         state.lending.hosts.add(host.name)
@@ -169,7 +170,7 @@
         host = state.hosts.get(slot.host)
         if host is None or slot.number in host.borrowed:
             continue
-        host.borrowed[slot.number] = model.LentSlot(
+        host.borrowed[slot.number] = lent_slots.LentSlot(
             peer=sender,
             until=until,
             request=message.request,
--- a/azurewood/state/model.py
+++ b/azurewood/state/model.py
@@ -18,8 +18,10 @@
 from azurewood.policy import retries as retry_policy
 from azurewood.policy import slots as slot_policy
 from azurewood.state import agreed as agreed_state
+from azurewood.state import claim_tracking
 from azurewood.state import duties
 from azurewood.state import events
+from azurewood.state import lent_slots
 from azurewood.state import records
 
 RECENT_RECORDS_KEPT = 512
@@ -178,84 +180,6 @@
     barrier: bool = False
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class LentSlot:
-    """A slot lent to a peer, or borrowed from one, until a deadline.
-
-    ``request`` is the id under which it was lent. The borrower starts no
-    request on it after ``until``; ``idle_since`` is when the borrower last
-    used it.
-    """
-
-    peer: str
-    until: float
-    request: int = 0
-    idle_since: float = 0.0
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class SettlingSlot:
-    """A slot that this daemon owns but earlier owners may still use.
-
-    It is usable when all daemons in ``awaiting`` have reported it free, or
-    after ``until``.
-    """
-
-    awaiting: set[str]
-    until: float
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class SlotRequest:
-    """A request to borrow slots from a peer.
-
-    ``answered`` is set once the peer has lent some.
-    """
-
-    peer: str
-    service: str
-    at: float
-    count: int
-    answered: bool = False
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class SlotReturn:
-    """A borrowed slot that is being returned to its owner."""
-
-    peer: str
-    service: str
-    request: int
-    host: str
-    number: int
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Lending:
-    """State of lending and borrowing slots.
-
-    ``asks`` holds the open requests for slots, ``hosts`` the hosts with lent
-    or borrowed slots, and ``settling`` those with settling ones. For a
-    service and a peer, ``dry`` is when a peer that had no slot left may be
-    asked again, and ``pending`` when its answer is no longer awaited.
-    ``is_viewed`` is set once the hosts have been seen for the first time.
-    """
-
-    asks: dict[int, SlotRequest] = dataclasses.field(default_factory=dict)
-    dry: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
-    pending: dict[str, dict[str, float]] = dataclasses.field(
-        default_factory=dict
-    )
-    ask_at: dict[str, float] = dataclasses.field(default_factory=dict)
-    returns: list[SlotReturn] = dataclasses.field(default_factory=list)
-    hosts: set[str] = dataclasses.field(default_factory=set)
-    settling: set[str] = dataclasses.field(default_factory=set)
-    settle_s: float = 0.0
-    take_over: int = 0
-    take_over_at: float = 0.0
-    is_viewed: bool = False
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class HostView:
     """A host as this daemon sees it, with the slots that it may use.
@@ -277,11 +201,17 @@
     listed: str = "live"
     owned: set[int] = dataclasses.field(default_factory=set)
     owners: tuple[str, ...] = ()
-    settling: dict[int, SettlingSlot] = dataclasses.field(default_factory=dict)
+    settling: dict[int, lent_slots.SettlingSlot] = dataclasses.field(
+        default_factory=dict
+    )
     idle: list[int] = dataclasses.field(default_factory=list)
     busy: set[int] = dataclasses.field(default_factory=set)
-    lent: dict[int, LentSlot] = dataclasses.field(default_factory=dict)
-    borrowed: dict[int, LentSlot] = dataclasses.field(default_factory=dict)
+    lent: dict[int, lent_slots.LentSlot] = dataclasses.field(
+        default_factory=dict
+    )
+    borrowed: dict[int, lent_slots.LentSlot] = dataclasses.field(
+        default_factory=dict
+    )
     failures: int = 0
     ejected_until: float = 0.0
     ejections: int = 0
@@ -352,48 +282,6 @@
     claim_asked_at: float = 0.0
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class FollowedClaim:
-    """A claim of another daemon whose outcome a request waits for."""
-
-    key: str
-    since: float
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class UnresolvedClaim:
-    """An abandoned claim whose record may still appear in the log.
-
-    The record's sequence number is at most ``sequence``.
-    """
-
-    key: str
-    sequence: int
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Settlement:
-    """The outcome of a request's claim, kept until the log confirms it."""
-
-    request: str
-    change: records.SettleClaim
-    redo_at: float = 0.0
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class ClaimTracking:
-    """Open claims by request id; ``settling`` is by the claim's key."""
-
-    asked: dict[str, str] = dataclasses.field(default_factory=dict)
-    following: dict[str, FollowedClaim] = dataclasses.field(
-        default_factory=dict
-    )
-    doubtful: dict[str, UnresolvedClaim] = dataclasses.field(
-        default_factory=dict
-    )
-    settling: dict[str, Settlement] = dataclasses.field(default_factory=dict)
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Policies:
     """The policies by which this daemon handles requests."""
@@ -444,8 +332,12 @@
     hosts: dict[str, HostView] = dataclasses.field(default_factory=dict)
     services: dict[str, ServiceView] = dataclasses.field(default_factory=dict)
     requests: dict[str, RequestView] = dataclasses.field(default_factory=dict)
-    lending: Lending = dataclasses.field(default_factory=Lending)
-    claims: ClaimTracking = dataclasses.field(default_factory=ClaimTracking)
+    lending: lent_slots.Lending = dataclasses.field(
+        default_factory=lent_slots.Lending
+    )
+    claims: claim_tracking.ClaimTracking = dataclasses.field(
+        default_factory=claim_tracking.ClaimTracking
+    )
     retry_tokens: float = RETRY_TOKENS_AT_START
     waiting: int = 0
     waiting_bytes: int = 0
--- a/azurewood/state/settlements.py
+++ b/azurewood/state/settlements.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from azurewood.state import claim_tracking
 from azurewood.state import effects
 from azurewood.state import model
 from azurewood.state import outbox
@@ -21,7 +22,7 @@
     now: float,
 ) -> Effects:
     """Propose how the claim of a request ended, until the log holds it."""
-    state.claims.settling[key] = model.Settlement(
+    state.claims.settling[key] = claim_tracking.Settlement(
         request=request, change=change
     )
     yield from _submit(state, key, now)
@@ -68,7 +69,7 @@
 
 
 def _is_settled(
-    state: model.State, key: str, settlement: model.Settlement
+    state: model.State, key: str, settlement: claim_tracking.Settlement
 ) -> bool:
     """Return whether the log holds this settlement or a final one."""
     claim = state.agreed.claims.get(key)
--- a/azurewood/state/slots.py
+++ b/azurewood/state/slots.py
@@ -7,6 +7,7 @@
 """
 
 from azurewood.policy import slots as policy
+from azurewood.state import lent_slots
 from azurewood.state import model
 
 UNKNOWN_PEERS = ""
@@ -60,7 +61,7 @@
 
     It becomes usable after ``settle_s`` even if some do not answer.
     """
-    host.settling[number] = model.SettlingSlot(
+    host.settling[number] = lent_slots.SettlingSlot(
         awaiting=awaiting, until=now + state.lending.settle_s
     )
     state.lending.settling.add(host.name)
@@ -182,7 +183,7 @@
     """Stop using a borrowed slot and queue its return to the owner."""
     borrowed = host.borrowed.pop(number)
     state.lending.returns.append(
-        model.SlotReturn(
+        lent_slots.SlotReturn(
             peer=borrowed.peer,
             service=host.service,
             request=borrowed.request,
