--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -119,5 +119,9 @@
             silent = self.hosts.silent_since(now - self._heartbeat_timeout_s)
             for name in silent:
                 self.tasks.host_gone(name)
-            if not self.faults.current().down:
+            current = self.faults.current()
+            if current.down or current.hang:
+                # A poll may have begun to wait while the fault was set.
+                self.interrupt()
+            if not current.down:
                 self.tasks.lapse()
