--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -28,6 +28,7 @@
 from azurewood.scheduling import messages
 from standins.fleet import advice as sim_advice
 from standins.fleet import clock as clocks
+from standins.fleet import gangs as sim_gangs
 from standins.fleet import hosts as sim_hosts
 from standins.fleet import members as sim_members
 from standins.fleet import platform
@@ -78,6 +79,7 @@
         self.store = stores.Store()
         self.advice = sim_advice.SimAdvice(clock=self.clock)
         self.rules = rule_checks.Rules(clock=self.clock)
+        self.gangs = sim_gangs.Gangs(clock=self.clock)
         self.hosts: dict[str, sim_hosts.SimHost] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
         self.labels: dict[str, tuple[str, ...]] = {}
@@ -170,6 +172,7 @@
             capacity=model.Resources(4000, 8000, 0),
             labels=("kind", *labels),
             clock=self.clock,
+            gangs=self.gangs,
             run_duration_s=lambda task, step: self.run_duration_s(task, step),
             observe=self._observe,
             on_end_acknowledged=self.rules.on_end_acknowledged,
