--- a/azurewood/incarnations/late_starts.py
+++ b/azurewood/incarnations/late_starts.py
@@ -15,13 +15,15 @@
 
     ``host`` is the id of the host that it was sent to, and ``run`` the
     number of its run. ``incarnation_ms`` and ``fence`` are those that it was
-    sent with last. ``next_run_at`` is None while the same run may be started
-    again. Once the host has listed its end, it is when the next run of a
-    long-lived task may begin there.
+    sent with last. With ``gang`` the run may be a member of a gang, for which
+    the end of any member counts. ``next_run_at`` is None while the same run
+    may be started again. Once the host has listed its end, it is when the
+    next run of a long-lived task may begin there.
     """
 
     __slots__ = (
         "fence",
+        "gang",
         "host",
         "incarnation_ms",
         "next_run_at",
@@ -37,8 +39,10 @@
         incarnation_ms: int,
         fence: int,
         possible_until: float,
+        gang: bool = False,
     ) -> None:
         self.host = host
+        self.gang = gang
         self.run = run
         self.incarnation_ms = incarnation_ms
         self.fence = fence
@@ -56,44 +60,74 @@
         self.possible_until = -math.inf
 
 
+class LateSteps:
+    """The late starts of all hosts by step, also of jobs that are over."""
+
+    __slots__ = ("_steps",)
+
+    def __init__(self) -> None:
+        self._steps: dict[tuple, dict[tuple, LateStart]] = {}
+
+    def add(self, key: RunKey, late: LateStart) -> None:
+        """Add a late start."""
+        id, _ = key
+        self._steps.setdefault(id[:3], {})[(*key, late.host)] = late
+
+    def remove(self, key: RunKey, late: LateStart) -> None:
+        """Remove a late start that was added."""
+        id, _ = key
+        starts = self._steps[id[:3]]
+        del starts[(*key, late.host)]
+        if not starts:
+            del self._steps[id[:3]]
+
+    def of_end(self, id: model.TaskId) -> abc.Iterator[LateStart]:
+        """Yield the starts of a task, and of its gang's other members."""
+        for (other, _, _), late in self._steps.get(id[:3], {}).items():
+            if late.gang or other == id:
+                yield late
+
+
 class LateStarts(dict[RunKey, LateStart]):
     """The late starts that were sent to one host, by run.
 
     It is a dictionary as the leader looks at those of all hosts all the time.
+    Each is in ``steps`` too, which all hosts share.
     Until ``renewed_until`` a lease renewal without an answer may be carried
     out as well. In an incarnation that no call has reached it extends the
     lease of a run that began late.
     """
 
-    __slots__ = ("renewed_until",)
+    __slots__ = ("_steps", "renewed_until")
 
-    def __init__(self) -> None:
+    def __init__(self, *, steps: LateSteps | None = None) -> None:
         super().__init__()
+        self._steps = LateSteps() if steps is None else steps
         self.renewed_until = -math.inf
 
-    def of_task(self, id: model.TaskId) -> abc.Iterator[LateStart]:
-        """Yield the starts of a task's runs."""
-        for (task, _), late in self.items():
-            if task == id:
-                yield late
-
     def add(self, key: RunKey, late: LateStart) -> LateStart:
         """Add a start and return it, or the one known of its run, renewed.
 
         Others refer to the one that is known.
         """
         known = self.setdefault(key, late)
-        if known is not late:
+        if known is late:
+            self._steps.add(key, late)
+        else:
             known.renew(late)
         return known
 
     def bar(self, key: RunKey) -> bool:
         """Record that a start is impossible; return whether it was known."""
-        late = self.pop(key, None)
+        late = self.get(key)
         if late is not None:
+            self._forget(key)
             late.bar()
         return late is not None
 
+    def _forget(self, key: RunKey) -> None:
+        self._steps.remove(key, self.pop(key))
+
     def bar_all(self, *, possible_until: float = math.inf) -> bool:
         """Record that no start is possible; return whether any was.
 
@@ -118,7 +152,7 @@
         over = now > self.leases_expire_at
         for key, late in list(self.items()):
             if over or listed_at > late.possible_until:
-                del self[key]
+                self._forget(key)
         return known and not self
 
     def is_barred(
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -268,6 +268,7 @@
     progress record cannot be read. ``no_order_before`` is the time from which
     machines may get orders at all. ``unseen_since`` maps the hosts that the
     machine list names and that are not known to the time since when.
+    ``late_steps`` has the late starts of all hosts by step.
     ``suspects`` has the tasks that may have to start alone, as hosts have
     crashed under them.
 
@@ -303,6 +304,7 @@
         "hosts_read_at",
         "jobs",
         "largest_capacity",
+        "late_steps",
         "leases_expire_at",
         "machines",
         "machines_at",
@@ -340,6 +342,7 @@
         self.jobs: dict[str, jobstates.JobState] = {}
         self.advice = advice_queue.AdviceQueue()
         self.hosts: dict[str, Host] = {}
+        self.late_steps = late_starts.LateSteps()
         self.hosts_read_at = 0.0
         self.unseen_since: dict[str, float] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
@@ -390,6 +393,7 @@
                 leases_expire_at=self.leases_expire_at,
                 fence=self.fence,
             )
+            host.late_starts = late_starts.LateStarts(steps=self.late_steps)
             self.hosts[id] = host
         return host
 
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -115,7 +115,8 @@
 class LateStartRow(msgspec.Struct, frozen=True, array_like=True):
     """A start without an answer; ``left_ms`` is how long it may be late.
 
-    ``ended`` is whether the host has listed the end of its run.
+    ``ended`` is whether the host has listed the end of its run. ``gang`` is
+    whether the run is a member of a gang; an older record doesn't tell.
     """
 
     job: str
@@ -126,6 +127,7 @@
     host_born_ms: int
     left_ms: int
     ended: bool = False
+    gang: bool = True
 
 
 class LateStartsProgress(
@@ -254,6 +256,7 @@
             late.incarnation_ms,
             _left_ms(late.possible_until, now),
             late.next_run_at is not None,
+            late.gang,
         )
         for (task, run), late in host.late_starts.items()
     )
--- a/azurewood/scheduling/restoration.py
+++ b/azurewood/scheduling/restoration.py
@@ -36,6 +36,7 @@
             incarnation_ms=row.host_born_ms,
             fence=0,
             possible_until=written_at + row.left_ms / 1000,
+            gang=row.gang,
         )
         if row.ended:
             late.next_run_at = written_at + restarts.NEXT_RUN_PAUSE_S
@@ -120,6 +121,7 @@
             incarnation_ms=row.host_born_ms,
             fence=0,
             possible_until=possible_until,
+            gang=run.step.gang,
         )
         state.add_late_start(host, run.key, late)
 
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -97,6 +97,7 @@
         incarnation_ms=run.incarnation_ms,
         fence=0,
         possible_until=now + limits.MAX_START_DELAY_S,
+        gang=run.step.gang,
     )
     state.add_late_start(host, run.key, late)
     send_start(state, host, run, now, saved_first=True)
@@ -262,6 +263,7 @@
         incarnation_ms=event.incarnation_ms,
         fence=event.fence,
         possible_until=now + limits.MAX_START_DELAY_S,
+        gang=run is not None and run.step.gang,
     )
     _log_other_late_run(state, late, event, now)
     state.add_late_start(host, key, late)
--- a/azurewood/scheduling/withheld_ends.py
+++ b/azurewood/scheduling/withheld_ends.py
@@ -3,10 +3,8 @@
 The platform doesn't count such an end yet. The leader does.
 """
 
-from collections import abc
 import typing
 
-from azurewood.incarnations import late_starts
 from azurewood.policy import withheld_ends as policy
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -26,7 +24,7 @@
         return
     possible = tuple(
         late
-        for late in _late_starts(state, host, row)
+        for late in state.late_steps.of_end(row.task)
         if now <= late.possible_until
     )
     if not possible:
@@ -62,20 +60,3 @@
         released = listed.release(now + share.release_s)
     if released:
         state.log_event("ends.released", host=host.id, number=listed.last)
-
-
-def _late_starts(
-    state: model.State, host: model.Host, row: messages.EndedRow
-) -> abc.Iterator[late_starts.LateStart]:
-    """Yield the late starts of a task that ended and of its gang's members.
-
-    Those on the host are known also if the job is over.
-    """
-    yield from host.late_starts.of_task(row.task)
-    job = state.jobs.get(row.task.job)
-    task = job.task(row.task) if job is not None else None
-    if task is None:
-        return
-    gang = job.step_of(task.id).gang
-    for member in (task, *job.tasks_beside(task.id)) if gang else (task,):
-        yield from member.late_starts
--- a/tests/incarnations/test_late_starts.py
+++ b/tests/incarnations/test_late_starts.py
@@ -10,10 +10,11 @@
 OTHER = (model.TaskId("j", 0, 0, 1), 2)
 
 
-def _late(*, until=20.0, incarnation_ms=1, fence=3):
+def _late(*, until=20.0, incarnation_ms=1, fence=3, run=1, gang=False):
     return late_starts.LateStart(
         host="h1",
-        run=1,
+        run=run,
+        gang=gang,
         incarnation_ms=incarnation_ms,
         fence=fence,
         possible_until=until,
@@ -86,8 +87,26 @@
     assert starts.is_barred(OTHER, incarnation_ms=2, fence=0)
 
 
-def test_the_starts_of_a_task_are_found():
-    starts = _starts()
-    starts.add((KEY[0], 2), _late())
-    starts.add(OTHER, _late())
-    assert len(list(starts.of_task(KEY[0]))) == 2
+def _found(steps, key):
+    return [late.run for late in steps.of_end(key[0])]
+
+
+def test_an_end_finds_the_starts_of_its_task_on_all_hosts():
+    steps = late_starts.LateSteps()
+    first = late_starts.LateStarts(steps=steps)
+    first.add(KEY, _late())
+    first.add(OTHER, _late())
+    late_starts.LateStarts(steps=steps).add((KEY[0], 2), _late(run=2))
+    assert _found(steps, KEY) == [1, 2]
+    assert len(_found(steps, OTHER)) == 1
+    first.bar(KEY)
+    assert _found(steps, KEY) == [2]
+    assert first.forget_impossible(listed_at=30.0, now=30.0)
+    assert _found(steps, OTHER) == []
+
+
+def test_an_end_of_a_gangs_member_finds_the_starts_of_all_members():
+    steps = late_starts.LateSteps()
+    late_starts.LateStarts(steps=steps).add(KEY, _late(gang=True))
+    assert _found(steps, OTHER) == [1]
+    assert _found(steps, (model.TaskId("j", 0, 1, 0), 1)) == []
