--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -43,6 +43,8 @@
 class Task:
     """A task: its latest run, its failures and the hosts to avoid.
 
+    ``failed_run`` is the latest run that counts as a failure, 0 if none does.
+    That of a gang counts once however many of its members fail.
     ``confirmed`` is whether no start of its newest run is unanswered but
     those on the record of its host.
     ``late_starts`` has its starts without an answer that may still be late.
@@ -59,6 +61,7 @@
         "crash_found_at",
         "crashed_hosts",
         "crashes",
+        "failed_run",
         "failures",
         "given_up",
         "host",
@@ -76,6 +79,7 @@
         self.phase = TaskPhase.WAITING
         self.run = 0
         self.failures = 0
+        self.failed_run = 0
         self.crashes = 0
         self.crash = ""
         self.crash_found_at = -math.inf
@@ -105,8 +109,7 @@
     ``undone`` and ``waiting`` count the tasks of each step that are not done
     and that wait for a host. Phases are changed only by ``set_phase``, which
     updates these counts; values derived from them are cached until the
-    counts change. ``failed_gangs`` has the latest failed run of each gang,
-    since a gang's failure counts once however many of its members fail.
+    counts change.
     ``accepted_ms`` and ``objective_at_ms``, by which the job should be done,
     are by the leader's clock, see ``State.clock_ms``.
     ``first_run_ms`` is when this leader placed the job's first task, in Unix
@@ -124,7 +127,6 @@
         "begun",
         "cancelled",
         "closing",
-        "failed_gangs",
         "first_run_ms",
         "job",
         "long_lived",
@@ -150,7 +152,6 @@
         self._work: int | None = None
         self._remaining_ms: int | None = None
         self.advice: dict[tuple[int, int], dict[str, HostAdvice]] = {}
-        self.failed_gangs: dict[tuple[int, int], int] = {}
         for occurrence in range(job.occurrences):
             for number, step in enumerate(job.steps):
                 self._add_step(occurrence, number, step)
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -68,6 +68,7 @@
     given_up: bool = False
     crash: str = ""
     confirmed: bool = False
+    failed_run: int = 0
 
 
 class JobProgress(msgspec.Struct, frozen=True, kw_only=True, tag="job"):
@@ -202,6 +203,7 @@
             task.given_up,
             task.crash,
             task.confirmed,
+            task.failed_run,
         )
         for tasks in job.steps.values()
         for task in tasks
--- a/azurewood/scheduling/restoration.py
+++ b/azurewood/scheduling/restoration.py
@@ -68,6 +68,7 @@
     job.set_phase(task, row.phase)
     task.run = row.run
     task.failures = row.failures
+    task.failed_run = row.failed_run
     crashes.restore(state, task, row.crashes, row.crash, given_up=row.given_up)
     task.host = row.host
     task.host_incarnation_ms = row.host_born_ms
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -282,14 +282,12 @@
     now: float,
 ) -> None:
     step = job.step_of(task.id)
-    key = (task.id.occurrence, task.id.step)
-    members = job.steps[key] if step.gang else [task]
-    failures = max(member.failures for member in members)
-    if not (step.gang and job.failed_gangs.get(key) == task.run):
-        failures += 1
-    job.failed_gangs[key] = task.run
-    for member in members:
-        member.failures = failures
+    beside = job.tasks_beside(task.id) if step.gang else ()
+    if not (step.gang and task.failed_run == task.run):
+        for member in (task, *beside):
+            member.failures += 1
+            member.failed_run = task.run
+    failures = task.failures
     task.avoid.add(host.id)
     job.set_phase(task, jobstates.TaskPhase.WAITING)
     task.waits_until = now + RETRY_PAUSE_S
--- a/tests/scheduling/test_gangs_over_leaders.py
+++ b/tests/scheduling/test_gangs_over_leaders.py
@@ -8,6 +8,7 @@
 
 from azurewood.incarnations import late_starts
 from azurewood.jobs import model
+from azurewood.scheduling import restoration
 from standins.fleet import members
 from tests.scheduling import deployment
 
@@ -58,3 +59,50 @@
     monkeypatch.setattr(late_starts.LateSteps, "of_end", of_own_task)
     with pytest.raises(AssertionError, match="after its end was noted"):
         _carry_out_after_the_gang_is_done(monkeypatch)
+
+
+def _fail_under_two_leaders():
+    """Let both members of a run fail; each leader learns of one."""
+    made = deployment.world(**{"s-one": 4})
+    hosts = list(made.hosts.values())
+    for host in hosts:
+        host.failing = True
+    job = deployment.job(made, 1, GANG)
+    made.submit(made.members[0], job)
+    _run_until(made, lambda: deployment.running_tasks(made, job.id) == 2)
+    for host in hosts:
+        host.failing = False
+    made.cut_hosts.add(next(host.id for host in hosts if host.runs))
+    made.run(0.4)
+    made.leaders()[0].kill()
+    made.run(1.0)
+    made.cut_hosts.clear()
+    made.run(15.0)
+    deployment.check(made)
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+
+
+def _run_until(made, is_met):
+    for _ in range(100):
+        if is_met():
+            return
+        made.run(0.005)
+    raise AssertionError("not met in time")
+
+
+def test_a_failed_run_of_a_gang_counts_once_under_two_leaders():
+    _fail_under_two_leaders()
+
+
+def test_shown_as_failed_if_the_next_leader_counts_it_again(monkeypatch):
+    usual = restoration.restore_job
+
+    def restore_job(state, job, record, now):
+        usual(state, job, record, now)
+        for found in job.steps.values():
+            for task in found:
+                task.failed_run = 0
+
+    monkeypatch.setattr(restoration, "restore_job", restore_job)
+    with pytest.raises(AssertionError, match="shown as failed"):
+        _fail_under_two_leaders()
