--- a/azurewood/scheduling/restoration.py
+++ b/azurewood/scheduling/restoration.py
@@ -36,6 +36,7 @@
             incarnation_ms=row.host_born_ms,
             fence=0,
             possible_until=written_at + row.left_ms / 1000,
+            gang=row.gang,
         )
         if row.ended:
             late.next_run_at = written_at + restarts.NEXT_RUN_PAUSE_S
@@ -67,6 +68,7 @@
     job.set_phase(task, row.phase)
     task.run = row.run
     task.failures = row.failures
+    task.failed_run = row.failed_run
     crashes.restore(state, task, row.crashes, row.crash, given_up=row.given_up)
     task.host = row.host
     task.host_incarnation_ms = row.host_born_ms
@@ -120,6 +122,7 @@
             incarnation_ms=row.host_born_ms,
             fence=0,
             possible_until=possible_until,
+            gang=run.step.gang,
         )
         state.add_late_start(host, run.key, late)
 
