--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -59,6 +59,8 @@
             incarnation=entry.incarnation_ms,
         )
     host.describe(entry)
+    if known is None:
+        host.leaving = state.is_ordered_away(host)
     if known is not None and known.capacity != entry.capacity:
         _log_resized(state, host, known.capacity)
         _bar_late_starts(host)
@@ -144,7 +146,7 @@
     host.renewing = False
     host.renew_at = now
     host.fence_due = True
-    host.leaving = state.has_open_order(host.id)
+    host.leaving = state.is_ordered_away(host)
 
 
 def send_due_calls(state: scheduling.State, now: float) -> None:
@@ -233,6 +235,7 @@
     kept = host.present or host.renewing or host.runs or host.late_starts
     if not kept:
         del state.hosts[host.id]
+        state.host_machines.pop(host.id, None)
 
 
 def renewal_failed(
--- a/azurewood/scheduling/machine_orders.py
+++ b/azurewood/scheduling/machine_orders.py
@@ -40,6 +40,13 @@
         self.completed = False
         self.reported = ""
 
+    def ends(self, machine: str, incarnation_ms: int) -> bool:
+        """Return whether a machine's order ends an incarnation of its host."""
+        if machine not in self.confirmed:
+            return True
+        last_ms = self.incarnations.get(machine, math.inf)
+        return machine not in self.returned and incarnation_ms <= last_ms
+
 
 class MachineMove:
     """A move of a machine to another pool, and its host before the move.
@@ -73,3 +80,8 @@
         self.refutable_at = refutable_at
         self.answered_at: float | None = None
         self.confirmed_at: float | None = None
+
+    def ends(self, incarnation_ms: int) -> bool:
+        """Return whether the move ends an incarnation of its host."""
+        confirmed = self.confirmed_at is not None
+        return not confirmed or incarnation_ms <= self.incarnation_ms
--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -113,11 +113,13 @@
         entry = state.machines.get(name)
         host = state.hosts.get(host_id)
         if host is None:
-            del state.host_machines[host_id]
+            # Its entry may be read after the order that ends it.
+            if entry is None or entry.host not in ("", host_id):
+                del state.host_machines[host_id]
             continue
         silent = host.entry is None or host.unresponsive_since is not None
         absent = silent or not host.present
-        if absent and _has_left(state, host, entry):
+        if absent and host.late_starts and _has_left(state, host, entry):
             state.bar_late_starts(host, at + limits.MAX_START_DELAY_S)
         if entry is None or not silent:
             continue
@@ -168,8 +170,9 @@
         placed_before=placed_before, last_incarnation_ms=last_ms
     )
     host_ends.end(state, host, proof, now)
-    if host.incarnation.began_ms > last_ms:
-        host.leaving = False
+    entry = state.machines.get(machine)
+    if entry is None or entry.host in ("", host.id):
+        host.leaving = state.is_ordered_away(host)
 
 
 def drive_waves(state: model.State, now: float, *, may_order: bool) -> None:
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -401,16 +401,25 @@
         after = self.order_after.get(machine, 0.0)
         return now >= max(after, self.no_order_before)
 
-    def has_open_order(self, host_id: str) -> bool:
-        """Return whether an order that ends a host isn't confirmed yet."""
-        moves = self.moving.values()
-        if any(m.host == host_id and m.confirmed_at is None for m in moves):
-            return True
-        return any(
-            ordered == host_id and machine not in wave.confirmed
-            for wave in self.waves.values()
-            for machine, ordered in wave.ordered.items()
-        )
+    def is_ordered_away(self, host: Host) -> bool:
+        """Return whether an order ends a host's incarnation, or has ended it.
+
+        A confirmed order has not ended a later incarnation than it was for.
+        """
+        began_ms = host.incarnation.began_ms
+        name = self.host_machines.get(host.id)
+        if name in self.moving:
+            move = self.moving[name]
+            if move.host == host.id and move.ends(began_ms):
+                return True
+        if not self.waves:
+            return False
+        for wave in self.waves.values():
+            if wave.ordered.get(name) != host.id:
+                continue
+            if wave.ends(name, began_ms):
+                return True
+        return False
 
     def awaiting_maintenance(self, machine: str) -> bool:
         """Return whether a wave took a machine down that isn't back yet."""
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -279,6 +279,9 @@
         elif _move_completed(state, entry, move):
             _host_ended(state, move, now)
             del state.moving[name]
+            host = state.hosts.get(entry.host)
+            if host is not None and host.id == move.host:
+                host.leaving = state.is_ordered_away(host)
         elif _move_refuted(state, entry, move):
             _cancel_move(state, name, move)
 
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -113,6 +113,8 @@
     wave = machine_orders.Wave(number=number, now=now)
     restoration.restore_wave(wave, record)
     state.waves[number] = wave
+    for name, host_id in wave.ordered.items():
+        state.host_machines.setdefault(host_id, name)
 
 
 def collect_effects(state: model.State, now: float) -> list[messages.Effect]:
--- a/tests/scheduling/test_orders_keep_ids.py
+++ b/tests/scheduling/test_orders_keep_ids.py
@@ -9,6 +9,7 @@
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import host_ends
 from azurewood.scheduling import machine_orders
+from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import pools
 from standins.fleet import world as worlds
 from tests.scheduling import deployment
@@ -60,6 +61,13 @@
     return host
 
 
+def _place_on_ordered_hosts(monkeypatch):
+    """Have hosts take tasks while an order may end them."""
+    monkeypatch.setattr(
+        scheduling.State, "is_ordered_away", lambda state, host: False
+    )
+
+
 def test_a_repeated_maintenance_order_ends_no_run_of_a_host_that_is_back(
     monkeypatch,
 ):
@@ -67,6 +75,13 @@
     assert host.runs
 
 
+def test_it_ends_none_either_if_tasks_are_placed_before_its_answer(
+    monkeypatch,
+):
+    _place_on_ordered_hosts(monkeypatch)
+    assert _maintain_under_two_leaders(monkeypatch).runs
+
+
 def test_runs_twice_if_its_incarnation_is_not_on_record(monkeypatch):
     usual = host_ends.end
 
@@ -75,6 +90,7 @@
             proof = dataclasses.replace(proof, last_incarnation_ms=math.inf)
         usual(state, host, proof, now)
 
+    _place_on_ordered_hosts(monkeypatch)
     monkeypatch.setattr(host_ends, "end", broken)
     with pytest.raises(AssertionError, match="twice"):
         _maintain_under_two_leaders(monkeypatch)
@@ -98,12 +114,20 @@
     assert _move().runs
 
 
+def test_it_ends_none_either_if_tasks_are_placed_before_it_is_over(
+    monkeypatch,
+):
+    _place_on_ordered_hosts(monkeypatch)
+    assert _move().runs
+
+
 def test_runs_twice_if_a_move_ends_every_incarnation(monkeypatch):
     usual = machine_orders.MachineMove
 
     def broken(*, incarnation_ms, **options):
         return usual(**options)
 
+    _place_on_ordered_hosts(monkeypatch)
     monkeypatch.setattr(machine_orders, "MachineMove", broken)
     with pytest.raises(AssertionError, match="twice"):
         _move()
