--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -315,5 +315,8 @@
         case messages.OrderResult.REFUSED:
             wave.confirmed[name] = now
             wave.returned.add(name)
+            host = state.hosts.get(wave.ordered[name])
+            if host is not None:
+                host.leaving = state.is_ordered_away(host)
         case messages.OrderResult.FENCED:
             state.emit(messages.StepDown(reason="fenced by a machine's order"))
--- a/tests/scheduling/test_ordered_away.py
+++ b/tests/scheduling/test_ordered_away.py
@@ -132,6 +132,16 @@
     assert not _see(state, AT + 2.0, BEGAN_MS + 1).leaving
 
 
+def test_a_host_whose_order_was_refused_takes_tasks_again():
+    """Guards against LOST: it was left out until the next leader."""
+    state = _state()
+    host = _see(state, AT)
+    sent = _maintain(state)
+    assert host.leaving
+    _answer(state, sent, messages.OrderResult.REFUSED, AT + 0.3)
+    assert not host.leaving
+
+
 def test_late_starts_of_a_host_end_with_it_that_was_seen_late():
     """Guards against LOST: its tasks waited 18 s for a host that is gone."""
     state = _state()
