--- a/azurewood/policy/restarts.py
+++ b/azurewood/policy/restarts.py
@@ -33,8 +33,8 @@
     """A start without an answer, and its host.
 
     ``takes_tasks`` is whether the host is known to go on in its incarnation
-    and isn't about to leave. A ``draining`` one goes on, has announced its
-    end, and won't return under its id.
+    and isn't about to leave. A ``draining`` one goes on and has announced its
+    end. That it won't return under its id is likely, not promised.
     ``repeatable`` is whether the same run may be started again: it is the
     task's newest one, and the host hasn't listed its end. If it has,
     ``next_run_at`` is when the next run may begin there, None if it may not.
@@ -101,7 +101,7 @@
 
     A run of the late start is on the host's first list after it, or ends
     with its lease. Users wait for a long-lived task, so it doesn't wait for a
-    draining host. One that the leader empties may still restart.
+    draining host, also if that may restart under its id like any other.
     """
     if _is_over(sent, now):
         return Anywhere()
--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -45,18 +45,6 @@
         state.bar_late_start(host, run.key)
 
 
-def on_missing(state: model.State, host: model.Host, run: model.Run) -> None:
-    """Forget an earlier leader's only start of a run that a host lacks.
-
-    The host refuses it in the incarnation that it was sent to, and has no
-    later one if it is draining.
-    """
-    same = run.incarnation_ms == host.incarnation.began_ms
-    draining = host.entry.state is not messages.HostState.READY
-    if run.inherited and run.starts_sent == 1 and same and draining:
-        state.bar_late_start(host, run.key)
-
-
 def where_to_start(
     state: model.State, task: jobstates.Task, now: float
 ) -> restarts.Where:
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -149,7 +149,6 @@
         elif runs.may_repeat_inherited_start(state, host, run):
             runs.repeat_inherited_start(state, host, run, now)
         else:
-            latestarts.on_missing(state, host, run)
             tasks.mark_run_gone(
                 state, host, run, "not on the host's list", now
             )
--- a/tests/scheduling/test_starts_before_contact.py
+++ b/tests/scheduling/test_starts_before_contact.py
@@ -17,6 +17,7 @@
 from azurewood.policy import restarts
 from azurewood.policy import withheld_ends as share_of_withheld_ends
 from azurewood.scheduling import latestarts
+from azurewood.scheduling import messages
 from azurewood.scheduling import progress
 from azurewood.scheduling import reducer
 from azurewood.scheduling import restoration
@@ -26,10 +27,14 @@
 from standins.fleet import hosts
 from standins.fleet import members
 from tests.scheduling import deployment
+from tests.scheduling import late_calls
 
 LATE_S = 6.0
 ACKNOWLEDGED_S = 4.0
 ONE = model.Step(count=1, needs=model.Resources(1000, 500, 0), estimate_ms=900)
+LASTING = model.Step(
+    count=1, needs=model.Resources(500, 500, 0), long_lived=True
+)
 GANG = model.Step(
     count=2,
     needs=model.Resources(1000, 500, 0),
@@ -184,19 +189,71 @@
     )
 
 
-def test_no_start_is_repeated_on_a_host_that_leaves(monkeypatch):
+def _inherit_a_start_on_a_draining_host(monkeypatch, step):
+    """Kill the leader once a start is late; its host drains from then on."""
     made, late = _world(monkeypatch)
-    made.submit(made.members[0], deployment.job(made, 1, ONE))
+    made.submit(made.members[0], deployment.job(made, 1, step))
     made.run(0.1)
     made.leaders()[0].kill()
     host = made.hosts[late[0]]
     host.draining = True
     made.publish_entry(host)
-    made.run(4.0)
+    made.run(3.0)
+    return made, host
+
+
+def test_no_start_is_repeated_on_a_host_that_leaves(monkeypatch):
+    made, host = _inherit_a_start_on_a_draining_host(monkeypatch, ONE)
+    assert not host.runs
+    host.crash(ordered=True)
+    machine = made.machines[host.machine]
+    down = messages.MachineState.DOWN
+    made._set_machine(machine.name, machine.pool, down, "")
+    made._remove_entry(host)
+    made.run(0.5)
+    made._back(machine)
+    made.run(1.9)
     deployment.check(made)
     assert made.rules.starts == 1
     assert deployment.phase(made, f"{1:016x}") is model.Phase.COMPLETED
+
+
+def test_a_lasting_task_does_not_wait_until_it_leaves(monkeypatch):
+    """Guards against LOST."""
+    made, host = _inherit_a_start_on_a_draining_host(monkeypatch, LASTING)
     assert not host.runs
+    assert len(made.rules.live(f"{1:016x}")) == 1
+
+
+def _restart_a_draining_host(monkeypatch):
+    """Restart it behind a cut, where its late start arrives first."""
+    made, host = _inherit_a_start_on_a_draining_host(monkeypatch, ONE)
+    made.run(1.5)
+    late_calls.restart(made, host, cut=True)
+    made.run(LATE_S)
+    made.cut_hosts.clear()
+    made.run(10.0)
+    deployment.check(made)
+    assert deployment.phase(made, f"{1:016x}") is model.Phase.COMPLETED
+
+
+def test_a_task_waits_for_a_late_start_on_a_draining_host(monkeypatch):
+    """Guards against TWICE: a draining host restarts under its id."""
+    _restart_a_draining_host(monkeypatch)
+
+
+def test_is_started_after_its_end_if_a_draining_host_counts_as_left(
+    monkeypatch,
+):
+    usual = tasks.mark_run_gone
+
+    def mark_run_gone(state, host, run, reason, now):
+        state.bar_late_start(host, run.key)
+        usual(state, host, run, reason, now)
+
+    monkeypatch.setattr(tasks, "mark_run_gone", mark_run_gone)
+    with pytest.raises(AssertionError, match="started after its end"):
+        _restart_a_draining_host(monkeypatch)
 
 
 def _share_acknowledged_in_time(monkeypatch, seed=1):
