--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -33,8 +33,9 @@
     if run.phase is model.RunPhase.STOPPING:
         _take_back(state, host, run, "not wanted before its start", now)
         return True
-    if now < run.retry_at:
-        # It has to wait for another run, listed while its record was stored.
+    if now < run.retry_at or host.unresponsive_since is not None:
+        # While its record was stored, its host has listed another run that
+        # has to end first, or has become silent. The start is due again then.
         run.call_open = False
         return True
     if host.over_capacity:
