--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -41,7 +41,8 @@
 
     One of several starts may still be under way.
     """
-    if run.starts_sent == 1 and not run.call_open:
+    under_way = run.call_open or run.start_waits
+    if run.starts_sent == 1 and not under_way:
         state.bar_late_start(host, run.key)
 
 
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -187,7 +187,7 @@
     has to end before the next one begins.
     """
     if not run.inherited:
-        if run.call_open or run.confirmed_at is None:
+        if run.call_open or run.start_waits or run.confirmed_at is None:
             return False
         if run.confirmed_at > event.sent_at:
             return False
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -39,7 +39,8 @@
     Until it is known to be gone, the run uses resources of the host.
     ``inherited`` runs were started by an earlier leader. ``incarnation_ms``
     identifies the incarnation of the host in which the run was started.
-    ``call_open`` is true while a start or stop call is unanswered.
+    ``call_open`` is true while a start or stop call is unanswered, and
+    ``start_waits`` while a start has not left yet, as a record is stored.
     ``confirmed_at`` is when the latest start or stop was confirmed, None
     while its outcome is unknown. ``crashes`` is how many crashes of hosts
     its task was suspected of when it was placed.
@@ -71,6 +72,7 @@
         "speed_changed_at",
         "speed_due_at",
         "speeds_overlap",
+        "start_waits",
         "starts_sent",
         "step",
         "task",
@@ -88,6 +90,7 @@
         self.began_at = now
         self.incarnation_ms = 0
         self.call_open = False
+        self.start_waits = False
         self.starts_sent = 0
         self.retry_at = 0.0
         self.confirmed_at: float | None = None
--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -21,7 +21,11 @@
             continue
         host = state.hosts.get(effect.host)
         run = host.runs.get((effect.task, effect.run)) if host else None
-        if run is not None and not _outdated(state, host, run, now):
+        if run is None:
+            continue
+        run.start_waits = False
+        if not _outdated(state, host, run, now):
+            run.call_open = True
             run.starts_sent += 1
             yield effect
 
@@ -36,7 +40,6 @@
     if now < run.retry_at or host.unresponsive_since is not None:
         # While its record was stored, its host has listed another run that
         # has to end first, or has become silent. The start is due again then.
-        run.call_open = False
         return True
     if host.over_capacity:
         # It has shrunk, maybe under an earlier leader.
@@ -53,7 +56,6 @@
     now: float,
 ) -> None:
     """Drop a run that never started, or stop it, as it may still begin."""
-    run.call_open = False
     if run.never_started:
         tasks.mark_run_gone(state, host, run, reason, now)
     else:
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -38,7 +38,15 @@
     run: scheduling.Run,
     now: float,
 ) -> None:
-    """Repeat a start or stop whose outcome is unknown."""
+    """Repeat a start or stop whose outcome is unknown.
+
+    A stop doesn't wait for a start that waits for its record, unless that is
+    the first one, which is dropped.
+    """
+    if run.start_waits and (
+        run.never_started or run.phase is not scheduling.RunPhase.STOPPING
+    ):
+        return
     match run.phase:
         case scheduling.RunPhase.STARTING if run.confirmed_at is None:
             if (
@@ -136,7 +144,7 @@
         lease_until_ms=clock + limits.LEASE_MS,
         ticket=advice.ticket(job, jobstates.step_key(run.task), host),
     )
-    run.call_open = True
+    run.start_waits = True
     host.leases_expire_at = max(
         host.leases_expire_at, now + limits.MAX_LEASE_S
     )
