--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -254,9 +254,14 @@
     if event.reason is messages.Refusal.DISCONNECTED:
         unresponsive.on_disconnected(state, host, now)
         return
+    overtaken = host.renewal_fence < host.fence
+    if event.reason is messages.Refusal.FENCE and overtaken:
+        # The host has this leader's own higher token.
+        host.renew_at = now
+        return
     host.answered = False
     match event.reason:
-        case messages.Refusal.FENCE if host.renewal_fence >= host.fence:
+        case messages.Refusal.FENCE:
             state.emit(messages.StepDown(reason=f"fenced by host {host.id}"))
         case messages.Refusal.OTHER_LIFE:
             runs.address_reused(state, host, now)
