--- a/azurewood/policy/restarts.py
+++ b/azurewood/policy/restarts.py
@@ -100,8 +100,8 @@
     """Return where a task may begin.
 
     A run of the late start is on the host's first list after it, or ends
-    with its lease. Users wait for a long-lived task, so it doesn't wait for a
-    draining host, also if that may restart under its id like any other.
+    with its lease. Users wait for a long-lived task, so in a calm time it
+    doesn't wait for a draining host, which may restart under its id as well.
     """
     if _is_over(sent, now):
         return Anywhere()
@@ -109,7 +109,7 @@
         return Again(host=sent.host, until=sent.expires_at)
     if sent.takes_tasks and long_lived and _may_follow(sent, now):
         return Only(host=sent.host, until=sent.expires_at)
-    if sent.draining and long_lived:
+    if sent.draining and long_lived and sent.calm:
         return Anywhere()
     return Nowhere(host=sent.host, until=sent.expires_at)
 
--- a/tests/scheduling/test_starts_before_contact.py
+++ b/tests/scheduling/test_starts_before_contact.py
@@ -221,6 +221,7 @@
 def test_a_lasting_task_does_not_wait_until_it_leaves(monkeypatch):
     """Guards against LOST."""
     made, host = _inherit_a_start_on_a_draining_host(monkeypatch, LASTING)
+    made.run(share_of_withheld_ends.CALM_S)
     assert not host.runs
     assert len(made.rules.live(f"{1:016x}")) == 1
 
