--- a/azurewood/scheduling/host_ends.py
+++ b/azurewood/scheduling/host_ends.py
@@ -85,13 +85,11 @@
     """
     if proof.is_crash:
         crashes.record(state, host, proof.reason, now)
-    if host.late_starts and isinstance(proof, AddressReused):
-        state.bar_late_starts(host)
-    if not host.runs:
-        return
     for run in list(host.runs.values()):
         if _has_ended(run, proof):
             tasks.mark_run_gone(state, host, run, proof.reason, now)
+    if host.late_starts and isinstance(proof, AddressReused):
+        state.bar_late_starts(host)
 
 
 def _has_ended(run: model.Run, proof: Proof) -> bool:
--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -46,6 +46,26 @@
         state.bar_late_start(host, run.key)
 
 
+def on_dropped(
+    state: model.State, host: model.Host, run: model.Run, now: float
+) -> None:
+    """Remember a start that is under way as its run is dropped.
+
+    The host may be back under its id by the time it is carried out.
+    """
+    if not run.start_open:
+        return
+    late = late_starts.LateStart(
+        host=host.id,
+        run=run.run,
+        incarnation_ms=run.incarnation_ms,
+        fence=host.fence,
+        possible_until=now + limits.MAX_START_DELAY_S,
+        gang=run.step.gang,
+    )
+    state.add_late_start(host, run.key, late)
+
+
 def where_to_start(
     state: model.State, task: jobstates.Task, now: float
 ) -> restarts.Where:
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -39,8 +39,8 @@
     Until it is known to be gone, the run uses resources of the host.
     ``inherited`` runs were started by an earlier leader. ``incarnation_ms``
     identifies the incarnation of the host in which the run was started.
-    ``call_open`` is true while a start or stop call is unanswered, and
-    ``start_waits`` while a start has not left yet, as a record is stored.
+    ``start_open`` and ``stop_open`` are true while such a call is unanswered,
+    and ``start_waits`` while a start has not left yet, as a record is stored.
     ``confirmed_at`` is when the latest start or stop was confirmed, None
     while its outcome is unknown. ``crashes`` is how many crashes of hosts
     its task was suspected of when it was placed.
@@ -55,7 +55,6 @@
 
     __slots__ = (
         "began_at",
-        "call_open",
         "confirmed_at",
         "crashes",
         "incarnation_ms",
@@ -72,9 +71,11 @@
         "speed_changed_at",
         "speed_due_at",
         "speeds_overlap",
+        "start_open",
         "start_waits",
         "starts_sent",
         "step",
+        "stop_open",
         "task",
     )
 
@@ -89,7 +90,8 @@
         self.crashes = 0
         self.began_at = now
         self.incarnation_ms = 0
-        self.call_open = False
+        self.start_open = False
+        self.stop_open = False
         self.start_waits = False
         self.starts_sent = 0
         self.retry_at = 0.0
@@ -109,6 +111,11 @@
         """The key of the run among the runs of a host."""
         return (self.task, self.run)
 
+    @property
+    def call_open(self) -> bool:
+        """Whether a start or stop call is unanswered."""
+        return self.start_open or self.stop_open
+
     @property
     def never_started(self) -> bool:
         """Whether no start of the run has left, under any leader."""
--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -25,7 +25,7 @@
             continue
         run.start_waits = False
         if not _outdated(state, host, run, now):
-            run.call_open = True
+            run.start_open = True
             run.starts_sent += 1
             yield effect
 
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -160,7 +160,7 @@
     run: scheduling.Run,
     now: float,
 ) -> None:
-    run.call_open = True
+    run.stop_open = True
     run.retry_at = now + CALL_RETRY_S
     state.emit(
         messages.StopRun(
@@ -186,7 +186,7 @@
     run = host.runs.get((event.task, event.run))
     if run is None:
         return
-    run.call_open = False
+    run.start_open = False
     current = event.incarnation_ms == host.incarnation.began_ms
     if event.clock_ms and current:
         host.incarnation.set_clock(event.clock_ms, now)
@@ -318,7 +318,7 @@
     run = host.runs.get((event.task, event.run)) if host else None
     if host is None or run is None:
         return
-    run.call_open = False
+    run.stop_open = False
     current = event.incarnation_ms == host.incarnation.began_ms
     match event.refusal:
         case messages.Refusal.FENCE if event.fence >= host.fence:
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -3,6 +3,7 @@
 from azurewood.jobs import model
 from azurewood.policy import arrivals
 from azurewood.scheduling import jobstates
+from azurewood.scheduling import latestarts
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 
@@ -147,6 +148,7 @@
 ) -> None:
     """Remove a run that certainly no longer exists; requeue its task."""
     host.remove(run)
+    latestarts.on_dropped(state, host, run, now)
     task = current_task(state, run)
     state.log_run(
         "run.gone",
