--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -132,9 +132,11 @@
 def on_stop_unanswered(host: model.Host, run: model.Run) -> None:
     """Let the next calls bar a start that may be as late as its run's stop.
 
-    The first call of any kind that arrives with a higher fencing token does.
+    The first call of any kind that arrives with a higher fencing token than
+    the start's does. Calls have it already if it was raised since.
     """
-    if may_be_late(host, run):
+    late = host.late_starts.get(run.key)
+    if late is not None and host.fence <= late.fence:
         host.fence_due = True
 
 
