--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from azurewood.conf import decoding
+from azurewood.incarnations import late_starts
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
@@ -118,6 +119,7 @@
 
     ``ended`` is whether the host has listed the end of its run. ``gang`` is
     whether the run is a member of a gang; an older record doesn't tell.
+    ``repeated`` is whether a further start of the run may leave after it.
     """
 
     job: str
@@ -129,6 +131,7 @@
     left_ms: int
     ended: bool = False
     gang: bool = True
+    repeated: bool = False
 
 
 class LateStartsProgress(
@@ -259,6 +262,7 @@
             _left_ms(late.possible_until, now),
             late.next_run_at is not None,
             late.gang,
+            _is_repeated(host, (task, run)),
         )
         for (task, run), late in host.late_starts.items()
     )
@@ -274,6 +278,11 @@
     )
 
 
+def _is_repeated(host: scheduling.Host, key: late_starts.RunKey) -> bool:
+    run = host.runs.get(key)
+    return run is not None and run.phase is scheduling.RunPhase.STARTING
+
+
 def _left_ms(until: float, now: float) -> int:
     return math.ceil(max(0.0, until - now) * 1000)
 
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -70,7 +70,9 @@
             case progress.LateStartsProgress():
                 at = progress.written_by(record, read_by, now)
                 host_id = key.removeprefix(progress.LATE_STARTS_PREFIX)
-                restoration.restore_late_starts(state, host_id, record, at)
+                restoration.restore_late_starts(
+                    state, host_id, record, at, now
+                )
             case None:
                 state.log_event("progress.unreadable", key=key)
     for job_id, job in state.jobs.items():
--- a/azurewood/scheduling/restoration.py
+++ b/azurewood/scheduling/restoration.py
@@ -16,12 +16,14 @@
     host_id: str,
     record: progress.LateStartsProgress,
     written_at: float,
+    now: float,
 ) -> None:
     """Restore an earlier leader's starts without an answer.
 
     The record was written by ``written_at``, so counting the remaining time
-    from then gives the latest time.
+    from then gives the latest time. A repeated start leaves after that.
     """
+    repeated_until = _late_until(written_at, now)
     host = state.host(host_id)
     if record.machine:
         state.host_machines.setdefault(host_id, record.machine)
@@ -38,11 +40,19 @@
             possible_until=written_at + row.left_ms / 1000,
             gang=row.gang,
         )
+        if row.repeated:
+            late.possible_until = max(late.possible_until, repeated_until)
         if row.ended:
             late.next_run_at = written_at + restarts.NEXT_RUN_PAUSE_S
         state.add_late_start(host, (task, row.run), late)
 
 
+def _late_until(written_at: float, now: float) -> float:
+    """Return when a start may be late that left once a record was stored."""
+    sent_by = min(now, written_at + progress.MAX_SAVE_S)
+    return sent_by + limits.MAX_START_DELAY_S
+
+
 def restore_job(
     state: scheduling.State,
     job: jobstates.JobState,
@@ -101,8 +111,7 @@
     No one saw whether they got an answer. Those that got none in time are on
     the record of their host, which has to be restored before.
     """
-    sent_by = min(now, written_at + progress.MAX_SAVE_S)
-    possible_until = sent_by + limits.MAX_START_DELAY_S
+    possible_until = _late_until(written_at, now)
     if possible_until < now:
         return
     for row in record.tasks:
