--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -41,7 +41,7 @@
 
     One of several starts may still be under way.
     """
-    under_way = run.call_open or run.start_waits
+    under_way = run.call_open or run.waiting_start is not None
     if run.starts_sent == 1 and not under_way:
         state.bar_late_start(host, run.key)
 
@@ -162,7 +162,7 @@
 
 
 def raise_fence(state: model.State, host: model.Host) -> None:
-    """Raise the fencing token of a host that has restarted, if possible."""
+    """Raise the fencing token of a host, if there is a higher one."""
     if state.fence > host.fence:
         host.fence = state.fence
         host.fence_due = False
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -187,7 +187,8 @@
     has to end before the next one begins.
     """
     if not run.inherited:
-        if run.call_open or run.start_waits or run.confirmed_at is None:
+        under_way = run.call_open or run.waiting_start is not None
+        if under_way or run.confirmed_at is None:
             return False
         if run.confirmed_at > event.sent_at:
             return False
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -39,8 +39,8 @@
     Until it is known to be gone, the run uses resources of the host.
     ``inherited`` runs were started by an earlier leader. ``incarnation_ms``
     identifies the incarnation of the host in which the run was started.
-    ``start_open`` and ``stop_open`` are true while such a call is unanswered,
-    and ``start_waits`` while a start has not left yet, as a record is stored.
+    ``start_open`` and ``stop_open`` are true while such a call is unanswered.
+    ``waiting_start`` is a start that has not left yet, as a record is stored.
     ``confirmed_at`` is when the latest start or stop was confirmed, None
     while its outcome is unknown. ``crashes`` is how many crashes of hosts
     its task was suspected of when it was placed.
@@ -72,11 +72,11 @@
         "speed_due_at",
         "speeds_overlap",
         "start_open",
-        "start_waits",
         "starts_sent",
         "step",
         "stop_open",
         "task",
+        "waiting_start",
     )
 
     def __init__(
@@ -92,7 +92,7 @@
         self.incarnation_ms = 0
         self.start_open = False
         self.stop_open = False
-        self.start_waits = False
+        self.waiting_start: messages.StartRun | None = None
         self.starts_sent = 0
         self.retry_at = 0.0
         self.confirmed_at: float | None = None
@@ -136,7 +136,8 @@
     the latest renewal, and ``renewals`` counts them. ``late_starts`` has
     the starts without an answer.
     ``fence`` is the fencing token of calls to the host. It is raised for
-    each incarnation; ``fence_due`` is true until that is done.
+    each incarnation, and to bar starts that may be late; ``fence_due`` is
+    true until that is done.
     Connections made by ``connected_by`` lead to the incarnation that sent
     the newest list, if to any; it is None once they are closed, until the
     next list. ``disconnected_at`` is when that was noticed last.
--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -21,9 +21,9 @@
             continue
         host = state.hosts.get(effect.host)
         run = host.runs.get((effect.task, effect.run)) if host else None
-        if run is None:
+        if run is None or run.waiting_start is not effect:
             continue
-        run.start_waits = False
+        run.waiting_start = None
         if not _outdated(state, host, run, now):
             run.start_open = True
             run.starts_sent += 1
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -43,7 +43,7 @@
     A stop doesn't wait for a start that waits for its record, unless that is
     the first one, which is dropped.
     """
-    if run.start_waits and (
+    if run.waiting_start is not None and (
         run.never_started or run.phase is not scheduling.RunPhase.STOPPING
     ):
         return
@@ -144,7 +144,7 @@
         lease_until_ms=clock + limits.LEASE_MS,
         ticket=advice.ticket(job, jobstates.step_key(run.task), host),
     )
-    run.start_waits = True
+    run.waiting_start = effect
     host.leases_expire_at = max(
         host.leases_expire_at, now + limits.MAX_LEASE_S
     )
--- a/tests/scheduling/test_forgotten_starts.py
+++ b/tests/scheduling/test_forgotten_starts.py
@@ -15,6 +15,7 @@
     count=1, needs=model.Resources(3000, 500, 0), estimate_ms=2000
 )
 SLOW_STORE = 60.0
+"""How many times as long the store takes."""
 LATE_S = 4.0
 
 
@@ -23,7 +24,7 @@
 
 
 def _world(monkeypatch):
-    """Return a world of one host whose first start is late."""
+    """Return a world of one host, a slow store and a late first start."""
     monkeypatch.setattr(members, "LATE_CALL_DELAY_S", (LATE_S, LATE_S))
     made = deployment.world(**{"s-one": 1})
     made.slow = SLOW_STORE
--- a/tests/scheduling/test_stops_that_wait.py
+++ b/tests/scheduling/test_stops_that_wait.py
@@ -53,7 +53,7 @@
     usual = runs.retry_call
 
     def retry_call(state, host, run, now):
-        if not run.start_waits:
+        if run.waiting_start is None:
             usual(state, host, run, now)
 
     monkeypatch.setattr(runs, "retry_call", retry_call)
