--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -165,7 +165,7 @@
             _renew_lease(host, state, now)
         for run in list(host.runs.values()):
             due = now >= run.retry_at and not host.fence_due
-            if due and not run.call_open:
+            if due and not (run.start_open or run.stop_open):
                 runs.retry_call(state, host, run, now)
         if host.unresponsive_since is not None:
             unresponsive.check_host(state, host, now)
--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -4,30 +4,28 @@
 stopped or lost, or its host may have shrunk below what it runs.
 """
 
-from collections import abc
-
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 from azurewood.scheduling import tasks
 
 
-def wanted(
-    state: model.State, effects: abc.Iterable[messages.Effect], now: float
-) -> abc.Iterator[messages.Effect]:
-    """Yield the effects that are still wanted, and count starts that leave."""
-    for effect in effects:
-        if not isinstance(effect, messages.StartRun):
-            yield effect
-            continue
-        host = state.hosts.get(effect.host)
-        run = host.runs.get((effect.task, effect.run)) if host else None
-        if run is None or run.waiting_start is not effect:
-            continue
-        run.waiting_start = None
-        if not _outdated(state, host, run, now):
-            run.start_open = True
-            run.starts_sent += 1
-            yield effect
+def may_leave(
+    state: model.State, effect: messages.StartRun, now: float
+) -> bool:
+    """Return whether a start leaves now, and count it if it does.
+
+    If not, its run is told: it is dropped, stopped, or asks again.
+    """
+    host = state.hosts.get(effect.host)
+    run = host.runs.get((effect.task, effect.run)) if host else None
+    if run is None or run.waiting_start is not effect:
+        return False
+    run.waiting_start = None
+    if _outdated(state, host, run, now):
+        return False
+    run.start_open = True
+    run.starts_sent += 1
+    return True
 
 
 def _outdated(
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -127,7 +127,12 @@
     effects, state.effects = state.effects, []
     effects = listings.apply_acknowledgements(effects, now)
     effects = unresponsive.apply_removals(state, effects, now)
-    return list(outgoing.wanted(state, effects, now))
+    return [
+        effect
+        for effect in effects
+        if not isinstance(effect, messages.StartRun)
+        or outgoing.may_leave(state, effect, now)
+    ]
 
 
 def handle_event(
