--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -155,10 +155,7 @@
             )
     unknown = [row for row in event.running if _key(row) not in host.runs]
     host.incarnation.unknown_runs = len(unknown)
-    for row in unknown:
-        if row.task.job not in state.unreadable_jobs:
-            _stop_unknown_run(state, host, row)
-            tasks.wait_for_other_run(state, row.task, now)
+    _stop_unknown_runs(state, host, unknown, now)
 
 
 def _key(row: messages.RunningRow) -> tuple:
@@ -201,6 +198,23 @@
     )
 
 
+def _stop_unknown_runs(
+    state: scheduling.State,
+    host: scheduling.Host,
+    unknown: list[messages.RunningRow],
+    now: float,
+) -> None:
+    """Stop the unknown runs that a host lists; starts wait for their end."""
+    unwanted = [
+        row for row in unknown if row.task.job not in state.unreadable_jobs
+    ]
+    for row in unwanted:
+        _stop_unknown_run(state, host, row)
+        tasks.wait_for_other_run(state, row.task, now)
+    if unwanted:
+        tasks.wait_for_room(host, now)
+
+
 def _stop_unknown_run(
     state: scheduling.State,
     host: scheduling.Host,
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -103,6 +103,16 @@
         run.retry_at = max(run.retry_at, now + STOP_PAUSE_S)
 
 
+def wait_for_room(host: scheduling.Host, now: float) -> None:
+    """Send a host no start before the runs that it is told to stop are over.
+
+    They use its resources, and what they use may not be known any more.
+    """
+    for run in host.runs.values():
+        if run.phase is scheduling.RunPhase.STARTING:
+            run.retry_at = max(run.retry_at, now + STOP_PAUSE_S)
+
+
 def current_task(
     state: scheduling.State, run: scheduling.Run
 ) -> jobstates.Task | None:
