--- a/tests/scheduling/restarted_hosts.py
+++ b/tests/scheduling/restarted_hosts.py
@@ -21,6 +21,10 @@
 LONG = model.Step(
     count=4, needs=model.Resources(500, 500, 0), estimate_ms=2500
 )
+GANG = model.Step(
+    count=3, needs=model.Resources(700, 500, 0), estimate_ms=1500, gang=True
+)
+SHAPES = ((), (LONG,), (deployment.LONG_LIVED,))
 STEPS = 60
 PAUSES_S = (0.05, 0.2, 0.5)
 LATE_SHARES = (0.1, 0.3, 0.5)
@@ -41,7 +45,8 @@
     after the leader has learnt of its incarnation; before, the host has
     nothing to refuse them by. With ``late_renewals``, a part of the lease
     renewals is late as well. With ``kept_cursors``, hosts also forget ends
-    that come after the renewal that acknowledges their numbers.
+    that come after the renewal that acknowledges their numbers. With
+    ``gangs`` half of the jobs are gangs.
     """
 
     late: bool = True
@@ -51,6 +56,7 @@
     met: bool = False
     late_renewals: bool = False
     kept_cursors: bool = False
+    gangs: bool = False
 
 
 MODES = {
@@ -65,6 +71,10 @@
     "reborn-met": Mode(reborn=True, met=True),
     "all-met": Mode(disturbed=True, met=True),
     "all-reborn-met": Mode(reborn=True, disturbed=True, met=True),
+    "gangs": Mode(gangs=True),
+    "gangs-reborn": Mode(gangs=True, reborn=True),
+    "gangs-all": Mode(gangs=True, disturbed=True),
+    "gangs-all-reborn": Mode(gangs=True, reborn=True, disturbed=True),
 }
 HAND_MODES = {
     "late-renewals": Mode(late=False, late_renewals=True),
@@ -119,7 +129,10 @@
 
     def _submit(self) -> None:
         self._jobs += 1
-        steps = self._random.choice(((), (LONG,), (deployment.LONG_LIVED,)))
+        shapes = SHAPES
+        if self._mode.gangs:
+            shapes += ((GANG,),) * len(SHAPES)
+        steps = self._random.choice(shapes)
         job = deployment.job(self.made, self._jobs, *steps)
         self.made.submit(self._random.choice(self.made.members), job)
 
--- a/tests/scheduling/test_restarted_hosts.py
+++ b/tests/scheduling/test_restarted_hosts.py
@@ -9,20 +9,26 @@
 from tests.scheduling import restarted_hosts
 
 SEEDS = 40
-MET_SEEDS = 20
+FEWER_SEEDS = 20
+"""Seeds of the modes with met hosts, and with gangs."""
 
 
 @pytest.mark.parametrize("name", restarted_hosts.MODES)
 def test_rules_hold(name):
     mode = restarted_hosts.MODES[name]
     broken = {}
-    for seed in range(MET_SEEDS if mode.met else SEEDS):
+    for seed in range(FEWER_SEEDS if mode.met or mode.gangs else SEEDS):
         breaches = restarted_hosts.Course(seed=seed, mode=mode).play()
         if breaches:
             broken[seed] = str(breaches[0])
     assert not broken
 
 
+def test_no_room_is_exceeded_beside_an_unwanted_run_of_a_late_start():
+    mode = restarted_hosts.MODES["gangs-reborn"]
+    assert not restarted_hosts.Course(seed=35, mode=mode).play()
+
+
 @pytest.mark.parametrize(
     ("name", "seed"),
     (("all", 12040), ("all-reborn", 12070), ("late-down", 12077)),
