--- a/azurewood/scheduling/host_ends.py
+++ b/azurewood/scheduling/host_ends.py
@@ -9,6 +9,7 @@
 import typing
 
 from azurewood.scheduling import crashes
+from azurewood.scheduling import latestarts
 from azurewood.scheduling import model
 from azurewood.scheduling import tasks
 
@@ -66,7 +67,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class AddressReused:
-    """Another host answers at the host's address."""
+    """Another host answers at the host's address.
+
+    Its host may be back under its id, at any address.
+    """
 
     reason: typing.ClassVar[str] = "another host has its address"
     is_crash: typing.ClassVar[bool] = True
@@ -85,13 +89,23 @@
     """
     if proof.is_crash:
         crashes.record(state, host, proof.reason, now)
-    if host.late_starts and isinstance(proof, AddressReused):
-        state.bar_late_starts(host)
     if not host.runs:
         return
     for run in list(host.runs.values()):
-        if _has_ended(run, proof):
-            tasks.mark_run_gone(state, host, run, proof.reason, now)
+        if not _has_ended(run, proof):
+            continue
+        if run.call_open and run.starts_sent and may_return(proof):
+            latestarts.note(state, host, run, now)
+        tasks.mark_run_gone(state, host, run, proof.reason, now)
+
+
+def may_return(proof: Proof) -> bool:
+    """Return whether the host may be back under its id.
+
+    A start that is under way may be carried out by then. Only a later list of
+    machines shows that it can't be.
+    """
+    return not isinstance(proof, Replaced)
 
 
 def _has_ended(run: model.Run, proof: Proof) -> bool:
--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -36,6 +36,20 @@
     return run.key in host.late_starts
 
 
+def note(
+    state: model.State, host: model.Host, run: model.Run, now: float
+) -> None:
+    """Note a start of a run whose answer has not come as one without any."""
+    late = late_starts.LateStart(
+        host=host.id,
+        run=run.run,
+        incarnation_ms=run.incarnation_ms,
+        fence=host.fence,
+        possible_until=now + limits.MAX_START_DELAY_S,
+    )
+    state.add_late_start(host, run.key, late)
+
+
 def on_listed(state: model.State, host: model.Host, run: model.Run) -> None:
     """Forget the start of a run that exists or has ended, if it is the only.
 
