--- a/tests/soak/base.py
+++ b/tests/soak/base.py
@@ -16,6 +16,7 @@
 
 from azurewood.jobs import catalog
 from azurewood.journal import pages
+from azurewood.scheduling import messages
 from standins import processes
 from tests.platform import standin
 from tests.platform import test_daemons
@@ -43,6 +44,8 @@
 A request lost within this time of being sent counts as not read. Kills are
 matched to lost requests with the same margin.
 """
+BACK_S = 1.0
+"""Time from a host's leaving until its machine has a new one."""
 SETTLE_TIMEOUT_S = 25.0
 """Covers a daemon restart, the expiry of an unresponsive host's leases
 (6.4 s) and the longest job."""
@@ -155,6 +158,7 @@
             observations=self._observations,
             queue=QUEUE,
             path=PATH,
+            cancel_share=plan.cancel_share(self.seed),
         )
         thread = threading.Thread(
             target=caller.run,
@@ -202,6 +206,11 @@
             case plan.Late():
                 self._server.late = fault
                 self._schedule(fault.for_s, lambda: self._end_late(fault))
+            case plan.Drain():
+                self._drain_host(fault)
+            case plan.Slow(append_s=seconds):
+                self._server.append_s = seconds
+                self._schedule(fault.for_s, self._end_slow)
             case plan.Reset():
                 begun = self._server.resets.faults
                 begun.append(fault)
@@ -326,6 +335,47 @@
             if host.up:
                 self._server.world.publish_entry(host)
 
+    def _drain_host(self, fault):
+        world = self._server.world
+        with self._server.lock:
+            self._server.advance()
+            machine = world.machines[self._machines[fault.number]]
+            host = world.hosts.get(machine.host)
+            if host is None or not host.up or host.draining:
+                return
+            self._server.note(f"{host.id} {fault}")
+            host.draining = True
+            world.publish_entry(host)
+        self._schedule(fault.for_s, lambda: self._leave(host, fault.number))
+
+    def _leave(self, host, number):
+        """Let a draining host leave, unless it was ordered away before."""
+        world = self._server.world
+        link = self._proxy.links[f"machine-{number}"]
+        with self._server.lock:
+            self._server.advance()
+            machine = world.machines[host.machine]
+            if machine.host != host.id or not (host.up and host.draining):
+                return
+            self._server.note(f"{host.id} leaves")
+            host.crash(ordered=True)
+            down = messages.MachineState.DOWN
+            world._set_machine(machine.name, machine.pool, down, "")
+            world._remove_entry(host)
+        link.open = False
+        self._proxy.reset(link.name)
+        self._schedule(BACK_S, lambda: self._bring_back(machine, link))
+
+    def _bring_back(self, machine, link):
+        with self._server.lock:
+            self._server.advance()
+            link.open = True
+            self._server.world._back(machine)
+            self._server.advance()
+
+    def _end_slow(self):
+        self._server.append_s = platform.APPEND_DELAY_S
+
     def _end_late(self, fault):
         if self._server.late is fault:
             self._server.late = None
@@ -336,6 +386,7 @@
         for link in self._proxy.links.values():
             link.restore()
         self._restore_store()
+        self._end_slow()
         self._server.late = None
         self._server.resets.faults.clear()
         for daemon in self._daemons:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -43,8 +43,19 @@
 class Caller:
     """One caller with a persistent connection to one daemon at a time."""
 
-    def __init__(self, *, seed, addresses, server, observations, queue, path):
+    def __init__(
+        self,
+        *,
+        seed,
+        addresses,
+        server,
+        observations,
+        queue,
+        path,
+        cancel_share=0.0,
+    ):
         self._rng = random.Random(seed)
+        self._cancel_share = cancel_share
         self._addresses = addresses
         self._server = server
         self._observations = observations
@@ -62,7 +73,7 @@
                 mine.append(job_id)
             for job_id in self._rng.sample(mine, min(2, len(mine))):
                 self._read_state(job_id)
-            if mine and self._rng.random() < 0.1:
+            if mine and self._rng.random() < self._cancel_share:
                 self._cancel(self._rng.choice(mine))
         if self._conn is not None:
             self._conn.close()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -90,6 +90,27 @@
     share: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Drain:
+    """A host announces that it drains, and leaves ``for_s`` later.
+
+    Its machine has a new host a second after that.
+    """
+
+    at: float
+    for_s: float
+    number: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Slow:
+    """Each append to the store takes ``append_s``."""
+
+    at: float
+    for_s: float
+    append_s: float
+
+
 FIRST_RESTART_SEED = 1000
 """Seeds from here on also draw ``Restart`` and ``Late``.
 
@@ -105,6 +126,11 @@
 
 What late calls break is not mixed with what resets break.
 """
+FIRST_DRAIN_SEED = 700_000
+"""Seeds from here on draw ``Drain`` and ``Slow`` beside late starts and stops.
+
+Callers cancel more. No ``Reset`` is drawn, and even ones draw no ``Restart``.
+"""
 SIGNALS = ("kill", "pause", "stop", "reload")
 CUTS = ("delay", "reset", "requests", "answers", "silence", "refuse")
 STORES = ("no-appends", "down", "forget")
@@ -132,18 +158,44 @@
         faults.append(_draw_fault(rng, at, daemons, machines))
         if rng.random() < 0.3:
             faults.append(dataclasses.replace(faults[-1], at=at + 0.7))
+    drains = seed >= FIRST_DRAIN_SEED
     if seed >= FIRST_RESTART_SEED:
         kinds = ("orders",)
-        if seed >= FIRST_LATE_RENEWAL_SEED:
+        if seed >= FIRST_LATE_RENEWAL_SEED and not drains:
             kinds = ("orders", "calls")
         faults += _draw_restarts(rng, seconds, machines, kinds)
-    if seed >= FIRST_RESET_SEED:
+    if drains:
+        if seed % 2 == 0:
+            faults = [f for f in faults if not isinstance(f, Restart)]
+        faults += _draw_drains(rng, seconds, machines)
+    elif seed >= FIRST_RESET_SEED:
         if seed % 2 == 0:
             faults = [f for f in faults if not isinstance(f, Late)]
         faults += _draw_resets(rng, seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def cancel_share(seed):
+    """Return how often callers cancel a job, by turns of their loop."""
+    return 0.3 if seed >= FIRST_DRAIN_SEED else 0.1
+
+
+def _draw_drains(rng, seconds, machines):
+    """Draw hosts that drain, and times in which the store is slow."""
+    for _ in range(rng.randint(3, 7)):
+        yield Drain(
+            at=round(rng.uniform(1.0, seconds - 1.0), 2),
+            for_s=round(rng.uniform(2.0, 8.0), 2),
+            number=rng.randrange(machines),
+        )
+    for _ in range(rng.randint(1, 3)):
+        yield Slow(
+            at=round(rng.uniform(1.0, seconds - 1.0), 2),
+            for_s=round(rng.uniform(2.0, 8.0), 2),
+            append_s=rng.choice((0.1, 0.3, 0.6)),
+        )
+
+
 def _draw_resets(rng, seconds):
     """Draw times in which calls are reset."""
     for _ in range(rng.randint(3, 6)):
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -64,6 +64,7 @@
     def __init__(self, *, ip, port, pools):
         self.links = {}
         self.late = None
+        self.append_s = APPEND_DELAY_S
         self.trace = []
         self.resets = resets.Resets(note=self.note)
         self.late_starts = {}
@@ -118,7 +119,7 @@
     def _carry_out(self, req):
         if req.path not in HOST_CALLS:
             if req.path == "/api/log-append":
-                time.sleep(APPEND_DELAY_S)
+                time.sleep(self.append_s)
             return super()._answer(req)
         with self.lock:
             self.advance()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -195,6 +195,37 @@
     assert "reset, carried out: True" in trace
 
 
+def test_later_seeds_drain_hosts_beside_late_starts_and_a_slow_store():
+    first = plan.FIRST_DRAIN_SEED
+    restarted = set()
+    for seed in range(first, first + 50):
+        faults = plan.draw(seed, seconds=20.0, daemons=4, machines=6)
+        kinds = {type(fault) for fault in faults}
+        assert {plan.Drain, plan.Slow, plan.Late} <= kinds
+        assert plan.Reset not in kinds
+        if plan.Restart in kinds:
+            restarted.add(seed)
+    assert restarted == set(range(first + 1, first + 50, 2))
+    assert plan.cancel_share(first) > plan.cancel_share(first - 1)
+
+
+def test_a_draining_host_leaves_and_is_replaced(tmp_path):
+    drains = [plan.Drain(at=2.0, for_s=2.0, number=n) for n in range(2)]
+    slow = plan.Slow(at=2.0, for_s=2.0, append_s=0.3)
+    result = base.play(
+        seed=700_000,
+        folder=tmp_path,
+        seconds=8.0,
+        daemons=3,
+        faults=[*drains, slow],
+    )
+    trace = (tmp_path / "hosts.trace").read_text(encoding="utf-8")
+    left = re.findall(r"^[\d.]+ (h\d+) leaves$", trace, re.MULTILINE)
+    assert left
+    assert result.findings == []
+    assert result.accepted
+
+
 @pytest.mark.timeout(FALSE_ANSWERS_TIMEOUT_S)
 def test_false_answers_are_found(tmp_path):
     """Each play shows some of them, by the moments of its calls."""
