--- a/azurewood/scheduling/host_ends.py
+++ b/azurewood/scheduling/host_ends.py
@@ -66,7 +66,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class AddressReused:
-    """Another host answers at the host's address."""
+    """Another host answers at the host's address.
+
+    Its host may be back under its id, at any address.
+    """
 
     reason: typing.ClassVar[str] = "another host has its address"
     is_crash: typing.ClassVar[bool] = True
@@ -87,9 +90,11 @@
         crashes.record(state, host, proof.reason, now)
     for run in list(host.runs.values()):
         if _has_ended(run, proof):
-            tasks.mark_run_gone(state, host, run, proof.reason, now)
-    if host.late_starts and isinstance(proof, AddressReused):
-        state.bar_late_starts(host)
+            # Only a list that names another host shows that it won't return.
+            may_return = not isinstance(proof, Replaced)
+            tasks.mark_run_gone(
+                state, host, run, proof.reason, now, may_return=may_return
+            )
 
 
 def _has_ended(run: model.Run, proof: Proof) -> bool:
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -155,10 +155,17 @@
     run: scheduling.Run,
     reason: str,
     now: float,
+    *,
+    may_return: bool = True,
 ) -> None:
-    """Remove a run that certainly no longer exists; requeue its task."""
+    """Remove a run that certainly no longer exists; requeue its task.
+
+    A start of it that is under way may be carried out if its host
+    ``may_return`` under its id.
+    """
     host.remove(run)
-    latestarts.on_dropped(state, host, run, now)
+    if may_return:
+        latestarts.on_dropped(state, host, run, now)
     task = current_task(state, run)
     state.log_run(
         "run.gone",
--- a/tests/scheduling/test_starts_before_contact.py
+++ b/tests/scheduling/test_starts_before_contact.py
@@ -248,9 +248,9 @@
 ):
     usual = tasks.mark_run_gone
 
-    def mark_run_gone(state, host, run, reason, now):
+    def mark_run_gone(state, host, run, reason, now, **options):
         state.bar_late_start(host, run.key)
-        usual(state, host, run, reason, now)
+        usual(state, host, run, reason, now, **options)
 
     monkeypatch.setattr(tasks, "mark_run_gone", mark_run_gone)
     with pytest.raises(AssertionError, match="started after its end"):
