--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -295,7 +295,10 @@
     now: float,
 ) -> int:
     """Place all tasks of a gang at once or none; return how many."""
-    if any(task.phase is not jobstates.TaskPhase.WAITING for task in tasks):
+    if any(
+        task.phase is not jobstates.TaskPhase.WAITING or now < task.waits_until
+        for task in tasks
+    ):
         return 0
     step = job.step_of(tasks[0].id)
     for group in _gang_candidates(host_index.hosts, step, allowed):
--- a/tests/scheduling/test_gangs.py
+++ b/tests/scheduling/test_gangs.py
@@ -1,6 +1,7 @@
 """Gangs on the simulated hosts: they work whole, and end together."""
 
 from azurewood.jobs import model
+from azurewood.scheduling import tasks
 from tests.scheduling import deployment
 
 GANG = model.Step(
@@ -71,3 +72,21 @@
     ends = _play(at=0.0, change=_cut_off)
     assert ends[0] == (1, "alone")
     assert ends[-2:] == DONE
+
+
+def test_a_gang_waits_until_another_run_of_a_member_has_been_stopped():
+    made = deployment.world(**{"s-one": 2})
+    full = model.Step(
+        count=2, needs=model.Resources(4000, 500, 0), estimate_ms=900
+    )
+    made.submit(made.members[0], deployment.job(made, 1, full))
+    made.submit(made.members[0], deployment.job(made, 2, GANG))
+    made.run(0.7)
+    state = made.leaders()[0].member.term.state
+    member = model.TaskId(f"{2:016x}", 0, 0, 0)
+    tasks.wait_for_other_run(state, member, made.clock.now)
+    made.run(0.9)
+    assert deployment.phase(made, f"{1:016x}") is model.Phase.COMPLETED
+    assert not deployment.running_tasks(made, member.job)
+    made.run(2.0)
+    assert deployment.phase(made, member.job) is model.Phase.COMPLETED
