--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -230,13 +230,4 @@
         incarnation=host.incarnation.began_ms,
         percent=row.percent,
     )
-    state.emit(
-        messages.StopRun(
-            host=host.id,
-            address=host.entry.address,
-            fence=host.fence,
-            incarnation_ms=host.incarnation.began_ms,
-            task=row.task,
-            run=row.run,
-        )
-    )
+    state.emit(runs.stop_call(host, row.task, row.run))
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -10,6 +10,7 @@
 
 from azurewood.incarnations import late_starts
 from azurewood.incarnations import limits
+from azurewood.jobs import model
 from azurewood.scheduling import advice
 from azurewood.scheduling import host_ends
 from azurewood.scheduling import jobstates
@@ -162,15 +163,20 @@
 ) -> None:
     run.stop_open = True
     run.retry_at = now + CALL_RETRY_S
-    state.emit(
-        messages.StopRun(
-            host=host.id,
-            address=host.entry.address,
-            fence=host.fence,
-            incarnation_ms=host.incarnation.began_ms,
-            task=run.task,
-            run=run.run,
-        )
+    state.emit(stop_call(host, run.task, run.run))
+
+
+def stop_call(
+    host: scheduling.Host, task: model.TaskId, run: int
+) -> messages.StopRun:
+    """Return the call that stops a run on a host."""
+    return messages.StopRun(
+        host=host.id,
+        address=host.entry.address,
+        fence=host.fence,
+        incarnation_ms=host.incarnation.began_ms,
+        task=task,
+        run=run,
     )
 
 
