--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -423,18 +423,13 @@
         """
         began_ms = host.incarnation.began_ms
         name = self.host_machines.get(host.id)
-        if name in self.moving:
-            move = self.moving[name]
-            if move.host == host.id and move.ends(began_ms):
-                return True
-        if not self.waves:
-            return False
-        for wave in self.waves.values():
-            if wave.ordered.get(name) != host.id:
-                continue
-            if wave.ends(name, began_ms):
-                return True
-        return False
+        move = self.moving.get(name)
+        if move is not None and move.host == host.id and move.ends(began_ms):
+            return True
+        return any(
+            wave.ordered.get(name) == host.id and wave.ends(name, began_ms)
+            for wave in self.waves.values()
+        )
 
     def awaiting_maintenance(self, machine: str) -> bool:
         """Return whether a wave took a machine down that isn't back yet."""
--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -1,7 +1,8 @@
 """The last look at starts before they leave, which may have waited.
 
 A start waits while a record is stored. Meanwhile its run may have been
-stopped or lost, or its host may have shrunk below what it runs.
+stopped or lost, or its host may have shrunk below what it runs. Such a start
+is taken back.
 """
 
 from azurewood.scheduling import messages
@@ -14,7 +15,7 @@
 ) -> bool:
     """Return whether a start leaves now, and count it if it does.
 
-    If not, its run is told: it is dropped, stopped, or asks again.
+    If it doesn't, its run has been dropped or stopped, or is to start later.
     """
     host = state.hosts.get(effect.host)
     run = host.runs.get((effect.task, effect.run)) if host else None
