--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -164,10 +164,12 @@
         if not host.renewing and now >= host.renew_at:
             _renew_lease(host, state, now)
         for run in list(host.runs.values()):
+            if run.phase is scheduling.RunPhase.RUNNING:
+                continue
             due = now >= run.retry_at and not host.fence_due
             if due and not (run.start_open or run.stop_open):
                 runs.retry_call(state, host, run, now)
-        if host.unresponsive_since is not None:
+        if host.runs and host.unresponsive_since is not None:
             unresponsive.check_host(state, host, now)
         if now > host.leases_expire_at:
             _expire_leases(state, host, now)
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -154,7 +154,8 @@
             )
     unknown = [row for row in event.running if _key(row) not in host.runs]
     host.incarnation.unknown_runs = len(unknown)
-    _stop_unknown_runs(state, host, unknown, now)
+    if unknown:
+        _stop_unknown_runs(state, host, unknown, now)
 
 
 def _key(row: messages.RunningRow) -> tuple:
--- a/azurewood/scheduling/unresponsive.py
+++ b/azurewood/scheduling/unresponsive.py
@@ -27,7 +27,7 @@
 
 
 def check_host(state: model.State, host: model.Host, now: float) -> None:
-    """Request a new record if a host has newly become unresponsive."""
+    """Request a new record if a host with runs is newly unresponsive."""
     if host.id not in state.recorded_unresponsive and _belongs_on_record(
         state, host, now
     ):
