--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A wave takes both machines of a small pool, whose lasting job must stay."""
+"""A job that repeats has run some thousands of work items."""
 
 import pathlib
 import sys
@@ -9,109 +9,71 @@
 
 import world as worlds  # noqa: E402
 
-JOB = "00000000000000a1"
-OTHER = "00000000000000b1"
-LATER = "00000000000000c1"
-COUNT = 5
-OTHER_COUNT = 3
-FINISH_BY_S = 24.0
-CALM_S = 7.0
-"""The 3 s and the 4 s before them, which have to be calm."""
-IDLE_S = 3.0
-LOOK_S = 12.0
+TIMED = "00000000000000d0"
+LATER = [f"00000000000000e{number}" for number in range(4)]
+WIDTH = 24
+TIMES = 400
+CALM_TIMES = 100
+INTERVAL_MS = 110
+FINISH_S = 14.0
+STALL_S = 6.0
 
 
-def lasting(count, cpu, **more):
-    """Return a job of work items that last, one of which may be away."""
-    step = {
-        "count": count,
-        "cpu": cpu,
-        "mem_mb": 1000,
-        "est_ms": 900,
-        "long_running": True,
-        "max_unavailable": 1,
-        **more,
-    }
-    return {"spec": "serve", "steps": [step]}
-
-
-def timed():
-    """Return a small job that ends."""
-    step = {"count": 1, "cpu": 3500, "mem_mb": 1000, "est_ms": 800}
-    return {"spec": "quote", "steps": [step]}
-
-
-def names(job, count):
-    """Return the names of a job's work items."""
-    return {f"{job}.0.0.{index}" for index in range(count)}
+def job(count, cpu, est_ms, **more):
+    """Return a job of one step."""
+    step = {"count": count, "cpu": cpu, "mem_mb": 10, "est_ms": est_ms}
+    return {"spec": "scan", "steps": [step], **more}
 
 
 def case(world, trouble):
-    """Return whether each work item that lasts was run."""
-    for name in ("m-1", "m-2"):
-        world.add_machine(name, "quoting", rack="r1")
-    for name in ("m-3", "m-4"):
-        world.add_machine(name, "certs", rack="r2")
-    world.add_machine("m-5", "backoffice", rack="r3")
+    """Return whether all accepted jobs are done."""
+    for number in (1, 2):
+        world.add_machine(f"m-{number}", "inspection", rack="r1")
+    for number in (3, 4):
+        world.add_machine(f"m-{number}", "quoting", rack="r2")
     world.configure(
-        {"qq": {"service": "quoting"}, "cc": {"service": "certs"}},
+        {"ii": {"service": "inspection"}, "qq": {"service": "quoting"}},
         [
+            {"name": "inspection"},
             {"name": "quoting"},
-            {"name": "certs"},
             {"name": "backoffice", "standby": True},
         ],
     )
-    daemons = [world.add_daemon(f"127.0.61.{n}") for n in (1, 2, 3)]
+    daemons = [world.add_daemon(f"127.0.65.{n}") for n in (1, 2, 3)]
     world.wait(world.leader, 20, "no daemon leads")
-    first = daemons[0]
-    world.wait(
-        lambda: first.submit("cc", OTHER, lasting(OTHER_COUNT, 40000)) == 200,
-        10,
-        "the other job was not accepted",
+    times = TIMES if trouble else CALM_TIMES
+    body = job(
+        WIDTH,
+        500,
+        100,
+        repeat_count=times,
+        start_ms=int(time.time() * 1000) + 2000,
+        interval_ms=INTERVAL_MS,
     )
     world.wait(
-        lambda: (
-            first.submit("qq", JOB, lasting(COUNT, 4000, anti_affinity=3))
-            == 200
-        ),
+        lambda: daemons[0].submit("ii", TIMED, body) == 200,
         10,
-        "the job was not accepted",
+        "the timed job was not accepted",
     )
-    wanted = names(JOB, COUNT)
-    everything = wanted | names(OTHER, OTHER_COUNT)
-    world.wait(lambda: everything <= world.running(), 20, "not all is at work")
-    world.note("all work items are at work")
-    time.sleep(2.0)
-    if trouble:
-        world.request_wave(
-            1, ["m-1", "m-2"], max_count=1, finish_by_s=int(FINISH_BY_S)
-        )
-    time.sleep(2.0)
-    if first.submit("qq", LATER, timed()) != 200:
-        raise worlds.CannotRun("a later job was not accepted")
-    time.sleep(FINISH_BY_S + CALM_S - 2.0)
-    held = is_run(world, wanted)
-    return first.state("qq", LATER) == "completed" and held
-
-
-def is_run(world, wanted):
-    """Return whether no work item is without a run for three seconds."""
-    idle_since = {}
-    longest = 0.0
-    until = time.monotonic() + LOOK_S
-    while time.monotonic() < until:
-        now = time.monotonic()
-        idle = wanted - world.running()
-        idle_since = {name: idle_since.get(name, now) for name in idle}
-        for since in idle_since.values():
-            longest = max(longest, now - since)
-        time.sleep(0.05)
-    world.note(f"without a run at the end: {sorted(idle_since)}")
-    world.note(f"longest time without a run while calm: {longest:.1f} s")
-    for name, found in sorted(world.machines.items()):
-        world.note(f"machine {name}: {found['state']} in {found['pool']}")
-    world.note(f"status/wave/1: {world.store.value('keyed.status', 'wave/1')}")
-    return longest < IDLE_S
+    wait_for_starts(world, times * WIDTH)
+    for later in LATER:
+        if daemons[1].submit("qq", later, job(1, 3500, 800)) != 200:
+            raise worlds.CannotRun("a later job was not accepted")
+    time.sleep(FINISH_S)
+    states = [daemons[2].state("qq", later) for later in LATER]
+    states.append(daemons[2].state("ii", TIMED))
+    world.note(f"{len(world.started)} starts; states {states}")
+    return all(state == "completed" for state in states)
+
+
+def wait_for_starts(world, count):
+    """Wait until so many work items have started, or none does any more."""
+    known, since = 0, time.monotonic()
+    while known < count and time.monotonic() < since + STALL_S:
+        time.sleep(0.2)
+        if len(world.started) > known:
+            known, since = len(world.started), time.monotonic()
+    world.note(f"{known} work items of the timed job have started")
 
 
 if __name__ == "__main__":
