review: show a work item that runs again after its noted end (case 6)

The leader gives up withholding an end after some 5 s if many later ends of the worker wait behind it, although an unanswered start of the same work item may be carried out for 5 s more. A worker that restarts behind a cut in that time carries it out in a lifetime that knows nothing of the run (TWICE).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,8 @@
-"""A job that repeats has run some thousands of work items."""
+"""A late start reaches a later lifetime, after its work item's end."""
 
 import pathlib
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -9,71 +10,115 @@
 
 import world as worlds  # noqa: E402
 
-TIMED = "00000000000000d0"
-LATER = [f"00000000000000e{number}" for number in range(4)]
-WIDTH = 24
-TIMES = 400
-CALM_TIMES = 100
-INTERVAL_MS = 110
-FINISH_S = 14.0
-STALL_S = 6.0
+JOB = "00000000000000a4"
+ITEM = f"{JOB}.0.0.0"
+FULL = "00000000000000b4"
+OTHER = "00000000000000c4"
+JOBS_PER_S = 20
+CUT_S = 5.5
+LATE_S = 11.5
+PAUSE_S = 1.0
+"""Time from the noted end to the cut."""
+WAIT_S = 20.0
 
 
-def job(count, cpu, est_ms, **more):
+def job(count, cpu, **more):
     """Return a job of one step."""
-    step = {"count": count, "cpu": cpu, "mem_mb": 10, "est_ms": est_ms}
-    return {"spec": "scan", "steps": [step], **more}
+    step = {"count": count, "cpu": cpu, "mem_mb": 500, "est_ms": 300, **more}
+    return {"spec": "quote", "steps": [step]}
+
+
+class Load:
+    """Hands in small jobs at a steady rate until it is stopped."""
+
+    def __init__(self, daemons):
+        self._daemons = daemons
+        self.stopped = threading.Event()
+        for number in range(4):
+            threading.Thread(
+                target=self._run, args=(number,), daemon=True
+            ).start()
+
+    def _run(self, number):
+        count = 0
+        while not self.stopped.wait(4 / JOBS_PER_S):
+            daemon = self._daemons[count % len(self._daemons)]
+            daemon.submit("qq", f"{number:04x}{count:012x}", job(1, 5000))
+            count += 1
 
 
 def case(world, trouble):
-    """Return whether all accepted jobs are done."""
+    """Return whether the work item isn't started after its noted end."""
     for number in (1, 2):
-        world.add_machine(f"m-{number}", "inspection", rack="r1")
-    for number in (3, 4):
-        world.add_machine(f"m-{number}", "quoting", rack="r2")
+        world.add_machine(f"m-{number}", "quoting", rack="r1")
+    for number in range(3, 8):
+        world.add_machine(f"m-{number}", "certs", rack="r2")
     world.configure(
-        {"ii": {"service": "inspection"}, "qq": {"service": "quoting"}},
+        {"qq": {"service": "quoting"}, "cc": {"service": "certs"}},
         [
-            {"name": "inspection"},
             {"name": "quoting"},
+            {"name": "certs"},
             {"name": "backoffice", "standby": True},
         ],
     )
-    daemons = [world.add_daemon(f"127.0.65.{n}") for n in (1, 2, 3)]
+    daemons = [world.add_daemon(f"127.0.67.{n}") for n in (1, 2, 3)]
     world.wait(world.leader, 20, "no daemon leads")
-    times = TIMES if trouble else CALM_TIMES
-    body = job(
-        WIDTH,
-        500,
-        100,
-        repeat_count=times,
-        start_ms=int(time.time() * 1000) + 2000,
-        interval_ms=INTERVAL_MS,
-    )
+    lasting = {"long_running": True, "max_unavailable": 1}
     world.wait(
-        lambda: daemons[0].submit("ii", TIMED, body) == 200,
+        lambda: (
+            daemons[0].submit(
+                "cc", OTHER, job(5, 40000, anti_affinity=1, **lasting)
+            )
+            == 200
+        ),
         10,
-        "the timed job was not accepted",
+        "a job was not accepted",
     )
-    wait_for_starts(world, times * WIDTH)
-    for later in LATER:
-        if daemons[1].submit("qq", later, job(1, 3500, 800)) != 200:
-            raise worlds.CannotRun("a later job was not accepted")
-    time.sleep(FINISH_S)
-    states = [daemons[2].state("qq", later) for later in LATER]
-    states.append(daemons[2].state("ii", TIMED))
-    world.note(f"{len(world.started)} starts; states {states}")
-    return all(state == "completed" for state in states)
-
-
-def wait_for_starts(world, count):
-    """Wait until so many work items have started, or none does any more."""
-    known, since = 0, time.monotonic()
-    while known < count and time.monotonic() < since + STALL_S:
-        time.sleep(0.2)
-        if len(world.started) > known:
-            known, since = len(world.started), time.monotonic()
-    world.note(f"{known} work items of the timed job have started")
+    daemons[0].submit("qq", FULL, job(1, 62000, **lasting))
+    world.wait(lambda: len(world.running()) == 6, 20, "not all is at work")
+    return play(world, daemons, trouble)
+
+
+def play(world, daemons, trouble):
+    """Hand in the job beside a load, and look for its starts."""
+    full = f"{FULL}.0.0.0"
+    (worker,) = (
+        one
+        for one in world.workers.values()
+        if one.service == "quoting" and full not in one.running()
+    )
+    noted = threading.Event()
+
+    def on_noted(row):
+        if row[1] == ITEM and row[3] == "done":
+            world.note(f"the end of {ITEM} run {row[2]} is taken note of")
+            noted.set()
+
+    worker.on_noted = on_noted
+    load = Load(daemons)
+    time.sleep(3.0)
+    if trouble:
+        worker.late_s = LATE_S
+        worker.late_task = ITEM
+    if daemons[0].submit("qq", JOB, job(1, 5000)) != 200:
+        raise worlds.CannotRun("the job was not accepted")
+    began = time.monotonic()
+    if not noted.wait(WAIT_S):
+        raise worlds.CannotRun("the end was never taken note of")
+    after_s = time.monotonic() - began
+    world.note(f"noted {after_s:.1f} s after the job was accepted")
+    before = world.started.count(ITEM)
+    if trouble and after_s < LATE_S - PAUSE_S - 0.5:
+        time.sleep(PAUSE_S)
+        worker.cut()
+        worker.be_reborn()
+        threading.Timer(CUT_S, worker.join).start()
+    time.sleep(max(0.0, began + LATE_S + 3.0 - time.monotonic()))
+    load.stopped.set()
+    time.sleep(3.0)
+    again = world.started.count(ITEM) - before
+    world.note(f"starts of {ITEM} after its end was noted: {again}")
+    return not again
 
 
 if __name__ == "__main__":
--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -11,6 +11,8 @@
 STARTUP_S = 0.3
 """Time after which a work item that lasts is at work."""
 LIST_ENDS = 500
+UNANSWERED_S = 2.0
+"""How long the channel of a start without an answer stays open."""
 
 
 class Worker:
@@ -31,6 +33,9 @@
         self.labels = labels
         self.state = "ready"
         self.up = False
+        self.late_task = None
+        self.late_s = 0.0
+        self.on_noted = lambda row: None
         self._jobs = jobs
         self._note = note
         self._started = started
@@ -41,6 +46,12 @@
 
     def begin(self):
         """Begin a lifetime, which knows nothing of before."""
+        self._listener = web.Listener(self._answer, port=self._port)
+        self.address = self._listener.address
+        self._port = int(self.address.rpartition(":")[2])
+        self._begin_life()
+
+    def _begin_life(self):
         with self._lock:
             self.born = int(time.time() * 1000)
             self._began = time.monotonic()
@@ -52,11 +63,26 @@
             self._lease_until = None
             self.seq = 0
             self.up = True
-            life = self.born
-        self._listener = web.Listener(self._answer, port=self._port)
-        self.address = self._listener.address
-        self._port = int(self.address.rpartition(":")[2])
-        threading.Thread(target=self._tick, args=(life,), daemon=True).start()
+            self._lock.notify_all()
+        life = (self.born,)
+        threading.Thread(target=self._tick, args=life, daemon=True).start()
+
+    def cut(self):
+        """Cut the worker off: nothing reaches it, and it runs on."""
+        self._listener.silent.set()
+        self._note(f"{self.id} is cut off")
+
+    def join(self):
+        """End the cut; what it held up is lost."""
+        self._listener.silent.clear()
+        self._note(f"{self.id} is reached again")
+
+    def be_reborn(self):
+        """Crash and begin again under the same id, behind a cut."""
+        for task, run in list(self.runs):
+            self._note(f"{self.id} ends (crash) with {task} run {run}")
+        self._begin_life()
+        self._note(f"{self.id} begins again behind the cut")
 
     def end(self, why):
         """End the lifetime: everything that runs here terminates."""
@@ -118,6 +144,9 @@
         if headers.get("X-Target-Instance", self.id) != self.id:
             return 421, b"{}"
         found = json.loads(body or b"{}")
+        if path == "/api/run-start" and found["task"] == self.late_task:
+            self._postpone(found)
+            return None
         with self._lock:
             if not self.up:
                 return None
@@ -135,6 +164,24 @@
                     return self._hold(found)
         return 404, b"{}"
 
+    def _postpone(self, found):
+        """Leave a start unanswered and carry it out later."""
+        self.late_task = None
+        name = f"{found['task']} run {found['run']}"
+        self._note(f"{self.id} leaves the start of {name} unanswered")
+
+        def carry_out():
+            with self._lock:
+                if found["fence"] < self.fence:
+                    self._note(f"{self.id} refuses the late start of {name}")
+                    return
+                self.fence = found["fence"]
+                status, reply = self._start(found)
+            self._note(f"{self.id} late start of {name}: {status} {reply}")
+
+        threading.Timer(self.late_s, carry_out).start()
+        time.sleep(UNANSWERED_S)
+
     def _reply(self, status, **fields):
         value = {"clock_ms": self.clock_ms(), **fields}
         return status, json.dumps(value).encode()
@@ -179,6 +226,9 @@
     def _hold(self, found):
         self._extend(found.get("deadline_ms"))
         cursor = found.get("ack_cursor", 0)
+        for row in self.ends:
+            if row[0] <= cursor:
+                self.on_noted(row)
         self.ends = [row for row in self.ends if row[0] > cursor]
         until = time.monotonic() + found.get("wait_ms", 0) / 1000
         life = self.born
