--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,7 +11,7 @@
 import world as worlds  # noqa: E402
 
 JOBS = [f"00000000000000c{number}" for number in range(8)]
-DARK_S = 7.8
+DARK_S = 7.5
 VISIBLE_S = 3.0
 OLD_S = VISIBLE_S + 2.0
 WATCH_S = 4.0
