Call a reader fresh only up to what it has read to the end

Cause: after a listing in several pages a reader stood at the first page's end and called itself as fresh as its last page. For one read a daemon answered 410 for jobs that had been accepted while it listed.

Change: fresh_at is the start of the listing, or of the newest read that reached the topic's end. complete_at said the same and is gone.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -208,7 +208,7 @@
         for stored in changes.records:
             self._handle_job_record(stored)
         self.job_service.loaded = self._jobs.listed
-        self.job_service.note_read(self._jobs.complete_at)
+        self.job_service.note_read(self._jobs.fresh_at)
 
     def _handle_job_record(self, stored: appender.Record) -> None:
         if stored.value is None:
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -220,12 +220,12 @@
             self._read_waits.popleft()
         return bool(self._read_waits)
 
-    def note_read(self, complete_at: float) -> None:
+    def note_read(self, fresh_at: float) -> None:
         """Note that all records stored before a time have been read.
 
         Called by the loop.
         """
-        while self._read_waits and self._read_waits[0].since <= complete_at:
+        while self._read_waits and self._read_waits[0].since <= fresh_at:
             self._read_waits.popleft().read.set()
 
     def _await_read(self, timeout_s: float) -> bool:
--- a/azurewood/journal/follower.py
+++ b/azurewood/journal/follower.py
@@ -11,7 +11,6 @@
 
 from collections import abc
 import dataclasses
-import math
 import random
 import typing
 
@@ -58,9 +57,10 @@
     ``part`` is the number of the topic's partition.
 
     ``pause_s`` is the minimum time from the start of a read to that of the
-    next. ``began_at`` is when the latest read started, ``fresh_at`` when
-    the latest successful one started. What was appended before ``complete_at``
-    has been read. While ``hurried``, reads wait for no records.
+    next. ``began_at`` is when the latest read started. What was appended
+    before ``fresh_at`` has been read: it is when the latest read began that
+    reached the end, or the listing, which is a snapshot of its first page's
+    time at best. While ``hurried``, reads wait for no records.
     """
 
     __slots__ = (
@@ -69,11 +69,11 @@
         "_found",
         "_latency_s",
         "_listed_end",
+        "_listing_began_at",
         "_next_at",
         "_random",
         "_reading",
         "began_at",
-        "complete_at",
         "fresh_at",
         "hurried",
         "keyed",
@@ -102,12 +102,12 @@
         self.offset = -1 if keyed else 0
         self.fresh_at = 0.0
         self.began_at = 0.0
-        self.complete_at = -math.inf
         self.hurried = False
         self._after = ""
         self._found: list[tuple[int, appender.Record]] = []
         self._latency_s = 0.0
         self._listed_end = 0
+        self._listing_began_at = 0.0
         self._failures = 0
         self._next_at = 0.0
         self._reading = False
@@ -161,13 +161,12 @@
                 return None
         self._failures = 0
         self._latency_s = now - self.began_at
-        self.fresh_at = self.began_at
         self._next_at = max(now, self.began_at + self.pause_s)
         match result:
             case pages.Page(records=records, end=end):
                 self.offset += len(records)
                 if self.offset >= end:
-                    self.complete_at = self.began_at
+                    self.fresh_at = self.began_at
                 return Changes(records=records)
             case pages.Newest():
                 return self._add_listing_page(result, now)
@@ -178,6 +177,7 @@
         if not self._after:
             self._found = []
             self._listed_end = page.end
+            self._listing_began_at = self.began_at
         self._found.extend(zip(page.offsets, page.records, strict=True))
         self._next_at = now
         if page.more and page.records:
@@ -185,6 +185,7 @@
             return None
         self._after = ""
         self.offset = self._listed_end
+        self.fresh_at = self._listing_began_at
         found, self._found = self._found, []
         found.sort(key=lambda item: item[0])
         records = tuple(record for _, record in found)
--- a/tests/journal/test_follower.py
+++ b/tests/journal/test_follower.py
@@ -62,6 +62,29 @@
     assert [record.key for record in changes.records] == ["b", "a"]
 
 
+def test_a_reader_is_as_fresh_as_what_it_has_read_to_the_end():
+    """Guards against a daemon that denies jobs that it has not read.
+
+    A listing tells what was stored before its first page, and a page that
+    stops short of the end says nothing of what comes after it.
+    """
+    reader = _reader()
+    reader.next_call(10.0)
+    reader.handle_result(_newest("a", more=True, end=5), 11.0)
+    reader.next_call(11.0)
+    reader.handle_result(_newest("b", offset=1, end=9), 14.0)
+    assert reader.listed
+    assert reader.fresh_at == 10.0
+    reader.next_call(14.0)
+    short = pages.Page(offset=5, records=(_record("c"),), end=9, first=0)
+    reader.handle_result(short, 14.1)
+    assert reader.fresh_at == 10.0
+    reader.next_call(14.2)
+    rest = pages.Page(offset=6, records=(_record("d"),) * 3, end=9, first=0)
+    reader.handle_result(rest, 14.3)
+    assert reader.fresh_at == 14.2
+
+
 def test_reads_are_made_one_at_a_time_with_a_pause_between():
     reader = _listed()
     assert reader.next_call(0.02) is not None
