--- a/azurewood/jobs/model.py
+++ b/azurewood/jobs/model.py
@@ -119,7 +119,8 @@
     """A job as its caller described it, with its queue and service.
 
     ``payload`` is passed to the hosts unchanged. ``service`` is the queue's
-    service at the time when the job was accepted.
+    service at the time when the job was accepted. ``account`` is the name of
+    the client account that submitted it, empty for a call without a key.
     """
 
     id: str
@@ -133,6 +134,7 @@
     attempts: int = 1
     objective_factor: float = 1.0
     objective_ms: int = 0
+    account: str = ""
 
     @property
     def occurrences(self) -> int:
