Authenticate callers by the keys of client accounts

Callers' calls had no account, and any caller could see, cancel and repeat any job.

Change: the configuration's list tenants and the routes' field public are decoded; a malformed list makes the version invalid and is logged without values. The entry checks 503, 404 and 401 in this order before it parses a body, and refuses keys with 503 when its newest complete read of the configuration is older than 2.5 s. With accounts that read is held open for 0.5 s instead of 1 s, as its age reaches two holds. Jobs carry their account; show, cancel and submit check it also while a job's request is open or its record is not read back yet (409 for another account's id). Refused calls are logged (call.unauthorized, job.id_in_use) and counted by account. A job is added to the registry before it leaves the unread ones, so that no thread misses it.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -165,18 +165,19 @@
         accepted = isinstance(request.record, records.Accepted)
         if self._use_intake and accepted:
             writer = self._intake
-        job_id = request.record.job.id if accepted else None
         confirm = _ConfirmWrite(
-            request=request, on_stored=lambda: self._note_unread(job_id)
+            request=request, on_stored=lambda: self._note_unread(request)
         )
         writer.add_item(appender.Item(records=item.records, token=confirm))
         if writer not in self._active:
             self._active.append(writer)
 
-    def _note_unread(self, job_id: str | None) -> None:
+    def _note_unread(self, request: desks.WriteRequest) -> None:
         service = self._job_service
-        if job_id is not None and job_id not in service.registry.entries:
-            service.unread.add(job_id)
+        match request.record:
+            case records.Accepted(job=job):
+                if job.id not in service.registry.entries:
+                    service.unread[job.id] = job
 
     def _refuse_late(
         self, writer: topics.Writer, now: float, *, store_lost: bool
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -34,6 +34,9 @@
 WAIT_MS: typing.Final = 1000
 """How long the store holds a read open. With the read's own margin, this is
 also the time after which an unresponsive store is detected."""
+KEYS_WAIT_MS: typing.Final = 500
+"""The same for the configuration where it has keys. The newest complete read
+began two waits ago at most, so that keys are accepted through a slow read."""
 LEADER_WAIT_MS: typing.Final = 500
 READ_PAUSE_S: typing.Final = 0.05
 """Pause between two reads of a topic. The leader reads the jobs topic with the
@@ -148,7 +151,7 @@
 
     def step(self, now: float) -> None:
         """Run one iteration: read, write, and lead if elected."""
-        self._jobs.hurried = self.job_service.waits_for_read(now)
+        self._jobs.hurried = self.job_service.read_waits.any_waits(now)
         self._read_all()
         if self._unstored_resignation is not None:
             self._resign_if_due(self._unstored_resignation, now)
@@ -188,12 +191,15 @@
                     self._waves[wave.number] = wave
                     if self.term is not None:
                         self.term.handle_event(wave)
+        self.job_service.catalog_fresh_at = self._operators.fresh_at
 
     def _handle_catalog(self, found: catalog.Catalog) -> None:
         known = self.job_service.catalog
         if known is not None and known.version >= found.version:
             return
         self.job_service.catalog = found
+        has_keys = found.accounts is not None
+        self._operators.wait_ms = KEYS_WAIT_MS if has_keys else WAIT_MS
         logger.bind(
             event="catalog.changed",
             version=found.version,
@@ -208,7 +214,7 @@
         for stored in changes.records:
             self._handle_job_record(stored)
         self.job_service.loaded = self._jobs.listed
-        self.job_service.note_read(self._jobs.fresh_at)
+        self.job_service.read_waits.note_read(self._jobs.fresh_at)
 
     def _handle_job_record(self, stored: appender.Record) -> None:
         if stored.value is None:
@@ -226,9 +232,10 @@
             self.job_service.registry.unreadable.add(job_id)
             return
         self._writes.note_read(stored.key)
+        changed = self.job_service.registry.apply(record)
         if isinstance(record, records.Accepted):
-            self.job_service.unread.discard(record.job.id)
-        if self.job_service.registry.apply(record) and self.term is not None:
+            self.job_service.unread.pop(record.job.id, None)
+        if changed and self.term is not None:
             self.term.handle_record(record)
 
     def _on_leader_read(self, changes: follower.Changes) -> None:
--- a/azurewood/jobs/catalog.py
+++ b/azurewood/jobs/catalog.py
@@ -52,7 +52,9 @@
     """
 
     name: str
-    key_digests: frozenset[bytes] = frozenset()
+    key_digests: frozenset[bytes] = dataclasses.field(
+        default=frozenset(), repr=False
+    )
     priority: int = 0
     weight: float = 1.0
     limit: model.Resources = model.Resources()
@@ -106,6 +108,18 @@
         """
         return self._accounts_by_key.get(key_digest(key))
 
+    def grants(self, account: str, job: model.Job) -> bool:
+        """Return whether calls of an account may see and cancel a job.
+
+        ``account`` is empty for calls without a key.
+        """
+        if self.accounts is None:
+            return True
+        queue = self.queues.get(job.queue)
+        if queue is not None and queue.public:
+            return True
+        return account == job.account if job.account else bool(account)
+
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest path prefix that matches."""
         name = host.partition(":")[0].lower()
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -5,17 +5,17 @@
 stored is never refused.
 """
 
-import collections
 from collections import abc
 import concurrent.futures
 import dataclasses
-import threading
+import math
 import typing
 
 from loguru import logger
 
 from azurewood.jobs import catalog
 from azurewood.jobs import model
+from azurewood.jobs import read_waits
 from azurewood.jobs import records
 from azurewood.jobs import registry
 from azurewood.journal import appender
@@ -23,6 +23,9 @@
 MAX_READ_AGE_S: typing.Final = 2.5
 """Maximum age of the newest read of the jobs for which an unknown id counts as
 a job that does not exist. It covers a read held open for 1 s and a retry."""
+MAX_CATALOG_AGE_S: typing.Final = 2.5
+"""Maximum age of the newest read of the configuration for which keys are
+accepted. A removed key has to be refused 3 s after its removal is stored."""
 SEND_TIMEOUT_S: typing.Final = 1.5
 """How long a record may wait to be sent before it is refused: half of a
 caller's usual timeout, or three appends to the slowest store."""
@@ -90,7 +93,12 @@
     reason: str
 
 
-Verdict = Taken | NotThere | Refused | TooLarge | OutcomeUnknown
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class IdInUse:
+    """The id is that of a job that the caller's account may not see."""
+
+
+Verdict = Taken | NotThere | Refused | TooLarge | IdInUse | OutcomeUnknown
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -102,18 +110,6 @@
     asked_at: float
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, eq=False)
-class _ReadWait:
-    """A caller that waits until what was stored before a time is read.
-
-    It gives up at ``until``.
-    """
-
-    since: float
-    until: float
-    read: threading.Event
-
-
 _RequestKey = tuple[type[records.Record], str]
 """What tells requests apart: the kind of their record, and their job."""
 
@@ -123,12 +119,16 @@
 
     ``submit`` and ``cancel`` block the calling thread. ``enqueue`` passes
     each write request to the loop that owns the appender. ``admission``
-    returns a refusal for jobs that must not be accepted. ``unread`` has
-    the jobs that this daemon stored, perhaps in the intake, and has not read
-    among the jobs yet. ``complete`` is false while other daemons may have
-    stored jobs in the intake that are not among the jobs yet. ``reads_fail``
-    is whether the newest read of the jobs failed. The store takes records of
-    ``max_record_bytes`` at most.
+    returns a refusal for jobs that must not be accepted. ``unread`` has,
+    by id, the jobs that this daemon stored, perhaps in the intake, and has
+    not read among the jobs yet. ``complete`` is false while other daemons may
+    have stored jobs in the intake that are not among the jobs yet.
+    ``reads_fail`` is whether the newest read of the jobs failed. Versions of
+    the catalog stored before ``catalog_fresh_at`` have been read. The store
+    takes records of ``max_record_bytes`` at most.
+
+    To a call whose account may not see a job, the job does not exist, except
+    that its id cannot be used again.
 
     A cancellation of a job that is not known is answered once the records
     that were stored before it have been read, as the job may be among them.
@@ -142,13 +142,14 @@
         "_clock",
         "_enqueue",
         "_open",
-        "_read_waits",
         "admission",
         "catalog",
+        "catalog_fresh_at",
         "complete",
         "fresh_at",
         "loaded",
         "max_record_bytes",
+        "read_waits",
         "reads_fail",
         "registry",
         "stopping",
@@ -166,16 +167,17 @@
         self.max_record_bytes = max_record_bytes
         self._clock = clock
         self._enqueue = enqueue
-        self._open: dict[_RequestKey, concurrent.futures.Future] = {}
-        self._read_waits: collections.deque[_ReadWait] = collections.deque()
+        self._open: dict[_RequestKey, WriteRequest] = {}
+        self.read_waits = read_waits.ReadWaits(clock=clock)
         self.admission = admission
         self.registry = registry.JobRegistry()
         self.catalog: catalog.Catalog | None = None
+        self.catalog_fresh_at = -math.inf
         self.fresh_at = 0.0
         self.loaded = False
         self.reads_fail = False
         self.complete = True
-        self.unread: set[str] = set()
+        self.unread: dict[str, model.Job] = {}
         self.stopping = False
 
     def ready(self) -> bool:
@@ -187,63 +189,55 @@
     def _is_fresh(self) -> bool:
         return self.loaded and self._clock() - self.fresh_at < MAX_READ_AGE_S
 
+    def has_fresh_catalog(self) -> bool:
+        """Return whether the catalog is new enough to accept keys."""
+        age_s = self._clock() - self.catalog_fresh_at
+        return age_s < MAX_CATALOG_AGE_S
+
     def waiting(self, queue: str) -> int:
         """Return the number of jobs of a queue that have not begun."""
         return max(0, self.registry.waiting.get(queue, 0))
 
-    def show(self, job_id: str) -> JobStatus | NotThere | StatusUnknown:
-        """Return the status of a job, as far as this daemon knows it."""
+    def show(
+        self, job_id: str, account: str = ""
+    ) -> JobStatus | NotThere | StatusUnknown:
+        """Return the status of a job, as far as this daemon knows it.
+
+        ``account`` is the name of the caller's account, if it has one.
+        """
         if job_id in self.registry.unreadable:
             return StatusUnknown()
-        entry = self.registry.entries.get(job_id)
-        if entry is not None:
-            return JobStatus(phase=entry.phase)
-        if job_id in self.unread:
-            return JobStatus(phase=model.Phase.PENDING)
-        return NotThere() if self._is_absent(job_id) else StatusUnknown()
+        if self._is_known(job_id, account):
+            entry = self.registry.entries.get(job_id)
+            phase = model.Phase.PENDING if entry is None else entry.phase
+            return JobStatus(phase=phase)
+        absent = self._is_absent(job_id, account)
+        return NotThere() if absent else StatusUnknown()
 
-    def _is_absent(self, job_id: str) -> bool:
-        """Return whether a job that is not known here does not exist.
+    def _is_absent(self, job_id: str, account: str) -> bool:
+        """Return whether a job that a caller can't see here does not exist.
 
         While reads fail, jobs may be accepted that were not read. One whose
         own request is open may be stored, or may still be.
         """
-        knows_all = self.complete and not self.reads_fail and self._is_fresh()
-        return knows_all and not self._is_accepting(job_id)
-
-    def waits_for_read(self, now: float) -> bool:
-        """Return whether a caller waits for a read of the jobs.
-
-        Called by the loop, which alone removes callers.
-        """
-        while self._read_waits and self._read_waits[0].until < now:
-            self._read_waits.popleft()
-        return bool(self._read_waits)
-
-    def note_read(self, fresh_at: float) -> None:
-        """Note that all records stored before a time have been read.
-
-        Called by the loop.
-        """
-        while self._read_waits and self._read_waits[0].since <= fresh_at:
-            self._read_waits.popleft().read.set()
+        if not (self.complete and not self.reads_fail and self._is_fresh()):
+            return False
+        job = self._opened(job_id)
+        return job is None or not self._grants(account, job)
 
     def _await_read(self, timeout_s: float) -> bool:
         """Wait until what was stored before now is read; return whether."""
-        now = self._clock()
-        wait = _ReadWait(
-            since=now, until=now + timeout_s, read=threading.Event()
-        )
-        self._read_waits.append(wait)
-        return wait.read.wait(timeout_s)
+        return self.read_waits.wait(timeout_s)
 
     def submit(self, job: model.Job, *, timeout_s: float) -> Verdict:
         """Store a job; wait for at most ``timeout_s`` seconds."""
-        if job.id in self.registry.entries or job.id in self.unread:
-            return Taken()
+        known = self._job(job.id)
+        if known is not None:
+            granted = self._grants(job.account, known)
+            return Taken() if granted else self._log_in_use(job)
         if job.id in self.registry.unreadable:
             return OutcomeUnknown(reason="the job's record cannot be read")
-        if not self._is_accepting(job.id):
+        if self._opened(job.id) is None:
             size = record_of(records.Accepted(job=job)).size
             if size > self.max_record_bytes:
                 return TooLarge(
@@ -252,12 +246,19 @@
                 )
             refused = self._refusal(job)
             if refused is not None:
-                return self._refuse(job.id, refused)
+                return self._refuse(job, refused)
         return self._store(job.id, records.Accepted(job=job), timeout_s)
 
-    def _is_accepting(self, job_id: str) -> bool:
-        """Return whether a request to store a job has no verdict yet."""
-        return (records.Accepted, job_id) in self._open
+    def _opened(self, job_id: str) -> model.Job | None:
+        """Return the job whose request to be stored has no verdict yet."""
+        found = self._open.get((records.Accepted, job_id))
+        return None if found is None else found.record.job
+
+    def _log_in_use(self, job: model.Job) -> IdInUse:
+        logger.bind(
+            event="job.id_in_use", job=job.id, account=job.account
+        ).info("job refused, as its id is that of another account's job")
+        return IdInUse()
 
     def _refusal(self, job: model.Job) -> Refused | None:
         """Return why a job is not to be stored, None if it is."""
@@ -265,37 +266,55 @@
             return Refused(reason="store out of touch")
         return self.admission(job)
 
-    def _refuse(self, job_id: str, refused: Refused) -> Refused:
+    def _refuse(self, job: model.Job, refused: Refused) -> Refused:
         logger.bind(
             event="job.refused",
-            job=job_id,
+            job=job.id,
+            account=job.account,
             reason=refused.reason,
             retry_after_s=refused.retry_after_s,
             read_ms_ago=int((self._clock() - self.fresh_at) * 1000),
         ).info("job refused")
         return refused
 
-    def cancel(self, job_id: str, *, timeout_s: float) -> Verdict:
-        """Store a cancellation; wait for at most ``timeout_s`` seconds."""
+    def cancel(
+        self, job_id: str, account: str = "", *, timeout_s: float
+    ) -> Verdict:
+        """Store a cancellation; wait for at most ``timeout_s`` seconds.
+
+        ``account`` is the name of the caller's account, if it has one.
+        """
         until = self._clock() + timeout_s
-        if not self._is_known(job_id):
+        if not self._is_known(job_id, account):
             if not self._await_read(min(timeout_s, MAX_READ_WAIT_S)):
                 return Refused(reason="not in touch with the store")
-            if not self._is_known(job_id):
-                return self._unknown_job(job_id)
+            if not self._is_known(job_id, account):
+                return self._unknown_job(job_id, account)
         entry = self.registry.entries.get(job_id)
         if entry is not None and entry.phase.final:
             return Taken()
         record = records.Cancelled(id=job_id)
         return self._store(job_id, record, max(0.0, until - self._clock()))
 
-    def _is_known(self, job_id: str) -> bool:
-        return job_id in self.registry.entries or job_id in self.unread
+    def _job(self, job_id: str) -> model.Job | None:
+        """Return a stored job, if this daemon knows it."""
+        # In the order in which the loop moves a job, so that it isn't missed.
+        job = self.unread.get(job_id)
+        entry = self.registry.entries.get(job_id)
+        return job if entry is None else entry.job
+
+    def _is_known(self, job_id: str, account: str) -> bool:
+        """Return whether a job is known that the caller's account may see."""
+        job = self._job(job_id)
+        return job is not None and self._grants(account, job)
 
-    def _unknown_job(self, job_id: str) -> NotThere | Refused:
+    def _grants(self, account: str, job: model.Job) -> bool:
+        return self.catalog is None or self.catalog.grants(account, job)
+
+    def _unknown_job(self, job_id: str, account: str) -> NotThere | Refused:
         """Return the verdict on a job that this daemon doesn't know."""
         unreadable = job_id in self.registry.unreadable
-        if not unreadable and self._is_absent(job_id):
+        if not unreadable and self._is_absent(job_id, account):
             return NotThere()
         return Refused(reason="not in touch with the store")
 
@@ -311,6 +330,7 @@
         logger.bind(
             event=type(record).__name__.lower(),
             job=job_id,
+            **_account(record),
             verdict=type(verdict).__name__,
             **_details(verdict),
             took_ms=int((self._clock() - began_at) * 1000),
@@ -326,17 +346,30 @@
     ) -> concurrent.futures.Future:
         """Return the future of the verdict on a record that is to be stored.
 
-        It is that of the open request for the record, or of a new one.
+        It is that of the open request for the record, or of a new one. While
+        a job's request is open, those of other accounts for its id fail.
         """
         key = (type(record), job_id)
-        fut: concurrent.futures.Future = concurrent.futures.Future()
-        found = self._open.setdefault(key, fut)
-        if found is fut:
-            fut.add_done_callback(lambda _: self._open.pop(key))
-            self._enqueue(
-                WriteRequest(record=record, future=fut, asked_at=now)
-            )
-        return found
+        req = WriteRequest(
+            record=record, future=concurrent.futures.Future(), asked_at=now
+        )
+        found = self._open.setdefault(key, req)
+        if found is req:
+            req.future.add_done_callback(lambda _: self._open.pop(key))
+            self._enqueue(req)
+        elif isinstance(record, records.Accepted) and not self._grants(
+            record.job.account, found.record.job
+        ):
+            req.future.set_result(self._log_in_use(record.job))
+            return req.future
+        return found.future
+
+
+def _account(record: records.Record) -> dict[str, str]:
+    """Return the field of a job's line that names the job's account."""
+    if isinstance(record, records.Accepted) and record.job.account:
+        return {"account": record.job.account}
+    return {}
 
 
 def _details(verdict: Verdict) -> dict[str, typing.Any]:
--- a/azurewood/log/event_metrics.py
+++ b/azurewood/log/event_metrics.py
@@ -37,6 +37,10 @@
     "why",
 )
 """Fields that give an event's outcome; the first one present is used."""
+REFUSALS: typing.Final = frozenset(
+    {"call.unauthorized", "job.id_in_use", "job.refused"}
+)
+"""Events of callers' calls that were refused."""
 JOB_ENDED: typing.Final = "job.ended"
 TERM_OVER: typing.Final = "term.over"
 """After this event another daemon, the next leader, sets the gauges."""
@@ -120,6 +124,7 @@
         "_registry",
         "_durations",
         "_first_host_waits",
+        "_refused",
     )
 
     def __init__(self) -> None:
@@ -144,6 +149,12 @@
             buckets=BUCKETS_S,
             registry=self._registry,
         )
+        self._refused = prometheus_client.Counter(
+            "azurewood_calls_refused",
+            "Refused calls by account, empty if none is known.",
+            ["account", "event"],
+            registry=self._registry,
+        )
         self._late_jobs = prometheus_client.Counter(
             "azurewood_jobs_late",
             "Jobs that ended after their objective.",
@@ -168,6 +179,9 @@
             "",
         )
         self._events.labels(event=event, outcome=outcome).inc()
+        if event in REFUSALS or fields.get("verdict") == "Refused":
+            account = str(fields.get("account", ""))
+            self._refused.labels(account=account, event=event).inc()
         for name in DURATION_FIELDS:
             if name in fields:
                 seconds = float(fields[name]) / 1000
--- a/azurewood/platform/catalogs.py
+++ b/azurewood/platform/catalogs.py
@@ -4,6 +4,7 @@
 
 from azurewood.conf import decoding
 from azurewood.jobs import catalog
+from azurewood.platform import accounts
 from azurewood.platform import exceptions
 
 
@@ -25,6 +26,7 @@
     slo_factor: decoding.Finite = 1.0
     slo_ms: decoding.Integer = 0
     hint: _Hint | None = None
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -38,16 +40,20 @@
 
 
 class _Manifest(msgspec.Struct):
+    """``tenants`` is decoded separately, as errors must not quote keys."""
+
     version: decoding.Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 def decode(data: bytes) -> catalog.Catalog:
     """Return the catalog of a manifest.
 
-    Raise ``InvalidMessage`` if the manifest is malformed.
+    Raise ``InvalidMessage`` if the manifest is malformed. Without the field
+    ``tenants`` there are no accounts, and calls need no key.
     """
     try:
         found = decoding.decode_json(data, _Manifest)
@@ -65,9 +71,18 @@
             for service in found.services
         },
         body_bytes=found.limits.body_bytes,
+        accounts=_accounts(found.tenants),
     )
 
 
+def _accounts(
+    tenants: msgspec.Raw | msgspec.UnsetType,
+) -> dict[str, catalog.Account] | None:
+    if isinstance(tenants, msgspec.UnsetType):
+        return None
+    return accounts.decode(bytes(tenants))
+
+
 def _queue(route: _Route) -> catalog.Queue:
     return catalog.Queue(
         name=route.name,
@@ -79,6 +94,7 @@
         objective_factor=route.slo_factor,
         objective_ms=route.slo_ms,
         advice=_advice(route.hint),
+        public=route.public,
     )
 
 
--- a/azurewood/platform/frontdoor.py
+++ b/azurewood/platform/frontdoor.py
@@ -2,7 +2,8 @@
 
 The path of a job is its queue's prefix followed by the job's id: POST
 submits the job, GET returns its state, DELETE cancels it. GET of the prefix
-alone returns how many jobs wait in the queue.
+alone returns how many jobs wait in the queue. Where the configuration has
+accounts, calls to queues that are not public carry a key of one.
 """
 
 from collections import abc
@@ -14,6 +15,7 @@
 from azurewood.jobs import catalog
 from azurewood.jobs import desk
 from azurewood.jobs import exceptions
+from azurewood.platform import authentication
 from azurewood.platform import jobs
 
 DEADLINE_HEADER: typing.Final = "X-Deadline-Ms"
@@ -43,24 +45,42 @@
         return self._answer(req)(environ, start_response)
 
     def _answer(self, req: wrappers.Request) -> wrappers.Response:
+        # Taken before the catalog, which is then at least as new.
+        fresh = self._job_service.has_fresh_catalog()
         current = self._job_service.catalog
         if current is None:
             return _refuse(503, "no configuration is known yet", 1)
         queue = current.find(req.host, req.path)
         if queue is None:
             return _refuse(404, "no such queue")
+        account = authentication.authenticate(req, current, queue, fresh=fresh)
+        if isinstance(account, authentication.Denied):
+            return _refuse(
+                account.status, account.reason, account.retry_after_s
+            )
+        return self._serve(req, current, queue, account)
+
+    def _serve(
+        self,
+        req: wrappers.Request,
+        current: catalog.Catalog,
+        queue: catalog.Queue,
+        account: str,
+    ) -> wrappers.Response:
         job_id = req.path[len(queue.path_prefix) :]
         match req.method:
             case "POST":
-                return self._submit(req, queue, job_id, current.body_bytes)
+                return self._submit(
+                    req, queue, job_id, account, current.body_bytes
+                )
             case "GET" if not job_id:
                 count = self._job_service.waiting(queue.name)
                 return _json(200, jobs.encode_waiting(count))
             case "GET":
-                return self._show(job_id)
+                return self._show(job_id, account)
             case "DELETE":
                 verdict = self._job_service.cancel(
-                    job_id, timeout_s=_timeout_s(req)
+                    job_id, account, timeout_s=_timeout_s(req)
                 )
                 return _verdict(verdict)
             case _:
@@ -71,21 +91,24 @@
         req: wrappers.Request,
         queue: catalog.Queue,
         job_id: str,
+        account: str,
         body_bytes: int,
     ) -> wrappers.Response:
         if (req.content_length or 0) > body_bytes:
             return _refuse(413, f"more than {body_bytes} bytes")
         now_ms = int(time.time() * 1000)
         try:
-            job = jobs.decode(job_id, queue, req.get_data(), now_ms)
+            job = jobs.decode(
+                job_id, queue, req.get_data(), now_ms, account=account
+            )
         except exceptions.InvalidJob as exc:
             return _refuse(400, str(exc))
         return _verdict(
             self._job_service.submit(job, timeout_s=_timeout_s(req))
         )
 
-    def _show(self, job_id: str) -> wrappers.Response:
-        match self._job_service.show(job_id):
+    def _show(self, job_id: str, account: str) -> wrappers.Response:
+        match self._job_service.show(job_id, account):
             case desk.JobStatus(phase=phase):
                 return _json(200, jobs.encode_phase(phase))
             case desk.NotThere():
@@ -130,6 +153,8 @@
             return _refuse(410, "no such job")
         case desk.Refused(reason=reason, retry_after_s=after_s, busy=busy):
             return _refuse(429 if busy else 503, reason, after_s)
+        case desk.IdInUse():
+            return _refuse(409, "the id is in use")
         case desk.TooLarge(reason=reason):
             return _refuse(413, reason)
         case desk.OutcomeUnknown(reason=reason):
--- a/azurewood/platform/jobs.py
+++ b/azurewood/platform/jobs.py
@@ -56,9 +56,17 @@
 
 
 def decode(
-    job_id: str, queue: catalog.Queue, body: bytes, now_ms: int
+    job_id: str,
+    queue: catalog.Queue,
+    body: bytes,
+    now_ms: int,
+    *,
+    account: str = "",
 ) -> model.Job:
-    """Return a caller's job; raise ``InvalidJob`` if it is not valid."""
+    """Return a caller's job; raise ``InvalidJob`` if it is not valid.
+
+    A job of a public queue has no account.
+    """
     if not ID.fullmatch(job_id):
         raise exceptions.InvalidJob("an id has 16 hexadecimal digits")
     try:
@@ -81,6 +89,7 @@
         attempts=queue.attempts,
         objective_factor=queue.objective_factor,
         objective_ms=queue.objective_ms,
+        account="" if queue.public else account,
     )
 
 
