--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -30,6 +30,7 @@
 from standins.fleet import clock as clocks
 from standins.fleet import gangs as sim_gangs
 from standins.fleet import hosts as sim_hosts
+from standins.fleet import keys as key_rules
 from standins.fleet import members as sim_members
 from standins.fleet import platform
 from standins.fleet import progress
@@ -79,6 +80,9 @@
         self.store = stores.Store()
         self.advice = sim_advice.SimAdvice(clock=self.clock)
         self.rules = rule_checks.Rules(clock=self.clock)
+        self.key_rules = key_rules.KeyRules(
+            clock=self.clock, breach=self.rules.breach
+        )
         self.gangs = sim_gangs.Gangs(clock=self.clock)
         self.hosts: dict[str, sim_hosts.SimHost] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
@@ -451,6 +455,7 @@
     def configure(self, found: catalog.Catalog) -> None:
         """Publish a configuration."""
         self.catalog = found
+        self.key_rules.add_version(found)
         record = appender.Record(key="config", value=found)
         self.store.add(pages.Topic.OPERATORS, (record,))
 
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -98,6 +98,16 @@
             "slo_factor": 1.5,
             "slo_ms": 600,
             "hint": {"decision_ms": 1, "per_item_ms": 1, "validity_ms": 1},
+            "public": True,
+        }
+    ],
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k"],
+            "priority": 1,
+            "weight": 0.5,
+            "max_count": {"cpu": 9000, "mem_mb": 4096, "gpu": 1},
         }
     ],
     "services": [{"name": "s", "enforce_capacity": False, "standby": True}],
