Have the in-memory world watch the limits of accounts

Cause: nothing observes what an account has running on all hosts together, so that no course can show a breach of rule QUOTA.

Change: the rule `account limit` counts each run that a host really carries out until it ends there, runs that are being stopped included.

--- a/standins/fleet/progress.py
+++ b/standins/fleet/progress.py
@@ -131,6 +131,8 @@
             step = job.steps[task.step]
             if task in running or not _has_room(found, task, step):
                 continue
+            if not self._world.rules.accounts.owes_room(job, step):
+                continue
             yield task if step.long_lived else job.id
 
     def _running(self) -> set[model.TaskId]:
--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -9,6 +9,7 @@
 
 from azurewood.jobs import model
 from azurewood.scheduling import messages
+from standins.fleet import account_rules
 from standins.fleet import clock as clocks
 from standins.fleet import hosts
 
@@ -38,7 +39,7 @@
 
     ``asked`` holds the submitted jobs, and ``ended_at`` the time at which
     the last task of each job was done. ``deadly`` has the tasks that have
-    crashed a host themselves.
+    crashed a host themselves. ``accounts`` checks the limits of accounts.
     """
 
     __slots__ = (
@@ -50,6 +51,7 @@
         "_live",
         "_repeated_starts",
         "_starts_after_crashes",
+        "accounts",
         "asked",
         "breaches",
         "cancelled_at",
@@ -63,6 +65,9 @@
     def __init__(self, *, clock: clocks.Clock) -> None:
         self._clock = clock
         self.breaches: list[Breach] = []
+        self.accounts = account_rules.AccountRules(
+            clock=clock, breach=self.breach
+        )
         self.asked: dict[str, model.Job] = {}
         self.refused: set[str] = set()
         self.cancelled_at: dict[str, float] = {}
@@ -123,6 +128,7 @@
         if self._live[task]:
             self.breach("twice", f"{place} beside {self._live[task]}")
         self._live[task].append((host.id, run.run))
+        self.accounts.started(job, run.step, place)
         if host.service != job.service:
             self.breach("wrong service", place)
         self._check_budget(task, place)
@@ -197,6 +203,7 @@
         live = self._live[run.task]
         if (host.id, run.run) in live:
             live.remove((host.id, run.run))
+            self.accounts.ended(self.asked[run.task.job], run.step)
         if how is messages.End.DONE and not run.step.long_lived:
             self._done.update(represented(run.task, run.step))
             self._record_job_end(run.task.job)
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -451,6 +451,7 @@
     def configure(self, found: catalog.Catalog) -> None:
         """Publish a configuration."""
         self.catalog = found
+        self.rules.accounts.configure(found)
         record = appender.Record(key="config", value=found)
         self.store.add(pages.Topic.OPERATORS, (record,))
 
