Keep what accounts have running within their limits

Cause: the catalog has limits of accounts that nothing keeps to. What counts is all that may run on any host, with starts that are carried out late and runs of an earlier leader.

Change: the leader holds one sum for each account. It changes where runs are added to and removed from hosts, and where late starts are recorded and forgotten; runs that a host lists unasked count while they are listed. A run counts once for all of these. Records of late starts name the account and what it uses in two new fields, which the previous release ignores and whose absence the job's record makes up for. Placement skips tasks and gangs without room, and holds no host for their suspects. A start that waits for the store or is to be repeated is taken back while the account is over its limit, as on a host over its capacity. Waiting work counts for a pool's demand up to the limit. A task or gang larger than the limit is refused at the entry. Changed limits and, once a second, busy accounts are logged. gang_candidates moves to host_choice, as placement was at its size.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -252,8 +252,10 @@
     # Callers' requests
 
     def _admit(self, job: model.Job) -> desks.Refused | None:
-        """Refuse jobs that no machine can run; called by any thread."""
-        reason = feasibility.infeasible_reason(job, self.election.largest)
+        """Refuse jobs that can never run; called by any thread."""
+        reason = feasibility.infeasible_reason(
+            job, self.election.largest
+        ) or feasibility.over_limit_reason(job, self.job_service.catalog)
         if not reason:
             return None
         return desks.Refused(
--- a/azurewood/incarnations/late_starts.py
+++ b/azurewood/incarnations/late_starts.py
@@ -2,14 +2,30 @@
 
 from collections import abc
 import math
+import typing
 
 from azurewood.incarnations import limits
 from azurewood.jobs import model
 
+NOTHING: typing.Final = model.Resources()
 RunKey = tuple[model.TaskId, int]
 """A run among those of a host: its task and number."""
 
 
+Place = tuple[str, model.TaskId, int]
+"""A run that may exist on a host: the host's id, the task and the run."""
+
+
+class Usage(typing.Protocol):
+    """Counts what may run for accounts, see `scheduling.account_usage`."""
+
+    def add(self, place: Place, account: str, needs: model.Resources) -> None:
+        """Count a run that may exist."""
+
+    def remove(self, place: Place, account: str) -> None:
+        """Count a run no longer that was added."""
+
+
 class LateStart:
     """A start without an answer, which may take effect until a deadline.
 
@@ -18,14 +34,18 @@
     sent with last. With ``gang`` the run may be a member of a gang, for which
     the end of any member counts. ``next_run_at`` is None while the same run
     may be started again. Once the host has listed its end, it is when the
-    next run of a long-lived task may begin there.
+    next run of a long-lived task may begin there. ``account`` is the client
+    account that the run counts for, empty for none, and ``needs`` what it
+    uses.
     """
 
     __slots__ = (
+        "account",
         "fence",
         "gang",
         "host",
         "incarnation_ms",
+        "needs",
         "next_run_at",
         "possible_until",
         "run",
@@ -40,7 +60,11 @@
         fence: int,
         possible_until: float,
         gang: bool = False,
+        account: str = "",
+        needs: model.Resources = NOTHING,
     ) -> None:
+        self.account = account
+        self.needs = needs
         self.host = host
         self.gang = gang
         self.run = run
@@ -61,23 +85,31 @@
 
 
 class LateSteps:
-    """The late starts of all hosts by step, also of jobs that are over."""
+    """The late starts of all hosts by step, also of jobs that are over.
+
+    They count in ``usage``, if there is one.
+    """
 
-    __slots__ = ("_steps",)
+    __slots__ = ("_steps", "_usage")
 
-    def __init__(self) -> None:
+    def __init__(self, *, usage: Usage | None = None) -> None:
+        self._usage = usage
         self._steps: dict[tuple, dict[tuple, LateStart]] = {}
 
     def add(self, key: RunKey, late: LateStart) -> None:
         """Add a late start."""
         id, _ = key
         self._steps.setdefault(id[:3], {})[(*key, late.host)] = late
+        if self._usage is not None:
+            self._usage.add((late.host, *key), late.account, late.needs)
 
     def remove(self, key: RunKey, late: LateStart) -> None:
         """Remove a late start that was added."""
         id, _ = key
         starts = self._steps[id[:3]]
         del starts[(*key, late.host)]
+        if self._usage is not None:
+            self._usage.remove((late.host, *key), late.account)
         if not starts:
             del self._steps[id[:3]]
 
--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -17,6 +17,7 @@
 """
 
 import bisect
+import collections
 from collections import abc
 import itertools
 import typing
@@ -222,6 +223,26 @@
     return host.step_runs.get(jobstates.step_key(task.id), 0) < step.per_host
 
 
+def gang_candidates(
+    hosts: list[host_state.Host],
+    step: jobs.Step,
+    allowed: abc.Container[str] | None,
+) -> abc.Iterator[abc.Container[str] | None]:
+    """Yield the sets of host ids that a gang may be placed on.
+
+    A gang that prefers one rack gets the hosts of each rack first and then
+    all allowed hosts; other gangs get only the latter.
+    """
+    if step.same_rack:
+        racks = collections.defaultdict(set)
+        for host in hosts:
+            if allowed is None or host.id in allowed:
+                for label in host.entry.labels[1:]:
+                    racks[label].add(host.id)
+        yield from racks.values()
+    yield allowed
+
+
 def _is_left_to_others(
     host: host_state.Host, step: jobs.Step, task: jobstates.Task
 ) -> bool:
--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -18,6 +18,7 @@
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_crashes
 from azurewood.policy import restarts
+from azurewood.scheduling import account_limits
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
@@ -237,7 +238,12 @@
 def _waiting_suspect(
     state: model.State, task: jobstates.Task, step: jobs.Step, now: float
 ) -> abc.Iterator[host_crashes.WaitingSuspect]:
-    """Yield a waiting task if there is a host on which it may start."""
+    """Yield a waiting task if there is a host on which it may start.
+
+    No host is held for a task whose account has no room.
+    """
+    if not account_limits.may_start(state, state.jobs[task.id.job], task, now):
+        return
     match latestarts.where_to_start(state, task, now):
         case restarts.Again(host=host) | restarts.Only(host=host):
             only = host
--- a/azurewood/scheduling/host_state.py
+++ b/azurewood/scheduling/host_state.py
@@ -8,6 +8,7 @@
 from azurewood.incarnations import late_starts
 from azurewood.jobs import model
 from azurewood.policy import withheld_ends
+from azurewood.scheduling import account_usage
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 
@@ -34,6 +35,7 @@
     ``confirmed_at`` is when the latest start or stop was confirmed, None
     while its outcome is unknown. ``crashes`` is how many crashes of hosts
     its task was suspected of when it was placed.
+    ``account`` is the client account of its job, empty for none.
     ``starts_sent`` is how many starts of it have left, as far as known. It
     only grows, as what was sent may still act.
     ``speed`` is the newest speed limit in percent. It is sent again at
@@ -44,6 +46,7 @@
     """
 
     __slots__ = (
+        "account",
         "began_at",
         "confirmed_at",
         "crashes",
@@ -70,8 +73,15 @@
     )
 
     def __init__(
-        self, *, task: model.TaskId, run: int, step: model.Step, now: float
+        self,
+        *,
+        task: model.TaskId,
+        run: int,
+        step: model.Step,
+        now: float,
+        account: str = "",
     ) -> None:
+        self.account = account
         self.task = task
         self.run = run
         self.step = step
@@ -137,6 +147,9 @@
     ``ordered_away`` is whether an order ends its incarnation, or may have
     ended it. While it is ``emptying`` its tasks are to go elsewhere, until it
     is ordered away or the leader changes its mind.
+    ``usage`` has what accounts use, and is shared by all hosts.
+    ``listed_unknown`` has the runs on the newest list that the leader does
+    not hold and that count there, with their accounts.
     """
 
     __slots__ = (
@@ -155,6 +168,7 @@
         "long_lived",
         "leases_expire_at",
         "listed_at",
+        "listed_unknown",
         "ordered_away",
         "past_incarnations",
         "present",
@@ -167,6 +181,7 @@
         "step_runs",
         "suspended_until",
         "unresponsive_since",
+        "usage",
         "used",
     )
 
@@ -201,6 +216,8 @@
         self.emptying = False
         self.late_starts = late_starts.LateStarts()
         self.past_incarnations: set[int] = set()
+        self.usage = account_usage.AccountUsage()
+        self.listed_unknown: dict[tuple[model.TaskId, int], str] = {}
 
     @property
     def is_responsive(self) -> bool:
@@ -232,12 +249,29 @@
         self.runs[run.key] = run
         self.long_lived += run.step.long_lived
         self.reserve(run.task, run.step)
+        self.usage.add((self.id, *run.key), run.account, run.step.needs)
 
     def remove(self, run: Run) -> None:
         """Remove a run and release its resources."""
         del self.runs[run.key]
         self.long_lived -= run.step.long_lived
         self.release(run.task, run.step)
+        self.usage.remove((self.id, *run.key), run.account)
+
+    def count_unknown(
+        self,
+        runs: dict[tuple[model.TaskId, int], tuple[str, model.Resources]],
+    ) -> None:
+        """Count the unknown runs on the newest list, instead of earlier ones.
+
+        ``runs`` has the account of each and what it uses.
+        """
+        before, self.listed_unknown = self.listed_unknown, {}
+        for key, (account, needs) in runs.items():
+            self.usage.add((self.id, *key), account, needs)
+            self.listed_unknown[key] = account
+        for key, account in before.items():
+            self.usage.remove((self.id, *key), account)
 
     def reserve(self, task: model.TaskId, step: model.Step) -> None:
         """Reserve the resources of one task of a step."""
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -142,6 +142,7 @@
     host.past_incarnations.add(host.incarnation.began_ms)
     host.past_incarnations.discard(incarnation_ms)
     host.incarnation = incarnations.Incarnation(began_ms=incarnation_ms)
+    host.count_unknown({})
     latestarts.on_renewal_lost(state, host, now)
     host.renewals += 1
     host.renewing = False
@@ -235,6 +236,7 @@
             tasks.mark_run_gone(
                 state, host, run, "all leases of the host lapsed", now
             )
+    host.count_unknown({})
     kept = host.present or host.renewing or host.runs or host.late_starts
     if not kept:
         del state.hosts[host.id]
--- a/azurewood/scheduling/latestarts.py
+++ b/azurewood/scheduling/latestarts.py
@@ -65,6 +65,8 @@
         fence=host.fence,
         possible_until=now + limits.MAX_START_DELAY_S,
         gang=run.step.gang,
+        account=run.account,
+        needs=run.step.needs,
     )
     state.add_late_start(host, run.key, late)
 
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -4,6 +4,7 @@
 after its start or stop was answered, and if its start can't take effect later.
 """
 
+from azurewood.jobs import model
 from azurewood.policy import host_health
 from azurewood.policy import withheld_ends as policy
 from azurewood.scheduling import crashes
@@ -152,10 +153,31 @@
             )
     unknown = [row for row in event.running if _key(row) not in host.runs]
     host.incarnation.unknown_runs = len(unknown)
+    if unknown or host.listed_unknown:
+        host.count_unknown(_counted(state, host, unknown))
     if unknown:
         _stop_unknown_runs(state, host, unknown, now)
 
 
+def _counted(
+    state: scheduling.State,
+    host: host_state.Host,
+    unknown: list[messages.RunningRow],
+) -> dict[tuple, tuple[str, model.Resources]]:
+    """Return the accounts of unknown runs and what these use, if known.
+
+    The job of a run that counts already, as a late start perhaps, may be over.
+    """
+    found = {}
+    for row in unknown:
+        account, needs = state.usage.holder((host.id, *_key(row)))
+        if not account:
+            account, needs = state.account_of(row.task)
+        if account:
+            found[_key(row)] = (account, needs)
+    return found
+
+
 def _key(row: messages.RunningRow) -> tuple:
     return (row.task, row.run)
 
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -10,6 +10,7 @@
 from azurewood.policy import arrivals
 from azurewood.policy import pool_sizes
 from azurewood.policy import withheld_ends
+from azurewood.scheduling import account_usage
 from azurewood.scheduling import advice_queue
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
@@ -40,6 +41,8 @@
     machines may get orders at all. ``unseen_since`` maps the hosts that the
     machine list names and that are not known to the time since when.
     ``late_steps`` has the late starts of all hosts by step.
+    ``usage`` has what accounts have running on all hosts, and
+    ``accounts_logged`` the accounts whose latest log line had anything.
     Hosts to empty for maintenance are chosen at ``emptying_due``; machines
     whose hosts could not be emptied may be chosen again at ``empty_after``.
     A host more in each of ``pools_in_the_way`` would let a wave go on.
@@ -56,6 +59,8 @@
     """
 
     __slots__ = (
+        "accounts_log_at",
+        "accounts_logged",
         "advice",
         "arrivals",
         "backlogs",
@@ -108,6 +113,7 @@
         "unreadable_jobs",
         "unresponsive_changed",
         "unseen_since",
+        "usage",
         "values",
         "waves",
     )
@@ -121,7 +127,10 @@
         self.jobs: dict[str, jobstates.JobState] = {}
         self.advice = advice_queue.AdviceQueue()
         self.hosts: dict[str, host_state.Host] = {}
-        self.late_steps = late_starts.LateSteps()
+        self.usage = account_usage.AccountUsage()
+        self.accounts_log_at = 0.0
+        self.accounts_logged: set[str] = set()
+        self.late_steps = late_starts.LateSteps(usage=self.usage)
         self.hosts_read_at = 0.0
         self.unseen_since: dict[str, float] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
@@ -178,6 +187,7 @@
                 fence=self.fence,
             )
             host.late_starts = late_starts.LateStarts(steps=self.late_steps)
+            host.usage = self.usage
             self.hosts[id] = host
         return host
 
@@ -216,6 +226,13 @@
         job = self.jobs.get(id.job)
         return job.task(id) if job is not None else None
 
+    def account_of(self, id: model.TaskId) -> tuple[str, model.Resources]:
+        """Return the account of a task and what it uses, ``""`` for none."""
+        job = self.jobs.get(id.job)
+        if job is None or job.task(id) is None:
+            return "", model.Resources()
+        return job.job.account, job.step_of(id).needs
+
     def add_late_start(
         self,
         host: host_state.Host,
--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -1,10 +1,11 @@
 """The last look at starts before they leave, which may have waited.
 
 A start waits while a record is stored. Meanwhile its run may have been
-stopped or lost, or its host may have shrunk below what it runs. Such a start
-is taken back.
+stopped or lost, its host may have shrunk below what it runs, or its account's
+limit may have been lowered. Such a start is taken back.
 """
 
+from azurewood.scheduling import account_limits
 from azurewood.scheduling import host_state
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
@@ -45,6 +46,9 @@
         # It has shrunk, maybe under an earlier leader.
         _take_back(state, host, run, "its host has shrunk", now)
         return True
+    if account_limits.is_over(state, run.account):
+        _take_back(state, host, run, "its account is over its limit", now)
+        return True
     return False
 
 
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -12,6 +12,7 @@
 from azurewood.policy import host_health
 from azurewood.policy import job_order
 from azurewood.policy import restarts
+from azurewood.scheduling import account_limits
 from azurewood.scheduling import advice
 from azurewood.scheduling import crashes
 from azurewood.scheduling import host_state
@@ -76,7 +77,10 @@
         return
     for job in job_order.order_jobs(found, state.clock_ms, pool_cpu):
         for number, tasks in _open_steps(state, job):
-            if not job.job.steps[number].reserved.fits(largest_free):
+            step = job.job.steps[number]
+            if not step.reserved.fits(largest_free):
+                continue
+            if not account_limits.may_start_step(state, job, step):
                 continue
             placed = _place_step(state, host_index, job, tasks, now)
             if placed:
@@ -186,7 +190,8 @@
         placed = _place_gang(state, host_index, job, tasks, allowed, now)
     else:
         placed = _place_tasks(state, host_index, job, ready, allowed, now)
-    if allowed is not None and placed < len(ready):
+    has_room = account_limits.may_start_step(state, job, step)
+    if allowed is not None and placed < len(ready) and has_room:
         hosts = _hosts_for(state, host_index.hosts, job, ready, now)
         advice.note_step(state, job, key, hosts, now)
     return placed
@@ -204,6 +209,10 @@
     step = job.step_of(ready[0].id)
     placed = []
     for task in ready:
+        if not account_limits.may_start(state, job, task, now):
+            if task.late_starts:
+                continue
+            break
         among = _among(state, task, allowed, now)
         if among is not allowed and among:
             host = host_index.only_host(step, task, among[0])
@@ -302,7 +311,7 @@
     ):
         return 0
     step = job.step_of(tasks[0].id)
-    for group in _gang_candidates(host_index.hosts, step, allowed):
+    for group in host_choice.gang_candidates(host_index.hosts, step, allowed):
         chosen = _choose_all(state, host_index, step, tasks, group, now)
         if chosen is not None:
             run = max(task.run for task in tasks)
@@ -316,26 +325,6 @@
     return 0
 
 
-def _gang_candidates(
-    hosts: list[host_state.Host],
-    step: jobs.Step,
-    allowed: abc.Container[str] | None,
-) -> abc.Iterator[abc.Container[str] | None]:
-    """Yield the sets of host ids that a gang may be placed on.
-
-    A gang that prefers one rack gets the hosts of each rack first and then
-    all allowed hosts; other gangs get only the latter.
-    """
-    if step.same_rack:
-        racks = collections.defaultdict(set)
-        for host in hosts:
-            if allowed is None or host.id in allowed:
-                for label in host.entry.labels[1:]:
-                    racks[label].add(host.id)
-        yield from racks.values()
-    yield allowed
-
-
 def _choose_all(
     state: model.State,
     host_index: host_choice.HostIndex,
@@ -380,7 +369,13 @@
     task.host = host.id
     task.host_incarnation_ms = host.entry.incarnation_ms
     step = job.step_of(task.id)
-    run = host_state.Run(task=task.id, run=task.run, step=step, now=now)
+    run = host_state.Run(
+        task=task.id,
+        run=task.run,
+        step=step,
+        now=now,
+        account=job.job.account,
+    )
     run.incarnation_ms = host.entry.incarnation_ms
     run.saved = task.saved
     run.crashes = task.crashes
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -10,6 +10,8 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import account_demand
+from azurewood.scheduling import account_limits
 from azurewood.scheduling import backlog
 from azurewood.scheduling import host_ends
 from azurewood.scheduling import host_state
@@ -93,11 +95,13 @@
 def _record_demand(state: model.State, now: float) -> None:
     asked = collections.defaultdict(jobs.Resources)
     least = collections.Counter()
+    limits = account_demand.Limits(state)
     for job in state.jobs.values():
         if job.cancelled or job.closing:
             continue
         service = state.service_of(job.job)
-        asked[service] = asked[service].plus(_requested(state, job))
+        needs = limits.capped(job, _requested(state, job))
+        asked[service] = asked[service].plus(needs)
         least[service] = max(least[service], _min_hosts(state, job))
     for name in state.catalog.pools:
         capacity = _host_capacity(state, name)
@@ -133,7 +137,9 @@
     for key in job.open_steps(state.unix_ms):
         step = job.job.steps[key[1]]
         if step.per_host:
-            least = max(least, -(-job.undone[key] // step.per_host))
+            count = account_limits.most_at_once(state, job, step)
+            tasks = min(job.undone[key], count)
+            least = max(least, -(-tasks // step.per_host))
     return least
 
 
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -19,6 +19,7 @@
 
 from azurewood.conf import decoding
 from azurewood.incarnations import late_starts
+from azurewood.jobs import model as jobs
 from azurewood.journal import appender
 from azurewood.scheduling import host_state
 from azurewood.scheduling import job_records
@@ -79,6 +80,8 @@
     ``ended`` is whether the host has listed the end of its run. ``gang`` is
     whether the run is a member of a gang; an older record doesn't tell.
     ``repeated`` is whether a further start of the run may leave after it.
+    ``account`` is the client account that it counts for and ``needs`` what it
+    uses; an older record doesn't tell, nor does one of a job without account.
     """
 
     job: str
@@ -91,6 +94,8 @@
     ended: bool = False
     gang: bool = True
     repeated: bool = False
+    account: str = ""
+    needs: jobs.Resources = jobs.Resources()
 
 
 class LateStartsProgress(
@@ -217,6 +222,8 @@
             late.next_run_at is not None,
             late.gang,
             _is_repeated(host, (task, run)),
+            late.account,
+            late.needs,
         )
         for (task, run), late in host.late_starts.items()
     )
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -8,6 +8,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.journal import appender
+from azurewood.scheduling import account_limits
 from azurewood.scheduling import advice
 from azurewood.scheduling import hosts
 from azurewood.scheduling import job_records
@@ -192,6 +193,8 @@
         case messages.HostGone(id=host_id):
             hosts.on_removed(state, host_id)
         case messages.CatalogChanged(catalog=catalog):
+            if state.catalog is not None:
+                account_limits.log_changes(state, state.catalog, catalog)
             state.catalog = catalog
             state.placement_due.update(catalog.pools)
         case messages.WaveRequested():
@@ -228,6 +231,7 @@
     hosts.send_due_calls(state, now)
     maintenance.drive_waves(state, now, may_order=event.may_order)
     pools.plan_moves(state, now, may_order=event.may_order)
+    account_limits.log_states(state, now)
     stuck.check(state, now)
     if state.begun_job_ids:
         ids, state.begun_job_ids = tuple(state.begun_job_ids), []
--- a/azurewood/scheduling/restoration.py
+++ b/azurewood/scheduling/restoration.py
@@ -41,7 +41,11 @@
             fence=0,
             possible_until=written_at + row.left_ms / 1000,
             gang=row.gang,
+            account=row.account,
+            needs=row.needs,
         )
+        if not row.account:
+            late.account, late.needs = state.account_of(task)
         if row.repeated:
             late.possible_until = max(late.possible_until, repeated_until)
         if row.ended:
@@ -106,7 +110,13 @@
     if task.phase is not jobstates.TaskPhase.OPEN:
         return
     step = job.step_of(task.id)
-    run = host_state.Run(task=task.id, run=row.run, step=step, now=now)
+    run = host_state.Run(
+        task=task.id,
+        run=row.run,
+        step=step,
+        now=now,
+        account=job.job.account,
+    )
     run.inherited = True
     run.crashes = row.crashes
     run.incarnation_ms = row.host_born_ms
@@ -149,6 +159,8 @@
         fence=0,
         possible_until=possible_until,
         gang=run.step.gang,
+        account=run.account,
+        needs=run.step.needs,
     )
     state.add_late_start(host, run.key, late)
 
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -2,8 +2,8 @@
 
 A start is recorded before it is sent. If its outcome is unknown it is sent
 again; hosts treat repeated starts as one. After ``MAX_START_ATTEMPTS``, or if
-the host is over its capacity, the run is stopped, which also prevents a
-delayed start from taking effect.
+the host is over its capacity or the account over its limit, the run is
+stopped, which also prevents a delayed start from taking effect.
 """
 
 import typing
@@ -11,6 +11,7 @@
 from azurewood.incarnations import late_starts
 from azurewood.incarnations import limits
 from azurewood.jobs import model
+from azurewood.scheduling import account_limits
 from azurewood.scheduling import advice
 from azurewood.scheduling import host_ends
 from azurewood.scheduling import host_state
@@ -54,6 +55,7 @@
             if (
                 run.starts_sent >= MAX_START_ATTEMPTS
                 or host.over_capacity
+                or account_limits.is_over(state, run.account)
                 or host.entry.state.value != "ready"
             ):
                 tasks.stop(run, now)
@@ -77,6 +79,8 @@
     job = state.jobs.get(run.task.job)
     if job is None or host.leaving:
         return False
+    if account_limits.is_over(state, run.account):
+        return False
     queue = state.catalog and state.catalog.queues.get(job.job.queue)
     return (
         queue is not None
@@ -108,6 +112,8 @@
         fence=0,
         possible_until=now + limits.MAX_START_DELAY_S,
         gang=run.step.gang,
+        account=run.account,
+        needs=run.step.needs,
     )
     state.add_late_start(host, run.key, late)
     send_start(state, host, run, now, saved_first=True)
@@ -279,6 +285,8 @@
         fence=event.fence,
         possible_until=now + limits.MAX_START_DELAY_S,
         gang=run is not None and run.step.gang,
+        account=run.account if run is not None else "",
+        needs=run.step.needs if run is not None else model.Resources(),
     )
     _log_other_late_run(state, late, event, now)
     state.add_late_start(host, key, late)
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -13,6 +13,7 @@
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_health
 from azurewood.policy import restarts
+from azurewood.scheduling import account_limits
 from azurewood.scheduling import advice
 from azurewood.scheduling import backlog
 from azurewood.scheduling import host_state
@@ -38,6 +39,7 @@
     UNSYNCED = "no host of the pool has answered this leader"
     UNUSABLE = "hosts of the pool are silent, leaving or suspended"
     LATE_START = "a start of an earlier run may still be carried out"
+    ACCOUNT_LIMIT = "account limit"
     ADVICE = "waiting for advice"
     NOT_APPROVED = "no approved host has room"
     ROOM = "waiting for room"
@@ -260,6 +262,8 @@
     if now < task.waits_until:
         return Why.RETRY
     job = state.jobs[task.id.job]
+    if not account_limits.may_start_step(state, job, job.step_of(task.id)):
+        return Why.ACCOUNT_LIMIT
     pool = pools.get(state, state.service_of(job.job), now)
     if pool.why is not None:
         return pool.why
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -2,6 +2,7 @@
 
 from azurewood.jobs import model
 from azurewood.policy import arrivals
+from azurewood.scheduling import account_limits
 from azurewood.scheduling import host_state
 from azurewood.scheduling import job_records
 from azurewood.scheduling import jobstates
@@ -31,7 +32,9 @@
         added.set_accepted(max(added.accepted_ms, earliest_ms))
         service = state.service_of(job)
         found = state.arrivals.setdefault(service, arrivals.Arrivals())
-        found.record(job, now)
+        if account_limits.may_start_step(state, added, job.steps[0]):
+            # Hosts for what an account may not run now would stay idle.
+            found.record(job, now)
     return added
 
 
--- /dev/null
+++ b/tests/scheduling/accounts.py
@@ -0,0 +1,101 @@
+"""Deployments with client accounts, and a recount of what these use."""
+
+import collections
+import dataclasses
+
+import msgspec
+
+from azurewood.jobs import catalog
+from azurewood.jobs import model
+from azurewood.scheduling import reducer
+from standins.fleet import account_rules
+from tests.scheduling import deployment
+
+ONE = model.Step(count=1, needs=model.Resources(1000, 500, 0), estimate_ms=400)
+LASTING = model.Step(
+    count=1, needs=model.Resources(1000, 500, 0), long_lived=True
+)
+
+
+def limited(version=2, **cores):
+    """Return a configuration with accounts that may use so many cores."""
+    accounts = {
+        name: catalog.Account(
+            name=name, limit=model.Resources(count * 1000, 0, 0)
+        )
+        for name, count in cores.items()
+    }
+    return dataclasses.replace(
+        deployment.CATALOG, version=version, accounts=accounts
+    )
+
+
+def world(*, seed=1, pools=None, **cores):
+    """Return a world with three hosts whose accounts have limits.
+
+    No earlier configuration may be in force there any more.
+    """
+    made = deployment.world(seed=seed, **(pools or {"s-one": 3}))
+    configure(made, **cores)
+    made.run(account_rules.CONFIG_S)
+    return made
+
+
+def configure(made, **cores):
+    """Publish other limits."""
+    made.configure(limited(made.catalog.version + 1, **cores))
+    made.run(0.3)
+
+
+def submit(made, numbers, account, *steps):
+    """Submit jobs of an account; return their ids."""
+    ids = []
+    live = next(member for member in made.members if member.up)
+    for number in numbers:
+        job = deployment.job(made, number, *(steps or (ONE,)))
+        made.submit(live, msgspec.structs.replace(job, account=account))
+        ids.append(job.id)
+    return ids
+
+
+def done(made, ids):
+    """Return how many of some jobs are done."""
+    return len(made.rules.ended_at.keys() & set(ids))
+
+
+def recount(state, asked):
+    """Return what each account uses, found by a search of all hosts."""
+    sums = collections.defaultdict(model.Resources)
+    for host in state.hosts.values():
+        held = host.runs.keys() | host.late_starts.keys()
+        for task, _ in held | host.listed_unknown.keys():
+            job = asked[task.job]
+            if job.account:
+                needs = job.steps[task.step].needs
+                sums[job.account] = sums[job.account].plus(needs)
+    return dict(sums)
+
+
+def watch(monkeypatch, made):
+    """Recount after each event; return the list of differences."""
+    wrong = []
+    usual = reducer.handle_event
+
+    def handle_event(state, event, now):
+        usual(state, event, now)
+        expected = recount(state, made.rules.asked)
+        found = {a: state.usage.used(a) for a in state.usage.accounts()}
+        if found != expected:
+            wrong.append((type(event).__name__, found, expected))
+
+    monkeypatch.setattr(reducer, "handle_event", handle_event)
+    return wrong
+
+
+def line_fields(state, event):
+    """Return the fields of a state's log lines of one kind."""
+    return [
+        effect.fields
+        for effect in state.effects
+        if getattr(effect, "event", "") == event
+    ]
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -109,6 +109,19 @@
     return state
 
 
+def _at_limit():
+    """Guards against a task at its account's limit that waits for room."""
+    state = _state()
+    job = state.jobs["j"]
+    job.job = msgspec.structs.replace(job.job, account="a")
+    limit = jobs.Resources(999, 0, 0)
+    state.catalog = dataclasses.replace(
+        state.catalog,
+        accounts={"a": catalog.Account(name="a", limit=limit)},
+    )
+    return state
+
+
 def _advice():
     return _state(
         advice=catalog.Advice(decision_ms=1, per_host_ms=1, validity_ms=1)
@@ -200,6 +213,7 @@
         (_suspended, stuck.Why.UNUSABLE),
         (_full, stuck.Why.ROOM),
         (_retry, stuck.Why.RETRY),
+        (_at_limit, stuck.Why.ACCOUNT_LIMIT),
         (_late_start, stuck.Why.LATE_START),
         (_advice, stuck.Why.ADVICE),
         (_not_approved, stuck.Why.NOT_APPROVED),
