--- a/azurewood/log/event_metrics.py
+++ b/azurewood/log/event_metrics.py
@@ -104,6 +104,36 @@
         divisor=1000.0,
         label="pool",
     ),
+    FieldGauge(
+        event="account.state",
+        field="running",
+        name="azurewood_account_running_tasks",
+        help="Tasks of an account that may be running on any host.",
+        label="account",
+    ),
+    FieldGauge(
+        event="account.state",
+        field="waiting",
+        name="azurewood_account_waiting_tasks",
+        help="Tasks of an account whose turn has come without a host.",
+        label="account",
+    ),
+    FieldGauge(
+        event="account.state",
+        field="running_cpu",
+        name="azurewood_account_running_cores",
+        help="Cores of the account's tasks that may be running.",
+        divisor=1000.0,
+        label="account",
+    ),
+    FieldGauge(
+        event="account.state",
+        field="limit_cpu",
+        name="azurewood_account_limit_cores",
+        help="Most cores that the account may use at a time; 0 is no limit.",
+        divisor=1000.0,
+        label="account",
+    ),
 )
 GAUGE_EVENTS: typing.Final = frozenset(
     {TERM_OVER, *(gauge.event for gauge in GAUGES)}
--- a/tests/log/test_event_metrics.py
+++ b/tests/log/test_event_metrics.py
@@ -71,3 +71,19 @@
 
 def test_other_paths_are_not_found():
     assert _get(event_metrics.EventMetrics(), "/")[0] == "404 Not Found"
+
+
+def test_account_state_sets_gauges_that_fall_to_0_when_it_is_idle():
+    """Guards against an account that seems to run what has ended."""
+    collector = event_metrics.EventMetrics()
+    state = {"event": "account.state", "account": "a", "limit_cpu": 8000}
+    busy = {"running": 3, "waiting": 5, "running_cpu": 2500}
+    collector.observe(state | busy)
+    page = collector.page().decode()
+    assert 'azurewood_account_running_tasks{account="a"} 3.0' in page
+    assert 'azurewood_account_waiting_tasks{account="a"} 5.0' in page
+    assert 'azurewood_account_running_cores{account="a"} 2.5' in page
+    assert 'azurewood_account_limit_cores{account="a"} 8.0' in page
+    collector.observe(state | dict.fromkeys(busy, 0))
+    page = collector.page().decode()
+    assert 'azurewood_account_running_tasks{account="a"} 0.0' in page
