--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -456,6 +456,7 @@
         """Publish a configuration."""
         self.catalog = found
         self.key_rules.add_version(found)
+        self.rules.accounts.configure(found)
         record = appender.Record(key="config", value=found)
         self.store.add(pages.Topic.OPERATORS, (record,))
 
