Add loaded queues to heartbeats

Daemons know nothing of the leader's backlog, so they accept jobs whose answers come too late to be of use.

A beat has a new optional list of loaded queues with the expected waits by the work of a job, also for accounts beyond their share. Election.beat asks for the list only if a beat is due, and Election.load has the newest list and when it was read. Without loaded queues a beat is encoded as before.

--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -26,8 +26,13 @@
 
 import bisect
 import collections
+from collections import abc
+import dataclasses
+import math
 import typing
 
+import msgspec
+
 from azurewood.jobs import model
 from azurewood.leadership import events
 from azurewood.leadership import predecessors
@@ -66,6 +71,14 @@
 ends by itself."""
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class LoadReport:
+    """The loaded queues of the newest beat, and when it was read."""
+
+    queues: tuple[records.QueueLoad, ...]
+    read_at: float
+
+
 class Election:
     """One daemon's view of the current term and its part in the election.
 
@@ -84,7 +97,8 @@
     had read no record when it last claimed. ``leader_append_s`` is how long
     the leader's appends take by its own report, 0 if unknown.
     ``own_append_s`` is how long this daemon's newest election record took,
-    and ``append_delay_s`` how long its other appends take.
+    and ``append_delay_s`` how long its other appends take. ``load`` is the
+    newest report of loaded queues; other threads may read it.
 
     A leader's term counts as confirmed from the time at which its record was
     sent, which is before any daemon can have read the record. A daemon that
@@ -124,6 +138,7 @@
         "leader",
         "leader_append_s",
         "leader_cores",
+        "load",
         "name",
         "nonce",
         "own_append_s",
@@ -155,6 +170,7 @@
         self.leader_cores = 0.0
         self.leader_append_s = 0.0
         self.own_append_s = 0.0
+        self.load = LoadReport(queues=(), read_at=-math.inf)
         self.append_delay_s = 0.0
         self.strongest = 0.0
         self.largest = model.Resources()
@@ -235,9 +251,15 @@
         return None
 
     def beat(
-        self, largest: model.Resources, now: float
+        self,
+        largest: model.Resources,
+        now: float,
+        load: abc.Callable[[], tuple[records.QueueLoad, ...]] = tuple,
     ) -> events.Append | None:
-        """Return the leader's next beat if it is due."""
+        """Return the leader's next beat if it is due.
+
+        ``load`` returns the loaded queues; it is called for due beats only.
+        """
         due = now >= self._beat_at + BEAT_INTERVAL_S
         if not self.term or self._appending or not due:
             return None
@@ -249,6 +271,7 @@
             append_s=round(max(self.own_append_s, self.append_delay_s), 3),
             address=self.address,
             beats=self._beats,
+            load=load() or msgspec.UNSET,
         )
         self._beats += 1
         return self._append(entry, now)
@@ -340,6 +363,7 @@
                 self._leader_seen_at = now
                 self.leader_append_s = entry.append_s
                 self.leader_cores = cores
+                self.load = LoadReport(queues=entry.load or (), read_at=now)
                 self._predecessor_ended = self._is_predecessors(entry)
                 self.largest = largest
                 self._record_cores(cores, now)
--- a/azurewood/leadership/records.py
+++ b/azurewood/leadership/records.py
@@ -14,12 +14,40 @@
     cores: float = 0.0
 
 
+class Wait(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The expected wait of jobs with at least ``work``, in cores times ms."""
+
+    work: int
+    wait_ms: int
+
+
+class AccountLoad(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The expected waits of new jobs of an account beyond its share."""
+
+    account: str
+    waits: tuple[Wait, ...]
+
+
+class QueueLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """The expected waits of new jobs of a queue.
+
+    ``waits`` are those of jobs within their account's share, by ascending
+    work: small jobs are served before large ones. ``beyond`` has the accounts
+    beyond theirs, with an empty name for jobs without one.
+    """
+
+    queue: str
+    waits: tuple[Wait, ...] = ()
+    beyond: tuple[AccountLoad, ...] = ()
+
+
 class Beat(msgspec.Struct, frozen=True, kw_only=True, tag="beat"):
     """A leader's heartbeat. ``largest`` is the largest machine's capacity.
 
     ``append_s`` is how long the leader's newest append took, 0 if unknown.
     ``address`` is where it listens, and ``beats`` the number of earlier beats
-    of its term.
+    of its term. ``load`` has the queues in which new jobs wait for long; it is
+    absent if there are none.
     """
 
     nonce: str
@@ -28,6 +56,7 @@
     append_s: float = 0.0
     address: str = ""
     beats: int = 0
+    load: tuple[QueueLoad, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class Resign(msgspec.Struct, frozen=True, kw_only=True, tag="resign"):
