--- a/azurewood/jobs/model.py
+++ b/azurewood/jobs/model.py
@@ -49,6 +49,12 @@
             self.gpu + other.gpu,
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return ``count`` times this amount."""
+        return Resources(
+            self.cpu * count, self.memory_mb * count, self.gpu * count
+        )
+
     def minus(self, other: "Resources") -> "Resources":
         """Return the difference; single resources may be negative."""
         return Resources(
--- a/azurewood/policy/pool_sizes.py
+++ b/azurewood/policy/pool_sizes.py
@@ -11,11 +11,16 @@
 jobs are late on their way to the leader and a pool in its peak seems to need
 little, so nothing is parked.
 
+When accounts ask for more than all machines hold, hosts go first to what is
+asked for within the accounts' shares, in all pools. Otherwise the account with
+the most jobs would have its pool take the machines of the others.
+
 Hosts where run ends wait for late starts should get no further tasks that end,
 see `azurewood.policy.withheld_ends`. Their pool gets other machines beside
 them, as far as the pools that lack hosts leave any.
 """
 
+import collections
 from collections import abc
 import dataclasses
 import math
@@ -37,10 +42,12 @@
 
     ``peaks`` lists times and the hosts wanted at that time, newest last.
     ``asked_cpu`` is the processor need of running and startable tasks, in
-    thousandths of a core.
+    thousandths of a core. ``beyond_share`` of the wanted hosts are for what
+    accounts ask for beyond their share of all machines.
     """
 
     wanted: int = 0
+    beyond_share: int = 0
     asked_cpu: int = 0
     peaks: list[tuple[float, int]] = dataclasses.field(default_factory=list)
 
@@ -102,6 +109,25 @@
     return max(min_hosts, math.ceil(max(shares, default=0.0)))
 
 
+def hosts_beyond_share(
+    wanted: int, asked: model.Resources, within: model.Resources
+) -> int:
+    """Return how many of the wanted hosts are beyond the accounts' shares.
+
+    ``within`` is the part of ``asked`` that is within them.
+    """
+    parts = [
+        part / need
+        for need, part in (
+            (asked.cpu, within.cpu),
+            (asked.memory_mb, within.memory_mb),
+            (asked.gpu, within.gpu),
+        )
+        if need
+    ]
+    return wanted - math.ceil(wanted * max(parts, default=1.0))
+
+
 def capacity_share(now: model.Resources, full: model.Resources) -> float:
     """Return the share of its full capacity that a host offers now.
 
@@ -152,6 +178,11 @@
     return demand.wanted if demand else 0
 
 
+def _within_share(pool: Pool, demands: abc.Mapping[str, Demand]) -> int:
+    demand = demands.get(pool.name)
+    return demand.wanted - demand.beyond_share if demand else 0
+
+
 def _recent_peak(pool: Pool, demands: abc.Mapping[str, Demand]) -> int:
     demand = demands.get(pool.name)
     return demand.recent_peak if demand else 0
@@ -168,19 +199,28 @@
     parked: list[str],
     movable: dict[str, list[str]],
 ) -> abc.Iterator[Move]:
-    """Yield moves to pools that want more hosts than they have."""
-
-    def short(pool: Pool) -> int:
-        return _wanted(pool, demands) - pool.hosts - pool.coming
+    """Yield moves to pools that want more hosts than they have.
 
-    for pool in sorted(serving, key=lambda pool: -short(pool)):
-        for _ in range(max(0, short(pool))):
-            machine = _next_machine(pool.name, parked, movable)
-            if machine is None:
-                return
-            yield Move(
-                machine=machine, pool=pool.name, reason="asked for more"
-            )
+    What is asked for within the accounts' shares comes first in all pools.
+    """
+    added = collections.Counter()
+    for target in (_within_share, _wanted):
+        short = {
+            pool.name: target(pool, demands)
+            - pool.hosts
+            - pool.coming
+            - added[pool.name]
+            for pool in serving
+        }
+        for pool in sorted(serving, key=lambda pool: -short[pool.name]):
+            for _ in range(max(0, short[pool.name])):
+                machine = _next_machine(pool.name, parked, movable)
+                if machine is None:
+                    return
+                added[pool.name] += 1
+                yield Move(
+                    machine=machine, pool=pool.name, reason="asked for more"
+                )
 
 
 def _next_machine(
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -10,8 +10,8 @@
 from azurewood.policy import host_choice
 from azurewood.policy import host_crashes
 from azurewood.policy import host_health
-from azurewood.policy import job_order
 from azurewood.policy import restarts
+from azurewood.scheduling import account_shares
 from azurewood.scheduling import advice
 from azurewood.scheduling import crashes
 from azurewood.scheduling import host_state
@@ -54,7 +54,6 @@
         for host in state.hosts.values()
         if host.entry is not None and host.entry.service == service
     ]
-    pool_cpu = sum(host.entry.capacity.cpu for host in pool if host.present)
     usable = [host for host in pool if host_health.usable(host, now)]
     if not usable:
         return
@@ -74,7 +73,7 @@
     if budget <= 0:
         state.placement_due.add(service)
         return
-    for job in job_order.order_jobs(found, state.clock_ms, pool_cpu):
+    for job in account_shares.order(state, found, pool):
         for number, tasks in _open_steps(state, job):
             if not job.job.steps[number].reserved.fits(largest_free):
                 continue
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -10,6 +10,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import account_shares
 from azurewood.scheduling import backlog
 from azurewood.scheduling import host_ends
 from azurewood.scheduling import host_state
@@ -93,12 +94,17 @@
 def _record_demand(state: model.State, now: float) -> None:
     asked = collections.defaultdict(jobs.Resources)
     least = collections.Counter()
+    by_account = collections.defaultdict(jobs.Resources)
     for job in state.jobs.values():
         if job.cancelled or job.closing:
             continue
         service = state.service_of(job.job)
-        asked[service] = asked[service].plus(_requested(state, job))
+        requested = _requested(state, job)
+        asked[service] = asked[service].plus(requested)
+        owner = (job.job.account, service)
+        by_account[owner] = by_account[owner].plus(requested)
         least[service] = max(least[service], _min_hosts(state, job))
+    within = account_shares.demand_within(state, by_account)
     for name in state.catalog.pools:
         capacity = _host_capacity(state, name)
         arrivals = state.arrivals.get(name)
@@ -113,6 +119,9 @@
         demand = state.demands.setdefault(name, pool_sizes.Demand())
         demand.record(wanted, now)
         demand.asked_cpu = asked[name].cpu
+        demand.beyond_share = pool_sizes.hosts_beyond_share(
+            wanted, asked[name], within[name]
+        )
 
 
 def _requested(state: model.State, job: jobstates.JobState) -> jobs.Resources:
@@ -159,6 +168,17 @@
     )
 
 
+def capacities(state: model.State, now: float) -> dict[str, jobs.Resources]:
+    """Return the capacity of each pool, with hosts that are on their way."""
+    return {
+        pool.name: _host_capacity(state, pool.name).times(
+            pool.hosts + pool.coming
+        )
+        for pool in _pools(state, now)
+        if not pool.standby
+    }
+
+
 def _pools(state: model.State, now: float) -> list[pool_sizes.Pool]:
     hosts = collections.defaultdict(float)
     coming = collections.Counter()
