Refuse jobs that cannot be answered in time

Jobs that a pool cannot serve while their answers are of use were accepted, and their callers waited for nothing.

The leader reports loaded queues in its beats. A daemon refuses a job for load with 429 and Retry-After. Before that it reads the jobs that were stored until then, as the caller may have sent the job to another daemon; without a read within 0.5 s, or while jobs may be in the intake only, the job is accepted. The line job.refused has queue, account, expected wait and the age of the report.

--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from azurewood.daemons import admission
 from azurewood.daemons import job_writes
 from azurewood.daemons import ports
 from azurewood.daemons import takeover as takeovers
@@ -27,7 +28,6 @@
 from azurewood.leadership import base as leadership
 from azurewood.leadership import events
 from azurewood.leadership import records as election_records
-from azurewood.policy import feasibility
 from azurewood.policy import intake as intakes
 from azurewood.scheduling import messages
 
@@ -252,13 +252,8 @@
     # Callers' requests
 
     def _admit(self, job: model.Job) -> desks.Refused | None:
-        """Refuse jobs that no machine can run; called by any thread."""
-        reason = feasibility.infeasible_reason(job, self.election.largest)
-        if not reason:
-            return None
-        return desks.Refused(
-            reason=reason, retry_after_s=feasibility.RETRY_AFTER_S
-        )
+        """Refuse jobs that cannot be served; called by any thread."""
+        return admission.refusal(job, self.election, self._clock())
 
     def enqueue_write(self, request: desks.WriteRequest) -> None:
         """Enqueue a caller's write request; called by any thread."""
@@ -277,7 +272,10 @@
         self._jobs.pause_s = LEADER_READ_PAUSE_S if self.term else READ_PAUSE_S
         if self.term is None:
             return
-        self._append_leader(election.beat(self.term.largest_capacity(), now))
+        beat = election.beat(
+            self.term.largest_capacity(), now, lambda: self.term.load(now)
+        )
+        self._append_leader(beat)
         self.term.step(now)
         if self.term.end_reason:
             election.step_down(now)
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -22,7 +22,9 @@
 from azurewood.journal import follower
 from azurewood.journal import pages
 from azurewood.leadership import predecessors
+from azurewood.leadership import records as election_records
 from azurewood.policy import intake as intake_policy
+from azurewood.scheduling import load
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import reducer
@@ -280,6 +282,10 @@
         """Return the largest machine's capacity, which beats publish."""
         return self.state.largest_capacity if self.state else model.Resources()
 
+    def load(self, now: float) -> tuple[election_records.QueueLoad, ...]:
+        """Return the loaded queues, which beats publish."""
+        return load.report(self.state, now) if self.state else ()
+
     def _lead(self, now: float) -> None:
         self._loop_monitor.step(self.state, now)
         election = self._context.election
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -32,6 +32,8 @@
 RETRY_AFTER_S: typing.Final = 1
 MAX_READ_WAIT_S: typing.Final = 2.0
 """Longest time that a caller waits for a read of the jobs."""
+REFUSAL_READ_WAIT_S: typing.Final = 0.5
+"""The same before a job is refused for load. Without a read it is accepted."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -54,12 +56,16 @@
 class Refused:
     """The request is not stored and never will be.
 
-    ``busy`` is whether too many jobs are the reason.
+    ``busy`` is whether too many jobs are the reason. ``details`` are further
+    fields of the log line.
     """
 
     reason: str
     retry_after_s: int = RETRY_AFTER_S
     busy: bool = False
+    details: dict[str, typing.Any] = dataclasses.field(
+        default_factory=dict, compare=False
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -251,8 +257,12 @@
                     f" {self.max_record_bytes} at most"
                 )
             refused = self._refusal(job)
-            if refused is not None:
+            if refused is not None and not (
+                refused.busy and self._may_be_stored(job.id, timeout_s)
+            ):
                 return self._refuse(job.id, refused)
+        if self._is_known(job.id):
+            return Taken()
         return self._store(job.id, records.Accepted(job=job), timeout_s)
 
     def _is_accepting(self, job_id: str) -> bool:
@@ -265,12 +275,24 @@
             return Refused(reason="store out of touch")
         return self.admission(job)
 
+    def _may_be_stored(self, job_id: str, timeout_s: float) -> bool:
+        """Return whether another daemon may have stored a job.
+
+        Its caller may have asked another daemon before, whose answer it did
+        not get. Therefore the records that were stored before this call are
+        read first.
+        """
+        if not self._await_read(min(timeout_s, REFUSAL_READ_WAIT_S)):
+            return True
+        return self._is_known(job_id) or not self._is_absent(job_id)
+
     def _refuse(self, job_id: str, refused: Refused) -> Refused:
         logger.bind(
             event="job.refused",
             job=job_id,
             reason=refused.reason,
             retry_after_s=refused.retry_after_s,
+            **refused.details,
             read_ms_ago=int((self._clock() - self.fresh_at) * 1000),
         ).info("job refused")
         return refused
