--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -35,6 +35,8 @@
 RETRY_AFTER_S: typing.Final = 1
 MAX_READ_WAIT_S: typing.Final = 2.0
 """Longest time that a caller waits for a read of the jobs."""
+REFUSAL_READ_WAIT_S: typing.Final = 0.5
+"""The same before a job is refused for load. Without a read it is accepted."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -57,12 +59,16 @@
 class Refused:
     """The request is not stored and never will be.
 
-    ``busy`` is whether too many jobs are the reason.
+    ``busy`` is whether too many jobs are the reason. ``details`` are further
+    fields of the log line.
     """
 
     reason: str
     retry_after_s: int = RETRY_AFTER_S
     busy: bool = False
+    details: dict[str, typing.Any] = dataclasses.field(
+        default_factory=dict, compare=False
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -233,8 +239,7 @@
         """Store a job; wait for at most ``timeout_s`` seconds."""
         known = self._job(job.id)
         if known is not None:
-            granted = self._grants(job.account, known)
-            return Taken() if granted else self._log_in_use(job)
+            return self._repeated(job, known)
         if job.id in self.registry.unreadable:
             return OutcomeUnknown(reason="the job's record cannot be read")
         if self._opened(job.id) is None:
@@ -245,10 +250,20 @@
                     f" {self.max_record_bytes} at most"
                 )
             refused = self._refusal(job)
-            if refused is not None:
+            if refused is not None and not (
+                refused.busy and self._may_be_stored(job, timeout_s)
+            ):
                 return self._refuse(job, refused)
+        known = self._job(job.id)
+        if known is not None:
+            return self._repeated(job, known)
         return self._store(job.id, records.Accepted(job=job), timeout_s)
 
+    def _repeated(self, job: model.Job, known: model.Job) -> Verdict:
+        """Return the verdict on a job whose id is that of a known one."""
+        granted = self._grants(job.account, known)
+        return Taken() if granted else self._log_in_use(job)
+
     def _opened(self, job_id: str) -> model.Job | None:
         """Return the job whose request to be stored has no verdict yet."""
         found = self._open.get((records.Accepted, job_id))
@@ -266,6 +281,18 @@
             return Refused(reason="store out of touch")
         return self.admission(job)
 
+    def _may_be_stored(self, job: model.Job, timeout_s: float) -> bool:
+        """Return whether another daemon may have stored a job.
+
+        Its caller may have asked another daemon before, whose answer it did
+        not get. Therefore the records that were stored before this call are
+        read first.
+        """
+        if not self._await_read(min(timeout_s, REFUSAL_READ_WAIT_S)):
+            return True
+        stored = self._job(job.id) is not None
+        return stored or not self._is_absent(job.id, job.account)
+
     def _refuse(self, job: model.Job, refused: Refused) -> Refused:
         logger.bind(
             event="job.refused",
@@ -273,6 +300,7 @@
             account=job.account,
             reason=refused.reason,
             retry_after_s=refused.retry_after_s,
+            **refused.details,
             read_ms_ago=int((self._clock() - self.fresh_at) * 1000),
         ).info("job refused")
         return refused
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -12,6 +12,7 @@
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import account_demand
 from azurewood.scheduling import account_limits
+from azurewood.scheduling import account_shares
 from azurewood.scheduling import backlog
 from azurewood.scheduling import host_ends
 from azurewood.scheduling import host_state
@@ -96,13 +97,17 @@
     asked = collections.defaultdict(jobs.Resources)
     least = collections.Counter()
     limits = account_demand.Limits(state)
+    by_account = collections.defaultdict(jobs.Resources)
     for job in state.jobs.values():
         if job.cancelled or job.closing:
             continue
         service = state.service_of(job.job)
-        needs = limits.capped(job, _requested(state, job))
-        asked[service] = asked[service].plus(needs)
+        requested = limits.capped(job, _requested(state, job))
+        asked[service] = asked[service].plus(requested)
+        owner = (job.job.account, service)
+        by_account[owner] = by_account[owner].plus(requested)
         least[service] = max(least[service], _min_hosts(state, job))
+    within = account_shares.demand_within(state, by_account)
     for name in state.catalog.pools:
         capacity = _host_capacity(state, name)
         arrivals = state.arrivals.get(name)
@@ -117,6 +122,9 @@
         demand = state.demands.setdefault(name, pool_sizes.Demand())
         demand.record(wanted, now)
         demand.asked_cpu = asked[name].cpu
+        demand.beyond_share = pool_sizes.hosts_beyond_share(
+            wanted, asked[name], within[name]
+        )
 
 
 def _requested(state: model.State, job: jobstates.JobState) -> jobs.Resources:
@@ -165,6 +173,17 @@
     )
 
 
+def capacities(state: model.State, now: float) -> dict[str, jobs.Resources]:
+    """Return the capacity of each pool, with hosts that are on their way."""
+    return {
+        pool.name: _host_capacity(state, pool.name).times(
+            pool.hosts + pool.coming
+        )
+        for pool in _pools(state, now)
+        if not pool.standby
+    }
+
+
 def _pools(state: model.State, now: float) -> list[pool_sizes.Pool]:
     hosts = collections.defaultdict(float)
     coming = collections.Counter()
