Order jobs by learned durations and use slow hosts last

Change: a leader learns from the runs that end, stores the model under key d of the progress topic and restores it. JobState.work, remaining_ms and objective_at_ms and the arrivals use the expected durations. A slow host comes last in the choice of hosts and is probed with single tasks. Lines durations.learned, host.slow and host.recovered, two gauges, and --no-learned-durations, which turns the use off. The reported lateness stays that by the caller's estimates. Hosts without runs cost the leader less.

--- a/azurewood/commands/fleet.py
+++ b/azurewood/commands/fleet.py
@@ -1,5 +1,6 @@
 """``azurewood fleet``: run a fleet daemon on the users' platform."""
 
+import dataclasses
 import os
 import signal
 import sys
@@ -31,12 +32,22 @@
     show_default=f"${settings_files.VARIABLE}",
     help="Path of the settings file.",
 )
-def fleet(*, path: str) -> None:
+@click.option(
+    "--learned-durations/--no-learned-durations",
+    default=True,
+    envvar="AZUREWOOD_LEARNED_DURATIONS",
+    show_default=True,
+    show_envvar=True,
+    help="Correct callers' estimates by ended runs, avoid slow hosts.",
+)
+def fleet(*, path: str, learned_durations: bool) -> None:
     """Run a fleet daemon until it is told to stop (SIGTERM)."""
     writer = bounded.BoundedWriter(stream=sys.stdout)
     collector = event_metrics.EventMetrics()
     try:
-        settings = settings_files.load(path)
+        settings = dataclasses.replace(
+            settings_files.load(path), learned_durations=learned_durations
+        )
         setup.configure(
             level="info",
             format="json",
--- a/azurewood/conf/fleet.py
+++ b/azurewood/conf/fleet.py
@@ -16,7 +16,8 @@
     the address that serves metrics, None if there is none. ``cores`` is
     the number of processor cores of the daemon, 0 if unknown. A topic of
     the store has ``store_partitions`` at most, and a record of it
-    ``store_record_bytes``.
+    ``store_record_bytes``. With ``learned_durations`` a leader corrects
+    callers' estimates and passes over slow hosts.
     """
 
     name: str
@@ -33,3 +34,4 @@
     store_record_bytes: int = 262144
     cores: float = 0.0
     metrics: kinds.Address | None = None
+    learned_durations: bool = True
--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -84,6 +84,7 @@
             cores=settings.cores,
             store_partitions=settings.store_partitions,
             store_record_bytes=settings.store_record_bytes,
+            learned_durations=settings.learned_durations,
             address=_own_address(settings),
         )
         job_service = self.member.job_service
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -57,6 +57,7 @@
         "_clock",
         "_jobs",
         "_leader",
+        "_learned_durations",
         "_operators",
         "_order_pause_s",
         "_max_record_bytes",
@@ -90,7 +91,9 @@
         store_partitions: int = 1,
         store_record_bytes: int = appender.MAX_RECORD_BYTES,
         address: str = "",
+        learned_durations: bool = True,
     ) -> None:
+        self._learned_durations = learned_durations
         self._partitions = min(store_partitions, intakes.MAX_PARTITIONS)
         self._platform = platform
         self._calls = calls
@@ -315,6 +318,7 @@
                 retention_s=self._retention_s,
                 partitions=self._partitions,
                 max_record_bytes=self._max_record_bytes,
+                learned_durations=self._learned_durations,
             ),
             number=number,
         )
--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -69,6 +69,7 @@
     retention_s: float
     partitions: int
     max_record_bytes: int
+    learned_durations: bool = True
 
 
 class Takeover:
@@ -282,4 +283,5 @@
             unix_ms=self._context.unix_ms(),
             read_by=self._context.election.read_by,
             max_record_bytes=self._context.max_record_bytes,
+            learned_durations=self._context.learned_durations,
         )
--- a/azurewood/incarnations/incarnation.py
+++ b/azurewood/incarnations/incarnation.py
@@ -2,6 +2,7 @@
 
 from azurewood.incarnations import ends
 from azurewood.jobs import model
+from azurewood.policy import host_speed
 
 
 class Incarnation:
@@ -13,7 +14,7 @@
     has the run ends that it listed, ``unknown_runs`` counts the runs on its
     latest list that the leader doesn't want. ``failed_tasks`` are those that
     failed on it since it last completed one. ``full_capacity`` is the largest
-    capacity that it has had of each resource.
+    capacity that it has had of each resource. ``speed`` tells if it is slow.
     """
 
     __slots__ = (
@@ -23,6 +24,7 @@
         "ends",
         "failed_tasks",
         "full_capacity",
+        "speed",
         "synced",
         "unknown_runs",
     )
@@ -34,6 +36,7 @@
         self.unknown_runs = 0
         self.failed_tasks: set[model.TaskId] = set()
         self.full_capacity = model.Resources()
+        self.speed = host_speed.HostSpeed()
         self._clock_ms: int | None = None
         self._clock_at = 0.0
 
--- a/azurewood/jobs/model.py
+++ b/azurewood/jobs/model.py
@@ -154,18 +154,28 @@
 
     def critical_path_ms(self) -> int:
         """Return the estimated length of the longest chain of steps in ms."""
+        return self.chain_ms([step.estimate_ms for step in self.steps])
+
+    def chain_ms(self, durations_ms: abc.Sequence[int]) -> int:
+        """Return the length of the longest chain of steps in ms.
+
+        ``durations_ms`` has the duration of each step.
+        """
         ends: list[int] = []
-        for step in self.steps:
+        for step, duration_ms in zip(self.steps, durations_ms, strict=True):
             begin = max((ends[i] for i in step.after), default=0)
-            ends.append(begin + step.estimate_ms)
+            ends.append(begin + duration_ms)
         return max(ends, default=0)
 
+    def objective_length_ms(self, durations_ms: abc.Sequence[int]) -> float:
+        """Return the time that a job may take, by its steps' durations."""
+        chain_ms = self.chain_ms(durations_ms)
+        return self.objective_factor * chain_ms + self.objective_ms
+
     def objective_at_ms(self) -> float:
         """Return the Unix ms by which the job should be done."""
-        length = (
-            self.objective_factor * self.critical_path_ms() + self.objective_ms
-        )
-        return self.accepted_ms + length
+        estimates_ms = [step.estimate_ms for step in self.steps]
+        return self.accepted_ms + self.objective_length_ms(estimates_ms)
 
 
 class TaskId(typing.NamedTuple):
--- a/azurewood/log/event_metrics.py
+++ b/azurewood/log/event_metrics.py
@@ -104,6 +104,18 @@
         divisor=1000.0,
         label="pool",
     ),
+    FieldGauge(
+        event="durations.learned",
+        field="estimates_off",
+        name="azurewood_estimates_off_ratio",
+        help="Factor by which callers' estimates were off on average.",
+    ),
+    FieldGauge(
+        event="durations.learned",
+        field="predictions_off",
+        name="azurewood_predictions_off_ratio",
+        help="Factor by which learned durations were off on average.",
+    ),
 )
 GAUGE_EVENTS: typing.Final = frozenset(
     {TERM_OVER, *(gauge.event for gauge in GAUGES)}
--- a/azurewood/policy/arrivals.py
+++ b/azurewood/policy/arrivals.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+from collections import abc
 import typing
 
 from azurewood.jobs import model
@@ -36,13 +37,22 @@
             collections.deque(maxlen=WORK_SAMPLES)
         )
 
-    def record(self, job: model.Job, now: float) -> None:
-        """Record the arrival of a job.
+    def record(
+        self,
+        job: model.Job,
+        now: float,
+        durations_ms: abc.Sequence[int] | None = None,
+    ) -> None:
+        """Record the arrival of a job and how long its steps' tasks take.
+
+        Without ``durations_ms`` the caller's estimates count.
 
         Long-lived and scheduled jobs are ignored.
         """
         if not job.long_lived and job.schedule is None:
-            self._newest.append((now, _work(job)))
+            if durations_ms is None:
+                durations_ms = [step.estimate_ms for step in job.steps]
+            self._newest.append((now, _work(job, durations_ms)))
 
     def expected_needs(self, now: float) -> model.Resources:
         """Return the resources that jobs need at the expected rate."""
@@ -68,12 +78,12 @@
         return min(MAX_RATE_GROWTH * rate, rate + rise * HOST_LEAD_S)
 
 
-def _work(job: model.Job) -> model.Resources:
-    """Return the resources of a job's tasks times their estimated seconds."""
+def _work(job: model.Job, durations_ms: abc.Sequence[int]) -> model.Resources:
+    """Return the resources of a job's tasks times their expected seconds."""
     cpu = 0.0
     memory = 0.0
-    for step in job.steps:
-        seconds = step.count * step.estimate_ms / 1000
+    for step, duration_ms in zip(job.steps, durations_ms, strict=True):
+        seconds = step.count * duration_ms / 1000
         cpu += step.reserved.cpu * seconds
         memory += step.reserved.memory_mb * seconds
     return model.Resources(int(cpu), int(memory), 0)
--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -32,13 +32,17 @@
 """Limit on hosts that are passed over as run ends wait there."""
 
 
+BEST_RANK: typing.Final = (False, False, False, False)
+
+
 class HostIndex:
     """The usable hosts of a pool, sorted by their free resources.
 
     While an index is in use, only its methods may change what the hosts
     have free, as the sort order would otherwise be wrong. With
     ``avoid_waiting``, tasks that end by themselves avoid the hosts on which
-    ends wait for late starts, or will.
+    ends wait for late starts, or will. ``slow`` has the slow hosts, which are
+    chosen last, and whether each is to be probed with a single task.
     """
 
     __slots__ = (
@@ -46,6 +50,7 @@
         "_gpus",
         "_memory",
         "_separation",
+        "_slow",
         "_waiting",
         "hosts",
     )
@@ -56,8 +61,10 @@
         hosts: list[host_state.Host],
         separation: host_crashes.Separation | None = None,
         avoid_waiting: bool = False,
+        slow: abc.Mapping[str, bool] | None = None,
     ) -> None:
         self.hosts = hosts
+        self._slow = self._limits_of_slow(slow or {})
         self._waiting = {
             host.id
             for host in hosts
@@ -69,6 +76,26 @@
         self._memory = sorted(host.free.memory_mb for host in hosts)
         self._gpus = sorted(host.free.gpu for host in hosts)
 
+    def _limits_of_slow(self, slow: abc.Mapping[str, bool]) -> dict[str, int]:
+        """Return the slow hosts with the tasks up to which they are probed.
+
+        If all hosts are slow, none is passed over for another one.
+        """
+        if len(slow) == len(self.hosts):
+            return {}
+        return {
+            host.id: sum(host.step_runs.values()) + 1 if slow[host.id] else 0
+            for host in self.hosts
+            if host.id in slow
+        }
+
+    def _is_slow(self, host: host_state.Host, step: jobs.Step) -> bool:
+        """Return whether a host is slow and not for a probe by a step."""
+        limit = self._slow.get(host.id)
+        if limit is None or step.long_lived or step.gang:
+            return limit is not None
+        return sum(host.step_runs.values()) >= limit
+
     def largest_free(self) -> jobs.Resources:
         """Return the largest free amount of each resource on any host.
 
@@ -95,23 +122,26 @@
         if step.long_lived:
             return min(
                 fitting,
-                key=lambda host: _long_lived_rank(host, step, task),
+                key=lambda host: _long_lived_rank(
+                    host, step, task, self._is_slow(host, step)
+                ),
                 default=None,
             )
         if task.crashes:
             return self._best_for_suspect(step, task, among)
         best = None
-        best_rank = (True, True, True)
+        best_rank = (True, True, True, True)
         avoided = 0
         for host in fitting:
             waits = host.id in self._waiting
-            rank = (*_rank(host, step, task), waits)
+            slow = host.id in self._slow and self._is_slow(host, step)
+            rank = (*_rank(host, step, task, slow), waits)
             if best is None or rank < best_rank:
                 best, best_rank = host, rank
             avoided += waits
-            if best_rank == (False, False, False):
+            if best_rank == BEST_RANK:
                 break
-            if avoided > MAX_HOSTS_TO_AVOID and not any(best_rank[:2]):
+            if avoided > MAX_HOSTS_TO_AVOID and not any(best_rank[:3]):
                 break
         return best
 
@@ -140,7 +170,7 @@
         return min(
             itertools.islice(emptiest, MAX_HOSTS_FOR_SUSPECT),
             key=lambda host: (
-                *_rank(host, step, task),
+                *_rank(host, step, task, self._is_slow(host, step)),
                 *host_crashes.danger(host),
             ),
             default=None,
@@ -243,14 +273,18 @@
 
 
 def _rank(
-    host: host_state.Host, step: jobs.Step, task: jobstates.Task
-) -> tuple[bool, bool]:
+    host: host_state.Host, step: jobs.Step, task: jobstates.Task, slow: bool
+) -> tuple[bool, bool, bool]:
+    """Rank a host for a task, the lowest rank being the best.
+
+    A slow host takes five times as long, remote data one and a half to three.
+    """
     far = bool(step.data_rack) and step.data_rack not in host.entry.labels
-    return (host.id in task.avoid, far)
+    return (host.id in task.avoid, slow, far)
 
 
 def _long_lived_rank(
-    host: host_state.Host, step: jobs.Step, task: jobstates.Task
+    host: host_state.Host, step: jobs.Step, task: jobstates.Task, slow: bool
 ) -> tuple:
     """Rank a host for a long-lived task, the lowest rank being the best.
 
@@ -258,5 +292,5 @@
     """
     here = host.step_runs.get(jobstates.step_key(task.id), 0)
     half = here >= (step.count + 1) // 2
-    rank = _rank(host, step, task)
+    rank = _rank(host, step, task, slow)
     return (*rank, half, not host.long_lived, -host.free.cpu, host.id)
--- a/azurewood/scheduling/host_state.py
+++ b/azurewood/scheduling/host_state.py
@@ -40,7 +40,9 @@
     ``speed_due_at``, as it may not be in force. Until ``late_speed_until``
     one that got no answer may still take effect. ``speed_calls`` is how many
     are under way, and ``speeds_overlap`` whether one was sent before another
-    was answered.
+    was answered. ``unanswered`` is whether a start of it got no answer.
+    A run that has been confirmed for more than ``overdue_after_s`` takes too
+    long; it is None if its time tells nothing.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "inherited",
         "late_speed_until",
         "measure",
+        "overdue_after_s",
         "percent",
         "phase",
         "retry_at",
@@ -66,6 +69,7 @@
         "step",
         "stop_open",
         "task",
+        "unanswered",
         "waiting_start",
     )
 
@@ -95,6 +99,8 @@
         self.late_speed_until = 0.0
         self.speed_calls = 0
         self.speeds_overlap = False
+        self.unanswered = False
+        self.overdue_after_s: float | None = None
 
     @property
     def key(self) -> tuple[model.TaskId, int]:
@@ -137,6 +143,8 @@
     ``ordered_away`` is whether an order ends its incarnation, or may have
     ended it. While it is ``emptying`` its tasks are to go elsewhere, until it
     is ordered away or the leader changes its mind.
+    ``heard_at`` is when its newest list was handled, and ``unheard_s`` for
+    how long a run may have ended by then without being listed.
     """
 
     __slots__ = (
@@ -149,6 +157,7 @@
         "fence",
         "fence_due",
         "free",
+        "heard_at",
         "id",
         "incarnation",
         "late_starts",
@@ -166,6 +175,7 @@
         "runs",
         "step_runs",
         "suspended_until",
+        "unheard_s",
         "unresponsive_since",
         "used",
     )
@@ -187,6 +197,8 @@
         self.renewal_grants = False
         self.renew_at = 0.0
         self.listed_at = 0.0
+        self.heard_at = -math.inf
+        self.unheard_s = math.inf
         self.connected_by: float | None = None
         self.disconnected_at = -math.inf
         self.unresponsive_since: float | None = None
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -12,6 +12,7 @@
 from azurewood.incarnations import limits
 from azurewood.jobs import model
 from azurewood.scheduling import crashes
+from azurewood.scheduling import durations
 from azurewood.scheduling import host_state
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import listings
@@ -164,7 +165,7 @@
             latestarts.raise_fence(state, host)
         if not host.renewing and now >= host.renew_at:
             _renew_lease(host, state, now)
-        for run in list(host.runs.values()):
+        for run in list(host.runs.values()) if host.runs else ():
             if run.phase is host_state.RunPhase.RUNNING:
                 continue
             due = now >= run.retry_at and not host.fence_due
@@ -305,6 +306,7 @@
         host.incarnation.ends.on_answered()
     host.listed_at = event.sent_at
     host.connected_by = event.connected_by
+    durations.on_listed(host, event.sent_at, now)
     ends = listings.handle_ends(state, host, event, now)
     running = {(row.task, row.run): row for row in event.running}
     listings.handle_running(state, host, event, running, ends, now)
--- a/azurewood/scheduling/jobstates.py
+++ b/azurewood/scheduling/jobstates.py
@@ -8,6 +8,7 @@
 
 from azurewood.incarnations import late_starts
 from azurewood.jobs import model
+from azurewood.policy import durations
 
 
 PART_TASKS: typing.Final = 128
@@ -123,6 +124,8 @@
     ``first_run_ms`` is when this leader placed the job's first task, in Unix
     ms, or None if no task was placed or an earlier leader placed it.
     ``advice`` has what is known of the hosts for each step, by their ids.
+    ``durations_ms`` has the expected duration of each step's tasks, and
+    ``evidence`` what its ended tasks tell of that.
 
     The tasks are numbered by occurrence, step and index, and ``PART_TASKS``
     in turn are a part. ``changed_parts`` have changes that are not stored,
@@ -143,6 +146,8 @@
         "cancelled",
         "changed_parts",
         "closing",
+        "durations_ms",
+        "evidence",
         "first_run_ms",
         "in_parts",
         "job",
@@ -159,6 +164,8 @@
     def __init__(self, *, job: model.Job, now: float) -> None:
         self.job = job
         self.long_lived = job.long_lived
+        self.durations_ms = [step.estimate_ms for step in job.steps]
+        self.evidence: dict[int, durations.Evidence] = {}
         self.set_accepted(job.accepted_ms)
         self.added_at = now
         self.begun = False
@@ -281,18 +288,18 @@
         return all(self.undone[(occurrence, other)] == 0 for other in after)
 
     def work(self) -> int:
-        """Return the estimated remaining work, in milli-cores times ms."""
+        """Return the expected remaining work, in milli-cores times ms."""
         if self._work is None:
             self._work = sum(
                 self.job.steps[number].needs.cpu
-                * self.job.steps[number].estimate_ms
+                * self.durations_ms[number]
                 * left
                 for (_, number), left in self.undone.items()
             )
         return self._work
 
     def remaining_ms(self) -> int:
-        """Return the estimated length of the longest chain of undone steps.
+        """Return the expected length of the longest chain of undone steps.
 
         Only the first occurrence counts.
         """
@@ -301,16 +308,28 @@
             for number, step in enumerate(self.job.steps):
                 begin = max((ends[i] for i in step.after), default=0)
                 undone = self.undone[(0, number)]
-                ends.append(begin + (step.estimate_ms if undone else 0))
+                expected_ms = self.durations_ms[number] if undone else 0
+                ends.append(begin + expected_ms)
             self._remaining_ms = max(ends, default=0)
         return self._remaining_ms
 
     def set_accepted(self, accepted_ms: float) -> None:
         """Set when the job was accepted, and with it the objective's end."""
         self.accepted_ms = accepted_ms
-        length_ms = self.job.objective_at_ms() - self.job.accepted_ms
+        length_ms = self.job.objective_length_ms(self.durations_ms)
         self.objective_at_ms = accepted_ms + length_ms
 
+    def set_durations(self, durations_ms: abc.Mapping[int, int]) -> None:
+        """Set the expected durations of some steps by their numbers."""
+        changed = False
+        for number, duration_ms in durations_ms.items():
+            changed |= self.durations_ms[number] != duration_ms
+            self.durations_ms[number] = duration_ms
+        if changed:
+            self._work = None
+            self._remaining_ms = None
+            self.set_accepted(self.accepted_ms)
+
     @property
     def done(self) -> bool:
         """Whether every task is done."""
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -13,6 +13,7 @@
 from azurewood.scheduling import advice_queue
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
+from azurewood.scheduling import learning
 from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
 from azurewood.scheduling import waiting
@@ -71,6 +72,7 @@
         "empty_after",
         "emptying_due",
         "dirty_late_starts",
+        "durations",
         "effects",
         "fence",
         "fenced_at",
@@ -122,6 +124,7 @@
         self.advice = advice_queue.AdviceQueue()
         self.hosts: dict[str, host_state.Host] = {}
         self.late_steps = late_starts.LateSteps()
+        self.durations = learning.Learning()
         self.hosts_read_at = 0.0
         self.unseen_since: dict[str, float] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -14,6 +14,7 @@
 from azurewood.policy import restarts
 from azurewood.scheduling import advice
 from azurewood.scheduling import crashes
+from azurewood.scheduling import durations
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
@@ -54,7 +55,8 @@
         for host in state.hosts.values()
         if host.entry is not None and host.entry.service == service
     ]
-    pool_cpu = sum(host.entry.capacity.cpu for host in pool if host.present)
+    # A list is cheaper here than a generator, which is resumed for each host.
+    pool_cpu = sum([h.entry.capacity.cpu for h in pool if h.present])
     usable = [host for host in pool if host_health.usable(host, now)]
     if not usable:
         return
@@ -63,6 +65,7 @@
         hosts=usable,
         separation=separation,
         avoid_waiting=state.unanswered_starts.avoids_hosts(now),
+        slow=durations.slow_hosts(state, usable, now),
     )
     largest_free = host_index.largest_free()
     if not any(_could_start(state, job, largest_free) for job in found):
@@ -387,6 +390,7 @@
     if repeated:
         # The starts before may still be carried out.
         run.starts_sent = host_state.SEVERAL_STARTS
+    durations.expect(host, run, job, task)
     host_index.add(host, run)
     state.dirty_jobs.add(job.job.id)
     if not job.recorded:
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -31,6 +31,7 @@
 ORDERS_KEY: typing.Final = "o"
 UNRESPONSIVE_KEY: typing.Final = "s"
 LATE_STARTS_PREFIX: typing.Final = "l/"
+DURATIONS_KEY: typing.Final = "d"
 MAX_SAVE_S: typing.Final = 8.0
 """Longest time from a run's record to its first start, which waits for it."""
 
@@ -109,6 +110,19 @@
     version: int = VERSION
 
 
+class DurationsProgress(
+    msgspec.Struct, frozen=True, kw_only=True, tag="durations"
+):
+    """The learned durations: ``rows`` of ``width`` bytes each.
+
+    See `azurewood.policy.durations`. A later release may append to a row.
+    """
+
+    rows: bytes
+    width: int
+    version: int = VERSION
+
+
 Progress = (
     job_records.Whole
     | job_records.Part
@@ -116,6 +130,7 @@
     | OrdersProgress
     | SilentProgress
     | LateStartsProgress
+    | DurationsProgress
 )
 _decoder = msgspec.msgpack.Decoder(Progress)
 
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -9,6 +9,7 @@
 from azurewood.jobs import model as jobs
 from azurewood.journal import appender
 from azurewood.scheduling import advice
+from azurewood.scheduling import durations
 from azurewood.scheduling import hosts
 from azurewood.scheduling import job_records
 from azurewood.scheduling import listings
@@ -43,6 +44,7 @@
     unix_ms: float = 0.0,
     read_by: progress.ReadBy = lambda end: None,
     max_record_bytes: int = appender.MAX_RECORD_BYTES,
+    learned_durations: bool = True,
 ) -> model.State:
     """Return the state of a leader whose term begins.
 
@@ -53,6 +55,7 @@
     ``leases_expire_at``. A machine to which they sent an order gets
     the next order no sooner than ``order_pause_s`` later. ``read_by`` tells
     when this daemon had read the election's log, see ``progress.written_by``.
+    Without ``learned_durations`` the callers' estimates count.
     """
     state = model.State(term=term, leases_expire_at=leases_expire_at)
     state.max_record_bytes = max_record_bytes
@@ -61,6 +64,8 @@
     state.unanswered_starts.unanswered_at = now
     state.unreadable_jobs.update(unreadable)
     decoded = {key: progress.decode(data) for key, data in stored.items()}
+    state.durations.used = learned_durations
+    durations.restore(state, decoded)
     for job in found:
         _restore_job(state, job, decoded, now)
         if job.id in begun and job.id in state.jobs:
@@ -143,6 +148,8 @@
     """Return the effects of the events handled since the last call."""
     if state.saving_effects is None:
         unresponsive.record(state, now)
+    if state.durations.changed and now >= state.durations.store_at:
+        durations.record(state, now)
     progress.flush(state, now)
     while state.unstorable_jobs:
         tasks.fail_unstorable(state, state.unstorable_jobs.pop(), now)
@@ -229,6 +236,7 @@
     maintenance.drive_waves(state, now, may_order=event.may_order)
     pools.plan_moves(state, now, may_order=event.may_order)
     stuck.check(state, now)
+    durations.check(state, now)
     if state.begun_job_ids:
         ids, state.begun_job_ids = tuple(state.begun_job_ids), []
         state.emit_after_save(messages.NotifyJobBegun(ids=ids))
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -283,6 +283,7 @@
     _log_other_late_run(state, late, event, now)
     state.add_late_start(host, key, late)
     if run is not None:
+        run.unanswered = True
         state.log_run("start.unanswered", host, run, tries=run.starts_sent)
 
 
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -2,6 +2,7 @@
 
 from azurewood.jobs import model
 from azurewood.policy import arrivals
+from azurewood.scheduling import durations
 from azurewood.scheduling import host_state
 from azurewood.scheduling import job_records
 from azurewood.scheduling import jobstates
@@ -31,7 +32,7 @@
         added.set_accepted(max(added.accepted_ms, earliest_ms))
         service = state.service_of(job)
         found = state.arrivals.setdefault(service, arrivals.Arrivals())
-        found.record(job, now)
+        found.record(job, now, added.durations_ms)
     return added
 
 
@@ -45,6 +46,7 @@
     if job.id in state.jobs:
         return None
     added = jobstates.JobState(job=job, now=now)
+    durations.predict(state, added)
     added.set_accepted(min(added.accepted_ms, state.clock_ms))
     state.jobs[job.id] = added
     state.placement_due.add(state.service_of(job))
@@ -143,6 +145,7 @@
     state.dirty_jobs.add(run.task.job)
     match row.how:
         case messages.End.DONE:
+            durations.on_done(state, host, run, job, now)
             _complete_task(state, job, task)
         case messages.End.FAILED:
             _fail_task(state, host, job, task, now)
@@ -349,13 +352,16 @@
         return
     job.closing = True
     state.emit_after_save(messages.NotifyJobEnded(id=job.job.id, phase=phase))
+    # What is reported is by the caller's estimates, as the caller knows them.
+    allowed_ms = job.job.objective_at_ms() - job.job.accepted_ms
+    after_ms = state.clock_ms - job.accepted_ms
     state.log_event(
         "job.ended",
         job=job.job.id,
         queue=job.job.queue,
         phase=phase.value,
-        after_ms=int(state.clock_ms - job.accepted_ms),
-        late_ms=int(state.clock_ms - job.objective_at_ms),
+        after_ms=int(after_ms),
+        late_ms=int(after_ms - allowed_ms),
         wait_ms=_wait_ms(job),
     )
 
--- a/tests/policy/test_host_choice.py
+++ b/tests/policy/test_host_choice.py
@@ -87,7 +87,7 @@
     host.late_starts.add((jobs.TaskId("late", 0, 0, 0), 1), late)
 
 
-def _search_linearly(hosts, step, task, avoid_waiting):
+def _search_linearly(hosts, step, task, avoid_waiting, slow):
     """Return the best host, found by examining all hosts and their runs."""
 
     def here(host):
@@ -110,10 +110,12 @@
         free = _room(host).cpu
         if not step.long_lived:
             waits = avoid_waiting and bool(host.late_starts)
-            return (failed, bool(far), waits, free, host.id)
+            last = host.id in slow and not (slow[host.id] and not host.runs)
+            return (failed, last, bool(far), waits, free, host.id)
         half = here(host) >= (step.count + 1) // 2
         long_lived = any(run.step.long_lived for run in host.runs.values())
-        return (failed, bool(far), half, not long_lived, -free, host.id)
+        last = host.id in slow
+        return (failed, last, bool(far), half, not long_lived, -free, host.id)
 
     return min(filter(suits, hosts), key=rank, default=None)
 
@@ -126,9 +128,12 @@
     waiting=strategies.sets(strategies.sampled_from(HOST_IDS)),
     full=strategies.sets(strategies.sampled_from(HOST_IDS)),
     avoid_waiting=strategies.booleans(),
+    slow=strategies.dictionaries(
+        strategies.sampled_from(HOST_IDS), strategies.booleans()
+    ),
 )
 def test_index_chooses_the_same_host_as_a_linear_search(
-    described, steps, picks, waiting, full, avoid_waiting
+    described, steps, picks, waiting, full, avoid_waiting, slow
 ):
     hosts = [
         _host(id, *given)
@@ -139,13 +144,19 @@
             _let_wait(host)
         if host.id in full:
             host.incarnation.ends.listed = 499
-    rooms = host_choice.HostIndex(hosts=hosts, avoid_waiting=avoid_waiting)
+    ids = {host.id for host in hosts}
+    slow = {id: probe for id, probe in slow.items() if id in ids}
+    rooms = host_choice.HostIndex(
+        hosts=hosts, avoid_waiting=avoid_waiting, slow=slow
+    )
+    if len(slow) == len(hosts):
+        slow = {}
     for index, (number, avoid, among, kept) in enumerate(picks):
         step = steps[number]
         task = jobstates.Task(id=jobs.TaskId("j", 0, number, index))
         task.avoid = avoid
         allowed = [h for h in hosts if among is None or h.id in among]
-        expected = _search_linearly(allowed, step, task, avoid_waiting)
+        expected = _search_linearly(allowed, step, task, avoid_waiting, slow)
         found = rooms.choose(step, task, among)
         assert found is expected
         if found is not None and kept:
@@ -216,3 +227,20 @@
     rooms.add(host, run)
     other = jobstates.Task(id=jobs.TaskId("j", 0, 0, 1))
     assert rooms.choose(step, other) is host
+
+
+def test_a_slow_host_gets_one_task_as_a_probe_and_no_gang():
+    """Guards against a probe that sends several tasks to a slow host."""
+    capacity = jobs.Resources(1000, 1000, 0)
+    slow = _host("h0", capacity, ())
+    sound = _host("h1", jobs.Resources(2000, 2000, 0), ())
+    step = jobs.Step(count=2, needs=jobs.Resources(100, 100, 0))
+    task = jobstates.Task(id=jobs.TaskId("j", 0, 0, 0))
+    rooms = host_choice.HostIndex(hosts=[slow, sound], slow={"h0": True})
+    gang = msgspec.structs.replace(step, gang=True)
+    assert rooms.choose(gang, task) is sound
+    assert rooms.choose(step, task) is slow
+    rooms.reserve(slow, step, task)
+    assert rooms.choose(step, task) is sound
+    rooms.release(slow, step, task)
+    assert rooms.choose(step, task) is slow
