--- a/azurewood/scheduling/host_state.py
+++ b/azurewood/scheduling/host_state.py
@@ -42,7 +42,9 @@
     ``speed_due_at``, as it may not be in force. Until ``late_speed_until``
     one that got no answer may still take effect. ``speed_calls`` is how many
     are under way, and ``speeds_overlap`` whether one was sent before another
-    was answered.
+    was answered. ``unanswered`` is whether a start of it got no answer.
+    A run that has been confirmed for more than ``overdue_after_s`` takes too
+    long; it is None if its time tells nothing.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "inherited",
         "late_speed_until",
         "measure",
+        "overdue_after_s",
         "percent",
         "phase",
         "retry_at",
@@ -69,6 +72,7 @@
         "step",
         "stop_open",
         "task",
+        "unanswered",
         "waiting_start",
     )
 
@@ -105,6 +109,8 @@
         self.late_speed_until = 0.0
         self.speed_calls = 0
         self.speeds_overlap = False
+        self.unanswered = False
+        self.overdue_after_s: float | None = None
 
     @property
     def key(self) -> tuple[model.TaskId, int]:
@@ -150,6 +156,8 @@
     ``usage`` has what accounts use, and is shared by all hosts.
     ``listed_unknown`` has the runs on the newest list that the leader does
     not hold and that count there, with their accounts.
+    ``heard_at`` is when its newest list was handled, and ``unheard_s`` for
+    how long a run may have ended by then without being listed.
     """
 
     __slots__ = (
@@ -162,6 +170,7 @@
         "fence",
         "fence_due",
         "free",
+        "heard_at",
         "id",
         "incarnation",
         "late_starts",
@@ -180,6 +189,7 @@
         "runs",
         "step_runs",
         "suspended_until",
+        "unheard_s",
         "unresponsive_since",
         "usage",
         "used",
@@ -202,6 +212,8 @@
         self.renewal_grants = False
         self.renew_at = 0.0
         self.listed_at = 0.0
+        self.heard_at = -math.inf
+        self.unheard_s = math.inf
         self.connected_by: float | None = None
         self.disconnected_at = -math.inf
         self.unresponsive_since: float | None = None
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -14,6 +14,7 @@
 from azurewood.scheduling import advice_queue
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
+from azurewood.scheduling import learning
 from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
 from azurewood.scheduling import waiting
@@ -76,6 +77,7 @@
         "empty_after",
         "emptying_due",
         "dirty_late_starts",
+        "durations",
         "effects",
         "fence",
         "fenced_at",
@@ -131,6 +133,7 @@
         self.accounts_log_at = 0.0
         self.accounts_logged: set[str] = set()
         self.late_steps = late_starts.LateSteps(usage=self.usage)
+        self.durations = learning.Learning()
         self.hosts_read_at = 0.0
         self.unseen_since: dict[str, float] = {}
         self.machines: dict[str, messages.MachineEntry] = {}
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -15,6 +15,7 @@
 from azurewood.scheduling import account_shares
 from azurewood.scheduling import advice
 from azurewood.scheduling import crashes
+from azurewood.scheduling import durations
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
@@ -63,6 +64,7 @@
         hosts=usable,
         separation=separation,
         avoid_waiting=state.unanswered_starts.avoids_hosts(now),
+        slow=durations.slow_hosts(state, usable, now),
     )
     largest_free = host_index.largest_free()
     if not any(_could_start(state, job, largest_free) for job in found):
@@ -381,6 +383,7 @@
     if repeated:
         # The starts before may still be carried out.
         run.starts_sent = host_state.SEVERAL_STARTS
+    durations.expect(host, run, job, task)
     host_index.add(host, run)
     state.dirty_jobs.add(job.job.id)
     if not job.recorded:
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -10,6 +10,7 @@
 from azurewood.journal import appender
 from azurewood.scheduling import account_limits
 from azurewood.scheduling import advice
+from azurewood.scheduling import durations
 from azurewood.scheduling import hosts
 from azurewood.scheduling import job_records
 from azurewood.scheduling import listings
@@ -44,6 +45,7 @@
     unix_ms: float = 0.0,
     read_by: progress.ReadBy = lambda end: None,
     max_record_bytes: int = appender.MAX_RECORD_BYTES,
+    learned_durations: bool = True,
 ) -> model.State:
     """Return the state of a leader whose term begins.
 
@@ -54,6 +56,7 @@
     ``leases_expire_at``. A machine to which they sent an order gets
     the next order no sooner than ``order_pause_s`` later. ``read_by`` tells
     when this daemon had read the election's log, see ``progress.written_by``.
+    Without ``learned_durations`` the callers' estimates count.
     """
     state = model.State(term=term, leases_expire_at=leases_expire_at)
     state.max_record_bytes = max_record_bytes
@@ -62,6 +65,8 @@
     state.unanswered_starts.unanswered_at = now
     state.unreadable_jobs.update(unreadable)
     decoded = {key: progress.decode(data) for key, data in stored.items()}
+    state.durations.used = learned_durations
+    durations.restore(state, decoded)
     for job in found:
         _restore_job(state, job, decoded, now)
         if job.id in begun and job.id in state.jobs:
@@ -144,6 +149,8 @@
     """Return the effects of the events handled since the last call."""
     if state.saving_effects is None:
         unresponsive.record(state, now)
+    if state.durations.changed and now >= state.durations.store_at:
+        durations.record(state, now)
     progress.flush(state, now)
     while state.unstorable_jobs:
         tasks.fail_unstorable(state, state.unstorable_jobs.pop(), now)
@@ -233,6 +240,7 @@
     pools.plan_moves(state, now, may_order=event.may_order)
     account_limits.log_states(state, now)
     stuck.check(state, now)
+    durations.check(state, now)
     if state.begun_job_ids:
         ids, state.begun_job_ids = tuple(state.begun_job_ids), []
         state.emit_after_save(messages.NotifyJobBegun(ids=ids))
