Limit forecasts of pools by what is asked for

Change: a forecast counts up to twice what is asked for now, and up to 1.2 times while hosts of the pool are idle. The pools are computed once a plan.

Result: tests/scheduling/test_pools.py and the tests of moves pass.

--- a/azurewood/policy/pool_sizes.py
+++ b/azurewood/policy/pool_sizes.py
@@ -15,6 +15,11 @@
 asked for within the accounts' shares, in all pools. Otherwise the account with
 the most jobs would have its pool take the machines of the others.
 
+What arriving jobs will need is a forecast from few arrivals, which varies by
+half at random, and from rough estimates of their work. It brings hosts before
+a backlog has formed. Once some hosts of a pool are idle its tasks begin at
+once, so that a forecast far above what is asked for is taken for an error.
+
 Hosts where run ends wait for late starts should get no further tasks that end,
 see `azurewood.policy.withheld_ends`. Their pool gets other machines beside
 them, as far as the pools that lack hosts leave any.
@@ -35,6 +40,12 @@
 USABLE_SHARE: typing.Final = 0.85
 """Share of a host's capacity that tasks of uneven size use in practice."""
 
+MAX_FORECAST_RATIO: typing.Final = 2.0
+"""Limit on a forecast over what is asked for: a peak begins by doubling what
+is asked for in about the time that a host takes to come."""
+MAX_FORECAST_RATIO_IDLE: typing.Final = 1.2
+"""The same for a pool with idle hosts, which has the room of one more rise."""
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Demand:
@@ -128,6 +139,16 @@
     return wanted - math.ceil(wanted * max(parts, default=1.0))
 
 
+def limit_forecast(asked: int, forecast: int, *, idle: int) -> int:
+    """Return how many hosts to want by a forecast, at least ``asked``.
+
+    ``asked`` hosts hold the tasks that run or could start now, and ``idle``
+    of the pool's hosts run nothing.
+    """
+    ratio = MAX_FORECAST_RATIO_IDLE if idle else MAX_FORECAST_RATIO
+    return max(asked, min(forecast, math.ceil(asked * ratio)))
+
+
 def capacity_share(now: model.Resources, full: model.Resources) -> float:
     """Return the share of its full capacity that a host offers now.
 
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -44,21 +44,20 @@
     if now < state.pools_due:
         return
     state.pools_due = now + PLAN_INTERVAL_S
-    _record_demand(state, now)
-    _log_pools(state, now)
+    pools = _pools(state, now)
+    _record_demand(state, pools, now)
+    _log_pools(state, pools, now)
     if not may_order or now - state.machines_at > MAX_LIST_AGE_S:
         return
-    moves = pool_sizes.plan(
-        _pools(state, now),
-        state.demands,
-        store_slow=state.store_slow,
-    )
+    moves = pool_sizes.plan(pools, state.demands, store_slow=state.store_slow)
     for move in moves:
         if state.may_order(move.machine, now):
             _order(state, move, now)
 
 
-def _log_pools(state: model.State, now: float) -> None:
+def _log_pools(
+    state: model.State, pools: list[pool_sizes.Pool], now: float
+) -> None:
     """Log the hosts, use, demand and backlog of each pool."""
     if now < state.pools_log_at:
         return
@@ -69,7 +68,7 @@
         for machine in state.machines.values()
         if unseen.is_unseen(state, machine)
     )
-    for pool in _pools(state, now):
+    for pool in pools:
         hosts = [
             host
             for host in state.hosts.values()
@@ -94,7 +93,9 @@
         )
 
 
-def _record_demand(state: model.State, now: float) -> None:
+def _record_demand(
+    state: model.State, pools: list[pool_sizes.Pool], now: float
+) -> None:
     asked = collections.defaultdict(jobs.Resources)
     least = collections.Counter()
     limits = account_demand.Limits(state)
@@ -109,16 +110,16 @@
         by_account[owner] = by_account[owner].plus(requested)
         least[service] = max(least[service], _min_hosts(state, job))
     within = account_shares.demand_within(state, by_account)
-    for name in state.catalog.pools:
+    for pool in pools:
+        name = pool.name
         capacity = _host_capacity(state, name)
         arrivals = state.arrivals.get(name)
         coming = arrivals.expected_needs(now) if arrivals else jobs.Resources()
-        most = jobs.Resources(
-            max(asked[name].cpu, coming.cpu),
-            max(asked[name].memory_mb, coming.memory_mb),
-            asked[name].gpu,
+        wanted = pool_sizes.limit_forecast(
+            pool_sizes.wanted_hosts(asked[name], capacity, least[name]),
+            pool_sizes.wanted_hosts(coming, capacity),
+            idle=len(pool.idle),
         )
-        wanted = pool_sizes.wanted_hosts(most, capacity, least[name])
         wanted += name in state.pools_in_the_way
         demand = state.demands.setdefault(name, pool_sizes.Demand())
         demand.record(wanted, now)
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -34,6 +34,15 @@
     assert pool_sizes.wanted_hosts(model.Resources(), HOST, 3) == 3
 
 
+def test_a_forecast_brings_no_hosts_to_a_pool_that_has_idle_ones():
+    """Guards against pools that take twice the hosts that a peak needs."""
+    assert pool_sizes.limit_forecast(10, 40, idle=0) == 20
+    assert pool_sizes.limit_forecast(10, 40, idle=5) == 12
+    assert pool_sizes.limit_forecast(10, 11, idle=5) == 11
+    assert pool_sizes.limit_forecast(10, 3, idle=5) == 10
+    assert pool_sizes.limit_forecast(0, 3, idle=0) == 0
+
+
 def test_a_pool_that_is_short_is_lent_parked_hosts_first():
     found = pool_sizes.plan(
         [
