Do not abandon reads of the store that make progress

Cause: the timeout of a read limited the whole of its answer. A listing of 1.39 MB on a link of 5 Mbit/s was cut by it at 94 to 99% and began again from the start.

Change: a call may have a timeout without progress besides its total timeout. A byte of the answer counts as progress, on the multiplexer's clock. libcurl's low-speed limit was not used: it counts in whole seconds and averages the speed over several, so that a silent store would be noticed later than today. Reads of the store fail when nothing has arrived for their former timeout, or after 15 s in all. Calls that change something keep their timeouts.

With progress not counted, its own test shows the call failing.

--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -20,6 +20,8 @@
 import pycurl
 
 from azurewood.http import known_connections
+from azurewood.http import options
+from azurewood.http import progress
 from azurewood.http import sending
 from azurewood.http import sockets
 
@@ -28,8 +30,6 @@
 MAX_CONNECTIONS_PER_HOST: typing.Final = 32
 """Connections to one address; half of the 64 that a host accepts. A leader
 holds up to 20 reads of the store open beside its appends."""
-CONNECT_TIMEOUT_MS: typing.Final = 700
-"""A TCP handshake takes two network delays of at most about 25 ms."""
 
 
 class Outcome(enum.Enum):
@@ -44,6 +44,9 @@
 class Call:
     """A call to make; the answer must be complete within ``timeout_ms``.
 
+    With ``progress_timeout_ms`` it also fails once no byte of its answer has
+    arrived for so long.
+
     A call that has not been sent by ``send_by``, on the multiplexer's clock,
     is not sent at all. Causes of such a delay are busy connections, a slow
     handshake or a process that was stopped.
@@ -58,6 +61,7 @@
     headers: tuple[str, ...] = ()
     body: bytes | None = None
     timeout_ms: int
+    progress_timeout_ms: int | None = None
     send_by: float | None = None
     connected_by: float | None = None
 
@@ -111,6 +115,7 @@
         "_connections",
         "_idle_handles",
         "_multi",
+        "_progress",
         "_selector",
         "_timer_at",
         "_transfers",
@@ -123,6 +128,7 @@
     def __init__(self, *, clock: abc.Callable[[], float]) -> None:
         self._clock = clock
         self._connections = known_connections.KnownConnections()
+        self._progress = progress.ProgressWatch(clock=clock)
         self._multi = pycurl.CurlMulti()
         self._selector = selectors.DefaultSelector()
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
@@ -167,7 +173,7 @@
             ),
         )
         try:
-            _prepare(curl, call, buffer)
+            options.prepare(curl, call, buffer)
         except _UNUSABLE as exc:
             curl.reset()
             self._idle_handles.append(curl)
@@ -178,9 +184,24 @@
             pycurl.PREREQFUNCTION,
             functools.partial(self._before_writing, transfer),
         )
+        if call.progress_timeout_ms is not None:
+            self._watch_progress(curl, call.progress_timeout_ms, buffer)
         self._transfers[curl] = transfer
         self._multi.add_handle(curl)
 
+    def _watch_progress(
+        self, curl: pycurl.Curl, timeout_ms: int, buffer: io.BytesIO
+    ) -> None:
+        watch = self._progress
+        watch.add(curl, timeout_ms / 1000)
+
+        def receive(data: bytes) -> None:
+            watch.note(curl)
+            buffer.write(data)
+
+        curl.setopt(pycurl.WRITEFUNCTION, receive)
+        curl.setopt(pycurl.HEADERFUNCTION, lambda line: watch.note(curl))
+
     def _before_writing(self, transfer: _Transfer, *connection: object) -> int:
         """Abort a call that must not be written to a connection.
 
@@ -229,11 +250,12 @@
             if key.fileobj is self._wake_receiver:
                 self._drain_wakes()
             else:
-                self._socket_action(key.fd, _curl_mask(mask))
+                self._socket_action(key.fd, options.select_mask(mask))
         if self._timer_at is not None and time.monotonic() >= self._timer_at:
             self._timer_at = None
             self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
         self._finish_all()
+        self._finish_stalled()
         self._answer_unusable()
 
     def _answer_unusable(self) -> None:
@@ -244,6 +266,7 @@
     def _select_timeout(self, timeout_s: float) -> float:
         if self._unusable:
             return 0.0
+        timeout_s = min(timeout_s, self._progress.due_at - self._clock())
         if self._timer_at is None:
             return max(0.0, timeout_s)
         return max(0.0, min(timeout_s, self._timer_at - time.monotonic()))
@@ -297,6 +320,13 @@
             if not left:
                 return
 
+    def _finish_stalled(self) -> None:
+        """Fail calls without progress, once what has arrived is processed."""
+        for curl in self._progress.stalled():
+            call = self._transfers[curl].call
+            text = f"no byte arrived for {call.progress_timeout_ms} ms"
+            self._finish(curl, (pycurl.E_OPERATION_TIMEDOUT, text))
+
     def _finish(
         self, curl: pycurl.Curl, error: tuple[int, str] | None
     ) -> None:
@@ -307,6 +337,7 @@
         del self._transfers[curl]
         reply = self._reply(curl, transfer, error)
         self._multi.remove_handle(curl)
+        self._progress.remove(curl)
         curl.reset()
         self._idle_handles.append(curl)
         transfer.done(reply)
@@ -363,29 +394,3 @@
 
 def _not_sent(at: float, exc: Exception) -> Reply:
     return Reply(outcome=Outcome.NOT_SENT, reason=str(exc), sent_at=at, at=at)
-
-
-def _curl_mask(mask: int) -> int:
-    curl_mask = 0
-    if mask & selectors.EVENT_READ:
-        curl_mask |= pycurl.CSELECT_IN
-    if mask & selectors.EVENT_WRITE:
-        curl_mask |= pycurl.CSELECT_OUT
-    return curl_mask
-
-
-def _prepare(curl: pycurl.Curl, call: Call, buffer: io.BytesIO) -> None:
-    curl.setopt(pycurl.URL, call.url)
-    curl.setopt(pycurl.HTTPHEADER, ["Expect:", *call.headers])
-    curl.setopt(pycurl.WRITEFUNCTION, buffer.write)
-    curl.setopt(pycurl.NOSIGNAL, 1)
-    curl.setopt(pycurl.PROXY, "")
-    curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-    curl.setopt(pycurl.TCP_NODELAY, 1)
-    curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-    curl.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
-    if call.body is not None:
-        curl.setopt(pycurl.POST, 1)
-        curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
-        curl.setopt(pycurl.POSTFIELDS, call.body)
-    curl.setopt(pycurl.CUSTOMREQUEST, call.method)
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -27,6 +27,11 @@
 READ_MARGIN_MS: typing.Final = 1500
 """Added to a read's wait at the store to get its time-out."""
 NEWEST_TIMEOUT_MS: typing.Final = 2500
+"""Both time-outs count from the newest byte that arrived. A listing of 1.39 MB
+takes 2.3 s on a link of 5 Mbit/s; a time-out on the whole of it cut it
+short, and it began again from the start."""
+MAX_READ_MS: typing.Final = 15000
+"""Longest duration of a read that makes progress."""
 
 TOPIC_NAMES: typing.Final = {
     pages.Topic.JOBS: "keyed.jobs",
@@ -186,7 +191,8 @@
     return multiplex.Call(
         method="GET",
         url=f"{url}/api/log-read?{urllib.parse.urlencode(query)}",
-        timeout_ms=wait_ms + READ_MARGIN_MS,
+        timeout_ms=MAX_READ_MS,
+        progress_timeout_ms=wait_ms + READ_MARGIN_MS,
     )
 
 
@@ -256,7 +262,8 @@
     return multiplex.Call(
         method="GET",
         url=f"{url}/api/log-newest?{urllib.parse.urlencode(query)}",
-        timeout_ms=NEWEST_TIMEOUT_MS,
+        timeout_ms=MAX_READ_MS,
+        progress_timeout_ms=NEWEST_TIMEOUT_MS,
     )
 
 
