Accept jobs before the listing; reduce records of finished jobs

Cause: after a loss of power all daemons list all jobs before they accept one.

Change: a daemon accepts jobs and reports ready before its listing is complete, if a configuration is known, the operators' topic was read to its end within 1.5 s and its own appends are not failing. Reads of that topic are held open for 0.3 s until then: with 1 s, what is known of it is up to 2 s old, so that the daemon was not ready for half of the time. Unknown ids are answered with 503 until then, also cancellations and the count of waiting jobs. A record that waited too long is answered with 504, as another daemon may have stored the job. Only daemons that know the jobs compete for the term.

A whole record that is stored later is reduced again, and one that differs from that of an unfinished job is replaced. Nothing is stored after the removal of a job.

--- /dev/null
+++ b/azurewood/daemons/job_reads.py
@@ -0,0 +1,44 @@
+"""Applies the stored records of jobs to a daemon's registry and its term."""
+
+from loguru import logger
+
+from azurewood.daemons import job_writes
+from azurewood.daemons import term as terms
+from azurewood.jobs import desk as desks
+from azurewood.jobs import exceptions
+from azurewood.jobs import records
+from azurewood.journal import appender
+
+
+def apply(
+    stored: appender.Record,
+    service: desks.JobService,
+    writes: job_writes.JobWrites,
+    term: terms.Term | None,
+) -> None:
+    """Apply a record that was read among the jobs."""
+    if stored.value is None:
+        job_id = records.removed_job(stored.key)
+        if job_id is not None:
+            service.registry.drop(job_id)
+            if term is not None:
+                term.handle_removed(job_id)
+        return
+    try:
+        record = records.decode(stored.value)
+    except exceptions.InvalidRecord as exc:
+        logger.bind(event="record.unreadable", key=stored.key).error(
+            "skipping unreadable job record: {}", exc
+        )
+        service.registry.unreadable.add(records.job_of(stored.key))
+        return
+    writes.note_read(stored.key)
+    if isinstance(record, records.Accepted):
+        service.unread.discard(record.job.id)
+    changed = service.registry.apply(record)
+    if term is None:
+        return
+    if changed:
+        term.handle_record(record)
+    elif isinstance(record, records.Accepted):
+        term.handle_repeated(record.job)
--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -9,6 +9,7 @@
 from collections import abc
 import concurrent.futures
 import contextlib
+import math
 import typing
 
 from loguru import logger
@@ -24,6 +25,12 @@
 
 CHECK_INTERVAL_S: typing.Final = 0.05
 """Interval between two looks at the leader's report."""
+MIN_FAILURES: typing.Final = 2
+"""Appends that fail in a row before they count as failing. The answer of a
+single one may be delayed by a listing on the same link."""
+APPENDS_FAIL_S: typing.Final = 1.5
+"""How long appends count as failing after the newest that did: longer than the
+longest pause until a repetition. Then one job is accepted as a probe."""
 COPY_S: typing.Final = 2.5
 """Time in which a leader copies a job from the intake to the jobs, and after
 which a silent leader may have left some there."""
@@ -40,6 +47,7 @@
         "_active",
         "_check_at",
         "_election",
+        "_failed_at",
         "_given_up",
         "_inbox",
         "_incomplete_until",
@@ -47,6 +55,7 @@
         "_job_service",
         "_jobs",
         "_send_for_s",
+        "_stored_at",
         "_use_intake",
     )
 
@@ -74,6 +83,8 @@
             collections.deque()
         )
         self._incomplete_until = 0.0
+        self._failed_at = -math.inf
+        self._stored_at: dict[str, int] = {}
         self._active: list[topics.Writer] = []
         self._check_at = 0.0
         self._use_intake = False
@@ -121,6 +132,9 @@
             self._refuse_late(writer, now, store_lost=store_lost)
             self._give_up(writer, now)
             writer.step(now)
+            if writer.failures >= MIN_FAILURES:
+                self._failed_at = now
+        self._job_service.appends_fail = now < self._failed_at + APPENDS_FAIL_S
         self._close_given_up(now)
         if self._active:
             self._active = [w for w in self._active if not w.idle]
@@ -166,25 +180,44 @@
         if self._use_intake and accepted:
             writer = self._intake
         job_id = request.record.job.id if accepted else None
+        direct = writer is self._jobs
         confirm = _ConfirmWrite(
-            request=request, on_stored=lambda: self._note_unread(job_id)
+            request=request,
+            on_stored=lambda offset: self._note_unread(job_id, offset, direct),
         )
         writer.add_item(appender.Item(records=item.records, token=confirm))
         if writer not in self._active:
             self._active.append(writer)
 
-    def _note_unread(self, job_id: str | None) -> None:
+    def _note_unread(
+        self, job_id: str | None, offset: int, direct: bool
+    ) -> None:
+        service = self._job_service
+        if job_id is None or job_id in service.registry.entries:
+            return
+        service.unread.add(job_id)
+        if direct and not service.loaded:
+            self._stored_at[job_id] = offset
+
+    def note_listed(self, end: int) -> None:
+        """Forget the jobs stored before ``end`` that the listing lacks.
+
+        They had ended before, and were removed after their retention time.
+        """
         service = self._job_service
-        if job_id is not None and job_id not in service.registry.entries:
-            service.unread.add(job_id)
+        for job_id, offset in self._stored_at.items():
+            if offset < end and job_id not in service.registry.entries:
+                service.unread.discard(job_id)
+        self._stored_at.clear()
 
     def _refuse_late(
         self, writer: topics.Writer, now: float, *, store_lost: bool
     ) -> None:
         """Answer requests whose records waited too long to be sent.
 
-        They are refused, unless the same job may be in the intake by way of
-        another daemon: a refusal says that it never runs.
+        They are refused, unless the same job may be stored by way of another
+        daemon, in the intake or among the jobs that are not read yet: a
+        refusal says that it never runs.
         """
         asked_before = now - (
             desks.SEND_TIMEOUT_STORE_LOST_S
@@ -192,7 +225,8 @@
             else desks.SEND_TIMEOUT_S
         )
         verdict = desks.Refused(reason="store out of touch")
-        if not self._job_service.complete:
+        service = self._job_service
+        if not service.complete or not service.caught_up:
             verdict = desks.OutcomeUnknown(reason="the store is slow")
         for item in writer.withdraw(
             lambda item: item.token.request.asked_at < asked_before
@@ -229,13 +263,13 @@
         self,
         *,
         request: desks.WriteRequest,
-        on_stored: abc.Callable[[], None],
+        on_stored: abc.Callable[[int], None],
     ) -> None:
         self.request = request
         self._on_stored = on_stored
 
     def __call__(self, offset: int) -> None:
-        self._on_stored()
+        self._on_stored(offset)
         _complete(self.request, desks.Taken(offset=offset))
 
 
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -10,6 +10,7 @@
 
 from loguru import logger
 
+from azurewood.daemons import job_reads
 from azurewood.daemons import job_writes
 from azurewood.daemons import ports
 from azurewood.daemons import takeover as takeovers
@@ -18,9 +19,7 @@
 from azurewood.http import multiplex
 from azurewood.jobs import catalog
 from azurewood.jobs import desk as desks
-from azurewood.jobs import exceptions
 from azurewood.jobs import model
-from azurewood.jobs import records
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
@@ -34,6 +33,10 @@
 WAIT_MS: typing.Final = 1000
 """How long the store holds a read open. With the read's own margin, this is
 also the time after which an unresponsive store is detected."""
+EARLY_WAIT_MS: typing.Final = 300
+"""The same for the operators' topic while the jobs are listed. What is known
+of the topic is up to two such reads old, and must be younger than
+``desk.MAX_CONFIG_READ_AGE_S`` for a job to be accepted."""
 LEADER_WAIT_MS: typing.Final = 500
 READ_PAUSE_S: typing.Final = 0.05
 """Pause between two reads of a topic. The leader reads the jobs topic with the
@@ -148,6 +151,8 @@
 
     def step(self, now: float) -> None:
         """Run one iteration: read, write, and lead if elected."""
+        caught_up = self.job_service.caught_up
+        self._operators.wait_ms = WAIT_MS if caught_up else EARLY_WAIT_MS
         self._jobs.hurried = self.job_service.waits_for_read(now)
         self._read_all()
         if self._unstored_resignation is not None:
@@ -180,6 +185,7 @@
             )
 
     def _on_operators_read(self, changes: follower.Changes) -> None:
+        self.job_service.config_read_at = self._operators.fresh_at
         for record in changes.records:
             match self._platform.operators_record(record):
                 case catalog.Catalog() as found:
@@ -204,32 +210,13 @@
             self.term.handle_event(messages.CatalogChanged(catalog=found))
 
     def _on_jobs_read(self, changes: follower.Changes) -> None:
-        self.job_service.fresh_at = self._jobs.fresh_at
+        service = self.job_service
         for stored in changes.records:
-            self._handle_job_record(stored)
-        self.job_service.loaded = self._jobs.listed
-        self.job_service.note_read(self._jobs.fresh_at)
-
-    def _handle_job_record(self, stored: appender.Record) -> None:
-        if stored.value is None:
-            job_id = records.removed_job(stored.key)
-            if job_id is not None:
-                self.job_service.registry.drop(job_id)
-            return
-        try:
-            record = records.decode(stored.value)
-        except exceptions.InvalidRecord as exc:
-            logger.bind(event="record.unreadable", key=stored.key).error(
-                "skipping unreadable job record: {}", exc
-            )
-            job_id = records.job_of(stored.key)
-            self.job_service.registry.unreadable.add(job_id)
-            return
-        self._writes.note_read(stored.key)
-        if isinstance(record, records.Accepted):
-            self.job_service.unread.discard(record.job.id)
-        if self.job_service.registry.apply(record) and self.term is not None:
-            self.term.handle_record(record)
+            job_reads.apply(stored, service, self._writes, self.term)
+        if changes.whole:
+            self._writes.note_listed(self._jobs.offset)
+        service.note_jobs_read(self._jobs.fresh_at, listed=self._jobs.listed)
+        service.note_read(self._jobs.fresh_at)
 
     def _on_leader_read(self, changes: follower.Changes) -> None:
         read = self._leader
@@ -242,7 +229,7 @@
             entries=entries,
             end=read.offset,
             began_at=read.began_at,
-            ready=self.job_service.ready(),
+            ready=self.job_service.knows_jobs(),
         )
         wanted = self.election.step(event, self._clock())
         if wanted and isinstance(wanted.entry, election_records.Claim):
--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -252,9 +252,7 @@
         )
         known = self._context.registry
         unfinished_jobs = [
-            entry.job
-            for entry in known.entries.values()
-            if not entry.phase.final
+            entry.job for entry in known.entries.values() if entry.unfinished
         ]
         logger.bind(
             event="term.leading",
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -4,12 +4,12 @@
 schedules until the log shows another leader.
 """
 
-import collections
 import math
 import typing
 
 from loguru import logger
 
+from azurewood.daemons import finished_jobs
 from azurewood.daemons import intake as intakes
 from azurewood.daemons import machine_calls
 from azurewood.daemons import pace
@@ -51,6 +51,7 @@
     __slots__ = (
         "_check_hosts_at",
         "_context",
+        "_finished_jobs",
         "_hosts",
         "_intake",
         "_jobs",
@@ -60,7 +61,6 @@
         "_next_pass_at",
         "_progress",
         "_progress_writes",
-        "_removals",
         "_reports",
         "_store_slow",
         "_takeover",
@@ -80,9 +80,6 @@
         self._store_slow = False
         self._next_pass_at = 0.0
         self._check_hosts_at = math.inf
-        self._removals: collections.deque[tuple[float, str]] = (
-            collections.deque()
-        )
         self._hosts = follower.Follower(
             topic=pages.Topic.HOSTS,
             keyed=True,
@@ -104,6 +101,11 @@
         self._progress = self._progress_writes.writer
         self._jobs = self._writer(pages.Topic.JOBS)
         self._reports = self._writer(pages.Topic.REPORTS)
+        self._finished_jobs = finished_jobs.FinishedJobs(
+            registry=context.registry,
+            retention_s=context.retention_s,
+            append=self._jobs.add,
+        )
         self._intake = intakes.IntakeCopier(
             platform=context.platform,
             calls=context.calls,
@@ -208,7 +210,7 @@
         self._check_hosts_at = self._context.clock() + HOST_ANSWER_TIMEOUT_S
         for entry in self._context.registry.entries.values():
             if entry.phase.final:
-                self._schedule_removal(entry.job.id)
+                self._add_finished(entry.job.id)
         known = self._context.catalog()
         if known is not None:
             self.handle_event(messages.CatalogChanged(catalog=known))
@@ -232,37 +234,38 @@
                 if entry is None:
                     return
                 if entry.phase.final:
-                    self._schedule_removal(job.id)
-                else:
+                    self._add_finished(job.id)
+                elif entry.unfinished:
                     self.handle_event(messages.JobAdded(job=entry.job))
             case records.Cancelled(id=job_id):
-                self._schedule_removal(job_id)
+                self._add_finished(job_id)
                 self.handle_event(messages.JobCancelled(id=job_id))
             case records.Ended(id=job_id):
-                self._schedule_removal(job_id)
+                self._add_finished(job_id)
                 self.handle_event(messages.JobClosed(id=job_id))
 
-    def _schedule_removal(self, job_id: str) -> None:
-        """Schedule the removal of an ended job after its retention time."""
-        at = self._context.clock() + self._context.retention_s
-        self._removals.append((at, job_id))
+    def handle_repeated(self, job: model.Job) -> None:
+        """Handle a known job's record that is stored once more."""
+        if self.state is not None and not self.end_reason:
+            self._finished_jobs.handle_repeated(job, self._context.clock())
 
-    def _remove_expired(self, now: float) -> None:
-        """Delete the records of jobs whose retention time has passed.
+    def handle_removed(self, job_id: str) -> None:
+        """Handle the removal of a job's records."""
+        self._finished_jobs.forget(job_id)
 
-        A job that is still in the intake would be copied again.
+    def _add_finished(self, job_id: str) -> None:
+        self._finished_jobs.add(job_id, self._context.clock())
+
+    def _step_finished_jobs(self, now: float) -> None:
+        """Reduce and remove the records of jobs that have ended.
+
+        A job that is still in the intake would be copied again after its
+        removal.
         """
-        if not self._intake.complete:
-            return
-        while self._removals and self._removals[0][0] <= now:
-            _, job_id = self._removals.popleft()
-            self._jobs.add(
-                tuple(
-                    appender.Record(key=key, value=None)
-                    for key in records.keys(job_id)
-                ),
-                None,
-            )
+        if self._intake.complete:
+            self._finished_jobs.remove_expired(now)
+        if self._jobs.idle and not self._store_slow:
+            self._finished_jobs.step(now)
 
     def reaches_few_hosts(self, now: float) -> bool:
         """Return whether less than half of the hosts answered in time.
@@ -300,7 +303,7 @@
         if now >= self._tick_at:
             self._loop_monitor.tick(self.state, due=self._tick_at, now=now)
             self._tick_at = now + TICK_S
-            self._remove_expired(now)
+            self._step_finished_jobs(now)
             self._reports.step(now)
             self._step_intake(now)
             self.handle_event(self._tick(now))
@@ -383,7 +386,8 @@
                 for job_id in ids:
                     self._append_job_record(records.Begun(ids=(job_id,)))
             case messages.NotifyJobEnded(id=job_id, phase=phase):
-                self._append_job_record(records.Ended(id=job_id, phase=phase))
+                ended = records.Ended(id=job_id, phase=phase)
+                self._jobs.add(self._finished_jobs.records_of_end(ended), None)
             case messages.ReadMachines():
                 self._machines.read_list()
             case messages.MoveMachine() | messages.MaintainMachine():
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -121,6 +121,11 @@
         """Whether no record waits to be stored."""
         return self._appender.idle
 
+    @property
+    def failures(self) -> int:
+        """How many appends in a row failed."""
+        return self._appender.failures
+
     def latency_s(self, now: float) -> float:
         """Return the latency of the newest append, 0 if it is too old."""
         return self._appender.latency_s(now)
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -5,17 +5,16 @@
 stored is never refused.
 """
 
-import collections
 from collections import abc
 import concurrent.futures
 import dataclasses
-import threading
 import typing
 
 from loguru import logger
 
 from azurewood.jobs import catalog
 from azurewood.jobs import model
+from azurewood.jobs import read_waits
 from azurewood.jobs import records
 from azurewood.jobs import registry
 from azurewood.journal import appender
@@ -23,6 +22,10 @@
 MAX_READ_AGE_S: typing.Final = 2.5
 """Maximum age of the newest read of the jobs for which an unknown id counts as
 a job that does not exist. It covers a read held open for 1 s and a retry."""
+MAX_CONFIG_READ_AGE_S: typing.Final = 1.5
+"""Maximum age of the newest read of the operators' topic for which a daemon
+accepts jobs that has not read all jobs. It covers two reads held open for
+0.3 s, and a retry."""
 SEND_TIMEOUT_S: typing.Final = 1.5
 """How long a record may wait to be sent before it is refused: half of a
 caller's usual timeout, or three appends to the slowest store."""
@@ -102,18 +105,6 @@
     asked_at: float
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, eq=False)
-class _ReadWait:
-    """A caller that waits until what was stored before a time is read.
-
-    It gives up at ``until``.
-    """
-
-    since: float
-    until: float
-    read: threading.Event
-
-
 _RequestKey = tuple[type[records.Record], str]
 """What tells requests apart: the kind of their record, and their job."""
 
@@ -136,6 +127,13 @@
     Each record is stored by one request at a time, whose verdict all callers
     get that ask for it meanwhile. None is refused whose record may be stored
     by an earlier request.
+
+    Until ``caught_up``, when this daemon has listed the jobs and read what
+    followed, it accepts jobs if the operators' topic was read to its end at
+    ``config_read_at``, a moment ago, and ``appends_fail`` is false. Unknown
+    ids are not denied meanwhile. The record of a job that was accepted before
+    may then be stored once more; `azurewood.daemons.finished_jobs` tells why
+    it stays one job.
     """
 
     __slots__ = (
@@ -144,8 +142,11 @@
         "_open",
         "_read_waits",
         "admission",
+        "appends_fail",
         "catalog",
+        "caught_up",
         "complete",
+        "config_read_at",
         "fresh_at",
         "loaded",
         "max_record_bytes",
@@ -167,12 +168,15 @@
         self._clock = clock
         self._enqueue = enqueue
         self._open: dict[_RequestKey, concurrent.futures.Future] = {}
-        self._read_waits: collections.deque[_ReadWait] = collections.deque()
+        self._read_waits = read_waits.ReadWaits()
         self.admission = admission
         self.registry = registry.JobRegistry()
         self.catalog: catalog.Catalog | None = None
         self.fresh_at = 0.0
         self.loaded = False
+        self.caught_up = False
+        self.config_read_at = 0.0
+        self.appends_fail = False
         self.reads_fail = False
         self.complete = True
         self.unread: set[str] = set()
@@ -180,15 +184,42 @@
 
     def ready(self) -> bool:
         """Return whether load balancers should send callers to this daemon."""
+        return self.knows_jobs() or (
+            not self.stopping and self._accepts_early()
+        )
+
+    def knows_jobs(self) -> bool:
+        """Return whether this daemon knows the jobs and can serve callers.
+
+        Only such a daemon competes for the term: one that still lists the
+        jobs could not lead before it has read them.
+        """
         return (
             not self.stopping and self.catalog is not None and self._is_fresh()
         )
 
+    def note_jobs_read(self, fresh_at: float, *, listed: bool) -> None:
+        """Note that the jobs stored before a time are read, if ``listed``."""
+        self.fresh_at = fresh_at
+        self.loaded = listed
+        self.caught_up = self.caught_up or self._is_fresh()
+
+    def _accepts_early(self) -> bool:
+        """Return whether jobs are accepted though not all jobs are read."""
+        if self.caught_up or self.catalog is None or self.appends_fail:
+            return False
+        return self._clock() - self.config_read_at < MAX_CONFIG_READ_AGE_S
+
     def _is_fresh(self) -> bool:
         return self.loaded and self._clock() - self.fresh_at < MAX_READ_AGE_S
 
-    def waiting(self, queue: str) -> int:
-        """Return the number of jobs of a queue that have not begun."""
+    def waiting(self, queue: str) -> int | None:
+        """Return the number of jobs of a queue that have not begun.
+
+        Return None if the jobs are not listed yet.
+        """
+        if not self.loaded:
+            return None
         return max(0, self.registry.waiting.get(queue, 0))
 
     def show(self, job_id: str) -> JobStatus | NotThere | StatusUnknown:
@@ -197,7 +228,9 @@
             return StatusUnknown()
         entry = self.registry.entries.get(job_id)
         if entry is not None:
-            return JobStatus(phase=entry.phase)
+            if entry.phase.final or entry.unfinished:
+                return JobStatus(phase=entry.phase)
+            return StatusUnknown()
         if job_id in self.unread:
             return JobStatus(phase=model.Phase.PENDING)
         return NotThere() if self._is_absent(job_id) else StatusUnknown()
@@ -216,26 +249,18 @@
 
         Called by the loop, which alone removes callers.
         """
-        while self._read_waits and self._read_waits[0].until < now:
-            self._read_waits.popleft()
-        return bool(self._read_waits)
+        return self._read_waits.any_at(now)
 
     def note_read(self, fresh_at: float) -> None:
         """Note that all records stored before a time have been read.
 
         Called by the loop.
         """
-        while self._read_waits and self._read_waits[0].since <= fresh_at:
-            self._read_waits.popleft().read.set()
+        self._read_waits.note_read(fresh_at)
 
     def _await_read(self, timeout_s: float) -> bool:
         """Wait until what was stored before now is read; return whether."""
-        now = self._clock()
-        wait = _ReadWait(
-            since=now, until=now + timeout_s, read=threading.Event()
-        )
-        self._read_waits.append(wait)
-        return wait.read.wait(timeout_s)
+        return self._read_waits.wait(self._clock(), timeout_s)
 
     def submit(self, job: model.Job, *, timeout_s: float) -> Verdict:
         """Store a job; wait for at most ``timeout_s`` seconds."""
@@ -261,7 +286,7 @@
 
     def _refusal(self, job: model.Job) -> Refused | None:
         """Return why a job is not to be stored, None if it is."""
-        if not self._is_fresh():
+        if not self._is_fresh() and not self._accepts_early():
             return Refused(reason="store out of touch")
         return self.admission(job)
 
@@ -279,6 +304,9 @@
         """Store a cancellation; wait for at most ``timeout_s`` seconds."""
         until = self._clock() + timeout_s
         if not self._is_known(job_id):
+            if not self.loaded:
+                # Waiting would keep threads from those who submit jobs.
+                return Refused(reason="the jobs are not listed yet")
             if not self._await_read(min(timeout_s, MAX_READ_WAIT_S)):
                 return Refused(reason="not in touch with the store")
             if not self._is_known(job_id):
--- a/azurewood/jobs/model.py
+++ b/azurewood/jobs/model.py
@@ -136,6 +136,21 @@
     objective_ms: int = 0
     account: str = ""
 
+    def without_work(self) -> "Job":
+        """Return what stays of a job that has ended: no payload, no steps.
+
+        Valid jobs have steps, so that this shows in the result.
+        """
+        return Job(
+            id=self.id,
+            queue=self.queue,
+            service=self.service,
+            payload="",
+            steps=(),
+            accepted_ms=self.accepted_ms,
+            account=self.account,
+        )
+
     @property
     def occurrences(self) -> int:
         """How many times the steps run."""
--- a/azurewood/jobs/records.py
+++ b/azurewood/jobs/records.py
@@ -17,7 +17,11 @@
 
 
 class Accepted(msgspec.Struct, frozen=True, kw_only=True, tag="accepted"):
-    """A job was accepted."""
+    """A job was accepted.
+
+    Once its end or cancellation is stored, the leader stores this record again
+    without payload and steps.
+    """
 
     job: model.Job
     version: int = VERSION
@@ -70,6 +74,11 @@
     return tuple(f"{kind}/{job_id}" for kind in ("b", "c", "e", "a"))
 
 
+def begun_key(job_id: str) -> str:
+    """Return the key of the record that a job has begun."""
+    return f"b/{job_id}"
+
+
 def job_of(key: str) -> str:
     """Return the id of the job that a record's key names."""
     return key.partition("/")[2]
--- a/azurewood/jobs/registry.py
+++ b/azurewood/jobs/registry.py
@@ -9,15 +9,30 @@
 
 
 class Entry:
-    """A job and its known state."""
+    """A job and its known state.
 
-    __slots__ = ("begun", "cancelled", "ended", "job")
+    ``job`` is the job as first read. It has no payload and steps once the
+    record of the ended job was read that has none. ``stored_whole`` is whether
+    the newest record of the job has them.
+    """
+
+    __slots__ = ("begun", "cancelled", "ended", "job", "stored_whole")
 
     def __init__(self, *, job: model.Job) -> None:
         self.job = job
         self.begun = False
         self.cancelled = False
         self.ended: model.Phase | None = None
+        self.stored_whole = bool(job.steps)
+
+    @property
+    def unfinished(self) -> bool:
+        """Whether the job may have to run.
+
+        It need not if its record has no steps. That is stored after the end,
+        which a listing misses if the job is removed meanwhile.
+        """
+        return not self.phase.final and bool(self.job.steps)
 
     @property
     def phase(self) -> model.Phase:
@@ -67,7 +82,11 @@
             self._add_waiting(entry, -1)
 
     def _apply_accepted(self, job: model.Job) -> bool:
-        if job.id in self.entries:
+        entry = self.entries.get(job.id)
+        if entry is not None:
+            entry.stored_whole = bool(job.steps)
+            if entry.phase.final and not job.steps:
+                entry.job = entry.job.without_work()
             return False
         entry = Entry(job=job)
         self.entries[job.id] = entry
--- a/azurewood/journal/appender.py
+++ b/azurewood/journal/appender.py
@@ -204,6 +204,11 @@
         """How many calls at most have held an item of the current batch."""
         return max((item.sends for item in self._batch), default=0)
 
+    @property
+    def failures(self) -> int:
+        """How many calls in a row failed."""
+        return self._failures
+
     @property
     def failing(self) -> bool:
         """Whether the latest call failed."""
--- a/azurewood/platform/frontdoor.py
+++ b/azurewood/platform/frontdoor.py
@@ -55,6 +55,8 @@
                 return self._submit(req, queue, job_id, current.body_bytes)
             case "GET" if not job_id:
                 count = self._job_service.waiting(queue.name)
+                if count is None:
+                    return _refuse(503, "the jobs are not listed yet", 1)
                 return _json(200, jobs.encode_waiting(count))
             case "GET":
                 return self._show(job_id)
