--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from azurewood.daemons import admission
+from azurewood.daemons import job_reads
 from azurewood.daemons import job_writes
 from azurewood.daemons import ports
 from azurewood.daemons import takeover as takeovers
@@ -19,9 +20,7 @@
 from azurewood.http import multiplex
 from azurewood.jobs import catalog
 from azurewood.jobs import desk as desks
-from azurewood.jobs import exceptions
 from azurewood.jobs import model
-from azurewood.jobs import records
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
@@ -37,6 +36,10 @@
 KEYS_WAIT_MS: typing.Final = 500
 """The same for the configuration where it has keys. The newest complete read
 began two waits ago at most, so that keys are accepted through a slow read."""
+EARLY_WAIT_MS: typing.Final = 300
+"""The same for the operators' topic while the jobs are listed. What is known
+of the topic is up to two such reads old, and must be younger than
+``desk.MAX_CONFIG_READ_AGE_S`` for a job to be accepted."""
 LEADER_WAIT_MS: typing.Final = 500
 READ_PAUSE_S: typing.Final = 0.05
 """Pause between two reads of a topic. The leader reads the jobs topic with the
@@ -154,6 +157,7 @@
 
     def step(self, now: float) -> None:
         """Run one iteration: read, write, and lead if elected."""
+        self._operators.wait_ms = self._operators_wait_ms()
         self._jobs.hurried = self.job_service.read_waits.any_waits(now)
         self._read_all()
         if self._unstored_resignation is not None:
@@ -185,6 +189,14 @@
                 self._platform, self._calls, self._clock, reader, changed
             )
 
+    def _operators_wait_ms(self) -> int:
+        """Return how long the store holds a read of the configuration open."""
+        if not self.job_service.caught_up:
+            return EARLY_WAIT_MS
+        known = self.job_service.catalog
+        has_keys = known is not None and known.accounts is not None
+        return KEYS_WAIT_MS if has_keys else WAIT_MS
+
     def _on_operators_read(self, changes: follower.Changes) -> None:
         for record in changes.records:
             match self._platform.operators_record(record):
@@ -201,8 +213,6 @@
         if known is not None and known.version >= found.version:
             return
         self.job_service.catalog = found
-        has_keys = found.accounts is not None
-        self._operators.wait_ms = KEYS_WAIT_MS if has_keys else WAIT_MS
         logger.bind(
             event="catalog.changed",
             version=found.version,
@@ -213,33 +223,13 @@
             self.term.handle_event(messages.CatalogChanged(catalog=found))
 
     def _on_jobs_read(self, changes: follower.Changes) -> None:
-        self.job_service.fresh_at = self._jobs.fresh_at
+        service = self.job_service
         for stored in changes.records:
-            self._handle_job_record(stored)
-        self.job_service.loaded = self._jobs.listed
-        self.job_service.read_waits.note_read(self._jobs.fresh_at)
-
-    def _handle_job_record(self, stored: appender.Record) -> None:
-        if stored.value is None:
-            job_id = records.removed_job(stored.key)
-            if job_id is not None:
-                self.job_service.registry.drop(job_id)
-            return
-        try:
-            record = records.decode(stored.value)
-        except exceptions.InvalidRecord as exc:
-            logger.bind(event="record.unreadable", key=stored.key).error(
-                "skipping unreadable job record: {}", exc
-            )
-            job_id = records.job_of(stored.key)
-            self.job_service.registry.unreadable.add(job_id)
-            return
-        self._writes.note_read(stored.key)
-        changed = self.job_service.registry.apply(record)
-        if isinstance(record, records.Accepted):
-            self.job_service.unread.pop(record.job.id, None)
-        if changed and self.term is not None:
-            self.term.handle_record(record)
+            job_reads.apply(stored, service, self._writes, self.term)
+        if changes.whole:
+            self._writes.note_listed(self._jobs.offset)
+        service.note_jobs_read(self._jobs.fresh_at, listed=self._jobs.listed)
+        service.read_waits.note_read(self._jobs.fresh_at)
 
     def _on_leader_read(self, changes: follower.Changes) -> None:
         read = self._leader
@@ -252,7 +242,7 @@
             entries=entries,
             end=read.offset,
             began_at=read.began_at,
-            ready=self.job_service.ready(),
+            ready=self.job_service.knows_jobs(),
         )
         wanted = self.election.step(event, self._clock())
         if wanted and isinstance(wanted.entry, election_records.Claim):
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -26,6 +26,10 @@
 MAX_CATALOG_AGE_S: typing.Final = 2.5
 """Maximum age of the newest read of the configuration for which keys are
 accepted. A removed key has to be refused 3 s after its removal is stored."""
+MAX_CONFIG_READ_AGE_S: typing.Final = 1.5
+"""Maximum age of the newest read of the operators' topic for which a daemon
+accepts jobs that has not read all jobs. It covers two reads held open for
+0.3 s, and a retry."""
 SEND_TIMEOUT_S: typing.Final = 1.5
 """How long a record may wait to be sent before it is refused: half of a
 caller's usual timeout, or three appends to the slowest store."""
@@ -142,6 +146,13 @@
     Each record is stored by one request at a time, whose verdict all callers
     get that ask for it meanwhile. None is refused whose record may be stored
     by an earlier request.
+
+    Until ``caught_up``, when this daemon has listed the jobs and read what
+    followed, it accepts jobs if the operators' topic was read to its end at
+    ``catalog_fresh_at``, a moment ago, and ``appends_fail`` is false. Unknown
+    ids are not denied meanwhile. The record of a job that was accepted before
+    may then be stored once more; `azurewood.daemons.finished_jobs` tells why
+    it stays one job.
     """
 
     __slots__ = (
@@ -149,8 +160,10 @@
         "_enqueue",
         "_open",
         "admission",
+        "appends_fail",
         "catalog",
         "catalog_fresh_at",
+        "caught_up",
         "complete",
         "fresh_at",
         "loaded",
@@ -181,6 +194,8 @@
         self.catalog_fresh_at = -math.inf
         self.fresh_at = 0.0
         self.loaded = False
+        self.caught_up = False
+        self.appends_fail = False
         self.reads_fail = False
         self.complete = True
         self.unread: dict[str, model.Job] = {}
@@ -188,10 +203,32 @@
 
     def ready(self) -> bool:
         """Return whether load balancers should send callers to this daemon."""
+        return self.knows_jobs() or (
+            not self.stopping and self._accepts_early()
+        )
+
+    def knows_jobs(self) -> bool:
+        """Return whether this daemon knows the jobs and can serve callers.
+
+        Only such a daemon competes for the term: one that still lists the
+        jobs could not lead before it has read them.
+        """
         return (
             not self.stopping and self.catalog is not None and self._is_fresh()
         )
 
+    def note_jobs_read(self, fresh_at: float, *, listed: bool) -> None:
+        """Note that the jobs stored before a time are read, if ``listed``."""
+        self.fresh_at = fresh_at
+        self.loaded = listed
+        self.caught_up = self.caught_up or self._is_fresh()
+
+    def _accepts_early(self) -> bool:
+        """Return whether jobs are accepted though not all jobs are read."""
+        if self.caught_up or self.catalog is None or self.appends_fail:
+            return False
+        return self._clock() - self.catalog_fresh_at < MAX_CONFIG_READ_AGE_S
+
     def _is_fresh(self) -> bool:
         return self.loaded and self._clock() - self.fresh_at < MAX_READ_AGE_S
 
@@ -200,8 +237,13 @@
         age_s = self._clock() - self.catalog_fresh_at
         return age_s < MAX_CATALOG_AGE_S
 
-    def waiting(self, queue: str) -> int:
-        """Return the number of jobs of a queue that have not begun."""
+    def waiting(self, queue: str) -> int | None:
+        """Return the number of jobs of a queue that have not begun.
+
+        Return None if the jobs are not listed yet.
+        """
+        if not self.loaded:
+            return None
         return max(0, self.registry.waiting.get(queue, 0))
 
     def show(
@@ -213,12 +255,15 @@
         """
         if job_id in self.registry.unreadable:
             return StatusUnknown()
-        if self._is_known(job_id, account):
-            entry = self.registry.entries.get(job_id)
-            phase = model.Phase.PENDING if entry is None else entry.phase
-            return JobStatus(phase=phase)
-        absent = self._is_absent(job_id, account)
-        return NotThere() if absent else StatusUnknown()
+        if not self._is_known(job_id, account):
+            absent = self._is_absent(job_id, account)
+            return NotThere() if absent else StatusUnknown()
+        entry = self.registry.entries.get(job_id)
+        if entry is None:
+            return JobStatus(phase=model.Phase.PENDING)
+        if entry.phase.final or entry.unfinished:
+            return JobStatus(phase=entry.phase)
+        return StatusUnknown()
 
     def _is_absent(self, job_id: str, account: str) -> bool:
         """Return whether a job that a caller can't see here does not exist.
@@ -277,7 +322,7 @@
 
     def _refusal(self, job: model.Job) -> Refused | None:
         """Return why a job is not to be stored, None if it is."""
-        if not self._is_fresh():
+        if not self._is_fresh() and not self._accepts_early():
             return Refused(reason="store out of touch")
         return self.admission(job)
 
@@ -314,6 +359,9 @@
         """
         until = self._clock() + timeout_s
         if not self._is_known(job_id, account):
+            if not self.loaded:
+                # Waiting would keep threads from those who submit jobs.
+                return Refused(reason="the jobs are not listed yet")
             if not self._await_read(min(timeout_s, MAX_READ_WAIT_S)):
                 return Refused(reason="not in touch with the store")
             if not self._is_known(job_id, account):
