Count runs of jobs that ended before a change of leader

Cause: a run that a host lists and the leader does not hold counts for its account only if its job is in the state of scheduling. Jobs that were cancelled or had failed before the term are not. A new leader that had their runs stopped started others beside them, and limits were exceeded. The same holds for jobs whose progress cannot be read.

Measured: six jobs at the limit of six cores are cancelled while the leader is cut off from the hosts, then it is killed.

--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -282,4 +282,5 @@
             read_by=self._context.election.read_by,
             max_record_bytes=self._context.max_record_bytes,
             learned_durations=self._context.learned_durations,
+            known_job=known.job_of,
         )
--- a/azurewood/jobs/registry.py
+++ b/azurewood/jobs/registry.py
@@ -74,6 +74,11 @@
             case records.Begun(ids=ids):
                 return True in [self._apply_begun(job_id) for job_id in ids]
 
+    def job_of(self, job_id: str) -> model.Job | None:
+        """Return a job by its id, also one that is over."""
+        entry = self.entries.get(job_id)
+        return entry.job if entry is not None else None
+
     def drop(self, job_id: str) -> None:
         """Remove a job whose retention time has passed."""
         self.unreadable.discard(job_id)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -1,5 +1,6 @@
 """The state of the leader: its hosts, jobs, machines and waves."""
 
+from collections import abc
 import math
 import typing
 
@@ -42,6 +43,8 @@
     machines may get orders at all. ``unseen_since`` maps the hosts that the
     machine list names and that are not known to the time since when.
     ``late_steps`` has the late starts of all hosts by step.
+    ``known_job`` returns the record of a job by its id, also of one that is
+    over or whose progress cannot be read, and None if there is none.
     ``usage`` has what accounts have running on all hosts, and
     ``accounts_logged`` the accounts whose latest log line had anything.
     Hosts to empty for maintenance are chosen at ``emptying_due``; machines
@@ -86,6 +89,7 @@
         "hosts",
         "hosts_read_at",
         "jobs",
+        "known_job",
         "largest_capacity",
         "late_steps",
         "leases_expire_at",
@@ -127,6 +131,7 @@
         self.leases_expire_at = leases_expire_at
         self.catalog: catalog.Catalog | None = None
         self.jobs: dict[str, jobstates.JobState] = {}
+        self.known_job: abc.Callable[[str], model.Job | None] = lambda id: None
         self.advice = advice_queue.AdviceQueue()
         self.hosts: dict[str, host_state.Host] = {}
         self.usage = account_usage.AccountUsage()
@@ -230,11 +235,16 @@
         return job.task(id) if job is not None else None
 
     def account_of(self, id: model.TaskId) -> tuple[str, model.Resources]:
-        """Return the account of a task and what it uses, ``""`` for none."""
+        """Return the account of a task and what it uses, ``""`` for none.
+
+        Runs of a job that is over exist until they have been stopped. Its
+        record has its steps for as long as starts may be late.
+        """
         job = self.jobs.get(id.job)
-        if job is None or job.task(id) is None:
+        found = job.job if job is not None else self.known_job(id.job)
+        if found is None or not 0 <= id.step < len(found.steps):
             return "", model.Resources()
-        return job.job.account, job.step_of(id).needs
+        return found.account, found.steps[id.step].needs
 
     def add_late_start(
         self,
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -46,6 +46,7 @@
     read_by: progress.ReadBy = lambda end: None,
     max_record_bytes: int = appender.MAX_RECORD_BYTES,
     learned_durations: bool = True,
+    known_job: abc.Callable[[str], jobs.Job | None] = lambda id: None,
 ) -> model.State:
     """Return the state of a leader whose term begins.
 
@@ -56,10 +57,12 @@
     ``leases_expire_at``. A machine to which they sent an order gets
     the next order no sooner than ``order_pause_s`` later. ``read_by`` tells
     when this daemon had read the election's log, see ``progress.written_by``.
-    Without ``learned_durations`` the callers' estimates count.
+    Without ``learned_durations`` the callers' estimates count. ``known_job``
+    returns any known job by its id, also one that is over.
     """
     state = model.State(term=term, leases_expire_at=leases_expire_at)
     state.max_record_bytes = max_record_bytes
+    state.known_job = known_job
     state.clock_offset_ms = unix_ms - now * 1000
     state.clock_ms = unix_ms
     state.unanswered_starts.unanswered_at = now
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -8,6 +8,7 @@
 
 from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import registry
 from azurewood.policy import host_crashes
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import account_limits
@@ -311,3 +312,39 @@
 ):
     monkeypatch.setattr(account_limits, "may_start", lambda *args: True)
     assert len(_held_for_suspect()) == 1
+
+
+def _cancelled_before_a_change_of_leader():
+    """Cancel all that an account has running, by a leader that is cut off.
+
+    Its runs go on until the next leader has had them stopped.
+    """
+    made = accounts.world(a=6)
+    step = msgspec.structs.replace(accounts.ONE, estimate_ms=9000)
+    running = accounts.submit(made, range(6), "a", step)
+    made.run(1.0)
+    accounts.submit(made, range(100, 112), "a", step)
+    made.run(0.5)
+    leader = made.leaders()[0]
+    leader.cut_from.update(made.hosts)
+    for job_id in running:
+        made.cancel(leader, job_id)
+    made.run(0.3)
+    leader.kill()
+    made.run(10.0)
+    return made
+
+
+def test_the_limit_holds_as_jobs_are_cancelled_before_a_change_of_leader():
+    """Guards against QUOTA: runs count although their jobs are over."""
+    made = _cancelled_before_a_change_of_leader()
+    assert made.rules.accounts.used["a"].cpu == 6000
+    deployment.check(made)
+
+
+def test_it_breaks_if_runs_of_jobs_that_are_over_do_not_count(monkeypatch):
+    monkeypatch.setattr(
+        registry.JobRegistry, "job_of", lambda self, job_id: None
+    )
+    with pytest.raises(AssertionError, match=RULE):
+        deployment.check(_cancelled_before_a_change_of_leader())
--- a/tests/scheduling/test_account_usage.py
+++ b/tests/scheduling/test_account_usage.py
@@ -191,6 +191,20 @@
     assert not state.usage.accounts()
 
 
+@pytest.mark.parametrize("index", [0, 1])
+def test_runs_of_a_job_that_was_over_before_this_leader_count(index):
+    """Guards against QUOTA: such runs exist until they have been stopped."""
+    state, host = _leader()
+    state.known_job = {"gone": _job()}.get
+    id = model.TaskId("gone", 0, index, 0)
+    row = messages.RunningRow(task=id, run=1, saved="", percent=0, measure=0)
+    reducer.handle_event(state, _listed(host, row), 1.0)
+    expected = accounts.ONE.needs if index == 0 else model.Resources()
+    assert state.usage.used("a") == expected
+    reducer.handle_event(state, _listed(host), 1.1)
+    assert not state.usage.accounts()
+
+
 def _stored(state, host):
     late = late_starts.LateStart(
         host=host.id,
