Count tasks of ended jobs until hosts have listed their runs

Cause: the progress of a cancelled or failed job is removed while its runs are being stopped. A new leader knew of these runs only once their hosts had listed them, and started others for the account before, if it reached these hosts late.

Change: all tasks of such jobs count for the limit from the beginning of a term, until each host has listed its runs or its leases have lapsed. They stop no start that is under way.

--- a/azurewood/jobs/registry.py
+++ b/azurewood/jobs/registry.py
@@ -79,6 +79,14 @@
         entry = self.entries.get(job_id)
         return entry.job if entry is not None else None
 
+    def ended_jobs(self) -> list[model.Job]:
+        """Return the jobs that are over and whose records have steps yet."""
+        return [
+            entry.job
+            for entry in self.entries.values()
+            if entry.phase.final and entry.job.steps
+        ]
+
     def drop(self, job_id: str) -> None:
         """Remove a job whose retention time has passed."""
         self.unreadable.discard(job_id)
--- a/azurewood/scheduling/account_limits.py
+++ b/azurewood/scheduling/account_limits.py
@@ -37,9 +37,9 @@
     limit = limit_of(state, job.account) if job.account else None
     if limit is None:
         return True
-    needs = jobs.Resources(
-        needs.cpu * count, needs.memory_mb * count, needs.gpu * count
-    )
+    needs = needs.times(count)
+    if count and job.account in state.unlisted_usage:
+        needs = needs.plus(state.unlisted_usage[job.account])
     return needs.fits(state.usage.room(job.account, limit))
 
 
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -45,7 +45,8 @@
     ``late_steps`` has the late starts of all hosts by step.
     ``known_job`` returns the record of a job by its id, also of one that is
     over or whose progress cannot be read, and None if there is none.
-    ``usage`` has what accounts have running on all hosts, and
+    ``usage`` has what accounts have running on all hosts. ``unlisted_usage``
+    has the most that jobs that ended before this term may have running, and
     ``accounts_logged`` the accounts whose latest log line had anything.
     Hosts to empty for maintenance are chosen at ``emptying_due``; machines
     whose hosts could not be emptied may be chosen again at ``empty_after``.
@@ -116,6 +117,7 @@
         "unanswered_starts",
         "unstorable_jobs",
         "unix_ms",
+        "unlisted_usage",
         "unreadable_jobs",
         "unresponsive_changed",
         "unseen_since",
@@ -135,6 +137,7 @@
         self.advice = advice_queue.AdviceQueue()
         self.hosts: dict[str, host_state.Host] = {}
         self.usage = account_usage.AccountUsage()
+        self.unlisted_usage: dict[str, model.Resources] = {}
         self.accounts_log_at = 0.0
         self.accounts_logged: set[str] = set()
         self.late_steps = late_starts.LateSteps(usage=self.usage)
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -314,10 +314,11 @@
     assert len(_held_for_suspect()) == 1
 
 
-def _cancelled_before_a_change_of_leader():
+def _cancelled_before_a_change_of_leader(unreached_s=0.0):
     """Cancel all that an account has running, by a leader that is cut off.
 
-    Its runs go on until the next leader has had them stopped.
+    Its runs go on until the next leader has had them stopped, which does not
+    reach their hosts for ``unreached_s``.
     """
     made = accounts.world(a=6)
     step = msgspec.structs.replace(accounts.ONE, estimate_ms=9000)
@@ -330,6 +331,11 @@
     for job_id in running:
         made.cancel(leader, job_id)
     made.run(0.3)
+    if unreached_s:
+        busy = [host.id for host in made.hosts.values() if host.runs]
+        assert len(busy) < len(made.hosts)
+        made.cut_hosts.update(busy)
+        made.clock.after(unreached_s, made.cut_hosts.clear)
     leader.kill()
     made.run(10.0)
     return made
@@ -346,5 +352,37 @@
     monkeypatch.setattr(
         registry.JobRegistry, "job_of", lambda self, job_id: None
     )
+    monkeypatch.setattr(registry.JobRegistry, "ended_jobs", lambda self: [])
     with pytest.raises(AssertionError, match=RULE):
         deployment.check(_cancelled_before_a_change_of_leader())
+
+
+def test_the_limit_holds_while_hosts_with_runs_of_ended_jobs_are_silent():
+    """Guards against QUOTA: runs count before they are listed."""
+    made = _cancelled_before_a_change_of_leader(unreached_s=3.5)
+    assert made.rules.accounts.used["a"].cpu == 6000
+    deployment.check(made)
+
+
+def test_it_breaks_if_only_listed_runs_of_ended_jobs_count(monkeypatch):
+    monkeypatch.setattr(registry.JobRegistry, "ended_jobs", lambda self: [])
+    with pytest.raises(AssertionError, match=RULE):
+        deployment.check(_cancelled_before_a_change_of_leader(unreached_s=3.5))
+
+
+def test_ended_jobs_count_until_all_hosts_have_listed_their_runs():
+    """Guards against LOST: an account must not be blocked for longer."""
+    made = accounts.world(a=2)
+    ids = accounts.submit(made, range(2), "a", accounts.LASTING)
+    made.run(1.0)
+    for job_id in ids:
+        made.cancel(made.leaders()[0], job_id)
+    made.run(1.5)
+    made.leaders()[0].kill()
+    made.run(8.0)
+    state = made.leaders()[0].member.term.state
+    assert not state.unlisted_usage
+    later = accounts.submit(made, [9], "a")
+    made.run(1.5)
+    assert accounts.done(made, later) == 1
+    deployment.check(made)
