--- a/tests/scheduling/deployment.py
+++ b/tests/scheduling/deployment.py
@@ -129,10 +129,15 @@
 
 
 def phase(made: worlds.World, job_id: str) -> model.Phase | None:
-    """Return a job's phase as shown by a live member, or None."""
+    """Return a job's phase as shown by a live member, or None.
+
+    It is asked for by the account of the job.
+    """
+    asked = made.rules.asked.get(job_id)
+    account = asked.account if asked is not None else ""
     for member in made.members:
         if member.up:
-            shown = member.member.job_service.show(job_id)
+            shown = member.member.job_service.show(job_id, account)
             if isinstance(shown, desk.JobStatus):
                 return shown.phase
     return None
