Compare the sizes of jobs in load reports by estimates

Cause: merging learned durations made the sizes of waiting jobs in reports those by learned durations, while a daemon compares them with the work of a new job by its caller's estimates. Where estimates are too long, a small job counted as larger than all that wait and was refused for the wait of the largest. The part of running tasks was still by the estimates, so that the remaining work of a job could be negative and hide that of others.

Change: sizes are by the estimates, amounts of work by expected durations.

--- a/azurewood/scheduling/load.py
+++ b/azurewood/scheduling/load.py
@@ -34,8 +34,9 @@
 class _Work:
     """The remaining work of a job, in thousandths of a core times ms.
 
-    ``size`` is that by which jobs are ordered, and ``amount`` the part that
-    goes before new jobs.
+    ``size`` is by the caller's estimates, as the work of a new job is to the
+    daemons that compare it, and ``amount`` the part that goes before new jobs,
+    by the expected durations.
     """
 
     priority: int
@@ -92,7 +93,7 @@
             _Work(
                 priority=job.job.priority,
                 account=job.job.account,
-                size=job.work(),
+                size=_estimated_work(job),
                 amount=amounts[job.job.id],
                 beyond=job.job.id in late,
             )
@@ -184,6 +185,15 @@
     )
 
 
+def _estimated_work(job: jobstates.JobState) -> int:
+    """Return the remaining work of a job by its caller's estimates."""
+    steps = job.job.steps
+    return sum(
+        steps[number].needs.cpu * steps[number].estimate_ms * left
+        for (_, number), left in job.undone.items()
+    )
+
+
 def _remaining_work(state: model.State, job: jobstates.JobState) -> float:
     """Return the work of a job that goes before that of a new one."""
     if job.long_lived or all(step.background for step in job.job.steps):
@@ -191,7 +201,7 @@
     ready = running = 0.0
     for key in job.open_steps(state.unix_ms):
         step = job.job.steps[key[1]]
-        one = step.reserved.cpu * step.estimate_ms
+        one = step.reserved.cpu * job.durations_ms[key[1]]
         ready += one * job.undone[key]
         running += one * (job.undone[key] - job.waiting[key])
     if _is_worthless(state, job):
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -11,12 +11,16 @@
 from azurewood.jobs import records
 from azurewood.leadership import base
 from azurewood.policy import load_shedding
+from azurewood.scheduling import load
 from tests.scheduling import deployment
 
 JOBS = 150
 SERVICE = model.Step(
     count=2, needs=model.Resources(500, 500, 0), long_lived=True
 )
+SMALL = model.Step(
+    count=1, needs=model.Resources(500, 500, 0), estimate_ms=100
+)
 
 
 def _loaded(accounts=None):
@@ -179,3 +183,26 @@
     assert line["reason"] == load_shedding.POOL_FULL
     for field in ("queue", "account", "wait_ms", "report_ms_ago"):
         assert field in line
+
+
+def test_jobs_are_compared_by_the_estimates_of_their_callers():
+    """Guards against small jobs that are refused for the wait of large ones.
+
+    Daemons know the estimates of a new job, but not what was learned of them.
+    """
+    made = _loaded()
+    large = deployment.job(made, 900)
+    for number in range(300, 300 + JOBS):
+        made.submit(made.members[number % 3], _job(made, number, "", SMALL))
+    made.run(0.5)
+    state = made.leaders()[0].member.term.state
+    for job in state.jobs.values():
+        job.set_durations(
+            {n: ms // 10 for n, ms in enumerate(job.durations_ms)}
+        )
+        assert load._remaining_work(state, job) >= 0.0
+    (report,) = load.report(state, made.clock.now)
+    sizes = {wait.work * 1000 for wait in report.waits}
+    assert max(sizes) == sum(
+        step.count * step.needs.cpu * step.estimate_ms for step in large.steps
+    )
