Ask for whole gangs within the limits of accounts

Cause: what waits of an account is scaled down to its limit by one factor in all pools. With a gang as large as the limit in each of two pools, each pool asked for half of the hosts of a gang, and neither gang ever started while the account had nothing running.

Change: a pool is asked for at least the largest waiting gang of each account that its limit lets start now.

Measured: two gangs of 16 cores in two pools, 12 spare hosts of 4 cores, limit 16 cores: after 10 s none had started, as the pools wanted 3 hosts each.

--- a/azurewood/scheduling/account_demand.py
+++ b/azurewood/scheduling/account_demand.py
@@ -3,9 +3,12 @@
 Hosts for more than an account may have running would stay idle. What runs
 counts as it is. What waits is scaled down to what the limit leaves, for each
 resource by itself and by the same factor in all pools: an account whose tasks
-differ is thus never counted for less than it can use.
+differ is thus never counted for less than it can use. A gang that may start is
+counted as a whole, as a part of its hosts is of no use to it. Otherwise the
+gangs of two pools may each wait for hosts that neither pool asks for.
 """
 
+from collections import abc
 import math
 import typing
 
@@ -15,17 +18,21 @@
 from azurewood.scheduling import model
 
 _Factors = tuple[float, float, float]
+_Owner = tuple[str, str]
+"""An account and a pool."""
 ALL: typing.Final[_Factors] = (1.0, 1.0, 1.0)
 
 
 class Limits:
     """The share of each account's waiting tasks that its limit allows."""
 
-    __slots__ = ("_factors", "_state")
+    __slots__ = ("_factors", "_gangs", "_scaled", "_state")
 
     def __init__(self, state: model.State) -> None:
         self._state = state
         self._factors: dict[str, _Factors] = {}
+        self._gangs: dict[_Owner, jobs.Resources] = {}
+        self._scaled: dict[_Owner, jobs.Resources] = {}
         asked: dict[str, jobs.Resources] = {}
         if state.catalog.accounts is None:
             return
@@ -47,12 +54,46 @@
         if factors == ALL:
             return requested
         waiting = _waiting(self._state, job, "reserved")
-        running = requested.minus(waiting)
-        return jobs.Resources(
-            running.cpu + math.ceil(waiting.cpu * factors[0]),
-            running.memory_mb + math.ceil(waiting.memory_mb * factors[1]),
-            running.gpu + math.ceil(waiting.gpu * factors[2]),
+        scaled = jobs.Resources(
+            math.ceil(waiting.cpu * factors[0]),
+            math.ceil(waiting.memory_mb * factors[1]),
+            math.ceil(waiting.gpu * factors[2]),
         )
+        owner = (job.job.account, self._state.service_of(job.job))
+        known = self._scaled.get(owner, jobs.Resources())
+        self._scaled[owner] = known.plus(scaled)
+        gangs = [self._gangs.get(owner, jobs.Resources())]
+        gangs.extend(_waiting_gangs(self._state, job))
+        self._gangs[owner] = jobs.largest_of_each(gangs)
+        return requested.minus(waiting).plus(scaled)
+
+    def missing_for_gangs(self) -> dict[_Owner, jobs.Resources]:
+        """Return what the capped requests lack for the largest gang.
+
+        All jobs must have been capped before.
+        """
+        missing = {
+            owner: jobs.largest_of_each(
+                (jobs.Resources(), gang.minus(self._scaled[owner]))
+            )
+            for owner, gang in self._gangs.items()
+        }
+        return {
+            owner: amount
+            for owner, amount in missing.items()
+            if amount != jobs.Resources()
+        }
+
+
+def _waiting_gangs(
+    state: model.State, job: jobstates.JobState
+) -> abc.Iterator[jobs.Resources]:
+    """Yield what the waiting gangs of a job need that its limit lets start."""
+    for key in job.open_steps(state.unix_ms):
+        step = job.job.steps[key[1]]
+        whole = step.gang and job.waiting[key] == step.count
+        if whole and account_limits.may_start_step(state, job, step):
+            yield step.reserved.times(step.count)
 
 
 def _waiting(
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -109,6 +109,9 @@
         owner = (job.job.account, service)
         by_account[owner] = by_account[owner].plus(requested)
         least[service] = max(least[service], _min_hosts(state, job))
+    for owner, missing in limits.missing_for_gangs().items():
+        by_account[owner] = by_account[owner].plus(missing)
+        asked[owner[1]] = asked[owner[1]].plus(missing)
     within = account_shares.demand_within(state, by_account)
     for pool in pools:
         name = pool.name
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -11,6 +11,7 @@
 from azurewood.jobs import registry
 from azurewood.policy import host_crashes
 from azurewood.policy import pool_sizes
+from azurewood.scheduling import account_demand
 from azurewood.scheduling import account_limits
 from azurewood.scheduling import crashes
 from azurewood.scheduling import reducer
@@ -386,3 +387,27 @@
     made.run(1.5)
     assert accounts.done(made, later) == 1
     deployment.check(made)
+
+
+def _gangs_of_two_pools():
+    """Submit a gang as large as its account's limit to each of two pools."""
+    made = accounts.world(pools={"s-one": 2, "s-two": 2, "spare": 12}, a=16)
+    gang = msgspec.structs.replace(accounts.ONE, count=16, gang=True)
+    ids = []
+    for number, queue in enumerate(("one", "two")):
+        job = deployment.job(made, number, gang, queue=queue)
+        made.submit(made.members[0], msgspec.structs.replace(job, account="a"))
+        ids.append(job.id)
+    made.run(10.0)
+    return accounts.done(made, ids)
+
+
+def test_pools_want_enough_hosts_for_a_gang_of_an_account_with_a_limit(
+    monkeypatch,
+):
+    """Guards against LOST: neither pool asked for the hosts of a gang."""
+    assert _gangs_of_two_pools() == 2
+    monkeypatch.setattr(
+        account_demand.Limits, "missing_for_gangs", lambda self: {}
+    )
+    assert _gangs_of_two_pools() == 0
