Compute the load of queues of one priority once per report

Cause: the report of loaded queues went over all jobs of a pool for each queue and each of six sizes, in the loop of the leader, for each heartbeat.

Change: queues of the same priority share their waits, and jobs are sorted by size and added once.

--- a/azurewood/scheduling/load.py
+++ b/azurewood/scheduling/load.py
@@ -10,8 +10,11 @@
 import collections
 from collections import abc
 import dataclasses
+import operator
 import typing
 
+import msgspec
+
 from azurewood.jobs import catalog
 from azurewood.jobs import model as jobs
 from azurewood.leadership import records
@@ -102,10 +105,16 @@
         cpu=cpu,
         cpu_of=cpu_of,
     )
+    # The same jobs go before those of all queues with the same priority.
+    loads: dict[int, records.QueueLoad | None] = {}
     for queue in state.catalog.queues.values():
-        load = _queue_load(queue, pool) if queue.service == name else None
+        if queue.service != name:
+            continue
+        if queue.priority not in loads:
+            loads[queue.priority] = _queue_load(queue, pool)
+        load = loads[queue.priority]
         if load is not None:
-            yield load
+            yield msgspec.structs.replace(load, queue=queue.name)
 
 
 def _queue_load(queue: catalog.Queue, pool: _Pool) -> records.QueueLoad | None:
@@ -117,7 +126,7 @@
         for number in range(1, POINTS + 1)
         if sizes
     }
-    sums = [_Sums(before, work) for work in sorted(works)]
+    sums = list(_sums(before, sorted(works)))
     within = _listed((sum.work, sum.within / pool.cpu) for sum in sums)
     accounts = []
     for account in {work.account for work in before if work.beyond}:
@@ -144,15 +153,13 @@
 
     __slots__ = ("_own", "within", "_total", "work")
 
-    def __init__(self, before: list[_Work], work: int) -> None:
+    def __init__(
+        self, *, work: int, within: float, total: float, own: dict[str, float]
+    ) -> None:
         self.work = work
-        self.within = self._total = 0.0
-        self._own: dict[str, float] = collections.defaultdict(float)
-        for other in before:
-            if other.size <= work:
-                self._total += other.amount
-                self._own[other.account] += other.amount
-                self.within += 0.0 if other.beyond else other.amount
+        self.within = within
+        self._total = total
+        self._own = own
 
     def wait_ms(self, account: str, cpu: float, account_cpu: float) -> float:
         """Return the wait of a job of an account beyond its share.
@@ -160,10 +167,29 @@
         The account's backlog is served by the processors that it is due, and
         is over at the latest when that of all accounts is.
         """
-        alone_ms = self._own[account] / account_cpu
+        alone_ms = self._own.get(account, 0.0) / account_cpu
         return max(self.within / cpu, min(self._total / cpu, alone_ms))
 
 
+def _sums(
+    before: list[_Work], works: abc.Iterable[int]
+) -> abc.Iterator[_Sums]:
+    """Yield the sums of the work before jobs of each of ``works``, ascending.
+
+    Each job is added once, as the leader's loop does this for each heartbeat.
+    """
+    left = sorted(before, key=operator.attrgetter("size"), reverse=True)
+    within = total = 0.0
+    own: dict[str, float] = collections.defaultdict(float)
+    for work in works:
+        while left and left[-1].size <= work:
+            other = left.pop()
+            total += other.amount
+            own[other.account] += other.amount
+            within += 0.0 if other.beyond else other.amount
+        yield _Sums(work=work, within=within, total=total, own=dict(own))
+
+
 def _listed(
     waits: abc.Iterable[tuple[int, float]],
 ) -> tuple[records.Wait, ...]:
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -206,3 +206,33 @@
     assert max(sizes) == sum(
         step.count * step.needs.cpu * step.estimate_ms for step in large.steps
     )
+
+
+def test_a_report_looks_at_jobs_once_for_all_queues_of_a_priority(monkeypatch):
+    """Guards against a loop whose report grows with the number of queues."""
+    looked = []
+    usual = load._sums
+
+    def sums(before, works):
+        looked.extend(before)
+        return usual(before, works)
+
+    monkeypatch.setattr(load, "_sums", sums)
+    made = _loaded()
+    queues = deployment.CATALOG.queues
+    more = {
+        name: dataclasses.replace(queues["one"], name=name)
+        for name in ("three", "four", "five")
+    }
+    made.configure(
+        dataclasses.replace(
+            deployment.CATALOG, version=2, queues=queues | more
+        )
+    )
+    made.run(0.3)
+    state = made.leaders()[0].member.term.state
+    looked.clear()
+    report = load.report(state, made.clock.now)
+    assert {found.queue for found in report} == {"one", *more}
+    assert len({found.waits for found in report}) == 1
+    assert len(looked) == len(state.jobs)
