Refuse no jobs while idle hosts are on standby

Cause: a heartbeat may be due between the arrival of the jobs of a peak and the plan that orders hosts for them, up to 0.2 s later. Its report rated their wait by the hosts that the pool had before, so that all daemons refused jobs until the next heartbeat, also without accounts.

Change: the idle hosts of the standby pool count as on their way.

--- a/azurewood/scheduling/load.py
+++ b/azurewood/scheduling/load.py
@@ -3,8 +3,8 @@
 The wait is underrated rather than overrated, as daemons refuse jobs by it:
 running tasks count as half done, jobs whose answer is worth nothing any more
 do not count, as they come after new ones, and hosts that are on their way
-count as if they were there. Work of queues that come after a queue and work
-of larger jobs do not count for its jobs.
+or idle in the standby pool count as if they were there. Work of queues that
+come after a queue and work of larger jobs do not count for its jobs.
 """
 
 import collections
--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -177,12 +177,18 @@
 
 
 def capacities(state: model.State, now: float) -> dict[str, jobs.Resources]:
-    """Return the capacity of each pool, with hosts that are on their way."""
+    """Return the capacity of each pool, with hosts that are on their way.
+
+    So are the idle ones of the standby pool, which any pool may get: those
+    for jobs that just arrived are ordered by the next plan.
+    """
+    found = _pools(state, now)
+    parked = sum(len(pool.idle) for pool in found if pool.standby)
     return {
         pool.name: _host_capacity(state, pool.name).times(
-            pool.hosts + pool.coming
+            pool.hosts + pool.coming + parked
         )
-        for pool in _pools(state, now)
+        for pool in found
         if not pool.standby
     }
 
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from loguru import logger
+import pytest
 
 from azurewood.jobs import catalog
 from azurewood.jobs import desk
@@ -12,6 +13,7 @@
 from azurewood.leadership import base
 from azurewood.policy import load_shedding
 from azurewood.scheduling import load
+from azurewood.scheduling import pools
 from tests.scheduling import deployment
 
 JOBS = 150
@@ -236,3 +238,38 @@
     assert {found.queue for found in report} == {"one", *more}
     assert len({found.waits for found in report}) == 1
     assert len(looked) == len(state.jobs)
+
+
+def _refusals_at_a_sudden_peak():
+    """Return how many daemons refuse jobs while idle hosts are on standby.
+
+    With this seed and time a heartbeat is due between the arrival of the jobs
+    and the plan that orders hosts for them.
+    """
+    made = deployment.world(seed=7, **{"s-one": 2, "s-two": 2, "spare": 40})
+    made.run(1.0 + 7 * 0.037)
+    for number in range(JOBS):
+        made.submit(made.members[number % 3], _job(made, number))
+    refusals = 0
+    for number in range(20):
+        made.run(0.05)
+        refusals += _admitted(made, _job(made, 900 + number)).count(False)
+    return refusals
+
+
+def test_no_job_is_refused_while_idle_hosts_are_on_standby(monkeypatch):
+    """Guards against refusals before hosts are ordered for a peak."""
+    assert not _refusals_at_a_sudden_peak()
+    usual = pools._pools
+
+    def without_standby(state, now):
+        return [pool for pool in usual(state, now) if not pool.standby]
+
+    def capacities(state, now):
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(pools, "_pools", without_standby)
+            return found(state, now)
+
+    found = pools.capacities
+    monkeypatch.setattr(pools, "capacities", capacities)
+    assert _refusals_at_a_sudden_peak()
