Count no completed jobs among those that may have runs left

Runs of completed jobs are over.

Change: only cancelled and failed jobs count, and the names say so.

--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -283,5 +283,5 @@
             max_record_bytes=self._context.max_record_bytes,
             learned_durations=self._context.learned_durations,
             known_job=known.job_of,
-            ended=known.ended_jobs(),
+            stopped=known.stopped_jobs(),
         )
--- a/azurewood/jobs/registry.py
+++ b/azurewood/jobs/registry.py
@@ -79,12 +79,17 @@
         entry = self.entries.get(job_id)
         return entry.job if entry is not None else None
 
-    def ended_jobs(self) -> list[model.Job]:
-        """Return the jobs that are over and whose records have steps yet."""
+    def stopped_jobs(self) -> list[model.Job]:
+        """Return the cancelled and failed jobs whose records still have steps.
+
+        All runs of a completed job are over.
+        """
         return [
             entry.job
             for entry in self.entries.values()
-            if entry.phase.final and entry.job.steps
+            if entry.job.steps
+            and entry.phase.final
+            and entry.phase is not model.Phase.COMPLETED
         ]
 
     def drop(self, job_id: str) -> None:
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -46,7 +46,7 @@
     ``known_job`` returns the record of a job by its id, also of one that is
     over or whose progress cannot be read, and None if there is none.
     ``usage`` has what accounts have running on all hosts. ``unlisted_usage``
-    has the most that jobs that ended before this term may have running, and
+    has the most that jobs stopped before this term may have running, and
     ``accounts_logged`` the accounts whose latest log line had anything.
     Hosts to empty for maintenance are chosen at ``emptying_due``; machines
     whose hosts could not be emptied may be chosen again at ``empty_after``.
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -11,7 +11,6 @@
 from azurewood.scheduling import account_limits
 from azurewood.scheduling import advice
 from azurewood.scheduling import durations
-from azurewood.scheduling import ended_jobs
 from azurewood.scheduling import hosts
 from azurewood.scheduling import job_records
 from azurewood.scheduling import listings
@@ -27,6 +26,7 @@
 from azurewood.scheduling import restoration
 from azurewood.scheduling import runs
 from azurewood.scheduling import speeds
+from azurewood.scheduling import stopped_jobs
 from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
 from azurewood.scheduling import unresponsive
@@ -48,7 +48,7 @@
     max_record_bytes: int = appender.MAX_RECORD_BYTES,
     learned_durations: bool = True,
     known_job: abc.Callable[[str], jobs.Job | None] = lambda id: None,
-    ended: abc.Iterable[jobs.Job] = (),
+    stopped: abc.Iterable[jobs.Job] = (),
 ) -> model.State:
     """Return the state of a leader whose term begins.
 
@@ -60,13 +60,13 @@
     the next order no sooner than ``order_pause_s`` later. ``read_by`` tells
     when this daemon had read the election's log, see ``progress.written_by``.
     Without ``learned_durations`` the callers' estimates count. ``known_job``
-    returns any known job by its id, also one that is over. ``ended`` has the
-    jobs that ended a short time ago, which may still have runs.
+    returns any known job by its id, also one that is over. ``stopped`` has the
+    jobs that were cancelled or failed lately and may still have runs.
     """
     state = model.State(term=term, leases_expire_at=leases_expire_at)
     state.max_record_bytes = max_record_bytes
     state.known_job = known_job
-    ended_jobs.restore(state, ended)
+    stopped_jobs.restore(state, stopped)
     state.clock_offset_ms = unix_ms - now * 1000
     state.clock_ms = unix_ms
     state.unanswered_starts.unanswered_at = now
@@ -243,7 +243,7 @@
     state.fenced_at = event.fenced_at
     state.clock_ms = now * 1000 + state.clock_offset_ms
     hosts.send_due_calls(state, now)
-    ended_jobs.forget_if_listed(state, now)
+    stopped_jobs.forget_if_listed(state, now)
     maintenance.drive_waves(state, now, may_order=event.may_order)
     pools.plan_moves(state, now, may_order=event.may_order)
     account_limits.log_states(state, now)
--- a/azurewood/scheduling/ended_jobs.py
+++ b/azurewood/scheduling/stopped_jobs.py
@@ -1,4 +1,4 @@
-"""Runs of jobs that ended before this term, until hosts have listed them.
+"""Runs of jobs that were cancelled or failed before this term.
 
 No progress record tells which tasks of such a job still run. Until each host
 has listed its runs to this leader, or its leases have expired, all tasks of
@@ -11,9 +11,9 @@
 from azurewood.scheduling import model
 
 
-def restore(state: model.State, ended: abc.Iterable[jobs.Job]) -> None:
-    """Count the tasks of jobs that ended before this term."""
-    for job in ended:
+def restore(state: model.State, stopped: abc.Iterable[jobs.Job]) -> None:
+    """Count the tasks of jobs that were stopped before this term."""
+    for job in stopped:
         if not job.account:
             continue
         used = state.unlisted_usage.get(job.account, jobs.Resources())
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -353,7 +353,7 @@
     monkeypatch.setattr(
         registry.JobRegistry, "job_of", lambda self, job_id: None
     )
-    monkeypatch.setattr(registry.JobRegistry, "ended_jobs", lambda self: [])
+    monkeypatch.setattr(registry.JobRegistry, "stopped_jobs", lambda self: [])
     with pytest.raises(AssertionError, match=RULE):
         deployment.check(_cancelled_before_a_change_of_leader())
 
@@ -366,7 +366,7 @@
 
 
 def test_it_breaks_if_only_listed_runs_of_ended_jobs_count(monkeypatch):
-    monkeypatch.setattr(registry.JobRegistry, "ended_jobs", lambda self: [])
+    monkeypatch.setattr(registry.JobRegistry, "stopped_jobs", lambda self: [])
     with pytest.raises(AssertionError, match=RULE):
         deployment.check(_cancelled_before_a_change_of_leader(unreached_s=3.5))
 
--- a/tests/scheduling/test_account_usage.py
+++ b/tests/scheduling/test_account_usage.py
@@ -7,6 +7,8 @@
 
 from azurewood.incarnations import late_starts
 from azurewood.jobs import model
+from azurewood.jobs import records
+from azurewood.jobs import registry
 from azurewood.scheduling import account_usage
 from azurewood.scheduling import host_state
 from azurewood.scheduling import messages
@@ -273,3 +275,19 @@
     host.add(run)
     assert not state.usage.accounts()
     host.remove(run)
+
+
+@pytest.mark.parametrize("phase", [model.Phase.COMPLETED, model.Phase.FAILED])
+def test_only_jobs_that_were_stopped_may_have_runs_left(phase):
+    """Guards against an account that waits for jobs that are over long since.
+
+    Records of completed jobs may have steps, if the store was slow.
+    """
+    known = registry.JobRegistry()
+    known.apply(records.Accepted(job=_job()))
+    assert not known.stopped_jobs()
+    known.apply(records.Ended(id="j", phase=phase))
+    failed = phase is model.Phase.FAILED
+    assert known.stopped_jobs() == ([_job()] if failed else [])
+    known.apply(records.Accepted(job=_job().without_work()))
+    assert not known.stopped_jobs()
