--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -26,6 +26,7 @@
 from azurewood.scheduling import restoration
 from azurewood.scheduling import runs
 from azurewood.scheduling import speeds
+from azurewood.scheduling import stopped_jobs
 from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
 from azurewood.scheduling import unresponsive
@@ -46,6 +47,8 @@
     read_by: progress.ReadBy = lambda end: None,
     max_record_bytes: int = appender.MAX_RECORD_BYTES,
     learned_durations: bool = True,
+    known_job: abc.Callable[[str], jobs.Job | None] = lambda id: None,
+    stopped: abc.Iterable[jobs.Job] = (),
 ) -> model.State:
     """Return the state of a leader whose term begins.
 
@@ -56,10 +59,14 @@
     ``leases_expire_at``. A machine to which they sent an order gets
     the next order no sooner than ``order_pause_s`` later. ``read_by`` tells
     when this daemon had read the election's log, see ``progress.written_by``.
-    Without ``learned_durations`` the callers' estimates count.
+    Without ``learned_durations`` the callers' estimates count. ``known_job``
+    returns any known job by its id, also one that is over. ``stopped`` has the
+    jobs that were cancelled or failed lately and may still have runs.
     """
     state = model.State(term=term, leases_expire_at=leases_expire_at)
     state.max_record_bytes = max_record_bytes
+    state.known_job = known_job
+    stopped_jobs.restore(state, stopped)
     state.clock_offset_ms = unix_ms - now * 1000
     state.clock_ms = unix_ms
     state.unanswered_starts.unanswered_at = now
@@ -236,6 +243,7 @@
     state.fenced_at = event.fenced_at
     state.clock_ms = now * 1000 + state.clock_offset_ms
     hosts.send_due_calls(state, now)
+    stopped_jobs.forget_if_listed(state, now)
     maintenance.drive_waves(state, now, may_order=event.may_order)
     pools.plan_moves(state, now, may_order=event.may_order)
     account_limits.log_states(state, now)
--- a/tests/scheduling/deployment.py
+++ b/tests/scheduling/deployment.py
@@ -128,10 +128,13 @@
         return fut.result()
 
 
-def phase(
-    made: worlds.World, job_id: str, account: str = ""
-) -> model.Phase | None:
-    """Return a job's phase as a live member shows it to an account."""
+def phase(made: worlds.World, job_id: str) -> model.Phase | None:
+    """Return a job's phase as shown by a live member, or None.
+
+    It is asked for by the account of the job.
+    """
+    asked = made.rules.asked.get(job_id)
+    account = asked.account if asked is not None else ""
     for member in made.members:
         if member.up:
             shown = member.member.job_service.show(job_id, account)
--- a/tests/scheduling/test_account_usage.py
+++ b/tests/scheduling/test_account_usage.py
@@ -7,6 +7,8 @@
 
 from azurewood.incarnations import late_starts
 from azurewood.jobs import model
+from azurewood.jobs import records
+from azurewood.jobs import registry
 from azurewood.scheduling import account_usage
 from azurewood.scheduling import host_state
 from azurewood.scheduling import messages
@@ -191,6 +193,20 @@
     assert not state.usage.accounts()
 
 
+@pytest.mark.parametrize("index", [0, 1])
+def test_runs_of_a_job_that_was_over_before_this_leader_count(index):
+    """Guards against QUOTA: such runs exist until they have been stopped."""
+    state, host = _leader()
+    state.known_job = {"gone": _job()}.get
+    id = model.TaskId("gone", 0, index, 0)
+    row = messages.RunningRow(task=id, run=1, saved="", percent=0, measure=0)
+    reducer.handle_event(state, _listed(host, row), 1.0)
+    expected = accounts.ONE.needs if index == 0 else model.Resources()
+    assert state.usage.used("a") == expected
+    reducer.handle_event(state, _listed(host), 1.1)
+    assert not state.usage.accounts()
+
+
 def _stored(state, host):
     late = late_starts.LateStart(
         host=host.id,
@@ -259,3 +275,19 @@
     host.add(run)
     assert not state.usage.accounts()
     host.remove(run)
+
+
+@pytest.mark.parametrize("phase", [model.Phase.COMPLETED, model.Phase.FAILED])
+def test_only_jobs_that_were_stopped_may_have_runs_left(phase):
+    """Guards against an account that waits for jobs that are over long since.
+
+    Records of completed jobs may have steps, if the store was slow.
+    """
+    known = registry.JobRegistry()
+    known.apply(records.Accepted(job=_job()))
+    assert not known.stopped_jobs()
+    known.apply(records.Ended(id="j", phase=phase))
+    failed = phase is model.Phase.FAILED
+    assert known.stopped_jobs() == ([_job()] if failed else [])
+    known.apply(records.Accepted(job=_job().without_work()))
+    assert not known.stopped_jobs()
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from loguru import logger
+import pytest
 
 from azurewood.jobs import catalog
 from azurewood.jobs import desk
@@ -11,12 +12,17 @@
 from azurewood.jobs import records
 from azurewood.leadership import base
 from azurewood.policy import load_shedding
+from azurewood.scheduling import load
+from azurewood.scheduling import pools
 from tests.scheduling import deployment
 
 JOBS = 150
 SERVICE = model.Step(
     count=2, needs=model.Resources(500, 500, 0), long_lived=True
 )
+SMALL = model.Step(
+    count=1, needs=model.Resources(500, 500, 0), estimate_ms=100
+)
 
 
 def _loaded(accounts=None):
@@ -84,7 +90,7 @@
     job = _job(made, 901, "other")
     made.submit(made.members[0], job)
     made.run(3.0)
-    assert deployment.phase(made, job.id, "other") is model.Phase.COMPLETED
+    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
     deployment.check(made)
 
 
@@ -179,3 +185,91 @@
     assert line["reason"] == load_shedding.POOL_FULL
     for field in ("queue", "account", "wait_ms", "report_ms_ago"):
         assert field in line
+
+
+def test_jobs_are_compared_by_the_estimates_of_their_callers():
+    """Guards against small jobs that are refused for the wait of large ones.
+
+    Daemons know the estimates of a new job, but not what was learned of them.
+    """
+    made = _loaded()
+    large = deployment.job(made, 900)
+    for number in range(300, 300 + JOBS):
+        made.submit(made.members[number % 3], _job(made, number, "", SMALL))
+    made.run(0.5)
+    state = made.leaders()[0].member.term.state
+    for job in state.jobs.values():
+        job.set_durations(
+            {n: ms // 10 for n, ms in enumerate(job.durations_ms)}
+        )
+        assert load._remaining_work(state, job) >= 0.0
+    (report,) = load.report(state, made.clock.now)
+    sizes = {wait.work * 1000 for wait in report.waits}
+    assert max(sizes) == sum(
+        step.count * step.needs.cpu * step.estimate_ms for step in large.steps
+    )
+
+
+def test_a_report_looks_at_jobs_once_for_all_queues_of_a_priority(monkeypatch):
+    """Guards against a loop whose report grows with the number of queues."""
+    looked = []
+    usual = load._sums
+
+    def sums(before, works):
+        looked.extend(before)
+        return usual(before, works)
+
+    monkeypatch.setattr(load, "_sums", sums)
+    made = _loaded()
+    queues = deployment.CATALOG.queues
+    more = {
+        name: dataclasses.replace(queues["one"], name=name)
+        for name in ("three", "four", "five")
+    }
+    made.configure(
+        dataclasses.replace(
+            deployment.CATALOG, version=2, queues=queues | more
+        )
+    )
+    made.run(0.3)
+    state = made.leaders()[0].member.term.state
+    looked.clear()
+    report = load.report(state, made.clock.now)
+    assert {found.queue for found in report} == {"one", *more}
+    assert len({found.waits for found in report}) == 1
+    assert len(looked) == len(state.jobs)
+
+
+def _refusals_at_a_sudden_peak():
+    """Return how many daemons refuse jobs while idle hosts are on standby.
+
+    With this seed and time a heartbeat is due between the arrival of the jobs
+    and the plan that orders hosts for them.
+    """
+    made = deployment.world(seed=7, **{"s-one": 2, "s-two": 2, "spare": 40})
+    made.run(1.0 + 7 * 0.037)
+    for number in range(JOBS):
+        made.submit(made.members[number % 3], _job(made, number))
+    refusals = 0
+    for number in range(20):
+        made.run(0.05)
+        refusals += _admitted(made, _job(made, 900 + number)).count(False)
+    return refusals
+
+
+def test_no_job_is_refused_while_idle_hosts_are_on_standby(monkeypatch):
+    """Guards against refusals before hosts are ordered for a peak."""
+    assert not _refusals_at_a_sudden_peak()
+    usual = pools._pools
+
+    def without_standby(state, now):
+        return [pool for pool in usual(state, now) if not pool.standby]
+
+    def capacities(state, now):
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(pools, "_pools", without_standby)
+            return found(state, now)
+
+    found = pools.capacities
+    monkeypatch.setattr(pools, "capacities", capacities)
+    assert _refusals_at_a_sudden_peak()
