--- a/azurewood/log/event_metrics.py
+++ b/azurewood/log/event_metrics.py
@@ -138,6 +138,14 @@
         divisor=1000.0,
         label="account",
     ),
+    FieldGauge(
+        event="account.state",
+        field="share_cpu",
+        name="azurewood_account_share_cores",
+        help="Cores that the account is due in full pools; 0 if none is full.",
+        divisor=1000.0,
+        label="account",
+    ),
     FieldGauge(
         event="durations.learned",
         field="estimates_off",
--- a/azurewood/scheduling/account_limits.py
+++ b/azurewood/scheduling/account_limits.py
@@ -11,6 +11,7 @@
 
 from azurewood.jobs import catalog as catalogs
 from azurewood.jobs import model as jobs
+from azurewood.scheduling import account_shares
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import model
@@ -134,12 +135,14 @@
         return
     state.accounts_log_at = now + LOG_INTERVAL_S
     waiting = _waiting_tasks(state)
+    shares = account_shares.shares_of(state, now)
     busy = (state.usage.accounts() | waiting.keys()) & (
         state.catalog.accounts or {}
     ).keys()
     for name in sorted(busy | state.accounts_logged):
         used = state.usage.used(name)
         limit = limit_of(state, name) or jobs.Resources()
+        full = shares.get(name, ())
         state.log_event(
             "account.state",
             account=name,
@@ -151,6 +154,8 @@
             limit_cpu=limit.cpu,
             limit_memory_mb=limit.memory_mb,
             limit_gpu=limit.gpu,
+            share_cpu=sum(cpu for _, cpu in full),
+            full_pools=" ".join(f"{pool}:{cpu}" for pool, cpu in full),
         )
     state.accounts_logged = busy
 
--- a/azurewood/scheduling/account_shares.py
+++ b/azurewood/scheduling/account_shares.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections import abc
+import typing
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import job_order
@@ -13,19 +14,36 @@
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import model
+from azurewood.scheduling import waiting
+
+DIVISION_VALID_S: typing.Final = 10.0
+"""How long a pool's division is logged.
+
+A pool without free room is divided again when a task ends there.
+"""
 
 
 def order(
     state: model.State,
     found: list[jobstates.JobState],
     pool: list[host_state.Host],
+    *,
+    service: str = "",
+    now: float = 0.0,
 ) -> list[jobstates.JobState]:
     """Return a pool's jobs in the order in which they are placed.
 
     Jobs beyond their account's share come after the others of their kind.
+    How the pool was divided is kept for log lines.
     """
     capacity = capacity_of(pool)
-    late, _ = divide(state, found, capacity)
+    late, cpu_of = divide(state, found, capacity)
+    if cpu_of:
+        state.divisions[service] = waiting.Division(
+            beyond=late, cpu_of=cpu_of, at=now
+        )
+    elif state.divisions:
+        state.divisions.pop(service, None)
     ordered = job_order.order_jobs(
         [job for job in found if job.job.id not in late],
         state.clock_ms,
@@ -86,6 +104,28 @@
     return shares.beyond_share(ordered, claims, parts, capacity), cpu_of
 
 
+def is_beyond(state: model.State, job: jobs.Job, now: float) -> bool:
+    """Return whether a job was beyond its account's share lately."""
+    if not state.divisions:
+        return False
+    found = state.divisions.get(state.service_of(job))
+    if found is None or now - found.at > DIVISION_VALID_S:
+        return False
+    return job.id in found.beyond
+
+
+def shares_of(
+    state: model.State, now: float
+) -> dict[str, list[tuple[str, int]]]:
+    """Return the full pools of each account and its processors there."""
+    found: dict[str, list[tuple[str, int]]] = collections.defaultdict(list)
+    for service, division in sorted(state.divisions.items()):
+        if now - division.at <= DIVISION_VALID_S:
+            for account, cpu in division.cpu_of.items():
+                found[account].append((service, int(cpu)))
+    return found
+
+
 def demand_within(
     state: model.State,
     asked: abc.Mapping[tuple[str, str], jobs.Resources],
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -44,6 +44,7 @@
     ``late_steps`` has the late starts of all hosts by step.
     ``usage`` has what accounts have running on all hosts, and
     ``accounts_logged`` the accounts whose latest log line had anything.
+    ``divisions`` has the latest division of each pool that was full.
     Hosts to empty for maintenance are chosen at ``emptying_due``; machines
     whose hosts could not be emptied may be chosen again at ``empty_after``.
     A host more in each of ``pools_in_the_way`` would let a wave go on.
@@ -74,6 +75,7 @@
         "deferred_effects",
         "demands",
         "dirty_jobs",
+        "divisions",
         "empty_after",
         "emptying_due",
         "dirty_late_starts",
@@ -132,6 +134,7 @@
         self.usage = account_usage.AccountUsage()
         self.accounts_log_at = 0.0
         self.accounts_logged: set[str] = set()
+        self.divisions: dict[str, waiting.Division] = {}
         self.late_steps = late_starts.LateSteps(usage=self.usage)
         self.durations = learning.Learning()
         self.hosts_read_at = 0.0
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -20,6 +20,7 @@
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import model
+from azurewood.scheduling import placement_lines
 from azurewood.scheduling import runs
 
 MAX_STARTS_PER_PASS = 200
@@ -76,7 +77,9 @@
     if budget <= 0:
         state.placement_due.add(service)
         return
-    for job in account_shares.order(state, found, pool):
+    for job in account_shares.order(
+        state, found, pool, service=service, now=now
+    ):
         for number, tasks in _open_steps(state, job):
             step = job.job.steps[number]
             if not step.reserved.fits(largest_free):
@@ -226,7 +229,7 @@
             break
         open_run(state, host_index, host, job, task, now)
         placed.append(task)
-    _log_placed(state, job, placed, len(ready))
+    placement_lines.log_placed(state, job, placed, len(ready))
     return len(placed)
 
 
@@ -272,25 +275,6 @@
             return ()
 
 
-def _log_placed(
-    state: model.State,
-    job: jobstates.JobState,
-    placed: list[jobstates.Task],
-    ready: int,
-) -> None:
-    """Log the hosts on which runs of a step were placed."""
-    if placed:
-        state.log_event(
-            "step.placed",
-            job=job.job.id,
-            occurrence=placed[0].id.occurrence,
-            step=placed[0].id.step,
-            runs=" ".join(f"{t.id.index}:{t.run}@{t.host}" for t in placed),
-            left=ready - len(placed),
-            waited_ms=int(state.clock_ms - job.accepted_ms),
-        )
-
-
 def _waiting(tasks: list[jobstates.Task]) -> abc.Iterator[jobstates.Task]:
     return (
         task for task in tasks if task.phase is jobstates.TaskPhase.WAITING
@@ -321,7 +305,7 @@
                 task.run = run
                 task.saved = saved
                 open_run(state, host_index, host, job, task, now)
-            _log_placed(state, job, tasks, len(tasks))
+            placement_lines.log_placed(state, job, tasks, len(tasks))
             return len(tasks)
     return 0
 
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -14,6 +14,7 @@
 from azurewood.policy import host_health
 from azurewood.policy import restarts
 from azurewood.scheduling import account_limits
+from azurewood.scheduling import account_shares
 from azurewood.scheduling import advice
 from azurewood.scheduling import backlog
 from azurewood.scheduling import host_state
@@ -43,6 +44,7 @@
     ADVICE = "waiting for advice"
     NOT_APPROVED = "no approved host has room"
     ROOM = "waiting for room"
+    SHARE = "beyond the account's share of a full pool"
     NOT_PLACED = "a host has room, but not by order, spread or gang"
     NO_RUN = "its run is on no host's record"
     HOST_SILENT = "the host of its run is silent"
@@ -184,6 +186,7 @@
     state.log_event(
         "task.stuck",
         job=task.id.job,
+        account=state.jobs[task.id.job].job.account,
         task=str(tuple(task.id[1:])),
         phase=task.phase.name.lower(),
         run=task.run,
@@ -267,8 +270,9 @@
     pool = pools.get(state, state.service_of(job.job), now)
     if pool.why is not None:
         return pool.why
+    beyond = account_shares.is_beyond(state, job.job, now)
     if not pool.fits(job.step_of(task.id)):
-        return Why.ROOM
+        return Why.SHARE if beyond else Why.ROOM
     if task.late_starts:
         where = latestarts.where_to_start(state, task, now)
         if not isinstance(where, restarts.Anywhere):
@@ -278,7 +282,7 @@
         key = jobstates.step_key(task.id)
         known = advice.all_known(job, key, pool.hosts, now)
         return Why.NOT_APPROVED if known else Why.ADVICE
-    return Why.NOT_PLACED
+    return Why.SHARE if beyond else Why.NOT_PLACED
 
 
 def _pool(state: model.State, service: str, now: float) -> _PoolCapacity:
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -361,6 +361,7 @@
     state.log_event(
         "job.ended",
         job=job.job.id,
+        account=job.job.account,
         queue=job.job.queue,
         phase=phase.value,
         after_ms=int(after_ms),
--- a/azurewood/scheduling/waiting.py
+++ b/azurewood/scheduling/waiting.py
@@ -45,3 +45,16 @@
         """Record that it was logged; the next time is at twice its age."""
         self.logged = True
         self.log_at = now + max(STUCK_S, now - self.since)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Division:
+    """How a full pool was divided between accounts at a time.
+
+    ``beyond`` has the ids of the jobs beyond their account's share, and
+    ``cpu_of`` the processors in thousandths that each account was due.
+    """
+
+    beyond: frozenset[str]
+    cpu_of: dict[str, float]
+    at: float
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -272,6 +272,23 @@
     assert lines[0]["running_cpu"] == lines[0]["limit_cpu"] == 2000
 
 
+def test_shares_are_logged_while_a_pool_is_full(monkeypatch):
+    """Guards against a share that is not told, or kept for a free pool."""
+    lines = _lines(monkeypatch, "account.state")
+    placed = _lines(monkeypatch, "step.placed")
+    made = accounts.world(a=0, b=0)
+    accounts.submit(made, range(200), "a")
+    accounts.submit(made, range(200, 210), "b")
+    made.run(3.0)
+    full = [line for line in lines if line["full_pools"]]
+    assert {line["account"] for line in full} == {"a", "b"}
+    for line in full:
+        assert line["full_pools"] == f"s-one:{line['share_cpu']}"
+    assert {line["account"] for line in placed} == {"a", "b"}
+    made.run(40.0)
+    assert (lines[-1]["share_cpu"], lines[-1]["full_pools"]) == (0, "")
+
+
 def test_a_changed_limit_is_logged(monkeypatch):
     lines = _lines(monkeypatch, "account.limit")
     made = accounts.world(a=2, b=2)
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -18,6 +18,7 @@
 from azurewood.scheduling import progress
 from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
+from azurewood.scheduling import waiting
 from tests.scheduling import deployment
 
 NOW = 100.0
@@ -122,6 +123,23 @@
     return state
 
 
+def _beyond():
+    """Guards against a job beyond its share that seems to lack room only."""
+    state = _full()
+    state.divisions["s-one"] = waiting.Division(
+        beyond=frozenset({"j"}), cpu_of={"a": 1000.0}, at=NOW - 5.0
+    )
+    return state
+
+
+def _divided_long_ago():
+    """Guards against a share of a pool that is full no more."""
+    state = _beyond()
+    (division,) = state.divisions.values()
+    state.divisions["s-one"] = dataclasses.replace(division, at=0.0)
+    return state
+
+
 def _advice():
     return _state(
         advice=catalog.Advice(decision_ms=1, per_host_ms=1, validity_ms=1)
@@ -212,6 +230,8 @@
         (_unsynced_pool, stuck.Why.UNSYNCED),
         (_suspended, stuck.Why.UNUSABLE),
         (_full, stuck.Why.ROOM),
+        (_beyond, stuck.Why.SHARE),
+        (_divided_long_ago, stuck.Why.ROOM),
         (_retry, stuck.Why.RETRY),
         (_at_limit, stuck.Why.ACCOUNT_LIMIT),
         (_late_start, stuck.Why.LATE_START),
