Explain a job's account and why it waited or was refused

azurewood explain printed the lines of a job only. The account's limit and share are in lines that do not name the job.

It now shows account.state (while the job waited), account.limit and call.unauthorized of the job's account or queue. If an account or a refusal is named, it ends with the account, the wait for the first host, and the causes (limit, share, room, rack, refused, other), each with the line that says so. JSON output has them as a last entry, explanation. Jobs without either are shown as before.

--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -3,8 +3,10 @@
 import json
 
 from click import testing
+import pytest
 
 from azurewood.commands import main
+from azurewood.scheduling import stuck
 
 
 def _line(at, event, daemon="m1", **fields):
@@ -67,3 +69,82 @@
     result = _run("c3")
     assert result.exit_code == 1
     assert "no line" in result.output
+
+
+def _account_log(*lines):
+    shown = [_line(1.0, "accepted", job="a1", account="x", verdict="Taken")]
+    return "\n".join([*shown, *lines])
+
+
+def _explained(log):
+    runner = testing.CliRunner()
+    args = ["explain", "a1", "-", "--output", "json"]
+    entries = json.loads(runner.invoke(main.main, args, input=log).output)
+    table = runner.invoke(main.main, ["explain", "a1", "-"], input=log).output
+    assert "job a1: account x" in table
+    assert all(reason["text"] in table for reason in entries[-1]["reasons"])
+    return entries
+
+
+def _placed(at, waited_ms, **fields):
+    fields = {"job": "a1", "account": "x", "waited_ms": waited_ms, **fields}
+    return _line(at, "step.placed", "m2", **fields)
+
+
+def _state(at, account="x", **fields):
+    fields = {"running": 4, "waiting": 3, "account": account, **fields}
+    return _line(at, "account.state", "m2", **fields)
+
+
+AT_LIMIT = {"running_cpu": 4000, "limit_cpu": 4500}
+FULL = {"running_cpu": 4000, "limit_cpu": 9000, "full_pools": "p1:3000"}
+
+
+@pytest.mark.parametrize(
+    ("lines", "causes"),
+    [
+        ([_placed(2.5, 1500), _state(2.0, **AT_LIMIT)], ["limit"]),
+        ([_placed(2.5, 1500), _state(2.0, **FULL)], ["share"]),
+        ([_placed(2.5, 1500), _state(2.0, "y", **AT_LIMIT)], []),
+        ([_placed(1.5, 500, far=2), _state(1.2, **AT_LIMIT)], ["rack"]),
+    ],
+)
+def test_a_short_wait_is_explained_by_its_account(lines, causes):
+    """Guards against another account's state, and a cause without a wait."""
+    last = _explained(_account_log(*lines))[-1]
+    assert (last["event"], last["account"]) == ("explanation", "x")
+    assert [reason["cause"] for reason in last["reasons"]] == causes
+
+
+@pytest.mark.parametrize("why", stuck.Why)
+def test_each_reason_of_stuck_work_has_a_cause(why):
+    """Guards against a reason whose text changed and is not known here."""
+    line = _line(3.5, "task.stuck", job="a1", why=why.value, stuck_ms=2100)
+    (reason,) = _explained(_account_log(line))[-1]["reasons"]
+    expected = {"ACCOUNT_LIMIT": "limit", "SHARE": "share", "ROOM": "room"}
+    expected |= {"NO_HOST": "room", "NOT_APPROVED": "room"}
+    assert reason["cause"] == expected.get(why.name, "other")
+    assert why.value in reason["text"] and "2100" in reason["text"]
+
+
+def test_a_refusal_and_what_changed_meanwhile_are_shown():
+    """Guards against refusals, limits and denied calls that are left out."""
+    refused = {"job": "a1", "account": "x", "queue": "q1"}
+    refused |= {"reason": "too many jobs wait", "wait_ms": 7100}
+    entries = _explained(
+        _account_log(
+            _line(0.5, "job.refused", retry_after_s=4, **refused),
+            _line(0.7, "account.limit", account="x", after="2000/0/0"),
+            _line(0.7, "account.limit", account="y", after="2000/0/0"),
+            _line(0.8, "call.unauthorized", queue="q1", account=""),
+            _line(0.8, "call.unauthorized", queue="q2", account=""),
+        )
+    )
+    assert [entry["event"] for entry in entries[1:-2]] == [
+        "account.limit",
+        "call.unauthorized",
+    ]
+    (reason,) = entries[-1]["reasons"]
+    assert reason["cause"] == "refused"
+    for part in ("too many jobs wait", "7100 ms", "4 s"):
+        assert part in reason["text"]
