Check a configuration before it is sent

A malformed configuration was found by the daemons only, which keep the version in force, and a queue without a pool or a lost key by nobody.

Accounts are read entry by entry, with all faults; a daemon rejects the list with the first of them, whose text now ends with its place.

--- a/azurewood/commands/main.py
+++ b/azurewood/commands/main.py
@@ -8,6 +8,7 @@
 from azurewood.commands import explain
 from azurewood.commands import fleet
 from azurewood.commands import host
+from azurewood.commands import manifest
 from azurewood.commands import outcome
 from azurewood.commands import preset
 from azurewood.commands import status
@@ -16,6 +17,7 @@
 COMMANDS = (
     entry.entry,
     config.config,
+    manifest.manifest,
     preset.preset,
     status.status,
     host.host,
--- a/azurewood/commands/reference.py
+++ b/azurewood/commands/reference.py
@@ -14,13 +14,15 @@
 
 Printed by `python -m azurewood.commands.reference`; not edited by hand.
 
-Every command but `azurewood entry`, `azurewood fleet`, `azurewood explain`
-and `azurewood config check` needs the operators' token in the variable
-`AZUREWOOD_OPERATORS_TOKEN`; there is no flag for it. The settings of
-`azurewood entry` are listed in [settings](settings.md).
+Every command but `azurewood entry`, `azurewood fleet`, `azurewood explain`,
+`azurewood config check` and `azurewood manifest check` needs the operators'
+token in the variable `AZUREWOOD_OPERATORS_TOKEN`; there is no flag for it. The
+settings of `azurewood entry` are listed in [settings](settings.md).
 
 ## Exit codes
 
+Those of `azurewood manifest check` are in its help.
+
 | Code | Meaning |
 | --- | --- |
 """
--- a/azurewood/platform/accounts.py
+++ b/azurewood/platform/accounts.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import dataclasses
 import re
 import typing
 
@@ -15,8 +16,14 @@
 from azurewood.jobs import model
 from azurewood.platform import exceptions
 
+T = typing.TypeVar("T")
+_Entries = list[msgspec.Raw]
 _PLACE: typing.Final = re.compile(r"`\$(\S*)`$")
 """The place at the end of msgspec's texts, whose other parts are not used."""
+_MISSING: typing.Final = re.compile(
+    r"Object missing required field `([a-z_]+)`"
+)
+"""The beginning of msgspec's text about a declared field that is absent."""
 
 
 class _Amount(msgspec.Struct):
@@ -33,36 +40,80 @@
     max_count: _Amount = msgspec.field(default_factory=_Amount)
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Fault:
+    """What is wrong at a place of the list, such as ``[2].weight``."""
+
+    place: str
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Reading:
+    """The faultless accounts of a list with their numbers, and all faults.
+
+    ``digests`` are those of the keys of all entries that could be decoded.
+    """
+
+    accounts: list[tuple[int, catalog.Account]] = dataclasses.field(
+        default_factory=list
+    )
+    faults: list[Fault] = dataclasses.field(default_factory=list)
+    digests: set[bytes] = dataclasses.field(default_factory=set, repr=False)
+
+
 def decode(data: bytes) -> dict[str, catalog.Account]:
     """Return the accounts of a configuration, by name.
 
-    Raise ``InvalidMessage`` if the list is malformed.
+    Raise ``InvalidMessage`` with the first fault if the list is malformed.
     """
+    found = read(data)
+    if found.faults:
+        fault = found.faults[0]
+        at = f" at {fault.place}" if fault.place else ""
+        raise exceptions.InvalidMessage(
+            f"malformed list of accounts: {fault.reason}{at}"
+        )
+    return {account.name: account for _, account in found.accounts}
+
+
+def read(data: bytes) -> Reading:
+    """Return the accounts of a list and everything that is wrong with it."""
+    found = Reading()
+    names: set[str] = set()
+    for number, raw in enumerate(_decode(found, data, _Entries, "") or ()):
+        place = f"[{number}]"
+        tenant = _decode(found, bytes(raw), _Tenant, place)
+        if tenant is None:
+            continue
+        account = _account(tenant)
+        reasons = list(_faults(tenant))
+        if account.name in names:
+            reasons.append("its name is used twice")
+        if found.digests & account.key_digests:
+            reasons.append("another account has the same key")
+        names.add(account.name)
+        found.digests |= account.key_digests
+        found.faults += [Fault(place=place, reason=text) for text in reasons]
+        if not reasons:
+            found.accounts.append((number, account))
+    return found
+
+
+def _decode(
+    found: Reading, data: bytes, kind: type[T], place: str
+) -> T | None:
+    """Return a value, or None after noting a fault without any value."""
     try:
-        tenants = decoding.decode_json(data, list[_Tenant])
+        return decoding.decode_json(data, kind)
     except decoding.MalformedData as exc:
-        place = _PLACE.search(str(exc))
-        at = f" at {place[1]}" if place else ""
-        # The text of ``exc`` may quote a value, so it is not chained.
-        raise _malformed(f"wrong type or range{at}") from None
-    accounts: dict[str, catalog.Account] = {}
-    digests: set[bytes] = set()
-    for number, tenant in enumerate(tenants):
-        fault = next(_faults(tenant), "")
-        account = _account(tenant)
-        if not fault and account.name in accounts:
-            fault = "its name is used twice"
-        if not fault and digests & account.key_digests:
-            fault = "another account has the same key"
-        if fault:
-            raise _malformed(f"entry {number}: {fault}")
-        accounts[account.name] = account
-        digests |= account.key_digests
-    return accounts
-
-
-def _malformed(reason: str) -> exceptions.InvalidMessage:
-    return exceptions.InvalidMessage(f"malformed list of accounts: {reason}")
+        text = str(exc)
+        within = _PLACE.search(text)
+        at = place + (within[1] if within else "")
+        missing = _MISSING.match(text)
+        reason = f"no {missing[1]}" if missing else "wrong type or range"
+        found.faults.append(Fault(place=at, reason=reason))
+        return None
 
 
 def _faults(tenant: _Tenant) -> abc.Iterator[str]:
--- a/azurewood/platform/catalogs.py
+++ b/azurewood/platform/catalogs.py
@@ -62,19 +62,28 @@
     return catalog.Catalog(
         version=found.version,
         queues={route.name: _queue(route) for route in found.routes},
-        pools={
-            service.name: catalog.Pool(
-                name=service.name,
-                enforces_capacity=service.enforce_capacity,
-                standby=service.standby,
-            )
-            for service in found.services
-        },
+        pools={service.name: _pool(service) for service in found.services},
         body_bytes=found.limits.body_bytes,
         accounts=_accounts(found.tenants),
     )
 
 
+def decode_queue(data: bytes) -> catalog.Queue:
+    """Return the queue of one entry of a manifest.
+
+    Raise ``MalformedData`` if it is malformed.
+    """
+    return _queue(decoding.decode_json(data, _Route))
+
+
+def decode_pool(data: bytes) -> catalog.Pool:
+    """Return the pool of one entry of a manifest.
+
+    Raise ``MalformedData`` if it is malformed.
+    """
+    return _pool(decoding.decode_json(data, _Service))
+
+
 def _accounts(
     tenants: msgspec.Raw | msgspec.UnsetType,
 ) -> dict[str, catalog.Account] | None:
@@ -83,6 +92,14 @@
     return accounts.decode(bytes(tenants))
 
 
+def _pool(service: _Service) -> catalog.Pool:
+    return catalog.Pool(
+        name=service.name,
+        enforces_capacity=service.enforce_capacity,
+        standby=service.standby,
+    )
+
+
 def _queue(route: _Route) -> catalog.Queue:
     return catalog.Queue(
         name=route.name,
