--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -48,6 +48,7 @@
     ``usage`` has what accounts have running on all hosts. ``unlisted_usage``
     has the most that jobs stopped before this term may have running, and
     ``accounts_logged`` the accounts whose latest log line had anything.
+    ``divisions`` has the latest division of each pool that was full.
     Hosts to empty for maintenance are chosen at ``emptying_due``; machines
     whose hosts could not be emptied may be chosen again at ``empty_after``.
     A host more in each of ``pools_in_the_way`` would let a wave go on.
@@ -78,6 +79,7 @@
         "deferred_effects",
         "demands",
         "dirty_jobs",
+        "divisions",
         "empty_after",
         "emptying_due",
         "dirty_late_starts",
@@ -140,6 +142,7 @@
         self.unlisted_usage: dict[str, model.Resources] = {}
         self.accounts_log_at = 0.0
         self.accounts_logged: set[str] = set()
+        self.divisions: dict[str, waiting.Division] = {}
         self.late_steps = late_starts.LateSteps(usage=self.usage)
         self.durations = learning.Learning()
         self.hosts_read_at = 0.0
