Move the verdicts of the job service to their own module

Change: jobs/verdicts.py has the verdicts, the log fields of a verdict and the pause before a caller asks again. The callers are adapted; tests rename local variables that had the module's name.

--- a/azurewood/daemons/admission.py
+++ b/azurewood/daemons/admission.py
@@ -1,8 +1,8 @@
 """Refuses jobs that cannot be served, before they are stored."""
 
 from azurewood.jobs import catalog
-from azurewood.jobs import desk as desks
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.leadership import base as leadership
 from azurewood.policy import feasibility
 from azurewood.policy import load_shedding
@@ -13,7 +13,7 @@
     known: catalog.Catalog | None,
     election: leadership.Election,
     now: float,
-) -> desks.Refused | None:
+) -> verdicts.Refused | None:
     """Return why a job is refused, None if it is accepted.
 
     Called by any thread.
@@ -22,14 +22,14 @@
         job, election.largest
     ) or feasibility.over_limit_reason(job, known)
     if reason:
-        return desks.Refused(
+        return verdicts.Refused(
             reason=reason, retry_after_s=feasibility.RETRY_AFTER_S
         )
     load = election.load
     age_s = now - load.read_at
     match load_shedding.decide(job, load.queues, age_s):
         case load_shedding.Refuse() as refuse:
-            return desks.Refused(
+            return verdicts.Refused(
                 reason=refuse.reason,
                 retry_after_s=refuse.retry_after_s,
                 busy=True,
--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -18,6 +18,7 @@
 from azurewood.daemons import topics
 from azurewood.jobs import desk as desks
 from azurewood.jobs import records
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
@@ -227,10 +228,10 @@
             if store_lost
             else desks.SEND_TIMEOUT_S
         )
-        verdict = desks.Refused(reason="store out of touch")
+        verdict = verdicts.Refused(reason="store out of touch")
         service = self._job_service
         if not service.complete or not service.caught_up:
-            verdict = desks.OutcomeUnknown(reason="the store is slow")
+            verdict = verdicts.OutcomeUnknown(reason="the store is slow")
         for item in writer.withdraw(
             lambda item: item.token.request.asked_at < asked_before
         ):
@@ -254,7 +255,7 @@
         """Complete the requests that can't be carried out late any more."""
         while self._given_up and self._given_up[0][0] <= now:
             _, request = self._given_up.popleft()
-            _complete(request, desks.OutcomeUnknown(reason="given up"))
+            _complete(request, verdicts.OutcomeUnknown(reason="given up"))
 
 
 class _ConfirmWrite:
@@ -273,7 +274,7 @@
 
     def __call__(self, offset: int) -> None:
         self._on_stored(offset)
-        _complete(self.request, desks.Taken(offset=offset))
+        _complete(self.request, verdicts.Taken(offset=offset))
 
 
 def _log_withdrawn(item: appender.Item, reason: str) -> None:
@@ -306,10 +307,10 @@
 
 
 def _on_refused(item: appender.Item, reason: str) -> None:
-    _complete(item.token.request, desks.TooLarge(reason=reason))
+    _complete(item.token.request, verdicts.TooLarge(reason=reason))
 
 
-def _complete(request: desks.WriteRequest, verdict: desks.Verdict) -> None:
+def _complete(request: desks.WriteRequest, verdict: verdicts.Verdict) -> None:
     # The caller's thread may have timed out and cancelled the future.
     with contextlib.suppress(concurrent.futures.InvalidStateError):
         request.future.set_result(verdict)
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -21,6 +21,7 @@
 from azurewood.jobs import catalog
 from azurewood.jobs import desk as desks
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
@@ -251,7 +252,7 @@
 
     # Callers' requests
 
-    def _admit(self, job: model.Job) -> desks.Refused | None:
+    def _admit(self, job: model.Job) -> verdicts.Refused | None:
         """Refuse jobs that cannot be served; called by any thread."""
         return admission.refusal(
             job, self.job_service.catalog, self.election, self._clock()
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -18,6 +18,7 @@
 from azurewood.jobs import read_waits
 from azurewood.jobs import records
 from azurewood.jobs import registry
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 
 MAX_READ_AGE_S: typing.Final = 2.5
@@ -36,81 +37,12 @@
 SEND_TIMEOUT_STORE_LOST_S: typing.Final = 0.6
 """The same while reads of the store fail too, so that the caller soon tries
 another daemon."""
-RETRY_AFTER_S: typing.Final = 1
 MAX_READ_WAIT_S: typing.Final = 2.0
 """Longest time that a caller waits for a read of the jobs."""
 REFUSAL_READ_WAIT_S: typing.Final = 0.5
 """The same before a job is refused for load. Without a read it is accepted."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Taken:
-    """The request is stored.
-
-    ``offset`` is that of the append that stored it, -1 if it was known from
-    reading.
-    """
-
-    offset: int = dataclasses.field(default=-1, compare=False)
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class NotThere:
-    """No such job exists."""
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Refused:
-    """The request is not stored and never will be.
-
-    ``busy`` is whether too many jobs are the reason. ``details`` are further
-    fields of the log line.
-    """
-
-    reason: str
-    retry_after_s: int = RETRY_AFTER_S
-    busy: bool = False
-    details: dict[str, typing.Any] = dataclasses.field(
-        default_factory=dict, compare=False
-    )
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class OutcomeUnknown:
-    """The request may be stored already, or may be stored later."""
-
-    reason: str
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class JobStatus:
-    """The phase of a job that this daemon knows."""
-
-    phase: model.Phase
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class StatusUnknown:
-    """This daemon cannot say whether the job exists."""
-
-    retry_after_s: int = RETRY_AFTER_S
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class TooLarge:
-    """The job's record is larger than the store takes; it never runs."""
-
-    reason: str
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class IdInUse:
-    """The id is that of a job that the caller's account may not see."""
-
-
-Verdict = Taken | NotThere | Refused | TooLarge | IdInUse | OutcomeUnknown
-
-
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class WriteRequest:
     """A record to store, and the future that receives the verdict."""
@@ -180,7 +112,7 @@
         *,
         clock: abc.Callable[[], float],
         enqueue: abc.Callable[[WriteRequest], None],
-        admission: abc.Callable[[model.Job], Refused | None],
+        admission: abc.Callable[[model.Job], verdicts.Refused | None],
         max_record_bytes: int = appender.MAX_RECORD_BYTES,
     ) -> None:
         self.max_record_bytes = max_record_bytes
@@ -248,22 +180,22 @@
 
     def show(
         self, job_id: str, account: str = ""
-    ) -> JobStatus | NotThere | StatusUnknown:
+    ) -> verdicts.JobStatus | verdicts.NotThere | verdicts.StatusUnknown:
         """Return the status of a job, as far as this daemon knows it.
 
         ``account`` is the name of the caller's account, if it has one.
         """
         if job_id in self.registry.unreadable:
-            return StatusUnknown()
+            return verdicts.StatusUnknown()
         if not self._is_known(job_id, account):
             absent = self._is_absent(job_id, account)
-            return NotThere() if absent else StatusUnknown()
+            return verdicts.NotThere() if absent else verdicts.StatusUnknown()
         entry = self.registry.entries.get(job_id)
         if entry is None:
-            return JobStatus(phase=model.Phase.PENDING)
+            return verdicts.JobStatus(phase=model.Phase.PENDING)
         if entry.phase.final or entry.unfinished:
-            return JobStatus(phase=entry.phase)
-        return StatusUnknown()
+            return verdicts.JobStatus(phase=entry.phase)
+        return verdicts.StatusUnknown()
 
     def _is_absent(self, job_id: str, account: str) -> bool:
         """Return whether a job that a caller can't see here does not exist.
@@ -280,17 +212,19 @@
         """Wait until what was stored before now is read; return whether."""
         return self.read_waits.wait(timeout_s)
 
-    def submit(self, job: model.Job, *, timeout_s: float) -> Verdict:
+    def submit(self, job: model.Job, *, timeout_s: float) -> verdicts.Verdict:
         """Store a job; wait for at most ``timeout_s`` seconds."""
         known = self._job(job.id)
         if known is not None:
             return self._repeated(job, known)
         if job.id in self.registry.unreadable:
-            return OutcomeUnknown(reason="the job's record cannot be read")
+            return verdicts.OutcomeUnknown(
+                reason="the job's record cannot be read"
+            )
         if self._opened(job.id) is None:
             size = record_of(records.Accepted(job=job)).size
             if size > self.max_record_bytes:
-                return TooLarge(
+                return verdicts.TooLarge(
                     reason=f"the job takes {size} bytes, and the store"
                     f" {self.max_record_bytes} at most"
                 )
@@ -304,26 +238,26 @@
             return self._repeated(job, known)
         return self._store(job.id, records.Accepted(job=job), timeout_s)
 
-    def _repeated(self, job: model.Job, known: model.Job) -> Verdict:
+    def _repeated(self, job: model.Job, known: model.Job) -> verdicts.Verdict:
         """Return the verdict on a job whose id is that of a known one."""
         granted = self._grants(job.account, known)
-        return Taken() if granted else self._log_in_use(job)
+        return verdicts.Taken() if granted else self._log_in_use(job)
 
     def _opened(self, job_id: str) -> model.Job | None:
         """Return the job whose request to be stored has no verdict yet."""
         found = self._open.get((records.Accepted, job_id))
         return None if found is None else found.record.job
 
-    def _log_in_use(self, job: model.Job) -> IdInUse:
+    def _log_in_use(self, job: model.Job) -> verdicts.IdInUse:
         logger.bind(
             event="job.id_in_use", job=job.id, account=job.account
         ).info("job refused, as its id is that of another account's job")
-        return IdInUse()
+        return verdicts.IdInUse()
 
-    def _refusal(self, job: model.Job) -> Refused | None:
+    def _refusal(self, job: model.Job) -> verdicts.Refused | None:
         """Return why a job is not to be stored, None if it is."""
         if not self._is_fresh() and not self._accepts_early():
-            return Refused(reason="store out of touch")
+            return verdicts.Refused(reason="store out of touch")
         return self.admission(job)
 
     def _may_be_stored(self, job: model.Job, timeout_s: float) -> bool:
@@ -338,7 +272,9 @@
         stored = self._job(job.id) is not None
         return stored or not self._is_absent(job.id, job.account)
 
-    def _refuse(self, job: model.Job, refused: Refused) -> Refused:
+    def _refuse(
+        self, job: model.Job, refused: verdicts.Refused
+    ) -> verdicts.Refused:
         logger.bind(
             event="job.refused",
             job=job.id,
@@ -352,7 +288,7 @@
 
     def cancel(
         self, job_id: str, account: str = "", *, timeout_s: float
-    ) -> Verdict:
+    ) -> verdicts.Verdict:
         """Store a cancellation; wait for at most ``timeout_s`` seconds.
 
         ``account`` is the name of the caller's account, if it has one.
@@ -361,14 +297,14 @@
         if not self._is_known(job_id, account):
             if not self.loaded:
                 # Waiting would keep threads from those who submit jobs.
-                return Refused(reason="the jobs are not listed yet")
+                return verdicts.Refused(reason="the jobs are not listed yet")
             if not self._await_read(min(timeout_s, MAX_READ_WAIT_S)):
-                return Refused(reason="not in touch with the store")
+                return verdicts.Refused(reason="not in touch with the store")
             if not self._is_known(job_id, account):
                 return self._unknown_job(job_id, account)
         entry = self.registry.entries.get(job_id)
         if entry is not None and entry.phase.final:
-            return Taken()
+            return verdicts.Taken()
         record = records.Cancelled(id=job_id)
         return self._store(job_id, record, max(0.0, until - self._clock()))
 
@@ -387,32 +323,36 @@
     def _grants(self, account: str, job: model.Job) -> bool:
         return self.catalog is None or self.catalog.grants(account, job)
 
-    def _unknown_job(self, job_id: str, account: str) -> NotThere | Refused:
+    def _unknown_job(
+        self, job_id: str, account: str
+    ) -> verdicts.NotThere | verdicts.Refused:
         """Return the verdict on a job that this daemon doesn't know."""
         unreadable = job_id in self.registry.unreadable
         if not unreadable and self._is_absent(job_id, account):
-            return NotThere()
-        return Refused(reason="not in touch with the store")
+            return verdicts.NotThere()
+        return verdicts.Refused(reason="not in touch with the store")
 
     def _store(
         self, job_id: str, record: records.Record, timeout_s: float
-    ) -> Verdict:
+    ) -> verdicts.Verdict:
         began_at = self._clock()
         fut = self.request(job_id, record, began_at)
         try:
             verdict = fut.result(timeout=timeout_s)
         except concurrent.futures.TimeoutError:
-            verdict = OutcomeUnknown(reason="the store has not answered")
+            verdict = verdicts.OutcomeUnknown(
+                reason="the store has not answered"
+            )
         logger.bind(
             event=type(record).__name__.lower(),
             job=job_id,
             **_account(record),
             verdict=type(verdict).__name__,
-            **_details(verdict),
+            **verdicts.details(verdict),
             took_ms=int((self._clock() - began_at) * 1000),
         ).info(
             "job record stored"
-            if verdict == Taken()
+            if verdict == verdicts.Taken()
             else "job record not confirmed as stored"
         )
         return verdict
@@ -448,20 +388,6 @@
     return {}
 
 
-def _details(verdict: Verdict) -> dict[str, typing.Any]:
-    """Return the fields that a verdict adds to a job's line."""
-    match verdict:
-        case Taken(offset=offset):
-            return {"offset": offset}
-        case (
-            Refused(reason=reason)
-            | TooLarge(reason=reason)
-            | OutcomeUnknown(reason=reason)
-        ):
-            return {"reason": reason}
-    return {}
-
-
 def append_item(request: WriteRequest) -> appender.Item:
     """Return the item that the appender stores for a write request."""
     return appender.Item(records=(record_of(request.record),), token=request)
--- a/azurewood/platform/frontdoor.py
+++ b/azurewood/platform/frontdoor.py
@@ -15,6 +15,7 @@
 from azurewood.jobs import catalog
 from azurewood.jobs import desk
 from azurewood.jobs import exceptions
+from azurewood.jobs import verdicts
 from azurewood.platform import authentication
 from azurewood.platform import jobs
 
@@ -111,11 +112,11 @@
 
     def _show(self, job_id: str, account: str) -> wrappers.Response:
         match self._job_service.show(job_id, account):
-            case desk.JobStatus(phase=phase):
+            case verdicts.JobStatus(phase=phase):
                 return _json(200, jobs.encode_phase(phase))
-            case desk.NotThere():
+            case verdicts.NotThere():
                 return _refuse(410, "no such job")
-            case desk.StatusUnknown(retry_after_s=after_s):
+            case verdicts.StatusUnknown(retry_after_s=after_s):
                 return _refuse(503, "not in touch with the store", after_s)
 
 
@@ -147,19 +148,19 @@
     return max(0.0, wait_ms / 1000 - ANSWER_MARGIN_S)
 
 
-def _verdict(verdict: desk.Verdict) -> wrappers.Response:
+def _verdict(verdict: verdicts.Verdict) -> wrappers.Response:
     match verdict:
-        case desk.Taken():
+        case verdicts.Taken():
             return _json(200, b"{}")
-        case desk.NotThere():
+        case verdicts.NotThere():
             return _refuse(410, "no such job")
-        case desk.Refused(reason=reason, retry_after_s=after_s, busy=busy):
+        case verdicts.Refused(reason=reason, retry_after_s=after_s, busy=busy):
             return _refuse(429 if busy else 503, reason, after_s)
-        case desk.IdInUse():
+        case verdicts.IdInUse():
             return _refuse(409, "the id is in use")
-        case desk.TooLarge(reason=reason):
+        case verdicts.TooLarge(reason=reason):
             return _refuse(413, reason)
-        case desk.OutcomeUnknown(reason=reason):
+        case verdicts.OutcomeUnknown(reason=reason):
             return _refuse(504, reason)
 
 
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -23,6 +23,7 @@
 from azurewood.jobs import catalog
 from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.scheduling import messages
@@ -471,11 +472,11 @@
         """Submit a job to a daemon; the verdict is set later."""
         asked = Submission()
         if not member.up or member.frozen:
-            asked.verdict = desk.OutcomeUnknown(reason="nobody answers")
+            asked.verdict = verdicts.OutcomeUnknown(reason="nobody answers")
             return asked
         known = member.member.job_service
         if job.id in known.registry.entries:
-            asked.verdict = desk.Taken()
+            asked.verdict = verdicts.Taken()
             return asked
         self.rules.asked[job.id] = job
         record = desk.records.Accepted(job=job)
@@ -540,7 +541,7 @@
     __slots__ = ("verdict",)
 
     def __init__(self) -> None:
-        self.verdict: desk.Verdict | None = None
+        self.verdict: verdicts.Verdict | None = None
 
     def begin(
         self,
@@ -556,9 +557,9 @@
         def done(answered: desk.concurrent.futures.Future) -> None:
             self.verdict = answered.result()
             match self.verdict:
-                case desk.Taken() if stored is not None:
+                case verdicts.Taken() if stored is not None:
                     stored()
-                case desk.Refused() if refused is not None:
+                case verdicts.Refused() if refused is not None:
                     refused()
 
         service = member.member.job_service
--- a/tests/jobs/test_early_acceptance.py
+++ b/tests/jobs/test_early_acceptance.py
@@ -7,6 +7,7 @@
 from azurewood.jobs import desk
 from azurewood.jobs import model
 from azurewood.jobs import records
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import pages
 from standins.fleet import platform
@@ -64,14 +65,14 @@
     def submit(self, job):
         """Hand a job in at the daemon; return the list of its verdict."""
         self.made.rules.asked[job.id] = job
-        verdicts = []
+        answers = []
         refused = self.service._refusal(job)
         if refused is not None:
             return [refused]
         self.service.request(
             job.id, records.Accepted(job=job), self.made.clock.now
-        ).add_done_callback(lambda fut: verdicts.append(fut.result()))
-        return verdicts
+        ).add_done_callback(lambda fut: answers.append(fut.result()))
+        return answers
 
 
 @pytest.fixture
@@ -86,9 +87,9 @@
     while not start.service.ready():
         start.made.run(0.01)
         assert start.made.clock.now < began_at + AIM_S
-    verdicts = start.submit(deployment.job(start.made, 1))
+    answers = start.submit(deployment.job(start.made, 1))
     start.made.run(0.1)
-    assert verdicts == [desk.Taken()]
+    assert answers == [verdicts.Taken()]
     assert start.made.clock.now < began_at + AIM_S
     assert not start.service.loaded
     while not start.service.caught_up:
@@ -115,11 +116,11 @@
     start.restart()
     start.made.run(QUIET_S)
     assert start.service.ready() and not start.service.loaded
-    assert isinstance(start.service.show(job.id), desk.StatusUnknown)
+    assert isinstance(start.service.show(job.id), verdicts.StatusUnknown)
     assert start.service.waiting("one") is None
     for job_id in (job.id, "f" * 16):
         verdict = start.service.cancel(job_id, timeout_s=0.5)
-        assert isinstance(verdict, desk.Refused)
+        assert isinstance(verdict, verdicts.Refused)
 
 
 @pytest.mark.parametrize("lost", ("down", "refusing", "cut"))
@@ -139,7 +140,7 @@
     start.made.run(AIM_S)
     assert not start.service.ready()
     refused = start.submit(deployment.job(start.made, 2))
-    assert isinstance(refused[0], desk.Refused)
+    assert isinstance(refused[0], verdicts.Refused)
     deployment.check(start.made)
 
 
@@ -168,10 +169,10 @@
     start.restart()
     start.made.run(0.5)
     assert not start.service.loaded
-    verdicts = start.submit(job)
+    answers = start.submit(job)
     start.made.run(0.2)
-    assert verdicts == [desk.Taken()]
-    return verdicts
+    assert answers == [verdicts.Taken()]
+    return answers
 
 
 def _count_starts(monkeypatch):
@@ -204,7 +205,7 @@
     _repeated(start, job)
     made.run(LISTING_S + 2.0)
     shown = [m.member.job_service.show(job.id) for m in made.members]
-    assert shown == [desk.JobStatus(phase=phase)] * 3
+    assert shown == [verdicts.JobStatus(phase=phase)] * 3
     # A leader that lists the jobs now finds the same.
     leader = made.leaders()[0]
     leader.kill()
@@ -237,7 +238,7 @@
     made.submit(start.others[0], job)
     made.run(2.0)
     _repeated(start, job)
-    assert start.service.show(job.id) == desk.JobStatus(
+    assert start.service.show(job.id) == verdicts.JobStatus(
         phase=model.Phase.PENDING
     )
     made.store.add(
@@ -249,7 +250,7 @@
     )
     made.run(LISTING_S + 1.0)
     assert start.service.caught_up
-    assert start.service.show(job.id) == desk.NotThere()
+    assert start.service.show(job.id) == verdicts.NotThere()
 
 
 def test_a_configuration_is_needed(monkeypatch):
--- a/tests/jobs/test_finished_jobs.py
+++ b/tests/jobs/test_finished_jobs.py
@@ -9,10 +9,10 @@
 
 from azurewood.daemons import finished_jobs
 from azurewood.daemons import intake
-from azurewood.jobs import desk
 from azurewood.jobs import model
 from azurewood.jobs import records
 from azurewood.jobs import registry
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import pages
 from standins.fleet import members
@@ -261,7 +261,7 @@
     for member in made.members:
         if member.up:
             shown = member.member.job_service.show(job.id)
-            assert shown == desk.StatusUnknown()
+            assert shown == verdicts.StatusUnknown()
             assert job.id not in _scheduled(member)
     assert sorted(_stored(made, job.id)) == ["a"]
 
--- a/tests/jobs/test_repeated_requests.py
+++ b/tests/jobs/test_repeated_requests.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from azurewood.jobs import desk
 from azurewood.jobs import records
+from azurewood.jobs import verdicts
 from azurewood.journal import pages
 from tests.scheduling import deployment
 
@@ -19,14 +19,14 @@
         self.made = deployment.world()
         self.member = self.made.members[0].member
         self.service = self.member.job_service
-        self.verdicts = []
+        self.told = []
         self.answers = True
         enqueue = self.service._enqueue
         usual = self.made.fault_of
 
         def keep(request):
             request.future.add_done_callback(
-                lambda fut: self.verdicts.append(fut.result())
+                lambda fut: self.told.append(fut.result())
             )
             enqueue(request)
 
@@ -40,13 +40,13 @@
     def repeat(self, ask):
         """Ask twice without answers; return all verdicts in the end."""
         self.answers = False
-        verdicts = [ask()]
+        told = [ask()]
         self.made.run(0.5)
-        verdicts.append(ask())
+        told.append(ask())
         self.made.run(UNANSWERED_S)
         self.answers = True
         self.made.run(RECOVERED_S)
-        return verdicts + self.verdicts
+        return told + self.told
 
 
 @pytest.fixture
@@ -57,9 +57,9 @@
 def test_no_job_is_refused_that_an_earlier_request_may_have_stored(entry):
     job = deployment.job(entry.made, 1)
     entry.made.rules.asked[job.id] = job
-    verdicts = entry.repeat(lambda: entry.service.submit(job, timeout_s=0.0))
-    assert desk.Taken() in verdicts
-    assert not [v for v in verdicts if isinstance(v, desk.Refused)]
+    told = entry.repeat(lambda: entry.service.submit(job, timeout_s=0.0))
+    assert verdicts.Taken() in told
+    assert not [v for v in told if isinstance(v, verdicts.Refused)]
 
 
 def test_no_job_is_refused_for_stale_reads_while_its_request_is_open(entry):
@@ -67,7 +67,7 @@
     entry.service.submit(job, timeout_s=0.0)
     entry.service.fresh_at = -10.0
     verdict = entry.service.submit(job, timeout_s=0.0)
-    assert isinstance(verdict, desk.OutcomeUnknown)
+    assert isinstance(verdict, verdicts.OutcomeUnknown)
 
 
 def test_a_job_that_was_refused_is_stored_when_it_is_handed_in_again(entry):
@@ -75,7 +75,7 @@
     requests = []
     entry.service._enqueue = requests.append
     entry.service.submit(job, timeout_s=0.0)
-    requests[0].future.set_result(desk.Refused(reason="test"))
+    requests[0].future.set_result(verdicts.Refused(reason="test"))
     entry.service.submit(job, timeout_s=0.0)
     assert [r.record for r in requests] == [records.Accepted(job=job)] * 2
 
@@ -87,11 +87,11 @@
     entry.answers = False
     entry.service.submit(job, timeout_s=0.0)
     entry.made.run(0.5)
-    assert isinstance(entry.service.show(job.id), desk.StatusUnknown)
+    assert isinstance(entry.service.show(job.id), verdicts.StatusUnknown)
     cancelled = entry.service.cancel(job.id, timeout_s=0.0)
-    assert isinstance(cancelled, desk.Refused)
+    assert isinstance(cancelled, verdicts.Refused)
     entry.answers = True
     entry.made.run(RECOVERED_S)
-    assert isinstance(entry.service.show(job.id), desk.JobStatus)
+    assert isinstance(entry.service.show(job.id), verdicts.JobStatus)
     other = deployment.job(entry.made, 2)
-    assert isinstance(entry.service.show(other.id), desk.NotThere)
+    assert isinstance(entry.service.show(other.id), verdicts.NotThere)
--- a/tests/jobs/test_unknown_jobs.py
+++ b/tests/jobs/test_unknown_jobs.py
@@ -2,6 +2,7 @@
 
 from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.journal import pages
 from standins.fleet import platform
 from tests.scheduling import deployment
@@ -31,7 +32,7 @@
 def test_a_daemon_that_has_just_been_cut_off_denies_no_job():
     """Guards against UNASKED: review/10."""
     made, cut, job = _cut_one_off()
-    assert isinstance(deployment.cancel(made, cut, job.id), desk.Refused)
+    assert isinstance(deployment.cancel(made, cut, job.id), verdicts.Refused)
 
 
 def test_it_does_if_it_does_not_read_first(monkeypatch):
@@ -39,7 +40,7 @@
         desk.JobService, "_await_read", lambda self, timeout_s: True
     )
     made, cut, job = _cut_one_off()
-    assert deployment.cancel(made, cut, job.id) == desk.NotThere()
+    assert deployment.cancel(made, cut, job.id) == verdicts.NotThere()
 
 
 def test_a_job_is_cancelled_that_was_accepted_a_moment_before():
@@ -51,7 +52,7 @@
     while not made.store.values(pages.Topic.JOBS):
         made.run(0.0005)
     assert job.id not in known
-    assert isinstance(deployment.cancel(made, second, job.id), desk.Taken)
+    assert isinstance(deployment.cancel(made, second, job.id), verdicts.Taken)
     made.run(1.0)
     assert deployment.phase(made, job.id) is model.Phase.CANCELLED
 
@@ -61,4 +62,4 @@
     made.run(2.0)
     for member in made.members:
         verdict = deployment.cancel(made, member, "0" * 16)
-        assert verdict == desk.NotThere()
+        assert verdict == verdicts.NotThere()
--- a/tests/scheduling/deployment.py
+++ b/tests/scheduling/deployment.py
@@ -3,8 +3,8 @@
 import concurrent.futures
 
 from azurewood.jobs import catalog
-from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.scheduling import messages
 from standins.fleet import members
 from standins.fleet import world as worlds
@@ -118,7 +118,7 @@
 
 def cancel(
     made: worlds.World, member: members.SimMember, job_id: str
-) -> desk.Verdict:
+) -> verdicts.Verdict:
     """Return the verdict on a caller's cancellation, who waits for it."""
     service = member.member.job_service
     with concurrent.futures.ThreadPoolExecutor(max_workers=1) as pool:
@@ -133,7 +133,7 @@
     for member in made.members:
         if member.up:
             shown = member.member.job_service.show(job_id)
-            if isinstance(shown, desk.JobStatus):
+            if isinstance(shown, verdicts.JobStatus):
                 return shown.phase
     return None
 
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
-from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.policy import host_crashes
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import account_limits
@@ -242,7 +242,7 @@
     job = deployment.job(made, 1, step)
     job = msgspec.structs.replace(job, account="a")
     refused = made.members[0].member._admit(job)
-    expected = desk.Refused(reason=reason, retry_after_s=60)
+    expected = verdicts.Refused(reason=reason, retry_after_s=60)
     assert refused == (expected if reason else None)
 
 
--- a/tests/scheduling/test_days.py
+++ b/tests/scheduling/test_days.py
@@ -3,8 +3,8 @@
 The rules of the platform are checked in each.
 """
 
-from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.journal import pages
 from azurewood.scheduling import messages
 from azurewood.scheduling import pools
@@ -32,7 +32,7 @@
     made = deployment.world()
     asked = _submit_jobs(made)
     made.run(3.0)
-    assert all(a.verdict == desk.Taken() for a in asked.values())
+    assert all(a.verdict == verdicts.Taken() for a in asked.values())
     assert _jobs_completed(made, asked)
     deployment.check(made)
 
@@ -43,7 +43,7 @@
     first = made.submit(made.members[0], job)
     second = made.submit(made.members[1], job)
     made.run(3.0)
-    assert first.verdict == second.verdict == desk.Taken()
+    assert first.verdict == second.verdict == verdicts.Taken()
     assert made.rules.starts == 5
     deployment.check(made)
 
@@ -173,7 +173,7 @@
     made.run(6.0)
     made.lost_share = 0.0
     made.run(6.0)
-    taken = [i for i, a in asked.items() if a.verdict == desk.Taken()]
+    taken = [i for i, a in asked.items() if a.verdict == verdicts.Taken()]
     assert len(taken) >= len(asked) // 2
     assert _jobs_completed(made, taken)
     deployment.check(made)
@@ -190,7 +190,7 @@
     refused = made.submit(made.members[1], deployment.job(made, 2))
     made.run(3.0)
     # Any verdict but acceptance is right: the store was never reached.
-    assert refused.verdict != desk.Taken()
+    assert refused.verdict != verdicts.Taken()
     assert deployment.running_tasks(made, long_lived.id) == 3
     made.store_down = False
     made.run(4.0)
@@ -210,7 +210,9 @@
     made.run(3.0)
     assert _jobs_completed(made, asked)
     shown = [away.member.job_service.show(job_id) for job_id in asked]
-    assert shown == [desk.JobStatus(phase=model.Phase.COMPLETED)] * len(asked)
+    assert shown == [verdicts.JobStatus(phase=model.Phase.COMPLETED)] * len(
+        asked
+    )
     deployment.check(made)
 
 
@@ -221,7 +223,7 @@
     made.run(1.0)
     asked = made.cancel(made.members[1], job.id)
     made.run(1.0)
-    assert asked.verdict == desk.Taken()
+    assert asked.verdict == verdicts.Taken()
     assert deployment.running_tasks(made, job.id) == 0
     made.leaders()[0].kill()
     made.run(6.0)
@@ -303,7 +305,7 @@
     shown = [
         made.members[0].member.job_service.show(job_id) for job_id in asked
     ]
-    assert shown == [desk.NotThere()] * len(asked)
+    assert shown == [verdicts.NotThere()] * len(asked)
     assert not made.store.values(pages.Topic.JOBS)
     left = made.store.values(pages.Topic.PROGRESS)
     assert not [key for key in left if key.startswith("j/")]
@@ -317,7 +319,7 @@
     made.run(2.0)
     asked = _submit_jobs(made, count=12)
     made.run(4.0)
-    assert all(a.verdict == desk.Taken() for a in asked.values())
+    assert all(a.verdict == verdicts.Taken() for a in asked.values())
     made.slow = 1.0
     made.run(4.0)
     assert _jobs_completed(made, asked)
--- a/tests/scheduling/test_intake.py
+++ b/tests/scheduling/test_intake.py
@@ -9,6 +9,7 @@
 from azurewood.jobs import desk
 from azurewood.jobs import model
 from azurewood.jobs import records
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.policy import intake
@@ -42,7 +43,7 @@
 
 
 def _share_taken(asked):
-    taken = [a for a, _ in asked.values() if a.verdict == desk.Taken()]
+    taken = [a for a, _ in asked.values() if a.verdict == verdicts.Taken()]
     return len(taken) / len(asked)
 
 
@@ -98,7 +99,7 @@
     made.run(12.0)
     deployment.check(made)
     for job_id, (answer, _, _) in asked.items():
-        if answer.verdict == desk.Taken():
+        if answer.verdict == verdicts.Taken():
             shown = deployment.phase(made, job_id)
             assert shown is model.Phase.COMPLETED
     counts = collections.Counter(asked[job_id][2] for job_id in quick)
@@ -108,7 +109,7 @@
 def _taken_within(asked, seconds, now):
     """Yield the jobs that are taken and were asked for in ``seconds``."""
     for job_id, (answer, asked_at, _) in asked.items():
-        if answer.verdict == desk.Taken() and now - asked_at <= seconds:
+        if answer.verdict == verdicts.Taken() and now - asked_at <= seconds:
             yield job_id
 
 
@@ -179,7 +180,7 @@
     made.run(1.8)
     asked = made.submit(member, deployment.job(made, 1, SHORT))
     made.run(0.5)
-    assert asked.verdict == desk.Taken()
+    assert asked.verdict == verdicts.Taken()
     assert _stored_in_intake(made) == {f"a/{1:016x}"}
 
 
@@ -191,7 +192,7 @@
     made.run(0.1)
     asked = made.submit(member, deployment.job(made, 2, SHORT))
     made.run(desk.SEND_TIMEOUT_S + 0.5)
-    assert isinstance(asked.verdict, desk.OutcomeUnknown)
+    assert isinstance(asked.verdict, verdicts.OutcomeUnknown)
 
 
 def test_nothing_goes_to_the_intake_while_the_store_is_quick():
@@ -215,7 +216,7 @@
     for _ in range(100):
         if asked.verdict is None:
             made.run(0.01)
-    assert asked.verdict == desk.Taken()
+    assert asked.verdict == verdicts.Taken()
     assert _stored_in_intake(made) == {f"a/{job.id}"}
     leader.kill()
     return made, member, job
@@ -237,7 +238,7 @@
     made.slow = 1.0
     made.run(10.0)
     shown = member.member.job_service.show(job.id)
-    assert shown == desk.JobStatus(phase=model.Phase.PENDING)
+    assert shown == verdicts.JobStatus(phase=model.Phase.PENDING)
 
 
 def test_no_daemon_denies_a_job_that_may_be_in_the_intake():
@@ -247,11 +248,11 @@
             continue
         shown = other.member.job_service.show(job.id)
         if other is member:
-            assert shown == desk.JobStatus(phase=model.Phase.PENDING)
+            assert shown == verdicts.JobStatus(phase=model.Phase.PENDING)
         else:
-            assert shown == desk.StatusUnknown()
+            assert shown == verdicts.StatusUnknown()
             refused = other.member.job_service.cancel(job.id, timeout_s=0.0)
-            assert isinstance(refused, desk.Refused)
+            assert isinstance(refused, verdicts.Refused)
 
 
 def test_a_job_cancelled_before_it_is_copied_never_starts():
@@ -297,7 +298,7 @@
     made.slow = 1.0
     made.run(20.0)
     for job_id, (answer, _) in asked.items():
-        if answer.verdict == desk.Taken():
+        if answer.verdict == verdicts.Taken():
             shown = deployment.phase(made, job_id)
             assert shown is model.Phase.COMPLETED
     assert not _stored_in_intake(made)
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -9,6 +9,7 @@
 from azurewood.jobs import desk
 from azurewood.jobs import model
 from azurewood.jobs import records
+from azurewood.jobs import verdicts
 from azurewood.leadership import base
 from azurewood.policy import load_shedding
 from tests.scheduling import deployment
@@ -138,7 +139,7 @@
     service = _Service(
         clock=lambda: 0.0,
         enqueue=requests.append,
-        admission=lambda job: desk.Refused(reason="load", busy=True),
+        admission=lambda job: verdicts.Refused(reason="load", busy=True),
     )
     service.loaded = True
     service.record = records.Accepted(job=job) if stored else None
@@ -152,12 +153,12 @@
     The caller repeats its call at a daemon that has not read the job yet.
     """
     job = deployment.job(deployment.world(members=1), 900)
-    assert _repeated(job, stored=True) == (desk.Taken(), False)
+    assert _repeated(job, stored=True) == (verdicts.Taken(), False)
     verdict, requested = _repeated(job, stored=False)
-    assert isinstance(verdict, desk.Refused)
+    assert isinstance(verdict, verdicts.Refused)
     assert not requested
     verdict, requested = _repeated(job, stored=False, answered=False)
-    assert not isinstance(verdict, desk.Refused)
+    assert not isinstance(verdict, verdicts.Refused)
     assert requested
 
 
@@ -172,7 +173,7 @@
     finally:
         logger.remove(sink)
         logger.disable("azurewood")
-    assert isinstance(verdict, desk.Refused)
+    assert isinstance(verdict, verdicts.Refused)
     made.run(2.0)
     assert deployment.phase(made, job.id) is None
     (line,) = [line for line in lines if line.get("event") == "job.refused"]
--- a/tests/scheduling/test_lost_hosts.py
+++ b/tests/scheduling/test_lost_hosts.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.scheduling import unresponsive
 from tests.scheduling import deployment
 
@@ -194,7 +194,9 @@
     _repair(made)
     made.run(16.0)
     deployment.check(made)
-    taken = [i for i, a in asked.items() if isinstance(a.verdict, desk.Taken)]
+    taken = [
+        i for i, a in asked.items() if isinstance(a.verdict, verdicts.Taken)
+    ]
     return made, long_lived.id, [i for i in taken if i != long_lived.id]
 
 
--- a/tests/scheduling/test_operators_reports.py
+++ b/tests/scheduling/test_operators_reports.py
@@ -12,6 +12,7 @@
 from azurewood.incarnations import limits
 from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.leadership import predecessors
@@ -160,9 +161,9 @@
 
 def test_lost_answers_run_nothing_again_and_hide_nothing():
     made = deployment.world()
-    for job_id, verdicts in _lose_answers(made).items():
-        told = [asked.verdict for asked in verdicts]
-        if any(verdict == desk.Taken() for verdict in told):
+    for job_id, answers in _lose_answers(made).items():
+        told = [asked.verdict for asked in answers]
+        if any(verdict == verdicts.Taken() for verdict in told):
             shown = deployment.phase(made, job_id)
             assert shown is model.Phase.COMPLETED
     assert made.rules.starts == 5 * 8
--- a/tests/scheduling/test_unreadable_records.py
+++ b/tests/scheduling/test_unreadable_records.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from azurewood.jobs import desk
 from azurewood.jobs import model
 from azurewood.jobs import records
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.scheduling import job_records
@@ -110,8 +110,8 @@
     made.run(1.0)
     for member in made.members:
         service = member.member.job_service
-        assert service.show(job.id) == desk.StatusUnknown()
-        assert deployment.cancel(made, member, "0" * 16) == desk.NotThere()
+        assert service.show(job.id) == verdicts.StatusUnknown()
+        assert deployment.cancel(made, member, "0" * 16) == verdicts.NotThere()
     other = deployment.job(made, 2)
     made.submit(made.members[1], other)
     made.run(4.0)
@@ -125,7 +125,7 @@
     _write(made, pages.Topic.JOBS, f"a/{job.id}", GARBAGE)
     made.run(1.0)
     verdict = made.members[0].member.job_service.submit(job, timeout_s=0.0)
-    assert isinstance(verdict, desk.OutcomeUnknown)
+    assert isinstance(verdict, verdicts.OutcomeUnknown)
 
 
 def test_a_record_of_a_later_version_is_unreadable():
@@ -135,7 +135,7 @@
     _write(made, pages.Topic.JOBS, later.key, records.encode(later))
     made.run(1.0)
     shown = made.members[0].member.job_service.show(job.id)
-    assert shown == desk.StatusUnknown()
+    assert shown == verdicts.StatusUnknown()
     assert made.rules.starts == 0
 
 
--- a/tests/scheduling/test_unresolved_jobs.py
+++ b/tests/scheduling/test_unresolved_jobs.py
@@ -2,8 +2,8 @@
 
 from loguru import logger
 
-from azurewood.jobs import desk
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import pages
 from standins.fleet import members
@@ -50,14 +50,14 @@
     job = deployment.job(made, 1, SHORT)
     _carry_out_late(made)
     handed_in = _hand_in(made, member, job)
-    assert isinstance(handed_in, desk.OutcomeUnknown)
+    assert isinstance(handed_in, verdicts.OutcomeUnknown)
     made.run(CALLER_WAITS_S)
     cancelled = member.member.job_service.cancel(job.id, timeout_s=0.0)
     shown = member.member.job_service.show(job.id)
     del made.fault_of
     made.run(LATE_S)
     assert deployment.phase(made, job.id) is not None
-    assert desk.NotThere() not in (cancelled, shown)
+    assert verdicts.NotThere() not in (cancelled, shown)
 
 
 def test_a_job_that_may_be_stored_is_not_refused_when_it_is_handed_in_again():
@@ -72,7 +72,7 @@
     del made.fault_of
     made.run(LATE_S)
     assert deployment.phase(made, job.id) is model.Phase.COMPLETED
-    assert not isinstance(again.verdict, desk.Refused)
+    assert not isinstance(again.verdict, verdicts.Refused)
 
 
 def test_a_job_is_not_run_again_by_an_append_of_before_its_removal():
@@ -109,8 +109,8 @@
     for _ in range(int(LATE_S / STEP_S)):
         made.run(STEP_S)
         shown.append(member.member.job_service.show(job.id))
-    assert isinstance(shown[-1], desk.JobStatus)
-    assert desk.NotThere() not in shown
+    assert isinstance(shown[-1], verdicts.JobStatus)
+    assert verdicts.NotThere() not in shown
 
 
 def test_no_append_counts_the_failures_of_withdrawn_records(
@@ -133,7 +133,7 @@
     stored = made.submit(member, deployment.job(made, 2, SHORT))
     made.run(REFUSED_S)
     logger.remove(sink)
-    assert isinstance(refused.verdict, desk.Refused)
-    assert stored.verdict == desk.Taken()
+    assert isinstance(refused.verdict, verdicts.Refused)
+    assert stored.verdict == verdicts.Taken()
     resolved = [x for x in lines if x.get("event") == "append.resolved"]
     assert [x for x in resolved if x["topic"] == "jobs"] == []
