Test that a daemon without the jobs claims no term

Cause: since daemons accept jobs before their listing, the election asks JobService.knows_jobs. The test still replaced JobService.ready, so that it failed: the strong daemon led.

Change: the test replaces knows_jobs.

Result: tests/scheduling/test_strong_leader.py passes; before, that test failed.

--- a/tests/scheduling/test_strong_leader.py
+++ b/tests/scheduling/test_strong_leader.py
@@ -150,7 +150,7 @@
 
 
 def test_a_daemon_that_is_not_ready_preempts_no_leader(monkeypatch):
-    monkeypatch.setattr(desk.JobService, "ready", lambda self: False)
+    monkeypatch.setattr(desk.JobService, "knows_jobs", lambda self: False)
     made, _ = _start_strong_daemon_under_weak_leader()
     assert [m.cores for m in made.leaders()] == [SMALL]
 
