Drop removed jobs when the jobs are listed again

Cause: a daemon that was cut off for longer than the retention time, and whose store dropped its history meanwhile, lists the jobs again without their removals. Jobs that had ended and were removed stayed in its registry as running, and were run again once it led; an id that was handed in again kept the end of the old job.

Change: with a complete listing, known jobs that it lacks are dropped. A daemon that does not lead also drops a job whose end it lacks.

--- a/azurewood/daemons/job_reads.py
+++ b/azurewood/daemons/job_reads.py
@@ -8,6 +8,36 @@
 from azurewood.jobs import exceptions
 from azurewood.jobs import records
 from azurewood.journal import appender
+from azurewood.journal import follower
+
+
+def drop_removed(
+    changes: follower.Changes,
+    service: desks.JobService,
+    term: terms.Term | None,
+) -> None:
+    """Drop the known jobs that were removed before a complete listing.
+
+    If the store dropped its history, their removals are not to be read any
+    more, and a later leader would run them again. A job that has ended here,
+    but not by the listing, was removed and handed in again. A leader, which
+    writes the removals itself, ignores that: the listing may have been made
+    in the middle of one.
+    """
+    registry = service.registry
+    known = {*registry.entries, *registry.unreadable}
+    if not changes.whole or not known:
+        return
+    listed = {record.key for record in changes.records}
+    for job_id in known:
+        entry = registry.entries.get(job_id)
+        removed = records.accepted_key(job_id) not in listed
+        if not removed and term is None and entry and entry.phase.final:
+            removed = listed.isdisjoint(records.end_keys(job_id))
+        if removed:
+            registry.drop(job_id)
+            if term is not None:
+                term.handle_removed(job_id)
 
 
 def apply(
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -225,6 +225,7 @@
 
     def _on_jobs_read(self, changes: follower.Changes) -> None:
         service = self.job_service
+        job_reads.drop_removed(changes, service, self.term)
         for stored in changes.records:
             job_reads.apply(stored, service, self._writes, self.term)
         if changes.whole:
--- a/azurewood/jobs/records.py
+++ b/azurewood/jobs/records.py
@@ -74,6 +74,16 @@
     return tuple(f"{kind}/{job_id}" for kind in ("b", "c", "e", "a"))
 
 
+def accepted_key(job_id: str) -> str:
+    """Return the key of the record that a job was accepted."""
+    return f"a/{job_id}"
+
+
+def end_keys(job_id: str) -> tuple[str, ...]:
+    """Return the keys of the records with which a job is over."""
+    return (f"c/{job_id}", f"e/{job_id}")
+
+
 def begun_key(job_id: str) -> str:
     """Return the key of the record that a job has begun."""
     return f"b/{job_id}"
