Show no phase of a job before the jobs are listed

Cause: a daemon that accepted a job before its listing showed it as pending. If the caller had handed it in before, at another daemon, it may have begun or ended: a completed job was shown as pending for the rest of the listing.

Change: until the listing is complete, a state query of such a job is answered with 503, as that of an unknown id.

--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -190,9 +190,16 @@
         if not self._is_known(job_id, account):
             absent = self._is_absent(job_id, account)
             return verdicts.NotThere() if absent else verdicts.StatusUnknown()
+        # Read before the entry: the loop has all entries when it sets this.
+        loaded = self.loaded
         entry = self.registry.entries.get(job_id)
         if entry is None:
-            return verdicts.JobStatus(phase=model.Phase.PENDING)
+            # A job that was stored before may have begun or ended.
+            return (
+                verdicts.JobStatus(phase=model.Phase.PENDING)
+                if loaded
+                else verdicts.StatusUnknown()
+            )
         if entry.phase.final or entry.unfinished:
             return verdicts.JobStatus(phase=entry.phase)
         return verdicts.StatusUnknown()
