Count only usable idle hosts against a pool's forecast

Cause: a pool with idle hosts wants at most 1.2 times the hosts that are asked for now. Hosts that are suspended or drain count as idle, so that a peak that begins in such a pool gets its hosts only after a backlog has formed.

Change: for the limit on the forecast, idle hosts count that can take tasks.

Result: tests/scheduling/test_pools.py passes; the new test fails without the change.

--- a/azurewood/scheduling/pools.py
+++ b/azurewood/scheduling/pools.py
@@ -10,6 +10,7 @@
 import typing
 
 from azurewood.jobs import model as jobs
+from azurewood.policy import host_health
 from azurewood.policy import pool_sizes
 from azurewood.scheduling import account_demand
 from azurewood.scheduling import account_limits
@@ -82,7 +83,7 @@
             hosts=pool.hosts,
             coming=pool.coming,
             withholding=pool.withholding,
-            idle=len(pool.idle),
+            idle=_usable_idle(state, pool, now),
             unseen=missing[pool.name],
             wanted=demand.wanted if demand else 0,
             used_cpu=sum(host.used.cpu for host in hosts if host.present),
@@ -118,7 +119,7 @@
         wanted = pool_sizes.limit_forecast(
             pool_sizes.wanted_hosts(asked[name], capacity, least[name]),
             pool_sizes.wanted_hosts(coming, capacity),
-            idle=len(pool.idle),
+            idle=_usable_idle(state, pool, now),
         )
         wanted += name in state.pools_in_the_way
         demand = state.demands.setdefault(name, pool_sizes.Demand())
@@ -129,6 +130,19 @@
         )
 
 
+def _usable_idle(state: model.State, pool: pool_sizes.Pool, now: float) -> int:
+    """Return how many idle hosts of a pool can take tasks.
+
+    Suspended or draining ones are idle, but meet no rise of the load.
+    """
+    hosts = [
+        state.hosts.get(state.machines[machine].host) for machine in pool.idle
+    ]
+    return sum(
+        host is not None and host_health.usable(host, now) for host in hosts
+    )
+
+
 def _requested(state: model.State, job: jobstates.JobState) -> jobs.Resources:
     """Return the resources that a job's open and ready tasks need."""
     cpu = memory_mb = gpu = 0
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -43,6 +43,25 @@
     assert pool_sizes.limit_forecast(0, 3, idle=0) == 0
 
 
+def test_idle_hosts_that_take_no_tasks_limit_no_forecast(monkeypatch):
+    """Guards against peaks that begin in a pool whose hosts are suspended."""
+    made = deployment.world()
+    state = made.leaders()[0].member.term.state
+    told = []
+    monkeypatch.setattr(
+        pool_sizes,
+        "limit_forecast",
+        lambda asked, forecast, *, idle: told.append(idle) or asked,
+    )
+    made.run(1.0)
+    assert any(told)
+    for host in state.hosts.values():
+        host.suspended_until = float("inf")
+    told.clear()
+    made.run(1.0)
+    assert told and not any(told)
+
+
 def test_a_pool_that_is_short_is_lent_parked_hosts_first():
     found = pool_sizes.plan(
         [
