Name the offsets of jobs stored before the listing

Cause: _stored_at in JobWrites held offsets and read like a time.

Result: formatter and linters pass.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -55,8 +55,8 @@
         "_intake",
         "_job_service",
         "_jobs",
+        "_offsets",
         "_send_for_s",
-        "_stored_at",
         "_use_intake",
     )
 
@@ -85,7 +85,8 @@
         )
         self._incomplete_until = 0.0
         self._failed_at = -math.inf
-        self._stored_at: dict[str, int] = {}
+        # Of the jobs that were stored before the listing was complete.
+        self._offsets: dict[str, int] = {}
         self._active: list[topics.Writer] = []
         self._check_at = 0.0
         self._use_intake = False
@@ -201,7 +202,7 @@
                     return
                 service.unread[job.id] = job
                 if direct and not service.loaded:
-                    self._stored_at[job.id] = offset
+                    self._offsets[job.id] = offset
 
     def note_listed(self, end: int) -> None:
         """Forget the jobs stored before ``end`` that the listing lacks.
@@ -209,10 +210,10 @@
         They had ended before, and were removed after their retention time.
         """
         service = self._job_service
-        for job_id, offset in self._stored_at.items():
+        for job_id, offset in self._offsets.items():
             if offset < end and job_id not in service.registry.entries:
                 service.unread.pop(job_id, None)
-        self._stored_at.clear()
+        self._offsets.clear()
 
     def _refuse_late(
         self, writer: topics.Writer, now: float, *, store_lost: bool
--- a/tests/scheduling/deployment.py
+++ b/tests/scheduling/deployment.py
@@ -131,7 +131,7 @@
 def phase(
     made: worlds.World, job_id: str, account: str = ""
 ) -> model.Phase | None:
-    """Return a job's phase as a live member shows it to an account, or None."""
+    """Return a job's phase as a live member shows it, or None."""
     for member in made.members:
         if member.up:
             shown = member.member.job_service.show(job_id, account)
