Examine no further slow hosts if no other host has room

Cause: a start looks on for a better host than a slow one. If the sound hosts of a pool are full, each start examined all slow hosts that have room: 99 of 100 in the test. The cost of a start must not grow with the pool.

Change: the index also keeps the free processor time of the other hosts. If none of them has what the step needs, the first slow host that is as good as a slow one can be is chosen.

Result: one host is examined instead of 99.

--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -34,6 +34,7 @@
 
 
 BEST_RANK: typing.Final = (False, False, False, False)
+BEST_SLOW_RANK: typing.Final = (False, True, False, False)
 
 
 class HostIndex:
@@ -52,6 +53,7 @@
         "_memory",
         "_separation",
         "_slow",
+        "_sound_cpu",
         "_waiting",
         "hosts",
     )
@@ -74,6 +76,9 @@
         }
         self._separation = separation
         self._by_cpu = sorted((host.free.cpu, host.id, host) for host in hosts)
+        self._sound_cpu = sorted(
+            host.free.cpu for host in hosts if not self._comes_last(host)
+        )
         self._memory = sorted(host.free.memory_mb for host in hosts)
         self._gpus = sorted(host.free.gpu for host in hosts)
 
@@ -97,6 +102,22 @@
             return limit is not None
         return sum(host.step_runs.values()) >= limit
 
+    def _comes_last(self, host: host_state.Host) -> bool:
+        """Return whether a host is slow and not to be probed by any task."""
+        return self._slow.get(host.id) == 0
+
+    def _best_rank_left(self, step: jobs.Step) -> tuple[bool, ...]:
+        """Return the best rank that a host may have for a step.
+
+        If no other host has the processor time, it is that of a slow host, so
+        that the slow ones of a large pool are not all examined.
+        """
+        if self._slow and not (
+            self._sound_cpu and self._sound_cpu[-1] >= step.reserved.cpu
+        ):
+            return BEST_SLOW_RANK
+        return BEST_RANK
+
     def largest_free(self) -> jobs.Resources:
         """Return the largest free amount of each resource on any host.
 
@@ -133,6 +154,7 @@
         best = None
         best_rank = (True, True, True, True)
         avoided = 0
+        best_left = self._best_rank_left(step)
         for host in fitting:
             waits = host.id in self._waiting
             slow = host.id in self._slow and self._is_slow(host, step)
@@ -140,7 +162,7 @@
             if best is None or rank < best_rank:
                 best, best_rank = host, rank
             avoided += waits
-            if best_rank == BEST_RANK:
+            if best_rank == best_left:
                 break
             if avoided > MAX_HOSTS_TO_AVOID and not any(best_rank[:3]):
                 break
@@ -227,12 +249,16 @@
         free = host.free
         place = bisect.bisect_left(self._by_cpu, (free.cpu, host.id))
         del self._by_cpu[place]
+        if not self._comes_last(host):
+            del self._sound_cpu[bisect.bisect_left(self._sound_cpu, free.cpu)]
         del self._memory[bisect.bisect_left(self._memory, free.memory_mb)]
         del self._gpus[bisect.bisect_left(self._gpus, free.gpu)]
 
     def _insert(self, host: host_state.Host) -> None:
         free = host.free
         bisect.insort(self._by_cpu, (free.cpu, host.id, host))
+        if not self._comes_last(host):
+            bisect.insort(self._sound_cpu, free.cpu)
         bisect.insort(self._memory, free.memory_mb)
         bisect.insort(self._gpus, free.gpu)
 
--- a/tests/policy/test_host_choice.py
+++ b/tests/policy/test_host_choice.py
@@ -244,3 +244,26 @@
     assert rooms.choose(step, task) is sound
     rooms.release(slow, step, task)
     assert rooms.choose(step, task) is slow
+
+
+def test_the_cost_of_a_start_does_not_grow_with_the_slow_hosts(monkeypatch):
+    """Guards against starts that examine all slow hosts of a full pool."""
+    room = jobs.Resources(4000, 4000, 0)
+    none = jobs.Resources(0, 4000, 0)
+    hosts = [
+        _host(f"h{number:03}", room if number else none, ())
+        for number in range(100)
+    ]
+    slow = {host.id: False for host in hosts[1:]}
+    rooms = host_choice.HostIndex(hosts=hosts, slow=slow)
+    examined = []
+    real = host_choice.suits
+    monkeypatch.setattr(
+        host_choice,
+        "suits",
+        lambda *args: examined.append(args) or real(*args),
+    )
+    step = jobs.Step(count=1, needs=jobs.Resources(1000, 500, 0))
+    task = jobstates.Task(id=jobs.TaskId("j", 0, 0, 0))
+    assert rooms.choose(step, task) is hosts[1]
+    assert len(examined) == 1
