--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -18,6 +18,7 @@
 from azurewood.daemons import topics
 from azurewood.jobs import desk as desks
 from azurewood.jobs import records
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
@@ -54,8 +55,8 @@
         "_intake",
         "_job_service",
         "_jobs",
+        "_offsets",
         "_send_for_s",
-        "_stored_at",
         "_use_intake",
     )
 
@@ -84,7 +85,8 @@
         )
         self._incomplete_until = 0.0
         self._failed_at = -math.inf
-        self._stored_at: dict[str, int] = {}
+        # Of the jobs that were stored before the listing was complete.
+        self._offsets: dict[str, int] = {}
         self._active: list[topics.Writer] = []
         self._check_at = 0.0
         self._use_intake = False
@@ -200,7 +202,7 @@
                     return
                 service.unread[job.id] = job
                 if direct and not service.loaded:
-                    self._stored_at[job.id] = offset
+                    self._offsets[job.id] = offset
 
     def note_listed(self, end: int) -> None:
         """Forget the jobs stored before ``end`` that the listing lacks.
@@ -208,10 +210,10 @@
         They had ended before, and were removed after their retention time.
         """
         service = self._job_service
-        for job_id, offset in self._stored_at.items():
+        for job_id, offset in self._offsets.items():
             if offset < end and job_id not in service.registry.entries:
                 service.unread.pop(job_id, None)
-        self._stored_at.clear()
+        self._offsets.clear()
 
     def _refuse_late(
         self, writer: topics.Writer, now: float, *, store_lost: bool
@@ -227,10 +229,10 @@
             if store_lost
             else desks.SEND_TIMEOUT_S
         )
-        verdict = desks.Refused(reason="store out of touch")
+        verdict = verdicts.Refused(reason="store out of touch")
         service = self._job_service
         if not service.complete or not service.caught_up:
-            verdict = desks.OutcomeUnknown(reason="the store is slow")
+            verdict = verdicts.OutcomeUnknown(reason="the store is slow")
         for item in writer.withdraw(
             lambda item: item.token.request.asked_at < asked_before
         ):
@@ -254,7 +256,7 @@
         """Complete the requests that can't be carried out late any more."""
         while self._given_up and self._given_up[0][0] <= now:
             _, request = self._given_up.popleft()
-            _complete(request, desks.OutcomeUnknown(reason="given up"))
+            _complete(request, verdicts.OutcomeUnknown(reason="given up"))
 
 
 class _ConfirmWrite:
@@ -273,7 +275,7 @@
 
     def __call__(self, offset: int) -> None:
         self._on_stored(offset)
-        _complete(self.request, desks.Taken(offset=offset))
+        _complete(self.request, verdicts.Taken(offset=offset))
 
 
 def _log_withdrawn(item: appender.Item, reason: str) -> None:
@@ -306,10 +308,10 @@
 
 
 def _on_refused(item: appender.Item, reason: str) -> None:
-    _complete(item.token.request, desks.TooLarge(reason=reason))
+    _complete(item.token.request, verdicts.TooLarge(reason=reason))
 
 
-def _complete(request: desks.WriteRequest, verdict: desks.Verdict) -> None:
+def _complete(request: desks.WriteRequest, verdict: verdicts.Verdict) -> None:
     # The caller's thread may have timed out and cancelled the future.
     with contextlib.suppress(concurrent.futures.InvalidStateError):
         request.future.set_result(verdict)
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -21,6 +21,7 @@
 from azurewood.jobs import catalog
 from azurewood.jobs import desk as desks
 from azurewood.jobs import model
+from azurewood.jobs import verdicts
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
@@ -224,6 +225,7 @@
 
     def _on_jobs_read(self, changes: follower.Changes) -> None:
         service = self.job_service
+        job_reads.drop_removed(changes, service, self.term)
         for stored in changes.records:
             job_reads.apply(stored, service, self._writes, self.term)
         if changes.whole:
@@ -251,7 +253,7 @@
 
     # Callers' requests
 
-    def _admit(self, job: model.Job) -> desks.Refused | None:
+    def _admit(self, job: model.Job) -> verdicts.Refused | None:
         """Refuse jobs that cannot be served; called by any thread."""
         return admission.refusal(
             job, self.job_service.catalog, self.election, self._clock()
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -10,6 +10,7 @@
 from azurewood.jobs import desk
 from azurewood.jobs import model
 from azurewood.jobs import records
+from azurewood.jobs import verdicts
 from azurewood.leadership import base
 from azurewood.policy import load_shedding
 from azurewood.scheduling import load
@@ -90,7 +91,8 @@
     job = _job(made, 901, "other")
     made.submit(made.members[0], job)
     made.run(3.0)
-    assert deployment.phase(made, job.id) is model.Phase.COMPLETED
+    shown = deployment.phase(made, job.id, "other")
+    assert shown is model.Phase.COMPLETED
     deployment.check(made)
 
 
@@ -144,7 +146,7 @@
     service = _Service(
         clock=lambda: 0.0,
         enqueue=requests.append,
-        admission=lambda job: desk.Refused(reason="load", busy=True),
+        admission=lambda job: verdicts.Refused(reason="load", busy=True),
     )
     service.loaded = True
     service.record = records.Accepted(job=job) if stored else None
@@ -158,12 +160,12 @@
     The caller repeats its call at a daemon that has not read the job yet.
     """
     job = deployment.job(deployment.world(members=1), 900)
-    assert _repeated(job, stored=True) == (desk.Taken(), False)
+    assert _repeated(job, stored=True) == (verdicts.Taken(), False)
     verdict, requested = _repeated(job, stored=False)
-    assert isinstance(verdict, desk.Refused)
+    assert isinstance(verdict, verdicts.Refused)
     assert not requested
     verdict, requested = _repeated(job, stored=False, answered=False)
-    assert not isinstance(verdict, desk.Refused)
+    assert not isinstance(verdict, verdicts.Refused)
     assert requested
 
 
@@ -178,7 +180,7 @@
     finally:
         logger.remove(sink)
         logger.disable("azurewood")
-    assert isinstance(verdict, desk.Refused)
+    assert isinstance(verdict, verdicts.Refused)
     made.run(2.0)
     assert deployment.phase(made, job.id) is None
     (line,) = [line for line in lines if line.get("event") == "job.refused"]
