--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -91,7 +91,7 @@
     job = _job(made, 901, "other")
     made.submit(made.members[0], job)
     made.run(3.0)
-    shown = deployment.phase(made, job.id, "other")
+    shown = deployment.phase(made, job.id)
     assert shown is model.Phase.COMPLETED
     deployment.check(made)
 
