--- a/azurewood/checks/manifest_changes.py
+++ b/azurewood/checks/manifest_changes.py
@@ -92,7 +92,7 @@
 def _text(value: typing.Any) -> str:
     match value:
         case model.Resources():
-            return f"{value.cpu}/{value.memory_mb}/{value.gpu}"
+            return value.compact()
         case catalog.Advice():
             times = (value.decision_ms, value.per_host_ms, value.validity_ms)
             return "/".join(map(str, times))
--- a/azurewood/jobs/model.py
+++ b/azurewood/jobs/model.py
@@ -33,6 +33,10 @@
     memory_mb: int = 0
     gpu: int = 0
 
+    def compact(self) -> str:
+        """Return the amounts as ``CPU/MB/GPUS``, for logs and reports."""
+        return f"{self.cpu}/{self.memory_mb}/{self.gpu}"
+
     def fits(self, free: "Resources") -> bool:
         """Return whether this amount fits into ``free``."""
         return (
--- a/azurewood/scheduling/account_limits.py
+++ b/azurewood/scheduling/account_limits.py
@@ -104,7 +104,7 @@
     new = after.accounts or {}
     for name in sorted(old.keys() | new.keys()):
         limits = [
-            _format(accounts[name].limit) if name in accounts else ""
+            accounts[name].limit.compact() if name in accounts else ""
             for accounts in (old, new)
         ]
         if limits[0] != limits[1]:
@@ -114,15 +114,11 @@
                 version=after.version,
                 before=limits[0],
                 after=limits[1],
-                used=_format(state.usage.used(name)),
+                used=state.usage.used(name).compact(),
                 running=state.usage.running(name),
             )
 
 
-def _format(amount: jobs.Resources) -> str:
-    return f"{amount.cpu}/{amount.memory_mb}/{amount.gpu}"
-
-
 def log_states(state: model.State, now: float) -> None:
     """Log what accounts have running and waiting, and their limits.
 
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -78,9 +78,9 @@
         "host.resized",
         host=host.id,
         service=host.entry.service,
-        before=_amounts(before),
-        after=_amounts(host.entry.capacity),
-        used=_amounts(host.used),
+        before=before.compact(),
+        after=host.entry.capacity.compact(),
+        used=host.used.compact(),
         runs=len(host.runs),
         over=host.over_capacity,
         incarnation=host.incarnation.began_ms,
@@ -103,10 +103,6 @@
         host.fence_due = True
 
 
-def _amounts(resources: model.Resources) -> str:
-    return f"{resources.cpu}/{resources.memory_mb}/{resources.gpu}"
-
-
 def on_removed(state: scheduling.State, host_id: str) -> None:
     """Handle the removal of a host's store entry."""
     host = state.hosts.get(host_id)
