Use the field's terms in learned durations, shares and load

Cause: a reader stopped at residuals named "left", jobs beyond a share named "late", the order of jobs called "today's", a variable that hid sum(), constants without a unit or meaning and sentences that were hard to parse.

Change: names, docstrings and comments only. Lists in the leader's step say why they are not generators.

--- a/azurewood/daemons/finished_jobs.py
+++ b/azurewood/daemons/finished_jobs.py
@@ -1,16 +1,16 @@
-"""The leader's care for stored jobs: restored, reduced, removed in the end.
+"""Reduces and removes the records of jobs that have ended.
 
 What a daemon lists when it starts is mostly jobs that have ended. Their
 payload and steps are of no use any more, so that the leader stores the record
 of such a job again without them, and deletes the record that it has begun.
-Nothing of that is stored before the job's end or cancellation.
+Neither is done before the job's end or cancellation is stored.
 
 A leader that is killed before leaves records that the next one reduces: it
 looks through the jobs once, when its term begins, and then stores a few
 records at a time.
 
-A daemon that has not listed the jobs yet accepts one again that is stored, as
-does a late append. The job stays one job:
+A daemon that has not listed the jobs yet may store the record of a known job
+once more, and so may a late append. The job stays one job:
 
 - The record's key is the job's id, and the first one read counts in every
   registry. The leader stores that one again if the later one differs, for
--- a/azurewood/daemons/job_reads.py
+++ b/azurewood/daemons/job_reads.py
@@ -18,11 +18,11 @@
 ) -> None:
     """Drop the known jobs that were removed before a complete listing.
 
-    If the store dropped its history, their removals are not to be read any
-    more, and a later leader would run them again. A job that has ended here,
-    but not by the listing, was removed and handed in again. A leader, which
-    writes the removals itself, ignores that: the listing may have been made
-    in the middle of one.
+    If the store has dropped its history, their removals can no longer be
+    read, and a later leader would run them again. A job that has ended in the
+    registry, but not in the listing, was removed and submitted again. A
+    leader ignores that case: it writes the removals itself, and the listing
+    may have been made in the middle of one.
     """
     registry = service.registry
     known = {*registry.entries, *registry.unreadable}
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -320,6 +320,7 @@
         self._progress.step(now)
         self._jobs.step(now)
         written = (self._progress, self._jobs, self._reports)
+        # Lists cost fewer calls than generators, and this runs in each step.
         if [writer for writer in written if writer.fenced]:
             self.stop("a later term has written")
         elif self._intake.out_of_sequence or [
--- a/azurewood/http/progress.py
+++ b/azurewood/http/progress.py
@@ -10,7 +10,7 @@
 
 
 class ProgressWatch:
-    """When each watched call last made progress, and how long it may not.
+    """The times of calls' newest progress, and their timeouts without any.
 
     Progress is a byte of the answer. Before the first one, the time counts
     from the call's submission. ``stalled`` costs nothing until a call may be
--- a/azurewood/policy/durations.py
+++ b/azurewood/policy/durations.py
@@ -28,8 +28,8 @@
 """Steps that the prior, an estimate that is right, is worth."""
 PRIOR_VARIANCE: typing.Final = 0.25
 """Variance of the error before there are samples: a spread of 0.5."""
-PRIOR_SPREAD: typing.Final = 0.5
-"""Variance of the estimates that the prior of the slope assumes."""
+PRIOR_ESTIMATE_VARIANCE: typing.Final = 0.5
+"""Variance of the estimates' logarithms that the slope's prior assumes."""
 MEMORY: typing.Final = 100.0
 """Steps after which the weight of a sample has fallen to 1/e."""
 HUBER_K: typing.Final = 1.5
@@ -40,6 +40,7 @@
 """Variance among the tasks of a step, which differ by 15 to 30%."""
 MIN_VARIANCE: typing.Final = 0.01
 MAX_VARIANCE: typing.Final = 4.0
+"""Bounds of an estimated variance, a spread of 0.1 to 2."""
 MIN_BETWEEN_VARIANCE: typing.Final = 0.005
 """Least variance of a step's mean around its prediction."""
 SLOPES: typing.Final = (-1.0, 0.25)
@@ -51,10 +52,12 @@
 MIN_LEVEL_SAMPLES: typing.Final = 1.0
 """Steps from which on the mean counts for jobs without an estimate."""
 MAX_LOG: typing.Final = math.log(1e8)
+"""Longest duration that is told apart from longer ones, 28 hours."""
 CENTRE: typing.Final = math.log(500.0)
 """Logarithms are stored relative to this, for their precision."""
 
 DIGEST_BYTES: typing.Final = 6
+"""Length of a key: two of 256 keys are equal with a probability of 1e-10."""
 _ROW: typing.Final = struct.Struct(f"<{DIGEST_BYTES}s9e")
 ROW_BYTES: typing.Final = _ROW.size
 
@@ -109,21 +112,22 @@
     def correction(self, x: float) -> float:
         """Return the predicted error of an estimate."""
         slope = (self.weight * self.cov) / (
-            self.weight * self.x_variance + PRIOR_SAMPLES * PRIOR_SPREAD
+            self.weight * self.x_variance
+            + PRIOR_SAMPLES * PRIOR_ESTIMATE_VARIANCE
         )
         slope = min(max(slope, SLOPES[0]), SLOPES[1])
-        shrunk = self.weight / (self.weight + PRIOR_SAMPLES)
-        return shrunk * self.error + slope * (x - self.x)
+        shrinkage = self.weight / (self.weight + PRIOR_SAMPLES)
+        return shrinkage * self.error + slope * (x - self.x)
 
     def add(self, x: float, y: float, share: float) -> None:
         """Add a sample that counts as ``share`` of a step."""
         error = y - x
-        left = error - self.correction(x)
+        residual = error - self.correction(x)
         bound = HUBER_K * math.sqrt(self.variance)
-        weight = share * min(1.0, bound / max(abs(left), 1e-9))
+        weight = share * min(1.0, bound / max(abs(residual), 1e-9))
         old = self.weight * (1 - share / MEMORY)
         gain = share / (old + PRIOR_SAMPLES)
-        self.variance = _next_variance(self.variance, left, gain)
+        self.variance = _next_variance(self.variance, residual, gain)
         self.weight = old + weight
         gain = weight / self.weight
         dx, derror = x - self.x, error - self.error
@@ -138,12 +142,14 @@
         if not old:
             self.level = y
         bound = HUBER_K * math.sqrt(self.level_variance)
-        left = y - self.level
+        residual = y - self.level
         gain = share / (old + PRIOR_SAMPLES)
-        self.level_variance = _next_variance(self.level_variance, left, gain)
+        self.level_variance = _next_variance(
+            self.level_variance, residual, gain
+        )
         self.level_weight = old + share
-        left = min(max(left, -bound), bound)
-        self.level += left * share / self.level_weight
+        residual = min(max(residual, -bound), bound)
+        self.level += residual * share / self.level_weight
 
     def numbers(self) -> tuple[float, ...]:
         """Return what is stored of the entry."""
@@ -160,9 +166,11 @@
         )
 
 
-def _next_variance(variance: float, left: float, gain: float) -> float:
-    """Return an estimate of a variance after a further error ``left``."""
-    bounded = min(left * left, HUBER_K**2 * variance) / HUBER_CONSISTENCY
+def _next_variance(variance: float, residual: float, gain: float) -> float:
+    """Return an estimate of a variance after a further ``residual``."""
+    bounded = (
+        min(residual * residual, HUBER_K**2 * variance) / HUBER_CONSISTENCY
+    )
     variance += min(1.0, gain) * (bounded - variance)
     return min(max(variance, MIN_VARIANCE), MAX_VARIANCE)
 
@@ -173,23 +181,23 @@
     ``samples`` is how many steps the prior was learned from, and
     ``estimate_log`` the logarithm of the estimate, None without one.
     ``pending`` tasks, with the sum ``pending_log`` of their logarithms, are
-    not in the model yet. ``shown_log`` is what the job's expected duration
-    was last set to.
+    not in the model yet. ``applied_log`` is the logarithm that the job's
+    expected duration was last set from.
     """
 
     __slots__ = (
+        "applied_log",
         "count",
         "estimate_log",
         "log_ms",
         "pending",
         "pending_log",
         "samples",
-        "shown_log",
         "variance",
     )
 
     def __init__(self, *, prior: Prediction, estimate_ms: float) -> None:
-        self.log_ms = self.shown_log = prior.log_ms
+        self.log_ms = self.applied_log = prior.log_ms
         self.variance = prior.variance
         self.samples = prior.samples
         self.estimate_log = to_log(estimate_ms) if estimate_ms > 0 else None
@@ -199,17 +207,17 @@
 
     def add(self, log_ms: float) -> None:
         """Add the duration of an ended task; its influence is bounded."""
-        of_one = self.variance + WITHIN_VARIANCE
-        bound = HUBER_K * math.sqrt(of_one)
-        left = log_ms - self.log_ms
-        if left > bound:
-            left = bound
-        elif left < -bound:
-            left = -bound
+        task_variance = self.variance + WITHIN_VARIANCE
+        bound = HUBER_K * math.sqrt(task_variance)
+        innovation = log_ms - self.log_ms
+        if innovation > bound:
+            innovation = bound
+        elif innovation < -bound:
+            innovation = -bound
         self.pending += 1
-        self.pending_log += self.log_ms + left
-        self.log_ms += left * self.variance / of_one
-        self.variance *= WITHIN_VARIANCE / of_one
+        self.pending_log += self.log_ms + innovation
+        self.log_ms += innovation * self.variance / task_variance
+        self.variance *= WITHIN_VARIANCE / task_variance
         self.count += 1
 
     def take_pending(self) -> tuple[float, int]:
--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -34,6 +34,7 @@
 
 
 BEST_RANK: typing.Final = (False, False, False, False)
+"""To be avoided, slow, far from the data, ends wait there."""
 BEST_SLOW_RANK: typing.Final = (False, True, False, False)
 
 
--- a/azurewood/policy/host_speed.py
+++ b/azurewood/policy/host_speed.py
@@ -16,8 +16,10 @@
 import typing
 
 SLOW_MULTIPLE: typing.Final = 2.0
+"""Multiple of the expected time at which a run speaks for neither."""
 SLOW_LOG_RATIO: typing.Final = math.log(SLOW_MULTIPLE)
 SHIFT: typing.Final = 2 * SLOW_LOG_RATIO
+"""Logarithm of a slow host's time over a sound host's, in the test."""
 MAX_SCORE: typing.Final = 2.7
 """Most that a step of a job counts, so that three have to be slow."""
 SLOW_SUM: typing.Final = 8.0
--- a/azurewood/scheduling/account_shares.py
+++ b/azurewood/scheduling/account_shares.py
@@ -37,22 +37,22 @@
     How the pool was divided is kept for log lines.
     """
     capacity = capacity_of(pool)
-    late, cpu_of = divide(state, found, capacity)
+    beyond, cpu_of = divide(state, found, capacity)
     if cpu_of:
         state.divisions[service] = waiting.Division(
-            beyond=late, cpu_of=cpu_of, at=now
+            beyond=beyond, cpu_of=cpu_of, at=now
         )
     elif state.divisions:
         state.divisions.pop(service, None)
     ordered = job_order.order_jobs(
-        [job for job in found if job.job.id not in late],
+        [job for job in found if job.job.id not in beyond],
         state.clock_ms,
         capacity.cpu,
     )
-    if not late:
+    if not beyond:
         return ordered
     rest = job_order.order_jobs(
-        [job for job in found if job.job.id in late],
+        [job for job in found if job.job.id in beyond],
         state.clock_ms,
         capacity.cpu,
     )
@@ -77,8 +77,9 @@
     """Return a pool's jobs beyond their account's share, and the shares.
 
     The jobs are ids, and the shares are processors by account. Within its
-    share, an account's jobs are chosen in today's order. Both are empty
-    without accounts, and while all jobs fit.
+    share, an account's jobs are chosen in the order of
+    `azurewood.policy.job_order`. Both are empty without accounts, and while
+    all jobs fit.
     """
     weights = _weights(state)
     if weights is None:
--- a/azurewood/scheduling/account_usage.py
+++ b/azurewood/scheduling/account_usage.py
@@ -10,7 +10,7 @@
 
 
 class _Held:
-    """What is held at one place: its account, amount and reasons."""
+    """The account and amount of one place, and how many reasons hold it."""
 
     __slots__ = ("account", "count", "needs")
 
--- a/azurewood/scheduling/durations.py
+++ b/azurewood/scheduling/durations.py
@@ -22,6 +22,7 @@
 STORE_ALONE_S: typing.Final = 10.0
 """Time after which the model is stored without any other record."""
 MIN_RUN_S: typing.Final = 0.001
+"""Shorter runs count as this long, as the model is in milliseconds."""
 CHECK_INTERVAL_S: typing.Final = 1.0
 """Pause between checks for runs that take too long."""
 LOG_INTERVAL_S: typing.Final = 10.0
@@ -37,7 +38,7 @@
 MIN_SAMPLES: typing.Final = 3.0
 """Steps of a key from which on its expected times tell of a host's speed."""
 MIN_SIBLINGS: typing.Final = 2
-"""Ended tasks of the same step that do so as well."""
+"""Ended tasks of a step from which on its expected time does so."""
 
 
 def restore(
@@ -122,7 +123,7 @@
 ) -> None:
     """Learn from a run that ended and has done its task.
 
-    It is called for every run: it calls as little as possible.
+    It runs at the end of every run, so it makes few function calls.
     """
     if run.overdue_after_s is None or run.confirmed_at is None:
         return
@@ -156,9 +157,9 @@
     left = job.undone[run.task.occurrence, number]
     if evidence.pending >= BATCH or left == 1:
         _learn(state, job, number, evidence)
-    moved = evidence.log_ms - evidence.shown_log
+    moved = evidence.log_ms - evidence.applied_log
     if not -policy.NEGLIGIBLE < moved < policy.NEGLIGIBLE:
-        _show(state, job, number, evidence)
+        _set_expected(state, job, number, evidence)
 
 
 def _begin_step(
@@ -192,14 +193,14 @@
     state.durations.changed = True
 
 
-def _show(
+def _set_expected(
     state: scheduling.State,
     job: jobstates.JobState,
     number: int,
     evidence: policy.Evidence,
 ) -> None:
     """Correct the expected duration of the step's other tasks."""
-    evidence.shown_log = evidence.log_ms
+    evidence.applied_log = evidence.log_ms
     if state.durations.used:
         estimate_ms = job.job.steps[number].estimate_ms
         expected_ms = policy.to_ms(evidence.log_ms, estimate_ms)
@@ -329,9 +330,9 @@
 
 
 def record(state: scheduling.State, now: float) -> None:
-    """Have the model, which has changed, stored in the next batch.
+    """Store the changed model with the next batch of progress records.
 
-    It waits for a batch that is stored anyway, but not for long.
+    Without other records it waits until ``store_alone_at``.
     """
     learned = state.durations
     if not learned.storable or state.saving_effects is not None:
--- a/azurewood/scheduling/learning.py
+++ b/azurewood/scheduling/learning.py
@@ -6,12 +6,12 @@
 class Learning:
     """The model of durations of a leader, see `azurewood.policy.durations`.
 
-    It is ``used`` unless the daemon's settings say otherwise; it learns all
-    the same. It is not ``storable`` if the stored record cannot be read.
-    What has ``changed`` is stored at ``store_at``, with a batch that is
-    stored anyway, or at ``store_alone_at``. ``samples`` were added since the
-    latest report, of which ``estimated`` had estimates; the sums of their
-    absolute errors are in logarithms.
+    The model learns always; its predictions are ``used`` unless the daemon's
+    settings say otherwise. It is not ``storable`` if the stored record cannot
+    be read. A ``changed`` model is stored from ``store_at`` on with other
+    records, or from ``store_alone_at`` on without any. ``samples`` were added
+    since the latest report, of which ``estimated`` had estimates; the sums of
+    their absolute errors are in logarithms.
     """
 
     __slots__ = (
--- a/azurewood/scheduling/load.py
+++ b/azurewood/scheduling/load.py
@@ -1,10 +1,10 @@
-"""Reports the queues in which a new job would wait for long.
+"""Reports the queues in which a new job would wait for a long time.
 
-The wait is underrated rather than overrated, as daemons refuse jobs by it:
-running tasks count as half done, jobs whose answer is worth nothing any more
-do not count, as they come after new ones, and hosts that are on their way
-or idle in the standby pool count as if they were there. Work of queues that
-come after a queue and work of larger jobs do not count for its jobs.
+The wait is a low estimate, as daemons refuse jobs by it: running tasks count
+as half done, jobs whose answer is worth nothing any more do not count, as
+they come after new ones, and hosts that are on their way or idle in the
+standby pool count as if they were there. Work of queues that come after a
+queue and work of larger jobs do not count for its jobs.
 """
 
 import collections
@@ -29,8 +29,8 @@
 POINTS: typing.Final = 6
 """Sizes of jobs, at most, for which the wait of a queue is reported."""
 MAX_ACCOUNTS: typing.Final = 24
-"""Accounts reported for a queue, those with the longest waits. A heartbeat
-stays below some KB so."""
+"""Accounts reported for a queue, those with the longest waits. The limit keeps
+a heartbeat to a few KB."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -90,7 +90,7 @@
     amounts = {job.job.id: _remaining_work(state, job) for job in found}
     if cpu <= 0 or sum(amounts.values()) < MIN_WAIT_MS * cpu:
         return
-    late, cpu_of = account_shares.divide(state, found, capacity)
+    beyond, cpu_of = account_shares.divide(state, found, capacity)
     pool = _Pool(
         work=[
             _Work(
@@ -98,14 +98,14 @@
                 account=job.job.account,
                 size=_estimated_work(job),
                 amount=amounts[job.job.id],
-                beyond=job.job.id in late,
+                beyond=job.job.id in beyond,
             )
             for job in found
         ],
         cpu=cpu,
         cpu_of=cpu_of,
     )
-    # The same jobs go before those of all queues with the same priority.
+    # Queues with the same priority have the same jobs before theirs.
     loads: dict[int, records.QueueLoad | None] = {}
     for queue in state.catalog.queues.values():
         if queue.service != name:
@@ -127,12 +127,12 @@
         if sizes
     }
     sums = list(_sums(before, sorted(works)))
-    within = _listed((sum.work, sum.within / pool.cpu) for sum in sums)
+    within = _listed((at.work, at.within / pool.cpu) for at in sums)
     accounts = []
     for account in {work.account for work in before if work.beyond}:
         cpu = max(1.0, pool.cpu_of[account])
         waits = _listed(
-            (sum.work, sum.wait_ms(account, pool.cpu, cpu)) for sum in sums
+            (at.work, at.wait_ms(account, pool.cpu, cpu)) for at in sums
         )
         if waits:
             accounts.append(records.AccountLoad(account=account, waits=waits))
@@ -176,7 +176,7 @@
 ) -> abc.Iterator[_Sums]:
     """Yield the sums of the work before jobs of each of ``works``, ascending.
 
-    Each job is added once, as the leader's loop does this for each heartbeat.
+    Each job is added once: this runs in the leader's loop for each heartbeat.
     """
     left = sorted(before, key=operator.attrgetter("size"), reverse=True)
     within = total = 0.0
--- a/azurewood/scheduling/stopped_jobs.py
+++ b/azurewood/scheduling/stopped_jobs.py
@@ -23,7 +23,7 @@
 
 
 def forget_if_listed(state: model.State, now: float) -> None:
-    """Stop counting them once no host can have an unlisted run."""
+    """Stop counting stopped jobs once no host can have an unlisted run."""
     if not state.unlisted_usage or not state.hosts_read_at:
         return
     if now > state.leases_expire_at or all(
