--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -19,6 +19,7 @@
 from azurewood.jobs import desk as desks
 from azurewood.jobs import records
 from azurewood.jobs import verdicts
+from azurewood.jobs import write_requests
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
@@ -76,11 +77,11 @@
         self._job_service = job_service
         # A job that ended meanwhile is not removed until long after.
         self._send_for_s = retention_s / 2
-        self._given_up: collections.deque[tuple[float, desks.WriteRequest]] = (
-            collections.deque()
-        )
+        self._given_up: collections.deque[
+            tuple[float, write_requests.WriteRequest]
+        ] = collections.deque()
         self._election = election
-        self._inbox: collections.deque[desks.WriteRequest] = (
+        self._inbox: collections.deque[write_requests.WriteRequest] = (
             collections.deque()
         )
         self._incomplete_until = 0.0
@@ -112,7 +113,7 @@
             )
         )
 
-    def enqueue(self, request: desks.WriteRequest) -> None:
+    def enqueue(self, request: write_requests.WriteRequest) -> None:
         """Enqueue a caller's write request; called by any thread."""
         self._inbox.append(request)
 
@@ -175,8 +176,8 @@
         self._jobs.set_slow(slow)
         self._intake.set_slow(slow)
 
-    def _add(self, request: desks.WriteRequest) -> None:
-        item = desks.append_item(request)
+    def _add(self, request: write_requests.WriteRequest) -> None:
+        item = write_requests.append_item(request)
         writer = self._jobs
         accepted = isinstance(request.record, records.Accepted)
         if self._use_intake and accepted:
@@ -193,7 +194,7 @@
             self._active.append(writer)
 
     def _note_unread(
-        self, request: desks.WriteRequest, offset: int, direct: bool
+        self, request: write_requests.WriteRequest, offset: int, direct: bool
     ) -> None:
         service = self._job_service
         match request.record:
@@ -267,7 +268,7 @@
     def __init__(
         self,
         *,
-        request: desks.WriteRequest,
+        request: write_requests.WriteRequest,
         on_stored: abc.Callable[[int], None],
     ) -> None:
         self.request = request
@@ -311,7 +312,9 @@
     _complete(item.token.request, verdicts.TooLarge(reason=reason))
 
 
-def _complete(request: desks.WriteRequest, verdict: verdicts.Verdict) -> None:
+def _complete(
+    request: write_requests.WriteRequest, verdict: verdicts.Verdict
+) -> None:
     # The caller's thread may have timed out and cancelled the future.
     with contextlib.suppress(concurrent.futures.InvalidStateError):
         request.future.set_result(verdict)
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -22,6 +22,7 @@
 from azurewood.jobs import desk as desks
 from azurewood.jobs import model
 from azurewood.jobs import verdicts
+from azurewood.jobs import write_requests
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
@@ -259,7 +260,7 @@
             job, self.job_service.catalog, self.election, self._clock()
         )
 
-    def enqueue_write(self, request: desks.WriteRequest) -> None:
+    def enqueue_write(self, request: write_requests.WriteRequest) -> None:
         """Enqueue a caller's write request; called by any thread."""
         self._writes.enqueue(request)
         self._wake()
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -7,7 +7,6 @@
 
 from collections import abc
 import concurrent.futures
-import dataclasses
 import math
 import typing
 
@@ -19,6 +18,7 @@
 from azurewood.jobs import records
 from azurewood.jobs import registry
 from azurewood.jobs import verdicts
+from azurewood.jobs import write_requests
 from azurewood.journal import appender
 
 MAX_READ_AGE_S: typing.Final = 2.5
@@ -43,15 +43,6 @@
 """The same before a job is refused for load. Without a read it is accepted."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class WriteRequest:
-    """A record to store, and the future that receives the verdict."""
-
-    record: records.Record
-    future: concurrent.futures.Future
-    asked_at: float
-
-
 _RequestKey = tuple[type[records.Record], str]
 """What tells requests apart: the kind of their record, and their job."""
 
@@ -111,14 +102,14 @@
         self,
         *,
         clock: abc.Callable[[], float],
-        enqueue: abc.Callable[[WriteRequest], None],
+        enqueue: abc.Callable[[write_requests.WriteRequest], None],
         admission: abc.Callable[[model.Job], verdicts.Refused | None],
         max_record_bytes: int = appender.MAX_RECORD_BYTES,
     ) -> None:
         self.max_record_bytes = max_record_bytes
         self._clock = clock
         self._enqueue = enqueue
-        self._open: dict[_RequestKey, WriteRequest] = {}
+        self._open: dict[_RequestKey, write_requests.WriteRequest] = {}
         self.read_waits = read_waits.ReadWaits(clock=clock)
         self.admission = admission
         self.registry = registry.JobRegistry()
@@ -229,7 +220,7 @@
                 reason="the job's record cannot be read"
             )
         if self._opened(job.id) is None:
-            size = record_of(records.Accepted(job=job)).size
+            size = write_requests.record_of(records.Accepted(job=job)).size
             if size > self.max_record_bytes:
                 return verdicts.TooLarge(
                     reason=f"the job takes {size} bytes, and the store"
@@ -373,7 +364,7 @@
         a job's request is open, those of other accounts for its id fail.
         """
         key = (type(record), job_id)
-        req = WriteRequest(
+        req = write_requests.WriteRequest(
             record=record, future=concurrent.futures.Future(), asked_at=now
         )
         found = self._open.setdefault(key, req)
@@ -393,13 +384,3 @@
     if isinstance(record, records.Accepted) and record.job.account:
         return {"account": record.job.account}
     return {}
-
-
-def append_item(request: WriteRequest) -> appender.Item:
-    """Return the item that the appender stores for a write request."""
-    return appender.Item(records=(record_of(request.record),), token=request)
-
-
-def record_of(record: records.Record) -> appender.Record:
-    """Return a job's record as the store takes it."""
-    return appender.Record(key=record.key, value=records.encode(record))
--- a/azurewood/jobs/model.py
+++ b/azurewood/jobs/model.py
@@ -149,7 +149,7 @@
     def without_work(self) -> "Job":
         """Return what stays of a job that has ended: no payload, no steps.
 
-        Valid jobs have steps, so that this shows in the result.
+        Valid jobs have steps, so a job without any is a reduced one.
         """
         return Job(
             id=self.id,
--- a/azurewood/jobs/registry.py
+++ b/azurewood/jobs/registry.py
@@ -11,9 +11,9 @@
 class Entry:
     """A job and its known state.
 
-    ``job`` is the job as first read. It has no payload and steps once the
-    record of the ended job was read that has none. ``stored_whole`` is whether
-    the newest record of the job has them.
+    ``job`` is the job as first read. It loses payload and steps once the
+    reduced record of the ended job is read. ``stored_whole`` is whether the
+    newest record of the job has them.
     """
 
     __slots__ = ("begun", "cancelled", "ended", "job", "stored_whole")
@@ -29,8 +29,8 @@
     def unfinished(self) -> bool:
         """Whether the job may have to run.
 
-        It need not if its record has no steps. That is stored after the end,
-        which a listing misses if the job is removed meanwhile.
+        A record without steps is stored after the job's end. A listing that
+        runs while the job is removed may have that record and lack the end.
         """
         return not self.phase.final and bool(self.job.steps)
 
--- a/azurewood/journal/follower.py
+++ b/azurewood/journal/follower.py
@@ -58,9 +58,9 @@
 
     ``pause_s`` is the minimum time from the start of a read to that of the
     next. ``began_at`` is when the latest read started. What was appended
-    before ``fresh_at`` has been read: it is when the latest read began that
-    reached the end, or the listing, which is a snapshot of its first page's
-    time at best. While ``hurried``, reads wait for no records.
+    before ``fresh_at`` has been read: it is when the latest read that reached
+    the end began; for a listing, when the read of its first page began. While
+    ``hurried``, reads wait for no records.
     """
 
     __slots__ = (
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -13,10 +13,10 @@
 
 from azurewood.http import multiplex
 from azurewood.jobs import catalog
-from azurewood.jobs import desk
 from azurewood.jobs import exceptions as job_errors
 from azurewood.jobs import model
 from azurewood.jobs import records
+from azurewood.jobs import write_requests
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.leadership import records as election_records
@@ -177,10 +177,10 @@
         job = jobs.decode(JOB_ID, QUEUE, body, 1)
     except job_errors.InvalidJob:
         return
-    request = desk.WriteRequest(
+    request = write_requests.WriteRequest(
         record=records.Accepted(job=job), future=None, asked_at=0.0
     )
-    (stored,) = desk.append_item(request).records
+    (stored,) = write_requests.append_item(request).records
     assert records.decode(stored.value).job == job
 
 
