Say which failure further tests guard against

Cause: 42 of the tests that came with accounts, load and learned durations had no docstring; the names alone do not tell the failure.

Change: docstrings for 24 of them; no line of a test is changed or removed. The others are controls, most of which follow the test that they belong to.

--- a/tests/jobs/test_early_acceptance.py
+++ b/tests/jobs/test_early_acceptance.py
@@ -145,6 +145,7 @@
 
 
 def test_a_daemon_that_starts_without_the_store_is_not_ready(start):
+    """Guards against calls that are sent to a daemon that is cut off."""
     start.restart()
     start.daemon.cut_from.add(platform.STORE)
     start.made.run(3.0)
@@ -254,6 +255,7 @@
 
 
 def test_a_configuration_is_needed(monkeypatch):
+    """Guards against a daemon that is ready without a configuration."""
     service = desk.JobService(
         clock=lambda: 1.0, enqueue=lambda request: None, admission=None
     )
--- a/tests/jobs/test_finished_jobs.py
+++ b/tests/jobs/test_finished_jobs.py
@@ -88,6 +88,7 @@
 
 
 def test_the_end_is_stored_with_the_reduced_record(made, monkeypatch):
+    """Guards against records of completed jobs that stay large."""
     appends = []
     add = stores.Store.add
 
@@ -110,6 +111,7 @@
 
 
 def test_the_record_of_a_cancelled_job_is_reduced(made, at_once):
+    """Guards against records of cancelled jobs that stay large."""
     job = _run_job(made, cancel=True)
     made.run(2.0)
     assert sorted(_stored(made, job.id)) == ["a", "c"]
@@ -128,6 +130,7 @@
 
 
 def test_a_job_that_is_not_over_keeps_its_record(made, at_once):
+    """Guards against steps that are lost while a job may still run."""
     job = deployment.job(made, 1, LONG)
     made.submit(made.members[0], job)
     made.run(3.0)
@@ -195,6 +198,7 @@
 
 
 def test_records_are_removed_after_the_retention_time(made):
+    """Guards against records that are kept for good."""
     job = _run_job(made)
     made.run(members.RETENTION_S + 35.0)
     assert not _stored(made, job.id)
@@ -234,6 +238,7 @@
 
 
 def test_the_previous_release_reads_reduced_records():
+    """Guards against a rolling restart that makes records unreadable."""
     data = records.encode(records.Accepted(job=JOB.without_work()))
     found = msgspec.msgpack.decode(data, type=_PreviousAccepted)
     assert found.job == _PreviousJob(
@@ -272,6 +277,7 @@
 
 
 def test_the_owner_stays_when_the_record_is_reduced():
+    """Guards against ended jobs that other accounts may see."""
     assert JOB.without_work().account == "acme"
 
 
--- a/tests/jobs/test_removed_jobs.py
+++ b/tests/jobs/test_removed_jobs.py
@@ -83,6 +83,7 @@
 
 
 def test_a_removed_job_does_not_run_again(started):
+    """Guards against UNASKED: a removed job that a new leader runs."""
     made, cut, job = _miss_removal(_long, ended=False)
     assert cut.member.job_service.show(job.id) == verdicts.NotThere()
     started.clear()
--- a/tests/policy/test_durations.py
+++ b/tests/policy/test_durations.py
@@ -171,6 +171,7 @@
     ],
 )
 def test_malformed_rows_leave_the_model_as_it_is(rows, width):
+    """Guards against a record that replaces the model in part."""
     model = durations.DurationModel()
     model.add(KEY, 100, math.log(300), 1.0)
     with pytest.raises(ValueError, match="."):
--- a/tests/policy/test_load_shedding.py
+++ b/tests/policy/test_load_shedding.py
@@ -34,6 +34,7 @@
 
 
 def test_only_jobs_whose_answer_comes_too_late_are_refused():
+    """Guards against refusals of jobs that could still be of use."""
     assert _refused(JOB)
     assert not _refused(SMALL)
     assert _refused(FLOOD)
@@ -59,6 +60,7 @@
 
 
 def test_long_lived_jobs_are_never_refused():
+    """Guards against a peak that keeps long-lived jobs from starting."""
     job = played_load.make_job("l", "a", 0, count=4, long_lived=True)
     assert not _refused(job)
 
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -84,6 +84,7 @@
 
 
 def test_unequal_weights_divide_a_full_pool():
+    """Guards against shares that are not proportional to the weights."""
     claims = {
         name: shares.Claim(weight=weight, asked=model.Resources(8000, 0, 0))
         for name, weight in (("a", 3.0), ("b", 1.0), ("none", 0.0))
@@ -95,6 +96,7 @@
 
 
 def test_jobs_without_an_account_weigh_as_the_mean_account():
+    """Guards against public jobs that get nothing or everything."""
     weights = {"a": 3.0, "b": 1.0}
     assert shares.weight_of(weights, "") == 2.0
     assert shares.weight_of(weights, "removed") == 2.0
@@ -145,6 +147,7 @@
 
 
 def test_long_lived_jobs_come_first_also_beyond_the_share():
+    """Guards against long-lived jobs that wait behind others."""
     jobs = [
         _job(f"{kind}{n}", "a19", cpu=2000, long_lived=kind == "service")
         for kind in ("timed", "service")
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -292,6 +292,7 @@
 
 
 def test_a_changed_limit_is_logged(monkeypatch):
+    """Guards against changes of a limit that operators cannot trace."""
     lines = _lines(monkeypatch, "account.limit")
     made = accounts.world(a=2, b=2)
     lines.clear()
--- a/tests/scheduling/test_account_usage.py
+++ b/tests/scheduling/test_account_usage.py
@@ -119,6 +119,7 @@
 
 
 def test_a_place_counts_once_until_its_last_reason_is_over():
+    """Guards against runs that count twice, or that stop counting too soon."""
     usage = account_usage.AccountUsage()
     place = ("h1", TASK, 1)
     for _ in range(2):
@@ -131,6 +132,7 @@
 
 
 def test_a_limit_of_0_leaves_room_for_anything():
+    """Guards against accounts without a limit that may run nothing."""
     usage = account_usage.AccountUsage()
     usage.add(("h1", TASK, 1), "a", model.Resources(3000, 500, 1))
     room = usage.room("a", model.Resources(2000, 0, 1))
@@ -270,6 +272,7 @@
 
 
 def test_work_without_an_account_is_not_counted():
+    """Guards against sums that grow for jobs of public queues."""
     state, host = _leader()
     run = host_state.Run(task=TASK, run=1, step=accounts.ONE, now=1.0)
     host.add(run)
--- a/tests/scheduling/test_accounts.py
+++ b/tests/scheduling/test_accounts.py
@@ -103,6 +103,7 @@
 
 
 def test_without_accounts_a_daemon_that_is_cut_off_still_answers():
+    """Guards against refused calls where the configuration has no accounts."""
     made = deployment.world()
     made.members[1].cut_from.add(platform.STORE)
     made.run(6.0)
@@ -140,6 +141,7 @@
 
 
 def test_a_key_that_no_version_had_runs_nothing(made):
+    """Guards against jobs of callers that have no account."""
     assert _call(made, "POST", JOB, "never", BODY) == 401
     assert _call(made, "POST", JOB, "", BODY) == 401
     made.run(2.0)
--- a/tests/scheduling/test_load.py
+++ b/tests/scheduling/test_load.py
@@ -70,6 +70,7 @@
 
 
 def test_a_quiet_deployment_reports_no_load():
+    """Guards against heartbeats that grow without load."""
     made = deployment.world()
     made.submit(made.members[0], deployment.job(made, 1))
     made.run(1.0)
@@ -86,6 +87,7 @@
 
 
 def test_jobs_of_an_account_within_its_share_run_before_a_flood():
+    """Guards against an account whose burst delays the others."""
     names = ("flood", "other", "third")
     made = _loaded({name: catalog.Account(name=name) for name in names})
     job = _job(made, 901, "other")
@@ -170,6 +172,7 @@
 
 
 def test_a_refused_job_is_not_stored_and_its_line_tells_why():
+    """Guards against REFUSED: a job that was refused and runs."""
     made = _loaded()
     job = _job(made, 900)
     lines = []
