--- a/azurewood/jobs/model.py
+++ b/azurewood/jobs/model.py
@@ -33,6 +33,10 @@
     memory_mb: int = 0
     gpu: int = 0
 
+    def compact(self) -> str:
+        """Return the amounts as ``CPU/MB/GPUS``, for logs and reports."""
+        return f"{self.cpu}/{self.memory_mb}/{self.gpu}"
+
     def fits(self, free: "Resources") -> bool:
         """Return whether this amount fits into ``free``."""
         return (
@@ -145,7 +149,7 @@
     def without_work(self) -> "Job":
         """Return what stays of a job that has ended: no payload, no steps.
 
-        Valid jobs have steps, so that this shows in the result.
+        Valid jobs have steps, so a job without any is a reduced one.
         """
         return Job(
             id=self.id,
