Play client accounts and slow hosts in the soak

Change: seeds from 900,000 on have three accounts. Keys are added and removed and an account sends 3 to 12 times its usual; some hosts are 3 or 5 times slower. Even seeds lower a limit and raise it again. Odd ones have late starts instead: a start that was sent under the higher limit may exceed the lower one by no fault. Two daemons without the mechanisms show every new finding.

--- a/tests/soak/naive.py
+++ b/tests/soak/naive.py
@@ -11,7 +11,9 @@
 from azurewood.commands import fleet
 from azurewood.http import sending
 from azurewood.incarnations import limits
+from azurewood.jobs import catalog
 from azurewood.journal import appender
+from azurewood.scheduling import account_usage
 
 
 def _exit_on_sigterm():
@@ -45,7 +47,32 @@
     appender.Appender._put_back = put_back
 
 
+def _ignore_removals_and_limits():
+    """Accept removed keys and unknown ones, and start beyond all limits."""
+    known = {}
+
+    def account_of(self, key):
+        known.update(self._accounts_by_key)
+        name, _, _ = key.partition("-")
+        return known.get(catalog.key_digest(key)) or self.accounts[name]
+
+    catalog.Catalog.account_of = account_of
+    usage = account_usage.AccountUsage
+    usage.room = lambda self, account, limit: account_usage.NO_LIMIT
+
+
+def _ignore_additions_and_ends():
+    """Refuse all keys but the first, and count ended runs as running."""
+    find = catalog.Catalog.account_of
+    catalog.Catalog.account_of = lambda self, key: (
+        find(self, key) if key.endswith("-first") else None
+    )
+    account_usage.AccountUsage.remove = lambda self, place, account: None
+
+
 MECHANISMS = {
+    "account-removals": _ignore_removals_and_limits,
+    "account-additions": _ignore_additions_and_ends,
     "graceful-stop": _exit_on_sigterm,
     "leases": _skip_lease_wait,
     "one-copy": _repeat_calls,
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -111,6 +111,45 @@
     append_s: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Key:
+    """A key of an account is added, and removed ``for_s`` later."""
+
+    at: float
+    for_s: float
+    account: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Limit:
+    """An account's limit is lowered to a ``share`` and raised again."""
+
+    at: float
+    for_s: float
+    account: str
+    share: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Burst:
+    """An account sends ``factor`` times its usual."""
+
+    at: float
+    for_s: float
+    account: str
+    factor: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class SlowHost:
+    """What a machine's hosts start takes ``factor`` times as long."""
+
+    at: float
+    for_s: float
+    number: int
+    factor: float
+
+
 FIRST_RESTART_SEED = 1000
 """Seeds from here on also draw ``Restart`` and ``Late``.
 
@@ -131,6 +170,20 @@
 
 Callers cancel more. No ``Reset`` is drawn, and even ones draw no ``Restart``.
 """
+FIRST_ACCOUNT_SEED = 900_000
+"""Seeds from here on have client accounts, and neither resets nor restarts.
+
+Even ones draw ``Limit`` and no ``Late``: a start that was sent before a limit
+was lowered and is carried out after that exceeds the limit by no fault.
+"""
+ACCOUNTS = {"a": (1, 6000), "b": (2, 8000), "c": (1, 0)}
+"""Weights, and limits in thousandths of a core; 0 is no limit."""
+DISTURBED_S = 4.0
+"""Time after a disturbance in which a daemon may know an old configuration."""
+SIGNAL_STEP_S = 0.3
+"""Time between the signals of one fault to several daemons."""
+MAX_STOP_S = 6.0
+"""Time that a daemon may take to end after SIGTERM."""
 SIGNALS = ("kill", "pause", "stop", "reload")
 CUTS = ("delay", "reset", "requests", "answers", "silence", "refuse")
 STORES = ("no-appends", "down", "forget")
@@ -158,6 +211,9 @@
         faults.append(_draw_fault(rng, at, daemons, machines))
         if rng.random() < 0.3:
             faults.append(dataclasses.replace(faults[-1], at=at + 0.7))
+    if seed >= FIRST_ACCOUNT_SEED:
+        faults += _draw_accounts(rng, seed, seconds, machines)
+        return sorted(faults, key=lambda fault: fault.at)
     drains = seed >= FIRST_DRAIN_SEED
     if seed >= FIRST_RESTART_SEED:
         kinds = ("orders",)
@@ -180,6 +236,58 @@
     return 0.3 if seed >= FIRST_DRAIN_SEED else 0.1
 
 
+def disturbs(fault, *, daemon, daemons, since, until):
+    """Return whether a fault disturbs a daemon within a time."""
+    begin, for_s = fault.at, fault.for_s
+    match fault:
+        case Signal():
+            step = (daemon - fault.daemon) % daemons
+            hit = step < fault.count
+            begin += SIGNAL_STEP_S * step
+            if fault.kind == "stop":
+                for_s += MAX_STOP_S
+        case Cut():
+            hit = fault.link == f"daemon-{daemon}"
+        case _:
+            hit = isinstance(fault, Store)
+    return hit and begin <= until and since <= begin + for_s
+
+
+def _draw_accounts(rng, seed, seconds, machines):
+    """Draw changes of keys and limits, a burst, and slow hosts."""
+    for _ in range(rng.randint(3, 6)):
+        yield Key(
+            at=round(rng.uniform(0.5, seconds * 0.6), 2),
+            for_s=round(rng.uniform(0.5, seconds * 0.4), 2),
+            account=rng.choice(list(ACCOUNTS)),
+        )
+    yield Burst(
+        at=round(rng.uniform(1.0, seconds * 0.6), 2),
+        for_s=round(rng.uniform(2.0, 6.0), 2),
+        account=rng.choice(list(ACCOUNTS)),
+        factor=rng.choice((3.0, 6.0, 12.0)),
+    )
+    for number in rng.sample(range(machines), rng.randint(1, 2)):
+        factor = rng.choice((3.0, 5.0))
+        yield SlowHost(at=0.0, for_s=seconds, number=number, factor=factor)
+    if seed % 2 == 0:
+        yield Limit(
+            at=round(rng.uniform(1.0, seconds * 0.6), 2),
+            for_s=round(rng.uniform(2.0, 8.0), 2),
+            account=rng.choice(
+                [n for n, (_, most) in ACCOUNTS.items() if most]
+            ),
+            share=rng.choice((0.34, 0.5)),
+        )
+    else:
+        yield Late(
+            at=round(rng.uniform(1.0, seconds - 1.0), 2),
+            for_s=round(rng.uniform(2.0, 10.0), 2),
+            kind="orders",
+            share=rng.choice((0.1, 0.3, 0.5)),
+        )
+
+
 def _draw_drains(rng, seconds, machines):
     """Draw hosts that drain, and times in which the store is slow."""
     for _ in range(rng.randint(3, 7)):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -226,6 +226,87 @@
     assert result.accepted
 
 
+def test_later_seeds_have_accounts_and_uneven_hosts():
+    """Late starts and a lowered limit would show false excesses together."""
+    first = plan.FIRST_ACCOUNT_SEED
+    for seed in range(first, first + 50):
+        faults = plan.draw(seed, seconds=20.0, daemons=4, machines=6)
+        kinds = {type(fault) for fault in faults}
+        assert {plan.Key, plan.Burst, plan.SlowHost} <= kinds
+        assert not {plan.Reset, plan.Restart, plan.Drain} & kinds
+        assert (plan.Limit in kinds) == (seed % 2 == 0)
+        assert (plan.Late in kinds) == (seed % 2 == 1)
+
+
+def test_a_disturbance_lasts_from_its_begin_to_its_end():
+    """Only a disturbed daemon may accept calls by an outdated version."""
+    pause = plan.Signal(at=5.0, for_s=1.0, kind="pause", daemon=2, count=2)
+    store = plan.Store(at=5.0, for_s=1.0, kind="down")
+    cut = plan.Cut(at=5.0, for_s=1.0, kind="silence", link="daemon-0")
+
+    def hit(fault, since, until):
+        return {
+            number
+            for number in range(3)
+            if plan.disturbs(
+                fault, daemon=number, daemons=3, since=since, until=until
+            )
+        }
+
+    assert hit(pause, 0.0, 5.1) == {2}
+    assert hit(pause, 6.0, 9.0) == {2, 0}
+    assert hit(store, 5.5, 5.6) == {0, 1, 2}
+    assert hit(cut, 0.0, 20.0) == {0}
+    assert not hit(store, 6.1, 20.0) | hit(cut, 0.0, 4.9)
+
+
+def test_tasks_take_longer_on_slow_machines():
+    world = platform.SoakWorld(seed=1, members=0, pools={"one": 2})
+    world.slowness["one-1"] = 5.0
+    world.run_duration_s = lambda task, step: 2.0
+    durations = [h.run_duration_s(None, None) for h in world.hosts.values()]
+    assert durations == [2.0, 10.0]
+
+
+def test_short_run_with_accounts(tmp_path):
+    result = base.play(seed=900_000, folder=tmp_path, seconds=8.0, daemons=3)
+    trace = (tmp_path / "hosts.trace").read_text(encoding="utf-8")
+    assert result.findings == []
+    assert result.accepted
+    assert trace.count("stored") > 5
+
+
+@pytest.mark.timeout(FALSE_ANSWERS_TIMEOUT_S)
+@pytest.mark.parametrize(
+    ("disabled", "key_s", "expected"),
+    [
+        (
+            "account-removals",
+            1.0,
+            ("no version ever allowed", "an outdated version", "limit: "),
+        ),
+        ("account-additions", 7.0, ("that all versions allow", "still under")),
+    ],
+)
+def test_faults_of_accounts_are_found(tmp_path, disabled, key_s, expected):
+    """A daemon without the mechanism shows every finding that it prevents."""
+    faults = [
+        plan.Key(at=0.5, for_s=key_s, account="a"),
+        plan.Limit(at=0.6, for_s=7.0, account="a", share=0.34),
+    ]
+    result = base.play(
+        seed=plan.FIRST_ACCOUNT_SEED,
+        folder=tmp_path,
+        seconds=9.0,
+        daemons=3,
+        module=("tests.soak.naive", disabled),
+        faults=faults,
+        task_s=1.0,
+    )
+    findings = "\n".join(result.findings)
+    assert [text for text in expected if text not in findings] == [], findings
+
+
 @pytest.mark.timeout(FALSE_ANSWERS_TIMEOUT_S)
 def test_false_answers_are_found(tmp_path):
     """Each play shows some of them, by the moments of its calls."""
