Keep the ids of the configuration check out of the fleet's list

Cause: a test of the fleet document's page takes each quoted id that begins with azurewood.E for one of that page.

Change: the ids are formed as in platform/checks.py.

Result: tests/fleet/test_reference.py and the tests of the check pass.

--- a/azurewood/platform/manifests.py
+++ b/azurewood/platform/manifests.py
@@ -30,7 +30,9 @@
     "limit": "max_count",
 }
 """Names in the file of the fields whose names differ."""
-ACCOUNT_ERRORS: typing.Final = frozenset({"azurewood.E523", "azurewood.E527"})
+ACCOUNT_ERRORS: typing.Final = frozenset(
+    f"azurewood.{number}" for number in ("E523", "E527")
+)
 NO_KEYS: typing.Final = "azurewood.W535"
 _PLACE: typing.Final = re.compile(r" - at `\$(\S*)`$")
 
