--- a/review/11/run.py
+++ b/review/11/run.py
@@ -1,4 +1,4 @@
-"""Workers crash one after the other; a job that lasts must go on."""
+"""Leaders lose power; the workers must stay reachable for the next ones."""
 
 import os
 import pathlib
@@ -11,65 +11,121 @@
 import world as worlds  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-JOB = "/quotes/5c0e7a21d94b36f8"
-STEP = {
-    "count": 3,
-    "cpu": 4000,
-    "mem_mb": 256,
-    "est_ms": 900,
-    "long_running": True,
-    "max_unavailable": 1,
-}
-CRASHES = 14
-DOWN_S = 2.0
-PAUSE_S = 4.0
-
-
-def state_of(world):
-    """Return the state of the job that the daemons show."""
-    for daemon in world.daemons:
-        status, text = world.ask(daemon, "GET", JOB)
-        if status is not None and status != 503:
-            return f"{status} {text}"
-    return "no answer"
+CHANNELS = 64
+STEP = {"count": 40, "cpu": 1500, "mem_mb": 128, "est_ms": 800}
+LOSSES = 3
+DOWN_S = 3.5
+PAUSE_S = 7.0
+FINISH_S = 14.0
+IDLE_S = 3.0
+
+
+class Caller:
+    """Hands in a job each second, at any daemon that answers."""
+
+    def __init__(self, world):
+        self.world = world
+        self.accepted = []
+        self._next_at = 0.0
+
+    def step(self):
+        """Hand in a job if one is due."""
+        if time.monotonic() < self._next_at:
+            return
+        self._next_at = time.monotonic() + 1.0
+        job = f"{len(self.accepted) + 1:016x}"
+        for daemon in self.world.daemons:
+            status, _ = self.world.ask(
+                daemon,
+                "POST",
+                f"/quotes/{job}",
+                {"spec": "ms=800", "steps": [STEP]},
+                timeout=1.5,
+            )
+            if status == 200:
+                self.accepted.append(job)
+                return
+
+    def state(self, job):
+        """Return the state of a job that a daemon shows."""
+        for daemon in self.world.daemons:
+            status, text = self.world.ask(
+                daemon, "GET", f"/quotes/{job}", timeout=1.5
+            )
+            if status == 200:
+                return text
+        return "no answer"
+
+    def play(self, seconds):
+        """Hand in jobs for a time."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.step()
+            time.sleep(0.05)
+
+
+def lose_power(world):
+    """Let the leader's machine lose power, and come back later."""
+    leader = world.leader()
+    if leader is None:
+        return
+    dark = [worker.proxy.lose_power() for worker in world.workers.values()]
+    leader.kill()
+    world.record.add(
+        leader.name, f"lost power; channels left open at workers: {dark}"
+    )
 
 
 def judge(world):
     """Play the day; return the exit status."""
     if not world.start_daemons(3):
         return 2
-    status, _ = world.ask(
-        world.daemons[0], "POST", JOB, {"spec": "last", "steps": [STEP]}
-    )
-    if status != 200 or not world.wait(lambda: len(world.running()) == 3, 20):
-        return 2
-    names = list(world.workers)
-    for number in range(CRASHES):
+    caller = Caller(world)
+    caller.play(4.0)
+    for _ in range(LOSSES):
         if TROUBLE:
-            world.crash(names[number % len(names)], DOWN_S)
-        time.sleep(PAUSE_S)
-        shown = state_of(world)
-        if "failed" in shown:
+            lose_power(world)
+        caller.play(DOWN_S)
+        for daemon in world.daemons:
+            if daemon.process.poll() is not None:
+                daemon.start()
+        caller.play(PAUSE_S - DOWN_S)
+    world.record.add("verdict", "the traffic ends")
+    time.sleep(FINISH_S)
+    idle_since = time.monotonic()
+    while time.monotonic() < idle_since + IDLE_S:
+        if world.running():
             break
-    time.sleep(3.0)
-    failed = any(end[4] == "failed" for end in world.ends)
-    # AVAIL: an item at work is told to stop while one other or more is away.
-    stopped = [s for s in world.stops if s[3] and s[4] < STEP["count"] - 1]
-    shown = state_of(world)
+        time.sleep(0.02)
+    idle = not world.running()
+    states = {job: caller.state(job) for job in caller.accepted}
+    open_jobs = [job for job in states if "completed" not in states[job]]
+    for name, worker in world.workers.items():
+        world.record.add(
+            name,
+            f"channels {len(worker.server.connections)}, resets"
+            f" {worker.server.resets}",
+        )
     world.record.add(
         "verdict",
-        f"shown {shown}; ends 'failed': {failed}; work items at work that were"
-        f" told to stop beside others that are away: {len(stopped)}; at work"
-        f" now: {world.running()}",
+        f"{len(states)} jobs accepted, {len(open_jobs)} not completed"
+        f" {FINISH_S + IDLE_S:.0f} s after the traffic; nothing ran for"
+        f" {IDLE_S:.0f} s: {idle}",
     )
-    if failed:
+    if not states:
         return 2
-    return 1 if stopped or "failed" in shown or "cancelled" in shown else 0
+    return 1 if open_jobs and idle else 0
 
 
 def main():
     """Run the case."""
-    world = worlds.World(HERE, {"quoting": 3}, queues={"quotes": "quoting"})
+    world = worlds.World(
+        HERE,
+        {"quoting": 3},
+        queues={"quotes": "quoting"},
+        channels=CHANNELS,
+        with_proxies=True,
+    )
     try:
         return judge(world)
     finally:
--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,4 +1,4 @@
-"""Leaders lose power; the workers must stay reachable for the next ones."""
+"""One worker crashes, another is lost; the last one must take new jobs."""
 
 import os
 import pathlib
@@ -11,120 +11,104 @@
 import world as worlds  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CHANNELS = 64
-STEP = {"count": 40, "cpu": 1500, "mem_mb": 128, "est_ms": 800}
-LOSSES = 3
-DOWN_S = 3.5
-PAUSE_S = 7.0
+LASTING = "/quotes/5c0e7a21d94b36f8"
+OTHER = "/scans/5c0e7a21d94b36f9"
+STEP = {
+    "count": 4,
+    "cpu": 4000,
+    "mem_mb": 256,
+    "est_ms": 900,
+    "long_running": True,
+    "max_unavailable": 1,
+}
+SHORT = {"count": 1, "cpu": 1000, "mem_mb": 64, "est_ms": 500}
+DOWN_S = 2.0
+NOTICED_S = 10.0
+SHORT_JOBS = 3
 FINISH_S = 14.0
-IDLE_S = 3.0
-
-
-class Caller:
-    """Hands in a job each second, at any daemon that answers."""
-
-    def __init__(self, world):
-        self.world = world
-        self.accepted = []
-        self._next_at = 0.0
-
-    def step(self):
-        """Hand in a job if one is due."""
-        if time.monotonic() < self._next_at:
-            return
-        self._next_at = time.monotonic() + 1.0
-        job = f"{len(self.accepted) + 1:016x}"
-        for daemon in self.world.daemons:
-            status, _ = self.world.ask(
-                daemon,
-                "POST",
-                f"/quotes/{job}",
-                {"spec": "ms=800", "steps": [STEP]},
-                timeout=1.5,
-            )
-            if status == 200:
-                self.accepted.append(job)
-                return
-
-    def state(self, job):
-        """Return the state of a job that a daemon shows."""
-        for daemon in self.world.daemons:
-            status, text = self.world.ask(
-                daemon, "GET", f"/quotes/{job}", timeout=1.5
-            )
-            if status == 200:
-                return text
-        return "no answer"
-
-    def play(self, seconds):
-        """Hand in jobs for a time."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            self.step()
-            time.sleep(0.05)
-
-
-def lose_power(world):
-    """Let the leader's machine lose power, and come back later."""
-    leader = world.leader()
-    if leader is None:
-        return
-    dark = [worker.proxy.lose_power() for worker in world.workers.values()]
-    leader.kill()
-    world.record.add(
-        leader.name, f"lost power; channels left open at workers: {dark}"
-    )
+STILL_S = 3.0
+
+
+def machines_of(world, job):
+    """Return the machines on which work items of a job are at work."""
+    return world.running(job.rpartition("/")[2])
+
+
+def busiest(world):
+    """Return the machine with most of the work items that last."""
+    found = list(machines_of(world, LASTING).values())
+    return max(set(found), key=found.count)
+
+
+def play(world):
+    """Let one worker crash, and lose the one that its work went to."""
+    at_work = machines_of(world, LASTING)
+    world.crash(at_work[max(at_work)], DOWN_S)
+    world.wait(lambda: len(machines_of(world, LASTING)) == 4, 10)
+    time.sleep(6.0)
+    world.crash(busiest(world))
 
 
 def judge(world):
     """Play the day; return the exit status."""
     if not world.start_daemons(3):
         return 2
-    caller = Caller(world)
-    caller.play(4.0)
-    for _ in range(LOSSES):
-        if TROUBLE:
-            lose_power(world)
-        caller.play(DOWN_S)
-        for daemon in world.daemons:
-            if daemon.process.poll() is not None:
-                daemon.start()
-        caller.play(PAUSE_S - DOWN_S)
-    world.record.add("verdict", "the traffic ends")
+    time.sleep(4.0)
+    status, _ = world.ask(
+        world.daemons[0], "POST", LASTING, {"spec": "last", "steps": [STEP]}
+    )
+    world.ask(
+        world.daemons[0], "POST", OTHER, {"spec": "last", "steps": [STEP]}
+    )
+    if status != 200 or not world.wait(
+        lambda: len(machines_of(world, LASTING)) == 4, 20
+    ):
+        return 2
+    time.sleep(4.0)
+    if TROUBLE:
+        play(world)
+    # By then the daemons have seen the loss; the last run is long over.
+    time.sleep(NOTICED_S)
+    jobs = []
+    for number in range(SHORT_JOBS):
+        path = f"/quotes/{0xA1 + number:016x}"
+        body = {"spec": "ms=500", "steps": [SHORT]}
+        status, _ = world.ask(world.daemons[0], "POST", path, body)
+        if status == 200:
+            jobs.append(path)
+        time.sleep(1.0)
+    # LOST: finish_s after the traffic, nothing of them runs for 3 s.
     time.sleep(FINISH_S)
-    idle_since = time.monotonic()
-    while time.monotonic() < idle_since + IDLE_S:
-        if world.running():
-            break
+    still_until = time.monotonic() + STILL_S
+    idle = True
+    while time.monotonic() < still_until:
+        idle = idle and not any(machines_of(world, job) for job in jobs)
         time.sleep(0.02)
-    idle = not world.running()
-    states = {job: caller.state(job) for job in caller.accepted}
-    open_jobs = [job for job in states if "completed" not in states[job]]
-    for name, worker in world.workers.items():
-        world.record.add(
-            name,
-            f"channels {len(worker.server.connections)}, resets"
-            f" {worker.server.resets}",
-        )
+    shown = [world.ask(world.daemons[0], "GET", job)[1] for job in jobs]
+    waiting = [text for text in shown if "completed" not in text]
+    room = {
+        name: f"{len(worker.runs)} runs"
+        for name, worker in world.workers.items()
+        if worker.up and world.machines[name]["pool"] == "quoting"
+    }
     world.record.add(
         "verdict",
-        f"{len(states)} jobs accepted, {len(open_jobs)} not completed"
-        f" {FINISH_S + IDLE_S:.0f} s after the traffic; nothing ran for"
-        f" {IDLE_S:.0f} s: {idle}",
+        f"{len(jobs)} short jobs accepted, {len(waiting)} not completed"
+        f" {FINISH_S + STILL_S:.0f} s after the last; nothing of them ran for"
+        f" {STILL_S:.0f} s: {idle}; workers of their pool: {room}; states:"
+        f" {shown}",
     )
-    if not states:
+    if not jobs or not room:
         return 2
-    return 1 if open_jobs and idle else 0
+    return 1 if waiting and idle else 0
 
 
 def main():
     """Run the case."""
     world = worlds.World(
         HERE,
-        {"quoting": 3},
-        queues={"quotes": "quoting"},
-        channels=CHANNELS,
-        with_proxies=True,
+        {"quoting": 2, "inspection": 2},
+        queues={"quotes": "quoting", "scans": "inspection"},
     )
     try:
         return judge(world)
--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,4 +1,4 @@
-"""One worker crashes, another is lost; the last one must take the work."""
+"""A rack crashes twice; the service must then take new jobs."""
 
 import os
 import pathlib
@@ -11,43 +11,53 @@
 import world as worlds  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LASTING = "/quotes/5c0e7a21d94b36f8"
+LASTING_JOBS = 3
 OTHER = "/scans/5c0e7a21d94b36f9"
-PLAIN = "/quotes/00000000000000a1"
 STEP = {
-    "count": 4,
-    "cpu": 4000,
+    "count": 8,
+    "cpu": 2000,
     "mem_mb": 256,
     "est_ms": 900,
     "long_running": True,
     "max_unavailable": 1,
 }
 SHORT = {"count": 1, "cpu": 1000, "mem_mb": 64, "est_ms": 500}
+SHORT_JOBS = 4
 DOWN_S = 2.0
-CALM_S = 4.0
-AFTER_RUN_S = 6.0
+BETWEEN_S = 10.0
+FINISH_S = 14.0
 STILL_S = 3.0
-WATCH_S = 40.0
 
 
-def machines_of(world, job):
-    """Return the machines on which work items of a job are at work."""
-    return world.running(job.rpartition("/")[2])
+def lasting(number):
+    """Return the path of a job that lasts."""
+    return f"/quotes/{0x5C0E7A21D94B3600 + number:016x}"
 
 
-def busiest(world):
-    """Return the machine with most of the work items that last."""
-    found = list(machines_of(world, LASTING).values())
-    return max(set(found), key=found.count)
+def items_of(world, path):
+    """Return the work items of a job that run, and their machines."""
+    return world.running(path.rpartition("/")[2])
+
+
+def crash_rack(world):
+    """Let all workers of the pool, which share a rack, crash at once."""
+    for name, entry in list(world.machines.items()):
+        if entry["pool"] == "quoting":
+            world.crash(name, DOWN_S)
 
 
 def play(world):
-    """Let one worker crash, and lose the one that its work went to."""
-    at_work = machines_of(world, LASTING)
-    world.crash(at_work[max(at_work)], DOWN_S)
-    world.wait(lambda: len(machines_of(world, LASTING)) == 4, 10)
-    time.sleep(6.0)
-    world.crash(busiest(world))
+    """Let the rack crash twice; return when it has been back for 1 s."""
+    for pause_s in (BETWEEN_S, DOWN_S + 1.0):
+        if TROUBLE:
+            crash_rack(world)
+        time.sleep(pause_s)
+
+
+def submit(world, path, spec, step):
+    """Hand in a job; return whether it was accepted."""
+    body = {"spec": spec, "steps": [step]}
+    return world.ask(world.daemons[0], "POST", path, body)[0] == 200
 
 
 def judge(world):
@@ -55,49 +65,44 @@
     if not world.start_daemons(3):
         return 2
     time.sleep(4.0)
-    status, _ = world.ask(
-        world.daemons[0], "POST", LASTING, {"spec": "last", "steps": [STEP]}
-    )
-    world.ask(
-        world.daemons[0], "POST", OTHER, {"spec": "last", "steps": [STEP]}
-    )
-    if status != 200 or not world.wait(
-        lambda: len(machines_of(world, LASTING)) == 4, 20
+    submit(world, OTHER, "last", STEP | {"count": 4})
+    taken = [
+        submit(world, lasting(n), "last", STEP) for n in range(LASTING_JOBS)
+    ]
+    wanted = LASTING_JOBS * STEP["count"]
+    if not all(taken) or not world.wait(
+        lambda: len(items_of(world, "/5c0e7a21d94b360")) == wanted, 20
     ):
         return 2
     time.sleep(4.0)
-    if TROUBLE:
-        play(world)
-    began = time.monotonic()
-    # LOST: no disturbance for 4 s, 6 s after the last run, and then for 3 s.
-    time.sleep(max(CALM_S, AFTER_RUN_S))
-    world.ask(
-        world.daemons[0], "POST", PLAIN, {"spec": "ms=500", "steps": [SHORT]}
-    )
-    still_since = None
-    longest = 0.0
-    while time.monotonic() < began + WATCH_S:
-        now = time.monotonic()
-        sound = [
-            name
-            for name, worker in world.workers.items()
-            if worker.up and world.machines[name]["pool"] == "quoting"
-        ]
-        if sound and not machines_of(world, LASTING):
-            still_since = still_since or now
-            longest = max(longest, now - still_since)
-        else:
-            still_since = None
-        time.sleep(0.05)
-    _, shown = world.ask(world.daemons[0], "GET", PLAIN)
+    play(world)
+    paths = [f"/quotes/{0xA1 + n:016x}" for n in range(SHORT_JOBS)]
+    jobs = [path for path in paths if submit(world, path, "ms=500", SHORT)]
+    # LOST: finish_s after the traffic, nothing of them runs for 3 s, with
+    # room for them and under half of the service's capacity in use.
+    time.sleep(FINISH_S)
+    still_until = time.monotonic() + STILL_S
+    idle = True
+    while time.monotonic() < still_until:
+        idle = idle and not any(items_of(world, job) for job in jobs)
+        time.sleep(0.02)
+    used = {
+        name: STEP["cpu"] * len(worker.runs) / worker.cpu
+        for name, worker in world.workers.items()
+        if worker.up and world.machines[name]["pool"] == "quoting"
+    }
+    shown = [world.ask(world.daemons[0], "GET", job)[1] for job in jobs]
+    waiting = [text for text in shown if "completed" not in text]
     world.record.add(
         "verdict",
-        f"workers up: {[n for n, w in world.workers.items() if w.up]}; for"
-        f" {longest:.1f} s, from {AFTER_RUN_S:.0f} s after the last run on, no"
-        f" work item of the job that lasts ran; a short job handed in"
-        f" {WATCH_S - AFTER_RUN_S:.0f} s ago: {shown}",
+        f"{len(jobs)} short jobs accepted, {len(waiting)} not completed"
+        f" {FINISH_S + STILL_S:.0f} s after the last; nothing of them ran for"
+        f" {STILL_S:.0f} s: {idle}; used of the workers' cores: {used}",
     )
-    return 1 if longest >= STILL_S else 0
+    if not jobs or len(used) < 2:
+        return 2
+    half = sum(used.values()) < 0.5 * len(used)
+    return 1 if waiting and idle and half else 0
 
 
 def main():
