Bound a leader's connections to each host

Cause: one connection for each call under way, up to 32 to a host, none closed for being idle. A host accepts 64 and keeps those of dead leaders, so two of them used it up and the third leader's were reset.

Change: three slots for a leader at a host (renewals that the host delays, all other calls, a stop that waits behind a start) and a line for the calls that find none free; the wait counts towards the time-out and ends as not sent. A daemon whose term is over closes its connections. Lines and metrics name hosts that reset connections, and the calls in line. The loop around libcurl has a module of its own.

--- a/azurewood/daemons/ports.py
+++ b/azurewood/daemons/ports.py
@@ -7,6 +7,7 @@
 from collections import abc
 import typing
 
+from azurewood.http import call_queues
 from azurewood.http import multiplex
 from azurewood.jobs import catalog
 from azurewood.jobs import desk
@@ -36,6 +37,15 @@
     ) -> None:
         """Begin a call."""
 
+    def close_limited(self) -> None:
+        """Close the connections of all calls with a priority.
+
+        Those calls that wait in line end as not sent.
+        """
+
+    def queue_lengths(self) -> abc.Iterable[call_queues.QueueLength]:
+        """Return the lines of calls with a priority that wait."""
+
 
 class Platform(typing.Protocol):
     """Builds the calls and decodes the answers of a platform."""
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from azurewood.daemons import finished_jobs
+from azurewood.daemons import host_calls
 from azurewood.daemons import intake as intakes
 from azurewood.daemons import machine_calls
 from azurewood.daemons import pace
@@ -54,6 +55,7 @@
         "_check_hosts_at",
         "_context",
         "_finished_jobs",
+        "_host_calls",
         "_hosts",
         "_intake",
         "_jobs",
@@ -93,6 +95,9 @@
         self._machines = machine_calls.MachineCalls(
             context=context, term=number, handle_event=self.handle_event
         )
+        self._host_calls = host_calls.HostCalls(
+            context=context, term=number, handle_event=self.handle_event
+        )
         self._progress_writes = progress_writes.ProgressWrites(
             writer=self._writer,
             on_saved=lambda: self.handle_event(messages.ProgressSaved()),
@@ -178,6 +183,7 @@
         """End the term; later answers are ignored."""
         if not self.end_reason:
             self.end_reason = reason
+            self._host_calls.close()
             logger.bind(
                 event="term.over",
                 term=self.number,
@@ -308,6 +314,7 @@
         )
         if now >= self._tick_at:
             self._loop_monitor.tick(self.state, due=self._tick_at, now=now)
+            self._host_calls.step(self.state, now)
             self._tick_at = now + TICK_S
             self._step_finished_jobs(now)
             self._reports.step(now)
@@ -414,16 +421,7 @@
             case _:
                 if isinstance(effect, messages.StartRun):
                     self._loop_monitor.started()
-                self._context.calls.submit(
-                    self._context.platform.host_call(effect),
-                    lambda reply: self._handle_if_decoded(
-                        self._context.platform.host_event(effect, reply)
-                    ),
-                )
-
-    def _handle_if_decoded(self, event: messages.Event | None) -> None:
-        if event is not None:
-            self.handle_event(event)
+                self._host_calls.send(effect)
 
     def _append_job_record(self, record: records.Record) -> None:
         stored = appender.Record(key=record.key, value=records.encode(record))
--- a/azurewood/http/known_connections.py
+++ b/azurewood/http/known_connections.py
@@ -7,8 +7,8 @@
 
 import typing
 
-MAX_KNOWN: typing.Final = 2048
-"""Connections remembered; several times those that are kept open."""
+MAX_KNOWN: typing.Final = 4096
+"""Connections remembered; more than are kept open."""
 
 Connection = tuple[object, ...]
 """Both addresses and ports of a connection."""
@@ -21,18 +21,37 @@
     that is closed stays until a new one has its ports or others displace it.
     """
 
-    __slots__ = ("_descriptors", "_made_at")
+    __slots__ = ("_descriptors", "_limited", "_made_at")
 
     def __init__(self) -> None:
         self._made_at: dict[Connection, float] = {}
         self._descriptors: dict[Connection, int] = {}
+        self._limited: set[Connection] = set()
 
-    def opened(self, connection: Connection, descriptor: int) -> None:
-        """Record the descriptor of a connection that was made."""
+    def opened(
+        self, connection: Connection, descriptor: int, *, limited: bool
+    ) -> None:
+        """Record the descriptor of a connection that was made.
+
+        A ``limited`` one is among the few that its address may have.
+        """
         self._descriptors.pop(connection, None)
         self._descriptors[connection] = descriptor
+        if limited:
+            self._limited.add(connection)
         if len(self._descriptors) > MAX_KNOWN:
-            del self._descriptors[next(iter(self._descriptors))]
+            self.take_descriptor(next(iter(self._descriptors)))
+
+    @property
+    def limited(self) -> frozenset[Connection]:
+        """The connections to addresses that may have few of them."""
+        return frozenset(self._limited)
+
+    def take_descriptor(self, connection: Connection) -> int:
+        """Forget a connection; return its descriptor, -1 if not known."""
+        self._made_at.pop(connection, None)
+        self._limited.discard(connection)
+        return self._descriptors.pop(connection, -1)
 
     def descriptor(self, connection: Connection) -> int:
         """Return the descriptor of a connection, -1 if it is not known."""
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -5,6 +5,9 @@
 copy. libcurl by itself repeats a request whose reused connection is reset.
 Connections are kept and reused. A connection on which a call timed out is
 closed by libcurl, which resets it: see `azurewood.http.sockets`.
+
+Calls with a priority wait in line for one of the few connections that their
+address may have: see `azurewood.policy.host_connections`.
 """
 
 from collections import abc
@@ -12,24 +15,27 @@
 import enum
 import functools
 import io
-import selectors
-import socket
-import time
 import typing
 
 import pycurl
 
+from azurewood.http import call_queues
+from azurewood.http import curl_loop
 from azurewood.http import known_connections
 from azurewood.http import options
 from azurewood.http import progress
 from azurewood.http import sending
 from azurewood.http import sockets
+from azurewood.policy import host_connections
+
+Priority = host_connections.Priority
 
-MAX_IDLE_CONNECTIONS: typing.Final = 512
-"""Connections kept open; more than hosts times concurrent calls to each."""
+MAX_IDLE_CONNECTIONS: typing.Final = 2048
+"""Connections kept open: two to each of a thousand hosts, and half of the
+descriptors of an entry host."""
 MAX_CONNECTIONS_PER_HOST: typing.Final = 32
-"""Connections to one address; half of the 64 that a host accepts. A leader
-holds up to 20 reads of the store open beside its appends."""
+"""Connections to one address for calls without a priority. A leader holds up
+to 20 reads of the store open beside its appends."""
 
 
 class Outcome(enum.Enum):
@@ -54,6 +60,10 @@
     With ``connected_by`` it is only sent over a connection that has answered
     before and was made by then. Nothing else reaches just the process that
     had the address at that time.
+
+    With a ``priority`` it waits in line for a connection to its address. The
+    wait is part of ``timeout_ms``; a call that is still in line then ends as
+    not sent.
     """
 
     method: str
@@ -64,6 +74,7 @@
     progress_timeout_ms: int | None = None
     send_by: float | None = None
     connected_by: float | None = None
+    priority: Priority | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -77,6 +88,8 @@
     GET whose reused connection was reset.
     ``disconnected`` is whether a call with ``connected_by`` failed for want
     of such a connection, or as it was closed, and not for want of time.
+    ``new_reset`` is whether a connection that was made for the call ended
+    before any answer, as with a server that has no more of them.
     """
 
     outcome: Outcome
@@ -88,6 +101,7 @@
     written_at: float = 0.0
     writes: int = 0
     disconnected: bool = False
+    new_reset: bool = False
 
 
 Callback = abc.Callable[[Reply], None]
@@ -102,6 +116,14 @@
     sending: sending.Sending
     written_at: float = 0.0
     connection: known_connections.Connection = ()
+    queued: call_queues.QueuedCall | None = None
+    curl: pycurl.Curl | None = None
+    closes: bool = False
+
+    @property
+    def deadline(self) -> float:
+        """The latest time at which the answer must be complete."""
+        return self.sent_at + self.call.timeout_ms / 1000
 
 
 class Multiplexer:
@@ -112,16 +134,14 @@
 
     __slots__ = (
         "_clock",
+        "_closing",
         "_connections",
         "_idle_handles",
-        "_multi",
+        "_loop",
         "_progress",
-        "_selector",
-        "_timer_at",
+        "_queues",
         "_transfers",
-        "_unusable",
-        "_wake_receiver",
-        "_wake_sender",
+        "_unsent",
         "waited_s",
     )
 
@@ -129,20 +149,14 @@
         self._clock = clock
         self._connections = known_connections.KnownConnections()
         self._progress = progress.ProgressWatch(clock=clock)
-        self._multi = pycurl.CurlMulti()
-        self._selector = selectors.DefaultSelector()
+        self._queues = call_queues.CallQueues()
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
         self._idle_handles: list[pycurl.Curl] = []
-        self._unusable: list[tuple[Callback, Reply]] = []
-        self._timer_at: float | None = None
+        self._unsent: list[tuple[Callback, Reply]] = []
+        self._closing = False
         self.waited_s = 0.0
-        self._wake_receiver, self._wake_sender = socket.socketpair()
-        self._wake_receiver.setblocking(False)
-        self._wake_sender.setblocking(False)
-        self._selector.register(self._wake_receiver, selectors.EVENT_READ)
-        multi = self._multi
-        multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
-        multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self._loop = curl_loop.CurlLoop()
+        multi = self._loop.multi
         multi.setopt(pycurl.M_MAXCONNECTS, MAX_IDLE_CONNECTIONS)
         multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, MAX_CONNECTIONS_PER_HOST)
         multi.setopt(pycurl.M_PIPELINING, 0)
@@ -150,7 +164,12 @@
     @property
     def under_way(self) -> int:
         """Return how many calls have no reply yet."""
-        return len(self._transfers) + len(self._unusable)
+        waiting = self._queues.waiting
+        return len(self._transfers) + len(self._unsent) + waiting
+
+    def queue_lengths(self) -> abc.Iterator[call_queues.QueueLength]:
+        """Yield the lines of calls with a priority that wait."""
+        return self._queues.lengths()
 
     def submit(self, call: Call, done: Callback) -> None:
         """Start a call; ``run_once`` calls ``done`` with its reply.
@@ -158,26 +177,64 @@
         A call that cannot be made, such as one whose URL is no text in
         ASCII, is answered as not sent.
         """
-        curl = (
-            self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        )
-        buffer = io.BytesIO()
+        now = self._clock()
         transfer = _Transfer(
             call=call,
             done=done,
-            buffer=buffer,
-            sent_at=self._clock(),
+            buffer=io.BytesIO(),
+            sent_at=now,
             sending=sending.Sending(
                 may_repeat=call.method == "GET",
                 needs_kept=call.connected_by is not None,
             ),
         )
+        if call.priority is None:
+            self._begin(transfer)
+            return
+        transfer.queued = call_queues.QueuedCall(
+            address=_address(call.url),
+            priority=call.priority,
+            added_at=now,
+            deadline=transfer.deadline,
+            payload=transfer,
+        )
+        self._queues.add(transfer.queued)
+        self._begin_all(
+            self._queues.startable_to(transfer.queued.address, now)
+        )
+
+    def close_limited(self) -> None:
+        """Close the connections of all calls with a priority, and end these.
+
+        ``run_once`` ends those in line as not sent. Those under way end by
+        themselves, and then their connections do.
+        """
+        self._closing = True
+
+    def _begin_all(
+        self, startable: abc.Iterable[call_queues.QueuedCall]
+    ) -> None:
+        for queued in startable:
+            self._begin(queued.payload)
+
+    def _begin(self, transfer: _Transfer) -> None:
+        """Hand a call to libcurl."""
+        call = transfer.call
+        curl = (
+            self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
+        )
         try:
-            options.prepare(curl, call, buffer)
+            options.prepare(curl, call, transfer.buffer)
+            if transfer.queued is not None:
+                options.limit(
+                    curl,
+                    timeout_ms=self._left_ms(transfer),
+                    once=transfer.queued.slot is host_connections.Slot.EXTRA,
+                )
         except _UNUSABLE as exc:
             curl.reset()
             self._idle_handles.append(curl)
-            self._unusable.append((done, _not_sent(transfer.sent_at, exc)))
+            self._end_unsent(transfer, str(exc))
             return
         curl.setopt(pycurl.SOCKOPTFUNCTION, transfer.sending.on_new_socket)
         curl.setopt(
@@ -185,9 +242,32 @@
             functools.partial(self._before_writing, transfer),
         )
         if call.progress_timeout_ms is not None:
-            self._watch_progress(curl, call.progress_timeout_ms, buffer)
+            self._watch_progress(
+                curl, call.progress_timeout_ms, transfer.buffer
+            )
+        transfer.curl = curl
         self._transfers[curl] = transfer
-        self._multi.add_handle(curl)
+        self._loop.multi.add_handle(curl)
+
+    def _end_unsent(self, transfer: _Transfer, reason: str) -> None:
+        """Let ``run_once`` answer a call that was not sent."""
+        now = self._clock()
+        reply = Reply(
+            outcome=Outcome.NOT_SENT,
+            reason=reason,
+            sent_at=transfer.sent_at,
+            at=now,
+        )
+        self._unsent.append((transfer.done, reply))
+        if transfer.queued is not None and transfer.queued.slot is not None:
+            self._leave_slot(transfer.queued, now)
+
+    def _leave_slot(self, queued: call_queues.QueuedCall, now: float) -> None:
+        self._queues.ended(queued)
+        self._begin_all(self._queues.startable_to(queued.address, now))
+
+    def _left_ms(self, transfer: _Transfer) -> int:
+        return max(1, int((transfer.deadline - self._clock()) * 1000))
 
     def _watch_progress(
         self, curl: pycurl.Curl, timeout_ms: int, buffer: io.BytesIO
@@ -225,7 +305,11 @@
         call = transfer.call
         known = self._connections
         if transfer.sending.descriptor >= 0:
-            known.opened(connection, transfer.sending.descriptor)
+            known.opened(
+                connection,
+                transfer.sending.descriptor,
+                limited=transfer.queued is not None,
+            )
         if not transfer.sending.may_use(known.descriptor(connection)):
             return False
         if call.send_by is not None and now >= call.send_by:
@@ -235,90 +319,61 @@
 
     def wake(self) -> None:
         """Wake ``run_once`` from another thread."""
-        try:
-            self._wake_sender.send(b"w")
-        except BlockingIOError:
-            # The socket is full of wakes that have not been read yet.
-            return
+        self._loop.wake()
 
     def run_once(self, timeout_s: float) -> None:
         """Wait for at most ``timeout_s`` and handle all ready events."""
         began_at = self._clock()
-        ready = self._selector.select(self._select_timeout(timeout_s))
+        ready = self._loop.wait(self._wait_s(timeout_s))
         self.waited_s += self._clock() - began_at
-        for key, mask in ready:
-            if key.fileobj is self._wake_receiver:
-                self._drain_wakes()
-            else:
-                self._socket_action(key.fd, options.select_mask(mask))
-        if self._timer_at is not None and time.monotonic() >= self._timer_at:
-            self._timer_at = None
-            self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
-        self._finish_all()
+        self._loop.handle(ready)
+        for curl, error in self._loop.ended():
+            self._finish(curl, error)
         self._finish_stalled()
-        self._answer_unusable()
-
-    def _answer_unusable(self) -> None:
-        unusable, self._unusable = self._unusable, []
-        for done, reply in unusable:
+        self._step_queues()
+        if self._closing:
+            self._closing = False
+            self._close_limited()
+        self._answer_unsent()
+
+    def _step_queues(self) -> None:
+        """Begin, give up and expire calls that wait in line."""
+        now = self._clock()
+        if now < self._queues.due_at():
+            return
+        for queued in list(self._queues.expired(now)):
+            self._end_unsent(queued.payload, "no connection was free in time")
+        for queued in self._queues.silent(now):
+            text = "no answer, and other calls wait"
+            error = (pycurl.E_OPERATION_TIMEDOUT, text)
+            self._finish(queued.payload.curl, error)
+        self._begin_all(self._queues.startable(now))
+
+    def _close_limited(self) -> None:
+        for queued in self._queues.clear():
+            self._end_unsent(queued.payload, "its connections are closed")
+        in_use = set()
+        for transfer in self._transfers.values():
+            if transfer.queued is not None:
+                transfer.closes = True
+                in_use.add(transfer.connection)
+        for connection in self._connections.limited - in_use:
+            self._shut_down(connection)
+
+    def _shut_down(self, connection: known_connections.Connection) -> None:
+        fd = self._connections.take_descriptor(connection)
+        sockets.shut_down(fd, connection)
+
+    def _answer_unsent(self) -> None:
+        unsent, self._unsent = self._unsent, []
+        for done, reply in unsent:
             done(reply)
 
-    def _select_timeout(self, timeout_s: float) -> float:
-        if self._unusable:
+    def _wait_s(self, timeout_s: float) -> float:
+        if self._unsent or self._closing:
             return 0.0
-        timeout_s = min(timeout_s, self._progress.due_at - self._clock())
-        if self._timer_at is None:
-            return max(0.0, timeout_s)
-        return max(0.0, min(timeout_s, self._timer_at - time.monotonic()))
-
-    def _drain_wakes(self) -> None:
-        try:
-            while self._wake_receiver.recv(4096):
-                pass
-        except BlockingIOError:
-            return
-
-    def _socket_action(self, fd: int, mask: int) -> None:
-        while True:
-            status, _ = self._multi.socket_action(fd, mask)
-            if status != pycurl.E_CALL_MULTI_PERFORM:
-                return
-
-    def _watch_socket(
-        self, poll_mode: int, fd: int, multi: object, data: object
-    ) -> None:
-        if poll_mode == pycurl.POLL_REMOVE:
-            try:
-                self._selector.unregister(fd)
-            except (KeyError, ValueError):
-                # libcurl also reports sockets that were never registered.
-                return
-            return
-        mask = 0
-        if poll_mode in (pycurl.POLL_IN, pycurl.POLL_INOUT):
-            mask |= selectors.EVENT_READ
-        if poll_mode in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
-            mask |= selectors.EVENT_WRITE
-        try:
-            self._selector.modify(fd, mask)
-        except KeyError:
-            self._selector.register(fd, mask)
-
-    def _set_timer(self, timeout_ms: int) -> None:
-        if timeout_ms < 0:
-            self._timer_at = None
-        else:
-            self._timer_at = time.monotonic() + timeout_ms / 1000
-
-    def _finish_all(self) -> None:
-        while True:
-            left, good, bad = self._multi.info_read()
-            for curl in good:
-                self._finish(curl, None)
-            for curl, code, text in bad:
-                self._finish(curl, (code, text))
-            if not left:
-                return
+        due_at = min(self._progress.due_at, self._queues.due_at())
+        return min(timeout_s, due_at - self._clock())
 
     def _finish_stalled(self) -> None:
         """Fail calls without progress, once what has arrived is processed."""
@@ -336,20 +391,22 @@
             return
         del self._transfers[curl]
         reply = self._reply(curl, transfer, error)
-        self._multi.remove_handle(curl)
+        self._loop.multi.remove_handle(curl)
         self._progress.remove(curl)
         curl.reset()
         self._idle_handles.append(curl)
+        if transfer.closes:
+            self._shut_down(transfer.connection)
+        if transfer.queued is not None:
+            self._leave_slot(transfer.queued, reply.at)
         transfer.done(reply)
 
     def _begin_again(self, curl: pycurl.Curl, transfer: _Transfer) -> None:
         """Begin a call again whose connection had ended; nothing was sent."""
         transfer.sending.trouble = None
-        self._multi.remove_handle(curl)
-        deadline = transfer.sent_at + transfer.call.timeout_ms / 1000
-        left_ms = int((deadline - self._clock()) * 1000)
-        curl.setopt(pycurl.TIMEOUT_MS, max(1, left_ms))
-        self._multi.add_handle(curl)
+        self._loop.multi.remove_handle(curl)
+        curl.setopt(pycurl.TIMEOUT_MS, self._left_ms(transfer))
+        self._loop.multi.add_handle(curl)
 
     def _reply(
         self,
@@ -385,6 +442,7 @@
             at=now,
             writes=transfer.sending.writes,
             disconnected=bound and code != pycurl.E_OPERATION_TIMEDOUT,
+            new_reset=is_new and code in _RESETS,
         )
 
 
@@ -392,5 +450,14 @@
 """What libcurl's binding raises for an option's value."""
 
 
-def _not_sent(at: float, exc: Exception) -> Reply:
-    return Reply(outcome=Outcome.NOT_SENT, reason=str(exc), sent_at=at, at=at)
+_RESETS: typing.Final = (
+    pycurl.E_GOT_NOTHING,
+    pycurl.E_RECV_ERROR,
+    pycurl.E_SEND_ERROR,
+)
+"""libcurl's errors for a connection that ends before an answer."""
+
+
+def _address(url: str) -> str:
+    """Return the host and port of a URL."""
+    return url.partition("//")[2].partition("/")[0]
--- a/azurewood/http/sockets.py
+++ b/azurewood/http/sockets.py
@@ -53,6 +53,31 @@
     return any(not event & select.POLLNVAL for _, event in poll.poll(0))
 
 
+def shut_down(fd: int, connection: tuple[object, ...]) -> None:
+    """Tell the other end of an idle connection that it is over.
+
+    libcurl closes the descriptor when it next looks at the connection. One
+    that has become another connection's is left alone. ``connection`` has
+    the addresses and ports as in `azurewood.http.known_connections`.
+    """
+    if fd < 0:
+        return
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)
+    except OSError:
+        return
+    try:
+        peer, own = sock.getpeername(), sock.getsockname()
+        if (peer[0], own[0], peer[1], own[1]) == connection:
+            sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # It has ended already.
+        return
+    finally:
+        # libcurl owns the descriptor.
+        sock.detach()
+
+
 def nothing_sent(curl: pycurl.Curl) -> bool:
     """Return whether no byte of a failed call was sent.
 
--- a/azurewood/log/event_metrics.py
+++ b/azurewood/log/event_metrics.py
@@ -108,6 +108,28 @@
         divisor=1000.0,
         label="pool",
     ),
+    FieldGauge(
+        event="host.calls",
+        field="under_way",
+        name="azurewood_host_connections_in_use",
+        help="Connections to a host that calls use while others wait.",
+        label="host",
+    ),
+    FieldGauge(
+        event="host.calls",
+        field="waiting",
+        name="azurewood_host_waiting_calls",
+        help="Calls to a host that wait in line for a connection.",
+        label="host",
+    ),
+    FieldGauge(
+        event="host.calls",
+        field="oldest_ms",
+        name="azurewood_host_oldest_waiting_call_seconds",
+        help="For how long the oldest of these calls has waited.",
+        divisor=1000.0,
+        label="host",
+    ),
     FieldGauge(
         event="account.state",
         field="running",
--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -30,6 +30,8 @@
 _ID: typing.Final = re.compile(r"[!-~]+")
 """What a header can hold as the id of a call's host."""
 
+_Priority = multiplex.Priority
+
 MAX_AMOUNT: typing.Final = 1 << 40
 """Bound of a capacity's figures: the sum of a million hosts has 60 bits."""
 _Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
@@ -162,14 +164,16 @@
                 body["last_checkpoint"] = effect.saved
             if effect.ticket:
                 body["ticket"] = effect.ticket
-            return _post(effect, "/api/run-start", body, CALL_TIMEOUT_MS)
+            return _post(effect, "/api/run-start", body)
         case messages.StopRun():
             body = {
                 "task": task_name(effect.task),
                 "run": effect.run,
                 "fence": effect.fence,
             }
-            return _post(effect, "/api/run-stop", body, CALL_TIMEOUT_MS)
+            return _post(
+                effect, "/api/run-stop", body, priority=_Priority.URGENT
+            )
         case messages.SetRunSpeed():
             body = {
                 "task": task_name(effect.task),
@@ -177,15 +181,22 @@
                 "pct": effect.percent,
                 "fence": effect.fence,
             }
-            return _post(effect, "/api/pace", body, CALL_TIMEOUT_MS)
+            return _post(effect, "/api/pace", body)
         case messages.RenewLease():
             body = {"fence": effect.fence, "ack_cursor": effect.acknowledged}
             if effect.lease_until_ms is not None:
                 body["deadline_ms"] = effect.lease_until_ms
             if effect.wait_ms:
                 body["wait_ms"] = effect.wait_ms
-            timeout = effect.wait_ms + RENEWAL_MARGIN_MS
-            made = _post(effect, "/api/hold", body, timeout)
+            made = _post(
+                effect,
+                "/api/hold",
+                body,
+                timeout_ms=effect.wait_ms + RENEWAL_MARGIN_MS,
+                priority=_Priority.HELD
+                if effect.wait_ms
+                else _Priority.URGENT,
+            )
             if not effect.acknowledged and not effect.connected_by:
                 return made
             return dataclasses.replace(made, connected_by=effect.connected_by)
@@ -196,7 +207,12 @@
 
 
 def _post(
-    effect: typing.Any, path: str, body: dict[str, object], timeout_ms: int
+    effect: typing.Any,
+    path: str,
+    body: dict[str, object],
+    *,
+    timeout_ms: int = CALL_TIMEOUT_MS,
+    priority: multiplex.Priority = _Priority.NORMAL,
 ) -> multiplex.Call:
     return multiplex.Call(
         method="POST",
@@ -204,6 +220,7 @@
         headers=(JSON_HEADER, f"{TARGET_HEADER}: {effect.host}"),
         body=msgspec.json.encode(body),
         timeout_ms=timeout_ms,
+        priority=priority,
     )
 
 
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -62,6 +62,13 @@
             world=self._world, member=self._member, call=call, done=on_reply
         ).send()
 
+    def close_limited(self) -> None:
+        """Close no connection, as simulated calls have none."""
+
+    def queue_lengths(self) -> tuple[()]:
+        """Return that no call waits in line."""
+        return ()
+
 
 class _Transfer:
     """One call in flight."""
--- a/tests/platform/test_addresses.py
+++ b/tests/platform/test_addresses.py
@@ -89,4 +89,4 @@
             method="GET", url=f"http://{text}/", timeout_ms=900
         )
         calls.submit(call, lambda reply: None)
-    assert not calls._unusable
+    assert not calls._unsent
