Let calls without an answer to a host go aside

Callers saw less served where hosts leave a third of the orders unanswered: with one order at a time to a host, each of those blocked its line for 0.4 s, and the starts behind it were not sent in time.

Change: after 0.05 s without an answer a call goes aside if others wait, up to two at a time, and its connection is closed after it. That takes the place of the slot for urgent calls, as stops wait no longer than that either.

--- a/azurewood/http/call_queues.py
+++ b/azurewood/http/call_queues.py
@@ -41,61 +41,77 @@
 
 
 class _AddressQueue:
-    """The calls to one address: those in its slots and those in line."""
+    """The calls to one address: those under way and those in line.
 
-    __slots__ = ("slots", "waiting")
+    ``aside`` has the calls that went aside, the oldest first.
+    """
+
+    __slots__ = ("aside", "slots", "waiting")
 
     def __init__(self) -> None:
+        self.aside: list[QueuedCall] = []
         self.slots: dict[Slot, QueuedCall] = {}
         self.waiting: dict[Priority, collections.deque[QueuedCall]] = {
             priority: collections.deque() for priority in Priority
         }
 
+    @property
+    def under_way(self) -> int:
+        """How many calls are under way."""
+        return len(self.slots) + len(self.aside)
+
     def in_line(self) -> abc.Iterator[QueuedCall]:
         """Yield the waiting calls in the order in which they may begin."""
         for line in self.waiting.values():
             yield from line
 
-    def first_of_each(self) -> abc.Iterator[QueuedCall]:
-        """Yield the first waiting call of each priority."""
-        return (line[0] for line in self.waiting.values() if line)
-
-    def awaits_kept(self) -> bool:
-        """Return whether a call waits that isn't one of renewals."""
-        return any(
+    def blocking(self) -> QueuedCall | None:
+        """Return the call in `Slot.KEPT` if others wait for that slot."""
+        waits = any(
             line
             for priority, line in self.waiting.items()
-            if priority is not Priority.HELD
+            if host_connections.slot_of(priority) is Slot.KEPT
         )
+        return self.slots.get(Slot.KEPT) if waits else None
 
     def startable(self, now: float) -> abc.Iterator[QueuedCall]:
         """Take the calls that may begin now out of the line."""
         for priority, line in self.waiting.items():
-            while line:
-                slot = host_connections.slot_for(
-                    priority,
-                    self.slots,
-                    added_at=line[0].added_at,
-                    now=now,
-                )
-                if slot is None:
-                    break
+            slot = host_connections.slot_of(priority)
+            if line and slot not in self.slots:
                 call = line.popleft()
                 call.slot, call.began_at = slot, now
                 self.slots[slot] = call
                 yield call
 
-    def silent(self, now: float) -> abc.Iterator[QueuedCall]:
-        """Yield the calls under way that are given up for those in line."""
-        waiting = self.awaits_kept()
-        for call in tuple(self.slots.values()):
-            if host_connections.is_given_up(
-                call.slot,
-                began_at=call.began_at,
-                now=now,
-                others_wait=waiting,
-            ):
-                yield call
+    def go_aside(self, now: float) -> abc.Iterator[QueuedCall]:
+        """Yield the call that now goes aside for those in line, if any."""
+        call = self.blocking()
+        if call is not None and host_connections.goes_aside(
+            began_at=call.began_at, now=now, aside=len(self.aside)
+        ):
+            del self.slots[Slot.KEPT]
+            call.slot = Slot.ASIDE
+            self.aside.append(call)
+            yield call
+
+    def given_up(self, now: float) -> abc.Iterator[QueuedCall]:
+        """Yield the call under way that is to end for those in line."""
+        if self.blocking() is None or not self.aside:
+            return
+        if len(self.aside) < host_connections.MAX_ASIDE:
+            return
+        if host_connections.gives_up(
+            oldest_aside_began_at=self.aside[0].began_at, now=now
+        ):
+            yield self.aside[0]
+
+    def end(self, call: QueuedCall) -> None:
+        """Forget a call under way."""
+        if call.slot is Slot.ASIDE:
+            self.aside.remove(call)
+        else:
+            del self.slots[call.slot]
 
     def expire(self, now: float) -> abc.Iterator[QueuedCall]:
         """Take the calls whose deadline has passed out of the line."""
@@ -106,18 +122,15 @@
             yield from late
 
     def due_at(self) -> float:
-        """Return when a waiting call may begin, end or give one up."""
+        """Return when a waiting call may begin or ends."""
         times = [call.deadline for call in self.in_line()]
-        for call in self.first_of_each():
-            if call.priority is Priority.URGENT and Slot.EXTRA not in (
-                self.slots
-            ):
-                times.append(host_connections.extra_at(call.added_at))
-        if self.awaits_kept():
-            times.extend(
-                host_connections.given_up_at(call.began_at)
-                for call in self.slots.values()
-                if call.slot is not Slot.HELD
+        call = self.blocking()
+        if call is not None:
+            full = len(self.aside) >= host_connections.MAX_ASIDE
+            times.append(
+                host_connections.gives_up_at(self.aside[0].began_at)
+                if full
+                else host_connections.goes_aside_at(call.began_at)
             )
         return min(times, default=math.inf)
 
@@ -149,8 +162,8 @@
     def ended(self, call: QueuedCall) -> None:
         """Free the slot of a call that has ended."""
         queue = self._queues[call.address]
-        del queue.slots[call.slot]
-        if not queue.slots and call.address not in self._crowded:
+        queue.end(call)
+        if not queue.under_way and call.address not in self._crowded:
             del self._queues[call.address]
 
     def startable(self, now: float) -> abc.Iterator[QueuedCall]:
@@ -173,12 +186,20 @@
             yield from queue.expire(now)
             self._settle(address, queue)
 
-    def silent(self, now: float) -> list[QueuedCall]:
-        """Return the calls under way that are given up for those in line."""
+    def gone_aside(self, now: float) -> list[QueuedCall]:
+        """Let calls without an answer go aside, and return them."""
+        return [
+            call
+            for queue in self._crowded.values()
+            for call in queue.go_aside(now)
+        ]
+
+    def given_up(self, now: float) -> list[QueuedCall]:
+        """Return the calls under way that are to end for those in line."""
         return [
             call
             for queue in self._crowded.values()
-            for call in queue.silent(now)
+            for call in queue.given_up(now)
         ]
 
     def clear(self) -> list[QueuedCall]:
@@ -208,7 +229,7 @@
             calls = list(queue.in_line())
             yield QueueLength(
                 address=address,
-                under_way=len(queue.slots),
+                under_way=queue.under_way,
                 waiting=len(calls),
                 oldest_at=min(call.added_at for call in calls),
             )
@@ -218,5 +239,5 @@
         if any(queue.waiting.values()):
             return
         self._crowded.pop(address, None)
-        if not queue.slots:
+        if not queue.under_way:
             self._queues.pop(address, None)
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -226,11 +226,7 @@
         try:
             options.prepare(curl, call, transfer.buffer)
             if transfer.queued is not None:
-                options.limit(
-                    curl,
-                    timeout_ms=self._left_ms(transfer),
-                    once=transfer.queued.slot is host_connections.Slot.EXTRA,
-                )
+                curl.setopt(pycurl.TIMEOUT_MS, self._left_ms(transfer))
         except _UNUSABLE as exc:
             curl.reset()
             self._idle_handles.append(curl)
@@ -343,10 +339,12 @@
             return
         for queued in list(self._queues.expired(now)):
             self._end_unsent(queued.payload, "no connection was free in time")
-        for queued in self._queues.silent(now):
+        for queued in self._queues.given_up(now):
             text = "no answer, and other calls wait"
             error = (pycurl.E_OPERATION_TIMEDOUT, text)
             self._finish(queued.payload.curl, error)
+        for queued in self._queues.gone_aside(now):
+            queued.payload.curl.setopt(pycurl.FORBID_REUSE, 1)
         self._begin_all(self._queues.startable(now))
 
     def _close_limited(self) -> None:
--- a/azurewood/http/options.py
+++ b/azurewood/http/options.py
@@ -40,13 +40,3 @@
         curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
         curl.setopt(pycurl.POSTFIELDS, call.body)
     curl.setopt(pycurl.CUSTOMREQUEST, call.method)
-
-
-def limit(curl: pycurl.Curl, *, timeout_ms: int, once: bool) -> None:
-    """Set the options of a call that had to wait for a connection.
-
-    With ``once`` it goes over a new connection, which is then closed.
-    """
-    curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
-    curl.setopt(pycurl.FRESH_CONNECT, int(once))
-    curl.setopt(pycurl.FORBID_REUSE, int(once))
--- a/azurewood/policy/host_connections.py
+++ b/azurewood/policy/host_connections.py
@@ -2,17 +2,19 @@
 
 A host accepts a fixed number of connections and does not notice that a
 daemon which lost its power is gone. Whatever that daemon held stays taken,
-for as long as the host runs. So a daemon holds few connections to a host, in
-fixed slots, and a call that finds none of its slots free waits in line:
+for as long as the host runs. So a daemon holds few connections to a host, one
+call at a time on each, and a call that finds none free waits in line:
 
 - `Slot.HELD` belongs to renewals, whose answers the host may delay.
 - `Slot.KEPT` belongs to all other calls, one after the other.
-- `Slot.EXTRA` is made for an urgent call that a start has kept waiting, and
-  closed after it. It keeps a stop from waiting behind a slow start.
-
-What ends each slot's use is the call's own time-out, or `is_given_up` for a
-call without an answer that others wait for. It answers the load of a burst
-of starts to one host, and that of leaders which lose power in series.
+- `Slot.ASIDE` has room for ``MAX_ASIDE`` calls that had `Slot.KEPT` and keep
+  others waiting. Their connections are closed once they end. So neither a
+  slow start nor a silent connection blocks the line.
+
+What ends each slot's use is the call's own time-out, or `gives_up` for a call
+without an answer that others wait for. It answers the load of a burst of
+starts to one host, that of hosts which leave a third of the calls unanswered,
+and that of leaders which lose power in series.
 """
 
 import enum
@@ -20,13 +22,14 @@
 
 HOST_CONNECTIONS: typing.Final = 64
 """Connections that a host accepts. The settings do not name the figure."""
-URGENT_WAIT_S: typing.Final = 0.05
-"""How long an urgent call waits for a start; several times what a host in
-good health takes to answer one."""
+MAX_ASIDE: typing.Final = 2
+"""Calls without an answer beside which further ones are made."""
+ASIDE_AFTER_S: typing.Final = 0.05
+"""Time without an answer after which a call no longer keeps others waiting;
+several times what a host in good health takes."""
 SILENT_S: typing.Final = 0.4
-"""Time without an answer after which a call stops keeping others waiting.
-Lost segments are sent again within it, and it is half of a start's time-out,
-so that the next start still has time to be sent."""
+"""Time without an answer after which a call is ended if others can't be made
+beside it. Lost segments are sent again within it."""
 
 
 class Priority(enum.IntEnum):
@@ -45,51 +48,40 @@
 
     HELD = "held"
     KEPT = "kept"
-    EXTRA = "extra"
+    ASIDE = "aside"
 
 
-MAX_LEADERS: typing.Final = HOST_CONNECTIONS // len(Slot)
-"""Leaders whose connections a host can hold, each dead with all slots in
-use. A leader without an urgent call under way holds two."""
+MAX_CONNECTIONS: typing.Final = 2 + MAX_ASIDE
+"""Connections of a daemon to one host; two of them unless calls get no
+answer."""
+MAX_LEADERS: typing.Final = HOST_CONNECTIONS // MAX_CONNECTIONS
+"""Leaders whose connections a host can hold, each dead with all of its own in
+use."""
 
 
-def extra_at(added_at: float) -> float:
-    """Return when an urgent call that waits since a time gets `Slot.EXTRA`."""
-    return added_at + URGENT_WAIT_S
+def slot_of(priority: Priority) -> Slot:
+    """Return the slot over which a call goes once it is free."""
+    return Slot.HELD if priority is Priority.HELD else Slot.KEPT
 
 
-def given_up_at(began_at: float) -> float:
-    """Return when a call that others wait for is ended without an answer."""
-    return began_at + SILENT_S
+def goes_aside_at(began_at: float) -> float:
+    """Return when a call in `Slot.KEPT` that others wait for goes aside."""
+    return began_at + ASIDE_AFTER_S
 
 
-def slot_for(
-    priority: Priority,
-    occupied: typing.Container[Slot],
-    *,
-    added_at: float,
-    now: float,
-) -> Slot | None:
-    """Return the slot over which a call may go now, None if it waits.
+def gives_up_at(began_at: float) -> float:
+    """Return when a call aside is ended if the line can't go on otherwise."""
+    return began_at + SILENT_S
 
-    At most one call is in a slot, so a daemon never has more connections to
-    a host than there are slots.
-    """
-    wanted = Slot.HELD if priority is Priority.HELD else Slot.KEPT
-    if wanted not in occupied:
-        return wanted
-    overdue = priority is Priority.URGENT and now >= extra_at(added_at)
-    return Slot.EXTRA if overdue and Slot.EXTRA not in occupied else None
+
+def goes_aside(*, began_at: float, now: float, aside: int) -> bool:
+    """Return whether a call in `Slot.KEPT` lets those in line go on."""
+    return aside < MAX_ASIDE and now >= goes_aside_at(began_at)
 
 
-def is_given_up(
-    slot: Slot, *, began_at: float, now: float, others_wait: bool
-) -> bool:
-    """Return whether a call without an answer is ended for those in line.
+def gives_up(*, oldest_aside_began_at: float, now: float) -> bool:
+    """Return whether the oldest call aside is ended for those in line.
 
-    Its connection may be silent for good while a new one would work. The
-    host is expected to delay the answers in `Slot.HELD`.
+    All that may go aside have. Its connection may be silent for good.
     """
-    return (
-        slot is not Slot.HELD and others_wait and now >= given_up_at(began_at)
-    )
+    return now >= gives_up_at(oldest_aside_began_at)
--- a/tests/http/test_call_queues.py
+++ b/tests/http/test_call_queues.py
@@ -15,7 +15,6 @@
 ADDRESS = "10.0.0.1:80"
 TIMEOUT_S = 0.8
 Priority = host_connections.Priority
-Slot = host_connections.Slot
 
 
 def _add(queues, priority, now, *, address=ADDRESS):
@@ -56,7 +55,11 @@
         _add(queues, Priority.NORMAL, 0.0)
         _add(queues, Priority.URGENT, 0.0)
     begun = list(queues.startable(0.0))
-    begun += queues.startable(host_connections.URGENT_WAIT_S)
+    now = 0.0
+    while queues.due_at() < host_connections.SILENT_S:
+        now = queues.due_at()
+        assert queues.gone_aside(now)
+        begun += queues.startable(now)
     return len(begun)
 
 
@@ -81,29 +84,71 @@
     renewal = _add(queues, Priority.HELD, 0.0)
     start = _add(queues, Priority.NORMAL, 0.0)
     assert list(queues.startable(0.0)) == [renewal, start]
-    late_start = _add(queues, Priority.NORMAL, 0.1)
-    stop = _add(queues, Priority.URGENT, 0.1)
-    assert not list(queues.startable(0.1))
+    late_start = _add(queues, Priority.NORMAL, 0.01)
+    stop = _add(queues, Priority.URGENT, 0.01)
+    assert not list(queues.startable(0.01))
     due_at = queues.due_at()
-    assert due_at <= 0.1 + host_connections.URGENT_WAIT_S
+    assert due_at <= host_connections.ASIDE_AFTER_S
+    assert queues.gone_aside(due_at) == [start]
     assert list(queues.startable(due_at)) == [stop]
-    assert stop.slot is Slot.EXTRA
     queues.ended(start)
+    assert not list(queues.startable_to(ADDRESS, due_at))
+    queues.ended(stop)
     assert list(queues.startable_to(ADDRESS, due_at)) == [late_start]
 
 
+def _unsent(answered):
+    """Return how many of a burst of starts aren't sent in time.
+
+    ``answered`` tells of the number of a start whether the host answers it.
+    """
+    queues = call_queues.CallQueues()
+    for _ in range(18):
+        _add(queues, Priority.NORMAL, 0.0)
+    now, begun = 0.0, 0
+    while queues.waiting:
+        list(queues.expired(now))
+        for call in queues.given_up(now):
+            queues.ended(call)
+        queues.gone_aside(now)
+        for call in queues.startable(now):
+            begun += 1
+            if answered(begun):
+                queues.ended(call)
+        now += 0.005
+    return 18 - begun
+
+
+def test_a_host_that_leaves_a_third_unanswered_gets_a_burst_in_time():
+    assert not _unsent(lambda number: number % 3)
+
+
+def test_it_does_not_if_each_of_them_blocks_the_line(monkeypatch):
+    monkeypatch.setattr(host_connections, "MAX_ASIDE", 0)
+    assert _unsent(lambda number: number % 3) > 9
+
+
 def test_a_silent_start_is_given_up_only_if_others_wait():
     queues = call_queues.CallQueues()
-    start = _add(queues, Priority.NORMAL, 0.0)
-    assert list(queues.startable(0.0)) == [start]
-    later = host_connections.SILENT_S
+    silent = [
+        _add(queues, Priority.NORMAL, 0.0)
+        for _ in range(host_connections.MAX_ASIDE + 1)
+    ]
+    begun = list(queues.startable(0.0))
+    for _ in range(host_connections.MAX_ASIDE):
+        now = queues.due_at()
+        queues.gone_aside(now)
+        begun += queues.startable(now)
+    assert begun == silent
     assert queues.due_at() == math.inf
-    assert not queues.silent(later)
-    _add(queues, Priority.NORMAL, 0.1)
-    assert queues.due_at() == later
-    assert queues.silent(later) == [start]
-    queues.ended(start)
-    assert len(list(queues.startable(later))) == 1
+    assert not queues.given_up(10.0)
+    last = _add(queues, Priority.NORMAL, now)
+    now = queues.due_at()
+    assert now == host_connections.SILENT_S
+    assert queues.given_up(now) == silent[:1]
+    queues.ended(silent[0])
+    assert queues.gone_aside(now) == silent[-1:]
+    assert list(queues.startable(now)) == [last]
 
 
 def test_a_renewal_under_way_is_never_given_up():
@@ -111,7 +156,8 @@
     _add(queues, Priority.HELD, 0.0)
     _add(queues, Priority.HELD, 0.0)
     assert len(list(queues.startable(0.0))) == 1
-    assert not queues.silent(TIMEOUT_S)
+    assert not queues.gone_aside(TIMEOUT_S)
+    assert not queues.given_up(TIMEOUT_S)
 
 
 def test_a_line_ends_as_not_sent_at_its_deadline_or_when_cleared():
@@ -146,9 +192,10 @@
 
     def step():
         expired.extend(queues.expired(now))
-        for call in queues.silent(now):
+        for call in queues.given_up(now):
             queues.ended(call)
             under_way.remove(call)
+        queues.gone_aside(now)
         found = list(queues.startable(now))
         begun.extend(found)
         under_way.extend(found)
@@ -161,13 +208,10 @@
         elif isinstance(kind, Priority):
             added.append(_add(queues, kind, now))
         step()
-        assert len({call.slot for call in under_way}) == len(under_way)
+        assert len(under_way) <= host_connections.MAX_CONNECTIONS
         assert queues.due_at() > now
-        for call in begun:
-            assert call.began_at < call.deadline + 0.05 * 4
     while queues.waiting:
         now = queues.due_at()
         step()
     assert len(begun) + len(expired) == len(added)
-    stops = [call for call in begun if call.priority is Priority.URGENT]
-    assert all(call.began_at < call.deadline for call in stops)
+    assert all(call.began_at < call.deadline for call in begun)
