Hold hosts only for tasks whose turn comes

Cause: the last host was held for tasks with two crashes, and the pass left a step's tasks at the first without a host, one with a single crash, so that the others never got their turn. Besides, room of lasting runs counted as room to come.

--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -24,6 +24,7 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_crashes
+from azurewood.policy import host_fit
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
 
@@ -219,7 +220,7 @@
                 allowed = separation.allows(host, step, task.crashes, task.id)
             if not allowed or not suits(host, step, task):
                 continue
-            if not _is_left_to_others(host, step, task):
+            if not host_fit.is_left_to_others(host, step, task.id):
                 yield host
 
     def reserve(
@@ -268,16 +269,9 @@
     host: host_state.Host, step: jobs.Step, task: jobstates.Task
 ) -> bool:
     """Return whether a usable host can run one more task of a step."""
-    if not step.reserved.fits(host.free):
-        return False
-    waits = host.late_starts or host.incarnation.ends.withheld
-    if waits and not (step.long_lived or host.has_room_for_end):
-        return False
-    if step.label and step.label not in host.entry.labels:
-        return False
-    if not step.per_host:
-        return True
-    return host.step_runs.get(jobstates.step_key(task.id), 0) < step.per_host
+    return step.reserved.fits(host.free) and host_fit.suits_beside(
+        host, step, task.id
+    )
 
 
 def gang_candidates(
@@ -300,26 +294,6 @@
     yield allowed
 
 
-def _is_left_to_others(
-    host: host_state.Host, step: jobs.Step, task: jobstates.Task
-) -> bool:
-    """Return whether a step's last places on a host are for other tasks.
-
-    A start of theirs may still be late there, so that they may start on no
-    other host, and they have no run now.
-    """
-    if not (step.per_host and step.long_lived and host.late_starts):
-        return False
-    key = jobstates.step_key(task.id)
-    late = {
-        other
-        for other, _ in host.late_starts
-        if jobstates.step_key(other) == key and other != task.id
-    }
-    late.difference_update(run.task for run in host.runs.values())
-    return host.step_runs.get(key, 0) + len(late) >= step.per_host
-
-
 def _rank(
     host: host_state.Host, step: jobs.Step, task: jobstates.Task, slow: bool
 ) -> tuple[bool, bool, bool]:
--- a/azurewood/policy/host_crashes.py
+++ b/azurewood/policy/host_crashes.py
@@ -11,9 +11,11 @@
 others may have been there by chance. So a suspect, which has one crash, starts
 next where the fewest runs are beside it, apart from other suspects. With two
 crashes it starts alone, that is, beside settled runs only, and nothing else
-starts there until it has settled. With four crashes, of which two were then
-its own, it is given up. Three would do if hosts never crashed by chance; but a
-task that was beside a deadly one twice may meet a chance crash alone.
+starts there until it has settled. How long a host is held for it is bounded:
+see `azurewood.policy.reservations`. With four
+crashes, of which two were then its own, a task is given up. Three would do if
+hosts never crashed by chance; but a task that was beside a deadly one twice
+may meet a chance crash alone.
 
 A suspect that may start on one host only, as an earlier start may still be
 carried out there, would wait beside free hosts while other suspects start on
@@ -26,12 +28,13 @@
 which the run was seen. Each start that the leader decides on counts anew.
 """
 
+from collections import abc
 import dataclasses
 import typing
 
 from azurewood.jobs import model as jobs
+from azurewood.policy import host_fit
 from azurewood.scheduling import host_state
-from azurewood.scheduling import jobstates
 
 SETTLED_S: typing.Final = 1.5
 """Time at work from which a run is not expected to crash its host."""
@@ -117,14 +120,16 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class WaitingSuspect:
-    """A task that waits to start alone.
+    """A task that waits to start alone and may start in this pass.
 
-    ``host`` is the only one on which it may start, or None.
+    ``host`` is the only one on which it may start, or None. ``allowed`` has
+    the hosts that advice allows, None if all are.
     """
 
     task: jobs.TaskId
     step: jobs.Step
     host: str | None = None
+    allowed: abc.Container[str] | None = None
 
 
 class Separation:
@@ -133,16 +138,21 @@
     ``held`` hosts start nothing else, but for tasks that may start on no
     other host; on ``occupied`` ones such a task has started lately. Tasks
     that start alone do so on ``quiet`` hosts, where all runs have settled.
+    It is the others' turn on ``open`` hosts: none of these tasks starts there.
     ``bound`` maps the hosts that are the only ones for some of these tasks to
     those tasks; no others start alone there.
+
+    A host is held only for a task that the next pass would start there if
+    all that ends on the host had ended and the rest had settled.
     """
 
-    __slots__ = ("bound", "held", "occupied", "quiet")
+    __slots__ = ("bound", "held", "occupied", "open", "quiet")
 
-    def __init__(self) -> None:
+    def __init__(self, *, open_hosts: abc.Iterable[str] = ()) -> None:
         self.bound: dict[str, set[jobs.TaskId]] = {}
         self.held: set[str] = set()
         self.occupied: set[str] = set()
+        self.open = frozenset(open_hosts)
         self.quiet: set[str] = set()
 
     def hold(
@@ -156,7 +166,8 @@
         """
         unsettled = {host.id: _unsettled(host) for host in hosts}
         self.quiet = {id for id, count in unsettled.items() if not count}
-        most = max(1, int(len(hosts) * MAX_HELD_SHARE))
+        hosts = [host for host in hosts if host.id not in self.open]
+        most = max(1, int(len(unsettled) * MAX_HELD_SHARE))
         bound = self._bind(hosts, waiting)
         free = max(0, most - len(self.held) - len(bound))
         self.held.update(host.id for host in bound[:most])
@@ -166,7 +177,7 @@
             fitting = (
                 host
                 for host in hosts
-                if host.id not in self.held and _may_run(host, suspect)
+                if host.id not in self.held and _may_hold(host, suspect)
             )
             best = min(
                 fitting,
@@ -211,8 +222,9 @@
         """
         if starts_alone(step, crashes):
             bound = self.bound.get(host.id)
-            others = bound is not None and task not in bound
-            return host.id in self.quiet and not others
+            if bound is not None and task not in bound:
+                return False
+            return host.id in self.quiet and host.id not in self.open
         return host.id not in (self.occupied if only_here else self.held)
 
     def add(self, host: host_state.Host, run: host_state.Run) -> None:
@@ -228,17 +240,23 @@
 
 
 def _may_run(host: host_state.Host, suspect: WaitingSuspect) -> bool:
-    """Return whether a host can run a task once its other runs have ended.
+    """Return whether a host can run a task once what ends there has ended.
 
-    Those of the task's own step don't end for it.
+    Runs that last don't end for it, nor do those of the task's own step.
     """
     step = suspect.step
-    if not step.reserved.fits(host.entry.capacity):
-        return False
-    if step.label and step.label not in host.entry.labels:
+    if suspect.allowed is not None and host.id not in suspect.allowed:
         return False
-    beside = host.step_runs.get(jobstates.step_key(suspect.task), 0)
-    return not step.per_host or beside < step.per_host
+    return step.reserved.fits(host_fit.room_beside_lasting(host)) and (
+        host_fit.suits_beside(host, step, suspect.task)
+    )
+
+
+def _may_hold(host: host_state.Host, suspect: WaitingSuspect) -> bool:
+    """Return whether to hold a host for a task that may go to any."""
+    return _may_run(host, suspect) and not host_fit.is_left_to_others(
+        host, suspect.step, suspect.task
+    )
 
 
 def _unsettled(host: host_state.Host) -> int:
--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -17,8 +17,10 @@
 
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_crashes
+from azurewood.policy import reservations
 from azurewood.policy import restarts
 from azurewood.scheduling import account_limits
+from azurewood.scheduling import advice
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
@@ -215,34 +217,70 @@
     """
     if not state.suspects:
         return None
-    found = host_crashes.Separation()
-    waiting = []
+    occupied, waiting = set(), []
     for job, task in _suspects(state, service):
         step = job.step_of(task.id)
         if not host_crashes.starts_alone(step, task.crashes):
             continue
         if task.phase is jobstates.TaskPhase.WAITING:
-            waiting.extend(_waiting_suspect(state, task, step, now))
+            waiting.extend(_waiting_suspect(state, job, task, step, now))
             continue
         host = state.hosts.get(task.host)
         run = host.runs.get((task.id, task.run)) if host else None
         if run is not None and not host_crashes.is_settled(
             run, host.listed_at
         ):
-            found.occupy(host.id)
+            occupied.add(host.id)
+    _end_holds(state, hosts, now)
+    found = host_crashes.Separation(
+        open_hosts=(
+            host.id for host in hosts if host.reservation.is_open(now)
+        ),
+    )
+    for host_id in occupied:
+        found.occupy(host_id)
     if waiting:
         found.hold(hosts, waiting)
+    for host in hosts:
+        held = host.id in found.held and host.id not in occupied
+        host.reservation.note_held(held=held, now=now)
     return found
 
 
+def _end_holds(
+    state: model.State, hosts: abc.Iterable[host_state.Host], now: float
+) -> None:
+    """End the holds that have brought nothing, and log them."""
+    for host in hosts:
+        if host.reservation.give_up_if_due(now):
+            state.log_event(
+                "host.hold_given_up",
+                host=host.id,
+                service=host.entry.service,
+                held_ms=int(reservations.MAX_HELD_S * 1000),
+                runs=len(host.runs),
+                free=host.free.compact(),
+            )
+
+
 def _waiting_suspect(
-    state: model.State, task: jobstates.Task, step: jobs.Step, now: float
+    state: model.State,
+    job: jobstates.JobState,
+    task: jobstates.Task,
+    step: jobs.Step,
+    now: float,
 ) -> abc.Iterator[host_crashes.WaitingSuspect]:
-    """Yield a waiting task if there is a host on which it may start.
+    """Yield a waiting task if it may start in this pass on some host.
 
-    No host is held for a task whose account has no room.
+    No host is held for a task whose turn has not come, or whose account has
+    no room.
     """
-    if not account_limits.may_start(state, state.jobs[task.id.job], task, now):
+    key = jobstates.step_key(task.id)
+    if job.cancelled or now < task.waits_until:
+        return
+    if key[1:] not in job.open_steps(state.unix_ms):
+        return
+    if not account_limits.may_start(state, job, task, now):
         return
     match latestarts.where_to_start(state, task, now):
         case restarts.Again(host=host) | restarts.Only(host=host):
@@ -251,7 +289,14 @@
             only = None
         case _:
             return
-    yield host_crashes.WaitingSuspect(task=task.id, step=step, host=only)
+    if only is None and not account_limits.may_start_step(state, job, step):
+        return
+    yield host_crashes.WaitingSuspect(
+        task=task.id,
+        step=step,
+        host=only,
+        allowed=advice.approved_hosts(state, job, key, now),
+    )
 
 
 def _suspects(
--- a/azurewood/scheduling/host_state.py
+++ b/azurewood/scheduling/host_state.py
@@ -7,6 +7,7 @@
 from azurewood.incarnations import incarnation as incarnations
 from azurewood.incarnations import late_starts
 from azurewood.jobs import model
+from azurewood.policy import reservations
 from azurewood.policy import withheld_ends
 from azurewood.scheduling import account_usage
 from azurewood.scheduling import jobstates
@@ -186,6 +187,7 @@
         "renewal_grants",
         "renewals",
         "renewing",
+        "reservation",
         "runs",
         "step_runs",
         "suspended_until",
@@ -219,6 +221,7 @@
         self.unresponsive_since: float | None = None
         self.answered = False
         self.suspended_until = 0.0
+        self.reservation = reservations.Reservation()
         self.runs: dict[tuple[model.TaskId, int], Run] = {}
         self.used = model.Resources()
         self.free = model.Resources()
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -209,10 +209,54 @@
     allowed: abc.Container[str] | None,
     now: float,
 ) -> int:
-    """Place waiting tasks of a step one by one; return how many."""
-    step = job.step_of(ready[0].id)
-    placed = []
-    for task in ready:
+    """Place waiting tasks of a step one by one; return how many.
+
+    Those that start alone come last, in a line of their own: hosts may be
+    held for them against those before, and the other way round.
+    """
+    alone = _suspects(state, job, ready)
+    others = ready
+    if alone:
+        others = [task for task in ready if task not in alone]
+    placed = [
+        task
+        for line in (others, alone)
+        for task in _place_line(state, host_index, job, line, allowed, now)
+    ]
+    placement_lines.log_placed(state, job, placed, len(ready))
+    return len(placed)
+
+
+def _suspects(
+    state: model.State,
+    job: jobstates.JobState,
+    ready: list[jobstates.Task],
+) -> list[jobstates.Task]:
+    """Return the tasks that start alone; there are few, if any."""
+    if not state.suspects:
+        return []
+    return [
+        task
+        for task in ready
+        if task.id in state.suspects and _starts_alone(job, task.id)
+    ]
+
+
+def _place_line(
+    state: model.State,
+    host_index: host_choice.HostIndex,
+    job: jobstates.JobState,
+    line: list[jobstates.Task],
+    allowed: abc.Container[str] | None,
+    now: float,
+) -> abc.Iterator[jobstates.Task]:
+    """Place and yield tasks until one that may go anywhere finds no host.
+
+    The further ones would not find any either. A task that starts alone may
+    find none as the hosts are bound to others in its line.
+    """
+    for task in line:
+        step = job.step_of(task.id)
         if not account_limits.may_start(state, job, task, now):
             if task.late_starts:
                 continue
@@ -228,9 +272,7 @@
         if host is None:
             break
         open_run(state, host_index, host, job, task, now)
-        placed.append(task)
-    placement_lines.log_placed(state, job, placed, len(ready))
-    return len(placed)
+        yield task
 
 
 def _hosts_for(
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -45,6 +45,7 @@
     NOT_APPROVED = "no approved host has room"
     ROOM = "waiting for room"
     SHARE = "beyond the account's share of a full pool"
+    RESERVED = "hosts with room are kept for tasks that start alone"
     NOT_PLACED = "a host has room, but not by order, spread or gang"
     NO_RUN = "its run is on no host's record"
     HOST_SILENT = "the host of its run is silent"
@@ -67,10 +68,18 @@
 
     def fits(self, step: jobs.Step) -> bool:
         """Return whether any host has the resources and label for a task."""
-        return any(
-            step.reserved.fits(host.free)
+        return any(self._fitting(step))
+
+    def is_reserved(self, step: jobs.Step) -> bool:
+        """Return whether all these hosts are kept for other tasks."""
+        return all(host.reservation.is_closed for host in self._fitting(step))
+
+    def _fitting(self, step: jobs.Step) -> abc.Iterator[host_state.Host]:
+        return (
+            host
             for host in self.hosts
-            if not step.label or step.label in host.entry.labels
+            if step.reserved.fits(host.free)
+            and (not step.label or step.label in host.entry.labels)
         )
 
 
@@ -282,7 +291,10 @@
         key = jobstates.step_key(task.id)
         known = advice.all_known(job, key, pool.hosts, now)
         return Why.NOT_APPROVED if known else Why.ADVICE
-    return Why.SHARE if beyond else Why.NOT_PLACED
+    if beyond:
+        return Why.SHARE
+    reserved = pool.is_reserved(job.job.steps[task.id.step])
+    return Why.RESERVED if reserved else Why.NOT_PLACED
 
 
 def _pool(state: model.State, service: str, now: float) -> _PoolCapacity:
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -329,7 +329,8 @@
 def test_a_host_is_held_for_a_suspect_if_the_limit_is_not_looked_at(
     monkeypatch,
 ):
-    monkeypatch.setattr(account_limits, "may_start", lambda *args: True)
+    for name in ("may_start", "may_start_step"):
+        monkeypatch.setattr(account_limits, name, lambda *args: True)
     assert len(_held_for_suspect()) == 1
 
 
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -71,6 +71,12 @@
     return run
 
 
+def _reserved():
+    state = _state()
+    _host(state).reservation.note_held(held=True, now=NOW)
+    return state
+
+
 def _opened():
     state = _state()
     host = _host(state)
@@ -237,6 +243,7 @@
         (_late_start, stuck.Why.LATE_START),
         (_advice, stuck.Why.ADVICE),
         (_not_approved, stuck.Why.NOT_APPROVED),
+        (_reserved, stuck.Why.RESERVED),
         (_state, stuck.Why.NOT_PLACED),
         (_opened, stuck.Why.STORE),
         (_starting, stuck.Why.STARTING),
