Give calls and replies a module of their own

Call, Reply, Outcome and the priority are in azurewood/http/exchanges.py now.

The hypothesis test of call queues failed by its own fault: calls that wait may need a second step at the same time, which the multiplexer's loop makes at once. It plays so many steps now, and asks for the same after them.

--- a/azurewood/daemons/host_calls.py
+++ b/azurewood/daemons/host_calls.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from azurewood.daemons import takeover as takeovers
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
 
@@ -64,7 +64,7 @@
         """Make the call that carries out an effect on a host."""
         platform = self._context.platform
 
-        def answered(reply: multiplex.Reply) -> None:
+        def answered(reply: exchanges.Reply) -> None:
             if reply.new_reset:
                 self._log_reset(effect.host, reply)
             event = platform.host_event(effect, reply)
@@ -119,7 +119,7 @@
             oldest_ms=round(oldest_s * MS_PER_S),
         ).info("calls to a host wait for a connection")
 
-    def _log_reset(self, host_id: str, reply: multiplex.Reply) -> None:
+    def _log_reset(self, host_id: str, reply: exchanges.Reply) -> None:
         """Log that a host has reset a new connection, once in a while."""
         found = self._resets.setdefault(host_id, _Resets())
         found.count += 1
--- a/azurewood/daemons/machine_calls.py
+++ b/azurewood/daemons/machine_calls.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from azurewood.daemons import takeover as takeovers
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.leadership import predecessors
 from azurewood.scheduling import messages
 
@@ -88,7 +88,7 @@
             lambda reply: self._on_page(read, reply),
         )
 
-    def _on_page(self, read: "_ListRead", reply: multiplex.Reply) -> None:
+    def _on_page(self, read: "_ListRead", reply: exchanges.Reply) -> None:
         if read is not self._read:
             return
         page = self._context.platform.machines_page(reply)
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -17,7 +17,7 @@
 from azurewood.daemons import takeover as takeovers
 from azurewood.daemons import term as terms
 from azurewood.daemons import topics
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.jobs import catalog
 from azurewood.jobs import desk as desks
 from azurewood.jobs import model
@@ -375,7 +375,7 @@
             self._append_leader(again)
 
     def _on_leader_append(
-        self, wanted: events.Append, reply: multiplex.Reply
+        self, wanted: events.Append, reply: exchanges.Reply
     ) -> None:
         match self._platform.append_result(reply):
             case appender.Appended(offset=offset):
--- a/azurewood/daemons/ports.py
+++ b/azurewood/daemons/ports.py
@@ -8,7 +8,7 @@
 import typing
 
 from azurewood.http import call_queues
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.jobs import catalog
 from azurewood.jobs import desk
 from azurewood.journal import appender
@@ -32,8 +32,8 @@
 
     def submit(
         self,
-        call: multiplex.Call,
-        done: abc.Callable[[multiplex.Reply], None],
+        call: exchanges.Call,
+        done: abc.Callable[[exchanges.Reply], None],
     ) -> None:
         """Begin a call."""
 
@@ -57,65 +57,65 @@
         producer: str,
         *,
         part: int = 0,
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return a call that appends records with a sequence number."""
 
     def begin_epoch(
         self, topic: pages.Topic, producer: str, epoch: int
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return a call that fences earlier epochs of a producer."""
 
     def append_at(
         self, topic: pages.Topic, data: bytes, at: int
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return a call that appends a record if the topic ends at ``at``."""
 
-    def append_result(self, reply: multiplex.Reply) -> appender.Result:
+    def append_result(self, reply: exchanges.Reply) -> appender.Result:
         """Decode the answer to an append or a new epoch."""
 
     def read(
         self, topic: pages.Topic, offset: int, wait_ms: int, *, part: int = 0
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return a call that reads records from an offset on."""
 
     def read_result(
-        self, topic: pages.Topic, offset: int, reply: multiplex.Reply
+        self, topic: pages.Topic, offset: int, reply: exchanges.Reply
     ) -> pages.ReadResult:
         """Decode the answer to a read."""
 
     def newest(
         self, topic: pages.Topic, after: str, *, part: int = 0
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return a call that lists newest records of keys above ``after``."""
 
-    def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
+    def newest_result(self, reply: exchanges.Reply) -> pages.NewestResult:
         """Decode a page of newest records."""
 
-    def host_call(self, effect: messages.Effect) -> multiplex.Call:
+    def host_call(self, effect: messages.Effect) -> exchanges.Call:
         """Return a call that carries out an effect on a host."""
 
     def host_event(
-        self, effect: messages.Effect, reply: multiplex.Reply
+        self, effect: messages.Effect, reply: exchanges.Reply
     ) -> messages.Event | None:
         """Decode a host's answer; None if it means no event."""
 
-    def machines_call(self, token: str) -> multiplex.Call:
+    def machines_call(self, token: str) -> exchanges.Call:
         """Return a call that reads a page of the list of machines."""
 
-    def machines_page(self, reply: multiplex.Reply) -> typing.Any:
+    def machines_page(self, reply: exchanges.Reply) -> typing.Any:
         """Decode a page of the list of machines."""
 
-    def order_call(self, order: messages.Effect, fence: int) -> multiplex.Call:
+    def order_call(self, order: messages.Effect, fence: int) -> exchanges.Call:
         """Return a call that sends an order about a machine."""
 
-    def order_result(self, reply: multiplex.Reply) -> messages.OrderResult:
+    def order_result(self, reply: exchanges.Reply) -> messages.OrderResult:
         """Decode the answer to an order."""
 
-    def advice_call(self, ask: messages.AskAdvice) -> multiplex.Call:
+    def advice_call(self, ask: messages.AskAdvice) -> exchanges.Call:
         """Return a call that asks which hosts may run a step."""
 
     def advice_event(
-        self, ask: messages.AskAdvice, reply: multiplex.Reply
+        self, ask: messages.AskAdvice, reply: exchanges.Reply
     ) -> messages.Advised | messages.AdviceFailed:
         """Decode the advice about a step's hosts, or that there is none."""
 
--- a/azurewood/daemons/takeover.py
+++ b/azurewood/daemons/takeover.py
@@ -18,7 +18,7 @@
 
 from azurewood.daemons import ports
 from azurewood.daemons import topics
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.incarnations import limits
 from azurewood.jobs import catalog
 from azurewood.jobs import registry
@@ -180,7 +180,7 @@
         self.stage = Stage.READING
 
     def _on_fence_reply(
-        self, topic: pages.Topic, reply: multiplex.Reply
+        self, topic: pages.Topic, reply: exchanges.Reply
     ) -> None:
         self._call_pending = False
         self._retry_at = self._context.clock() + RETRY_S
@@ -228,7 +228,7 @@
             call, lambda reply: self._on_jobs_end_read(offset, reply)
         )
 
-    def _on_jobs_end_read(self, offset: int, reply: multiplex.Reply) -> None:
+    def _on_jobs_end_read(self, offset: int, reply: exchanges.Reply) -> None:
         self._call_pending = False
         self._retry_at = self._context.clock() + RETRY_S
         result = self._context.platform.read_result(
--- a/azurewood/daemons/topics.py
+++ b/azurewood/daemons/topics.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from azurewood.daemons import ports
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
@@ -188,7 +188,7 @@
             item.token(UNKNOWN_OFFSET)
 
     def _on_reply(
-        self, request: appender.Request, reply: multiplex.Reply
+        self, request: appender.Request, reply: exchanges.Reply
     ) -> None:
         result = self._platform.append_result(reply)
         attempts = self._appender.attempts
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -12,7 +12,6 @@
 
 from collections import abc
 import dataclasses
-import enum
 import functools
 import io
 import typing
@@ -21,14 +20,12 @@
 
 from azurewood.http import call_queues
 from azurewood.http import curl_loop
+from azurewood.http import exchanges
 from azurewood.http import known_connections
 from azurewood.http import options
 from azurewood.http import progress
 from azurewood.http import sending
 from azurewood.http import sockets
-from azurewood.policy import host_connections
-
-Priority = host_connections.Priority
 
 MAX_IDLE_CONNECTIONS: typing.Final = 2048
 """Connections kept open: two to each of a thousand hosts, and half of the
@@ -38,78 +35,12 @@
 to 20 reads of the store open beside its appends."""
 
 
-class Outcome(enum.Enum):
-    """Whether a call was answered, not sent, or may have been processed."""
-
-    ANSWERED = "answered"
-    NOT_SENT = "not sent"
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Call:
-    """A call to make; the answer must be complete within ``timeout_ms``.
-
-    With ``progress_timeout_ms`` it also fails once no byte of its answer has
-    arrived for so long.
-
-    A call that has not been sent by ``send_by``, on the multiplexer's clock,
-    is not sent at all. Causes of such a delay are busy connections, a slow
-    handshake or a process that was stopped.
-
-    With ``connected_by`` it is only sent over a connection that has answered
-    before and was made by then. Nothing else reaches just the process that
-    had the address at that time.
-
-    With a ``priority`` it waits in line for a connection to its address. The
-    wait is part of ``timeout_ms``; a call that is still in line then ends as
-    not sent.
-    """
-
-    method: str
-    url: str
-    headers: tuple[str, ...] = ()
-    body: bytes | None = None
-    timeout_ms: int
-    progress_timeout_ms: int | None = None
-    send_by: float | None = None
-    connected_by: float | None = None
-    priority: Priority | None = None
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class Reply:
-    """The result of a call; ``status`` and ``body`` are set if answered.
-
-    ``sent_at`` is when the call was submitted and ``at`` when it ended, both
-    on the multiplexer's clock. ``written_at`` is just before the request of
-    an answered call was last written, when its connection had been made.
-    ``writes`` is how often the request was written: more than once only a
-    GET whose reused connection was reset.
-    ``disconnected`` is whether a call with ``connected_by`` failed for want
-    of such a connection, or as it was closed, and not for want of time.
-    ``new_reset`` is whether a connection that was made for the call ended
-    before any answer, as with a server that has no more of them.
-    """
-
-    outcome: Outcome
-    status: int = 0
-    body: bytes = b""
-    reason: str = ""
-    sent_at: float
-    at: float
-    written_at: float = 0.0
-    writes: int = 0
-    disconnected: bool = False
-    new_reset: bool = False
-
-
-Callback = abc.Callable[[Reply], None]
+Callback = abc.Callable[[exchanges.Reply], None]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Transfer:
-    call: Call
+    call: exchanges.Call
     done: Callback
     buffer: io.BytesIO
     sent_at: float
@@ -152,7 +83,7 @@
         self._queues = call_queues.CallQueues()
         self._transfers: dict[pycurl.Curl, _Transfer] = {}
         self._idle_handles: list[pycurl.Curl] = []
-        self._unsent: list[tuple[Callback, Reply]] = []
+        self._unsent: list[tuple[Callback, exchanges.Reply]] = []
         self._closing = False
         self.waited_s = 0.0
         self._loop = curl_loop.CurlLoop()
@@ -171,7 +102,7 @@
         """Yield the lines of calls with a priority that wait."""
         return self._queues.lengths()
 
-    def submit(self, call: Call, done: Callback) -> None:
+    def submit(self, call: exchanges.Call, done: Callback) -> None:
         """Start a call; ``run_once`` calls ``done`` with its reply.
 
         A call that cannot be made, such as one whose URL is no text in
@@ -248,8 +179,8 @@
     def _end_unsent(self, transfer: _Transfer, reason: str) -> None:
         """Let ``run_once`` answer a call that was not sent."""
         now = self._clock()
-        reply = Reply(
-            outcome=Outcome.NOT_SENT,
+        reply = exchanges.Reply(
+            outcome=exchanges.Outcome.NOT_SENT,
             reason=reason,
             sent_at=transfer.sent_at,
             at=now,
@@ -411,15 +342,15 @@
         curl: pycurl.Curl,
         transfer: _Transfer,
         error: tuple[int, str] | None,
-    ) -> Reply:
+    ) -> exchanges.Reply:
         now = self._clock()
         is_new = curl.getinfo(pycurl.NUM_CONNECTS) > 0
         if error is None:
             self._connections.answered(
                 transfer.connection, transfer.written_at, is_new=is_new
             )
-            return Reply(
-                outcome=Outcome.ANSWERED,
+            return exchanges.Reply(
+                outcome=exchanges.Outcome.ANSWERED,
                 status=curl.getinfo(pycurl.RESPONSE_CODE),
                 body=transfer.buffer.getvalue(),
                 sent_at=transfer.sent_at,
@@ -433,8 +364,10 @@
             text = transfer.sending.trouble.value
         bound = transfer.call.connected_by is not None
         unsent = sockets.nothing_sent(curl)
-        return Reply(
-            outcome=Outcome.NOT_SENT if unsent else Outcome.UNKNOWN,
+        return exchanges.Reply(
+            outcome=exchanges.Outcome.NOT_SENT
+            if unsent
+            else exchanges.Outcome.UNKNOWN,
             reason=text,
             sent_at=transfer.sent_at,
             at=now,
--- a/azurewood/http/options.py
+++ b/azurewood/http/options.py
@@ -21,7 +21,7 @@
 
 
 def prepare(curl: pycurl.Curl, call: typing.Any, buffer: io.BytesIO) -> None:
-    """Set the options of a ``multiplex.Call`` whose answer goes to a buffer.
+    """Set the options of a ``exchanges.Call`` whose answer goes to a buffer.
 
     Raise ``ValueError``, ``OverflowError`` or ``pycurl.error`` for a value
     that libcurl does not take.
--- a/azurewood/platform/base.py
+++ b/azurewood/platform/base.py
@@ -4,7 +4,7 @@
 
 from azurewood.conf import fleet
 from azurewood.daemons import ports
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.jobs import catalog
 from azurewood.jobs import desk
 from azurewood.journal import appender
@@ -27,7 +27,7 @@
 class UsersPlatform:
     """Encodes calls to the users' platform and decodes its replies.
 
-    Methods that return a ``multiplex.Call`` send nothing: the daemon makes
+    Methods that return a ``exchanges.Call`` send nothing: the daemon makes
     the call and passes the reply to the method that decodes it.
     """
 
@@ -45,14 +45,14 @@
         producer: str,
         *,
         part: int = 0,
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return the call that appends records with a sequence number."""
         url = self._settings.store_url
         return store.append(url, topic, request, producer, part=part)
 
     def begin_epoch(
         self, topic: pages.Topic, producer: str, epoch: int
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return the call that fences a producer's earlier epochs."""
         url = self._settings.store_url
         return store.begin_epoch(
@@ -61,7 +61,7 @@
 
     def append_at(
         self, topic: pages.Topic, data: bytes, at: int
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return the call that appends a record at the topic's end.
 
         The store refuses the append unless the topic ends at ``at``.
@@ -69,42 +69,42 @@
         url = self._settings.store_url
         return store.append_at(url, topic, data, at, APPEND_TIMEOUT_MS)
 
-    def append_result(self, reply: multiplex.Reply) -> appender.Result:
+    def append_result(self, reply: exchanges.Reply) -> appender.Result:
         """Decode the reply to an append of any kind."""
         return store.append_result(reply)
 
     def read(
         self, topic: pages.Topic, offset: int, wait_ms: int, *, part: int = 0
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return the call that reads records starting at an offset."""
         url = self._settings.store_url
         return store.read(url, topic, offset, wait_ms, part=part)
 
     def read_result(
-        self, topic: pages.Topic, offset: int, reply: multiplex.Reply
+        self, topic: pages.Topic, offset: int, reply: exchanges.Reply
     ) -> pages.ReadResult:
         """Decode the reply to a read."""
         return store.read_result(topic, offset, reply)
 
     def newest(
         self, topic: pages.Topic, after: str, *, part: int = 0
-    ) -> multiplex.Call:
+    ) -> exchanges.Call:
         """Return the call that reads the newest record of each key.
 
         ``after`` is the last key of the previous page, empty for the first.
         """
         return store.newest(self._settings.store_url, topic, after, part=part)
 
-    def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
+    def newest_result(self, reply: exchanges.Reply) -> pages.NewestResult:
         """Decode a page of newest records."""
         return store.newest_result(reply)
 
-    def host_call(self, effect: messages.Effect) -> multiplex.Call:
+    def host_call(self, effect: messages.Effect) -> exchanges.Call:
         """Return the call that carries out an effect on a host."""
         return hosts.call(effect)
 
     def host_event(
-        self, effect: messages.Effect, reply: multiplex.Reply
+        self, effect: messages.Effect, reply: exchanges.Reply
     ) -> messages.Event | None:
         """Decode a host's reply to an effect.
 
@@ -112,7 +112,7 @@
         """
         return hosts.event(effect, reply)
 
-    def machines_call(self, token: str) -> multiplex.Call:
+    def machines_call(self, token: str) -> exchanges.Call:
         """Return the call that reads a page of the machine list.
 
         ``token`` comes from the previous page and is empty for the first.
@@ -120,26 +120,26 @@
         return machines.list_call(self._settings.machines_url, token)
 
     def machines_page(
-        self, reply: multiplex.Reply
+        self, reply: exchanges.Reply
     ) -> machines.MachinePage | None:
         """Decode a page of the machine list; None if the read failed."""
         return machines.list_page(reply)
 
-    def order_call(self, order: messages.Effect, fence: int) -> multiplex.Call:
+    def order_call(self, order: messages.Effect, fence: int) -> exchanges.Call:
         """Return the call that sends an order for a machine."""
         url = self._settings.machines_url
         return machines.order_call(url, order, self._settings.name, fence)
 
-    def order_result(self, reply: multiplex.Reply) -> messages.OrderResult:
+    def order_result(self, reply: exchanges.Reply) -> messages.OrderResult:
         """Decode the reply to an order."""
         return machines.order_result(reply)
 
-    def advice_call(self, ask: messages.AskAdvice) -> multiplex.Call:
+    def advice_call(self, ask: messages.AskAdvice) -> exchanges.Call:
         """Return the call that asks which hosts may run a step."""
         return machines.advice_call(self._settings.advice_url, ask)
 
     def advice_event(
-        self, ask: messages.AskAdvice, reply: multiplex.Reply
+        self, ask: messages.AskAdvice, reply: exchanges.Reply
     ) -> messages.Advised | messages.AdviceFailed:
         """Decode the advice service's reply, which may be a failure."""
         return machines.advice_event(ask, reply)
--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -14,7 +14,7 @@
 
 from azurewood.conf import decoding
 from azurewood.conf import kinds
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.jobs import model
 from azurewood.platform import addresses
 from azurewood.platform import exceptions
@@ -30,7 +30,7 @@
 _ID: typing.Final = re.compile(r"[!-~]+")
 """What a header can hold as the id of a call's host."""
 
-_Priority = multiplex.Priority
+_Priority = exchanges.Priority
 
 MAX_AMOUNT: typing.Final = 1 << 40
 """Bound of a capacity's figures: the sum of a million hosts has 60 bits."""
@@ -149,7 +149,7 @@
     return model.TaskId(job, *map(int, numbers))
 
 
-def call(effect: messages.Effect) -> multiplex.Call:
+def call(effect: messages.Effect) -> exchanges.Call:
     """Return the call that carries out an effect on a host."""
     match effect:
         case messages.StartRun():
@@ -212,9 +212,9 @@
     body: dict[str, object],
     *,
     timeout_ms: int = CALL_TIMEOUT_MS,
-    priority: multiplex.Priority = _Priority.NORMAL,
-) -> multiplex.Call:
-    return multiplex.Call(
+    priority: exchanges.Priority = _Priority.NORMAL,
+) -> exchanges.Call:
+    return exchanges.Call(
         method="POST",
         url=f"http://{effect.address}{path}",
         headers=(JSON_HEADER, f"{TARGET_HEADER}: {effect.host}"),
@@ -225,7 +225,7 @@
 
 
 def event(
-    effect: messages.Effect, reply: multiplex.Reply
+    effect: messages.Effect, reply: exchanges.Reply
 ) -> messages.Event | None:
     """Return the event that a host's reply stands for.
 
@@ -264,11 +264,11 @@
             return None
 
 
-def _refusal(reply: multiplex.Reply) -> messages.Refusal | None:
+def _refusal(reply: exchanges.Reply) -> messages.Refusal | None:
     match reply.outcome:
-        case multiplex.Outcome.NOT_SENT:
+        case exchanges.Outcome.NOT_SENT:
             return messages.Refusal.NOT_SENT
-        case multiplex.Outcome.UNKNOWN:
+        case exchanges.Outcome.UNKNOWN:
             return messages.Refusal.UNKNOWN
     match reply.status:
         case 200:
@@ -286,7 +286,7 @@
             return messages.Refusal.UNKNOWN
 
 
-def _answer(reply: multiplex.Reply) -> _Answer:
+def _answer(reply: exchanges.Reply) -> _Answer:
     """Decode a reply's body; a malformed one counts as empty."""
     try:
         return decoding.decode_json(reply.body or b"{}", _Answer)
@@ -295,7 +295,7 @@
 
 
 def _listing(
-    effect: messages.RenewLease, reply: multiplex.Reply
+    effect: messages.RenewLease, reply: exchanges.Reply
 ) -> messages.Event:
     refusal = _refusal(reply)
     if reply.disconnected:
--- a/azurewood/platform/machines.py
+++ b/azurewood/platform/machines.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from azurewood.conf import decoding
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.platform import exceptions
 from azurewood.platform import hosts
 from azurewood.scheduling import messages
@@ -68,19 +68,19 @@
     token: str
 
 
-def list_call(url: str, token: str) -> multiplex.Call:
+def list_call(url: str, token: str) -> exchanges.Call:
     """Return the call that reads a page of the machine list."""
     query = "?" + urllib.parse.urlencode({"page_token": token})
-    return multiplex.Call(
+    return exchanges.Call(
         method="GET",
         url=f"{url}/api/machines{query if token else ''}",
         timeout_ms=CALL_TIMEOUT_MS,
     )
 
 
-def list_page(reply: multiplex.Reply) -> MachinePage | None:
+def list_page(reply: exchanges.Reply) -> MachinePage | None:
     """Return a page of the machine list; None if the read failed."""
-    if reply.outcome is not multiplex.Outcome.ANSWERED or reply.status != 200:
+    if reply.outcome is not exchanges.Outcome.ANSWERED or reply.status != 200:
         return None
     try:
         found = decoding.decode_json(reply.body, _Listing)
@@ -108,7 +108,7 @@
     order: messages.MoveMachine | messages.MaintainMachine,
     holder: str,
     fence: int,
-) -> multiplex.Call:
+) -> exchanges.Call:
     """Return the call that orders a machine's move or maintenance.
 
     ``holder`` is the name of the daemon that sends the order, ``fence`` the
@@ -121,7 +121,7 @@
         case messages.MaintainMachine(machine=machine, wave=wave):
             path = "/api/machine-upkeep"
             body = {"machine": machine, "tranche": wave}
-    return multiplex.Call(
+    return exchanges.Call(
         method="POST",
         url=url + path,
         headers=(
@@ -135,12 +135,12 @@
     )
 
 
-def order_result(reply: multiplex.Reply) -> messages.OrderResult:
+def order_result(reply: exchanges.Reply) -> messages.OrderResult:
     """Return the result of an order."""
     match reply.outcome:
-        case multiplex.Outcome.NOT_SENT:
+        case exchanges.Outcome.NOT_SENT:
             return messages.OrderResult.NOT_DONE
-        case multiplex.Outcome.UNKNOWN:
+        case exchanges.Outcome.UNKNOWN:
             return messages.OrderResult.UNKNOWN
     match reply.status:
         case 200:
@@ -197,13 +197,13 @@
     return f"wave/{report.number}", msgspec.json.encode(value)
 
 
-def advice_call(url: str, ask: messages.AskAdvice) -> multiplex.Call:
+def advice_call(url: str, ask: messages.AskAdvice) -> exchanges.Call:
     """Return the call that asks which hosts may run a step."""
     body = {
         "phase": f"{ask.job}.{ask.occurrence}.{ask.step}",
         "workers": list(ask.hosts),
     }
-    return multiplex.Call(
+    return exchanges.Call(
         method="POST",
         url=f"{url}/api/advise",
         headers=(hosts.JSON_HEADER,),
@@ -213,10 +213,10 @@
 
 
 def advice_event(
-    ask: messages.AskAdvice, reply: multiplex.Reply
+    ask: messages.AskAdvice, reply: exchanges.Reply
 ) -> messages.Advised | messages.AdviceFailed:
     """Return the advice in a reply, or that the call failed."""
-    if reply.outcome is not multiplex.Outcome.ANSWERED or reply.status != 200:
+    if reply.outcome is not exchanges.Outcome.ANSWERED or reply.status != 200:
         return _no_advice(ask, reply)
     try:
         advice = decoding.decode_json(reply.body, _Advice)
@@ -232,7 +232,7 @@
 
 
 def _no_advice(
-    ask: messages.AskAdvice, reply: multiplex.Reply
+    ask: messages.AskAdvice, reply: exchanges.Reply
 ) -> messages.AdviceFailed:
     return messages.AdviceFailed(
         job=ask.job,
--- a/azurewood/platform/store.py
+++ b/azurewood/platform/store.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from azurewood.conf import decoding
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.journal import appender
 from azurewood.journal import pages
 from azurewood.platform import exceptions
@@ -84,7 +84,7 @@
     producer: str,
     *,
     part: int = 0,
-) -> multiplex.Call:
+) -> exchanges.Call:
     """Return the call that appends records with a sequence number."""
     query = {
         "topic": TOPIC_NAMES[topic],
@@ -99,7 +99,7 @@
 
 def begin_epoch(
     url: str, topic: pages.Topic, producer: str, epoch: int, timeout_ms: int
-) -> multiplex.Call:
+) -> exchanges.Call:
     """Return the call that fences a producer's earlier epochs.
 
     It is an append without records.
@@ -116,7 +116,7 @@
 
 def append_at(
     url: str, topic: pages.Topic, data: bytes, at: int, timeout_ms: int
-) -> multiplex.Call:
+) -> exchanges.Call:
     """Return the call that appends a record at the topic's end.
 
     The store refuses the append unless the topic ends at ``at``.
@@ -128,8 +128,8 @@
 
 def _append(
     url: str, query: dict[str, object], body: bytes, timeout_ms: int
-) -> multiplex.Call:
-    return multiplex.Call(
+) -> exchanges.Call:
+    return exchanges.Call(
         method="POST",
         url=f"{url}/api/log-append?{urllib.parse.urlencode(query)}",
         headers=("Content-Type: application/octet-stream",),
@@ -146,12 +146,12 @@
     return RECORD_LENGTH.pack(len(data)) + data
 
 
-def append_result(reply: multiplex.Reply) -> appender.Result:
+def append_result(reply: exchanges.Reply) -> appender.Result:
     """Return the result of an append."""
     match reply.outcome:
-        case multiplex.Outcome.NOT_SENT:
+        case exchanges.Outcome.NOT_SENT:
             return appender.NotDone(reason=reply.reason)
-        case multiplex.Outcome.UNKNOWN:
+        case exchanges.Outcome.UNKNOWN:
             return appender.Unknown(reason=reply.reason)
     if reply.status in (429, 503):
         return appender.NotDone(reason=f"store answered {reply.status}")
@@ -178,7 +178,7 @@
 
 def read(
     url: str, topic: pages.Topic, offset: int, wait_ms: int, *, part: int = 0
-) -> multiplex.Call:
+) -> exchanges.Call:
     """Return the call that reads records starting at an offset."""
     query = {
         "topic": TOPIC_NAMES[topic],
@@ -188,7 +188,7 @@
     }
     if wait_ms:
         query["wait_ms"] = wait_ms
-    return multiplex.Call(
+    return exchanges.Call(
         method="GET",
         url=f"{url}/api/log-read?{urllib.parse.urlencode(query)}",
         timeout_ms=MAX_READ_MS,
@@ -197,10 +197,10 @@
 
 
 def read_result(
-    topic: pages.Topic, offset: int, reply: multiplex.Reply
+    topic: pages.Topic, offset: int, reply: exchanges.Reply
 ) -> pages.ReadResult:
     """Return the records in a reply, or why there are none."""
-    if reply.outcome is not multiplex.Outcome.ANSWERED:
+    if reply.outcome is not exchanges.Outcome.ANSWERED:
         return pages.Failed(reason=reply.reason)
     if reply.status == 410:
         return _trimmed(reply.body)
@@ -251,7 +251,7 @@
 
 def newest(
     url: str, topic: pages.Topic, after: str, *, part: int = 0
-) -> multiplex.Call:
+) -> exchanges.Call:
     """Return the call that reads the newest record of each key.
 
     ``after`` is the last key of the previous page, empty for the first.
@@ -259,7 +259,7 @@
     query = {"topic": TOPIC_NAMES[topic], "part": part}
     if after:
         query["after"] = after
-    return multiplex.Call(
+    return exchanges.Call(
         method="GET",
         url=f"{url}/api/log-newest?{urllib.parse.urlencode(query)}",
         timeout_ms=MAX_READ_MS,
@@ -267,9 +267,9 @@
     )
 
 
-def newest_result(reply: multiplex.Reply) -> pages.NewestResult:
+def newest_result(reply: exchanges.Reply) -> pages.NewestResult:
     """Return a page of newest records, or why there is none."""
-    if reply.outcome is not multiplex.Outcome.ANSWERED:
+    if reply.outcome is not exchanges.Outcome.ANSWERED:
         return pages.Failed(reason=reply.reason)
     if reply.status == 404:
         return pages.Newest(records=(), offsets=(), more=False, end=0)
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -9,7 +9,7 @@
 import typing
 
 from azurewood.daemons import member as members
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.http import sockets
 from azurewood.journal import appender
 from standins.fleet import platform
@@ -45,7 +45,7 @@
     def submit(
         self,
         call: platform.SimCall,
-        done: abc.Callable[[multiplex.Reply], None],
+        done: abc.Callable[[exchanges.Reply], None],
     ) -> None:
         """Send a call and pass its outcome to ``done`` later.
 
@@ -54,7 +54,7 @@
         self._member.processor.charge(CALL_COST_IN_FUNCTION_CALLS)
         self.under_way += 1
 
-        def on_reply(reply: multiplex.Reply) -> None:
+        def on_reply(reply: exchanges.Reply) -> None:
             self.under_way -= 1
             done(reply)
 
@@ -90,7 +90,7 @@
         world: typing.Any,
         member: "SimMember",
         call: platform.SimCall,
-        done: abc.Callable[[multiplex.Reply], None],
+        done: abc.Callable[[exchanges.Reply], None],
     ) -> None:
         self.world = world
         self.member = member
@@ -104,7 +104,7 @@
     def send(self) -> None:
         """Start the call and its timeout."""
         if self.sent_at >= self.call.send_by:
-            unsent = multiplex.Outcome.NOT_SENT
+            unsent = exchanges.Outcome.NOT_SENT
             self.world.clock.after(0.0, lambda: self._finish(unsent, b""))
             return
         self.world.clock.after(self.call.timeout_s, self._time_out)
@@ -205,17 +205,17 @@
 
     def _answer(self, answer: object) -> None:
         if self.world.reachable(self.member, self.call.target):
-            self._finish(multiplex.Outcome.ANSWERED, answer)
+            self._finish(exchanges.Outcome.ANSWERED, answer)
 
     def _disconnect(self) -> None:
         """End a call that has no connection left to go over."""
         self._disconnected = not self._answered
-        self._finish(multiplex.Outcome.NOT_SENT, b"")
+        self._finish(exchanges.Outcome.NOT_SENT, b"")
 
     def _time_out(self) -> None:
-        self._finish(multiplex.Outcome.UNKNOWN, b"")
+        self._finish(exchanges.Outcome.UNKNOWN, b"")
 
-    def _finish(self, outcome: multiplex.Outcome, answer: object) -> None:
+    def _finish(self, outcome: exchanges.Outcome, answer: object) -> None:
         if self._answered or self.incarnation != self.member.incarnation:
             return
         if self.member.frozen:
@@ -224,9 +224,9 @@
         self._answered = True
         self.member.handle(lambda: self._done(outcome, answer))
 
-    def _done(self, outcome: multiplex.Outcome, answer: object) -> None:
+    def _done(self, outcome: exchanges.Outcome, answer: object) -> None:
         self.done(
-            multiplex.Reply(
+            exchanges.Reply(
                 outcome=outcome,
                 body=answer,
                 reason=outcome.value,
--- a/standins/fleet/platform.py
+++ b/standins/fleet/platform.py
@@ -9,7 +9,7 @@
 import math
 import typing
 
-from azurewood.http import multiplex
+from azurewood.http import exchanges
 from azurewood.jobs import catalog
 from azurewood.journal import appender
 from azurewood.journal import pages
@@ -47,9 +47,9 @@
     connected_by: float | None = None
 
 
-def unwrap(reply: multiplex.Reply, otherwise: typing.Any) -> typing.Any:
+def unwrap(reply: exchanges.Reply, otherwise: typing.Any) -> typing.Any:
     """Return the body of an answered call, ``otherwise`` for any other."""
-    if reply.outcome is multiplex.Outcome.ANSWERED:
+    if reply.outcome is exchanges.Outcome.ANSWERED:
         return reply.body
     return otherwise
 
@@ -108,9 +108,9 @@
             partition=(topic, 0),
         )
 
-    def append_result(self, reply: multiplex.Reply) -> appender.Result:
+    def append_result(self, reply: exchanges.Reply) -> appender.Result:
         """Return the result of an append."""
-        if reply.outcome is multiplex.Outcome.NOT_SENT:
+        if reply.outcome is exchanges.Outcome.NOT_SENT:
             return appender.NotDone(reason=reply.reason)
         return unwrap(reply, appender.Unknown(reason=reply.reason))
 
@@ -130,7 +130,7 @@
         )
 
     def read_result(
-        self, topic: pages.Topic, offset: int, reply: multiplex.Reply
+        self, topic: pages.Topic, offset: int, reply: exchanges.Reply
     ) -> pages.ReadResult:
         """Return the result of a read."""
         return unwrap(reply, pages.Failed(reason=reply.reason))
@@ -147,7 +147,7 @@
             changes=False,
         )
 
-    def newest_result(self, reply: multiplex.Reply) -> pages.NewestResult:
+    def newest_result(self, reply: exchanges.Reply) -> pages.NewestResult:
         """Return a page of newest records."""
         return unwrap(reply, pages.Failed(reason=reply.reason))
 
@@ -173,13 +173,13 @@
         )
 
     def host_event(
-        self, effect: messages.Effect, reply: multiplex.Reply
+        self, effect: messages.Effect, reply: exchanges.Reply
     ) -> messages.Event | None:
         """Return the event for a host's reply, or for a missing reply."""
         found = unwrap(reply, None)
         if found is not None:
             return found
-        unsent = reply.outcome is multiplex.Outcome.NOT_SENT
+        unsent = reply.outcome is exchanges.Outcome.NOT_SENT
         reason = messages.Refusal.NOT_SENT
         if not unsent:
             reason = messages.Refusal.UNKNOWN
@@ -227,7 +227,7 @@
             changes=False,
         )
 
-    def machines_page(self, reply: multiplex.Reply) -> typing.Any:
+    def machines_page(self, reply: exchanges.Reply) -> typing.Any:
         """Return the list of machines."""
         return unwrap(reply, None)
 
@@ -240,9 +240,9 @@
             send_by=order.send_by,
         )
 
-    def order_result(self, reply: multiplex.Reply) -> messages.OrderResult:
+    def order_result(self, reply: exchanges.Reply) -> messages.OrderResult:
         """Return the result of an order."""
-        if reply.outcome is multiplex.Outcome.NOT_SENT:
+        if reply.outcome is exchanges.Outcome.NOT_SENT:
             return messages.OrderResult.NOT_DONE
         return unwrap(reply, messages.OrderResult.UNKNOWN)
 
@@ -268,7 +268,7 @@
         )
 
     def advice_event(
-        self, ask: messages.AskAdvice, reply: multiplex.Reply
+        self, ask: messages.AskAdvice, reply: exchanges.Reply
     ) -> messages.Advised | messages.AdviceFailed:
         """Return the advice of a reply, or that the call failed."""
         failed = messages.AdviceFailed(
--- a/tests/http/test_call_queues.py
+++ b/tests/http/test_call_queues.py
@@ -207,8 +207,9 @@
             queues.ended(under_way.pop(number % len(under_way)))
         elif isinstance(kind, Priority):
             added.append(_add(queues, kind, now))
-        step()
-        assert len(under_way) <= host_connections.MAX_CONNECTIONS
+        for _ in range(host_connections.MAX_CONNECTIONS):
+            step()
+            assert len(under_way) <= host_connections.MAX_CONNECTIONS
         assert queues.due_at() > now
     while queues.waiting:
         now = queues.due_at()
