Let tasks wait for listed runs for as long as these may exist

Cause: the task waited for a pause from the list, not for as long as the run was there. Change: the tasks of unwanted runs on a host's newest list are state; they, their gangs and starts on that host wait until a newer list lacks them, the host has a new incarnation, or all their leases are over.

Its control of room leaves out the look at the state, as the pause for room is gone. Passes make fewer calls: lists instead of generators for the index of hosts, and no look at waves without any.

--- a/azurewood/policy/host_choice.py
+++ b/azurewood/policy/host_choice.py
@@ -77,12 +77,17 @@
             and (host.late_starts or host.incarnation.ends.withheld)
         }
         self._separation = separation
-        self._by_cpu = sorted((host.free.cpu, host.id, host) for host in hosts)
-        self._sound_cpu = sorted(
-            host.free.cpu for host in hosts if not self._comes_last(host)
+        # Lists cost fewer calls than generators, and each pass does this.
+        self._by_cpu = sorted(
+            [(host.free.cpu, host.id, host) for host in hosts]
         )
-        self._memory = sorted(host.free.memory_mb for host in hosts)
-        self._gpus = sorted(host.free.gpu for host in hosts)
+        self._sound_cpu = [
+            cpu
+            for cpu, _, host in self._by_cpu
+            if not (self._slow and self._comes_last(host))
+        ]
+        self._memory = sorted([host.free.memory_mb for host in hosts])
+        self._gpus = sorted([host.free.gpu for host in hosts])
 
     def _limits_of_slow(self, slow: abc.Mapping[str, bool]) -> dict[str, int]:
         """Return the slow hosts with the tasks up to which they are probed.
--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -282,7 +282,7 @@
     no room.
     """
     key = jobstates.step_key(task.id)
-    if job.cancelled or now < task.waits_until:
+    if job.cancelled or not state.may_begin(task, now):
         return
     if key[1:] not in job.open_steps(state.unix_ms):
         return
--- a/azurewood/scheduling/host_state.py
+++ b/azurewood/scheduling/host_state.py
@@ -193,6 +193,7 @@
         "suspended_until",
         "unheard_s",
         "unresponsive_since",
+        "unwanted",
         "usage",
         "used",
     )
@@ -233,6 +234,7 @@
         self.past_incarnations: set[int] = set()
         self.usage = account_usage.AccountUsage()
         self.listed_unknown: dict[tuple[model.TaskId, int], str] = {}
+        self.unwanted: frozenset[model.TaskId] = frozenset()
 
     @property
     def is_responsive(self) -> bool:
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -140,6 +140,7 @@
     host.past_incarnations.discard(incarnation_ms)
     host.incarnation = incarnations.Incarnation(began_ms=incarnation_ms)
     host.count_unknown({})
+    state.set_unwanted(host, frozenset())
     latestarts.on_renewal_lost(state, host, now)
     host.renewals += 1
     host.renewing = False
@@ -234,6 +235,9 @@
                 state, host, run, "all leases of the host lapsed", now
             )
     host.count_unknown({})
+    if now > host.late_starts.leases_expire_at:
+        # An unwanted run may have begun with the lease of a late start.
+        state.set_unwanted(host, frozenset())
     kept = host.present or host.renewing or host.runs or host.late_starts
     if not kept:
         del state.hosts[host.id]
--- a/azurewood/scheduling/listings.py
+++ b/azurewood/scheduling/listings.py
@@ -155,8 +155,13 @@
     host.incarnation.unknown_runs = len(unknown)
     if unknown or host.listed_unknown:
         host.count_unknown(_counted(state, host, unknown))
-    if unknown:
-        _stop_unknown_runs(state, host, unknown, now)
+    unwanted = [
+        row for row in unknown if row.task.job not in state.unreadable_jobs
+    ]
+    if unwanted or host.unwanted:
+        state.set_unwanted(host, frozenset(row.task for row in unwanted))
+    if unwanted:
+        _stop_unwanted_runs(state, host, unwanted, now)
 
 
 def _counted(
@@ -224,25 +229,20 @@
     )
 
 
-def _stop_unknown_runs(
+def _stop_unwanted_runs(
     state: scheduling.State,
     host: host_state.Host,
-    unknown: list[messages.RunningRow],
+    unwanted: list[messages.RunningRow],
     now: float,
 ) -> None:
-    """Stop the unknown runs that a host lists; starts wait for their end."""
-    unwanted = [
-        row for row in unknown if row.task.job not in state.unreadable_jobs
-    ]
+    """Stop the unwanted runs that a host lists; starts wait for their end."""
     for row in unwanted:
-        _stop_unknown_run(state, host, row)
+        _stop_unwanted_run(state, host, row)
         state.note_begun(row.task.job)
         tasks.wait_for_other_run(state, row.task, now)
-    if unwanted:
-        tasks.wait_for_room(host, now)
 
 
-def _stop_unknown_run(
+def _stop_unwanted_run(
     state: scheduling.State,
     host: host_state.Host,
     row: messages.RunningRow,
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -52,6 +52,8 @@
     Hosts to empty for maintenance are chosen at ``emptying_due``; machines
     whose hosts could not be emptied may be chosen again at ``empty_after``.
     A host more in each of ``pools_in_the_way`` would let a wave go on.
+    ``unwanted`` has the hosts that may have a run of a task that has to end
+    before the task, and its gang, start anywhere.
     ``suspects`` has the tasks that may have to start alone, as hosts have
     crashed under them.
 
@@ -118,6 +120,7 @@
         "term",
         "unanswered_starts",
         "unstorable_jobs",
+        "unwanted",
         "unix_ms",
         "unlisted_usage",
         "unreadable_jobs",
@@ -176,6 +179,7 @@
         self.clock_offset_ms = 0.0
         self.unreadable_jobs: set[str] = set()
         self.unstorable_jobs: set[str] = set()
+        self.unwanted: dict[model.TaskId, set[str]] = {}
         self.max_record_bytes = appender.MAX_RECORD_BYTES
         self.suspects: set[model.TaskId] = set()
         self.unresponsive_changed = False
@@ -205,6 +209,34 @@
             self.hosts[id] = host
         return host
 
+    def set_unwanted(
+        self, host: host_state.Host, tasks: frozenset[model.TaskId]
+    ) -> None:
+        """Record the tasks of which a host lists runs that have to end."""
+        for task in host.unwanted - tasks:
+            self.unwanted[task].discard(host.id)
+            if not self.unwanted[task]:
+                del self.unwanted[task]
+        for task in tasks:
+            self.unwanted.setdefault(task, set()).add(host.id)
+        host.unwanted = tasks
+
+    def may_begin(self, task: jobstates.Task, now: float) -> bool:
+        """Return whether a waiting task may start, as far as its runs go.
+
+        A run that has to end first counts for as long as it may exist,
+        however late the next list or the answer to its stop is.
+        """
+        return now >= task.waits_until and task.id not in self.unwanted
+
+    def waits_for_end(self, host: host_state.Host, task: model.TaskId) -> bool:
+        """Return whether a start on a host waits for a run that has to end.
+
+        It is of the same task, on any host, or uses room of this one. What it
+        uses may not be known any more.
+        """
+        return bool(host.unwanted) or task in self.unwanted
+
     def may_order(self, machine: str, now: float) -> bool:
         """Return whether this leader may send an order to a machine.
 
@@ -230,6 +262,8 @@
 
     def awaiting_maintenance(self, machine: str) -> bool:
         """Return whether a wave took a machine down that isn't back yet."""
+        if not self.waves:
+            return False
         return any(
             machine in wave.ordered and machine not in wave.returned
             for wave in self.waves.values()
--- a/azurewood/scheduling/outgoing.py
+++ b/azurewood/scheduling/outgoing.py
@@ -38,7 +38,8 @@
     if run.phase is host_state.RunPhase.STOPPING:
         _take_back(state, host, run, "not wanted before its start", now)
         return True
-    if now < run.retry_at or host.unresponsive_since is not None:
+    waits = now < run.retry_at or state.waits_for_end(host, run.task)
+    if waits or host.unresponsive_since is not None:
         # While its record was stored, its host has listed another run that
         # has to end first, or has become silent. The start is due again then.
         return True
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -140,7 +140,7 @@
     if task is None or task.phase is not jobstates.TaskPhase.WAITING:
         return False
     due = (id.occurrence, id.step) in job.open_steps(state.unix_ms)
-    if not due or now < task.waits_until:
+    if not due or not state.may_begin(task, now):
         return False
     return latestarts.bound_host(state, task, now) is not None
 
@@ -184,7 +184,7 @@
     now: float,
 ) -> int:
     """Place a step's waiting tasks; return how many were placed."""
-    ready = [task for task in _waiting(tasks) if now >= task.waits_until]
+    ready = _ready(state, tasks, now)
     if not ready:
         return 0
     step = job.step_of(ready[0].id)
@@ -218,11 +218,9 @@
     others = ready
     if alone:
         others = [task for task in ready if task not in alone]
-    placed = [
-        task
-        for line in (others, alone)
-        for task in _place_line(state, host_index, job, line, allowed, now)
-    ]
+    placed = _place_line(state, host_index, job, others, allowed, now)
+    if alone:
+        placed += _place_line(state, host_index, job, alone, allowed, now)
     placement_lines.log_placed(state, job, placed, len(ready))
     return len(placed)
 
@@ -249,14 +247,15 @@
     line: list[jobstates.Task],
     allowed: abc.Container[str] | None,
     now: float,
-) -> abc.Iterator[jobstates.Task]:
-    """Place and yield tasks until one that may go anywhere finds no host.
+) -> list[jobstates.Task]:
+    """Place tasks until one that may go anywhere finds no host; return them.
 
     The further ones would not find any either. A task that starts alone may
     find none as the hosts are bound to others in its line.
     """
+    placed = []
+    step = job.step_of(line[0].id) if line else None
     for task in line:
-        step = job.step_of(task.id)
         if not account_limits.may_start(state, job, task, now):
             if task.late_starts:
                 continue
@@ -272,7 +271,8 @@
         if host is None:
             break
         open_run(state, host_index, host, job, task, now)
-        yield task
+        placed.append(task)
+    return placed
 
 
 def _hosts_for(
@@ -323,6 +323,23 @@
     )
 
 
+def _ready(
+    state: model.State, tasks: list[jobstates.Task], now: float
+) -> list[jobstates.Task]:
+    """Return the tasks that wait and may begin, as `model.State.may_begin`.
+
+    Calls for each task would be a large part of the cost of long queues.
+    """
+    waiting, unwanted = jobstates.TaskPhase.WAITING, state.unwanted
+    return [
+        task
+        for task in tasks
+        if task.phase is waiting
+        and now >= task.waits_until
+        and task.id not in unwanted
+    ]
+
+
 def _place_gang(
     state: model.State,
     host_index: host_choice.HostIndex,
@@ -333,7 +350,8 @@
 ) -> int:
     """Place all tasks of a gang at once or none; return how many."""
     if any(
-        task.phase is not jobstates.TaskPhase.WAITING or now < task.waits_until
+        task.phase is not jobstates.TaskPhase.WAITING
+        or not state.may_begin(task, now)
         for task in tasks
     ):
         return 0
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -59,7 +59,9 @@
                 or host.entry.state.value != "ready"
             ):
                 tasks.stop(run, now)
-            elif host.unresponsive_since is None:
+            elif host.unresponsive_since is None and not state.waits_for_end(
+                host, run.task
+            ):
                 # That there is more than one start is recorded first.
                 send_start(state, host, run, now, saved_first=True)
         case host_state.RunPhase.STOPPING:
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -271,7 +271,7 @@
     now: float,
 ) -> Why:
     """Return why a waiting task has no host."""
-    if now < task.waits_until:
+    if not state.may_begin(task, now):
         return Why.RETRY
     job = state.jobs[task.id.job]
     if not account_limits.may_start_step(state, job, job.step_of(task.id)):
--- a/azurewood/scheduling/tasks.py
+++ b/azurewood/scheduling/tasks.py
@@ -111,16 +111,6 @@
         run.retry_at = max(run.retry_at, now + STOP_PAUSE_S)
 
 
-def wait_for_room(host: host_state.Host, now: float) -> None:
-    """Send a host no start before the runs that it is told to stop are over.
-
-    They use its resources, and what they use may not be known any more.
-    """
-    for run in host.runs.values():
-        if run.phase is host_state.RunPhase.STARTING:
-            run.retry_at = max(run.retry_at, now + STOP_PAUSE_S)
-
-
 def current_task(
     state: scheduling.State, run: host_state.Run
 ) -> jobstates.Task | None:
