--- a/tests/scheduling/test_restarted_hosts.py
+++ b/tests/scheduling/test_restarted_hosts.py
@@ -11,7 +11,7 @@
 SEEDS = 40
 FEWER_SEEDS = 20
 """Seeds of the modes with met hosts, and with gangs."""
-KNOWN_RED = frozenset({("all-reborn-met", 19), ("all", 16), ("all-met", 16)})
+KNOWN_RED = frozenset({("all", 16), ("all-met", 16)})
 """Modes and seeds that are passed over, as ``KNOWN-RED.txt`` lists them."""
 
 
