Place gangs in a module of their own; share the tests' calls

The tests of limited and bound calls share their submit. A new test shows that a slow call's connection is closed after it.

--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -10,18 +10,18 @@
 from azurewood.policy import host_choice
 from azurewood.policy import host_crashes
 from azurewood.policy import host_health
-from azurewood.policy import restarts
 from azurewood.scheduling import account_limits
 from azurewood.scheduling import account_shares
 from azurewood.scheduling import advice
 from azurewood.scheduling import crashes
 from azurewood.scheduling import durations
+from azurewood.scheduling import gang_placement
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import model
 from azurewood.scheduling import placement_lines
-from azurewood.scheduling import runs
+from azurewood.scheduling import run_starts
 
 MAX_STARTS_PER_PASS = 200
 """Limit on starts per scheduling pass, so that lease renewals go out."""
@@ -191,7 +191,9 @@
     key = jobstates.step_key(ready[0].id)
     allowed = advice.approved_hosts(state, job, key, now)
     if step.gang:
-        placed = _place_gang(state, host_index, job, tasks, allowed, now)
+        placed = gang_placement.place_gang(
+            state, host_index, job, tasks, allowed, now
+        )
     else:
         placed = _place_tasks(state, host_index, job, ready, allowed, now)
     has_room = account_limits.may_start_step(state, job, step)
@@ -260,7 +262,7 @@
             if task.late_starts:
                 continue
             break
-        among = _among(state, task, allowed, now)
+        among = run_starts.among(state, task, allowed, now)
         if among is not allowed and among:
             host = host_index.only_host(step, task, among[0])
         else:
@@ -270,7 +272,7 @@
             continue
         if host is None:
             break
-        open_run(state, host_index, host, job, task, now)
+        run_starts.open_run(state, host_index, host, job, task, now)
         placed.append(task)
     return placed
 
@@ -289,34 +291,13 @@
     """
     task = min(_waiting(ready), key=lambda task: bool(task.late_starts))
     step = job.step_of(task.id)
-    among = _among(state, task, None, now)
+    among = run_starts.among(state, task, None, now)
     for host in hosts:
         allowed = among is None or host.id in among
         if allowed and host_choice.suits(host, step, task):
             yield host
 
 
-def _among(
-    state: model.State,
-    task: jobstates.Task,
-    allowed: abc.Container[str] | None,
-    now: float,
-) -> abc.Container[str] | None:
-    """Return those of the allowed hosts that a task may start on.
-
-    None means all hosts.
-    """
-    if not task.late_starts:
-        return allowed
-    match latestarts.where_to_start(state, task, now):
-        case restarts.Anywhere():
-            return allowed
-        case restarts.Again(host=host) | restarts.Only(host=host):
-            return (host,) if allowed is None or host in allowed else ()
-        case restarts.Nowhere():
-            return ()
-
-
 def _waiting(tasks: list[jobstates.Task]) -> abc.Iterator[jobstates.Task]:
     return (
         task for task in tasks if task.phase is jobstates.TaskPhase.WAITING
@@ -338,99 +319,3 @@
         and now >= task.waits_until
         and task.id not in unwanted
     ]
-
-
-def _place_gang(
-    state: model.State,
-    host_index: host_choice.HostIndex,
-    job: jobstates.JobState,
-    tasks: list[jobstates.Task],
-    allowed: abc.Container[str] | None,
-    now: float,
-) -> int:
-    """Place all tasks of a gang at once or none; return how many."""
-    if any(
-        task.phase is not jobstates.TaskPhase.WAITING
-        or not state.may_begin(task, now)
-        for task in tasks
-    ):
-        return 0
-    step = job.step_of(tasks[0].id)
-    for group in host_choice.gang_candidates(host_index.hosts, step, allowed):
-        chosen = _choose_all(state, host_index, step, tasks, group, now)
-        if chosen is not None:
-            run = max(task.run for task in tasks)
-            saved = max(task.saved for task in tasks)
-            for task, host in zip(tasks, chosen, strict=True):
-                task.run = run
-                task.saved = saved
-                open_run(state, host_index, host, job, task, now)
-            placement_lines.log_placed(state, job, tasks, len(tasks))
-            return len(tasks)
-    return 0
-
-
-def _choose_all(
-    state: model.State,
-    host_index: host_choice.HostIndex,
-    step: jobs.Step,
-    tasks: list[jobstates.Task],
-    allowed: abc.Container[str] | None,
-    now: float,
-) -> list[host_state.Host] | None:
-    chosen: list[host_state.Host] = []
-    try:
-        for task in tasks:
-            among = _among(state, task, allowed, now)
-            host = host_index.choose(step, task, among)
-            if host is None:
-                return None
-            chosen.append(host)
-            host_index.reserve(host, step, task)
-        return chosen
-    finally:
-        for task, host in zip(tasks, chosen, strict=False):
-            host_index.release(host, step, task)
-
-
-def open_run(
-    state: model.State,
-    host_index: host_choice.HostIndex,
-    host: host_state.Host,
-    job: jobstates.JobState,
-    task: jobstates.Task,
-    now: float,
-) -> None:
-    """Begin a task's next run on a host, or its newest one again.
-
-    Its start call is sent once the run is recorded.
-    """
-    job.set_phase(task, jobstates.TaskPhase.OPEN)
-    late = task.late_starts
-    repeated = bool(late) and latestarts.is_repeated(state, task, now)
-    if not repeated:
-        task.run += 1
-    task.confirmed = False
-    task.host = host.id
-    task.host_incarnation_ms = host.entry.incarnation_ms
-    step = job.step_of(task.id)
-    run = host_state.Run(
-        task=task.id,
-        run=task.run,
-        step=step,
-        now=now,
-        account=job.job.account,
-    )
-    run.incarnation_ms = host.entry.incarnation_ms
-    run.saved = task.saved
-    run.crashes = task.crashes
-    if repeated:
-        # The starts before may still be carried out.
-        run.starts_sent = host_state.SEVERAL_STARTS
-    durations.expect(host, run, job, task)
-    host_index.add(host, run)
-    state.dirty_jobs.add(job.job.id)
-    if not job.recorded:
-        job.recorded = True
-        job.first_run_ms = state.clock_ms
-    runs.send_start(state, host, run, now, saved_first=True)
--- a/tests/http/test_bound_calls.py
+++ b/tests/http/test_bound_calls.py
@@ -19,6 +19,7 @@
 from azurewood.http import sockets
 
 DEADLINE_S = 5.0
+SLOW_S = 0.3
 RESET = struct.pack("ii", 1, 0)
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 END = b"\r\n\r\n"
@@ -28,11 +29,13 @@
     """A server process: its connections end with it.
 
     Its ``requests`` are bodies of one byte each. It answers none of those in
-    ``silent_at``. ``made`` counts the connections.
+    ``silent_at``, and those in ``slow_at`` after ``SLOW_S``. ``made`` counts
+    the connections.
     """
 
-    def __init__(self, port=0, *, silent_at=b""):
+    def __init__(self, port=0, *, silent_at=b"", slow_at=b""):
         self.silent_at = silent_at
+        self.slow_at = slow_at
         self.requests = b""
         self.made = 0
         self._lock = threading.Lock()
@@ -64,6 +67,8 @@
                 if end and body:
                     self.requests += body
                     data = b""
+                    if body in self.slow_at:
+                        time.sleep(SLOW_S)
                     if body not in self.silent_at:
                         conn.sendall(ANSWER)
         except OSError:
@@ -100,7 +105,7 @@
     return multiplex.Multiplexer(clock=time.monotonic)
 
 
-def _submit(calls, process, body, *, connected_by=None, timeout_ms=3000):
+def submit(calls, process, body, *, timeout_ms=3000, **options):
     """Start a call and return the list that gets its reply."""
     found = []
     call = exchanges.Call(
@@ -108,13 +113,13 @@
         url=f"http://127.0.0.1:{process.port}/",
         body=body,
         timeout_ms=timeout_ms,
-        connected_by=connected_by,
+        **options,
     )
     calls.submit(call, found.append)
     return found
 
 
-def _run_until(calls, condition):
+def run_until(calls, condition):
     end = time.monotonic() + DEADLINE_S
     while not condition():
         assert time.monotonic() < end
@@ -122,8 +127,8 @@
 
 
 def _reply(calls, process, body, **options):
-    found = _submit(calls, process, body, **options)
-    _run_until(calls, lambda: found)
+    found = submit(calls, process, body, **options)
+    run_until(calls, lambda: found)
     return found[0]
 
 
@@ -192,11 +197,11 @@
     """
     old = Process(silent_at=b"b")
     at = _reply(calls, old, b"a").written_at
-    found = _submit(calls, old, b"b", connected_by=at if bound else None)
-    _run_until(calls, lambda: old.requests == b"ab")
+    found = submit(calls, old, b"b", connected_by=at if bound else None)
+    run_until(calls, lambda: old.requests == b"ab")
     old.end()
     new = Process(old.port)
-    _run_until(calls, lambda: found)
+    run_until(calls, lambda: found)
     return found[0], new
 
 
@@ -231,8 +236,8 @@
 def test_a_call_is_not_written_on_connections_that_have_ended(calls):
     """Written on one, it would have an unknown outcome."""
     process = Process(silent_at=b"x")
-    burst = [_submit(calls, process, b"a") for _ in range(4)]
-    _run_until(calls, lambda: all(burst))
+    burst = [submit(calls, process, b"a") for _ in range(4)]
+    run_until(calls, lambda: all(burst))
     process.close_connections()
     reply = _reply(calls, process, b"b")
     assert _is_answered(reply)
@@ -248,7 +253,7 @@
     monkeypatch.setattr(sockets, "refuse_connection", sockets.drop_unsent)
     process, at = _started_anew(calls)
     assert _reply(calls, process, b"b", connected_by=at).disconnected
-    _run_until(calls, lambda: process.made)
+    run_until(calls, lambda: process.made)
     assert process.requests == b""
     process.end()
 
@@ -271,8 +276,8 @@
     """Connections made since the newest list cost no extra call then."""
     process = Process(silent_at=b"x")
     at = _reply(calls, process, b"a").written_at
-    burst = [_submit(calls, process, b"b") for _ in range(4)]
-    _run_until(calls, lambda: all(burst))
+    burst = [submit(calls, process, b"b") for _ in range(4)]
+    run_until(calls, lambda: all(burst))
     assert process.made == 4
     for _ in range(3):
         assert _is_answered(_reply(calls, process, b"c", connected_by=at))
--- a/tests/http/test_limited_calls.py
+++ b/tests/http/test_limited_calls.py
@@ -3,6 +3,7 @@
 LOST: leaders that lost power held all connections of the hosts.
 """
 
+import socket
 import threading
 import time
 
@@ -16,7 +17,6 @@
 Priority = exchanges.Priority
 CONNECTIONS = 8
 BURST = 20
-DEADLINE_S = 5.0
 
 
 class _Host(Process):
@@ -25,33 +25,18 @@
     def _serve(self, conn):
         if self.made > CONNECTIONS:
             conn.setsockopt(
-                test_bound_calls.socket.SOL_SOCKET,
-                test_bound_calls.socket.SO_LINGER,
-                test_bound_calls.RESET,
+                socket.SOL_SOCKET, socket.SO_LINGER, test_bound_calls.RESET
             )
             conn.close()
             return
         super()._serve(conn)
 
 
-def _submit(calls, host, body, priority, timeout_ms=2000):
-    found = []
-    call = exchanges.Call(
-        method="POST",
-        url=f"http://127.0.0.1:{host.port}/",
-        body=body,
-        timeout_ms=timeout_ms,
-        priority=priority,
+def _submit(calls, host, body, priority, **options):
+    """Start a call with a priority; return the list that gets its reply."""
+    return test_bound_calls.submit(
+        calls, host, body, priority=priority, **options
     )
-    calls.submit(call, found.append)
-    return found
-
-
-def _run(calls, condition):
-    end = time.monotonic() + DEADLINE_S
-    while not condition():
-        assert time.monotonic() < end
-        calls.run_once(0.01)
 
 
 def _lead(host, priorities):
@@ -65,7 +50,7 @@
         for priority in priorities
         for _ in range(BURST)
     ]
-    _run(calls, lambda: all(found))
+    test_bound_calls.run_until(calls, lambda: all(found))
     answered = exchanges.Outcome.ANSWERED
     return calls, sum(reply[0].outcome is answered for reply in found)
 
@@ -90,7 +75,7 @@
     kept = [_lead(host, (None,)) for _ in range(2)]
     calls = multiplex.Multiplexer(clock=time.monotonic)
     found = _submit(calls, host, b"x", Priority.NORMAL)
-    _run(calls, lambda: found)
+    test_bound_calls.run_until(calls, lambda: found)
     assert found[0].new_reset
     assert kept
     host.end()
@@ -103,24 +88,40 @@
     began_at = time.monotonic()
     silent = _submit(calls, host, b"s", Priority.NORMAL)
     found = _submit(calls, host, b"x", priority)
-    _run(calls, lambda: found)
+    test_bound_calls.run_until(calls, lambda: found)
     assert found[0].outcome is exchanges.Outcome.ANSWERED
     # The silent call's own time-out is 2 s.
     assert time.monotonic() < began_at + 1.5
     if priority is Priority.URGENT:
         assert not silent
     else:
-        _run(calls, lambda: silent)
+        test_bound_calls.run_until(calls, lambda: silent)
         assert silent[0].outcome is exchanges.Outcome.UNKNOWN
     host.end()
 
 
+def test_a_slow_call_goes_aside_and_its_connection_ends_with_it():
+    host = Process(slow_at=b"s")
+    calls = multiplex.Multiplexer(clock=time.monotonic)
+    slow = _submit(calls, host, b"s", Priority.NORMAL)
+    found = _submit(calls, host, b"x", Priority.NORMAL)
+    test_bound_calls.run_until(calls, lambda: found)
+    assert not slow
+    assert host.made == 2
+    test_bound_calls.run_until(calls, lambda: slow)
+    assert slow[0].outcome is exchanges.Outcome.ANSWERED
+    test_bound_calls.run_until(
+        calls, lambda: len(_open_connections(host)) == 1
+    )
+    host.end()
+
+
 def test_calls_that_find_no_connection_in_time_are_not_sent():
     host = Process(silent_at=b"sx")
     calls = multiplex.Multiplexer(clock=time.monotonic)
     _submit(calls, host, b"s", Priority.HELD)
     found = _submit(calls, host, b"x", Priority.HELD, timeout_ms=200)
-    _run(calls, lambda: found)
+    test_bound_calls.run_until(calls, lambda: found)
     assert found[0].outcome is exchanges.Outcome.NOT_SENT
     assert host.requests in (b"", b"s")
     assert calls.under_way == 1
@@ -131,19 +132,19 @@
     host = Process(silent_at=b"s")
     calls = multiplex.Multiplexer(clock=time.monotonic)
     idle = _submit(calls, host, b"x", Priority.NORMAL)
-    _run(calls, lambda: idle)
+    test_bound_calls.run_until(calls, lambda: idle)
     held = _submit(calls, host, b"s", Priority.HELD, timeout_ms=500)
     waiting = _submit(calls, host, b"y", Priority.HELD)
-    _run(calls, lambda: b"s" in host.requests)
+    test_bound_calls.run_until(calls, lambda: b"s" in host.requests)
     calls.close_limited()
-    _run(calls, lambda: waiting)
+    test_bound_calls.run_until(calls, lambda: waiting)
     assert waiting[0].outcome is exchanges.Outcome.NOT_SENT
     assert not held
-    _run(calls, lambda: held)
-    _run(calls, lambda: not _open_connections(host))
+    test_bound_calls.run_until(calls, lambda: held)
+    test_bound_calls.run_until(calls, lambda: not _open_connections(host))
     assert b"y" not in host.requests
     again = _submit(calls, host, b"z", Priority.NORMAL)
-    _run(calls, lambda: again)
+    test_bound_calls.run_until(calls, lambda: again)
     assert again[0].outcome is exchanges.Outcome.ANSWERED
     host.end()
 
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -14,8 +14,8 @@
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import messages
 from azurewood.scheduling import model
-from azurewood.scheduling import placement
 from azurewood.scheduling import progress
+from azurewood.scheduling import run_starts
 from azurewood.scheduling import stuck
 from azurewood.scheduling import tasks
 from azurewood.scheduling import waiting
@@ -81,7 +81,7 @@
     state = _state()
     host = _host(state)
     rooms = host_choice.HostIndex(hosts=[host])
-    placement.open_run(state, rooms, host, state.jobs["j"], _task(state), NOW)
+    run_starts.open_run(state, rooms, host, state.jobs["j"], _task(state), NOW)
     return state
 
 
