End holds that no pass asks for; log calls in line from 0.1 s on

By reading: once no task waited any more, no pass ended a hold, so that task.stuck named it later as the reason why other work waits, and the next pass, minutes later perhaps, gave it up. A hold is over 2 s after the last pass. Lines about calls in line cost processor time on each burst; they are written for waits of 0.1 s or more.

--- a/azurewood/daemons/host_calls.py
+++ b/azurewood/daemons/host_calls.py
@@ -15,7 +15,9 @@
 from azurewood.scheduling import model
 
 LOG_INTERVAL_S: typing.Final = 1.0
-"""Interval between the lines of hosts to which calls wait in line."""
+"""Interval between the lines of a host to which calls wait in line."""
+LONG_WAIT_S: typing.Final = 0.1
+"""Wait from which they are logged: a burst is sent within it."""
 RESET_LOG_INTERVAL_S: typing.Final = 10.0
 """Interval between two lines about the connections that a host resets."""
 MS_PER_S: typing.Final = 1000
@@ -81,13 +83,14 @@
         self._context.calls.close_limited()
 
     def step(self, state: model.State, now: float) -> None:
-        """Log the calls that wait in line, once a second."""
+        """Log the calls that have waited in line for long, once a second."""
         if now < self._log_at:
             return
         self._log_at = now + LOG_INTERVAL_S
         lengths = {
             length.address: length
             for length in self._context.calls.queue_lengths()
+            if now >= length.oldest_at + LONG_WAIT_S
         }
         if not lengths and not self._crowded:
             return
--- a/azurewood/policy/reservations.py
+++ b/azurewood/policy/reservations.py
@@ -26,6 +26,9 @@
 MAX_OCCUPIED_S: typing.Final = 6.0
 """Time from which a suspect's start that isn't seen to settle no longer keeps
 others away, as when its answer is lost."""
+MAX_PASS_GAP_S: typing.Final = 2.0
+"""Time without a pass from which a hold is over: while a task waits, each
+list of a host leads to one, and lists come once a second."""
 MIN_OPEN_SHARE: typing.Final = 0.5
 """Share of a pool's hosts that is always left to others, rounded down."""
 
@@ -40,21 +43,23 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Reservation:
-    """The reservation of one host.
+    """The reservation of one host, which each pass updates.
 
     ``held_until`` is when it ends without a start, None if the host is not
     held. Until ``open_until`` the host is not reserved again. ``occupied`` is
-    whether a suspect had not settled there at the latest pass.
+    whether a suspect had not settled there at the latest pass. Without
+    another pass all that is over ``over_at``.
     """
 
     held_until: float | None = None
     open_until: float = 0.0
     occupied: bool = False
+    over_at: float = 0.0
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether the host was closed to others at the latest pass."""
-        return self.occupied or self.held_until is not None
+    def is_closed(self, now: float) -> bool:
+        """Return whether the host is closed to others since the last pass."""
+        closed = self.occupied or self.held_until is not None
+        return closed and now < self.over_at
 
     def is_open(self, now: float) -> bool:
         """Return whether it is the others' turn."""
@@ -62,6 +67,9 @@
 
     def begin_pass(self, *, occupied: bool, now: float) -> Change:
         """Note whether a suspect is unsettled; return what has ended."""
+        if now >= self.over_at:
+            self.occupied, self.held_until = False, None
+        self.over_at = now + MAX_PASS_GAP_S
         settled = self.occupied and not occupied
         self.occupied = occupied
         if settled or occupied:
--- a/azurewood/scheduling/stuck.py
+++ b/azurewood/scheduling/stuck.py
@@ -70,9 +70,11 @@
         """Return whether any host has the resources and label for a task."""
         return any(self._fitting(step))
 
-    def is_reserved(self, step: jobs.Step) -> bool:
-        """Return whether all these hosts are kept for other tasks."""
-        return all(host.reservation.is_closed for host in self._fitting(step))
+    def is_reserved(self, step: jobs.Step, now: float) -> bool:
+        """Return whether all hosts that a task fits are kept for others."""
+        return all(
+            host.reservation.is_closed(now) for host in self._fitting(step)
+        )
 
     def _fitting(self, step: jobs.Step) -> abc.Iterator[host_state.Host]:
         return (
@@ -293,7 +295,7 @@
         return Why.NOT_APPROVED if known else Why.ADVICE
     if beyond:
         return Why.SHARE
-    reserved = pool.is_reserved(job.job.steps[task.id.step])
+    reserved = pool.is_reserved(job.job.steps[task.id.step], now)
     return Why.RESERVED if reserved else Why.NOT_PLACED
 
 
--- a/tests/policy/test_reservations.py
+++ b/tests/policy/test_reservations.py
@@ -174,6 +174,18 @@
         now += PASS_S
 
 
+def test_a_hold_is_over_once_no_pass_has_asked_for_it():
+    reservation = reservations.Reservation()
+    reservation.begin_pass(occupied=False, now=0.0)
+    reservation.note_held(held=True, now=0.0)
+    assert reservation.is_closed(1.0)
+    assert not reservation.is_closed(reservations.MAX_PASS_GAP_S)
+    later = 2 * reservations.MAX_HELD_S
+    change = reservation.begin_pass(occupied=False, now=later)
+    assert change is reservations.Change.NONE
+    assert not reservation.is_open(later)
+
+
 _RUNS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from([300, 900, 2100]), strategies.booleans()
--- a/tests/scheduling/test_stuck.py
+++ b/tests/scheduling/test_stuck.py
@@ -73,7 +73,8 @@
 
 def _reserved():
     state = _state()
-    _host(state).reservation.note_held(held=True, now=NOW)
+    reservation = _host(state).reservation
+    reservation.begin_pass(occupied=True, now=NOW + 2.0)
     return state
 
 
