Count no callbacks of garbage collections as a daemon's work

Cause: once a hypothesis test has run, its callback runs with each garbage collection, and a collection within a piece of simulated work was counted as that work: 2,008 calls in a play after other tests, 0 alone. The count then drew another course. The stand-in collects between pieces of work.

--- a/standins/fleet/processor.py
+++ b/standins/fleet/processor.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections import abc
+import gc
 import sys
 import types
 
@@ -67,11 +68,16 @@
         work = self._waiting[0]
         self._calls = 0
         before = sys.getprofile()
+        collects = gc.isenabled()
+        # Callbacks of collections, such as those of hypothesis, are no work.
+        gc.disable()
         sys.setprofile(self._count)
         try:
             work()
         finally:
             sys.setprofile(before)
+            if collects:
+                gc.enable()
         self.total += self._calls
         self.busy_s += self.spent_s
         self._free_at = self._clock.now + self.spent_s
