Call the queues of calls to hosts by the usual terms

Calls are queued, polls are long polls, and a call without an answer is in an overflow slot, where the code said line, held, kept and aside; held is said of hosts only. One limit of Separation was set in two places and named like another one. What each reservation leaves to others is said in the code. The first of a queue has the first deadline, so that a long queue costs nothing in each step of the loop. The tests of decisions share their hosts.

--- a/azurewood/daemons/host_calls.py
+++ b/azurewood/daemons/host_calls.py
@@ -1,4 +1,4 @@
-"""A leader's calls to hosts, and the lines about their connections.
+"""A leader's calls to hosts, and the log lines about their connections.
 
 A host that has no connection left resets each new one. Without a line that
 says so, it looks like a host that is down.
@@ -15,7 +15,7 @@
 from azurewood.scheduling import model
 
 LOG_INTERVAL_S: typing.Final = 1.0
-"""Interval between the lines of a host to which calls wait in line."""
+"""Interval between the log lines of a host to which calls wait."""
 LONG_WAIT_S: typing.Final = 0.1
 """Wait from which they are logged: a burst is sent within it."""
 RESET_LOG_INTERVAL_S: typing.Final = 10.0
@@ -41,7 +41,7 @@
 
     __slots__ = (
         "_context",
-        "_crowded",
+        "_backlogged",
         "_handle_event",
         "_log_at",
         "_resets",
@@ -58,7 +58,7 @@
         self._context = context
         self._term = term
         self._handle_event = handle_event
-        self._crowded: set[str] = set()
+        self._backlogged: set[str] = set()
         self._log_at = 0.0
         self._resets: dict[str, _Resets] = {}
 
@@ -78,12 +78,12 @@
     def close(self) -> None:
         """Close the connections, so that hosts have them for the next leader.
 
-        Calls in line are not made any more.
+        Calls that wait are not made any more.
         """
         self._context.calls.close_limited()
 
     def step(self, state: model.State, now: float) -> None:
-        """Log the calls that have waited in line for long, once a second."""
+        """Log the calls that have waited for long, once a second."""
         if now < self._log_at:
             return
         self._log_at = now + LOG_INTERVAL_S
@@ -92,23 +92,23 @@
             for length in self._context.calls.queue_lengths()
             if now >= length.oldest_at + LONG_WAIT_S
         }
-        if not lengths and not self._crowded:
+        if not lengths and not self._backlogged:
             return
-        crowded = set()
+        backlogged = set()
         for host in state.hosts.values():
             address = host.entry.address if host.entry is not None else ""
             length = lengths.get(address)
             if length is not None:
-                crowded.add(host.id)
+                backlogged.add(host.id)
                 self._log_line(
                     host.id,
                     length.under_way,
                     length.waiting,
                     now - length.oldest_at,
                 )
-        for host_id in self._crowded - crowded:
+        for host_id in self._backlogged - backlogged:
             self._log_line(host_id, 0, 0, 0.0)
-        self._crowded = crowded
+        self._backlogged = backlogged
 
     def _log_line(
         self, host_id: str, under_way: int, waiting: int, oldest_s: float
--- a/azurewood/daemons/ports.py
+++ b/azurewood/daemons/ports.py
@@ -40,11 +40,11 @@
     def close_limited(self) -> None:
         """Close the connections of all calls with a priority.
 
-        Those calls that wait in line end as not sent.
+        Those calls that wait end as not sent.
         """
 
     def queue_lengths(self) -> abc.Iterable[call_queues.QueueLength]:
-        """Return the lines of calls with a priority that wait."""
+        """Return the lengths of the queues in which calls wait."""
 
 
 class Platform(typing.Protocol):
--- a/azurewood/http/call_queues.py
+++ b/azurewood/http/call_queues.py
@@ -1,4 +1,4 @@
-"""Calls that wait in line for one of the few connections to their address.
+"""Calls that are queued for one of the few connections to their address.
 
 The queues know nothing of HTTP. Their owner adds each call, begins those
 that it is given by `CallQueues.startable` and `CallQueues.startable_to`, and
@@ -19,7 +19,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class QueuedCall:
-    """A call of an owner; ``deadline`` is the latest time to begin it."""
+    """A call of an owner; ``deadline`` is the latest time to begin it.
+
+    Calls to one address with the same priority have the same time-out, so
+    that the first of a queue is the first whose deadline passes.
+    """
 
     address: str
     priority: Priority
@@ -41,15 +45,15 @@
 
 
 class _AddressQueue:
-    """The calls to one address: those under way and those in line.
+    """The calls to one address: those under way and those that wait.
 
-    ``aside`` has the calls that went aside, the oldest first.
+    ``overflow`` has the calls in `Slot.OVERFLOW`, the oldest first.
     """
 
-    __slots__ = ("aside", "slots", "waiting")
+    __slots__ = ("overflow", "slots", "waiting")
 
     def __init__(self) -> None:
-        self.aside: list[QueuedCall] = []
+        self.overflow: list[QueuedCall] = []
         self.slots: dict[Slot, QueuedCall] = {}
         self.waiting: dict[Priority, collections.deque[QueuedCall]] = {
             priority: collections.deque() for priority in Priority
@@ -58,186 +62,179 @@
     @property
     def under_way(self) -> int:
         """How many calls are under way."""
-        return len(self.slots) + len(self.aside)
+        return len(self.slots) + len(self.overflow)
 
-    def in_line(self) -> abc.Iterator[QueuedCall]:
-        """Yield the waiting calls in the order in which they may begin."""
-        for line in self.waiting.values():
-            yield from line
+    def firsts(self) -> list[QueuedCall]:
+        """Return the first waiting call of each priority."""
+        return [calls[0] for calls in self.waiting.values() if calls]
 
     def blocking(self) -> QueuedCall | None:
-        """Return the call in `Slot.KEPT` if others wait for that slot."""
-        waits = any(
-            line
-            for priority, line in self.waiting.items()
-            if host_connections.slot_of(priority) is Slot.KEPT
-        )
-        return self.slots.get(Slot.KEPT) if waits else None
+        """Return the call in `Slot.REGULAR` if others wait for that slot."""
+        for call in self.firsts():
+            if host_connections.slot_of(call.priority) is Slot.REGULAR:
+                return self.slots.get(Slot.REGULAR)
+        return None
 
     def startable(self, now: float) -> abc.Iterator[QueuedCall]:
-        """Take the calls that may begin now out of the line."""
-        for priority, line in self.waiting.items():
+        """Take the calls that may begin now out of the queue."""
+        for priority, calls in self.waiting.items():
             slot = host_connections.slot_of(priority)
-            if line and slot not in self.slots:
-                call = line.popleft()
+            if calls and slot not in self.slots:
+                call = calls.popleft()
                 call.slot, call.began_at = slot, now
                 self.slots[slot] = call
                 yield call
 
-    def go_aside(self, now: float) -> abc.Iterator[QueuedCall]:
-        """Yield the call that now goes aside for those in line, if any."""
+    def let_overflow(self, now: float) -> abc.Iterator[QueuedCall]:
+        """Yield the call that now makes way for those that wait, if any."""
         call = self.blocking()
-        if call is not None and host_connections.goes_aside(
-            began_at=call.began_at, now=now, aside=len(self.aside)
+        if call is not None and host_connections.overflows(
+            began_at=call.began_at, now=now, overflowing=len(self.overflow)
         ):
-            del self.slots[Slot.KEPT]
-            call.slot = Slot.ASIDE
-            self.aside.append(call)
+            del self.slots[Slot.REGULAR]
+            call.slot = Slot.OVERFLOW
+            self.overflow.append(call)
             yield call
 
     def given_up(self, now: float) -> abc.Iterator[QueuedCall]:
-        """Yield the call under way that is to end for those in line."""
-        if self.blocking() is None or not self.aside:
+        """Yield the call under way that is to end for those that wait."""
+        if self.blocking() is None or not self._overflow_is_full:
             return
-        if len(self.aside) < host_connections.MAX_ASIDE:
-            return
-        if host_connections.gives_up(
-            oldest_aside_began_at=self.aside[0].began_at, now=now
-        ):
-            yield self.aside[0]
+        oldest = self.overflow[0]
+        if host_connections.gives_up(oldest_began_at=oldest.began_at, now=now):
+            yield oldest
+
+    @property
+    def _overflow_is_full(self) -> bool:
+        return 0 < host_connections.MAX_OVERFLOW <= len(self.overflow)
 
     def end(self, call: QueuedCall) -> None:
         """Forget a call under way."""
-        if call.slot is Slot.ASIDE:
-            self.aside.remove(call)
+        if call.slot is Slot.OVERFLOW:
+            self.overflow.remove(call)
         else:
             del self.slots[call.slot]
 
     def expire(self, now: float) -> abc.Iterator[QueuedCall]:
-        """Take the calls whose deadline has passed out of the line."""
-        for line in self.waiting.values():
-            late = [call for call in line if now >= call.deadline]
-            for call in late:
-                line.remove(call)
-            yield from late
+        """Take the calls whose deadline has passed out of the queue."""
+        for calls in self.waiting.values():
+            while calls and now >= calls[0].deadline:
+                yield calls.popleft()
 
     def due_at(self) -> float:
         """Return when a waiting call may begin or ends."""
-        times = [call.deadline for call in self.in_line()]
+        times = [call.deadline for call in self.firsts()]
         call = self.blocking()
         if call is not None:
-            full = len(self.aside) >= host_connections.MAX_ASIDE
             times.append(
-                host_connections.gives_up_at(self.aside[0].began_at)
-                if full
-                else host_connections.goes_aside_at(call.began_at)
+                host_connections.gives_up_at(self.overflow[0].began_at)
+                if self._overflow_is_full
+                else host_connections.overflows_at(call.began_at)
             )
         return min(times, default=math.inf)
 
 
 class CallQueues:
-    """The queues of all addresses; those without calls are dropped."""
+    """The queues of all addresses.
+
+    ``_backlogged`` has those in which calls wait.
+    """
 
-    __slots__ = ("_crowded", "_queues")
+    __slots__ = ("_backlogged", "_queues")
 
     def __init__(self) -> None:
         self._queues: dict[str, _AddressQueue] = {}
-        self._crowded: dict[str, _AddressQueue] = {}
+        self._backlogged: dict[str, _AddressQueue] = {}
 
     @property
     def waiting(self) -> int:
-        """How many calls wait in line."""
+        """How many calls wait."""
         return sum(
-            len(line)
-            for queue in self._crowded.values()
-            for line in queue.waiting.values()
+            len(calls)
+            for queue in self._backlogged.values()
+            for calls in queue.waiting.values()
         )
 
     def add(self, call: QueuedCall) -> None:
-        """Put a call at the end of its line."""
+        """Put a call at the end of its queue."""
         queue = self._queues.setdefault(call.address, _AddressQueue())
         queue.waiting[call.priority].append(call)
-        self._crowded[call.address] = queue
+        self._backlogged[call.address] = queue
 
     def ended(self, call: QueuedCall) -> None:
         """Free the slot of a call that has ended."""
         queue = self._queues[call.address]
         queue.end(call)
-        if not queue.under_way and call.address not in self._crowded:
+        if not queue.under_way and call.address not in self._backlogged:
             del self._queues[call.address]
 
     def startable(self, now: float) -> abc.Iterator[QueuedCall]:
-        """Take the calls that may begin now out of their lines."""
-        for address in tuple(self._crowded):
+        """Take the calls that may begin now out of their queues."""
+        for address in tuple(self._backlogged):
             yield from self.startable_to(address, now)
 
     def startable_to(
         self, address: str, now: float
     ) -> abc.Iterator[QueuedCall]:
-        """Take the calls to one address that may begin out of its line."""
-        queue = self._crowded.get(address)
+        """Take the calls to one address that may begin out of its queue."""
+        queue = self._backlogged.get(address)
         if queue is not None:
             yield from list(queue.startable(now))
             self._settle(address, queue)
 
     def expired(self, now: float) -> abc.Iterator[QueuedCall]:
-        """Take the calls that waited for too long out of their lines."""
-        for address, queue in tuple(self._crowded.items()):
+        """Take the calls that waited for too long out of their queues."""
+        for address, queue in tuple(self._backlogged.items()):
             yield from queue.expire(now)
             self._settle(address, queue)
 
-    def gone_aside(self, now: float) -> list[QueuedCall]:
-        """Let calls without an answer go aside, and return them."""
+    def overflowing(self, now: float) -> list[QueuedCall]:
+        """Let calls make way for those that wait, and return them."""
         return [
             call
-            for queue in self._crowded.values()
-            for call in queue.go_aside(now)
+            for queue in self._backlogged.values()
+            for call in queue.let_overflow(now)
         ]
 
     def given_up(self, now: float) -> list[QueuedCall]:
-        """Return the calls under way that are to end for those in line."""
+        """Return the calls under way that are to end for those that wait."""
         return [
             call
-            for queue in self._crowded.values()
+            for queue in self._backlogged.values()
             for call in queue.given_up(now)
         ]
 
     def clear(self) -> list[QueuedCall]:
-        """Take all calls out of their lines, and return them."""
-        taken = [
-            call
-            for queue in self._crowded.values()
-            for call in queue.in_line()
-        ]
-        for queue in self._crowded.values():
-            for line in queue.waiting.values():
-                line.clear()
-        for address, queue in tuple(self._crowded.items()):
+        """Take all waiting calls out of their queues, and return them."""
+        taken = []
+        for address, queue in tuple(self._backlogged.items()):
+            for calls in queue.waiting.values():
+                taken.extend(calls)
+                calls.clear()
             self._settle(address, queue)
         return taken
 
     def due_at(self) -> float:
         """Return when one of the methods has something to return."""
         return min(
-            (queue.due_at() for queue in self._crowded.values()),
+            (queue.due_at() for queue in self._backlogged.values()),
             default=math.inf,
         )
 
     def lengths(self) -> abc.Iterator[QueueLength]:
-        """Yield the lengths of the lines that aren't empty."""
-        for address, queue in self._crowded.items():
-            calls = list(queue.in_line())
+        """Yield the lengths of the queues in which calls wait."""
+        for address, queue in self._backlogged.items():
             yield QueueLength(
                 address=address,
                 under_way=queue.under_way,
-                waiting=len(calls),
-                oldest_at=min(call.added_at for call in calls),
+                waiting=sum(map(len, queue.waiting.values())),
+                oldest_at=min(call.added_at for call in queue.firsts()),
             )
 
     def _settle(self, address: str, queue: _AddressQueue) -> None:
-        """Forget the line of an address if no call waits in it."""
+        """Forget that calls wait for an address if none does."""
         if any(queue.waiting.values()):
             return
-        self._crowded.pop(address, None)
+        self._backlogged.pop(address, None)
         if not queue.under_way:
             self._queues.pop(address, None)
--- a/azurewood/http/exchanges.py
+++ b/azurewood/http/exchanges.py
@@ -31,8 +31,8 @@
     before and was made by then. Nothing else reaches just the process that
     had the address at that time.
 
-    With a ``priority`` it waits in line for a connection to its address. The
-    wait is part of ``timeout_ms``; a call that is still in line then ends as
+    With a ``priority`` it is queued for a connection to its address. The
+    wait is part of ``timeout_ms``; a call that still waits then ends as
     not sent.
     """
 
--- a/azurewood/http/multiplex.py
+++ b/azurewood/http/multiplex.py
@@ -6,7 +6,7 @@
 Connections are kept and reused. A connection on which a call timed out is
 closed by libcurl, which resets it: see `azurewood.http.sockets`.
 
-Calls with a priority wait in line for one of the few connections that their
+Calls with a priority are queued for one of the few connections that their
 address may have: see `azurewood.policy.host_connections`.
 """
 
@@ -99,7 +99,7 @@
         return len(self._transfers) + len(self._unsent) + waiting
 
     def queue_lengths(self) -> abc.Iterator[call_queues.QueueLength]:
-        """Yield the lines of calls with a priority that wait."""
+        """Yield the lengths of the queues in which calls wait."""
         return self._queues.lengths()
 
     def submit(self, call: exchanges.Call, done: Callback) -> None:
@@ -137,7 +137,7 @@
     def close_limited(self) -> None:
         """Close the connections of all calls with a priority, and end these.
 
-        ``run_once`` ends those in line as not sent. Those under way end by
+        ``run_once`` ends those that wait as not sent. Those under way end by
         themselves, and then their connections do.
         """
         self._closing = True
@@ -264,7 +264,7 @@
         self._answer_unsent()
 
     def _step_queues(self) -> None:
-        """Begin, give up and expire calls that wait in line."""
+        """Begin, give up and expire queued calls."""
         now = self._clock()
         if now < self._queues.due_at():
             return
@@ -274,7 +274,7 @@
             text = "no answer, and other calls wait"
             error = (pycurl.E_OPERATION_TIMEDOUT, text)
             self._finish(queued.payload.curl, error)
-        for queued in self._queues.gone_aside(now):
+        for queued in self._queues.overflowing(now):
             queued.payload.curl.setopt(pycurl.FORBID_REUSE, 1)
         self._begin_all(self._queues.startable(now))
 
--- a/azurewood/log/event_metrics.py
+++ b/azurewood/log/event_metrics.py
@@ -119,7 +119,7 @@
         event="host.calls",
         field="waiting",
         name="azurewood_host_waiting_calls",
-        help="Calls to a host that wait in line for a connection.",
+        help="Calls to a host that wait for a connection.",
         label="host",
     ),
     FieldGauge(
--- a/azurewood/platform/hosts.py
+++ b/azurewood/platform/hosts.py
@@ -193,7 +193,7 @@
                 "/api/hold",
                 body,
                 timeout_ms=effect.wait_ms + RENEWAL_MARGIN_MS,
-                priority=_Priority.HELD
+                priority=_Priority.LONG_POLL
                 if effect.wait_ms
                 else _Priority.URGENT,
             )
--- a/azurewood/policy/host_crashes.py
+++ b/azurewood/policy/host_crashes.py
@@ -148,7 +148,7 @@
     ``held`` hosts start nothing else, but for tasks that may start on no
     other host; on ``occupied`` ones such a task has started lately. Tasks
     that start alone do so on ``quiet`` hosts, where all runs have settled,
-    and on at most ``most`` hosts at a time. It is the others' turn on
+    and on at most ``max_occupied`` hosts at a time. It is the others' turn on
     ``open`` hosts: none of these tasks starts there.
     ``bound`` maps the hosts that are the only ones for some of these tasks to
     those tasks; no others start alone there.
@@ -157,14 +157,12 @@
     all that ends on the host had ended and the rest had settled.
     """
 
-    __slots__ = ("bound", "held", "most", "occupied", "open", "quiet")
+    __slots__ = ("bound", "held", "max_occupied", "occupied", "open", "quiet")
 
-    def __init__(
-        self, *, open_hosts: abc.Iterable[str] = (), most: int = 1
-    ) -> None:
+    def __init__(self, *, open_hosts: abc.Iterable[str] = ()) -> None:
         self.bound: dict[str, set[jobs.TaskId]] = {}
         self.held: set[str] = set()
-        self.most = most
+        self.max_occupied = 1
         self.occupied: set[str] = set()
         self.open = frozenset(open_hosts)
         self.quiet: set[str] = set()
@@ -178,15 +176,15 @@
         that may start on one host only come first; the others hold what is
         left of the share.
         """
-        self.most = reservations.max_reserved(len(hosts))
+        self.max_occupied = reservations.max_reserved(len(hosts))
         unsettled = {host.id: _unsettled(host) for host in hosts}
         self.quiet = {id for id, count in unsettled.items() if not count}
         hosts = [host for host in hosts if host.id not in self.open]
-        most = max(1, int(len(unsettled) * MAX_HELD_SHARE))
+        max_held = max(1, int(len(unsettled) * MAX_HELD_SHARE))
         bound = self._bind(hosts, waiting)
-        free = max(0, most - len(self.held) - len(bound))
-        left = max(0, self.most - len(self.occupied))
-        self.held.update(host.id for host in bound[: min(most, left)])
+        free = max(0, max_held - len(self.held) - len(bound))
+        left = max(0, self.max_occupied - len(self.occupied))
+        self.held.update(host.id for host in bound[: min(max_held, left)])
         unbound = [suspect for suspect in waiting if suspect.host is None]
         for suspect in unbound[:free]:
             step = suspect.step
@@ -253,7 +251,7 @@
         return (
             host_id in self.quiet
             and host_id not in self.open
-            and len(taken) < self.most
+            and len(taken) < self.max_occupied
         )
 
     def add(self, host: host_state.Host, run: host_state.Run) -> None:
--- a/azurewood/policy/reservations.py
+++ b/azurewood/policy/reservations.py
@@ -10,9 +10,10 @@
 - A host that was held for `MAX_HELD_S` without a start is given up, and open
   for as long.
 
-Whatever keeps a suspect from its turn, a host is thus never closed to others
-for longer than `MAX_HELD_S` and the time until a run settles, which is
-bounded by `MAX_OCCUPIED_S`.
+The others are always left half of a pool's hosts, rounded down, and their
+turns on the rest. Whatever keeps a suspect from its turn, a host is never
+closed to them for longer than `MAX_HELD_S` and the time until a run settles,
+which is bounded by `MAX_OCCUPIED_S`.
 """
 
 import dataclasses
--- a/azurewood/scheduling/crashes.py
+++ b/azurewood/scheduling/crashes.py
@@ -235,7 +235,6 @@
         open_hosts=(
             host.id for host in hosts if host.reservation.is_open(now)
         ),
-        most=reservations.max_reserved(len(hosts)),
     )
     for host_id in occupied:
         found.occupy(host_id)
--- a/azurewood/scheduling/placement.py
+++ b/azurewood/scheduling/placement.py
@@ -213,16 +213,16 @@
 ) -> int:
     """Place waiting tasks of a step one by one; return how many.
 
-    Those that start alone come last, in a line of their own: hosts may be
-    held for them against those before, and the other way round.
+    Those that start alone come last and by themselves: hosts may be held for
+    them that the others may not use, so that these find none before.
     """
     alone = _suspects(state, job, ready)
     others = ready
     if alone:
         others = [task for task in ready if task not in alone]
-    placed = _place_line(state, host_index, job, others, allowed, now)
+    placed = _place_in_order(state, host_index, job, others, allowed, now)
     if alone:
-        placed += _place_line(state, host_index, job, alone, allowed, now)
+        placed += _place_in_order(state, host_index, job, alone, allowed, now)
     placement_lines.log_placed(state, job, placed, len(ready))
     return len(placed)
 
@@ -242,22 +242,22 @@
     ]
 
 
-def _place_line(
+def _place_in_order(
     state: model.State,
     host_index: host_choice.HostIndex,
     job: jobstates.JobState,
-    line: list[jobstates.Task],
+    tasks: list[jobstates.Task],
     allowed: abc.Container[str] | None,
     now: float,
 ) -> list[jobstates.Task]:
     """Place tasks until one that may go anywhere finds no host; return them.
 
     The further ones would not find any either. A task that starts alone may
-    find none as the hosts are bound to others in its line.
+    find none as the hosts are bound to others of its step.
     """
     placed = []
-    step = job.step_of(line[0].id) if line else None
-    for task in line:
+    step = job.step_of(tasks[0].id) if tasks else None
+    for task in tasks:
         if not account_limits.may_start(state, job, task, now):
             if task.late_starts:
                 continue
--- a/standins/fleet/members.py
+++ b/standins/fleet/members.py
@@ -66,7 +66,7 @@
         """Close no connection, as simulated calls have none."""
 
     def queue_lengths(self) -> tuple[()]:
-        """Return that no call waits in line."""
+        """Return that no call waits."""
         return ()
 
 
--- a/tests/http/test_call_queues.py
+++ b/tests/http/test_call_queues.py
@@ -1,4 +1,4 @@
-"""The lines of calls for a host's few connections, without a network.
+"""The queues of calls for a host's few connections, without a network.
 
 LOST: leaders that lost power held all connections of the hosts, so that the
 next leader reached none of them.
@@ -50,15 +50,15 @@
 def _burst():
     """Return the connections of a leader in a burst of starts and stops."""
     queues = call_queues.CallQueues()
-    _add(queues, Priority.HELD, 0.0)
+    _add(queues, Priority.LONG_POLL, 0.0)
     for _ in range(20):
         _add(queues, Priority.NORMAL, 0.0)
         _add(queues, Priority.URGENT, 0.0)
     begun = list(queues.startable(0.0))
     now = 0.0
-    while queues.due_at() < host_connections.SILENT_S:
+    while queues.due_at() < host_connections.GIVE_UP_AFTER_S:
         now = queues.due_at()
-        assert queues.gone_aside(now)
+        assert queues.overflowing(now)
         begun += queues.startable(now)
     return len(begun)
 
@@ -81,15 +81,15 @@
 
 def test_a_stop_waits_shortly_for_a_start_and_not_for_a_renewal():
     queues = call_queues.CallQueues()
-    renewal = _add(queues, Priority.HELD, 0.0)
+    renewal = _add(queues, Priority.LONG_POLL, 0.0)
     start = _add(queues, Priority.NORMAL, 0.0)
     assert list(queues.startable(0.0)) == [renewal, start]
     late_start = _add(queues, Priority.NORMAL, 0.01)
     stop = _add(queues, Priority.URGENT, 0.01)
     assert not list(queues.startable(0.01))
     due_at = queues.due_at()
-    assert due_at <= host_connections.ASIDE_AFTER_S
-    assert queues.gone_aside(due_at) == [start]
+    assert due_at <= host_connections.OVERFLOW_AFTER_S
+    assert queues.overflowing(due_at) == [start]
     assert list(queues.startable(due_at)) == [stop]
     queues.ended(start)
     assert not list(queues.startable_to(ADDRESS, due_at))
@@ -110,7 +110,7 @@
         list(queues.expired(now))
         for call in queues.given_up(now):
             queues.ended(call)
-        queues.gone_aside(now)
+        queues.overflowing(now)
         for call in queues.startable(now):
             begun += 1
             if answered(begun):
@@ -123,8 +123,8 @@
     assert not _unsent(lambda number: number % 3)
 
 
-def test_it_does_not_if_each_of_them_blocks_the_line(monkeypatch):
-    monkeypatch.setattr(host_connections, "MAX_ASIDE", 0)
+def test_it_does_not_if_each_of_them_blocks_the_queue(monkeypatch):
+    monkeypatch.setattr(host_connections, "MAX_OVERFLOW", 0)
     assert _unsent(lambda number: number % 3) > 9
 
 
@@ -132,35 +132,35 @@
     queues = call_queues.CallQueues()
     silent = [
         _add(queues, Priority.NORMAL, 0.0)
-        for _ in range(host_connections.MAX_ASIDE + 1)
+        for _ in range(host_connections.MAX_OVERFLOW + 1)
     ]
     begun = list(queues.startable(0.0))
-    for _ in range(host_connections.MAX_ASIDE):
+    for _ in range(host_connections.MAX_OVERFLOW):
         now = queues.due_at()
-        queues.gone_aside(now)
+        queues.overflowing(now)
         begun += queues.startable(now)
     assert begun == silent
     assert queues.due_at() == math.inf
     assert not queues.given_up(10.0)
     last = _add(queues, Priority.NORMAL, now)
     now = queues.due_at()
-    assert now == host_connections.SILENT_S
+    assert now == host_connections.GIVE_UP_AFTER_S
     assert queues.given_up(now) == silent[:1]
     queues.ended(silent[0])
-    assert queues.gone_aside(now) == silent[-1:]
+    assert queues.overflowing(now) == silent[-1:]
     assert list(queues.startable(now)) == [last]
 
 
 def test_a_renewal_under_way_is_never_given_up():
     queues = call_queues.CallQueues()
-    _add(queues, Priority.HELD, 0.0)
-    _add(queues, Priority.HELD, 0.0)
+    _add(queues, Priority.LONG_POLL, 0.0)
+    _add(queues, Priority.LONG_POLL, 0.0)
     assert len(list(queues.startable(0.0))) == 1
-    assert not queues.gone_aside(TIMEOUT_S)
+    assert not queues.overflowing(TIMEOUT_S)
     assert not queues.given_up(TIMEOUT_S)
 
 
-def test_a_line_ends_as_not_sent_at_its_deadline_or_when_cleared():
+def test_waiting_calls_end_as_not_sent_at_their_deadline_or_when_cleared():
     queues = call_queues.CallQueues()
     calls = [_add(queues, Priority.NORMAL, 0.0) for _ in range(3)]
     assert list(queues.startable(0.0)) == calls[:1]
@@ -195,7 +195,7 @@
         for call in queues.given_up(now):
             queues.ended(call)
             under_way.remove(call)
-        queues.gone_aside(now)
+        queues.overflowing(now)
         found = list(queues.startable(now))
         begun.extend(found)
         under_way.extend(found)
--- a/tests/http/test_limited_calls.py
+++ b/tests/http/test_limited_calls.py
@@ -57,7 +57,7 @@
 
 def test_leaders_reach_a_host_after_others_have_died():
     host = _Host()
-    priorities = (Priority.NORMAL, Priority.HELD)
+    priorities = (Priority.NORMAL, Priority.LONG_POLL)
     leaders = [_lead(host, priorities) for _ in range(CONNECTIONS // 2)]
     assert [answered for _, answered in leaders] == [2 * BURST] * len(leaders)
     host.end()
@@ -82,7 +82,7 @@
 
 
 @pytest.mark.parametrize("priority", [Priority.URGENT, Priority.NORMAL])
-def test_a_silent_start_does_not_block_the_line(priority):
+def test_a_silent_start_does_not_block_the_queue(priority):
     host = Process(silent_at=b"s")
     calls = multiplex.Multiplexer(clock=time.monotonic)
     began_at = time.monotonic()
@@ -100,7 +100,7 @@
     host.end()
 
 
-def test_a_slow_call_goes_aside_and_its_connection_ends_with_it():
+def test_a_slow_call_makes_way_and_its_connection_ends_with_it():
     host = Process(slow_at=b"s")
     calls = multiplex.Multiplexer(clock=time.monotonic)
     slow = _submit(calls, host, b"s", Priority.NORMAL)
@@ -119,8 +119,8 @@
 def test_calls_that_find_no_connection_in_time_are_not_sent():
     host = Process(silent_at=b"sx")
     calls = multiplex.Multiplexer(clock=time.monotonic)
-    _submit(calls, host, b"s", Priority.HELD)
-    found = _submit(calls, host, b"x", Priority.HELD, timeout_ms=200)
+    _submit(calls, host, b"s", Priority.LONG_POLL)
+    found = _submit(calls, host, b"x", Priority.LONG_POLL, timeout_ms=200)
     test_bound_calls.run_until(calls, lambda: found)
     assert found[0].outcome is exchanges.Outcome.NOT_SENT
     assert host.requests in (b"", b"s")
@@ -128,13 +128,13 @@
     host.end()
 
 
-def test_closing_frees_the_connections_and_ends_the_line():
+def test_closing_frees_the_connections_and_ends_the_queue():
     host = Process(silent_at=b"s")
     calls = multiplex.Multiplexer(clock=time.monotonic)
     idle = _submit(calls, host, b"x", Priority.NORMAL)
     test_bound_calls.run_until(calls, lambda: idle)
-    held = _submit(calls, host, b"s", Priority.HELD, timeout_ms=500)
-    waiting = _submit(calls, host, b"y", Priority.HELD)
+    held = _submit(calls, host, b"s", Priority.LONG_POLL, timeout_ms=500)
+    waiting = _submit(calls, host, b"y", Priority.LONG_POLL)
     test_bound_calls.run_until(calls, lambda: b"s" in host.requests)
     calls.close_limited()
     test_bound_calls.run_until(calls, lambda: waiting)
--- a/tests/policy/test_host_crashes.py
+++ b/tests/policy/test_host_crashes.py
@@ -8,7 +8,7 @@
 from azurewood.jobs import model as jobs
 from azurewood.policy import host_crashes
 from azurewood.scheduling import host_state
-from azurewood.scheduling import messages
+from tests.policy import host_builders
 
 STEP = jobs.Step(count=9, needs=jobs.Resources(500, 100, 0), estimate_ms=900)
 LARGE = jobs.Step(count=1, needs=jobs.Resources(3000, 100, 0), estimate_ms=900)
@@ -19,19 +19,7 @@
 
 def _host(id, *ages_s, crashes=0):
     """Return a host whose newest list shows runs of these ages."""
-    host = host_state.Host(id=id, leases_expire_at=0.0, fence=1)
-    host.describe(
-        messages.HostEntry(
-            id=id,
-            address=f"{id}:80",
-            service="s",
-            zone="a",
-            state=messages.HostState.READY,
-            capacity=jobs.Resources(4000, 8000, 0),
-            labels=(),
-            incarnation_ms=1,
-        )
-    )
+    host = host_builders.make_host(id)
     host.listed_at = 100.0
     for index, age_s in enumerate(ages_s):
         task = jobs.TaskId(f"job-{id}", 0, 0, index)
--- a/tests/policy/test_reservations.py
+++ b/tests/policy/test_reservations.py
@@ -10,31 +10,13 @@
 from azurewood.policy import reservations
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
-from azurewood.scheduling import messages
+from tests.policy import host_builders
 
-CPU = 4000
 STEP = jobs.Step(count=9, needs=jobs.Resources(500, 100, 0), estimate_ms=900)
 PASS_S = 0.25
 LIST_S = 1.0
 
 
-def _host(id, *, label=""):
-    host = host_state.Host(id=id, leases_expire_at=0.0, fence=1)
-    host.describe(
-        messages.HostEntry(
-            id=id,
-            address=f"{id}:80",
-            service="s",
-            zone="a",
-            state=messages.HostState.READY,
-            capacity=jobs.Resources(CPU, 8000, 0),
-            labels=(label,) if label else (),
-            incarnation_ms=1,
-        )
-    )
-    return host
-
-
 def _start(host, task, step, at, crashes=0):
     run = host_state.Run(task=task, run=1, step=step, now=at)
     run.phase = host_state.RunPhase.RUNNING
@@ -52,7 +34,9 @@
     """
 
     def __init__(self, hosts, suspects):
-        self.hosts = [_host(f"h{number}") for number in range(hosts)]
+        self.hosts = [
+            host_builders.make_host(f"h{number}") for number in range(hosts)
+        ]
         self.suspects = [
             jobs.TaskId("suspects", 0, 0, number) for number in range(suspects)
         ]
@@ -208,7 +192,9 @@
     # LOST: a host held for a task whose turn never comes.
     hosts = []
     for number, runs in enumerate(pool):
-        host = _host(f"h{number}", label="ssd" if labels[number] else "")
+        host = host_builders.make_host(
+            f"h{number}", labels=("ssd",) if labels[number] else ()
+        )
         host.listed_at = 100.0
         for index, (needs, lasts) in enumerate(runs):
             step = jobs.Step(
--- a/tests/scheduling/test_reservations.py
+++ b/tests/scheduling/test_reservations.py
@@ -86,7 +86,7 @@
 def _place_all_in_one_line(state, host_index, job, ready, allowed, now):
     """Place a step's tasks in their order, up to the first without a host."""
     return len(
-        placement._place_line(state, host_index, job, ready, allowed, now)
+        placement._place_in_order(state, host_index, job, ready, allowed, now)
     )
 
 
