Log what holds an account's room, and why a job was denied

account.state has the places that a late start alone holds, the runs that this leader has not seen, and what jobs stopped before the term may use besides. job.denied has the age of the newest read and how many jobs are known here. The new test has an account of two tasks whose hosts fall silent before the leader changes.

--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -179,8 +179,9 @@
         if job_id in self.registry.unreadable:
             return verdicts.StatusUnknown()
         if not self._is_known(job_id, account):
-            absent = self._is_absent(job_id, account)
-            return verdicts.NotThere() if absent else verdicts.StatusUnknown()
+            if self._is_absent(job_id, account):
+                return self._deny(job_id, account)
+            return verdicts.StatusUnknown()
         # Read before the entry: the loop has all entries when it sets this.
         loaded = self.loaded
         entry = self.registry.entries.get(job_id)
@@ -327,9 +328,21 @@
         """Return the verdict on a job that this daemon doesn't know."""
         unreadable = job_id in self.registry.unreadable
         if not unreadable and self._is_absent(job_id, account):
-            return verdicts.NotThere()
+            return self._deny(job_id, account)
         return verdicts.Refused(reason="not in touch with the store")
 
+    def _deny(self, job_id: str, account: str) -> verdicts.NotThere:
+        """Return that a job does not exist, and log what that rests on."""
+        logger.bind(
+            event="job.denied",
+            job=job_id,
+            account=account,
+            read_ms_ago=int((self._clock() - self.fresh_at) * 1000),
+            jobs=len(self.registry.entries),
+            unread=len(self.unread),
+        ).info("an unknown job's caller is told that it does not exist")
+        return verdicts.NotThere()
+
     def _store(
         self, job_id: str, record: records.Record, timeout_s: float
     ) -> verdicts.Verdict:
--- a/azurewood/scheduling/account_limits.py
+++ b/azurewood/scheduling/account_limits.py
@@ -18,6 +18,7 @@
 
 LOG_INTERVAL_S: typing.Final = 1.0
 """Pause between log lines about an account."""
+NOTHING: typing.Final = jobs.Resources()
 
 
 def limit_of(state: model.State, account: str) -> jobs.Resources | None:
@@ -131,6 +132,7 @@
         return
     state.accounts_log_at = now + LOG_INTERVAL_S
     waiting = _waiting_tasks(state)
+    late, unseen = _uncertain_runs(state)
     shares = account_shares.shares_of(state, now)
     busy = (state.usage.accounts() | waiting.keys()) & (
         state.catalog.accounts or {}
@@ -146,6 +148,9 @@
             running_cpu=used.cpu,
             running_memory_mb=used.memory_mb,
             running_gpu=used.gpu,
+            late=late[name],
+            unseen=unseen[name],
+            unlisted_cpu=state.unlisted_usage.get(name, NOTHING).cpu,
             waiting=waiting[name],
             limit_cpu=limit.cpu,
             limit_memory_mb=limit.memory_mb,
@@ -156,6 +161,26 @@
     state.accounts_logged = busy
 
 
+def _uncertain_runs(
+    state: model.State,
+) -> tuple[collections.Counter[str], collections.Counter[str]]:
+    """Return how many places accounts hold without a run known to exist.
+
+    The first are held by late starts alone, the second by runs of an earlier
+    leader that this one has not seen.
+    """
+    late: collections.Counter[str] = collections.Counter()
+    unseen: collections.Counter[str] = collections.Counter()
+    for host in state.hosts.values():
+        for key, start in host.late_starts.items():
+            if key not in host.runs:
+                late[start.account] += 1
+        for run in host.runs.values():
+            if run.inherited and run.confirmed_at is None:
+                unseen[run.account] += 1
+    return late, unseen
+
+
 def _waiting_tasks(state: model.State) -> collections.Counter[str]:
     """Return how many tasks of each account wait for a host."""
     found: collections.Counter[str] = collections.Counter()
--- a/tests/scheduling/test_account_limits.py
+++ b/tests/scheduling/test_account_limits.py
@@ -274,6 +274,20 @@
     assert lines[0]["running_cpu"] == lines[0]["limit_cpu"] == 2000
 
 
+def test_places_without_a_run_known_to_exist_are_logged(monkeypatch):
+    """Guards against an account that is full without a line that says why."""
+    lines = _lines(monkeypatch, "account.state")
+    made = accounts.world(a=2, b=2)
+    accounts.submit(made, range(2), "a", accounts.LASTING)
+    made.run(2.0)
+    assert {(line["late"], line["unseen"]) for line in lines} == {(0, 0)}
+    lines.clear()
+    made.cut_hosts |= set(made.hosts)
+    made.leaders()[0].kill()
+    made.run(4.0)
+    assert (0, 2) in {(line["late"], line["unseen"]) for line in lines}
+
+
 def test_shares_are_logged_while_a_pool_is_full(monkeypatch):
     """Guards against a share that is not told, or kept for a free pool."""
     lines = _lines(monkeypatch, "account.state")
