Store the machine of each host with runs

Callers saw accepted jobs wait beside free hosts after a loss of all daemons ("could run and doesn't"): the tasks of a host that had gone for good while no leader was there, and all other jobs of an account whose limit they filled.

Cause: a leader ends the runs of a host by a list of machines only if it knows the host's machine, and that it learnt from lists of its own term, or from the record of late starts. For a host that had left before the term it waited until no start could be late and no lease be left, 18.4 s. The class: a new leader waits out the worst case by time where a state would tell it.

Change: the machine of a host is stored with its first run, in the batch of that run's record (m/HOST, no further append), and removed with other progress once nothing can run there. The first list that is a second younger than the term then ends the runs and late starts of hosts whose machine has another host, or is parked. Weighed: a field in each run's row costs some 15 bytes a start and names the same host again and again; one record of all hosts is rewritten with each move.

test_hosts_that_left.py: its control took the machine out of the record of late starts, which has none now; it leaves out the new records instead.

--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -13,6 +13,7 @@
 from azurewood.jobs import model
 from azurewood.scheduling import crashes
 from azurewood.scheduling import durations
+from azurewood.scheduling import host_records
 from azurewood.scheduling import host_state
 from azurewood.scheduling import latestarts
 from azurewood.scheduling import listings
@@ -241,7 +242,7 @@
     kept = host.present or host.renewing or host.runs or host.late_starts
     if not kept:
         del state.hosts[host.id]
-        state.host_machines.pop(host.id, None)
+        host_records.forget(state, host.id)
 
 
 def renewal_failed(
--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -13,6 +13,7 @@
 from azurewood.policy import emptying as emptying_policy
 from azurewood.scheduling import emptying
 from azurewood.scheduling import host_ends
+from azurewood.scheduling import host_records
 from azurewood.scheduling import host_state
 from azurewood.scheduling import machine_orders
 from azurewood.scheduling import messages
@@ -99,14 +100,14 @@
 def _end_replaced_hosts(state: model.State, now: float) -> None:
     """Mark the runs of hosts that have ended according to their machines.
 
-    A machine that is down or has a new host no longer runs its old host.
-    The list shows this before the leases of the old host have expired. It
-    tells nothing of runs that were placed after its read began.
+    A machine that is down, parked or has a new host no longer runs its old
+    host. The list shows this before the leases of the old host have expired.
+    It tells nothing of runs that were placed after its read began.
     """
     at = state.machines_at - LIST_LAG_S
     for entry in state.machines.values():
         if entry.host:
-            state.host_machines[entry.host] = entry.name
+            host_records.note_machine(state, entry.host, entry.name)
     for host_id, name in list(state.host_machines.items()):
         entry = state.machines.get(name)
         host = state.hosts.get(host_id)
@@ -121,7 +122,7 @@
             state.bar_late_starts(host, at + limits.MAX_START_DELAY_S)
         if entry is None or not silent:
             continue
-        if entry.host and entry.host != host_id:
+        if _has_left(state, host, entry):
             proof = host_ends.Replaced(placed_before=at)
             host_ends.end(state, host, proof, now)
         elif entry.state is messages.MachineState.DOWN:
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -60,10 +60,13 @@
     ``confirmed_jobs`` have starts whose answers are to be stored at
     ``confirmed_due``, if not sooner.
 
-    ``values``, the progress of ``dirty_jobs`` and the late starts of the
-    hosts in ``dirty_late_starts`` are stored in the next batch, for which
-    ``deferred_effects`` wait. ``saving_effects`` wait for the batch under
-    way; it is None if there is none.
+    ``host_machines`` maps hosts to their machines, and ``recorded_machines``
+    is what of it is on record.
+
+    ``values``, the progress of ``dirty_jobs``, the late starts of the hosts in
+    ``dirty_late_starts`` and the machines of ``dirty_machines`` are stored in
+    the next batch, for which ``deferred_effects`` wait. ``saving_effects``
+    wait for the batch under way; it is None if there is none.
     """
 
     __slots__ = (
@@ -85,6 +88,7 @@
         "empty_after",
         "emptying_due",
         "dirty_late_starts",
+        "dirty_machines",
         "durations",
         "effects",
         "fence",
@@ -111,6 +115,7 @@
         "placement_due",
         "pools_due",
         "pools_log_at",
+        "recorded_machines",
         "recorded_unresponsive",
         "saving_effects",
         "store_slow",
@@ -169,6 +174,8 @@
         self.order_after: dict[str, float] = {}
         self.no_order_before = 0.0
         self.host_machines: dict[str, str] = {}
+        self.recorded_machines: dict[str, str] = {}
+        self.dirty_machines: set[str] = set()
         self.emptying_due = 0.0
         self.empty_after: dict[str, float] = {}
         self.pools_in_the_way: set[str] = set()
--- a/azurewood/scheduling/progress.py
+++ b/azurewood/scheduling/progress.py
@@ -32,6 +32,7 @@
 ORDERS_KEY: typing.Final = "o"
 UNRESPONSIVE_KEY: typing.Final = "s"
 LATE_STARTS_PREFIX: typing.Final = "l/"
+HOST_PREFIX: typing.Final = "m/"
 DURATIONS_KEY: typing.Final = "d"
 MAX_SAVE_S: typing.Final = 8.0
 """Longest time from a run's record to its first start, which waits for it."""
@@ -104,7 +105,8 @@
 ):
     """The starts without an answer that a host may carry out late.
 
-    ``machine`` is the machine that the host runs on, empty if unknown.
+    ``machine`` is the machine that the host runs on; only a record of an
+    earlier release has it, see ``HostProgress``.
     ``renewal_left_ms`` is how long a lease renewal may be late.
     """
 
@@ -115,6 +117,13 @@
     version: int = VERSION
 
 
+class HostProgress(msgspec.Struct, frozen=True, kw_only=True, tag="host"):
+    """The machine of a host that has had a run."""
+
+    machine: str
+    version: int = VERSION
+
+
 class DurationsProgress(
     msgspec.Struct, frozen=True, kw_only=True, tag="durations"
 ):
@@ -135,6 +144,7 @@
     | OrdersProgress
     | SilentProgress
     | LateStartsProgress
+    | HostProgress
     | DurationsProgress
 )
 _decoder = msgspec.msgpack.Decoder(Progress)
@@ -198,6 +208,11 @@
     )
 
 
+def encode_host(machine: str) -> bytes:
+    """Return the encoded record of a host on a machine."""
+    return msgspec.msgpack.encode(HostProgress(machine=machine))
+
+
 def encode_orders(state: scheduling.State, now: float) -> bytes:
     """Return the encoded record of machines with recent orders."""
     ages_ms = {
@@ -247,7 +262,6 @@
     return msgspec.msgpack.encode(
         LateStartsProgress(
             starts=rows,
-            machine=state.host_machines.get(host.id, ""),
             renewal_left_ms=_left_ms(host.late_starts.renewed_until, now),
             stamp=stamp(state, now),
         )
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -11,6 +11,7 @@
 from azurewood.scheduling import account_limits
 from azurewood.scheduling import advice
 from azurewood.scheduling import durations
+from azurewood.scheduling import host_records
 from azurewood.scheduling import hosts
 from azurewood.scheduling import job_records
 from azurewood.scheduling import listings
@@ -103,6 +104,10 @@
         for row, written in job_records.rows_of(record):
             at = progress.written_by(written, read_by, now)
             restoration.restore_unanswered(state, job, row, at, now)
+    for key, record in decoded.items():
+        if isinstance(record, progress.HostProgress):
+            host_id = key.removeprefix(progress.HOST_PREFIX)
+            host_records.restore(state, host_id, record)
     _remove_unowned_parts(state, decoded)
     if decoded.get(progress.ORDERS_KEY, True) is None:
         state.no_order_before = now + order_pause_s
@@ -158,6 +163,7 @@
         unresponsive.record(state, now)
     if state.durations.changed and now >= state.durations.store_at:
         durations.record(state, now)
+    host_records.store(state)
     progress.flush(state, now)
     while state.unstorable_jobs:
         tasks.fail_unstorable(state, state.unstorable_jobs.pop(), now)
--- a/azurewood/scheduling/run_starts.py
+++ b/azurewood/scheduling/run_starts.py
@@ -5,6 +5,7 @@
 from azurewood.policy import host_choice
 from azurewood.policy import restarts
 from azurewood.scheduling import durations
+from azurewood.scheduling import host_records
 from azurewood.scheduling import host_state
 from azurewood.scheduling import jobstates
 from azurewood.scheduling import latestarts
@@ -69,6 +70,7 @@
         run.starts_sent = host_state.SEVERAL_STARTS
     durations.expect(host, run, job, task)
     host_index.add(host, run)
+    host_records.note_run(state, host)
     state.dirty_jobs.add(job.job.id)
     if not job.recorded:
         job.recorded = True
--- a/tests/scheduling/test_hosts_that_left.py
+++ b/tests/scheduling/test_hosts_that_left.py
@@ -5,9 +5,9 @@
 from azurewood.jobs import model
 from azurewood.journal import appender
 from azurewood.journal import pages
+from azurewood.scheduling import host_records
 from azurewood.scheduling import maintenance
 from azurewood.scheduling import messages
-from azurewood.scheduling import progress
 from standins.fleet import members
 from tests.scheduling import deployment
 
@@ -80,15 +80,7 @@
 
 
 def test_it_waits_if_the_machine_is_not_on_record(monkeypatch):
-    usual = progress.encode_late_starts
-
-    def encode(state, host, now):
-        known, state.host_machines = state.host_machines, {}
-        data = usual(state, host, now)
-        state.host_machines = known
-        return data
-
-    monkeypatch.setattr(progress, "encode_late_starts", encode)
+    monkeypatch.setattr(host_records, "store", lambda state: None)
     assert not _change_leader_after_a_move(monkeypatch)
 
 
