Leave an account half of its limit beside starts that hosts refuse

Callers with an account saw accepted jobs wait beside free hosts ("could run and doesn't", account limit) while their account had little or nothing running.

Cause: a start without an answer counts for its account for 12 s and more, as its host may carry it out. A host that has answered a call with a higher fencing token since refuses it; only an incarnation yet to come could begin it.

Change: the leader keeps by which token each host, as long as it is known to go on, refuses earlier starts; a lost connection, a renewal that fails, a removed entry or a new incarnation ends that.

The recount of accounts.py checks both sums after each event.

--- a/azurewood/incarnations/late_starts.py
+++ b/azurewood/incarnations/late_starts.py
@@ -25,6 +25,11 @@
     def remove(self, place: Place, account: str) -> None:
         """Count a run no longer that was added."""
 
+    def set_refused(
+        self, place: Place, account: str, *, refused: bool
+    ) -> None:
+        """Note whether the start of a run that was added is refused."""
+
 
 class LateStart:
     """A start without an answer, which may take effect until a deadline.
@@ -36,7 +41,7 @@
     may be started again. Once the host has listed its end, it is when the
     next run of a long-lived task may begin there. ``account`` is the client
     account that the run counts for, empty for none, and ``needs`` what it
-    uses.
+    uses. ``refused`` is whether it is known that its host refuses it.
     """
 
     __slots__ = (
@@ -48,6 +53,7 @@
         "needs",
         "next_run_at",
         "possible_until",
+        "refused",
         "run",
     )
 
@@ -65,6 +71,7 @@
     ) -> None:
         self.account = account
         self.needs = needs
+        self.refused = False
         self.host = host
         self.gang = gang
         self.run = run
@@ -108,11 +115,23 @@
         id, _ = key
         starts = self._steps[id[:3]]
         del starts[(*key, late.host)]
+        self.set_refused(key, late, refused=False)
         if self._usage is not None:
             self._usage.remove((late.host, *key), late.account)
         if not starts:
             del self._steps[id[:3]]
 
+    def set_refused(
+        self, key: RunKey, late: LateStart, *, refused: bool
+    ) -> None:
+        """Note whether the host of a late start is known to refuse it."""
+        if late.refused == refused:
+            return
+        late.refused = refused
+        if self._usage is not None:
+            place = (late.host, *key)
+            self._usage.set_refused(place, late.account, refused=refused)
+
     def of_end(self, id: model.TaskId) -> abc.Iterator[LateStart]:
         """Yield the starts of a task, and of its gang's other members."""
         for (other, _, _), late in self._steps.get(id[:3], {}).items():
@@ -128,15 +147,39 @@
     Until ``renewed_until`` a lease renewal without an answer may be carried
     out as well. In an incarnation that no call has reached it extends the
     lease of a run that began late.
+
+    The present incarnation, as long as it is known to go on, refuses starts
+    with a fence below ``refused_below``, the fence of a call that it has
+    answered; 0 while it is not known to go on. A start that is refused can
+    begin only once the host has restarted.
     """
 
-    __slots__ = ("_steps", "renewed_until")
+    __slots__ = ("_steps", "refused_below", "renewed_until")
 
     def __init__(self, *, steps: LateSteps | None = None) -> None:
         super().__init__()
         self._steps = LateSteps() if steps is None else steps
+        self.refused_below = 0
         self.renewed_until = -math.inf
 
+    def note_answered(self, fence: int) -> None:
+        """Note that the present incarnation has answered a call."""
+        self.refused_below = fence
+        self._update_refused()
+
+    def note_unknown(self) -> None:
+        """Note that the host may have begun another incarnation."""
+        self.refused_below = 0
+        self._update_refused()
+
+    def _update_refused(self) -> None:
+        for key, late in self.items():
+            self._set_refused(key, late)
+
+    def _set_refused(self, key: RunKey, late: LateStart) -> None:
+        refused = late.fence < self.refused_below
+        self._steps.set_refused(key, late, refused=refused)
+
     def add(self, key: RunKey, late: LateStart) -> LateStart:
         """Add a start and return it, or the one known of its run, renewed.
 
@@ -147,6 +190,7 @@
             self._steps.add(key, late)
         else:
             known.renew(late)
+        self._set_refused(key, known)
         return known
 
     def bar(self, key: RunKey) -> bool:
--- a/azurewood/scheduling/account_limits.py
+++ b/azurewood/scheduling/account_limits.py
@@ -149,6 +149,7 @@
             running_memory_mb=used.memory_mb,
             running_gpu=used.gpu,
             late=late[name],
+            refused_cpu=state.usage.refused(name).cpu,
             unseen=unseen[name],
             unlisted_cpu=state.unlisted_usage.get(name, NOTHING).cpu,
             waiting=waiting[name],
--- a/azurewood/scheduling/account_usage.py
+++ b/azurewood/scheduling/account_usage.py
@@ -4,20 +4,32 @@
 
 from azurewood.incarnations import late_starts
 from azurewood.jobs import model
+from azurewood.policy import account_room
 
-NO_LIMIT: typing.Final = model.Resources(2**62, 2**62, 2**62)
+NO_LIMIT: typing.Final = model.Resources(
+    account_room.NO_LIMIT, account_room.NO_LIMIT, account_room.NO_LIMIT
+)
 """More than any account uses."""
 
 
 class _Held:
-    """The account and amount of one place, and how many reasons hold it."""
+    """The account and amount of one place, and how many reasons hold it.
 
-    __slots__ = ("account", "count", "needs")
+    ``refused`` of these are starts that the host is known to refuse.
+    """
+
+    __slots__ = ("account", "count", "needs", "refused")
 
     def __init__(self, *, account: str, needs: model.Resources) -> None:
         self.account = account
         self.needs = needs
         self.count = 0
+        self.refused = 0
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether nothing but refused starts holds the place."""
+        return self.count == self.refused
 
 
 class AccountUsage:
@@ -25,13 +37,15 @@
 
     A place is held for each reason to count it, by a run, a late start or a
     host's list. It counts once however many reasons there are, and until the
-    last of them is over. Work without an account is not counted.
+    last of them is over. Work without an account is not counted. A second sum
+    has the places that refused starts alone hold.
     """
 
-    __slots__ = ("_held", "_runs", "_sums")
+    __slots__ = ("_held", "_refused", "_runs", "_sums")
 
     def __init__(self) -> None:
         self._held: dict[late_starts.Place, _Held] = {}
+        self._refused: dict[str, model.Resources] = {}
         self._sums: dict[str, model.Resources] = {}
         self._runs: dict[str, int] = {}
 
@@ -46,6 +60,8 @@
             held = self._held[place] = _Held(account=account, needs=needs)
             self._sums[account] = self.used(account).plus(needs)
             self._runs[account] = self.running(account) + 1
+        elif held.is_refused:
+            self._add_refused(held, -1)
         held.count += 1
 
     def remove(self, place: late_starts.Place, account: str) -> None:
@@ -55,6 +71,8 @@
         held = self._held[place]
         held.count -= 1
         if held.count:
+            if held.is_refused:
+                self._add_refused(held, 1)
             return
         del self._held[place]
         self._runs[held.account] -= 1
@@ -65,6 +83,30 @@
             del self._runs[held.account]
             del self._sums[held.account]
 
+    def set_refused(
+        self, place: late_starts.Place, account: str, *, refused: bool
+    ) -> None:
+        """Note whether one of a place's reasons is a refused start."""
+        if not account:
+            return
+        held = self._held[place]
+        if held.is_refused:
+            self._add_refused(held, -1)
+        held.refused += 1 if refused else -1
+        if held.is_refused:
+            self._add_refused(held, 1)
+
+    def _add_refused(self, held: _Held, sign: int) -> None:
+        known = self.refused(held.account)
+        change = held.needs.times(sign)
+        left = self._refused[held.account] = known.plus(change)
+        if left == model.Resources():
+            del self._refused[held.account]
+
+    def refused(self, account: str) -> model.Resources:
+        """Return what refused starts alone hold on all hosts."""
+        return self._refused.get(account, model.Resources())
+
     def holder(self, place: late_starts.Place) -> tuple[str, model.Resources]:
         """Return the account and amount of a place, ``""`` if not held."""
         held = self._held.get(place)
@@ -90,11 +132,11 @@
         A resource with the limit 0 has none. An amount is negative while the
         account uses more than its limit, which may have been lowered.
         """
-        used = self.used(account)
+        used, refused = self.used(account), self.refused(account)
         return model.Resources(
-            limit.cpu - used.cpu if limit.cpu else NO_LIMIT.cpu,
-            limit.memory_mb - used.memory_mb
-            if limit.memory_mb
-            else NO_LIMIT.memory_mb,
-            limit.gpu - used.gpu if limit.gpu else NO_LIMIT.gpu,
+            account_room.room(limit.cpu, used.cpu, refused.cpu),
+            account_room.room(
+                limit.memory_mb, used.memory_mb, refused.memory_mb
+            ),
+            account_room.room(limit.gpu, used.gpu, refused.gpu),
         )
--- a/azurewood/scheduling/hosts.py
+++ b/azurewood/scheduling/hosts.py
@@ -109,6 +109,7 @@
     host = state.hosts.get(host_id)
     if host is not None and host.present:
         host.present = False
+        host.late_starts.note_unknown()
         state.log_event("host.gone", host=host_id, runs=len(host.runs))
 
 
@@ -140,6 +141,7 @@
     host.past_incarnations.add(host.incarnation.began_ms)
     host.past_incarnations.discard(incarnation_ms)
     host.incarnation = incarnations.Incarnation(began_ms=incarnation_ms)
+    host.late_starts.note_unknown()
     host.count_unknown({})
     state.set_unwanted(host, frozenset())
     latestarts.on_renewal_lost(state, host, now)
@@ -266,6 +268,7 @@
         # The host has this leader's own higher token.
         host.renew_at = now
         return
+    host.late_starts.note_unknown()
     host.answered = False
     match event.reason:
         case messages.Refusal.FENCE:
@@ -314,6 +317,7 @@
     running = {(row.task, row.run): row for row in event.running}
     listings.handle_running(state, host, event, running, ends, now)
     host.incarnation.synced = True
+    host.late_starts.note_answered(host.renewal_fence)
     speeds.send_changes(state, host, now)
     withheld = host.incarnation.ends.withheld
     host.renew_at = now + (WITHHELD_PAUSE_S if withheld else RENEWAL_PAUSE_S)
--- a/azurewood/scheduling/runs.py
+++ b/azurewood/scheduling/runs.py
@@ -374,4 +374,5 @@
     """Mark a host as ended, since another host has its address now."""
     host_ends.end(state, host, host_ends.AddressReused(), now)
     host.incarnation.synced = False
+    host.late_starts.note_unknown()
     host.present = False
--- a/azurewood/scheduling/unresponsive.py
+++ b/azurewood/scheduling/unresponsive.py
@@ -59,6 +59,7 @@
         incarnation=host.incarnation.began_ms,
     )
     host.connected_by = None
+    host.late_starts.note_unknown()
     host.renew_at = max(now, host.disconnected_at + DISCONNECTED_PAUSE_S)
     host.disconnected_at = now
 
--- a/tests/scheduling/accounts.py
+++ b/tests/scheduling/accounts.py
@@ -64,16 +64,40 @@
 
 
 def recount(state, asked):
-    """Return what each account uses, found by a search of all hosts."""
-    sums = collections.defaultdict(model.Resources)
+    """Return what each account uses, found by a search of all hosts.
+
+    The second result is what refused starts alone hold.
+    """
+    used = collections.defaultdict(model.Resources)
+    refused = collections.defaultdict(model.Resources)
     for host in state.hosts.values():
-        held = host.runs.keys() | host.late_starts.keys()
-        for task, _ in held | host.listed_unknown.keys():
-            job = asked[task.job]
-            if job.account:
-                needs = job.steps[task.step].needs
-                sums[job.account] = sums[job.account].plus(needs)
-    return dict(sums)
+        held = host.runs.keys() | host.listed_unknown.keys()
+        for key in held | host.late_starts.keys():
+            job = asked[key[0].job]
+            if not job.account:
+                continue
+            needs = job.steps[key[0].step].needs
+            used[job.account] = used[job.account].plus(needs)
+            if key not in held and _refuses(host, host.late_starts[key]):
+                refused[job.account] = refused[job.account].plus(needs)
+    return dict(used), dict(refused)
+
+
+def _refuses(host, late):
+    """Return whether a host has answered a later call, and goes on."""
+    goes_on = (
+        host.present
+        and host.incarnation.synced
+        and host.answered
+        and host.connected_by is not None
+    )
+    return goes_on and late.fence < host.late_starts.refused_below
+
+
+def _sums(of, accounts):
+    """Return what ``of`` says of the accounts of which it says anything."""
+    found = {account: of(account) for account in accounts}
+    return {a: n for a, n in found.items() if n != model.Resources()}
 
 
 def watch(monkeypatch, made):
@@ -84,7 +108,11 @@
     def handle_event(state, event, now):
         usual(state, event, now)
         expected = recount(state, made.rules.asked)
-        found = {a: state.usage.used(a) for a in state.usage.accounts()}
+        names = made.catalog.accounts
+        found = (
+            _sums(state.usage.used, names),
+            _sums(state.usage.refused, names),
+        )
         if found != expected:
             wrong.append((type(event).__name__, found, expected))
 
