Deny no job before the intake is known to be copied

Callers of a daemon that had just started got 410 for jobs that had been accepted ("was accepted and isn't known"): these were in the intake, as the store was slow, and all daemons had lost power before a leader copied them.

Cause: a daemon took the intake for empty unless it had seen itself that it was used. One that starts anew has seen nothing; with a leader it denied jobs for a moment, and without one for as long as none copied. The class: a process that starts anew takes what it doesn't know for "there is none".

Change: the leader's beats tell up to when the intake is copied (copied_ms, some ten bytes; no further read or append): the oldest of its newest reads of the partitions, and only while it has nothing left to copy. A daemon denies a job once that is later than its own start, and than the last time at which others may have used the intake, and once it has read the jobs stored since (policy/intake.knows_all). A beat of before its start proves nothing: a beat is younger than the record before it, and that one than the read before, so the third beat that a daemon reads is the first to tell. The pause after which a daemon forgot the intake goes; under a leader of an earlier release, whose beats don't tell, unknown jobs get 503 instead of 410. Until then refusals for load and late refusals are left out too, as they rest on the same. job.denied is the line of each denial.

--- a/azurewood/daemons/intake.py
+++ b/azurewood/daemons/intake.py
@@ -8,6 +8,7 @@
 """
 
 from collections import abc
+import math
 import typing
 
 from loguru import logger
@@ -101,6 +102,13 @@
         """Whether each job that was listed is copied and deleted here."""
         return not self._uncopied and all(r.listed for r in self._readers)
 
+    @property
+    def copied_at(self) -> float:
+        """Up to when each job in the intake is copied, if all are."""
+        if not self.complete:
+            return -math.inf
+        return min(reader.fresh_at for reader in self._readers)
+
     def step(self, now: float, *, slow: bool) -> None:
         """Make due calls; ``slow`` is whether daemons use the intake now."""
         if slow:
--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -33,9 +33,9 @@
 APPENDS_FAIL_S: typing.Final = 1.5
 """How long appends count as failing after the newest that did: longer than the
 longest pause until a repetition. Then one job is accepted as a probe."""
-COPY_S: typing.Final = 2.5
-"""Time in which a leader copies a job from the intake to the jobs, and after
-which a silent leader may have left some there."""
+LAST_USE_S: typing.Final = 2.5
+"""Time after a report of slow appends in which daemons that have not read a
+newer one may still store jobs in the intake."""
 
 
 class JobWrites:
@@ -48,12 +48,13 @@
     __slots__ = (
         "_active",
         "_check_at",
+        "_copied_known_at",
         "_election",
         "_failed_at",
         "_given_up",
         "_inbox",
-        "_incomplete_until",
         "_intake",
+        "_intake_used_by",
         "_job_service",
         "_jobs",
         "_offsets",
@@ -84,7 +85,9 @@
         self._inbox: collections.deque[write_requests.WriteRequest] = (
             collections.deque()
         )
-        self._incomplete_until = 0.0
+        # Before this daemon began, others may have used it.
+        self._intake_used_by = clock()
+        self._copied_known_at = math.inf
         self._failed_at = -math.inf
         # Of the jobs that were stored before the listing was complete.
         self._offsets: dict[str, int] = {}
@@ -151,22 +154,40 @@
             self._add(self._inbox.popleft())
 
     def _should_use_intake(self, now: float) -> bool:
-        """Return whether accepted jobs go to the intake, and note it.
-
-        For ``COPY_S`` after that, jobs may exist that are only there, and
-        for as long as no leader copies them.
-        """
+        """Return whether accepted jobs go to the intake, and note it."""
         silent_s = self._election.leader_silent_s(now)
         slow = intakes.use_intake(
             self._election.leader_append_s, silent_s, in_use=self._use_intake
         )
         if slow != self._use_intake:
             self._switch(slow=slow, silent_s=silent_s)
-        if slow or (now < self._incomplete_until and silent_s > COPY_S):
-            self._incomplete_until = now + COPY_S
-        self._job_service.complete = now >= self._incomplete_until
+        if slow:
+            self._intake_used_by = now + LAST_USE_S
+            self._copied_known_at = math.inf
+            self._job_service.complete = False
+        elif not self._job_service.complete:
+            self._job_service.complete = self._knows_all(now)
         return slow
 
+    @property
+    def awaits_read(self) -> bool:
+        """Whether a read of the jobs would show all from the intake."""
+        return not self._job_service.complete and math.isfinite(
+            self._copied_known_at
+        )
+
+    def _knows_all(self, now: float) -> bool:
+        """Return whether the jobs read here include all from the intake."""
+        copied_at = self._election.copied_at
+        if copied_at >= self._intake_used_by:
+            self._copied_known_at = min(self._copied_known_at, now)
+        return intakes.knows_all(
+            used_by=self._intake_used_by,
+            copied_at=copied_at,
+            copied_known_at=self._copied_known_at,
+            read_at=self._job_service.fresh_at,
+        )
+
     def _switch(self, *, slow: bool, silent_s: float) -> None:
         logger.bind(
             event="intake.used" if slow else "intake.left",
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -160,7 +160,8 @@
     def step(self, now: float) -> None:
         """Run one iteration: read, write, and lead if elected."""
         self._operators.wait_ms = self._operators_wait_ms()
-        self._jobs.hurried = self.job_service.read_waits.any_waits(now)
+        waits = self.job_service.read_waits.any_waits(now)
+        self._jobs.hurried = waits or self._writes.awaits_read
         self._read_all()
         if self._unstored_resignation is not None:
             self._resign_if_due(self._unstored_resignation, now)
@@ -246,6 +247,7 @@
             end=read.offset,
             began_at=read.began_at,
             ready=self.job_service.knows_jobs(),
+            fresh_at=read.fresh_at,
         )
         wanted = self.election.step(event, self._clock())
         if wanted and isinstance(wanted.entry, election_records.Claim):
@@ -278,7 +280,10 @@
         if self.term is None:
             return
         beat = election.beat(
-            self.term.largest_capacity(), now, lambda: self.term.load(now)
+            self.term.largest_capacity(),
+            now,
+            lambda: self.term.load(now),
+            self.term.copied_at(),
         )
         self._append_leader(beat)
         self.term.step(now)
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -291,6 +291,10 @@
         """Return the largest machine's capacity, which beats publish."""
         return self.state.largest_capacity if self.state else model.Resources()
 
+    def copied_at(self) -> float:
+        """Return up to when the intake's jobs are copied, for beats."""
+        return self._intake.copied_at if self.state else -math.inf
+
     def load(self, now: float) -> tuple[election_records.QueueLoad, ...]:
         """Return the loaded queues, which beats publish."""
         return load.report(self.state, now) if self.state else ()
--- a/azurewood/jobs/desk.py
+++ b/azurewood/jobs/desk.py
@@ -54,8 +54,9 @@
     each write request to the loop that owns the appender. ``admission``
     returns a refusal for jobs that must not be accepted. ``unread`` has,
     by id, the jobs that this daemon stored, perhaps in the intake, and has
-    not read among the jobs yet. ``complete`` is false while other daemons may
-    have stored jobs in the intake that are not among the jobs yet.
+    not read among the jobs yet. ``complete`` is false while the intake may
+    have jobs that are not among the jobs read here: until a leader has told
+    that they are copied, after this daemon began and after each use.
     ``reads_fail`` is whether the newest read of the jobs failed. Versions of
     the catalog stored before ``catalog_fresh_at`` have been read. The store
     takes records of ``max_record_bytes`` at most.
@@ -120,7 +121,7 @@
         self.caught_up = False
         self.appends_fail = False
         self.reads_fail = False
-        self.complete = True
+        self.complete = False
         self.unread: dict[str, model.Job] = {}
         self.stopping = False
 
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -99,6 +99,7 @@
     ``own_append_s`` is how long this daemon's newest election record took,
     and ``append_delay_s`` how long its other appends take. ``load`` is the
     newest report of loaded queues; other threads may read it.
+    All jobs that were in the intake at ``copied_at`` are among the jobs.
 
     A leader's term counts as confirmed from the time at which its record was
     sent, which is before any daemon can have read the record. A daemon that
@@ -118,6 +119,7 @@
         "_beats",
         "_cooldown_s",
         "_cooldown_until",
+        "_fresh_at",
         "_leader_nonce",
         "_leader_seen_at",
         "_predecessor_ended",
@@ -126,11 +128,13 @@
         "_read_times",
         "_resigned",
         "_seen_at",
+        "_stored_after",
         "_strongest_at",
         "_yield_until",
         "address",
         "append_delay_s",
         "confirmed_at",
+        "copied_at",
         "cores",
         "end",
         "fence",
@@ -175,12 +179,15 @@
         self.strongest = 0.0
         self.largest = model.Resources()
         self.confirmed_at = 0.0
+        self.copied_at = -math.inf
         self.stopping = False
         self.resigning = False
         self.preempted_live_leader = False
         self._leader_nonce = ""
         self._leader_seen_at = 0.0
         self._resigned = False
+        self._fresh_at = -math.inf
+        self._stored_after = -math.inf
         self._predecessor_ended = False
         self._predecessors = predecessors.Predecessors(nonce=nonce)
         self._beats = 0
@@ -255,10 +262,12 @@
         largest: model.Resources,
         now: float,
         load: abc.Callable[[], tuple[records.QueueLoad, ...]] = tuple,
+        copied_at: float = -math.inf,
     ) -> events.Append | None:
         """Return the leader's next beat if it is due.
 
         ``load`` returns the loaded queues; it is called for due beats only.
+        What was in the intake at ``copied_at`` is among the jobs.
         """
         due = now >= self._beat_at + BEAT_INTERVAL_S
         if not self.term or self._appending or not due:
@@ -272,6 +281,9 @@
             address=self.address,
             beats=self._beats,
             load=load() or msgspec.UNSET,
+            copied_ms=math.ceil((now - copied_at) * 1000)
+            if math.isfinite(copied_at)
+            else msgspec.UNSET,
         )
         self._beats += 1
         return self._append(entry, now)
@@ -328,6 +340,8 @@
             self._apply_entry(
                 event.offset + index, entry, self._append_at, now
             )
+            self._stored_after = self._fresh_at
+        self._fresh_at = max(self._fresh_at, event.fresh_at)
         if event.entries:
             self._seen_at = now
             self._yield_until = None
@@ -337,6 +351,7 @@
         self._appending = False
         self.own_append_s = now - event.began_at
         self._apply_entry(event.offset, event.entry, event.began_at, now)
+        self._stored_after = event.began_at
         self._seen_at = now
         self._yield_until = None
         self.end = max(self.end, event.offset + 1)
@@ -366,6 +381,7 @@
                 self.load = LoadReport(queues=entry.load or (), read_at=now)
                 self._predecessor_ended = self._is_predecessors(entry)
                 self.largest = largest
+                self._note_copied(entry)
                 self._record_cores(cores, now)
             case records.Resign(nonce=nonce):
                 self._resigned = nonce == self._leader_nonce
@@ -375,6 +391,16 @@
             self.confirmed_at = max(self.confirmed_at, sent_at)
             self.fence = offset + 1
 
+    def _note_copied(self, beat: records.Beat) -> None:
+        """Note up to when the intake's jobs are copied, by a leader's beat.
+
+        Its writer knew the record before it, so the beat is younger than
+        that one, which was stored after ``_stored_after``.
+        """
+        if isinstance(beat.copied_ms, int):
+            copied_at = self._stored_after - beat.copied_ms / 1000
+            self.copied_at = max(self.copied_at, copied_at)
+
     def _is_predecessors(self, beat: records.Beat) -> bool:
         """Return whether a beat is of this daemon's earlier process."""
         return (
--- a/azurewood/leadership/events.py
+++ b/azurewood/leadership/events.py
@@ -1,6 +1,7 @@
 """What the election is told, and the append that it asks for."""
 
 import dataclasses
+import math
 
 from azurewood.leadership import records
 
@@ -10,6 +11,7 @@
     """Records read from ``offset`` on; the call began at ``began_at``.
 
     ``ready`` is whether this daemon could start to schedule immediately.
+    What was appended before ``fresh_at`` has been read now.
     """
 
     offset: int
@@ -17,6 +19,7 @@
     end: int
     began_at: float
     ready: bool = False
+    fresh_at: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/azurewood/leadership/records.py
+++ b/azurewood/leadership/records.py
@@ -47,7 +47,8 @@
     ``append_s`` is how long the leader's newest append took, 0 if unknown.
     ``address`` is where it listens, and ``beats`` the number of earlier beats
     of its term. ``load`` has the queues in which new jobs wait for long; it is
-    absent if there are none.
+    absent if there are none. ``copied_ms`` is the age of the time up to which
+    the jobs in the intake are copied, absent if that is not known.
     """
 
     nonce: str
@@ -57,6 +58,7 @@
     address: str = ""
     beats: int = 0
     load: tuple[QueueLoad, ...] | msgspec.UnsetType = msgspec.UNSET
+    copied_ms: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class Resign(msgspec.Struct, frozen=True, kw_only=True, tag="resign"):
--- a/azurewood/policy/intake.py
+++ b/azurewood/policy/intake.py
@@ -68,3 +68,18 @@
     """
     valid_s = IN_USE_VALID_S if in_use else REPORT_VALID_S
     return is_slow(append_s) and reported_ago_s < valid_s
+
+
+def knows_all(
+    *, used_by: float, copied_at: float, copied_known_at: float, read_at: float
+) -> bool:
+    """Return whether a daemon knows all jobs that were stored in the intake.
+
+    Nothing was stored there after ``used_by``, as far as the daemon knows.
+    What was there at ``copied_at`` is among the jobs, which the daemon knew
+    by ``copied_known_at``; it has read what was among them at ``read_at``.
+    The load: all daemons lose power while the store is slow, and jobs wait in
+    the intake for a leader. A daemon that takes the intake for empty denies
+    them.
+    """
+    return copied_at >= used_by and read_at >= copied_known_at
--- a/tests/policy/test_intake.py
+++ b/tests/policy/test_intake.py
@@ -90,3 +90,11 @@
 ):
     found = intake.reported_append_s(append_s, read_s, step_s=step_s)
     assert intake.is_slow(found) is slow
+
+
+def test_a_daemon_knows_all_jobs_once_it_has_read_what_was_copied():
+    known = {"used_by": 10.0, "copied_at": 10.0, "copied_known_at": 12.0}
+    assert intake.knows_all(**known, read_at=12.0)
+    assert not intake.knows_all(**known, read_at=11.9)
+    known["copied_at"] = 9.9
+    assert not intake.knows_all(**known, read_at=20.0)
