Store hosts' machines in the order of their ids; other seeds of a control

The control of test_starts_over_leaders.py kills a leader before an answer and leaves out restore_unanswered; whether the next leader places the task on another host is up to the course. The positive test plays seed 8 too.

Machines that change together are stored in the order of the hosts' ids, so that a course does not depend on the order of a set.

--- a/azurewood/scheduling/host_records.py
+++ b/azurewood/scheduling/host_records.py
@@ -43,7 +43,7 @@
         return
     others = state.values or state.dirty_jobs or state.dirty_late_starts
     waiting = set()
-    for host_id in state.dirty_machines:
+    for host_id in sorted(state.dirty_machines):
         machine = state.host_machines.get(host_id)
         key = f"{progress.HOST_PREFIX}{host_id}"
         if host_id in state.hosts:
--- a/tests/scheduling/test_starts_over_leaders.py
+++ b/tests/scheduling/test_starts_over_leaders.py
@@ -63,7 +63,7 @@
     assert deployment.phase(made, f"{1:016x}") is model.Phase.COMPLETED
 
 
-@pytest.mark.parametrize("seed", (1, 2, 4, 5, 7, 11, 15))
+@pytest.mark.parametrize("seed", (1, 2, 4, 5, 7, 8, 11, 15))
 def test_no_task_runs_twice_over_a_change_of_leader(monkeypatch, seed):
     made = _killed_before_the_answer(monkeypatch, LASTING, seed)
     assert deployment.running_tasks(made, f"{1:016x}") == 1
@@ -73,9 +73,9 @@
     ("step", "seed", "rule"),
     [
         (ONE, 1, "after its end was noted"),
-        (LASTING, 7, "twice"),
+        (LASTING, 5, "twice"),
+        (LASTING, 8, "twice"),
         (LASTING, 11, "twice"),
-        (LASTING, 15, "twice"),
     ],
 )
 def test_breaks_if_starts_under_way_are_not_restored(
