Know of a slow report that a later record followed

A daemon that went on after a freeze denied accepted jobs (410), which others had stored in the intake meanwhile, until a leader copied them.

Cause: a daemon took the newest record alone for what others do. If slow beats and a claim, which counts as fast, come in one read, it never learnt that the intake was used, and what it knew of before, that all is copied, stayed in force. The class: what it has not seen counts as what has not been.

Change: the election notes when it read a slow report, or missed records; the daemon then waits again until the intake is told to be copied.

For some 0.1 s after a freeze, before the election's records are read, such a daemon still denies.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -59,6 +59,7 @@
         "_jobs",
         "_offsets",
         "_send_for_s",
+        "_slow_known_at",
         "_use_intake",
     )
 
@@ -88,6 +89,8 @@
         # Before this daemon began, others may have used it.
         self._intake_used_by = clock()
         self._copied_known_at = math.inf
+        # Reports that were read since, also those that a newer one followed.
+        self._slow_known_at = -math.inf
         self._failed_at = -math.inf
         # Of the jobs that were stored before the listing was complete.
         self._offsets: dict[str, int] = {}
@@ -161,7 +164,8 @@
         )
         if slow != self._use_intake:
             self._switch(slow=slow, silent_s=silent_s)
-        if slow:
+        if slow or self._election.slow_reported_at > self._slow_known_at:
+            self._slow_known_at = self._election.slow_reported_at
             self._intake_used_by = now + LAST_USE_S
             self._copied_known_at = math.inf
             self._job_service.complete = False
--- a/azurewood/leadership/base.py
+++ b/azurewood/leadership/base.py
@@ -37,6 +37,7 @@
 from azurewood.leadership import events
 from azurewood.leadership import predecessors
 from azurewood.leadership import records
+from azurewood.policy import intake
 
 BEAT_INTERVAL_S: typing.Final = 0.4
 """Interval between the leader's beats. Three consecutive beats can be lost
@@ -100,6 +101,9 @@
     and ``append_delay_s`` how long its other appends take. ``load`` is the
     newest report of loaded queues; other threads may read it.
     All jobs that were in the intake at ``copied_at`` are among the jobs.
+    ``slow_reported_at`` is when the newest report of slow appends was read, or
+    records were missed that may have had one; a later beat may have come with
+    it.
 
     A leader's term counts as confirmed from the time at which its record was
     sent, which is before any daemon can have read the record. A daemon that
@@ -149,6 +153,7 @@
         "preempted_live_leader",
         "resigning",
         "silence_before_claim_s",
+        "slow_reported_at",
         "stopping",
         "strongest",
         "term",
@@ -180,6 +185,7 @@
         self.largest = model.Resources()
         self.confirmed_at = 0.0
         self.copied_at = -math.inf
+        self.slow_reported_at = -math.inf
         self.stopping = False
         self.resigning = False
         self.preempted_live_leader = False
@@ -334,6 +340,8 @@
         if event.offset > self.end:
             # The writers of the missed records wrote them before now.
             self._predecessors.missed(now)
+            if self.end >= 0:
+                self.slow_reported_at = now
         for index, entry in enumerate(event.entries):
             # This is the earliest time at which this daemon can have sent a
             # record of its own.
@@ -377,6 +385,8 @@
                 self._leader_nonce = nonce
                 self._leader_seen_at = now
                 self.leader_append_s = entry.append_s
+                if intake.is_slow(entry.append_s):
+                    self.slow_reported_at = now
                 self.leader_cores = cores
                 self.load = LoadReport(queues=entry.load or (), read_at=now)
                 self._predecessor_ended = self._is_predecessors(entry)
--- a/tests/leadership/test_copied_intake.py
+++ b/tests/leadership/test_copied_intake.py
@@ -5,6 +5,7 @@
 from azurewood.leadership import base
 from azurewood.leadership import events
 from azurewood.leadership import records
+from azurewood.policy import intake
 
 BEGAN_AT = 10.0
 
@@ -71,3 +72,22 @@
     election.step(events.AppendFailed(entry=made.entry), 11.0)
     made = election.beat(election.largest, 12.0)
     assert not isinstance(made.entry.copied_ms, int)
+
+
+def test_a_slow_report_is_known_if_a_later_beat_came_with_it():
+    """Guards against LOST: others used the intake, unseen by this daemon."""
+    election = _election()
+    _read(election, 0, 11.0, records.Beat(nonce="2"))
+    assert election.slow_reported_at == -math.inf
+    slow = records.Beat(nonce="2", append_s=intake.SLOW_APPEND_S)
+    _read(election, 1, 12.0, slow, records.Beat(nonce="2"))
+    assert election.leader_append_s == 0.0
+    assert election.slow_reported_at == 12.0
+
+
+def test_missed_records_may_have_had_a_slow_report():
+    election = _election()
+    _read(election, 5, 11.0, records.Beat(nonce="2"))
+    assert election.slow_reported_at == -math.inf
+    _read(election, 8, 12.0, records.Beat(nonce="2"))
+    assert election.slow_reported_at == 12.0
--- a/tests/scheduling/test_intake_after_power_loss.py
+++ b/tests/scheduling/test_intake_after_power_loss.py
@@ -4,6 +4,7 @@
 
 from azurewood.jobs import verdicts
 from azurewood.journal import pages
+from azurewood.leadership import base as leadership
 from azurewood.policy import intake
 from tests.scheduling import deployment
 from tests.scheduling import test_intake
@@ -14,6 +15,14 @@
 """Time for a leader to read all partitions, idle ones for 5 s at a time,
 for beats and for a read of the jobs."""
 UNKNOWN_ID = "f" * 16
+COPIED_WITHIN_S = 16.0
+"""Time in which daemons learn that the intake is empty, as none uses it."""
+FROZEN_S = 4.5
+"""Longer than the store is slow, and the power away."""
+FROZEN = 4
+"""How many daemons are frozen."""
+CATCH_UP_S = 0.5
+"""Time for a frozen daemon to read the leader's records as it goes on."""
 
 
 def _restart_all(made):
@@ -69,6 +78,83 @@
     assert _denials(made, ids, slow=1.0, leaderless=True)
 
 
+def _denials_of_frozen_daemons():
+    """Freeze daemons that know the intake while others begin to use it.
+
+    These lose power before a leader has copied their jobs, and each leader is
+    lost from then on. Return how often the others denied a job.
+    """
+    made = deployment.world(members=12)
+    made.append_s = test_intake.APPEND_S
+    made.run(COPIED_WITHIN_S)
+    (leader,) = made.leaders()
+    away = [member for member in made.members if member is not leader]
+    away = away[-FROZEN:]
+    assert all(member.member.job_service.complete for member in away)
+    for member in away:
+        member.freeze(FROZEN_S)
+    thaw_at = made.clock.now + FROZEN_S
+    made.slow = test_intake.SLOW
+    made.run(1.5)
+    using = [member for member in made.members if member not in away]
+    ids = _taken_by(made, using)
+    assert test_intake._stored_in_intake(made)
+    for member in using:
+        member.kill()
+    made.run(DOWN_S)
+    for member in using:
+        member.start()
+    made.slow = 1.0
+    return _watch(made, away, ids, since=thaw_at + CATCH_UP_S)
+
+
+def _taken_by(made, members):
+    """Hand jobs in; return the ids of those that are accepted."""
+    asked = {}
+    for number in range(1, 61):
+        job = deployment.job(made, number, test_intake.SHORT)
+        member = members[number % len(members)]
+        asked[job.id] = made.submit(member, job)
+        made.run(1 / 45)
+    return [id for id, a in asked.items() if a.verdict == verdicts.Taken()]
+
+
+def _watch(made, members, ids, since):
+    """Lose each leader; return how often daemons denied jobs ``since``."""
+    denied = 0
+    until = since + WATCHED_S
+    while made.clock.now < until:
+        made.run(0.1)
+        for leader in made.leaders():
+            leader.kill()
+        denied += sum(
+            member.member.job_service.show(id) == verdicts.NotThere()
+            for member in members
+            if member.up and made.clock.now >= since
+            for id in ids
+        )
+    return denied
+
+
+def test_daemons_that_missed_the_use_of_the_intake_deny_no_job_there():
+    """Guards against LOST: a claim was their newest record, which is fast."""
+    assert not _denials_of_frozen_daemons()
+
+
+def test_they_do_if_the_newest_report_alone_counts(monkeypatch):
+    usual = leadership.Election.step
+
+    def step(self, event, now):
+        known = self.slow_reported_at
+        try:
+            return usual(self, event, now)
+        finally:
+            self.slow_reported_at = known
+
+    monkeypatch.setattr(leadership.Election, "step", step)
+    assert _denials_of_frozen_daemons()
+
+
 def test_a_job_that_nobody_handed_in_is_denied_soon_after_a_start():
     """Guards against daemons that never learn that the intake is empty."""
     made = deployment.world()
