Tell at once that an unused intake is copied

A daemon that started alone answered 503 instead of 410 for unknown jobs, and refused no job for load, for 8.1 to 10.2 s after its start (eight starts under a settled leader of 12 daemons in memory).

Cause: the leader told up to when it had read the intake, and the store holds the reads of an idle intake open for 5 s, so that this was 5 to 10 s old.

Change: once all partitions have been read later than 17 s after the newest report of slow appends and the term's beginning, nobody can use the intake, and the leader tells the time of its beat. 17 s are the 5 s for which daemons consider a report and the 12 s by which appends are late. No more reads.

With the mechanism off test_a_daemon_that_starts_alone fails.

--- a/azurewood/daemons/intake.py
+++ b/azurewood/daemons/intake.py
@@ -20,6 +20,7 @@
 from azurewood.journal import appender
 from azurewood.journal import follower
 from azurewood.journal import pages
+from azurewood.policy import intake as policy
 
 READ_PAUSE_S: typing.Final = 0.02
 IN_USE_WAIT_MS: typing.Final = 1000
@@ -29,6 +30,9 @@
 IN_USE_S: typing.Final = 10.0
 """How long the intake counts as in use after the newest slow append: longer
 than the store takes to carry out a late append."""
+UNUSED_AFTER_S: typing.Final = policy.IN_USE_VALID_S + appender.MAX_DELAY_S
+"""Time after the newest report of slow appends from which no job comes into
+the intake: daemons consider the report for so long, and appends are late."""
 
 Append = abc.Callable[[tuple[appender.Record, ...], topics.OnStored], None]
 
@@ -43,6 +47,7 @@
 
     __slots__ = (
         "_append",
+        "_began_at",
         "_calls",
         "_clock",
         "_in_use_until",
@@ -71,7 +76,9 @@
         self._clock = clock
         self._registry = registry
         self._append = append
-        self._in_use_until = clock() + IN_USE_S
+        # Earlier leaders may have reported slow appends until now.
+        self._began_at = clock()
+        self._in_use_until = self._began_at + IN_USE_S
         self._uncopied: set[str] = set()
         self.out_of_sequence = False
         self._readers = [
@@ -102,12 +109,19 @@
         """Whether each job that was listed is copied and deleted here."""
         return not self._uncopied and all(r.listed for r in self._readers)
 
-    @property
-    def copied_at(self) -> float:
-        """Up to when each job in the intake is copied, if all are."""
+    def copied_at(self, now: float, *, slow_reported_at: float) -> float:
+        """Return up to when each job in the intake is copied, if all are.
+
+        Appends were last reported to be slow at ``slow_reported_at``. The
+        store holds reads open, so the newest ones are some seconds old; but
+        once the intake has been read that can't be in use any more, there is
+        nothing to read until the next report.
+        """
         if not self.complete:
             return -math.inf
-        return min(reader.fresh_at for reader in self._readers)
+        read_at = min(reader.fresh_at for reader in self._readers)
+        used_by = max(self._began_at, slow_reported_at) + UNUSED_AFTER_S
+        return now if read_at >= used_by else read_at
 
     def step(self, now: float, *, slow: bool) -> None:
         """Make due calls; ``slow`` is whether daemons use the intake now."""
--- a/azurewood/daemons/member.py
+++ b/azurewood/daemons/member.py
@@ -283,7 +283,7 @@
             self.term.largest_capacity(),
             now,
             lambda: self.term.load(now),
-            self.term.copied_at(),
+            self.term.copied_at(now),
         )
         self._append_leader(beat)
         self.term.step(now)
--- a/azurewood/daemons/term.py
+++ b/azurewood/daemons/term.py
@@ -291,9 +291,12 @@
         """Return the largest machine's capacity, which beats publish."""
         return self.state.largest_capacity if self.state else model.Resources()
 
-    def copied_at(self) -> float:
+    def copied_at(self, now: float) -> float:
         """Return up to when the intake's jobs are copied, for beats."""
-        return self._intake.copied_at if self.state else -math.inf
+        if self.state is None:
+            return -math.inf
+        reported_at = self._context.election.slow_reported_at
+        return self._intake.copied_at(now, slow_reported_at=reported_at)
 
     def load(self, now: float) -> tuple[election_records.QueueLoad, ...]:
         """Return the loaded queues, which beats publish."""
--- a/tests/scheduling/test_intake_after_power_loss.py
+++ b/tests/scheduling/test_intake_after_power_loss.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from azurewood.daemons import intake as copier
 from azurewood.jobs import verdicts
 from azurewood.journal import pages
 from azurewood.leadership import base as leadership
@@ -21,6 +22,8 @@
 """Longer than the store is slow, and the power away."""
 FROZEN = 4
 """How many daemons are frozen."""
+KNOWN_WITHIN_S = 2.0
+"""Time for three beats and for a read of the jobs."""
 CATCH_UP_S = 0.5
 """Time for a frozen daemon to read the leader's records as it goes on."""
 
@@ -165,6 +168,44 @@
         assert shown == verdicts.NotThere()
 
 
+def _knows_soon_after_a_start(made):
+    """Restart a daemon under a leader; return whether it soon knows all."""
+    member = next(member for member in made.members if not member.member.term)
+    member.kill()
+    made.run(DOWN_S)
+    member.start()
+    made.run(KNOWN_WITHIN_S)
+    return member.member.job_service.complete
+
+
+def test_a_daemon_that_starts_alone_soon_knows_that_the_intake_is_empty():
+    """Guards against seconds without refusals after each start."""
+    made = deployment.world()
+    made.run(copier.UNUSED_AFTER_S + 10.0)
+    assert _knows_soon_after_a_start(made)
+
+
+def test_it_waits_for_the_reads_that_the_store_holds_open(monkeypatch):
+    monkeypatch.setattr(copier, "UNUSED_AFTER_S", float("inf"))
+    made = deployment.world()
+    made.run(30.0)
+    assert not _knows_soon_after_a_start(made)
+
+
+def test_after_a_slow_report_the_intake_counts_as_read_by_reads_alone():
+    """Guards against LOST: a daemon may store jobs there for seconds."""
+    made = deployment.world()
+    made.run(copier.UNUSED_AFTER_S + 10.0)
+    member = made.leaders()[0].member
+    now = made.clock.now
+    assert member.term.copied_at(now) == now
+    member.election.slow_reported_at = now
+    assert now - 2 * copier.IDLE_WAIT_MS / 1000 < member.term.copied_at(now)
+    assert member.term.copied_at(now) < now
+    made.run(copier.UNUSED_AFTER_S - 1.0)
+    assert member.term.copied_at(made.clock.now) < made.clock.now
+
+
 def test_all_jobs_run_once_a_leader_has_copied_them():
     made, ids = _accepted_in_intake()
     _restart_all(made)
