Count stopped jobs only for hosts that could run them

Callers with an account saw accepted jobs wait beside free hosts ("could run and doesn't", account limit) for up to 10.4 s after a loss of all daemons, though nothing of the account was running.

Cause: no record tells which tasks of a cancelled or failed job still run. A new leader counted all of them until every host had listed its runs or the leases of earlier leaders had ended. One host that was gone for good, also one that never had a run of the account, held the whole account for that long. The class: a new leader waits out the worst case by time where a state would tell it.

Change (policy/unlisted_runs.py, pure): a silent host counts no more once a list of machines, a second younger than the term's beginning, names it on no machine that isn't down; what ran there has ended. Tasks count as far as the remaining hosts could run them, by the capacity of the largest machine; if no list gives capacities, and for the processors of background tasks, all count as before. Machines whose host is not known yet count as hosts. stopped.unlisted says how many hosts the count is for, which is the first, and for how long at most.

--- a/azurewood/scheduling/host_state.py
+++ b/azurewood/scheduling/host_state.py
@@ -241,6 +241,11 @@
         """Whether the host is known to go on in its incarnation."""
         return self.incarnation.synced and self.unresponsive_since is None
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the host doesn't answer, or has no entry to call it by."""
+        return self.entry is None or self.unresponsive_since is not None
+
     @property
     def leaving(self) -> bool:
         """Whether the host gets no tasks, as it is to go away."""
--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -116,11 +116,10 @@
             if entry is None or entry.host not in ("", host_id):
                 del state.host_machines[host_id]
             continue
-        silent = host.entry is None or host.unresponsive_since is not None
-        absent = silent or not host.present
+        absent = host.is_silent or not host.present
         if absent and host.late_starts and _has_left(state, host, entry):
             state.bar_late_starts(host, at + limits.MAX_START_DELAY_S)
-        if entry is None or not silent:
+        if entry is None or not host.is_silent:
             continue
         if _has_left(state, host, entry):
             proof = host_ends.Replaced(placed_before=at)
--- a/azurewood/scheduling/model.py
+++ b/azurewood/scheduling/model.py
@@ -10,6 +10,7 @@
 from azurewood.journal import appender
 from azurewood.policy import arrivals
 from azurewood.policy import pool_sizes
+from azurewood.policy import unlisted_runs
 from azurewood.policy import withheld_ends
 from azurewood.scheduling import account_usage
 from azurewood.scheduling import advice_queue
@@ -36,7 +37,8 @@
     ``fence`` is the newest fencing token of this leader, and its election
     record was not written before ``fenced_at``. ``clock_ms``, for
     ages and objectives, advances with the monotonic clock from the time of day
-    at the beginning of the term. ``unreadable_jobs`` has the jobs whose
+    at the beginning of the term, which was at ``began_at``.
+    ``unreadable_jobs`` has the jobs whose
     progress record cannot be read, and ``unstorable_jobs`` those with one that
     the store refuses, as it has more than ``max_record_bytes`` perhaps; they
     are to fail. ``no_order_before`` is the time from which
@@ -46,7 +48,8 @@
     ``known_job`` returns the record of a job by its id, also of one that is
     over or whose progress cannot be read, and None if there is none.
     ``usage`` has what accounts have running on all hosts. ``unlisted_usage``
-    has the most that jobs stopped before this term may have running, and
+    has the most that jobs stopped before this term, whose tasks are in
+    ``stopped_tasks``, may have running on ``unlisted_hosts`` hosts, and
     ``accounts_logged`` the accounts whose latest log line had anything.
     ``divisions`` has the latest division of each pool that was full.
     Hosts to empty for maintenance are chosen at ``emptying_due``; machines
@@ -74,6 +77,7 @@
         "accounts_logged",
         "advice",
         "arrivals",
+        "began_at",
         "backlogs",
         "begun_job_ids",
         "catalog",
@@ -119,6 +123,7 @@
         "recorded_unresponsive",
         "saving_effects",
         "store_slow",
+        "stopped_tasks",
         "stuck_due",
         "stuck_work",
         "suspects",
@@ -127,6 +132,7 @@
         "unstorable_jobs",
         "unwanted",
         "unix_ms",
+        "unlisted_hosts",
         "unlisted_usage",
         "unreadable_jobs",
         "unresponsive_changed",
@@ -147,6 +153,9 @@
         self.advice = advice_queue.AdviceQueue()
         self.hosts: dict[str, host_state.Host] = {}
         self.usage = account_usage.AccountUsage()
+        self.began_at = 0.0
+        self.stopped_tasks: dict[str, unlisted_runs.Tasks] = {}
+        self.unlisted_hosts = 0
         self.unlisted_usage: dict[str, model.Resources] = {}
         self.accounts_log_at = 0.0
         self.accounts_logged: set[str] = set()
--- a/azurewood/scheduling/reducer.py
+++ b/azurewood/scheduling/reducer.py
@@ -67,7 +67,7 @@
     state = model.State(term=term, leases_expire_at=leases_expire_at)
     state.max_record_bytes = max_record_bytes
     state.known_job = known_job
-    stopped_jobs.restore(state, stopped)
+    stopped_jobs.restore(state, stopped, now)
     state.clock_offset_ms = unix_ms - now * 1000
     state.clock_ms = unix_ms
     state.unanswered_starts.unanswered_at = now
@@ -249,7 +249,7 @@
     state.fenced_at = event.fenced_at
     state.clock_ms = now * 1000 + state.clock_offset_ms
     hosts.send_due_calls(state, now)
-    stopped_jobs.forget_if_listed(state, now)
+    stopped_jobs.update_usage(state, now)
     maintenance.drive_waves(state, now, may_order=event.may_order)
     pools.plan_moves(state, now, may_order=event.may_order)
     account_limits.log_states(state, now)
