Answer the connections that wait when a stopping daemon closes

Cause: the daemon's loop closed the servers as soon as it ran again. Connections that the kernel had taken for the paused process were still in the listener's backlog; closing resets them, unread.

Change: before it closes the servers, the loop goes on for at most 0.5 s, until no connection waits at a listener. The time by which the daemon ends is taken before that.

--- a/azurewood/daemons/fleet.py
+++ b/azurewood/daemons/fleet.py
@@ -6,6 +6,7 @@
 
 import concurrent.futures
 import ipaddress
+import math
 import secrets
 import threading
 import time
@@ -29,6 +30,9 @@
 STOP_MARGIN_S: typing.Final = 1.5
 """Time reserved for answers under way before the platform kills the
 process."""
+MAX_ACCEPT_S: typing.Final = 0.5
+"""How long a stopping daemon still accepts connections that wait for it."""
+ACCEPT_CHECK_INTERVAL_S: typing.Final = 0.02
 EXIT_MARGIN_S: typing.Final = 0.5
 """Time reserved for the exit of the process."""
 BALANCER_NOTICE_S: typing.Final = 2.5
@@ -110,9 +114,10 @@
             self._pool.submit(_serve, listener)
         while not self._stop_due():
             self._step()
-        closing = [self._pool.submit(s.stop) for s in self._servers]
         end = boot_clock() + self._settings.stop_within_s - BALANCER_NOTICE_S
         end -= EXIT_MARGIN_S
+        self._accept_waiting(min(end, boot_clock() + MAX_ACCEPT_S))
+        closing = [self._pool.submit(s.stop) for s in self._servers]
         # Answers to callers under way still need this thread.
         while boot_clock() < end and not all(f.done() for f in closing):
             self._step()
@@ -120,10 +125,22 @@
             listener.open_requests.log_all_unanswered("the daemon ends")
         self._pool.shutdown(wait=False)
 
-    def _step(self) -> None:
+    def _accept_waiting(self, deadline: float) -> None:
+        """Wait until the servers have accepted the connections that wait.
+
+        Closing a server resets them. They are many if the process was paused
+        while it stopped.
+        """
+        while boot_clock() < deadline and any(
+            server.has_waiting(listener) for listener in self._servers
+        ):
+            self._step(max_wait_s=ACCEPT_CHECK_INTERVAL_S)
+
+    def _step(self, *, max_wait_s: float = math.inf) -> None:
         now = boot_clock()
         self.member.step(now)
-        self._calls.run_once(self.member.next_at(now) - now)
+        wait_s = self.member.next_at(now) - now
+        self._calls.run_once(min(wait_s, max_wait_s))
 
     def stop(self) -> None:
         """Begin to stop; may be called from a signal handler."""
--- a/azurewood/http/server.py
+++ b/azurewood/http/server.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import logging
+import select
 import ssl
 import typing
 
@@ -74,6 +75,18 @@
     return server
 
 
+def has_waiting(listener: wsgi.Server) -> bool:
+    """Return whether connections wait for a listening server to accept them.
+
+    The result is False for a server that has been stopped.
+    """
+    if listener.socket is None:
+        return False
+    poll = select.poll()
+    poll.register(listener.socket, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _log(
     message: str = "", level: int = logging.INFO, traceback: bool = False
 ) -> None:
--- a/tests/platform/test_daemons.py
+++ b/tests/platform/test_daemons.py
@@ -290,3 +290,53 @@
     # before the caller's own deadline.
     assert answers[0][0] == 503
     assert time.monotonic() - stop_started_at < 2.5
+
+
+def test_connections_that_wait_at_a_stop_are_answered(server, monkeypatch):
+    """A daemon paused while it stops reset requests it had not read."""
+    monkeypatch.setattr(fleet, "BALANCER_NOTICE_S", 0.0)
+    server.write_operator_record(pages.Topic.OPERATORS, "config", MANIFEST)
+    daemon = Daemon("m1", server)
+    wait_for(lambda: _ready(daemon))
+    accepting = _hold_accepts(daemon, monkeypatch)
+    callers = [_ask_for_a_job(daemon) for _ in range(8)]
+    daemon.daemon.stop()
+    time.sleep(0.1)
+    accepting.set()
+    assert b"" not in [_read_status(caller) for caller in callers]
+    daemon.thread.join(10)
+
+
+def _hold_accepts(daemon, monkeypatch):
+    """Keep callers waiting until the returned event is set."""
+    (front,) = [
+        listener
+        for listener in daemon.daemon._servers
+        if listener.bind_addr[1] == daemon.ports[0]
+    ]
+    accepting = threading.Event()
+    process_conn = front.process_conn
+
+    def process_later(conn):
+        accepting.wait(10)
+        process_conn(conn)
+
+    monkeypatch.setattr(front, "process_conn", process_later)
+    return accepting
+
+
+def _ask_for_a_job(daemon):
+    caller = socket.create_connection(("127.0.0.1", daemon.ports[0]), 5)
+    caller.sendall(
+        b"GET /one/00000000000000ae HTTP/1.1\r\nHost: jobs.example\r\n\r\n"
+    )
+    return caller
+
+
+def _read_status(caller):
+    """Return the status of an answer, b"" if there is none."""
+    with caller:
+        try:
+            return caller.recv(4096)[9:12]
+        except ConnectionError:
+            return b""
