Count the end of a replaced host as one crash

Tasks of a host that was replaced while no leader was there had two crashes counted for one; with four a job is given up, and callers see it as failed.

Cause: since the machines of hosts are stored, the first list of machines is compared with hosts whose entries the leader has not read yet. Such a host has no entry, which counted as silence, and no known incarnation; once the entry was read, its end counted again, for that incarnation.

Change: until the entries are read, no host is taken for silent.

--- a/azurewood/scheduling/maintenance.py
+++ b/azurewood/scheduling/maintenance.py
@@ -116,10 +116,11 @@
             if entry is None or entry.host not in ("", host_id):
                 del state.host_machines[host_id]
             continue
-        absent = host.is_silent or not host.present
+        silent = _is_silent(state, host)
+        absent = silent or not host.present
         if absent and host.late_starts and _has_left(state, host, entry):
             state.bar_late_starts(host, at + limits.MAX_START_DELAY_S)
-        if entry is None or not host.is_silent:
+        if entry is None or not silent:
             continue
         if _has_left(state, host, entry):
             proof = host_ends.Replaced(placed_before=at)
@@ -128,6 +129,17 @@
             host_ends.end(state, host, host_ends.Down(placed_before=at), now)
 
 
+def _is_silent(state: model.State, host: host_state.Host) -> bool:
+    """Return whether a host doesn't answer, or is known to have no entry.
+
+    Before the entries are read, no host has one. Its incarnation isn't known
+    then either, and its crash would be counted once more when it is.
+    """
+    if host.entry is None and not state.hosts_read_at:
+        return False
+    return host.is_silent
+
+
 def _has_left(
     state: model.State,
     host: host_state.Host,
--- a/tests/scheduling/test_host_records.py
+++ b/tests/scheduling/test_host_records.py
@@ -16,15 +16,19 @@
 the term, and for a start."""
 
 
-def _lose_all_with_a_host(made):
-    """End all daemons; the machines of hosts with runs get other hosts."""
+def _lose_all_with_a_host(made, *, keeps_entry=False):
+    """End all daemons; the machines of hosts with runs get other hosts.
+
+    With ``keeps_entry`` the entries of the former hosts stay in the store.
+    """
     for member in made.members:
         member.kill()
     for machine in list(made.machines.values()):
         host = made.hosts.get(machine.host)
         if host is not None and host.runs:
             host.crash()
-            made._remove_entry(host)
+            if not keeps_entry:
+                made._remove_entry(host)
             made._back(machine)
     made.run(DOWN_S)
     for member in made.members:
@@ -57,6 +61,19 @@
     assert _run_on_a_host_that_goes(made, first)
 
 
+@pytest.mark.parametrize("keeps_entry", [False, True])
+def test_the_end_of_a_replaced_host_counts_as_one_crash(keeps_entry):
+    """Guards against LOST: a job that is shown as failed without cause."""
+    made = deployment.world(**{"s-one": 3})
+    job = deployment.job(made, 1, accounts.LASTING)
+    made.submit(made.members[0], job)
+    made.run(PLACED_S)
+    _lose_all_with_a_host(made, keeps_entry=keeps_entry)
+    made.run(STARTED_WITHIN_S)
+    state = made.leaders()[0].member.term.state
+    assert [task.crashes for task in state.jobs[job.id].tasks()] == [1]
+
+
 def test_it_waits_if_the_machine_is_not_on_record(monkeypatch):
     monkeypatch.setattr(host_records, "store", lambda state: None)
     made = deployment.world(**{"s-one": 3})
