Leave the records of hosts that are still there as they are

A new leader removed the stored machine of each host without a run, or stored it again, although the host was there on the same machine: a record of each idle host with each change of the leader.

Change: an unchanged record is not written, and removals wait until the entries of hosts are read.

--- a/azurewood/scheduling/host_records.py
+++ b/azurewood/scheduling/host_records.py
@@ -37,20 +37,23 @@
     """Add the changed machines to the progress that is stored next.
 
     Those that no list has named yet are stored once one does. Removals wait
-    for other progress, as they cost an append else.
+    for other progress, as they cost an append else, and until the entries of
+    hosts are read, as hosts that are still there have not left.
     """
     if not state.dirty_machines:
         return
     others = state.values or state.dirty_jobs or state.dirty_late_starts
+    removes = others and state.hosts_read_at
     waiting = set()
     for host_id in sorted(state.dirty_machines):
         machine = state.host_machines.get(host_id)
         key = f"{progress.HOST_PREFIX}{host_id}"
         if host_id in state.hosts:
-            if machine is not None:
+            known = state.recorded_machines.get(host_id)
+            if machine not in (None, known):
                 state.recorded_machines[host_id] = machine
                 state.values[key] = progress.encode_host(machine)
-        elif not others:
+        elif not removes:
             waiting.add(host_id)
         elif state.recorded_machines.pop(host_id, None) is not None:
             state.values[key] = None
--- a/tests/scheduling/test_host_records.py
+++ b/tests/scheduling/test_host_records.py
@@ -109,6 +109,35 @@
     assert _recorded(made).items() <= listed.items()
 
 
+def _records_written_again(monkeypatch):
+    """Change the leader beside idle hosts; return which of them it stores."""
+    made = deployment.world(**{"s-one": 6})
+    for number in range(1, 13):
+        made.submit(made.members[0], deployment.job(made, number))
+    made.run(4.0)
+    before = set(_recorded(made))
+    assert before
+    written = []
+    usual = host_records.store
+
+    def store(state):
+        usual(state)
+        prefix = progress.HOST_PREFIX
+        written.extend(k for k in state.values if k.startswith(prefix))
+
+    monkeypatch.setattr(host_records, "store", store)
+    made.submit(made.members[0], deployment.job(made, 99, accounts.LASTING))
+    made.leaders()[0].kill()
+    made.run(STARTED_WITHIN_S)
+    assert written
+    return before & {k.removeprefix(progress.HOST_PREFIX) for k in written}
+
+
+def test_a_new_leader_stores_no_machine_again(monkeypatch):
+    """Guards against a record of each idle host with each change of leader."""
+    assert not _records_written_again(monkeypatch)
+
+
 @pytest.mark.parametrize("state", list(messages.MachineState))
 def test_a_host_that_its_machine_still_has_is_not_replaced(state):
     """Guards against TWICE: its runs go on."""
