Take power from all daemons in the soak

Seeds from 1,000,000 on end all daemons at once for 0.5 to 3 s, one to three times, while hosts crash, drain or get another host on their machine, beside a slow store and late starts; odd seeds have client accounts. No fault starts a daemon before its power is back. A job that a daemon denies 3 s after it was accepted is a finding in all ranges now.

--- a/tests/soak/base.py
+++ b/tests/soak/base.py
@@ -18,6 +18,7 @@
 from azurewood.jobs import catalog
 from azurewood.journal import pages
 from azurewood.scheduling import messages
+from standins.fleet import world as worlds
 from standins import processes
 from tests.platform import standin
 from tests.platform import test_daemons
@@ -96,7 +97,7 @@
             }
         )
         self._accounts = None
-        if seed >= plan.FIRST_ACCOUNT_SEED:
+        if plan.has_accounts(seed):
             self._accounts = accounts.Accounts(
                 server=self._server, is_disturbed=self._is_disturbed
             )
@@ -236,6 +237,10 @@
                 self._schedule(fault.for_s, lambda: self._end_late(fault))
             case plan.Drain():
                 self._drain_host(fault)
+            case plan.PowerLoss():
+                self._lose_power(fault)
+            case plan.Replace():
+                self._replace_host(fault)
             case plan.Slow(append_s=seconds):
                 self._server.append_s = seconds
                 self._schedule(fault.for_s, self._end_slow)
@@ -263,6 +268,13 @@
             case _:
                 self._schedule(0.0, lambda: self._stop(daemon, fault.for_s))
 
+    def _lose_power(self, fault):
+        """End all daemons at once, and start them when power is back."""
+        self._server.note("all daemons lose power")
+        for daemon in self._daemons:
+            daemon.lose_power()
+            self._schedule(fault.for_s, daemon.restore_power)
+
     def _stop(self, daemon, for_s):
         """Send SIGTERM to a daemon; kill it after its grace period."""
         process = daemon.process
@@ -393,13 +405,35 @@
                 return
             self._server.note(f"{host.id} leaves")
             host.crash(ordered=True)
-            down = messages.MachineState.DOWN
-            world._set_machine(machine.name, machine.pool, down, "")
+            self._empty_machine(machine)
             world._remove_entry(host)
         link.open = False
         self._proxy.reset(link.name)
         self._schedule(BACK_S, lambda: self._bring_back(machine, link))
 
+    def _empty_machine(self, machine):
+        down = messages.MachineState.DOWN
+        self._server.world._set_machine(machine.name, machine.pool, down, "")
+
+    def _replace_host(self, fault):
+        """Crash a host for good; its entry lapses by time."""
+        world = self._server.world
+        link = self._proxy.links[f"machine-{fault.number}"]
+        with self._server.lock:
+            self._server.advance()
+            machine = world.machines[self._machines[fault.number]]
+            host = world.hosts.get(machine.host)
+            if host is None:
+                return
+            self._server.note(f"{host.id} {fault}")
+            host.crash()
+            self._empty_machine(machine)
+            lapse_s = worlds.SILENCE_S
+            world.clock.after(lapse_s, lambda: world._remove_entry(host))
+        link.open = False
+        self._proxy.reset(link.name)
+        self._schedule(fault.for_s, lambda: self._bring_back(machine, link))
+
     def _bring_back(self, machine, link):
         with self._server.lock:
             self._server.advance()
@@ -424,6 +458,7 @@
         self._server.late = None
         self._server.resets.faults.clear()
         for daemon in self._daemons:
+            daemon.has_power = True
             daemon.process.resume()
             died = not daemon.process.alive
             told = daemon.process.pid in self._stopping or daemon.killed_at
@@ -499,6 +534,7 @@
     def _check_answers(self):
         """Record a finding for each answer that the store belies."""
         self._findings += self._observations.not_stored
+        self._findings += self._observations.denied
         self._findings += self._observations.false_keys
         with self._server.lock:
             world = self._server.world
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,10 @@
 
 TIMEOUT_S = 3.0
 MAX_TRIES = 6
+GONE = 410
+"""The status with which a daemon denies that a job exists."""
+VISIBLE_S = 3.0
+"""Time from which each daemon in touch has to know an accepted job."""
 FINAL = frozenset({"completed", "failed", "cancelled"})
 
 
@@ -36,6 +40,7 @@
     cancelling: set[str] = dataclasses.field(default_factory=set)
     lost: list[LostRequest] = dataclasses.field(default_factory=list)
     not_stored: list[str] = dataclasses.field(default_factory=list)
+    denied: list[str] = dataclasses.field(default_factory=list)
     false_keys: list[str] = dataclasses.field(default_factory=list)
     tries: int = 0
     asked: int = 0
@@ -135,7 +140,14 @@
 
     def _read_state(self, job_id):
         key = self._choose_key()
+        asked_at = time.monotonic()
         status, body = self.ask("GET", self._path + job_id, key=key)
+        accepted_at = self._observations.accepted[job_id]
+        if status == GONE and asked_at > accepted_at + VISIBLE_S:
+            self._observations.denied.append(
+                f"job {job_id} was accepted and isn't known,"
+                f" {asked_at - accepted_at:.2f} s later"
+            )
         if status == 200:
             with self._server.lock:
                 self._server.advance()
--- a/tests/soak/member.py
+++ b/tests/soak/member.py
@@ -30,13 +30,17 @@
 
 
 class Daemon:
-    """A daemon process, its settings file and the times it was killed."""
+    """A daemon process, its settings file and the times it was killed.
+
+    Without ``has_power`` it does not start.
+    """
 
     def __init__(self, *, number, ip, running, folder, store, module):
         self.number = number
         self.ip = ip
         self._module = module
         self._lock = threading.Lock()
+        self.has_power = True
         self.killed_at = []
         self._running = running
         text = SETTINGS.format(
@@ -53,8 +57,10 @@
         self.start()
 
     def start(self):
-        """Start the process if it is not running."""
+        """Start the process if it is not running and has power."""
         with self._lock:
+            if not self.has_power:
+                return
             if self.process is None or not self.process.alive:
                 self.process = self._running.start(
                     f"m{self.number}",
@@ -70,6 +76,19 @@
         if _handles_reload(self.process.pid):
             self.process.signal(signal.SIGHUP)
 
+    def lose_power(self):
+        """Send SIGKILL without waiting; nothing starts the process again."""
+        with self._lock:
+            self.has_power = False
+            self.killed_at.append(time.monotonic())
+            self.process.signal(signal.SIGKILL)
+
+    def restore_power(self):
+        """Start the process once the former one has ended."""
+        self.process.kill()
+        self.has_power = True
+        self.start()
+
     def kill(self, process=None):
         """Send SIGKILL to ``process``, by default the current process."""
         self.killed_at.append(time.monotonic())
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -150,6 +150,26 @@
     factor: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class PowerLoss:
+    """All daemons are killed at once and started again ``for_s`` later.
+
+    None starts meanwhile, whatever other faults say.
+    """
+
+    at: float
+    for_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Replace:
+    """A host crashes for good; its machine has another ``for_s`` later."""
+
+    at: float
+    for_s: float
+    number: int
+
+
 FIRST_RESTART_SEED = 1000
 """Seeds from here on also draw ``Restart`` and ``Late``.
 
@@ -176,6 +196,15 @@
 Even ones draw ``Limit`` and no ``Late``: a start that was sent before a limit
 was lowered and is carried out after that exceeds the limit by no fault.
 """
+FIRST_POWER_SEED = 1_000_000
+"""Seeds from here on draw ``PowerLoss``, ``Replace`` and drains.
+
+They draw ``Late`` and ``Slow`` beside these. The odd ones have client
+accounts, with ``Late`` and no ``Limit``.
+"""
+POWER_DOWN_S = (0.5, 3.0)
+BEFORE_LOSS_S = 0.3
+"""Hosts that are replaced are so from this time before a loss of power on."""
 ACCOUNTS = {"a": (1, 6000), "b": (2, 8000), "c": (1, 0)}
 """Weights, and limits in thousandths of a core; 0 is no limit."""
 DISTURBED_S = 4.0
@@ -211,8 +240,12 @@
         faults.append(_draw_fault(rng, at, daemons, machines))
         if rng.random() < 0.3:
             faults.append(dataclasses.replace(faults[-1], at=at + 0.7))
-    if seed >= FIRST_ACCOUNT_SEED:
+    if seed >= FIRST_POWER_SEED:
+        faults += _draw_power(rng, seconds, machines)
+        faults += _draw_drains(rng, seconds, machines)
+    if has_accounts(seed):
         faults += _draw_accounts(rng, seed, seconds, machines)
+    if seed >= FIRST_ACCOUNT_SEED:
         return sorted(faults, key=lambda fault: fault.at)
     drains = seed >= FIRST_DRAIN_SEED
     if seed >= FIRST_RESTART_SEED:
@@ -231,6 +264,13 @@
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def has_accounts(seed):
+    """Return whether a seed's callers have client accounts."""
+    if seed >= FIRST_POWER_SEED:
+        return seed % 2 == 1
+    return seed >= FIRST_ACCOUNT_SEED
+
+
 def cancel_share(seed):
     """Return how often callers cancel a job, by turns of their loop."""
     return 0.3 if seed >= FIRST_DRAIN_SEED else 0.1
@@ -249,7 +289,7 @@
         case Cut():
             hit = fault.link == f"daemon-{daemon}"
         case _:
-            hit = isinstance(fault, Store)
+            hit = isinstance(fault, (Store, PowerLoss))
     return hit and begin <= until and since <= begin + for_s
 
 
@@ -288,6 +328,38 @@
         )
 
 
+def _draw_power(rng, seconds, machines):
+    """Draw losses of all daemons, some in series, and what goes with them.
+
+    The store is slow around each, starts are late before it, and hosts are
+    replaced from shortly before it to its end.
+    """
+    at = rng.uniform(3.0, seconds * 0.6)
+    for _ in range(rng.choice((1, 1, 2, 3))):
+        if at > seconds - 1.0:
+            return
+        for_s = rng.uniform(*POWER_DOWN_S)
+        yield PowerLoss(at=round(at, 2), for_s=round(for_s, 2))
+        yield Slow(
+            at=round(at - rng.uniform(0.5, 2.0), 2),
+            for_s=round(rng.uniform(1.0, 6.0), 2),
+            append_s=rng.choice((0.1, 0.3, 0.6)),
+        )
+        yield Late(
+            at=round(at - rng.uniform(0.5, 2.0), 2),
+            for_s=round(rng.uniform(2.0, 5.0), 2),
+            kind="orders",
+            share=rng.choice((0.1, 0.3, 0.5)),
+        )
+        for number in rng.sample(range(machines), rng.randint(0, 2)):
+            yield Replace(
+                at=round(at + rng.uniform(-BEFORE_LOSS_S, for_s), 2),
+                for_s=round(rng.choice((0.0, rng.uniform(0.2, 3.0))), 2),
+                number=number,
+            )
+        at += for_s + rng.uniform(0.3, 4.0)
+
+
 def _draw_drains(rng, seconds, machines):
     """Draw hosts that drain, and times in which the store is slow."""
     for _ in range(rng.randint(3, 7)):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -42,6 +42,14 @@
 )
 
 
+RANGES = (1, 1000, 100_000, 500_000, 700_000, 900_000)
+"""The first seeds of the ranges before that of losses of power."""
+PLANS_OF_RANGES = (
+    "bf2153ad09a13c59d7cbb7f7e7cdbbc91a4465a3547eacd6a5977d6697fb95be"
+)
+POWER_SEED = 1_000_001
+
+
 def test_seeds_that_once_failed(tmp_path):
     """Run all of them through the command line, four at a time."""
     seeds = [word for seed in REGRESSIONS for word in ("--seed", str(seed))]
@@ -79,6 +87,16 @@
     assert digest == PLANS_OF_REGRESSIONS
 
 
+def test_earlier_ranges_keep_their_plans():
+    plans = [
+        plan.draw(first + number, seconds=20.0, daemons=4, machines=6)
+        for first in RANGES
+        for number in range(20)
+    ]
+    digest = hashlib.sha256(repr(plans).encode()).hexdigest()
+    assert digest == PLANS_OF_RANGES
+
+
 def test_later_seeds_restart_hosts_under_late_calls():
     faults = [
         fault
@@ -238,6 +256,60 @@
         assert (plan.Late in kinds) == (seed % 2 == 1)
 
 
+def test_the_last_range_loses_all_power():
+    first = plan.FIRST_POWER_SEED
+    replaced = 0
+    for seed in range(first, first + 50):
+        faults = plan.draw(seed, seconds=20.0, daemons=4, machines=6)
+        kinds = {type(fault) for fault in faults}
+        assert {plan.PowerLoss, plan.Slow, plan.Late, plan.Drain} <= kinds
+        assert not {plan.Reset, plan.Restart, plan.Limit} & kinds
+        assert plan.has_accounts(seed) == (plan.Burst in kinds)
+        assert plan.has_accounts(seed) == (seed % 2 == 1)
+        losses = [f for f in faults if isinstance(f, plan.PowerLoss)]
+        assert all(0.5 <= loss.for_s <= 3.0 for loss in losses)
+        assert all(0.0 < fault.at < 20.0 for fault in losses)
+        replaced += plan.Replace in kinds
+    assert replaced > 25
+
+
+def test_short_run_with_a_loss_of_all_power(tmp_path):
+    """Guards against LOST: jobs denied, or never run, after such a loss."""
+    result = base.play(
+        seed=POWER_SEED, folder=tmp_path, seconds=10.0, daemons=3
+    )
+    trace = (tmp_path / "hosts.trace").read_text(encoding="utf-8")
+    assert result.findings == []
+    assert result.accepted
+    assert "all daemons lose power" in trace
+
+
+def test_no_daemon_starts_without_power(tmp_path):
+    """Guards against a loss that another fault's restart ends too soon."""
+    loss = plan.PowerLoss(at=3.0, for_s=3.0)
+    kill = plan.Signal(at=2.5, for_s=1.0, kind="kill", daemon=0)
+    replace = plan.Replace(at=3.5, for_s=0.5, number=0)
+    result = base.play(
+        seed=3,
+        folder=tmp_path,
+        seconds=8.0,
+        daemons=3,
+        faults=[kill, loss, replace],
+    )
+    trace = (tmp_path / "hosts.trace").read_text(encoding="utf-8")
+    (lost_at,) = re.findall(
+        r"^([\d.]+) all daemons lose power$", trace, re.MULTILINE
+    )
+    calls = [
+        float(at)
+        for at in re.findall(r"^([\d.]+) h\d+ /api/run", trace, re.MULTILINE)
+    ]
+    gone = [at - float(lost_at) for at in calls]
+    assert not any(0.5 < at < loss.for_s for at in gone)
+    assert any(at > loss.for_s for at in gone)
+    assert result.findings == []
+
+
 def test_a_disturbance_lasts_from_its_begin_to_its_end():
     """Only a disturbed daemon may accept calls by an outdated version."""
     pause = plan.Signal(at=5.0, for_s=1.0, kind="pause", daemon=2, count=2)
