Let tests wait until a daemon knows the intake; late refusals as before

A daemon denies unknown jobs once it knows that the intake is copied, a second or some after it is ready.

test_callers_are_told_the_fate_of_their_jobs saw no refusal within 20 s in some plays, as its store fails again and again: a record that waited too long was an unknown outcome (504) for as long as nothing proved that the intake was copied. It is refused as before, once a leader that is heard has had the time to copy, unless the daemon has just started; what callers lose by 504 is more than the case in which another daemon stored the same job meanwhile.

--- a/azurewood/daemons/job_writes.py
+++ b/azurewood/daemons/job_writes.py
@@ -257,7 +257,7 @@
         )
         verdict = verdicts.Refused(reason="store out of touch")
         service = self._job_service
-        if not service.complete or not service.caught_up:
+        if not self._is_copied_by_time(now) or not service.caught_up:
             verdict = verdicts.OutcomeUnknown(reason="the store is slow")
         for item in writer.withdraw(
             lambda item: item.token.request.asked_at < asked_before
@@ -265,6 +265,17 @@
             _log_withdrawn(item, writer.last_error or "waited for its turn")
             _complete(item.token.request, verdict)
 
+    def _is_copied_by_time(self, now: float) -> bool:
+        """Return whether a leader has had time to copy the intake's jobs.
+
+        A refusal that waited for proof would be an unknown outcome for as
+        long as appends fail now and then.
+        """
+        if self._job_service.complete:
+            return True
+        silent_s = self._election.leader_silent_s(now)
+        return now >= self._intake_used_by and silent_s <= LAST_USE_S
+
     def _give_up(self, writer: topics.Writer, now: float) -> None:
         """Send records no longer whose outcome has not become known.
 
--- a/tests/platform/test_accounts.py
+++ b/tests/platform/test_accounts.py
@@ -175,6 +175,7 @@
         for key in (None, "", "unknown", "\xff", f"Bearer {SECRET}"):
             assert _call(daemon, method, path, key, "no job") == 401
     assert _call(daemon, "POST", PATH, SECRET, "no job") == 400
+    daemons_base.wait_for(lambda: daemons_base.knows_intake(daemon))
     assert _call(daemon, "GET", PATH, SECRET) == 410
     large = "x" * 300000
     assert _call(daemon, "POST", PATH, "unknown", large) == 401
