Stop no start as a refused one beside it is repeated

Starts of an account were stopped, one after the other, while its hosts refused earlier starts: their tasks had to begin again under another number.

Cause: since refused starts leave an account half of its limit, one of them that is repeated makes that half full while all of them together are more than the limit. That counted as a limit that was lowered, for which starts without an answer are taken back or stopped.

Change: an account is over its limit only by what its hosts don't refuse (policy/account_room.is_over). What may begin late is the same as before.

--- a/azurewood/policy/account_room.py
+++ b/azurewood/policy/account_room.py
@@ -26,3 +26,12 @@
     if not limit:
         return NO_LIMIT
     return max(limit - used, limit // 2 - (used - refused))
+
+
+def is_over(limit: int, used: int, refused: int) -> bool:
+    """Return whether an account is over its limit, which may be lowered.
+
+    A refused start that is repeated takes its place up again. That adds
+    nothing to ``used``, and is no reason to stop it or others.
+    """
+    return bool(limit) and used - refused > limit
--- a/azurewood/scheduling/account_limits.py
+++ b/azurewood/scheduling/account_limits.py
@@ -94,7 +94,7 @@
     limit = limit_of(state, account)
     if limit is None:
         return False
-    return not jobs.Resources().fits(state.usage.room(account, limit))
+    return state.usage.is_over(account, limit)
 
 
 def log_changes(
--- a/azurewood/scheduling/account_usage.py
+++ b/azurewood/scheduling/account_usage.py
@@ -140,3 +140,17 @@
             ),
             account_room.room(limit.gpu, used.gpu, refused.gpu),
         )
+
+    def is_over(self, account: str, limit: model.Resources) -> bool:
+        """Return whether an account uses more than its limit.
+
+        The limit may have been lowered. What hosts refuse does not count.
+        """
+        used, refused = self.used(account), self.refused(account)
+        return (
+            account_room.is_over(limit.cpu, used.cpu, refused.cpu)
+            or account_room.is_over(
+                limit.memory_mb, used.memory_mb, refused.memory_mb
+            )
+            or account_room.is_over(limit.gpu, used.gpu, refused.gpu)
+        )
--- a/tests/policy/test_account_room.py
+++ b/tests/policy/test_account_room.py
@@ -47,3 +47,20 @@
 
 def test_an_account_without_a_limit_has_room():
     assert account_room.room(0, 100, 0) == account_room.NO_LIMIT
+
+
+@pytest.mark.parametrize(
+    ("limit", "used", "refused", "over"),
+    [
+        (10, 10, 0, False),
+        (10, 11, 0, True),
+        (10, 15, 9, False),
+        (10, 15, 4, True),
+        (0, 100, 0, False),
+    ],
+)
+def test_what_hosts_refuse_brings_no_account_over_its_limit(
+    limit, used, refused, over
+):
+    """Guards against stops of starts beside a refused one that is repeated."""
+    assert account_room.is_over(limit, used, refused) is over
--- a/tests/scheduling/test_account_usage.py
+++ b/tests/scheduling/test_account_usage.py
@@ -140,6 +140,25 @@
     assert room.memory_mb > 10**9
 
 
+def test_a_refused_start_that_is_repeated_brings_no_account_over_its_limit():
+    """Guards against LOST: each was stopped, and so were others' starts."""
+    usage = account_usage.AccountUsage()
+    limit = model.Resources(4000, 0, 0)
+    places = [("h1", TASK._replace(index=index), 1) for index in range(4)]
+    for place in places:
+        usage.add(place, "a", accounts.ONE.needs)
+        usage.set_refused(place, "a", refused=True)
+    for index in range(2):
+        usage.add(
+            ("h2", TASK._replace(index=index), 2), "a", accounts.ONE.needs
+        )
+    assert usage.room("a", limit).cpu == 0
+    usage.add(places[0], "a", accounts.ONE.needs)
+    assert usage.room("a", limit).cpu < 0
+    assert not usage.is_over("a", limit)
+    assert usage.is_over("a", model.Resources(2000, 0, 0))
+
+
 def _listed(host, *rows):
     return messages.LeaseRenewed(
         host=host.id,
