Check the progress of jobs that need advice

Such jobs are checked now while the service approves all hosts and has no call to handle; a call that it refuses counts as a disturbance.

--- a/standins/fleet/advice.py
+++ b/standins/fleet/advice.py
@@ -49,6 +49,10 @@
             self._ends.popleft()
         return len(self._ends) > MAX_WAITING
 
+    def is_idle(self) -> bool:
+        """Return whether it has no call to handle, and approves all hosts."""
+        return self.approved is None and self._clock.now >= self._busy_until
+
     def wait(
         self, ask: messages.AskAdvice, done: abc.Callable[[], None]
     ) -> None:
--- a/standins/fleet/disturbances.py
+++ b/standins/fleet/disturbances.py
@@ -21,10 +21,14 @@
 
 
 def condition(world: typing.Any) -> object:
-    """Return what changes if hosts restart or change their capacity."""
-    return {
+    """Return what changes if hosts restart or change their capacity.
+
+    It also changes if the advice service refuses calls.
+    """
+    born = {
         host.id: (host.born_at, host.capacity) for host in world.hosts.values()
     }
+    return born, world.advice.refused
 
 
 def heal(world: typing.Any) -> None:
--- a/standins/fleet/progress.py
+++ b/standins/fleet/progress.py
@@ -5,8 +5,9 @@
 ``CALM_S``, a long-lived task that could run may be idle for ``MAX_IDLE_S``
 from ``GRACE_S`` after its last run; a timed job may have nothing running that
 long from ``FINISH_S`` after the last disturbance. Tasks that crash their
-hosts and jobs that need advice are not checked, nor jobs once they are shown
-as ended.
+hosts are not checked, nor jobs once they are shown as ended. Jobs that need
+advice are checked while the service approves all hosts and has no call to
+handle; a call that it refuses disturbs the fleet.
 """
 
 from collections import abc
@@ -99,7 +100,7 @@
                 continue
             if job.id in busy and not job.long_lived:
                 continue
-            if self._needs_advice(job):
+            if self._needs_advice(job) and not self._world.advice.is_idle():
                 continue
             if job.service not in found:
                 found[job.service] = self._half_free(job.service)
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/test_advice.py
@@ -7,9 +7,11 @@
 
 from azurewood.jobs import catalog
 from azurewood.jobs import model
+from azurewood.scheduling import advice as asking
 from azurewood.scheduling import messages
 from standins.fleet import advice
 from standins.fleet import clock as clocks
+from standins.fleet import progress
 from standins.fleet import world as worlds
 from tests.scheduling import deployment
 
@@ -159,6 +161,16 @@
     assert all(_is_completed(made, job.id) for job in jobs)
 
 
+def test_a_queue_that_is_never_asked_about_is_found(monkeypatch):
+    """The fleet's checks find jobs that wait beside an idle service."""
+    monkeypatch.setattr(asking, "send_calls", lambda state, now: None)
+    made = _world(HOSTS, 0.01, 0.0)
+    made.submit(made.members[0], deployment.job(made, 1, ONE))
+    made.run(progress.FINISH_S + progress.MAX_IDLE_S + 1.0)
+    rules = {breach.rule for breach in made.rules.breaches}
+    assert rules == {"could run and doesn't"}
+
+
 def test_pools_take_turns():
     """Guards against LOST: the queue of one pool that holds up another."""
     made = deployment.world()
