Recount unknown runs by the lists that the world's hosts sent

The recount of what accounts use took the runs that a leader doesn't know from the leader's own note of them, so a wrong note was right in both. It takes them from the lists of the simulated hosts now. Up to the next step after a host's leases are over, the note may still have them.

--- a/tests/scheduling/accounts.py
+++ b/tests/scheduling/accounts.py
@@ -7,6 +7,7 @@
 
 from azurewood.jobs import catalog
 from azurewood.jobs import model
+from azurewood.scheduling import messages
 from azurewood.scheduling import reducer
 from standins.fleet import account_rules
 from tests.scheduling import deployment
@@ -63,7 +64,41 @@
     return len(made.rules.ended_at.keys() & set(ids))
 
 
-def recount(state, asked):
+class Lists:
+    """The newest list of each host, as the world's hosts have sent them.
+
+    A list tells of runs that the leader does not know. It counts until the
+    host's next list, its next incarnation or the end of its leases.
+    """
+
+    def __init__(self):
+        self._unknown = {}
+
+    def note(self, state, event):
+        """Note the list of an event that a leader has just handled."""
+        host = state.hosts.get(getattr(event, "host", ""))
+        if not isinstance(event, messages.LeaseRenewed) or host is None:
+            return
+        if host.listed_at == event.sent_at:
+            listed = {(row.task, row.run) for row in event.running}
+            incarnation_ms = host.incarnation.began_ms
+            unknown = listed - host.runs.keys()
+            self._unknown[host] = (incarnation_ms, unknown)
+
+    def unknown(self, host, now):
+        """Return the runs that a host has and its leader does not know.
+
+        Once its leases are over, they count up to the leader's next step.
+        """
+        incarnation_ms, found = self._unknown.get(host, (0, frozenset()))
+        if incarnation_ms != host.incarnation.began_ms:
+            return set()
+        if now > host.leases_expire_at:
+            return found & host.listed_unknown.keys()
+        return found
+
+
+def recount(state, asked, lists, now):
     """Return what each account uses, found by a search of all hosts.
 
     The second result is what refused starts alone hold.
@@ -71,7 +106,7 @@
     used = collections.defaultdict(model.Resources)
     refused = collections.defaultdict(model.Resources)
     for host in state.hosts.values():
-        held = host.runs.keys() | host.listed_unknown.keys()
+        held = host.runs.keys() | lists.unknown(host, now)
         for key in held | host.late_starts.keys():
             job = asked[key[0].job]
             if not job.account:
@@ -103,11 +138,13 @@
 def watch(monkeypatch, made):
     """Recount after each event; return the list of differences."""
     wrong = []
+    lists = Lists()
     usual = reducer.handle_event
 
     def handle_event(state, event, now):
         usual(state, event, now)
-        expected = recount(state, made.rules.asked)
+        lists.note(state, event)
+        expected = recount(state, made.rules.asked, lists, now)
         names = made.catalog.accounts
         found = (
             _sums(state.usage.used, names),
--- a/tests/scheduling/test_account_usage.py
+++ b/tests/scheduling/test_account_usage.py
@@ -11,6 +11,7 @@
 from azurewood.jobs import registry
 from azurewood.scheduling import account_usage
 from azurewood.scheduling import host_state
+from azurewood.scheduling import listings
 from azurewood.scheduling import messages
 from azurewood.scheduling import model as scheduling
 from azurewood.scheduling import progress
@@ -20,6 +21,8 @@
 from tests.scheduling import accounts
 
 TASK = model.TaskId("j", 0, 0, 0)
+SUSPENDED_S = 60.0
+LEASE_MS = 6000
 FAULTS = ("kill", "freeze", "restart", "cut", "cancel")
 
 
@@ -118,6 +121,43 @@
     assert wrong
 
 
+def _list_an_unknown_run(monkeypatch):
+    """Begin a run that the leader does not know; return the wrong sums."""
+    made = accounts.world(pools={"s-one": 1}, a=4)
+    wrong = accounts.watch(monkeypatch, made)
+    state = made.leaders()[0].member.term.state
+    (known,) = state.hosts.values()
+    known.suspended_until = made.clock.now + SUSPENDED_S
+    (job_id,) = accounts.submit(made, [1], "a", accounts.LASTING)
+    made.run(0.5)
+    host = made.hosts[known.id]
+    start = messages.StartRun(
+        host=host.id,
+        address=host.address,
+        fence=state.fence,
+        incarnation_ms=host.incarnation_ms,
+        task=model.TaskId(job_id, 0, 0, 0),
+        run=1,
+        payload="",
+        saved="",
+        lease_until_ms=host.clock_ms() + LEASE_MS,
+    )
+    assert host.start(start, host.fence, accounts.LASTING) is None
+    made.run(1.2)
+    assert made.rules.starts == 1
+    return wrong
+
+
+def test_a_run_that_no_leader_knows_counts_until_it_has_ended(monkeypatch):
+    """Guards against QUOTA: the hosts of the world tell what runs there."""
+    assert not _list_an_unknown_run(monkeypatch)
+
+
+def test_the_recount_finds_unknown_runs_that_are_not_counted(monkeypatch):
+    monkeypatch.setattr(listings, "_counted", lambda *_: {})
+    assert _list_an_unknown_run(monkeypatch)
+
+
 def test_a_place_counts_once_until_its_last_reason_is_over():
     """Guards against runs that count twice, or that stop counting too soon."""
     usage = account_usage.AccountUsage()
