--- a/tests/soak/naive.py
+++ b/tests/soak/naive.py
@@ -13,6 +13,7 @@
 from azurewood.incarnations import limits
 from azurewood.jobs import catalog
 from azurewood.journal import appender
+from azurewood.policy import intake
 from azurewood.scheduling import account_usage
 
 
@@ -70,9 +71,15 @@
     account_usage.AccountUsage.remove = lambda self, place, account: None
 
 
+def _take_the_intake_for_empty():
+    """Deny jobs that no leader has copied from the intake yet."""
+    intake.knows_all = lambda **known: True
+
+
 MECHANISMS = {
     "account-removals": _ignore_removals_and_limits,
     "account-additions": _ignore_additions_and_ends,
+    "copied-intake": _take_the_intake_for_empty,
     "graceful-stop": _exit_on_sigterm,
     "leases": _skip_lease_wait,
     "one-copy": _repeat_calls,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -284,6 +284,22 @@
     assert "all daemons lose power" in trace
 
 
+def test_jobs_that_are_denied_after_a_loss_of_power_are_found(tmp_path):
+    """A daemon that takes the intake for empty denies what it holds."""
+    slow = plan.Slow(at=1.0, for_s=20.0, append_s=0.6)
+    losses = [plan.PowerLoss(at=at, for_s=2.5) for at in (5.0, 10.5, 16.0)]
+    result = base.play(
+        seed=3,
+        folder=tmp_path,
+        seconds=20.0,
+        daemons=3,
+        module=("tests.soak.naive", "copied-intake"),
+        faults=[slow, *losses],
+    )
+    found = "\n".join(result.findings)
+    assert "was accepted and isn't known" in found, found
+
+
 def test_no_daemon_starts_without_power(tmp_path):
     """Guards against a loss that another fault's restart ends too soon."""
     loss = plan.PowerLoss(at=3.0, for_s=3.0)
