--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -284,6 +284,7 @@
     assert "all daemons lose power" in trace
 
 
+@pytest.mark.timeout(FALSE_ANSWERS_TIMEOUT_S)
 def test_jobs_that_are_denied_after_a_loss_of_power_are_found(tmp_path):
     """A daemon that takes the intake for empty denies what it holds."""
     slow = plan.Slow(at=1.0, for_s=20.0, append_s=0.6)
